Lay the parent POM, ids, messages and empty programs

Cause: an empty repository; parts are to be built side by side and need the same types from the first minute. Change: eleven modules, the ids, the messages between entry VMs and control members, the configuration's values, the scheduler's events and actions, the two HTTP protocols (docs/INTERNALS.md). google-java-format and Checkstyle's google_checks fail the build. Ruled out: one upstream in several pools. Pools would share its in-flight account, and the two-year size needs pools that share nothing.

--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/id/CustomerId.java
@@ -0,0 +1,19 @@
+package org.teaseltrail.core.id;
+
+/**
+ * Names a customer, who pays for a tier.
+ *
+ * @param value the text of the id
+ */
+public record CustomerId(String value) implements StringId {
+
+  /** Checks the text. */
+  public CustomerId {
+    StringId.checked(value, "customer id");
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/id/ModelVersion.java
@@ -0,0 +1,19 @@
+package org.teaseltrail.core.id;
+
+/**
+ * Names a version of a model.
+ *
+ * @param value the text of the id
+ */
+public record ModelVersion(String value) implements StringId {
+
+  /** Checks the text. */
+  public ModelVersion {
+    StringId.checked(value, "model version");
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/id/UpstreamId.java
@@ -0,0 +1,19 @@
+package org.teaseltrail.core.id;
+
+/**
+ * Names an upstream: an engine or a plain service that does the work.
+ *
+ * @param value the text of the id
+ */
+public record UpstreamId(String value) implements StringId {
+
+  /** Checks the text. */
+  public UpstreamId {
+    StringId.checked(value, "upstream id");
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** What upstreams say of themselves. */
+package org.teaseltrail.core.upstream;
--- /dev/null
+++ b/standin/src/main/java/org/teaseltrail/standin/StandinMain.java
@@ -0,0 +1,16 @@
+package org.teaseltrail.standin;
+
+/** Starts the model of an engine or of a plain service. */
+public final class StandinMain {
+
+  private StandinMain() {}
+
+  /**
+   * Runs the program.
+   *
+   * @param args the command line
+   */
+  public static void main(String[] args) {
+    throw new UnsupportedOperationException("not built yet");
+  }
+}
