Add the runtime module: settings, logs, metrics, start and end of a program

Settings are declared once (Setting, SettingsSpec) and read from INI by ini4j; all mistakes are told together with file and line. ini4j tells its handlers no line, so LineReader hands it one line a read and counts; the test compares the told lines with a golden file.

--- /dev/null
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogSettings.java
@@ -0,0 +1,28 @@
+package org.teaseltrail.runtime.log;
+
+import java.util.List;
+import org.teaseltrail.runtime.settings.Kinds;
+import org.teaseltrail.runtime.settings.Setting;
+
+/** Declares the settings of the log, which every program has. */
+public final class LogSettings {
+
+  /** How lines are written. */
+  public static final Setting<LogFormat> FORMAT =
+      Setting.withDefault(
+          "log", "format", Kinds.choice(LogFormat.class), "text", "How log lines are written.");
+
+  /** From which severity on lines are written. */
+  public static final Setting<LogLevel> LEVEL =
+      Setting.withDefault(
+          "log",
+          "level",
+          Kinds.choice(LogLevel.class),
+          "info",
+          "Least severity that is written. Decision lines are of severity info.");
+
+  /** All of them. */
+  public static final List<Setting<?>> ALL = List.of(FORMAT, LEVEL);
+
+  private LogSettings() {}
+}
--- /dev/null
+++ b/runtime/src/main/java/org/teaseltrail/runtime/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics by Micrometer, told in Prometheus' text form. */
+package org.teaseltrail.runtime.metrics;
--- /dev/null
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/ProgramMain.java
@@ -0,0 +1,141 @@
+package org.teaseltrail.runtime.process;
+
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.concurrent.CompletionException;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.teaseltrail.runtime.log.LogSettings;
+import org.teaseltrail.runtime.log.LogSetup;
+import org.teaseltrail.runtime.log.PartLogger;
+import org.teaseltrail.runtime.settings.Settings;
+import org.teaseltrail.runtime.settings.SettingsInvalidException;
+import org.teaseltrail.runtime.settings.SettingsReader;
+
+/**
+ * Runs a daemon from its command line: reads and checks its settings, starts it, waits for its end.
+ *
+ * <p>Example: {@code public static void main(String[] args) { ProgramMain.main(new EntryProgram(),
+ * args); }}
+ */
+public final class ProgramMain {
+
+  private static final String SETTINGS = "settings";
+  private static final String CHECK_SETTINGS = "check_settings";
+  private static final String PRINT_SETTINGS = "print_settings";
+
+  private final PartLogger logger = new PartLogger("process");
+  private final Program program;
+  private final PrintStream out;
+  private final PrintStream err;
+
+  /**
+   * Makes the runner of a program.
+   *
+   * @param program the program
+   * @param out where its answers go
+   * @param err where failures go
+   */
+  public ProgramMain(Program program, PrintStream out, PrintStream err) {
+    this.program = program;
+    this.out = out;
+    this.err = err;
+  }
+
+  /**
+   * Runs a program and ends the process with its exit code.
+   *
+   * @param program the program
+   * @param args the command line
+   */
+  public static void main(Program program, String[] args) {
+    ExitCode exitCode = new ProgramMain(program, System.out, System.err).run(args);
+    System.exit(exitCode.code());
+  }
+
+  /**
+   * Runs the program until it ends by itself.
+   *
+   * @param args the command line
+   * @return its exit code
+   */
+  public ExitCode run(String... args) {
+    ArgumentParser parser = parser();
+    try {
+      return act(parser.parseArgs(args));
+    } catch (HelpScreenException e) {
+      return ExitCode.OK;
+    } catch (ArgumentParserException e) {
+      parser.handleError(e, new PrintWriter(err, true, StandardCharsets.UTF_8));
+      return ExitCode.USAGE;
+    } catch (SettingsInvalidException e) {
+      err.println(e.getMessage());
+      return ExitCode.SETTINGS;
+    } catch (ProgramException e) {
+      err.println(program.spec().program() + ": " + e.getMessage());
+      return e.exitCode();
+    }
+  }
+
+  private ArgumentParser parser() {
+    ArgumentParser parser =
+        ArgumentParsers.newFor(program.spec().program())
+            .build()
+            .defaultHelp(true)
+            .description(program.spec().summary())
+            .version(program.spec().program() + " " + version());
+    parser.addArgument("--settings").metavar("FILE").help("the settings file");
+    parser
+        .addArgument("--check-settings")
+        .action(Arguments.storeTrue())
+        .help("check the settings file, tell all that is wrong with it, and end");
+    parser
+        .addArgument("--print-settings")
+        .type(Arguments.caseInsensitiveEnumType(SettingsPrint.class))
+        .help("print all settings with their defaults, as an example file or a table, and end");
+    parser.addArgument("--version").action(Arguments.version()).help("show the version and end");
+    program.addArguments(parser);
+    return parser;
+  }
+
+  private String version() {
+    String version = program.getClass().getPackage().getImplementationVersion();
+    return version == null ? "(development build)" : version;
+  }
+
+  private ExitCode act(Namespace arguments) throws SettingsInvalidException, ProgramException {
+    SettingsPrint print = arguments.get(PRINT_SETTINGS);
+    if (print != null) {
+      out.print(print.text(program.spec()));
+      return ExitCode.OK;
+    }
+    String file = arguments.getString(SETTINGS);
+    if (file == null) {
+      throw new ProgramException(ExitCode.USAGE, "--settings FILE is needed; see --help");
+    }
+    Settings settings = new SettingsReader(program.spec()).read(Path.of(file));
+    if (arguments.getBoolean(CHECK_SETTINGS)) {
+      out.println(file + ": settings are right");
+      return ExitCode.OK;
+    }
+    LogSetup.configure(settings.get(LogSettings.FORMAT), settings.get(LogSettings.LEVEL));
+    return serve(settings, arguments);
+  }
+
+  private ExitCode serve(Settings settings, Namespace arguments) throws ProgramException {
+    try (RunningProgram running = program.start(settings, arguments);
+        ShutdownHook hook = new ShutdownHook(running)) {
+      logger.info("Runs.");
+      return running.ended().join();
+    } catch (CompletionException e) {
+      logger.error("Ended by a fault.", e.getCause());
+      return ExitCode.INTERNAL;
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/RunningProgram.java
@@ -0,0 +1,18 @@
+package org.teaseltrail.runtime.process;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Is a daemon that has started. Closing it ends it gracefully. */
+public interface RunningProgram extends AutoCloseable {
+
+  /**
+   * Returns a future that completes once the program has ended by itself, with its exit code.
+   *
+   * @return the future; never completes while the program serves
+   */
+  CompletableFuture<ExitCode> ended();
+
+  /** Ends the program gracefully and returns once nothing of it is in progress. */
+  @Override
+  void close();
+}
--- /dev/null
+++ b/runtime/src/main/java/org/teaseltrail/runtime/settings/ListKind.java
@@ -0,0 +1,31 @@
+package org.teaseltrail.runtime.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Reads values with commas between them.
+ *
+ * @param element reads each
+ * @param <T> the type of each
+ */
+record ListKind<T>(ValueKind<T> element) implements ValueKind<List<T>> {
+
+  @Override
+  public List<T> parse(String text) throws SettingValueException {
+    List<T> values = new ArrayList<>();
+    for (String part : text.split(",", -1)) {
+      if (part.isBlank()) {
+        throw new SettingValueException(
+            SettingsProblemKind.INVALID_VALUE, "an empty part; takes " + description());
+      }
+      values.add(element.parse(part.trim()));
+    }
+    return List.copyOf(values);
+  }
+
+  @Override
+  public String description() {
+    return "a list, with commas between, of: " + element.description();
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/teaseltrail/runtime/process/ProgramMainTest.java
@@ -0,0 +1,108 @@
+package org.teaseltrail.runtime.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.teaseltrail.runtime.settings.ExampleFile;
+import org.teaseltrail.runtime.settings.SampleSettings;
+import org.teaseltrail.runtime.settings.Settings;
+import org.teaseltrail.runtime.settings.SettingsSpec;
+
+class ProgramMainTest {
+
+  @TempDir private Path folder;
+
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+  private final FakeProgram program = new FakeProgram();
+  private String file;
+
+  @BeforeEach
+  void writeSettings() throws IOException {
+    Path path = folder.resolve("sample.ini");
+    Files.writeString(path, ExampleFile.print(SampleSettings.SPEC));
+    file = path.toString();
+  }
+
+  @Test
+  void runsUntilTheProgramEndsAndClosesIt() {
+    program.ended.complete(ExitCode.DATA);
+
+    assertThat(run("--settings", file)).isEqualTo(ExitCode.DATA);
+    assertThat(program.closed).isTrue();
+  }
+
+  @Test
+  void checksSettingsWithoutStarting() {
+    assertThat(run("--settings", file, "--check-settings")).isEqualTo(ExitCode.OK);
+    assertThat(run("--settings", "/nowhere")).isEqualTo(ExitCode.SETTINGS);
+    assertThat(run("--nonsense")).isEqualTo(ExitCode.USAGE);
+    assertThat(run()).isEqualTo(ExitCode.USAGE);
+    assertThat(program.starts).isZero();
+    assertThat(err.toString(StandardCharsets.UTF_8)).contains("/nowhere: file can't be read");
+  }
+
+  @Test
+  void printsItsSettings() {
+    assertThat(run("--print-settings", "example")).isEqualTo(ExitCode.OK);
+
+    assertThat(out.toString(StandardCharsets.UTF_8))
+        .isEqualTo(ExampleFile.print(SampleSettings.SPEC));
+  }
+
+  @Test
+  void tellsWhyItCannotStart() {
+    program.failure = new ProgramException(ExitCode.LISTEN, "address in use");
+
+    assertThat(run("--settings", file)).isEqualTo(ExitCode.LISTEN);
+    assertThat(err.toString(StandardCharsets.UTF_8)).contains("sample: address in use");
+  }
+
+  private ExitCode run(String... args) {
+    PrintStream outStream = new PrintStream(out, true, StandardCharsets.UTF_8);
+    PrintStream errStream = new PrintStream(err, true, StandardCharsets.UTF_8);
+    return new ProgramMain(program, outStream, errStream).run(args);
+  }
+
+  private static final class FakeProgram implements Program, RunningProgram {
+
+    private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
+    private ProgramException failure;
+    private int starts;
+    private boolean closed;
+
+    @Override
+    public SettingsSpec spec() {
+      return SampleSettings.SPEC;
+    }
+
+    @Override
+    public RunningProgram start(Settings settings, Namespace arguments) throws ProgramException {
+      if (failure != null) {
+        throw failure;
+      }
+      starts++;
+      return this;
+    }
+
+    @Override
+    public CompletableFuture<ExitCode> ended() {
+      return ended;
+    }
+
+    @Override
+    public void close() {
+      closed = true;
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/teaseltrail/runtime/settings/SampleSettings.java
@@ -0,0 +1,33 @@
+package org.teaseltrail.runtime.settings;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/** Is a program's list of settings, for tests. */
+public final class SampleSettings {
+
+  static final Setting<InetSocketAddress> ADDRESS =
+      Setting.required("listen", "address", Kinds.address(), "127.0.0.1:8080", "Where it listens.");
+  static final Setting<List<InetSocketAddress>> PEERS =
+      Setting.required(
+          "listen", "peers", Kinds.list(Kinds.address()), "127.0.0.1:1, 127.0.0.1:2", "Others.");
+  static final Setting<Duration> LIFETIME =
+      Setting.withDefault("lease", "lifetime", Kinds.duration("100ms", "1min"), "3s", "Lifetime.");
+  static final Setting<Duration> MARGIN =
+      Setting.withDefault("lease", "margin", Kinds.duration("1ms", "1s"), "1.5ms", "Margin.");
+  static final Setting<Long> BODY =
+      Setting.withDefault("limits", "body", Kinds.size("1B", "1GiB"), "64KiB", "Longest body.");
+  static final Setting<Double> SHARE =
+      Setting.withDefault("limits", "share", Kinds.decimal(0, 1), "0.5", "Share.");
+  static final Setting<Optional<Secret>> SECRET =
+      Setting.optional("limits", "secret", Kinds.secretFile(), "/etc/secret", "Secret.");
+
+  /** All of them. */
+  public static final SettingsSpec SPEC =
+      SettingsSpec.of(
+          "sample", "Is a sample.", ADDRESS, PEERS, LIFETIME, MARGIN, BODY, SHARE, SECRET);
+
+  private SampleSettings() {}
+}
--- /dev/null
+++ b/runtime/src/test/java/org/teaseltrail/runtime/settings/SettingsReaderTest.java
@@ -0,0 +1,90 @@
+package org.teaseltrail.runtime.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class SettingsReaderTest {
+
+  private static final Path INPUTS = Path.of("src/test/resources/settings");
+
+  @TempDir private Path folder;
+
+  private final SettingsReader reader = new SettingsReader(SampleSettings.SPEC);
+
+  /**
+   * An operator starts a program with ten mistakes in its file. Told only the first, the operator
+   * would start it ten times; so all are told at once, each with its line.
+   */
+  @Test
+  void tellsAllMistakesAtOnce() throws IOException {
+    Path file = INPUTS.resolve("wrong.ini");
+
+    SettingsInvalidException failure = refusal(file);
+
+    List<String> told =
+        failure.problems().stream()
+            .map(SettingsProblem::describe)
+            .map(line -> line.replace(INPUTS + "/", ""))
+            .toList();
+    assertThat(told).isEqualTo(Files.readAllLines(INPUTS.resolve("wrong.expected")));
+  }
+
+  @Test
+  void readsValuesAndDefaults() throws Exception {
+    Path secret = Files.writeString(folder.resolve("secret"), "hush\n");
+    Path file =
+        write(
+            "[listen]\naddress = [::1]:80\npeers = 127.0.0.1:1, 127.0.0.1:2\n"
+                + "; comment\n[limits]\nbody=1.5MiB\nsecret = "
+                + secret);
+
+    Settings settings = reader.read(file);
+
+    assertThat(settings.get(SampleSettings.ADDRESS).getPort()).isEqualTo(80);
+    assertThat(settings.get(SampleSettings.PEERS)).hasSize(2);
+    assertThat(settings.get(SampleSettings.MARGIN)).isEqualTo(Duration.ofNanos(1_500_000));
+    assertThat(settings.get(SampleSettings.BODY)).isEqualTo(3L << 19);
+    assertThat(settings.get(SampleSettings.SECRET)).contains(new Secret("hush"));
+    assertThat(settings.get(SampleSettings.SECRET).toString()).doesNotContain("hush");
+  }
+
+  @Test
+  void exampleFileIsRightAndHoldsDefaults() throws Exception {
+    Path file = write(ExampleFile.print(SampleSettings.SPEC));
+
+    Settings settings = reader.read(file);
+
+    assertThat(settings.get(SampleSettings.LIFETIME)).isEqualTo(Duration.ofSeconds(3));
+    assertThat(settings.get(SampleSettings.SECRET)).isEmpty();
+    assertThat(SettingsTable.print(SampleSettings.SPEC))
+        .contains("| lease | `margin` | a duration (ms, s, min, h) from 1ms to 1s | `1.5ms` |");
+  }
+
+  @Test
+  void tellsMalformedLineAndMissingFile() throws IOException {
+    Path file = write("[listen]\naddress = 127.0.0.1:80\n[lease\n");
+
+    assertThat(refusal(file).problems())
+        .extracting(SettingsProblem::kind)
+        .containsExactly(SettingsProblemKind.MALFORMED_LINE, SettingsProblemKind.MISSING);
+    assertThat(refusal(folder.resolve("none")).problems())
+        .extracting(SettingsProblem::kind)
+        .containsExactly(SettingsProblemKind.FILE_UNREADABLE);
+  }
+
+  private Path write(String text) throws IOException {
+    return Files.writeString(folder.resolve("sample.ini"), text);
+  }
+
+  private SettingsInvalidException refusal(Path file) {
+    return catchThrowableOfType(SettingsInvalidException.class, () -> reader.read(file));
+  }
+}
