wire: Write and read messages as MessagePack

The records of core carry no annotations: sealed interfaces are told apart by the permitted record's simple name, value types (one text or number) are written plain, also as map keys, and absent optionals are left out. A newer program may add components; older ones skip them.

--- /dev/null
+++ b/wire/src/main/java/org/teaseltrail/wire/ValueType.java
@@ -0,0 +1,77 @@
+package org.teaseltrail.wire;
+
+import java.lang.reflect.Constructor;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.RecordComponent;
+import java.util.Arrays;
+
+/**
+ * Is a record that is written as its only component: an id, a revision, a rank.
+ *
+ * @param type the record
+ * @param component its only component
+ */
+record ValueType(Class<?> type, RecordComponent component) {
+
+  /** Makes the component readable, since records may be nested in types that aren't public. */
+  ValueType {
+    component.getAccessor().setAccessible(true);
+  }
+
+  static boolean isValueType(Class<?> type) {
+    if (!type.isRecord() || type.getRecordComponents().length != 1) {
+      return false;
+    }
+    Class<?> component = type.getRecordComponents()[0].getType();
+    boolean plain = component == String.class || component == long.class || component == int.class;
+    return plain && Arrays.stream(type.getInterfaces()).noneMatch(Class::isSealed);
+  }
+
+  static ValueType of(Class<?> type) {
+    return new ValueType(type, type.getRecordComponents()[0]);
+  }
+
+  boolean isText() {
+    return component.getType() == String.class;
+  }
+
+  String textOf(Object value) {
+    return String.valueOf(read(value));
+  }
+
+  long numberOf(Object value) {
+    return ((Number) read(value)).longValue();
+  }
+
+  /** Makes the value from a text; a number in decimal digits for a value type of a number. */
+  Object fromText(String text) {
+    return isText() ? construct(text) : fromNumber(Long.parseLong(text));
+  }
+
+  Object fromNumber(long number) {
+    if (component.getType() == int.class) {
+      return construct(Math.toIntExact(number));
+    }
+    return construct(number);
+  }
+
+  private Object read(Object value) {
+    try {
+      return component.getAccessor().invoke(value);
+    } catch (ReflectiveOperationException failure) {
+      throw new IllegalStateException("accessor of " + type.getName(), failure);
+    }
+  }
+
+  private Object construct(Object argument) {
+    try {
+      Constructor<?> constructor = type.getDeclaredConstructor(component.getType());
+      constructor.setAccessible(true);
+      return constructor.newInstance(argument);
+    } catch (InvocationTargetException failure) {
+      throw new IllegalArgumentException("not a " + type.getSimpleName(), failure.getCause());
+    } catch (ReflectiveOperationException failure) {
+      throw new IllegalStateException("constructor of " + type.getName(), failure);
+    }
+  }
+}
--- /dev/null
+++ b/wire/src/test/java/org/teaseltrail/wire/Sample.java
@@ -0,0 +1,19 @@
+package org.teaseltrail.wire;
+
+/**
+ * Is a message with the sealed interface it travels under.
+ *
+ * @param root the sealed interface
+ * @param message the message
+ * @param <T> the sealed interface
+ */
+record Sample<T>(Class<T> root, T message) {
+
+  Class<?> type() {
+    return message.getClass();
+  }
+
+  byte[] encode(MessageCodec codec) {
+    return codec.encode(root, message);
+  }
+}
