Decide in core what an entry VM admits, dispatches and answers

Cause: requests need one owner that holds the body, so that at most one dispatch and a truthful 'not run' can be asserted in one place. The request aggregate passes DISPATCHED before the first byte and never goes back.

--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/entry/ControlHandler.java
@@ -0,0 +1,110 @@
+package org.teaseltrail.core.entry;
+
+import java.util.Optional;
+import org.teaseltrail.core.id.MemberId;
+import org.teaseltrail.core.message.ControlMessage;
+import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.request.Request;
+import org.teaseltrail.core.request.RequestState;
+import org.teaseltrail.core.request.UpstreamTarget;
+
+/** Follows what control members say, and tells a new leader of all that waits and runs here. */
+final class ControlHandler {
+
+  private final EntryParts parts;
+  private final Dispatcher dispatcher;
+
+  ControlHandler(EntryParts parts, Dispatcher dispatcher) {
+    this.parts = parts;
+    this.dispatcher = dispatcher;
+  }
+
+  void received(MemberId member, ControlMessage message, long nowNs) {
+    parts.session.heardFrom(member, nowNs);
+    if (message instanceof ControlMessage.Welcome welcome) {
+      welcomed(member, welcome, nowNs);
+    } else if (message instanceof ControlMessage.NotLeader) {
+      parts.session.notLeader(member);
+    } else if (message instanceof ControlMessage.ConfigurationUpdate update) {
+      configured(update);
+    } else if (message instanceof ControlMessage.Grant grant) {
+      dispatcher.granted(member, grant, nowNs);
+    } else if (message instanceof ControlMessage.Refused refused) {
+      dispatcher.refused(refused);
+    } else if (message instanceof ControlMessage.ClaimExists claim) {
+      dispatcher.claimExists(claim, nowNs);
+    }
+  }
+
+  private void welcomed(MemberId member, ControlMessage.Welcome welcome, long nowNs) {
+    boolean wasInReach = parts.session.isLeaseInReach(nowNs);
+    Optional<ControlLink> accepted = parts.session.welcomed(welcome, member, nowNs);
+    if (accepted.isEmpty()) {
+      return;
+    }
+    ControlLink link = accepted.get();
+    boolean report =
+        !wasInReach
+            || link.needsReports(welcome.fencing(), welcome.reportsWanted(), welcome.sequence());
+    if (report) {
+      reportAll(link, welcome, nowNs);
+    }
+    parts.ends.confirm(link, welcome.sequence());
+  }
+
+  private void reportAll(ControlLink link, ControlMessage.Welcome welcome, long nowNs) {
+    parts.upstreams.replay(nowNs).forEach(parts.session::tell);
+    parts.requests.all().forEach(request -> reportOne(request, nowNs));
+    parts.ends.resendAll();
+    parts.session.tell(new EntryMessage.ReportsComplete(parts.settings.vm(), welcome.fencing()));
+    link.reported(welcome.fencing(), parts.session.helloSequence());
+    parts.out.log(
+        EntryDecisionKind.SESSION,
+        Optional.empty(),
+        "leader="
+            + welcome.member()
+            + " fencing="
+            + welcome.fencing()
+            + " reported="
+            + parts.requests.size());
+  }
+
+  private void reportOne(Request request, long nowNs) {
+    if (request.state().isWaiting()) {
+      request.offer();
+      parts.session.tell(new EntryMessage.Offer(request.ticketAt(nowNs)));
+    } else if (!request.isAdopted() && request.state() != RequestState.ENDED) {
+      UpstreamTarget target = request.target().orElseThrow();
+      parts.session.tell(
+          new EntryMessage.StillRunning(
+              request.ticketAt(nowNs),
+              target.upstream(),
+              request.usageSoFar().outputTokens(),
+              request.sinceDispatchMs(nowNs)));
+    }
+  }
+
+  private void configured(ControlMessage.ConfigurationUpdate update) {
+    if (!parts.session.isNewestLeadership(update.fencing())) {
+      log(update, "passed-over-old-leadership");
+      return;
+    }
+    parts.session.seen(update.fencing());
+    if (parts.configuration.apply(update.configuration())) {
+      log(update, "applied");
+    }
+    parts.session.confirmIfApplied();
+  }
+
+  private void log(ControlMessage.ConfigurationUpdate update, String verdict) {
+    parts.out.log(
+        EntryDecisionKind.CONFIGURATION,
+        Optional.empty(),
+        "revision="
+            + update.configuration().revision()
+            + " fencing="
+            + update.fencing()
+            + " verdict="
+            + verdict);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/entry/Dispatcher.java
@@ -0,0 +1,187 @@
+package org.teaseltrail.core.entry;
+
+import java.util.Optional;
+import org.teaseltrail.core.id.MemberId;
+import org.teaseltrail.core.invariant.Invariant;
+import org.teaseltrail.core.invariant.InvariantName;
+import org.teaseltrail.core.message.ClaimState;
+import org.teaseltrail.core.message.ControlMessage.ClaimExists;
+import org.teaseltrail.core.message.ControlMessage.Grant;
+import org.teaseltrail.core.message.ControlMessage.Refused;
+import org.teaseltrail.core.message.DeclineReason;
+import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.message.RequestKind;
+import org.teaseltrail.core.message.WithdrawReason;
+import org.teaseltrail.core.request.NotRunReason;
+import org.teaseltrail.core.request.Outcome;
+import org.teaseltrail.core.request.Request;
+import org.teaseltrail.core.request.RequestState;
+import org.teaseltrail.core.request.UpstreamTarget;
+
+/** Follows the scheduler's answers up to the dispatch. */
+final class Dispatcher {
+
+  /** When a caller may come back whose request its upstream refused. */
+  static final long REFUSED_RETRY_AFTER_MS = 1_000;
+
+  private final EntryParts parts;
+  private final RequestCloser closer;
+
+  Dispatcher(EntryParts parts, RequestCloser closer) {
+    this.parts = parts;
+    this.closer = closer;
+  }
+
+  /**
+   * Follows a grant or declines it.
+   *
+   * <p>Guards against a leader that was frozen and thaws with old grants, which would show as work
+   * for an upstream that has left since: only the newest leadership seen, within a valid session,
+   * may grant. A doubled grant finds its request no longer waiting and changes nothing.
+   */
+  void granted(MemberId member, Grant grant, long nowNs) {
+    Optional<Request> request = parts.requests.live(grant.request());
+    if (!parts.session.mayGrant(member, grant.fencing(), nowNs)) {
+      decline(member, grant, DeclineReason.STALE_GRANT);
+    } else if (request.isEmpty()) {
+      declineUnknown(member, grant);
+    } else if (request.get().state() == RequestState.WAITING) {
+      follow(member, grant, request.get(), nowNs);
+    }
+  }
+
+  private void declineUnknown(MemberId member, Grant grant) {
+    boolean ranHere = parts.requests.any(grant.request()).map(r -> r.wasDispatched()).orElse(false);
+    if (!ranHere) {
+      decline(member, grant, DeclineReason.UNKNOWN_REQUEST);
+    }
+  }
+
+  private void follow(MemberId member, Grant grant, Request request, long nowNs) {
+    if (parts.upstreams.isLeaving(grant.upstream(), grant.upstreamIncarnation())) {
+      decline(member, grant, DeclineReason.LEAVING);
+      return;
+    }
+    UpstreamTarget target = new UpstreamTarget(grant.upstream(), grant.address());
+    int attempt = request.grant(target, grant.upstreamIncarnation(), nowNs);
+    parts.out.add(new EntryAction.Connect(request.id(), attempt, target));
+  }
+
+  private void decline(MemberId member, Grant grant, DeclineReason reason) {
+    parts.out.add(
+        new EntryAction.SendControl(
+            member, new EntryMessage.Declined(grant.request(), grant.upstream(), reason)));
+    parts.out.log(
+        EntryDecisionKind.DECLINE,
+        Optional.of(grant.upstream()),
+        "request=" + grant.request() + " reason=" + reason);
+  }
+
+  /** Dispatches over the connection that stands, unless the upstream is leaving by now. */
+  void connected(Request request, long nowNs) {
+    if (request.state() != RequestState.GRANTED) {
+      return;
+    }
+    UpstreamTarget target = request.target().orElseThrow();
+    if (parts.upstreams.isLeaving(target.upstream(), request.grantedLife())) {
+      giveBack(request, DeclineReason.LEAVING);
+    } else if (!parts.session.isValid(nowNs)) {
+      giveBack(request, DeclineReason.STALE_GRANT);
+    } else {
+      dispatch(request, target, nowNs);
+    }
+  }
+
+  private void dispatch(Request request, UpstreamTarget target, long nowNs) {
+    Invariant.check(
+        !parts.upstreams.isLeaving(target.upstream(), request.grantedLife()),
+        InvariantName.NO_DISPATCH_TO_LEAVING);
+    request.dispatch(nowNs);
+    parts.out.add(new EntryAction.Transmit(request.id(), request.attempt()));
+    parts.out.log(
+        EntryDecisionKind.DISPATCH,
+        request,
+        "fencing=" + parts.session.fencing() + " waited_ms=" + request.waitedMs(nowNs));
+  }
+
+  void connectFailed(Request request) {
+    if (request.state() == RequestState.GRANTED) {
+      giveBack(request, DeclineReason.CONNECT_FAILED);
+    }
+  }
+
+  private void giveBack(Request request, DeclineReason reason) {
+    final UpstreamTarget target = request.target().orElseThrow();
+    parts.out.add(new EntryAction.CloseUpstream(request.id()));
+    parts.out.log(EntryDecisionKind.DECLINE, request, "reason=" + reason);
+    request.giveBack();
+    parts.session.tell(new EntryMessage.Declined(request.id(), target.upstream(), reason));
+  }
+
+  /**
+   * Ends a request that its upstream explicitly refused before it ran. It was dispatched once, so
+   * it isn't dispatched again; the caller learns at once that it did not run.
+   */
+  void refusedByUpstream(Request request) {
+    if (request.state() != RequestState.DISPATCHED) {
+      return;
+    }
+    request.refuseByUpstream();
+    UpstreamTarget target = request.target().orElseThrow();
+    parts.session.tell(
+        new EntryMessage.Declined(
+            request.id(), target.upstream(), DeclineReason.REFUSED_BY_UPSTREAM));
+    closer.withdraw(
+        request, WithdrawReason.GIVEN_UP, NotRunReason.REFUSED_BY_UPSTREAM, REFUSED_RETRY_AFTER_MS);
+  }
+
+  /** Ends a request that the scheduler has given up; one that was granted goes on. */
+  void refused(Refused refused) {
+    parts
+        .requests
+        .live(refused.request())
+        .filter(request -> request.state().isWaiting())
+        .ifPresent(
+            request ->
+                closer.notRun(request, NotRunReason.of(refused.kind()), refused.retryAfterMs()));
+  }
+
+  /** Takes over the stream of the key's holder, or tells the caller how far the holder has come. */
+  void claimExists(ClaimExists claim, long nowNs) {
+    parts
+        .requests
+        .live(claim.request())
+        .filter(request -> request.state().isWaiting())
+        .ifPresent(request -> answerClaim(request, claim, nowNs));
+  }
+
+  private void answerClaim(Request request, ClaimExists claim, long nowNs) {
+    if (!isAdoptable(request, claim)) {
+      closer.conclude(request, new Outcome.HeldByEarlier(claim.holder(), claim.state()));
+      parts.out.log(
+          EntryDecisionKind.REFUSE,
+          request,
+          "reason=key-held holder=" + claim.holder() + " state=" + claim.state());
+      return;
+    }
+    UpstreamTarget target =
+        new UpstreamTarget(claim.upstream().orElseThrow(), claim.address().orElseThrow());
+    int attempt = request.adopt(claim.holder(), claim.state(), target, nowNs);
+    parts.out.add(
+        new EntryAction.Resume(
+            request.id(), attempt, claim.holder(), target, request.nextSequence()));
+    parts.out.log(
+        EntryDecisionKind.ADOPT,
+        request,
+        "holder=" + claim.holder() + " from=" + request.nextSequence());
+  }
+
+  private static boolean isAdoptable(Request request, ClaimExists claim) {
+    boolean hasStream =
+        claim.state() == ClaimState.RUNNING || claim.state() == ClaimState.COMPLETED;
+    return hasStream
+        && request.ticket().kind() == RequestKind.GENERATION
+        && claim.upstream().isPresent()
+        && claim.address().isPresent();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/entry/EntryNode.java
@@ -0,0 +1,211 @@
+package org.teaseltrail.core.entry;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.LongStream;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.message.WithdrawReason;
+import org.teaseltrail.core.request.FailureReason;
+import org.teaseltrail.core.request.NotRunReason;
+import org.teaseltrail.core.request.Request;
+
+/**
+ * Is the whole of an entry VM's decisions: whom it admits, whom it follows, what it dispatches and
+ * what its callers are told.
+ *
+ * <p>Deterministic and without I/O: it is told of events with the monotonic time, and answers with
+ * actions that the program carries out in order. One thread at a time may use it.
+ */
+public final class EntryNode {
+
+  private final EntryParts parts;
+  private final DrainPlan drain;
+  private final Admission admission;
+  private final RequestCloser closer;
+  private final Dispatcher dispatcher;
+  private final StreamHandler streams;
+  private final ControlHandler control;
+  private final ScheduledWork scheduled;
+  private long nowNs;
+
+  /**
+   * Creates a VM that has no session yet.
+   *
+   * @param settings its settings
+   */
+  public EntryNode(EntrySettings settings) {
+    parts = new EntryParts(settings);
+    drain = new DrainPlan(parts);
+    admission = new Admission(parts, drain);
+    closer = new RequestCloser(parts);
+    dispatcher = new Dispatcher(parts, closer);
+    streams = new StreamHandler(parts, closer);
+    control = new ControlHandler(parts, dispatcher);
+    scheduled = new ScheduledWork(parts, closer, streams);
+  }
+
+  /**
+   * Takes an event.
+   *
+   * @param event what has happened
+   * @param now monotonic time in nanoseconds, never less than at the call before
+   * @return what is to be done, in order
+   */
+  public List<EntryAction> handle(EntryEvent event, long now) {
+    nowNs = now;
+    scheduled.advance(now);
+    if (event instanceof EntryEvent.ControlConnected connected) {
+      parts.session.connected(connected.member(), now);
+    } else if (event instanceof EntryEvent.ControlDisconnected gone) {
+      parts.session.disconnected(gone.member());
+    } else if (event instanceof EntryEvent.ControlReceived received) {
+      control.received(received.member(), received.message(), now);
+    } else if (event instanceof EntryEvent.RequestArrived arrived) {
+      admission.arrive(arrived.request(), arrived.call(), now);
+    } else if (event instanceof EntryEvent.DrainRequested) {
+      drain.request(now);
+    } else {
+      handleUpstreamEvent(event);
+    }
+    parts.session.sendDueHellos(now);
+    drain.advance(now);
+    return parts.out.drain();
+  }
+
+  private void handleUpstreamEvent(EntryEvent event) {
+    if (event instanceof EntryEvent.UpstreamConnected e) {
+      find(e.request(), e.attempt()).ifPresent(r -> dispatcher.connected(r, nowNs));
+    } else if (event instanceof EntryEvent.UpstreamConnectFailed e) {
+      find(e.request(), e.attempt()).ifPresent(dispatcher::connectFailed);
+    } else if (event instanceof EntryEvent.UpstreamRefused e) {
+      find(e.request(), e.attempt()).ifPresent(dispatcher::refusedByUpstream);
+    } else if (event instanceof EntryEvent.AnnouncementHeard e) {
+      announced(e);
+    } else if (event instanceof EntryEvent.CacheEventHeard e) {
+      cacheChanged(e);
+    } else {
+      handleStreamEvent(event);
+    }
+  }
+
+  private void handleStreamEvent(EntryEvent event) {
+    if (event instanceof EntryEvent.FrameReceived e) {
+      find(e.request(), e.attempt()).ifPresent(r -> streams.frame(r, e.frame(), nowNs));
+    } else if (event instanceof EntryEvent.StreamBroken e) {
+      find(e.request(), e.attempt()).ifPresent(r -> streams.broken(r, nowNs));
+    } else if (event instanceof EntryEvent.StreamUnknown e) {
+      find(e.request(), e.attempt()).ifPresent(r -> streams.unknown(r, nowNs));
+    } else if (event instanceof EntryEvent.UpstreamFailed e) {
+      find(e.request(), e.attempt()).ifPresent(r -> streams.upstreamFailed(r, e.reason(), nowNs));
+    } else if (event instanceof EntryEvent.ServiceAnswering e) {
+      find(e.request(), e.attempt()).ifPresent(r -> streams.serviceAnswering(r, nowNs));
+    } else if (event instanceof EntryEvent.ServiceCompleted e) {
+      find(e.request(), e.attempt()).ifPresent(r -> streams.serviceCompleted(r, nowNs));
+    } else {
+      handleCallerEvent(event);
+    }
+  }
+
+  private void handleCallerEvent(EntryEvent event) {
+    if (event instanceof EntryEvent.CallerGone e) {
+      parts.requests.live(e.request()).ifPresent(this::callerGone);
+    } else if (event instanceof EntryEvent.AnswerTooLarge e) {
+      parts
+          .requests
+          .live(e.request())
+          .filter(r -> r.state().isDispatched())
+          .ifPresent(r -> closer.cancelled(r, FailureReason.ANSWER_TOO_LARGE, nowNs));
+    }
+  }
+
+  private Optional<Request> find(RequestId id, int attempt) {
+    return parts.requests.live(id, attempt);
+  }
+
+  /**
+   * Lets go of a request whose caller has hung up. One with a key runs on, since its caller may
+   * come back for the answer over any VM.
+   */
+  private void callerGone(Request request) {
+    request.callerGone();
+    if (!request.state().isDispatched()) {
+      closer.withdraw(request, WithdrawReason.CALLER_GONE, NotRunReason.CANCELLED, 0);
+    } else if (request.isAdopted() || !request.isKeyed()) {
+      closer.cancelled(request, FailureReason.CANCELLED, nowNs);
+    }
+  }
+
+  private void announced(EntryEvent.AnnouncementHeard heard) {
+    UpstreamId upstream = heard.announcement().upstream();
+    UpstreamVerdict verdict = parts.upstreams.judge(upstream, heard.secretHash());
+    parts.out.add(new EntryAction.AnswerUpstream(heard.exchange(), verdict));
+    if (verdict != UpstreamVerdict.ACCEPTED) {
+      parts.out.log(EntryDecisionKind.UPSTREAM, Optional.of(upstream), "verdict=" + verdict);
+    } else if (parts.upstreams.hear(heard.announcement(), nowNs)) {
+      parts.session.tell(new EntryMessage.UpstreamSeen(heard.announcement(), 0));
+    }
+  }
+
+  private void cacheChanged(EntryEvent.CacheEventHeard heard) {
+    UpstreamVerdict verdict = parts.upstreams.judge(heard.event().upstream(), heard.secretHash());
+    parts.out.add(new EntryAction.AnswerUpstream(heard.exchange(), verdict));
+    if (verdict == UpstreamVerdict.ACCEPTED) {
+      parts.session.tell(new EntryMessage.CacheSeen(heard.event()));
+    }
+  }
+
+  /**
+   * Returns when the VM next wants a tick if nothing else happens.
+   *
+   * @return monotonic time in nanoseconds, or empty if it waits for nothing
+   */
+  public OptionalLong nextWakeupNs() {
+    return LongStream.concat(
+            LongStream.concat(
+                parts.session.nextHelloNs().stream(), scheduled.nextNs(nowNs).stream()),
+            drain.nextNs().stream())
+        .min();
+  }
+
+  /**
+   * Returns whether the balancer may send requests here.
+   *
+   * @param now monotonic time in nanoseconds
+   */
+  public boolean isReady(long now) {
+    return !drain.isRequested() && parts.session.isValid(now);
+  }
+
+  /**
+   * Returns the state of a customer's own request.
+   *
+   * @param request the request
+   * @param keyHash SHA-256 of the API key in lower-case hexadecimal, if one came
+   * @return empty if the customer has no such request here
+   */
+  public Optional<Request> findOwn(RequestId request, Optional<String> keyHash) {
+    Optional<CustomerId> customer = parts.configuration.customer(keyHash).map(c -> c.id());
+    return parts
+        .requests
+        .any(request)
+        .filter(known -> customer.equals(Optional.of(known.ticket().customer())));
+  }
+
+  /**
+   * Returns whether a key belongs to a customer.
+   *
+   * @param keyHash SHA-256 of the API key in lower-case hexadecimal, if one came
+   */
+  public boolean isCustomer(Optional<String> keyHash) {
+    return parts.configuration.customer(keyHash).isPresent();
+  }
+
+  /** Returns a count of what the VM holds, for its metrics. */
+  public EntryStatus status() {
+    return EntryStatus.of(parts, nowNs);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/entry/RequestTable.java
@@ -0,0 +1,66 @@
+package org.teaseltrail.core.entry;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.request.Request;
+import org.teaseltrail.core.request.RequestState;
+
+/** Holds the requests of this VM, and for a while those that have ended. */
+final class RequestTable {
+
+  /** Ended requests whose state callers may still ask for; the oldest goes first. */
+  static final int MAX_ENDED = 10_000;
+
+  private final Map<RequestId, Request> live = new LinkedHashMap<>();
+  private final Map<RequestId, Request> ended = new LinkedHashMap<>();
+
+  void add(Request request) {
+    live.put(request.id(), request);
+  }
+
+  Optional<Request> live(RequestId id) {
+    return Optional.ofNullable(live.get(id));
+  }
+
+  /** Returns the live request if the event belongs to its newest connection attempt. */
+  Optional<Request> live(RequestId id, int attempt) {
+    return live(id).filter(request -> request.attempt() == attempt);
+  }
+
+  Optional<Request> any(RequestId id) {
+    return live(id).or(() -> Optional.ofNullable(ended.get(id)));
+  }
+
+  void moveToEnded(Request request) {
+    live.remove(request.id());
+    ended.put(request.id(), request);
+    if (ended.size() > MAX_ENDED) {
+      ended.remove(ended.keySet().iterator().next());
+    }
+  }
+
+  Collection<Request> all() {
+    return Collections.unmodifiableCollection(live.values());
+  }
+
+  List<Request> waiting() {
+    return live.values().stream().filter(request -> request.state().isWaiting()).toList();
+  }
+
+  boolean isAnyWaiting() {
+    return live.values().stream().anyMatch(request -> request.state().isWaiting());
+  }
+
+  int count(RequestState state) {
+    return (int) live.values().stream().filter(request -> request.state() == state).count();
+  }
+
+  int size() {
+    return live.size();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/entry/ScheduledWork.java
@@ -0,0 +1,99 @@
+package org.teaseltrail.core.entry;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.teaseltrail.core.invariant.Invariant;
+import org.teaseltrail.core.invariant.InvariantName;
+import org.teaseltrail.core.message.WithdrawReason;
+import org.teaseltrail.core.request.FailureReason;
+import org.teaseltrail.core.request.NotRunReason;
+import org.teaseltrail.core.request.Request;
+
+/** Does what falls due with time: deadlines, resumes, and giving up without a scheduler. */
+final class ScheduledWork {
+
+  /** When a caller may come back whose request was given up: the time an election needs, twice. */
+  static final long NO_SCHEDULER_RETRY_AFTER_MS = 5_000;
+
+  private final EntryParts parts;
+  private final RequestCloser closer;
+  private final StreamHandler streams;
+  private final GiveUpTimetable timetable;
+
+  ScheduledWork(EntryParts parts, RequestCloser closer, StreamHandler streams) {
+    this.parts = parts;
+    this.closer = closer;
+    this.streams = streams;
+    this.timetable = new GiveUpTimetable(parts.settings);
+  }
+
+  void advance(long nowNs) {
+    Optional<TimerQueue.Timer> due = parts.timers.pollDue(nowNs);
+    while (due.isPresent()) {
+      fire(due.get(), nowNs);
+      due = parts.timers.pollDue(nowNs);
+    }
+    giveUp(nowNs);
+  }
+
+  private void fire(TimerQueue.Timer timer, long nowNs) {
+    if (timer.kind() == TimerQueue.Kind.DEADLINE) {
+      parts.requests.live(timer.request()).ifPresent(request -> deadline(request, nowNs));
+    } else {
+      parts.requests.live(timer.request(), timer.attempt()).ifPresent(streams::resume);
+    }
+  }
+
+  private void deadline(Request request, long nowNs) {
+    if (request.state().isDispatched()) {
+      closer.cancelled(request, FailureReason.DEADLINE, nowNs);
+    } else {
+      closer.withdraw(request, WithdrawReason.DEADLINE, NotRunReason.DEADLINE, 0);
+    }
+  }
+
+  private void giveUp(long nowNs) {
+    if (parts.session.isLeaseInReach(nowNs)) {
+      return;
+    }
+    int keptRank = keptRank(nowNs);
+    List<Request> given =
+        parts.requests.waiting().stream()
+            .filter(request -> rank(request) > keptRank)
+            .sorted(Comparator.comparingInt(ScheduledWork::rank).reversed())
+            .toList();
+    for (Request request : given) {
+      closer.withdraw(
+          request, WithdrawReason.GIVEN_UP, NotRunReason.NO_SCHEDULER, NO_SCHEDULER_RETRY_AFTER_MS);
+      checkLowestFirst(request, given);
+    }
+  }
+
+  private void checkLowestFirst(Request givenUp, List<Request> given) {
+    boolean lowerKept =
+        parts.requests.waiting().stream()
+            .anyMatch(kept -> rank(kept) > rank(givenUp) && !given.contains(kept));
+    Invariant.check(!lowerKept, InvariantName.GIVEN_UP_LOWEST_TIER_FIRST);
+  }
+
+  private static int rank(Request request) {
+    return request.ticket().tier().rank();
+  }
+
+  private int keptRank(long nowNs) {
+    return timetable.keptRank(
+        parts.session.sinceLeaseNs(nowNs), parts.configuration.lowestTierRank());
+  }
+
+  OptionalLong nextNs(long nowNs) {
+    OptionalLong timer = parts.timers.nextNs();
+    if (parts.session.isLeaseInReach(nowNs) || !parts.requests.isAnyWaiting()) {
+      return timer;
+    }
+    long sinceNs = parts.session.sinceLeaseNs(nowNs);
+    long stepNs = parts.session.lastLeaseNs() + timetable.nextStepNs(sinceNs);
+    return OptionalLong.of(timer.isPresent() ? Math.min(timer.getAsLong(), stepNs) : stepNs);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/entry/StreamHandler.java
@@ -0,0 +1,146 @@
+package org.teaseltrail.core.entry;
+
+import java.util.Optional;
+import org.teaseltrail.core.message.ClaimState;
+import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.message.RequestKind;
+import org.teaseltrail.core.message.Usage;
+import org.teaseltrail.core.request.FailureReason;
+import org.teaseltrail.core.request.FrameVerdict;
+import org.teaseltrail.core.request.Millis;
+import org.teaseltrail.core.request.Request;
+import org.teaseltrail.core.request.RequestState;
+import org.teaseltrail.core.request.StreamFrame;
+import org.teaseltrail.core.request.UpstreamTarget;
+
+/** Follows an answer from its first frame to its end mark. */
+final class StreamHandler {
+
+  private final EntryParts parts;
+  private final RequestCloser closer;
+
+  StreamHandler(EntryParts parts, RequestCloser closer) {
+    this.parts = parts;
+    this.closer = closer;
+  }
+
+  void frame(Request request, StreamFrame frame, long nowNs) {
+    if (!request.state().isDispatched()) {
+      return;
+    }
+    boolean first = request.state() == RequestState.DISPATCHED;
+    FrameVerdict verdict = request.accept(frame);
+    if (verdict == FrameVerdict.NEXT) {
+      reportFirstToken(request, first, nowNs);
+      pass(request, frame, nowNs);
+      return;
+    }
+    parts.out.log(
+        EntryDecisionKind.DROP, request, "frame=" + frame.sequence() + " verdict=" + verdict);
+    if (verdict.breaksConnection()) {
+      broken(request, nowNs);
+    }
+  }
+
+  private void reportFirstToken(Request request, boolean first, long nowNs) {
+    if (first) {
+      parts.session.tell(
+          new EntryMessage.FirstToken(
+              request.id(),
+              request.target().orElseThrow().upstream(),
+              request.sinceDispatchMs(nowNs)));
+    }
+  }
+
+  private void pass(Request request, StreamFrame frame, long nowNs) {
+    if (frame instanceof StreamFrame.Text text) {
+      parts.out.add(new EntryAction.Deliver(request.id(), text));
+      reportProgress(request, nowNs);
+    } else if (frame instanceof StreamFrame.End end) {
+      closer.completed(request, end.usage(), nowNs);
+    } else {
+      closer.failed(request, FailureReason.UPSTREAM_FAILED, nowNs);
+    }
+  }
+
+  private void reportProgress(Request request, long nowNs) {
+    long intervalNs = Millis.toNanos(parts.settings.progressIntervalMs());
+    if (!request.isAdopted() && request.isProgressDue(nowNs, intervalNs)) {
+      parts.session.tell(
+          new EntryMessage.Progress(
+              request.id(),
+              request.target().orElseThrow().upstream(),
+              request.usageSoFar().outputTokens()));
+    }
+  }
+
+  /**
+   * Resumes a stream whose connection ended without the end mark, or was not to be trusted.
+   *
+   * <p>Guards against a connection that breaks in mid-answer, which would show as a short answer
+   * that looks whole, or as a second run if the request were sent again. The rest is asked of the
+   * same upstream by number; tries are bounded, and after the last the caller is told that the
+   * request may have run.
+   */
+  void broken(Request request, long nowNs) {
+    if (!request.state().isDispatched()) {
+      return;
+    }
+    parts.out.add(new EntryAction.CloseUpstream(request.id()));
+    if (!request.tryResume()) {
+      closer.failed(request, FailureReason.STREAM_BROKEN, nowNs);
+      return;
+    }
+    int doublings = request.resumesWithoutProgress() - 1;
+    long backoffNs = Millis.toNanos(parts.settings.resumeBackoffMs()) << doublings;
+    parts.timers.add(
+        new TimerQueue.Timer(
+            nowNs + backoffNs, TimerQueue.Kind.RESUME, request.id(), request.attempt()));
+  }
+
+  /** Asks for the rest of a stream after the wait. */
+  void resume(Request request) {
+    UpstreamTarget target = request.target().orElseThrow();
+    parts.out.add(
+        new EntryAction.Resume(
+            request.id(), request.attempt(), request.stream(), target, request.nextSequence()));
+    parts.out.log(
+        EntryDecisionKind.RESUME,
+        request,
+        "from=" + request.nextSequence() + " try=" + request.resumesWithoutProgress());
+  }
+
+  /**
+   * Ends a request whose stream its upstream doesn't know. The holder of an adopted stream may not
+   * have sent it yet, so an adopter asks again.
+   */
+  void unknown(Request request, long nowNs) {
+    if (request.holderState().equals(Optional.of(ClaimState.RUNNING))) {
+      broken(request, nowNs);
+    } else if (request.state().isDispatched()) {
+      closer.failed(request, FailureReason.STREAM_BROKEN, nowNs);
+    }
+  }
+
+  void upstreamFailed(Request request, FailureReason reason, long nowNs) {
+    if (request.state().isDispatched()) {
+      closer.failed(request, reason, nowNs);
+    }
+  }
+
+  void serviceAnswering(Request request, long nowNs) {
+    if (request.state() == RequestState.DISPATCHED) {
+      request.startStreaming();
+      reportFirstToken(request, true, nowNs);
+    }
+  }
+
+  void serviceCompleted(Request request, long nowNs) {
+    boolean answered =
+        request.ticket().kind() == RequestKind.SERVICE_CALL
+            && request.state() == RequestState.STREAMING;
+    if (answered) {
+      closer.completed(request, new Usage(1, 0, 1), nowNs);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/request/FrameSequence.java
@@ -0,0 +1,61 @@
+package org.teaseltrail.core.request;
+
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.invariant.Invariant;
+import org.teaseltrail.core.invariant.InvariantName;
+
+/**
+ * Checks the frames of one answer: own request only, numbered without gaps, up to an end mark.
+ *
+ * <p>Guards against late, doubled, reordered and mixed-up frames, which show as a caller's text
+ * with parts missing, doubled or another's. Only the one expected number of the one expected stream
+ * passes, whatever connection it comes over.
+ */
+final class FrameSequence {
+
+  private final RequestId stream;
+  private long nextSequence;
+  private long lastDelivered;
+  private boolean ended;
+
+  FrameSequence(RequestId stream, long firstSequence) {
+    this.stream = stream;
+    this.nextSequence = firstSequence;
+    this.lastDelivered = firstSequence - 1;
+  }
+
+  /** Judges a frame and moves on if it is the next one. */
+  FrameVerdict accept(StreamFrame frame) {
+    FrameVerdict verdict = judge(frame);
+    if (verdict == FrameVerdict.NEXT) {
+      Invariant.check(frame.sequence() == lastDelivered + 1, InvariantName.FRAMES_IN_ORDER);
+      Invariant.check(frame.stream().equals(stream), InvariantName.FRAMES_IN_ORDER);
+      lastDelivered = frame.sequence();
+      nextSequence++;
+      ended = frame instanceof StreamFrame.End;
+    }
+    return verdict;
+  }
+
+  private FrameVerdict judge(StreamFrame frame) {
+    if (!frame.stream().equals(stream)) {
+      return FrameVerdict.FOREIGN;
+    }
+    if (ended || frame.sequence() < nextSequence) {
+      return FrameVerdict.DUPLICATE;
+    }
+    return frame.sequence() > nextSequence ? FrameVerdict.GAP : FrameVerdict.NEXT;
+  }
+
+  RequestId stream() {
+    return stream;
+  }
+
+  long nextSequence() {
+    return nextSequence;
+  }
+
+  boolean hasEnded() {
+    return ended;
+  }
+}
