--- a/core/src/main/java/org/teaseltrail/core/entry/Admission.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/Admission.java
@@ -54,7 +54,7 @@
       refuse(id, NotRunReason.KEY_REQUIRED, 0);
       return;
     }
-    admit(ticket(id, call, customer.get(), route.get(), nonIdempotent), call, nowNs);
+    admit(ticket(id, call, customer.get(), route.get(), nonIdempotent), call, route.get(), nowNs);
   }
 
   /** Returns why the VM admits nothing now, if it doesn't. */
@@ -113,9 +113,10 @@
         claim);
   }
 
-  private void admit(Ticket ticket, CallerCall call, long nowNs) {
+  private void admit(Ticket ticket, CallerCall call, Route route, long nowNs) {
     Invariant.check(parts.session.isValid(nowNs), InvariantName.ADMITTED_ONLY_IN_SESSION);
-    Request request = new Request(ticket, nowNs, call.lastSequence().map(s -> s + 1).orElse(0L));
+    long firstSequence = call.lastSequence().map(last -> last + 1).orElse(0L);
+    Request request = new Request(ticket, route.target(), nowNs, firstSequence);
     parts.requests.add(request);
     if (request.deadlineNs() != 0) {
       parts.timers.add(
--- a/core/src/main/java/org/teaseltrail/core/entry/Dispatcher.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/Dispatcher.java
@@ -64,7 +64,7 @@
     }
     UpstreamTarget target = new UpstreamTarget(grant.upstream(), grant.address());
     int attempt = request.grant(target, grant.upstreamIncarnation(), nowNs);
-    parts.out.add(new EntryAction.Connect(request.id(), attempt, target));
+    parts.out.add(new EntryAction.Connect(request.id(), attempt, target, request.asked()));
   }
 
   private void decline(MemberId member, Grant grant, DeclineReason reason) {
--- a/core/src/main/java/org/teaseltrail/core/entry/EntryAction.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/EntryAction.java
@@ -1,5 +1,6 @@
 package org.teaseltrail.core.entry;
 
+import org.teaseltrail.core.configuration.RouteTarget;
 import org.teaseltrail.core.id.MemberId;
 import org.teaseltrail.core.id.RequestId;
 import org.teaseltrail.core.message.EntryMessage;
@@ -31,8 +32,10 @@
    * @param request the request
    * @param attempt the number that events of this connection carry
    * @param target the upstream
+   * @param asked the model, version and adapter, or the service, that is to be asked for
    */
-  record Connect(RequestId request, int attempt, UpstreamTarget target) implements EntryAction {}
+  record Connect(RequestId request, int attempt, UpstreamTarget target, RouteTarget asked)
+      implements EntryAction {}
 
   /**
    * Write the request to its connection.
--- a/core/src/main/java/org/teaseltrail/core/request/Request.java
+++ b/core/src/main/java/org/teaseltrail/core/request/Request.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import org.teaseltrail.core.configuration.RouteTarget;
 import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.RequestId;
 import org.teaseltrail.core.invariant.Invariant;
@@ -24,6 +25,7 @@
   public static final int MAX_RESUMES_WITHOUT_PROGRESS = 5;
 
   private final Ticket ticket;
+  private final RouteTarget asked;
   private final long receivedNs;
   private final long firstSequence;
   private final long deadlineNs;
@@ -48,11 +50,13 @@
    * Creates a request that has just been read.
    *
    * @param ticket its ticket, as of now
+   * @param asked what its route leads to
    * @param receivedNs monotonic time of its arrival
    * @param firstSequence the first frame that its caller lacks, if an earlier request's stream is
    *     taken over
    */
-  public Request(Ticket ticket, long receivedNs, long firstSequence) {
+  public Request(Ticket ticket, RouteTarget asked, long receivedNs, long firstSequence) {
+    this.asked = Objects.requireNonNull(asked, "asked");
     this.ticket = Objects.requireNonNull(ticket, "ticket");
     this.receivedNs = receivedNs;
     this.firstSequence = firstSequence;
@@ -208,6 +212,11 @@
     return ticket.request();
   }
 
+  /** Returns what its route led to when it was admitted. */
+  public RouteTarget asked() {
+    return asked;
+  }
+
   /** Returns the ticket as it was on arrival. */
   public Ticket ticket() {
     return ticket;
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/CallerHandler.java
@@ -0,0 +1,136 @@
+package org.teaseltrail.entry;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.reactivestreams.Publisher;
+import org.teaseltrail.core.entry.CallTarget;
+import org.teaseltrail.core.entry.CallerCall;
+import org.teaseltrail.core.entry.EntryEvent;
+import org.teaseltrail.core.id.InvalidIdException;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.id.ServiceId;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Takes callers' requests and gives their answers back. */
+final class CallerHandler {
+
+  /** Path below which plain services lie. */
+  static final String SERVICES = "/v1/services/";
+
+  private final EntryOptions options;
+  private final NodeLoop loop;
+  private final Exchanges exchanges;
+  private final BodyReader bodies;
+  private final RequestIds ids;
+
+  CallerHandler(EntryOptions options, EntryParts parts, BodyReader bodies) {
+    this.options = options;
+    this.loop = parts.loop();
+    this.exchanges = parts.exchanges();
+    this.bodies = bodies;
+    this.ids = new RequestIds(options.node().vm(), options.node().incarnation());
+  }
+
+  Publisher<Void> generate(HttpServerRequest request, HttpServerResponse response) {
+    HttpHeaders headers = request.requestHeaders().copy();
+    return bodies
+        .read(request)
+        .defaultIfEmpty(new byte[0])
+        .flatMap(
+            bytes -> {
+              GenerateBody body = GenerateBody.parse(bytes, options.limits());
+              return serve(exchange(body), generateCall(headers, body), response);
+            });
+  }
+
+  private CallerExchange exchange(GenerateBody body) {
+    return body.stream()
+        ? new StreamedExchange(
+            ids.next(), body, loop, options.bufferFrames(), options.stallTimeoutMs())
+        : new WholeExchange(ids.next(), body, loop, options.limits().maxAnswerBytes());
+  }
+
+  private static CallerCall generateCall(HttpHeaders headers, GenerateBody body) {
+    CallTarget target =
+        new CallTarget.Generation(
+            body.model(),
+            body.version(),
+            body.adapter(),
+            body.prompt().getBytes(StandardCharsets.UTF_8),
+            body.maxTokens());
+    return new CallerCall(
+        CallerHeaders.keyHash(headers),
+        target,
+        body.idempotent(),
+        CallerHeaders.idempotencyKey(headers),
+        body.digest(),
+        body.deadlineMs(),
+        body.stream() ? CallerHeaders.lastEventId(headers) : Optional.empty());
+  }
+
+  Publisher<Void> service(HttpServerRequest request, HttpServerResponse response) {
+    HttpHeaders headers = request.requestHeaders().copy();
+    String rest = request.uri().substring(SERVICES.length());
+    String name = rest.split("[/?]", 2)[0];
+    String path = rest.substring(name.length());
+    ServiceId service = serviceId(name);
+    return bodies
+        .read(request)
+        .defaultIfEmpty(new byte[0])
+        .flatMap(
+            bytes -> {
+              ServiceRequest asked =
+                  new ServiceRequest(
+                      service,
+                      request.method(),
+                      path.startsWith("/") ? path : "/" + path,
+                      headers,
+                      bytes);
+              ServiceExchange exchange = new ServiceExchange(ids.next(), asked, response);
+              return serve(exchange, serviceCall(headers, asked), response);
+            });
+  }
+
+  private static ServiceId serviceId(String name) {
+    try {
+      return new ServiceId(name);
+    } catch (InvalidIdException e) {
+      throw new RefusedRequestException(ProblemKind.UNKNOWN_PATH, e.getMessage());
+    }
+  }
+
+  private static CallerCall serviceCall(HttpHeaders headers, ServiceRequest asked) {
+    return new CallerCall(
+        CallerHeaders.keyHash(headers),
+        new CallTarget.ServiceCall(asked.service(), asked.method().name()),
+        true,
+        CallerHeaders.idempotencyKey(headers),
+        asked.digest(),
+        0,
+        Optional.empty());
+  }
+
+  private Mono<Void> serve(
+      CallerExchange exchange, CallerCall call, HttpServerResponse response) {
+    RequestId id = exchange.request();
+    loop.run(
+        () -> {
+          exchanges.add(exchange);
+          loop.handle(new EntryEvent.RequestArrived(id, call));
+        });
+    return Mono.from(exchange.respond(response))
+        .doOnCancel(() -> callerGone(exchange))
+        .doOnError(failure -> callerGone(exchange));
+  }
+
+  private void callerGone(CallerExchange exchange) {
+    loop.run(
+        () -> {
+          exchange.abandon();
+          loop.handle(new EntryEvent.CallerGone(exchange.request()));
+        });
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/DecisionLines.java
@@ -0,0 +1,22 @@
+package org.teaseltrail.entry;
+
+import java.util.Locale;
+import org.teaseltrail.core.entry.EntryDecision;
+import org.teaseltrail.runtime.log.DecisionLog;
+import org.teaseltrail.runtime.log.PartLogger;
+
+/** Writes the node's decisions to the log. */
+final class DecisionLines {
+
+  private final DecisionLog log = new DecisionLog(new PartLogger("entry"));
+
+  void write(EntryDecision decision) {
+    log.line(decision.kind().name().toLowerCase(Locale.ROOT))
+        .with("request", decision.request())
+        .with("customer", decision.customer())
+        .with("tier", decision.tier())
+        .with("upstream", decision.upstream())
+        .reason(decision.reason())
+        .write();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryDaemon.java
@@ -0,0 +1,75 @@
+package org.teaseltrail.entry;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import org.teaseltrail.core.entry.EntryEvent;
+import org.teaseltrail.core.entry.EntryNode;
+import org.teaseltrail.runtime.log.PartLogger;
+import org.teaseltrail.runtime.process.ExitCode;
+import org.teaseltrail.runtime.process.RunningProgram;
+import reactor.netty.DisposableServer;
+
+/** Is the running entry VM: the node, its thread and its sockets. */
+final class EntryDaemon implements RunningProgram {
+
+  private static final PartLogger LOGGER = new PartLogger("entry");
+
+  private final EntryParts parts;
+  private final DisposableServer server;
+  private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
+
+  private EntryDaemon(EntryOptions options, EntryParts parts) {
+    this.parts = parts;
+    this.server = new EntryHttp(options, parts).listen();
+  }
+
+  /**
+   * Starts to listen and to connect.
+   *
+   * @throws reactor.netty.ChannelBindException if the address can't be listened on
+   */
+  static EntryDaemon start(EntryOptions options) {
+    NodeLoop loop = new NodeLoop(new EntryNode(options.node()));
+    EntryParts parts =
+        new EntryParts(
+            loop,
+            new Exchanges(),
+            new UpstreamCalls(loop, options.connectTimeoutMs(), options.readTimeoutMs()),
+            new ControlConnections(loop),
+            new UpstreamAnswers(loop),
+            new EntryMetrics(),
+            new Shutdown());
+    EntryDaemon daemon = new EntryDaemon(options, parts);
+    daemon.run(options);
+    return daemon;
+  }
+
+  private void run(EntryOptions options) {
+    parts.loop().onActions(new ActionExecutor(parts));
+    parts.metrics().watch(parts.loop()::status);
+    parts.shutdown().onCloseListener(() -> server.dispose());
+    parts.control().open(options.node().vm(), options.members());
+    LOGGER.info("Listens on " + address() + ".");
+  }
+
+  /** Returns where callers and upstreams come. */
+  InetSocketAddress address() {
+    return (InetSocketAddress) server.address();
+  }
+
+  @Override
+  public CompletableFuture<ExitCode> ended() {
+    return ended;
+  }
+
+  @Override
+  public void close() {
+    parts.loop().submit(new EntryEvent.DrainRequested());
+    parts.shutdown().whenFinished().join();
+    server.disposeNow();
+    parts.control().close();
+    parts.loop().close();
+    parts.metrics().close();
+    ended.complete(ExitCode.OK);
+  }
+}
--- a/entry/src/main/java/org/teaseltrail/entry/EntryMain.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryMain.java
@@ -1,5 +1,7 @@
 package org.teaseltrail.entry;
 
+import org.teaseltrail.runtime.process.ProgramMain;
+
 /** Starts the program of an entry VM. */
 public final class EntryMain {
 
@@ -11,6 +13,6 @@
    * @param args the command line
    */
   public static void main(String[] args) {
-    throw new UnsupportedOperationException("not built yet");
+    ProgramMain.main(new EntryProgram(), args);
   }
 }
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryProgram.java
@@ -0,0 +1,30 @@
+package org.teaseltrail.entry;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.teaseltrail.runtime.process.ExitCode;
+import org.teaseltrail.runtime.process.Program;
+import org.teaseltrail.runtime.process.ProgramException;
+import org.teaseltrail.runtime.process.RunningProgram;
+import org.teaseltrail.runtime.settings.Settings;
+import org.teaseltrail.runtime.settings.SettingsSpec;
+import reactor.netty.ChannelBindException;
+
+/** Is the daemon of an entry VM. */
+public final class EntryProgram implements Program {
+
+  @Override
+  public SettingsSpec spec() {
+    return EntryProgramSettings.SPEC;
+  }
+
+  @Override
+  public RunningProgram start(Settings settings, Namespace arguments) throws ProgramException {
+    EntryOptions options = EntryOptions.of(settings);
+    try {
+      return EntryDaemon.start(options);
+    } catch (ChannelBindException e) {
+      throw new ProgramException(
+          ExitCode.LISTEN, "can't listen on " + options.listen() + ": " + e.getMessage(), e);
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/ForwardedHeaders.java
@@ -0,0 +1,44 @@
+package org.teaseltrail.entry;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+/** Passes headers on, but for those that belong to one connection or to this system alone. */
+final class ForwardedHeaders {
+
+  private static final Set<String> NOT_FORWARDED =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "proxy-connection",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "expect",
+          "host",
+          "authorization",
+          "x-request-id");
+
+  private ForwardedHeaders() {}
+
+  /** Copies the headers that go on. */
+  static void copy(HttpHeaders from, BiConsumer<String, String> to) {
+    String connection = from.get(HttpHeaderNames.CONNECTION, "").toLowerCase(Locale.ROOT);
+    Set<String> named = new HashSet<>(Arrays.asList(connection.split("\\s*,\\s*")));
+    for (Map.Entry<String, String> header : from) {
+      String name = header.getKey().toLowerCase(Locale.ROOT);
+      if (!NOT_FORWARDED.contains(name) && !named.contains(name)) {
+        to.accept(header.getKey(), header.getValue());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/GenerationExchange.java
@@ -0,0 +1,27 @@
+package org.teaseltrail.entry;
+
+import org.teaseltrail.core.configuration.RouteTarget;
+import org.teaseltrail.core.configuration.RouteTarget.ModelTarget;
+import org.teaseltrail.core.id.RequestId;
+
+/** Is an exchange whose upstream is an engine. */
+abstract class GenerationExchange implements CallerExchange {
+
+  private final RequestId request;
+  private final GenerateBody body;
+
+  GenerationExchange(RequestId request, GenerateBody body) {
+    this.request = request;
+    this.body = body;
+  }
+
+  @Override
+  public final RequestId request() {
+    return request;
+  }
+
+  @Override
+  public final DispatchCall call(UpstreamCalls calls, int attempt, RouteTarget asked) {
+    return calls.engine(this, attempt, body.toEngine(request, (ModelTarget) asked));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/HolderState.java
@@ -0,0 +1,42 @@
+package org.teaseltrail.entry;
+
+import org.teaseltrail.core.message.ClaimState;
+
+/** Says what a caller is told whose key is held by an earlier request. */
+enum HolderState {
+  WAITING("key-waiting", "An earlier request under this key waits.", 1_000),
+  RUNNING("key-running", "An earlier request under this key runs.", 1_000),
+  COMPLETED("key-completed", "An earlier request under this key has completed.", 0),
+  MAY_HAVE_RUN("key-may-have-run", "An earlier request under this key may have run.", 0);
+
+  private final String problemName;
+  private final String title;
+  private final long retryAfterMs;
+
+  HolderState(String problemName, String title, long retryAfterMs) {
+    this.problemName = problemName;
+    this.title = title;
+    this.retryAfterMs = retryAfterMs;
+  }
+
+  static HolderState of(ClaimState state) {
+    return switch (state) {
+      case WAITING -> WAITING;
+      case RUNNING -> RUNNING;
+      case COMPLETED -> COMPLETED;
+      case MAY_HAVE_RUN -> MAY_HAVE_RUN;
+    };
+  }
+
+  String problemName() {
+    return problemName;
+  }
+
+  String title() {
+    return title;
+  }
+
+  long retryAfterMs() {
+    return retryAfterMs;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/Problem.java
@@ -0,0 +1,115 @@
+package org.teaseltrail.entry;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.Optional;
+import org.reactivestreams.Publisher;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.request.NotRunReason;
+import org.teaseltrail.core.request.Outcome;
+import org.teaseltrail.core.request.Ran;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Is a refusal or failure as a caller gets it: {@code application/problem+json}.
+ *
+ * @param httpStatus the HTTP status
+ * @param name the last part of the type
+ * @param title a sentence on the type
+ * @param detail a sentence on this case; never the caller's text
+ * @param ran whether the request ran
+ * @param request the request, if it has an id
+ * @param retryAfterMs when the caller may come back; zero if coming back is of no use
+ */
+record Problem(
+    int httpStatus,
+    String name,
+    String title,
+    String detail,
+    Ran ran,
+    Optional<RequestId> request,
+    long retryAfterMs) {
+
+  private static final String TYPE_PREFIX = "urn:teaseltrail:problem:";
+  private static final String CONTENT_TYPE = "application/problem+json";
+  private static final int CONFLICT = 409;
+  private static final int BAD_GATEWAY = 502;
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  static Problem of(ProblemKind kind, String detail) {
+    return new Problem(
+        kind.httpStatus(), kind.problemName(), kind.title(), detail, Ran.NO, Optional.empty(), 0);
+  }
+
+  /** Returns the problem that stands for an outcome other than completed. */
+  static Problem of(RequestId request, Outcome outcome) {
+    if (outcome instanceof Outcome.NotRun notRun) {
+      NotRunReason reason = notRun.reason();
+      return new Problem(
+          reason.httpStatus(),
+          reason.problemName(),
+          reason.title(),
+          "The request did not run.",
+          Ran.NO,
+          Optional.of(request),
+          notRun.retryAfterMs());
+    }
+    if (outcome instanceof Outcome.HeldByEarlier held) {
+      return heldByEarlier(request, held);
+    }
+    Outcome.MayHaveRun failed = (Outcome.MayHaveRun) outcome;
+    return new Problem(
+        BAD_GATEWAY,
+        failed.reason().problemName(),
+        failed.reason().title(),
+        "The request may have run.",
+        Ran.MAYBE,
+        Optional.of(request),
+        0);
+  }
+
+  private static Problem heldByEarlier(RequestId request, Outcome.HeldByEarlier held) {
+    HolderState state = HolderState.of(held.state());
+    return new Problem(
+        CONFLICT,
+        state.problemName(),
+        state.title(),
+        "Request " + held.holder() + " holds the idempotency key.",
+        held.ran(),
+        Optional.of(request),
+        state.retryAfterMs());
+  }
+
+  /** Returns the problem's type. */
+  String type() {
+    return TYPE_PREFIX + name;
+  }
+
+  /** Answers with the problem. */
+  Publisher<Void> send(HttpServerResponse response) {
+    response.status(httpStatus).header(HttpHeaderNames.CONTENT_TYPE, CONTENT_TYPE);
+    request.ifPresent(id -> response.header(HttpNames.REQUEST_ID, id.value()));
+    if (retryAfterMs > 0) {
+      long retryAfterSeconds = (retryAfterMs + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+      response.header(HttpHeaderNames.RETRY_AFTER, Long.toString(retryAfterSeconds));
+    }
+    byte[] body = Json.bytes(json());
+    response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length));
+    return response.sendObject(Unpooled.wrappedBuffer(body));
+  }
+
+  private ObjectNode json() {
+    ObjectNode json = Json.object();
+    json.put("type", type());
+    json.put("title", title);
+    json.put("status", httpStatus);
+    json.put("detail", detail);
+    json.put("ran", ran.text());
+    request.ifPresent(id -> json.put("request_id", id.value()));
+    if (retryAfterMs > 0) {
+      json.put("retry_after_ms", retryAfterMs);
+    }
+    return json;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/ServiceForward.java
@@ -0,0 +1,75 @@
+package org.teaseltrail.entry;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.reactivestreams.Publisher;
+import org.teaseltrail.core.entry.EntryEvent;
+import org.teaseltrail.core.request.UpstreamTarget;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.netty.Connection;
+import reactor.netty.http.client.HttpClientResponse;
+
+/** Sends a call to a plain service and passes the answer through. */
+final class ServiceForward extends DispatchCall {
+
+  private final UpstreamCalls calls;
+  private final ServiceExchange exchange;
+
+  ServiceForward(UpstreamCalls calls, ServiceExchange exchange, int attempt) {
+    super(calls.loop(), exchange.request(), attempt);
+    this.calls = calls;
+    this.exchange = exchange;
+  }
+
+  @Override
+  void connect(UpstreamTarget target) {
+    ServiceRequest asked = exchange.asked();
+    subscribed(
+        calls
+            .client(target)
+            .headers(this::writeHeaders)
+            .request(asked.method())
+            .uri(asked.pathAndQuery())
+            .send((head, out) -> sendWhenPermitted(out, asked.body()))
+            .responseConnection(this::pass)
+            .subscribe(done -> {}, failure -> broken()));
+  }
+
+  private void writeHeaders(HttpHeaders headers) {
+    ForwardedHeaders.copy(exchange.asked().headers(), headers::add);
+    headers.set(HttpNames.REQUEST_ID, request().value());
+    headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+    if (exchange.asked().body().length > 0) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, exchange.asked().body().length);
+    }
+  }
+
+  private Publisher<Void> pass(HttpClientResponse response, Connection connection) {
+    Sinks.Empty<Void> passed = Sinks.empty();
+    Flux<ByteBuf> body =
+        connection
+            .inbound()
+            .receive()
+            .retain()
+            .doOnComplete(() -> completed(passed))
+            .doOnError(passed::tryEmitError)
+            .doOnCancel(() -> cutOff(passed));
+    tell(new EntryEvent.ServiceAnswering(request(), attempt()));
+    exchange.answer(
+        new ServiceAnswer(response.status().code(), response.responseHeaders().copy(), body));
+    return passed.asMono();
+  }
+
+  private void completed(Sinks.Empty<Void> passed) {
+    tell(new EntryEvent.ServiceCompleted(request(), attempt()));
+    passed.tryEmitEmpty();
+  }
+
+  private void cutOff(Sinks.Empty<Void> passed) {
+    broken();
+    passed.tryEmitEmpty();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/ServiceRequest.java
@@ -0,0 +1,23 @@
+package org.teaseltrail.entry;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import org.teaseltrail.core.id.ServiceId;
+
+/**
+ * Is a caller's call of a plain service.
+ *
+ * @param service the service
+ * @param method the HTTP method
+ * @param pathAndQuery what the service gets as its URI
+ * @param headers the caller's headers
+ * @param body the body
+ */
+record ServiceRequest(
+    ServiceId service, HttpMethod method, String pathAndQuery, HttpHeaders headers, byte[] body) {
+
+  /** Returns the digest of what is asked for. */
+  String digest() {
+    return Sha256.ofParts(method + "\n" + service + "\n" + pathAndQuery, body);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/StatusHandler.java
@@ -0,0 +1,91 @@
+package org.teaseltrail.entry;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.Locale;
+import java.util.Optional;
+import org.reactivestreams.Publisher;
+import org.teaseltrail.core.id.InvalidIdException;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.request.Request;
+import org.teaseltrail.runtime.metrics.Metrics;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Tells the state of requests, of the VM and its meters. */
+final class StatusHandler {
+
+  /** Path below which requests lie. */
+  static final String REQUESTS = "/v1/requests/";
+
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  private final NodeLoop loop;
+  private final EntryMetrics metrics;
+
+  StatusHandler(EntryParts parts) {
+    this.loop = parts.loop();
+    this.metrics = parts.metrics();
+  }
+
+  Publisher<Void> request(HttpServerRequest request, HttpServerResponse response) {
+    Optional<String> keyHash = CallerHeaders.keyHash(request.requestHeaders());
+    RequestId id = requestId(request.uri().substring(REQUESTS.length()));
+    return loop.ask(() -> state(id, keyHash))
+        .flatMap(
+            state ->
+                response
+                    .header(HttpHeaderNames.CONTENT_TYPE, HttpNames.JSON)
+                    .header(HttpNames.REQUEST_ID, id.value())
+                    .sendByteArray(Mono.just(Json.bytes(state)))
+                    .then());
+  }
+
+  private static RequestId requestId(String text) {
+    try {
+      return new RequestId(text);
+    } catch (InvalidIdException e) {
+      throw new RefusedRequestException(ProblemKind.UNKNOWN_REQUEST, e.getMessage());
+    }
+  }
+
+  private ObjectNode state(RequestId id, Optional<String> keyHash) {
+    if (!loop.node().isCustomer(keyHash)) {
+      throw new RefusedRequestException(ProblemKind.UNAUTHENTICATED, "send a customer's key");
+    }
+    Request request =
+        loop.node()
+            .findOwn(id, keyHash)
+            .orElseThrow(
+                () ->
+                    new RefusedRequestException(
+                        ProblemKind.UNKNOWN_REQUEST, "ask the VM that took the request"));
+    ObjectNode json = Json.object();
+    json.put("request_id", id.value());
+    json.put("state", request.state().name().toLowerCase(Locale.ROOT));
+    request.outcome().ifPresent(outcome -> json.put("outcome", CallerJson.name(outcome)));
+    request.target().ifPresent(target -> json.put("upstream", target.upstream().value()));
+    return json;
+  }
+
+  Publisher<Void> health(HttpServerRequest request, HttpServerResponse response) {
+    return response.status(OK).sendString(Mono.just("ok\n"));
+  }
+
+  Publisher<Void> ready(HttpServerRequest request, HttpServerResponse response) {
+    return loop.ask(() -> loop.node().isReady(loop.nowNs()))
+        .flatMap(
+            ready ->
+                response
+                    .status(ready ? OK : UNAVAILABLE)
+                    .sendString(Mono.just(ready ? "ready\n" : "not ready\n"))
+                    .then());
+  }
+
+  Publisher<Void> metrics(HttpServerRequest request, HttpServerResponse response) {
+    response.header(HttpHeaderNames.CONTENT_TYPE, Metrics.CONTENT_TYPE);
+    return response.sendString(Mono.fromCallable(metrics::scrape));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/UpstreamCalls.java
@@ -0,0 +1,73 @@
+package org.teaseltrail.entry;
+
+import io.netty.channel.ChannelOption;
+import java.time.Duration;
+import org.teaseltrail.core.entry.EntryAction;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.request.UpstreamTarget;
+import org.teaseltrail.runtime.log.PartLogger;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * Makes connections to upstreams.
+ *
+ * <p>Each call has a connection of its own. Guards against a kept connection that the upstream has
+ * closed meanwhile: the request would be written and lost, and no one could say whether it ran.
+ * Retry and redirects stay off, since either would send a request twice.
+ */
+final class UpstreamCalls {
+
+  private static final PartLogger LOGGER = new PartLogger("entry");
+  private static final String HTTP = "http://";
+
+  private final NodeLoop loop;
+  private final HttpClient client;
+
+  UpstreamCalls(NodeLoop loop, int connectTimeoutMs, long readTimeoutMs) {
+    this.loop = loop;
+    this.client =
+        HttpClient.create(ConnectionProvider.newConnection())
+            .disableRetry(true)
+            .followRedirect(false)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .responseTimeout(Duration.ofMillis(readTimeoutMs));
+  }
+
+  /** Returns a client for one upstream. */
+  HttpClient client(UpstreamTarget target) {
+    return client.baseUrl(
+        HTTP + target.address().host() + ":" + target.address().port());
+  }
+
+  NodeLoop loop() {
+    return loop;
+  }
+
+  /** Makes a call that sends a request to an engine. */
+  DispatchCall engine(CallerExchange exchange, int attempt, byte[] body) {
+    return new EngineCall(this, exchange, attempt, body);
+  }
+
+  /** Makes a call that forwards a request to a plain service. */
+  DispatchCall service(ServiceExchange exchange, int attempt) {
+    return new ServiceForward(this, exchange, attempt);
+  }
+
+  /** Asks an engine for the rest of a stream. */
+  UpstreamCall resume(CallerExchange exchange, EntryAction.Resume resume) {
+    return EngineResume.start(this, exchange, resume);
+  }
+
+  /** Tells an engine to stop; a failure is logged, as the engine ends the stream by itself. */
+  void cancel(RequestId request, UpstreamTarget target) {
+    client(target)
+        .delete()
+        .uri(EngineCall.STREAMS + "/" + request)
+        .response()
+        .subscribe(
+            response -> {},
+            failure -> LOGGER.warn("Cancelling " + request + " at " + target + " failed."));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/UpstreamHandler.java
@@ -0,0 +1,73 @@
+package org.teaseltrail.entry;
+
+import java.util.Optional;
+import java.util.function.Function;
+import org.reactivestreams.Publisher;
+import org.teaseltrail.core.entry.EntryEvent;
+import org.teaseltrail.core.entry.UpstreamVerdict;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.upstream.Announcement;
+import org.teaseltrail.core.upstream.CacheEvent;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Takes upstreams' announcements and cache events. */
+final class UpstreamHandler {
+
+  private final BodyReader bodies;
+  private final UpstreamAnswers answers;
+
+  UpstreamHandler(BodyReader bodies, UpstreamAnswers answers) {
+    this.bodies = bodies;
+    this.answers = answers;
+  }
+
+  Publisher<Void> announce(HttpServerRequest request, HttpServerResponse response) {
+    String secretHash = secretHash(request);
+    return handle(request, response, body -> announced(request, secretHash, body));
+  }
+
+  private Mono<UpstreamVerdict> announced(
+      HttpServerRequest request, String secretHash, byte[] body) {
+    Announcement announcement = AnnouncementParser.announcement(body);
+    checkSameUpstream(request, announcement.upstream());
+    return answers.ask(
+        number -> new EntryEvent.AnnouncementHeard(number, announcement, secretHash));
+  }
+
+  Publisher<Void> cacheEvents(HttpServerRequest request, HttpServerResponse response) {
+    String secretHash = secretHash(request);
+    return handle(request, response, body -> cacheChanged(request, secretHash, body));
+  }
+
+  private Mono<UpstreamVerdict> cacheChanged(
+      HttpServerRequest request, String secretHash, byte[] body) {
+    CacheEvent event = AnnouncementParser.cacheEvent(body);
+    checkSameUpstream(request, event.upstream());
+    return answers.ask(number -> new EntryEvent.CacheEventHeard(number, event, secretHash));
+  }
+
+  private Mono<Void> handle(
+      HttpServerRequest request,
+      HttpServerResponse response,
+      Function<byte[], Mono<UpstreamVerdict>> asks) {
+    return bodies
+        .read(request)
+        .flatMap(asks)
+        .flatMap(verdict -> response.status(verdict.httpStatus()).send().then());
+  }
+
+  private static String secretHash(HttpServerRequest request) {
+    return Optional.ofNullable(request.requestHeaders().get(HttpNames.UPSTREAM_SECRET))
+        .map(Sha256::ofText)
+        .orElse("");
+  }
+
+  private static void checkSameUpstream(HttpServerRequest request, UpstreamId announced) {
+    if (!announced.value().equals(request.requestHeaders().get(HttpNames.UPSTREAM_ID))) {
+      throw new RefusedRequestException(
+          ProblemKind.MALFORMED_REQUEST, "X-Upstream-Id is missing or differs from the body");
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/WholeExchange.java
@@ -0,0 +1,73 @@
+package org.teaseltrail.entry;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import org.reactivestreams.Publisher;
+import org.teaseltrail.core.entry.EntryEvent;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.request.Outcome;
+import org.teaseltrail.core.request.StreamFrame;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Gives an answer back in one piece. */
+final class WholeExchange extends GenerationExchange {
+
+  private final NodeLoop loop;
+  private final int maxAnswerBytes;
+  private final StringBuilder text = new StringBuilder();
+  private final Sinks.One<Outcome> outcome = Sinks.one();
+
+  WholeExchange(RequestId request, GenerateBody body, NodeLoop loop, int maxAnswerBytes) {
+    super(request, body);
+    this.loop = loop;
+    this.maxAnswerBytes = maxAnswerBytes;
+  }
+
+  @Override
+  public Publisher<Void> respond(HttpServerResponse response) {
+    return outcome.asMono().flatMap(end -> Mono.from(answer(response, end)));
+  }
+
+  private Publisher<Void> answer(HttpServerResponse response, Outcome end) {
+    if (!(end instanceof Outcome.Completed completed)) {
+      return Problem.of(request(), end).send(response);
+    }
+    ObjectNode json = Json.object();
+    json.put("request_id", request().value());
+    json.put("text", text.toString());
+    json.set("usage", CallerJson.usage(completed.usage()));
+    json.put("outcome", "completed");
+    byte[] body = Json.bytes(json);
+    response.header(HttpHeaderNames.CONTENT_TYPE, HttpNames.JSON);
+    response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length));
+    response.header(HttpNames.REQUEST_ID, request().value());
+    return response.sendObject(Unpooled.wrappedBuffer(body));
+  }
+
+  @Override
+  public void deliver(StreamFrame.Text frame) {
+    if (text.length() + frame.text().length() > maxAnswerBytes) {
+      loop.submit(new EntryEvent.AnswerTooLarge(request()));
+      return;
+    }
+    text.append(frame.text());
+  }
+
+  @Override
+  public void conclude(Outcome end) {
+    outcome.tryEmitValue(end);
+  }
+
+  @Override
+  public void abandon() {
+    text.setLength(0);
+  }
+
+  @Override
+  public boolean isFull(Runnable whenRoom) {
+    return false;
+  }
+}
