wire: Carry typed messages in frames over TCP

One port takes entry VMs and peers; the first frame says who speaks. Frames, the queue towards a peer and silence are bounded, and each end of a connection has a typed reason.

Ruled out: a reactive sink for each connection, since it needs its emissions serialised and holds back a second queue; writes go to the channel, which counts every byte until the socket has it.

--- /dev/null
+++ b/wire/src/test/java/org/teaseltrail/wire/FrameLinkTest.java
@@ -0,0 +1,220 @@
+package org.teaseltrail.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.upstream.SocketAddress;
+
+@SuppressWarnings("try")
+class FrameLinkTest {
+
+  private static final String HOST = "127.0.0.1";
+  private static final FrameLimits LIMITS = new FrameLimits(100_000, 1_000_000, 5_000, 1_000);
+  private static final FrameLimits HASTY = new FrameLimits(100_000, 1_000_000, 90, 1_000);
+
+  private final MessageCodec codec = new MessageCodec();
+  private final RecordingListener<Asked, Told> entryCalls = new RecordingListener<>();
+  private final RecordingListener<Peer, Peer> peerCalls = new RecordingListener<>();
+
+  sealed interface Asked {
+    record Question(int number) implements Asked {}
+  }
+
+  sealed interface Told {
+    record Answer(int number, byte[] padding) implements Told {}
+  }
+
+  sealed interface Peer {
+    record Vote(String term) implements Peer {}
+  }
+
+  @Test
+  void onePortCarriesEntryVmsAndPeersInOrder() {
+    RecordingListener<Told, Asked> entry = new RecordingListener<>();
+    RecordingListener<Peer, Peer> peer = new RecordingListener<>();
+    try (FrameServer server = listen(0);
+        FrameClient<Told, Asked> asking = entryClient(server.port(), entry, LIMITS);
+        FrameClient<Peer, Peer> voting =
+            client(
+                server.port(),
+                new FrameEndpoint<>(SpeakerKind.CONTROL_MEMBER, Peer.class, Peer.class, peer),
+                LIMITS)) {
+      entry.nextOpened();
+      peer.nextOpened();
+      for (int i = 0; i < 100; i++) {
+        assertThat(asking.send(new Asked.Question(i))).isTrue();
+      }
+      voting.send(new Peer.Vote("v"));
+      for (int i = 0; i < 100; i++) {
+        assertThat(entryCalls.nextReceived()).isEqualTo(new Asked.Question(i));
+      }
+      assertThat(peerCalls.nextReceived()).isEqualTo(new Peer.Vote("v"));
+      FrameConnection<Asked, Told> accepted = entryCalls.nextOpened();
+      assertThat(accepted.opening().speakerId()).isEqualTo("here");
+      accepted.send(new Told.Answer(5, new byte[0]));
+      assertThat(((Told.Answer) entry.nextReceived()).number()).isEqualTo(5);
+    }
+  }
+
+  // An entry VM is frozen with its sockets open while the leader keeps sending to it. The user
+  // would see the leader's memory grow until the process dies. Once the bounded queue is full the
+  // connection must end, with its reason.
+  @Test
+  void peerThatDoesNotReadIsDropped() throws IOException {
+    try (FrameServer server = listen(0);
+        Socket frozen = new Socket(HOST, server.port())) {
+      writeFrame(frozen, opening(ConnectionOpening.PROTOCOL_VERSION, SpeakerKind.ENTRY_VM));
+      FrameConnection<Asked, Told> connection = entryCalls.nextOpened();
+      Told.Answer answer = new Told.Answer(1, new byte[50_000]);
+      int sent = 0;
+      while (sent < 10_000 && connection.send(answer)) {
+        sent++;
+      }
+      assertThat(sent).isLessThan(10_000);
+      assertThat(entryCalls.nextClosed()).isEqualTo(CloseReason.PEER_NOT_READING);
+      assertThat(connection.send(answer)).isFalse();
+    }
+  }
+
+  // A switch drops a control member's packets without a reset. The user would see an entry VM hold
+  // on to the dead connection while its requests wait. Silence past the idle timeout must end it,
+  // and the client must connect anew.
+  @Test
+  void halfOpenLinkIsFoundAndMadeAgain() throws IOException {
+    RecordingListener<Told, Asked> entry = new RecordingListener<>();
+    try (ServerSocket silent = new ServerSocket(0, 10, InetAddress.getByName(HOST));
+        FrameClient<Told, Asked> client = entryClient(silent.getLocalPort(), entry, HASTY);
+        Socket first = silent.accept()) {
+      assertThat(entry.nextClosed()).isEqualTo(CloseReason.IDLE);
+      try (Socket second = silent.accept()) {
+        assertThat(second.isConnected()).isTrue();
+      }
+    }
+  }
+
+  @Test
+  void quietLinkSendsKeepalives() throws IOException {
+    RecordingListener<Told, Asked> entry = new RecordingListener<>();
+    try (ServerSocket silent = new ServerSocket(0, 10, InetAddress.getByName(HOST));
+        FrameClient<Told, Asked> client = entryClient(silent.getLocalPort(), entry, HASTY);
+        Socket accepted = silent.accept()) {
+      DataInputStream in = new DataInputStream(accepted.getInputStream());
+      in.readNBytes(in.readInt());
+      assertThat(in.readInt()).isZero();
+    }
+  }
+
+  @Test
+  void clientComesBackAfterServerRestart() {
+    RecordingListener<Told, Asked> entry = new RecordingListener<>();
+    FrameServer first = listen(0);
+    int port = first.port();
+    try (FrameClient<Told, Asked> client = entryClient(port, entry, LIMITS)) {
+      entry.nextOpened();
+      entryCalls.nextOpened();
+      first.close();
+      assertThat(entry.nextClosed()).isEqualTo(CloseReason.CLOSED_BY_PEER);
+      try (FrameServer second = listen(port)) {
+        entry.nextOpened();
+        client.send(new Asked.Question(8));
+        assertThat(entryCalls.nextReceived()).isEqualTo(new Asked.Question(8));
+      }
+    }
+  }
+
+  @Test
+  void frameBeyondTheLimitEndsTheConnectionBeforeItIsRead() throws IOException {
+    try (FrameServer server = listen(0);
+        Socket socket = new Socket(HOST, server.port())) {
+      writeFrame(socket, opening(ConnectionOpening.PROTOCOL_VERSION, SpeakerKind.ENTRY_VM));
+      entryCalls.nextOpened();
+      new DataOutputStream(socket.getOutputStream()).writeInt(100_001);
+      assertThat(entryCalls.nextClosed()).isEqualTo(CloseReason.FRAME_TOO_LARGE);
+    }
+  }
+
+  @Test
+  void messageBeyondTheLimitIsNotSent() {
+    RecordingListener<Told, Asked> entry = new RecordingListener<>();
+    try (FrameServer server = listen(0);
+        FrameClient<Told, Asked> client = entryClient(server.port(), entry, LIMITS)) {
+      entry.nextOpened();
+      FrameConnection<Asked, Told> accepted = entryCalls.nextOpened();
+      assertThatThrownBy(() -> accepted.send(new Told.Answer(1, new byte[100_000])))
+          .isInstanceOf(FrameTooLargeException.class);
+      accepted.send(new Told.Answer(2, new byte[0]));
+      assertThat(((Told.Answer) entry.nextReceived()).number()).isEqualTo(2);
+    }
+  }
+
+  @Test
+  void malformedMessageEndsTheConnection() throws IOException {
+    try (FrameServer server = listen(0);
+        Socket socket = new Socket(HOST, server.port())) {
+      writeFrame(socket, opening(ConnectionOpening.PROTOCOL_VERSION, SpeakerKind.ENTRY_VM));
+      writeFrame(socket, new byte[] {1, 2, 3});
+      assertThat(entryCalls.nextClosed()).isEqualTo(CloseReason.MALFORMED_MESSAGE);
+      assertThat(endsWithoutData(socket)).isTrue();
+    }
+  }
+
+  @Test
+  void openingOfAnotherVersionOrOfNoKnownSpeakerIsRefused() throws IOException {
+    byte[] otherVersion = opening(99, SpeakerKind.ENTRY_VM);
+    try (FrameServer server = listen(0)) {
+      for (byte[] bad : new byte[][] {otherVersion, {1, 2, 3}}) {
+        try (Socket socket = new Socket(HOST, server.port())) {
+          writeFrame(socket, bad);
+          assertThat(endsWithoutData(socket)).isTrue();
+        }
+      }
+    }
+  }
+
+  private FrameServer listen(int port) {
+    return FrameServer.listen(
+        new SocketAddress(HOST, port),
+        LIMITS,
+        codec,
+        new FrameEndpoint<>(SpeakerKind.ENTRY_VM, Asked.class, Told.class, entryCalls),
+        new FrameEndpoint<>(SpeakerKind.CONTROL_MEMBER, Peer.class, Peer.class, peerCalls));
+  }
+
+  private FrameClient<Told, Asked> entryClient(
+      int port, RecordingListener<Told, Asked> listener, FrameLimits limits) {
+    return client(
+        port, new FrameEndpoint<>(SpeakerKind.ENTRY_VM, Told.class, Asked.class, listener), limits);
+  }
+
+  private <I, O> FrameClient<I, O> client(
+      int port, FrameEndpoint<I, O> endpoint, FrameLimits limits) {
+    ReconnectBackoff backoff = new ReconnectBackoff(10, 40, new Random(3));
+    return FrameClient.connect(
+        new SocketAddress(HOST, port), "here", endpoint, limits, codec, backoff);
+  }
+
+  private byte[] opening(int version, SpeakerKind speaker) {
+    return codec.encode(
+        ConnectionOpening.class, new ConnectionOpening(version, speaker, "entry-1"));
+  }
+
+  private static void writeFrame(Socket socket, byte[] body) throws IOException {
+    DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+    out.writeInt(body.length);
+    out.write(body);
+    out.flush();
+  }
+
+  private static boolean endsWithoutData(Socket socket) throws IOException {
+    socket.setSoTimeout(10_000);
+    return socket.getInputStream().read() < 0;
+  }
+}
--- /dev/null
+++ b/wire/src/test/java/org/teaseltrail/wire/RecordingListener.java
@@ -0,0 +1,54 @@
+package org.teaseltrail.wire;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** Keeps what a connection's listener hears, for a test to take. */
+final class RecordingListener<I, O> implements FrameListener<I, O> {
+
+  private static final long PATIENCE_SECONDS = 10;
+
+  private final BlockingQueue<FrameConnection<I, O>> opened = new LinkedBlockingQueue<>();
+  private final BlockingQueue<I> received = new LinkedBlockingQueue<>();
+  private final BlockingQueue<CloseReason> closed = new LinkedBlockingQueue<>();
+
+  @Override
+  public void opened(FrameConnection<I, O> connection) {
+    opened.add(connection);
+  }
+
+  @Override
+  public void received(FrameConnection<I, O> connection, I message) {
+    received.add(message);
+  }
+
+  @Override
+  public void closed(FrameConnection<I, O> connection, CloseReason reason) {
+    closed.add(reason);
+  }
+
+  FrameConnection<I, O> nextOpened() {
+    return next(opened);
+  }
+
+  I nextReceived() {
+    return next(received);
+  }
+
+  CloseReason nextClosed() {
+    return next(closed);
+  }
+
+  private static <T> T next(BlockingQueue<T> queue) {
+    try {
+      T next = queue.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      if (next == null) {
+        throw new AssertionError("nothing came");
+      }
+      return next;
+    } catch (InterruptedException interrupted) {
+      throw new AssertionError(interrupted);
+    }
+  }
+}
