--- a/entry/src/main/java/org/teaseltrail/entry/EngineCall.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EngineCall.java
@@ -24,9 +24,8 @@
 
   @Override
   void connect(UpstreamTarget target) {
-    EngineLines lines =
-        new EngineLines(calls.loop(), exchange, attempt(), this::ended);
-    subscribed(lines);
+    EngineLines lines = new EngineLines(calls.loop(), exchange, attempt(), this::ended);
+    subscribed(lines::close);
     calls
         .client(target)
         .headers(
@@ -47,8 +46,7 @@
       case REFUSED -> tell(new EntryEvent.UpstreamRefused(request(), attempt()));
       case UNKNOWN, REJECTED ->
           tell(
-              new EntryEvent.UpstreamFailed(
-                  request(), attempt(), FailureReason.UPSTREAM_PROTOCOL));
+              new EntryEvent.UpstreamFailed(request(), attempt(), FailureReason.UPSTREAM_PROTOCOL));
       default -> broken();
     }
   }
--- a/entry/src/main/java/org/teaseltrail/entry/EngineLines.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EngineLines.java
@@ -23,9 +23,9 @@
   private final int attempt;
   private final Consumer<EngineAnswer> onEnd;
   private long owedLines;
+  private boolean closed;
 
-  EngineLines(
-      NodeLoop loop, CallerExchange exchange, int attempt, Consumer<EngineAnswer> onEnd) {
+  EngineLines(NodeLoop loop, CallerExchange exchange, int attempt, Consumer<EngineAnswer> onEnd) {
     this.loop = loop;
     this.exchange = exchange;
     this.attempt = attempt;
@@ -83,7 +83,7 @@
   }
 
   private void pass(StreamFrame frame) {
-    if (isDisposed()) {
+    if (closed) {
       return;
     }
     loop.handle(new EntryEvent.FrameReceived(exchange.request(), attempt, frame));
@@ -96,11 +96,20 @@
   private void payOwed() {
     long lines = owedLines;
     owedLines = 0;
-    if (lines > 0 && !isDisposed()) {
+    if (lines > 0) {
       request(lines);
     }
   }
 
+  /**
+   * Drops what is still under way; on the node's thread. A stream that merely ended isn't closed:
+   * its last lines may still be on their way to the node.
+   */
+  void close() {
+    closed = true;
+    dispose();
+  }
+
   @Override
   protected void hookOnComplete() {
     onEnd.accept(EngineAnswer.BROKEN);
--- a/entry/src/main/java/org/teaseltrail/entry/EngineResume.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EngineResume.java
@@ -49,6 +49,6 @@
   @Override
   public void close() {
     closed = true;
-    lines.dispose();
+    lines.close();
   }
 }
--- a/entry/src/main/java/org/teaseltrail/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryDaemon.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.teaseltrail.core.entry.EntryEvent;
 import org.teaseltrail.core.entry.EntryNode;
 import org.teaseltrail.runtime.log.PartLogger;
@@ -16,6 +17,7 @@
 
   private final EntryParts parts;
   private final DisposableServer server;
+  private final AtomicBoolean closing = new AtomicBoolean();
   private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
 
   private EntryDaemon(EntryOptions options, EntryParts parts) {
@@ -64,6 +66,10 @@
 
   @Override
   public void close() {
+    if (!closing.compareAndSet(false, true)) {
+      ended.join();
+      return;
+    }
     parts.loop().submit(new EntryEvent.DrainRequested());
     parts.shutdown().whenFinished().join();
     server.disposeNow();
--- a/entry/src/main/java/org/teaseltrail/entry/EntryProgramSettings.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryProgramSettings.java
@@ -142,7 +142,7 @@
           "hold",
           Kinds.duration("100ms", "1h"),
           "10s",
-          "Time since the last lease seen after which the lowest tier is given up. Same on all VMs.");
+          "Time since the last lease after which the lowest tier is given up; same on all VMs.");
 
   static final Setting<Duration> GIVE_UP_STEP =
       Setting.withDefault(
--- /dev/null
+++ b/entry/src/test/java/org/teaseltrail/entry/EntryWorld.java
@@ -0,0 +1,142 @@
+package org.teaseltrail.entry;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.UnaryOperator;
+import org.teaseltrail.core.configuration.AllowedUpstream;
+import org.teaseltrail.core.configuration.Configuration;
+import org.teaseltrail.core.configuration.Customer;
+import org.teaseltrail.core.configuration.Pool;
+import org.teaseltrail.core.configuration.Route;
+import org.teaseltrail.core.configuration.RouteTarget.ModelTarget;
+import org.teaseltrail.core.configuration.RouteTarget.ServiceTarget;
+import org.teaseltrail.core.configuration.TierDefinition;
+import org.teaseltrail.core.entry.EntrySettings;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.id.Incarnation;
+import org.teaseltrail.core.id.ModelId;
+import org.teaseltrail.core.id.ModelVersion;
+import org.teaseltrail.core.id.PoolId;
+import org.teaseltrail.core.id.Revision;
+import org.teaseltrail.core.id.RouteId;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.Tier;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+
+/** Is an entry VM on loopback between a caller, a fake control member and a fake engine. */
+final class EntryWorld implements AutoCloseable {
+
+  static final String KEY = "gopherfield-key";
+  static final String SECRET = "engine-secret";
+  private static final UpstreamId UPSTREAM = new UpstreamId("tutor-llm-1");
+  private static final CallerLimits LIMITS = new CallerLimits(64_000, 8_000, 4_000, 1_000, 20_000);
+
+  final FakeEngine engine = new FakeEngine();
+  final FakeControlMember control =
+      new FakeControlMember(configuration(), UPSTREAM, engine.address());
+  final EntryDaemon entry;
+  private final HttpClient client = HttpClient.newHttpClient();
+
+  EntryWorld() {
+    EntrySettings defaults =
+        EntrySettings.defaults(
+            new VmId("entry-1"), new Incarnation(1), new DataCenterId("regina-a"));
+    EntrySettings node =
+        new EntrySettings(
+            defaults.vm(),
+            defaults.incarnation(),
+            defaults.dataCenter(),
+            20,
+            2_000,
+            10_000,
+            5_000,
+            1,
+            1_000,
+            0,
+            1_000);
+    entry =
+        EntryDaemon.start(
+            new EntryOptions(
+                new InetSocketAddress("127.0.0.1", 0),
+                List.of(control.address()),
+                LIMITS,
+                8,
+                30_000,
+                5_000,
+                1_000,
+                5_000,
+                node));
+    awaitReady();
+  }
+
+  private static Configuration configuration() {
+    CustomerId customer = new CustomerId("gopherfield");
+    PoolId pool = new PoolId("tutor");
+    Tier tier = new Tier(1);
+    return new Configuration(
+        new Revision(5),
+        Map.of(tier, new TierDefinition(tier, "first")),
+        Map.of(customer, new Customer(customer, tier, List.of(Sha256.ofText(KEY)), 0, 0, 1)),
+        Map.of(pool, new Pool(pool, 1_000, 0)),
+        Map.of(
+            new RouteId("tutor"),
+            new Route(
+                new RouteId("tutor"),
+                new ModelTarget(new ModelId("tutor-llm"), new ModelVersion("1"), Optional.empty()),
+                pool),
+            new RouteId("portal"),
+            new Route(
+                new RouteId("portal"),
+                new ServiceTarget(new ServiceId("portal-app"), Set.of("POST")),
+                pool)),
+        Map.of(UPSTREAM, new AllowedUpstream(UPSTREAM, pool, Sha256.ofText(SECRET), false, true)));
+  }
+
+  /** Waits for the session; each ask takes a whole exchange, so no time is slept away. */
+  private void awaitReady() {
+    int asks = 0;
+    while (send("/readyz", HttpRequest.Builder::GET).statusCode() != 200) {
+      asks++;
+      if (asks > 10_000) {
+        throw new IllegalStateException("the entry VM did not become ready");
+      }
+    }
+  }
+
+  HttpResponse<String> generate(String body, String... headers) {
+    return send(
+        "/v1/generate",
+        request -> {
+          request
+              .header("Authorization", "Bearer " + KEY)
+              .POST(HttpRequest.BodyPublishers.ofString(body));
+          return headers.length == 0 ? request : request.headers(headers);
+        });
+  }
+
+  HttpResponse<String> send(String path, UnaryOperator<HttpRequest.Builder> shape) {
+    URI uri = URI.create("http://127.0.0.1:" + entry.address().getPort() + path);
+    try {
+      return client.send(
+          shape.apply(HttpRequest.newBuilder(uri)).build(), HttpResponse.BodyHandlers.ofString());
+    } catch (java.io.IOException | InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  @Override
+  public void close() {
+    entry.close();
+    control.close();
+    engine.close();
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/teaseltrail/entry/FakeEngine.java
@@ -0,0 +1,113 @@
+package org.teaseltrail.entry;
+
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.LongStream;
+import org.reactivestreams.Publisher;
+import org.teaseltrail.core.upstream.SocketAddress;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Is an engine, and a plain service, that answers as a test scripts it. */
+final class FakeEngine implements AutoCloseable {
+
+  final Queue<String> calls = new ConcurrentLinkedQueue<>();
+  volatile long frames = 3;
+  volatile long cutAfterFrames = Long.MAX_VALUE;
+  volatile boolean refuses;
+  volatile boolean hangs;
+  private final DisposableServer server;
+
+  FakeEngine() {
+    server =
+        HttpServer.create()
+            .host("127.0.0.1")
+            .port(0)
+            .route(
+                routes ->
+                    routes
+                        .post("/v1/streams", this::start)
+                        .get("/v1/streams/{id}", this::resume)
+                        .delete("/v1/streams/{id}", this::cancel)
+                        .post("/certificates", this::certificate)
+                        .get("/certificates", this::certificate))
+            .bindNow();
+  }
+
+  SocketAddress address() {
+    return new SocketAddress("127.0.0.1", server.port());
+  }
+
+  long count(String prefix) {
+    return calls.stream().filter(call -> call.startsWith(prefix)).count();
+  }
+
+  private Publisher<Void> start(HttpServerRequest request, HttpServerResponse response) {
+    String id = request.requestHeaders().get("X-Request-Id");
+    calls.add("POST " + id);
+    return request.receive().aggregate().asString().flatMap(b -> Mono.from(answer(id, response)));
+  }
+
+  private Publisher<Void> answer(String id, HttpServerResponse response) {
+    if (refuses) {
+      return response.status(503).sendString(Mono.just("{\"not_run\":true}"));
+    }
+    if (hangs) {
+      return Mono.never();
+    }
+    long upTo = Math.min(frames + 1, cutAfterFrames);
+    boolean cut = upTo <= frames;
+    Flux<String> lines = lines(id, 0, upTo);
+    return response.sendString(cut ? lines.concatWith(Flux.error(new CutException())) : lines);
+  }
+
+  private Publisher<Void> resume(HttpServerRequest request, HttpServerResponse response) {
+    long from = Long.parseLong(request.uri().replaceAll(".*from=", ""));
+    calls.add("GET " + request.param("id") + " from " + from);
+    return response.sendString(lines(request.param("id"), from, frames + 1));
+  }
+
+  private Publisher<Void> cancel(HttpServerRequest request, HttpServerResponse response) {
+    calls.add("DELETE " + request.param("id"));
+    return response.status(204).send();
+  }
+
+  private Publisher<Void> certificate(HttpServerRequest request, HttpServerResponse response) {
+    calls.add(request.method() + " " + request.uri());
+    response.status(201).header("X-Certificate", "7");
+    return request
+        .receive()
+        .aggregate()
+        .asString()
+        .defaultIfEmpty("")
+        .flatMap(body -> response.sendString(Mono.just("certificate:" + body)).then());
+  }
+
+  private Flux<String> lines(String id, long from, long upTo) {
+    return Flux.fromStream(LongStream.range(from, upTo).mapToObj(n -> line(id, n)));
+  }
+
+  private String line(String id, long sequence) {
+    String head = "{\"request_id\":\"" + id + "\",\"seq\":" + sequence;
+    return sequence < frames
+        ? head + ",\"text\":\"w" + sequence + " \"}\n"
+        : head
+            + ",\"end\":true,\"usage\":{\"prompt_tokens\":4,\"cached_tokens\":1,"
+            + "\"output_tokens\":"
+            + frames
+            + "}}\n";
+  }
+
+  @Override
+  public void close() {
+    server.disposeNow();
+  }
+
+  private static final class CutException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+  }
+}
