--- a/core/src/main/java/org/teaseltrail/core/entry/UpstreamDirectory.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/UpstreamDirectory.java
@@ -15,7 +15,7 @@
 import org.teaseltrail.core.upstream.Announcement;
 import org.teaseltrail.core.upstream.UpstreamPhase;
 
-/** Holds the announcements that this VM has heard and that are still good. */
+/** Holds the newest announcement of each upstream that this VM has heard. */
 final class UpstreamDirectory {
 
   private final AppliedConfiguration configuration;
@@ -81,12 +81,19 @@
     return life > 0 || life == 0 && known.announcement().phase() == UpstreamPhase.LEAVING;
   }
 
-  /** Returns what a new leader must be told. */
+  /**
+   * Returns what a new leader must be told: the announcements that are still good. Older ones stay
+   * known here, since an upstream's word that it leaves holds for the rest of that life; only what
+   * operators no longer allow is forgotten, so that memory is bounded.
+   */
   List<UpstreamSeen> replay(long nowNs) {
-    heard.values().removeIf(entry -> entry.isOver(nowNs));
+    heard.keySet().removeIf(upstream -> configuration.upstream(upstream).isEmpty());
     List<UpstreamSeen> messages = new ArrayList<>(heard.size());
     for (Heard entry : heard.values()) {
-      messages.add(new UpstreamSeen(entry.announcement(), Millis.ofNanos(nowNs - entry.heardNs())));
+      if (!entry.isOver(nowNs)) {
+        messages.add(
+            new UpstreamSeen(entry.announcement(), Millis.ofNanos(nowNs - entry.heardNs())));
+      }
     }
     return messages;
   }
