standin: Model an engine that batches, caches and reports late

One sans-I/O class with small parts beside it: FIFO continuous batching with chunked prefill, LRU prefix cache in blocks of 256 tokens, stale load, late cache events with gaps, resume with retention, cancel, orders with fencing honoured or ignored, KV export and import, straggler, crash and restart, leaving.

--- /dev/null
+++ b/standin/src/main/java/org/teaseltrail/standin/model/EngineStream.java
@@ -0,0 +1,83 @@
+package org.teaseltrail.standin.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.message.Usage;
+
+/** Keeps the frames of one stream, so that it can be read again from any frame on. */
+final class EngineStream {
+
+  private final EngineRequest request;
+  private final int tokensPerFrame;
+  private final List<EngineFrame> frames = new ArrayList<>();
+  private int framedTokens;
+  private boolean ended;
+
+  EngineStream(EngineRequest request, int tokensPerFrame) {
+    this.request = request;
+    this.tokensPerFrame = tokensPerFrame;
+  }
+
+  EngineRequest request() {
+    return request;
+  }
+
+  RequestId requestId() {
+    return request.id();
+  }
+
+  /** Returns a frame if enough tokens have come for one; the first token goes out at once. */
+  Optional<EngineFrame> tokens(int tokensSoFar) {
+    int wanted = frames.isEmpty() ? 1 : tokensPerFrame;
+    if (tokensSoFar - framedTokens < wanted) {
+      return Optional.empty();
+    }
+    return Optional.of(frame(tokensSoFar));
+  }
+
+  /** Returns the last frames: the tokens left over, and the end mark. */
+  List<EngineFrame> finish(Usage usage) {
+    List<EngineFrame> last = new ArrayList<>();
+    if (usage.outputTokens() > framedTokens) {
+      last.add(frame(usage.outputTokens()));
+    }
+    last.add(
+        append(new EngineFrame(requestId(), frames.size(), framedTokens, 0, Optional.of(usage))));
+    ended = true;
+    return last;
+  }
+
+  void breakOff() {
+    ended = true;
+  }
+
+  boolean isEnded() {
+    return ended;
+  }
+
+  List<EngineFrame> from(int sequence) {
+    int first = Math.max(0, Math.min(sequence, frames.size()));
+    return List.copyOf(frames.subList(first, frames.size()));
+  }
+
+  /** Returns a frame if it has been made already. */
+  Optional<EngineFrame> at(int sequence) {
+    return sequence < frames.size() ? Optional.of(frames.get(sequence)) : Optional.empty();
+  }
+
+  private EngineFrame frame(int tokensSoFar) {
+    int tokens = tokensSoFar - framedTokens;
+    EngineFrame frame =
+        new EngineFrame(requestId(), frames.size(), framedTokens, tokens, Optional.empty());
+    framedTokens = tokensSoFar;
+    return append(frame);
+  }
+
+  private EngineFrame append(EngineFrame frame) {
+    EngineInvariant.FRAMES_WITHOUT_GAP.check(!ended && frame.sequence() == frames.size());
+    frames.add(frame);
+    return frame;
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/teaseltrail/standin/model/FencingGate.java
@@ -0,0 +1,26 @@
+package org.teaseltrail.standin.model;
+
+import org.teaseltrail.core.id.FencingNumber;
+
+/** Remembers the greatest fencing number and, if it honours fencing, refuses smaller ones. */
+final class FencingGate {
+
+  private final boolean honoured;
+  private FencingNumber newest = new FencingNumber(0);
+
+  FencingGate(boolean honoured) {
+    this.honoured = honoured;
+  }
+
+  boolean admits(FencingNumber fencing) {
+    if (fencing.compareTo(newest) < 0) {
+      return !honoured;
+    }
+    newest = fencing;
+    return true;
+  }
+
+  FencingNumber newest() {
+    return newest;
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/teaseltrail/standin/model/Sequence.java
@@ -0,0 +1,82 @@
+package org.teaseltrail.standin.model;
+
+import org.teaseltrail.core.message.Usage;
+
+/** Is the progress of one request through an engine. */
+final class Sequence {
+
+  private final EngineRequest request;
+  private final int answerTokens;
+  private int cachedTokens;
+  private int processedTokens;
+  private int outputTokens;
+  private boolean cancelled;
+
+  Sequence(EngineRequest request, int answerTokens) {
+    this.request = request;
+    this.answerTokens = answerTokens;
+  }
+
+  EngineRequest request() {
+    return request;
+  }
+
+  /** Begins to run. At least one prompt token is always processed, to make the first token. */
+  void begin(int cachedBlocks) {
+    int inBlocks = cachedBlocks * HardwareProfile.BLOCK_TOKENS;
+    cachedTokens = Math.min(inBlocks, request.promptTokens() - 1);
+  }
+
+  int prefillLeft() {
+    return request.promptTokens() - cachedTokens - processedTokens;
+  }
+
+  /** Processes prompt tokens and stores the blocks that are now whole. */
+  void prefill(int tokens, PrefixCache cache) {
+    int blocksBefore = wholeBlocks();
+    processedTokens += tokens;
+    EngineInvariant.PREFILL_COUNTED_ONCE.check(prefillLeft() >= 0);
+    if (wholeBlocks() > blocksBefore) {
+      cache.store(request.prefixBlocks(), blocksBefore, wholeBlocks());
+    }
+  }
+
+  void generate() {
+    EngineInvariant.PREFILL_COUNTED_ONCE.check(
+        cachedTokens + processedTokens == request.promptTokens());
+    outputTokens++;
+  }
+
+  void cancel() {
+    cancelled = true;
+  }
+
+  boolean isCancelled() {
+    return cancelled;
+  }
+
+  boolean isDone() {
+    return outputTokens >= answerTokens;
+  }
+
+  int outputTokens() {
+    return outputTokens;
+  }
+
+  int cachedTokens() {
+    return cachedTokens;
+  }
+
+  int processedTokens() {
+    return processedTokens;
+  }
+
+  Usage usage() {
+    return new Usage(request.promptTokens(), cachedTokens, outputTokens);
+  }
+
+  int wholeBlocks() {
+    int blocks = (cachedTokens + processedTokens) / HardwareProfile.BLOCK_TOKENS;
+    return Math.min(blocks, request.prefixBlocks().size());
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/teaseltrail/standin/model/EngineRun.java
@@ -0,0 +1,137 @@
+package org.teaseltrail.standin.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.LongStream;
+import org.teaseltrail.core.configuration.RouteTarget.ModelTarget;
+import org.teaseltrail.core.id.AdapterId;
+import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.id.Incarnation;
+import org.teaseltrail.core.id.ModelId;
+import org.teaseltrail.core.id.ModelVersion;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.upstream.ServedModel;
+import org.teaseltrail.core.upstream.SocketAddress;
+
+/** Runs an engine model under virtual time and keeps what it does. */
+final class EngineRun {
+
+  static final long MS = 1_000_000;
+  static final ModelTarget TARGET =
+      new ModelTarget(new ModelId("tutor"), new ModelVersion("1"), Optional.empty());
+
+  /** Steps of 10 ms, 1 ms for each decoding sequence, 0.1 ms for each prompt token. */
+  static final HardwareProfile HARDWARE = new HardwareProfile(10, 1, 0.1, 2, 512, 4 * 256);
+
+  /**
+   * Is an action with its time.
+   *
+   * @param atMs when, in milliseconds from the start
+   * @param action the action
+   */
+  record Done(double atMs, EngineAction action) {}
+
+  private final EngineModel model;
+  private final List<Done> done = new ArrayList<>();
+  private long nowNs;
+
+  EngineRun(EngineSettings settings) {
+    this.model = new EngineModel(settings, 0);
+  }
+
+  static EngineSettings settings() {
+    return settings(ReportingProfile.standard(), true);
+  }
+
+  static EngineSettings settings(ReportingProfile reporting, boolean honoursFencing) {
+    UpstreamIdentity identity =
+        new UpstreamIdentity(
+            new UpstreamId("e1"),
+            new Incarnation(1),
+            new SocketAddress("127.0.0.1", 9000),
+            new DataCenterId("regina-a"));
+    List<ServedModel> models =
+        List.of(new ServedModel(TARGET.model(), TARGET.version(), Set.of(new AdapterId("quiz"))));
+    return new EngineSettings(
+        identity,
+        HARDWARE,
+        reporting,
+        models,
+        AnswerLength.EXACT,
+        1,
+        honoursFencing,
+        60_000,
+        5_000,
+        100,
+        1,
+        7);
+  }
+
+  /** Makes a request whose whole blocks are numbered from a first one on. */
+  static EngineRequest request(String id, int promptTokens, long firstBlock, int maxTokens) {
+    int blocks = promptTokens / HardwareProfile.BLOCK_TOKENS;
+    List<Long> chain = LongStream.range(firstBlock, firstBlock + blocks).boxed().toList();
+    RequestId requestId = new RequestId(id);
+    return new EngineRequest(
+        requestId, TARGET, promptTokens, chain, maxTokens, AnswerText.seedOf(requestId));
+  }
+
+  EngineModel model() {
+    return model;
+  }
+
+  List<EngineAction> now(EngineEvent event) {
+    List<EngineAction> actions = model.handle(event, nowNs);
+    actions.forEach(action -> done.add(new Done((double) nowNs / MS, action)));
+    return actions;
+  }
+
+  EngineRun submit(String id, int promptTokens, long firstBlock, int maxTokens) {
+    now(new EngineEvent.Submit(request(id, promptTokens, firstBlock, maxTokens)));
+    return this;
+  }
+
+  /** Lets time pass, with a tick at each time that the engine asks for. */
+  EngineRun untilMs(double atMs) {
+    long endNs = Math.round(atMs * MS);
+    OptionalLong wakeupNs = model.nextWakeupNs();
+    while (wakeupNs.isPresent() && wakeupNs.getAsLong() <= endNs) {
+      nowNs = Math.max(nowNs, wakeupNs.getAsLong());
+      now(new EngineEvent.Tick());
+      wakeupNs = model.nextWakeupNs();
+    }
+    nowNs = endNs;
+    return this;
+  }
+
+  List<Done> done() {
+    return done;
+  }
+
+  <T extends EngineAction> List<T> all(Class<T> type) {
+    return done.stream().map(Done::action).filter(type::isInstance).map(type::cast).toList();
+  }
+
+  List<EngineFrame> frames(String id) {
+    return all(EngineAction.Frame.class).stream()
+        .map(EngineAction.Frame::frame)
+        .filter(frame -> frame.request().value().equals(id))
+        .toList();
+  }
+
+  /** Returns when the first frame of a request went out, in milliseconds. */
+  double firstFrameMs(String id) {
+    return done.stream()
+        .filter(
+            d ->
+                d.action() instanceof EngineAction.Frame f
+                    && f.frame().request().value().equals(id))
+        .findFirst()
+        .orElseThrow()
+        .atMs();
+  }
+}
