Add the operators' command line

Every command tells its failures by exit code, finds the leader by itself and sends a change whose outcome is unknown again under the same change id. Golden sessions against a hand-written member in the same process show each command's request, output and exit code.

--- a/cli/src/main/java/org/teaseltrail/cli/CliMain.java
+++ b/cli/src/main/java/org/teaseltrail/cli/CliMain.java
@@ -1,5 +1,8 @@
 package org.teaseltrail.cli;
 
+import io.grpc.netty.NettyChannelBuilder;
+import org.teaseltrail.runtime.process.ExitCode;
+
 /** Starts the command line of an operator. */
 public final class CliMain {
 
@@ -11,6 +14,13 @@
    * @param args the command line
    */
   public static void main(String[] args) {
-    throw new UnsupportedOperationException("not built yet");
+    CommandLine commandLine =
+        new CommandLine(
+            System.out,
+            System.err,
+            address -> NettyChannelBuilder.forAddress(address).usePlaintext().build(),
+            Pause.SLEEPING);
+    ExitCode exitCode = commandLine.run(args);
+    System.exit(exitCode.code());
   }
 }
--- /dev/null
+++ b/cli/src/main/java/org/teaseltrail/cli/SecretHash.java
@@ -0,0 +1,36 @@
+package org.teaseltrail.cli;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import org.teaseltrail.runtime.process.ExitCode;
+import org.teaseltrail.runtime.process.ProgramException;
+import org.teaseltrail.runtime.settings.Kinds;
+import org.teaseltrail.runtime.settings.SettingValueException;
+
+/** Hashes secrets that stand in files, so that only their hashes leave the operator's machine. */
+final class SecretHash {
+
+  private SecretHash() {}
+
+  /**
+   * Hashes the secret in a file; white space around it is cut.
+   *
+   * @param file the path of the file
+   * @return SHA-256 in lower-case hexadecimal
+   * @throws ProgramException if the file can't be read or is empty
+   */
+  static String ofFile(String file) throws ProgramException {
+    try {
+      String secret = Kinds.secretFile().parse(file).value();
+      byte[] digest =
+          MessageDigest.getInstance("SHA-256").digest(secret.getBytes(StandardCharsets.UTF_8));
+      return HexFormat.of().formatHex(digest);
+    } catch (SettingValueException e) {
+      throw new ProgramException(ExitCode.USAGE, e.getMessage(), e);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/teaseltrail/cli/StatusCommands.java
@@ -0,0 +1,62 @@
+package org.teaseltrail.cli;
+
+import java.util.Optional;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.teaseltrail.api.v1.GetStatusRequest;
+import org.teaseltrail.api.v1.GetStatusResponse;
+import org.teaseltrail.api.v1.Status;
+import org.teaseltrail.runtime.process.ExitCode;
+import org.teaseltrail.runtime.process.ProgramException;
+
+/** Tells the state of the whole, and of the pools. */
+final class StatusCommands {
+
+  private static final String LOCAL = "local";
+
+  private StatusCommands() {}
+
+  static void add(Subparsers commands) {
+    Command status = (context, arguments) -> show(context, arguments, StatusText::whole);
+    Subparser parser =
+        commands.addParser("status").help("tell members, sessions, pools and upstreams");
+    parser
+        .addArgument("--local")
+        .action(Arguments.storeTrue())
+        .help("ask the first server of itself only, leader or not");
+    parser.setDefault(Command.KEY, status);
+    Command pools = (context, arguments) -> show(context, arguments, StatusText::pools);
+    commands
+        .addParser("pools")
+        .help("tell what waits by tier and what runs in each pool")
+        .setDefault(LOCAL, false)
+        .setDefault(Command.KEY, pools);
+  }
+
+  /** Fetches the status from the leader, or from the member asked. */
+  static Status fetch(CommandContext context, boolean local) throws ProgramException {
+    GetStatusRequest request = GetStatusRequest.newBuilder().setLocal(local).build();
+    return context
+        .client()
+        .call(
+            stub -> stub.getStatus(request),
+            (GetStatusResponse answer) ->
+                answer.hasNotLeader() ? Optional.of(answer.getNotLeader()) : Optional.empty())
+        .getStatus();
+  }
+
+  private static ExitCode show(CommandContext context, Namespace arguments, StatusForm form)
+      throws ProgramException {
+    Status status = fetch(context, arguments.getBoolean(LOCAL));
+    context.show(status, () -> form.print(status));
+    return ExitCode.OK;
+  }
+
+  /** Prints a part of the status. */
+  private interface StatusForm {
+
+    String print(Status status);
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/teaseltrail/cli/StatusText.java
@@ -0,0 +1,108 @@
+package org.teaseltrail.cli;
+
+import java.util.List;
+import java.util.Locale;
+import org.teaseltrail.api.v1.Member;
+import org.teaseltrail.api.v1.PoolStatus;
+import org.teaseltrail.api.v1.Session;
+import org.teaseltrail.api.v1.Status;
+import org.teaseltrail.api.v1.TierWaiting;
+import org.teaseltrail.api.v1.UpstreamStatus;
+
+/** Prints the state of the system for people. */
+final class StatusText {
+
+  private StatusText() {}
+
+  /** Prints all of it. */
+  static String whole(Status status) {
+    String text = head(status) + "\n" + members(status.getMembersList());
+    if (!status.getLeading()) {
+      return text;
+    }
+    return text
+        + "\n"
+        + sessions(status.getSessionsList())
+        + "\n"
+        + pools(status)
+        + "\n"
+        + upstreams(status.getUpstreamsList());
+  }
+
+  /** Prints the members. */
+  static String members(List<Member> members) {
+    TextTable table = new TextTable("MEMBER", "VM", "ROLE", "SYNCED INDEX", "HEARD MS AGO");
+    for (Member member : members) {
+      String heard = member.hasSinceHeardMs() ? Long.toString(member.getSinceHeardMs()) : "";
+      String role = word(member.getRole());
+      table.row(member.getId(), member.getVm(), role, member.getSyncedIndex(), heard);
+    }
+    return table.print();
+  }
+
+  /** Prints the pools. */
+  static String pools(Status status) {
+    TextTable table = new TextTable("POOL", "RUNNING", "WAITING", "BY TIER", "MAY SHED");
+    for (PoolStatus pool : status.getPoolsList()) {
+      int waiting = pool.getWaitingList().stream().mapToInt(TierWaiting::getRequests).sum();
+      table.row(pool.getPool(), pool.getRunning(), waiting, byTier(pool), pool.getMayShed());
+    }
+    return table.print();
+  }
+
+  private static String head(Status status) {
+    String leader = status.hasLeader() ? status.getLeader() : "unknown";
+    return String.format(
+        Locale.ROOT,
+        "region %s: leader %s, term %d, revision %d, commit index %d (told by %s)%n",
+        status.getRegion(),
+        leader,
+        status.getTerm(),
+        status.getRevision(),
+        status.getCommitIndex(),
+        status.getMember());
+  }
+
+  private static String sessions(List<Session> sessions) {
+    TextTable table =
+        new TextTable("ENTRY VM", "DATA CENTRE", "REVISION", "HELLO MS AGO", "REPORTED");
+    for (Session session : sessions) {
+      table.row(
+          session.getVm(),
+          session.getDataCenter(),
+          session.getAppliedRevision(),
+          session.getSinceHelloMs(),
+          session.getReportsComplete());
+    }
+    return table.print();
+  }
+
+  private static String byTier(PoolStatus pool) {
+    StringBuilder text = new StringBuilder();
+    for (TierWaiting tier : pool.getWaitingList()) {
+      text.append(text.isEmpty() ? "" : ",");
+      text.append('t').append(tier.getTier()).append('=').append(tier.getRequests());
+    }
+    return text.toString();
+  }
+
+  private static String upstreams(List<UpstreamStatus> upstreams) {
+    TextTable table =
+        new TextTable("UPSTREAM", "POOL", "STATE", "ADDRESS", "RUNNING", "TOKENS", "WINDOW");
+    for (UpstreamStatus upstream : upstreams) {
+      table.row(
+          upstream.getId(),
+          upstream.getPool(),
+          word(upstream.getState()),
+          upstream.getAddress(),
+          upstream.getRunning(),
+          upstream.getTokensInFlight(),
+          upstream.getWindowTokens());
+    }
+    return table.print();
+  }
+
+  private static String word(Enum<?> constant) {
+    return constant.name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/teaseltrail/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line over the gRPC schema. */
+package org.teaseltrail.cli;
--- /dev/null
+++ b/cli/src/test/java/org/teaseltrail/cli/GoldenAnswer.java
@@ -0,0 +1,45 @@
+package org.teaseltrail.cli;
+
+import com.google.protobuf.Message;
+import com.google.protobuf.TextFormat;
+import java.util.List;
+import org.teaseltrail.api.v1.ApplyChangeResponse;
+import org.teaseltrail.api.v1.AwaitInForceResponse;
+import org.teaseltrail.api.v1.ChangeMembersResponse;
+import org.teaseltrail.api.v1.GetConfigurationResponse;
+import org.teaseltrail.api.v1.GetStatusResponse;
+import org.teaseltrail.api.v1.ListDecisionsResponse;
+import org.teaseltrail.api.v1.OrderEngineResponse;
+
+/** Reads an answer of a golden session: its message's name and its fields in text form. */
+final class GoldenAnswer {
+
+  private static final List<Message> KNOWN =
+      List.of(
+          ApplyChangeResponse.getDefaultInstance(),
+          AwaitInForceResponse.getDefaultInstance(),
+          ChangeMembersResponse.getDefaultInstance(),
+          GetConfigurationResponse.getDefaultInstance(),
+          GetStatusResponse.getDefaultInstance(),
+          ListDecisionsResponse.getDefaultInstance(),
+          OrderEngineResponse.getDefaultInstance());
+
+  private GoldenAnswer() {}
+
+  static Message parse(String line) {
+    int space = line.indexOf(' ');
+    String name = line.substring(0, space);
+    Message.Builder builder =
+        KNOWN.stream()
+            .filter(message -> message.getDescriptorForType().getName().equals(name))
+            .findFirst()
+            .orElseThrow()
+            .newBuilderForType();
+    try {
+      TextFormat.merge(line.substring(space), builder);
+    } catch (TextFormat.ParseException e) {
+      throw new IllegalArgumentException(line, e);
+    }
+    return builder.build();
+  }
+}
