--- a/cli/src/main/java/org/teaseltrail/cli/OperatorClient.java
+++ b/cli/src/main/java/org/teaseltrail/cli/OperatorClient.java
@@ -84,7 +84,7 @@
         failure = describe(elsewhere.get());
         follow(elsewhere.get());
       } catch (StatusRuntimeException e) {
-        failure = target + " answers " + e.getStatus().getCode();
+        failure = text(target) + " answers " + e.getStatus().getCode();
         retryOrThrow(e);
       }
       if (pause.nowNs() >= deadlineNs) {
@@ -120,7 +120,7 @@
     Status.Code code = failure.getStatus().getCode();
     if (code != Status.Code.UNAVAILABLE && code != Status.Code.DEADLINE_EXCEEDED) {
       throw new ProgramException(
-          ExitCode.INTERNAL, target + " answers " + failure.getStatus(), failure);
+          ExitCode.INTERNAL, text(target) + " answers " + failure.getStatus(), failure);
     }
     tryNextServer();
   }
@@ -131,6 +131,10 @@
     nextServer++;
   }
 
+  private static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
   private static String describe(NotLeader answer) {
     return answer.getMember() + " does not lead";
   }
