Grant tickets of a pool in strict tier order to upstreams that have room

The thin scheduler: offers, withdrawals, declines, ends, claims, announcements, configuration, lapsed VMs and adopted requests. One queue per pool, ordered by tier, then customer (start-time fair queueing on estimated engine time), then useful deadline. Deficit round robin was weighed and left out: with lengths that differ a hundredfold a small quantum turns its ring a hundred times for one grant, and a large one lets a customer burst; virtual time needs neither.

An upstream gets a grant only while it announces itself as serving, is allowed, isn't draining, was heard within its lifetime and has a slot in its batch; the last step of a grant asserts it.

--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/SchedulerOutput.java
@@ -0,0 +1,98 @@
+package org.teaseltrail.core.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.teaseltrail.core.decision.Decision;
+import org.teaseltrail.core.decision.DecisionKind;
+import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.message.ControlMessage;
+import org.teaseltrail.core.message.RefusalKind;
+import org.teaseltrail.core.schedule.fleet.UpstreamAccount;
+import org.teaseltrail.core.schedule.ticket.TrackedTicket;
+import org.teaseltrail.core.upstream.Announcement;
+
+/** Collects the actions of one event, each decision with its log line. */
+final class SchedulerOutput {
+
+  private final FencingNumber fencing;
+  private List<SchedulerAction> actions = new ArrayList<>();
+
+  SchedulerOutput(FencingNumber fencing) {
+    this.fencing = fencing;
+  }
+
+  /** Returns the actions collected since the last call. */
+  List<SchedulerAction> take() {
+    List<SchedulerAction> taken = actions;
+    actions = new ArrayList<>();
+    return taken;
+  }
+
+  void grant(TrackedTicket ticket, UpstreamAccount upstream, String reason) {
+    sendGrant(ticket, upstream);
+    log(DecisionKind.GRANT, ticket, Optional.of(upstream.id()), reason);
+  }
+
+  void sendGrant(TrackedTicket ticket, UpstreamAccount upstream) {
+    Announcement announcement = upstream.announcement();
+    ControlMessage.Grant grant =
+        new ControlMessage.Grant(
+            ticket.request(),
+            upstream.id(),
+            announcement.incarnation(),
+            announcement.address(),
+            fencing);
+    actions.add(new SchedulerAction.Send(ticket.vm(), grant));
+  }
+
+  void commitClaim(TrackedTicket ticket, UpstreamAccount upstream) {
+    actions.add(new SchedulerAction.CommitClaim(ticket.vm(), ticket.ticket(), upstream.id()));
+  }
+
+  /** Releases the claim of a ticket that did not run, if it carries one. */
+  void releaseClaim(TrackedTicket ticket) {
+    if (ticket.ticket().claim().isPresent()) {
+      actions.add(new SchedulerAction.ReleaseClaim(ticket.request()));
+    }
+  }
+
+  void refuse(TrackedTicket ticket, RefusalKind kind, long retryAfterMs, String reason) {
+    releaseClaim(ticket);
+    ControlMessage.Refused refused =
+        new ControlMessage.Refused(ticket.request(), kind, retryAfterMs);
+    actions.add(new SchedulerAction.Send(ticket.vm(), refused));
+    DecisionKind decision = kind == RefusalKind.SHED ? DecisionKind.SHED : DecisionKind.REFUSE;
+    log(decision, ticket, Optional.empty(), "kind=" + kind + " " + reason);
+  }
+
+  void regrant(TrackedTicket ticket, UpstreamAccount upstream, String reason) {
+    log(DecisionKind.REGRANT, ticket, Optional.of(upstream.id()), reason);
+  }
+
+  void upstream(UpstreamId upstream, String reason) {
+    Decision decision =
+        new Decision(
+            DecisionKind.UPSTREAM,
+            Optional.empty(),
+            Optional.empty(),
+            Optional.empty(),
+            Optional.of(upstream),
+            reason);
+    actions.add(new SchedulerAction.Log(decision));
+  }
+
+  private void log(
+      DecisionKind kind, TrackedTicket ticket, Optional<UpstreamId> upstream, String reason) {
+    Decision decision =
+        new Decision(
+            kind,
+            Optional.of(ticket.request()),
+            Optional.of(ticket.ticket().customer()),
+            Optional.of(ticket.tier()),
+            upstream,
+            reason);
+    actions.add(new SchedulerAction.Log(decision));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/queue/CustomerQueue.java
@@ -0,0 +1,44 @@
+package org.teaseltrail.core.schedule.queue;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+import org.teaseltrail.core.schedule.ticket.TrackedTicket;
+
+/** Orders one customer's waiting tickets of one tier and route by their useful deadline. */
+final class CustomerQueue {
+
+  private static final Comparator<TrackedTicket> BY_USEFUL_DEADLINE =
+      Comparator.<TrackedTicket>comparingLong(t -> t.estimate().usefulNs())
+          .thenComparingLong(TrackedTicket::order);
+
+  private final CustomerAccount account;
+  private final TreeSet<TrackedTicket> tickets = new TreeSet<>(BY_USEFUL_DEADLINE);
+
+  CustomerQueue(CustomerAccount account) {
+    this.account = account;
+  }
+
+  CustomerAccount account() {
+    return account;
+  }
+
+  boolean isEmpty() {
+    return tickets.isEmpty();
+  }
+
+  void add(TrackedTicket ticket) {
+    tickets.add(ticket);
+  }
+
+  void remove(TrackedTicket ticket) {
+    tickets.remove(ticket);
+  }
+
+  TrackedTicket head() {
+    return tickets.first();
+  }
+
+  Iterable<TrackedTicket> inOrder() {
+    return tickets;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/queue/RouteQueue.java
@@ -0,0 +1,43 @@
+package org.teaseltrail.core.schedule.queue;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+import org.teaseltrail.core.id.RouteId;
+
+/** Orders the customers that wait in one tier for one route by their virtual time, least first. */
+public final class RouteQueue {
+
+  private static final Comparator<CustomerQueue> BY_VIRTUAL_TIME =
+      Comparator.<CustomerQueue>comparingDouble(q -> q.account().virtualUs())
+          .thenComparing(q -> q.account().customer().value());
+
+  private final RouteId route;
+  private final TreeSet<CustomerQueue> customers = new TreeSet<>(BY_VIRTUAL_TIME);
+
+  RouteQueue(RouteId route) {
+    this.route = route;
+  }
+
+  /** Returns the route that all of its tickets ask for. */
+  public RouteId route() {
+    return route;
+  }
+
+  /** Returns whether nothing waits. */
+  public boolean isEmpty() {
+    return customers.isEmpty();
+  }
+
+  /** Returns an iteration over the tickets in the order in which they are to be served. */
+  public ServiceOrder inOrder() {
+    return new ServiceOrder(customers);
+  }
+
+  void add(CustomerQueue queue) {
+    customers.add(queue);
+  }
+
+  void remove(CustomerQueue queue) {
+    customers.remove(queue);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/SansIoTest.java
@@ -0,0 +1,83 @@
+package org.teaseltrail.core;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.util.Random;
+import java.util.UUID;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** Holds core to being free of sockets, clocks, threads and chance that no seed repeats. */
+@AnalyzeClasses(
+    packages = "org.teaseltrail.core",
+    importOptions = ImportOption.DoNotIncludeTests.class)
+class SansIoTest {
+
+  @ArchTest
+  static final ArchRule DEPENDS_ON_THE_JDK_ONLY =
+      classes()
+          .should()
+          .onlyDependOnClassesThat()
+          .resideInAnyPackage("java..", "org.teaseltrail.core..");
+
+  @ArchTest
+  static final ArchRule USES_NO_FILE_SOCKET_OR_CLASS_OF_IO =
+      noClasses()
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "java.net..", "java.nio.file..", "java.nio.channels..", "java.io.File")
+          .orShould()
+          .dependOnClassesThat()
+          .haveFullyQualifiedName("java.io.File");
+
+  @ArchTest
+  static final ArchRule STARTS_NO_THREAD =
+      noClasses()
+          .should()
+          .dependOnClassesThat()
+          .areAssignableTo(Thread.class)
+          .orShould()
+          .dependOnClassesThat()
+          .haveNameMatching("java\\.util\\.concurrent\\.(Executor.*|CompletableFuture|Timer.*)")
+          .orShould()
+          .dependOnClassesThat()
+          .haveNameMatching("java\\.util\\.Timer.*");
+
+  @ArchTest
+  static final ArchRule READS_NO_CLOCK =
+      noClasses()
+          .should()
+          .callMethod(System.class, "nanoTime")
+          .orShould()
+          .callMethod(System.class, "currentTimeMillis")
+          .orShould()
+          .dependOnClassesThat()
+          .areAssignableTo(Clock.class)
+          .orShould()
+          .callMethodWhere(
+              com.tngtech.archunit.core.domain.JavaCall.Predicates.target(
+                  com.tngtech.archunit.core.domain.properties.HasName.Predicates.name("now")));
+
+  @ArchTest
+  static final ArchRule DRAWS_NOTHING_WITHOUT_A_SEED =
+      noClasses()
+          .should()
+          .callConstructor(Random.class)
+          .orShould()
+          .dependOnClassesThat()
+          .areAssignableTo(SecureRandom.class)
+          .orShould()
+          .dependOnClassesThat()
+          .areAssignableTo(ThreadLocalRandom.class)
+          .orShould()
+          .callMethod(Math.class, "random")
+          .orShould()
+          .callMethod(UUID.class, "randomUUID");
+}
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/schedule/PoolSchedulerTest.java
@@ -0,0 +1,85 @@
+package org.teaseltrail.core.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.teaseltrail.core.schedule.PoolFixture.grants;
+import static org.teaseltrail.core.schedule.PoolFixture.refusals;
+import static org.teaseltrail.core.schedule.PoolFixture.ticket;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.message.DeclineReason;
+import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.message.WithdrawReason;
+import org.teaseltrail.core.upstream.UpstreamPhase;
+
+class PoolSchedulerTest {
+
+  private static final SchedulerSettings SETTINGS = SchedulerSettings.defaults();
+
+  @Test
+  void grantsInTierOrderAsRoomComes() {
+    PoolFixture pool = PoolFixture.serving(1, SETTINGS);
+    assertThat(grants(pool.offer(ticket("a", 3)))).containsExactly("a@u1");
+    assertThat(grants(pool.offer(ticket("b", 3)))).containsExactly("b@u1");
+    pool.offer(ticket("low", 3));
+    pool.offer(ticket("high", 1));
+    assertThat(grants(pool.end("a", "u1"))).containsExactly("high@u1");
+    assertThat(grants(pool.end("b", "u1"))).containsExactly("low@u1");
+  }
+
+  @Test
+  void grantsNothingToAnUpstreamThatIsLeavingDrainingSilentOrNotAllowed() {
+    PoolFixture pool = PoolFixture.serving(3, SETTINGS);
+    pool.announce("u1", UpstreamPhase.LEAVING);
+    pool.allow("u2", true);
+    pool.disallow("u3");
+    pool.configure();
+    pool.allow("u4", false);
+    pool.configure();
+    pool.announce("u4", UpstreamPhase.SERVING);
+    pool.nowMs += PoolFixture.LIFETIME_MS;
+    assertThat(grants(pool.offer(ticket("a", 1)))).isEmpty();
+    assertThat(grants(pool.announce("u4", UpstreamPhase.SERVING))).containsExactly("a@u4");
+  }
+
+  @Test
+  void grantsClaimedTicketsOnceTheirClaimIsCommitted() {
+    PoolFixture pool = PoolFixture.serving(1, SETTINGS);
+    List<SchedulerAction> actions = pool.offer(ticket("a", "c", 1, 100, 20, 0, true, List.of()));
+    assertThat(grants(actions)).isEmpty();
+    assertThat(actions).anyMatch(SchedulerAction.CommitClaim.class::isInstance);
+    actions = pool.handle(new SchedulerEvent.ClaimGranted(new RequestId("a")));
+    assertThat(grants(actions)).containsExactly("a@u1");
+  }
+
+  @Test
+  void grantsDeclinedTicketElsewhere() {
+    PoolFixture pool = PoolFixture.serving(2, SETTINGS);
+    assertThat(grants(pool.offer(ticket("a", 1)))).containsExactly("a@u1");
+    List<SchedulerAction> actions =
+        pool.say(
+            PoolFixture.VM,
+            new EntryMessage.Declined(
+                new RequestId("a"), new UpstreamId("u1"), DeclineReason.CONNECT_FAILED));
+    assertThat(grants(actions)).containsExactly("a@u2");
+  }
+
+  @Test
+  void neverGrantsAnEndedOrWithdrawnRequestAgain() {
+    PoolFixture pool = PoolFixture.serving(1, SETTINGS);
+    pool.offer(ticket("a", 1));
+    pool.end("a", "u1");
+    pool.say(
+        PoolFixture.VM, new EntryMessage.Withdraw(new RequestId("b"), WithdrawReason.CALLER_GONE));
+    assertThat(grants(pool.offer(ticket("a", 1)))).isEmpty();
+    assertThat(grants(pool.offer(ticket("b", 1)))).isEmpty();
+  }
+
+  @Test
+  void refusesTicketsOfRoutesThatAreNotConfigured() {
+    PoolFixture pool = new PoolFixture(SETTINGS);
+    assertThat(refusals(pool.offer(ticket("a", 1)))).containsExactly("a:UNKNOWN_POOL");
+  }
+}
