--- a/core/src/main/java/org/teaseltrail/core/invariant/Invariant.java
+++ b/core/src/main/java/org/teaseltrail/core/invariant/Invariant.java
@@ -1,15 +1,15 @@
 package org.teaseltrail.core.invariant;
 
-/** Checks at run time what must always hold, so that a fault stops the program, not its users. */
+/** Asserts invariants in the running program, whether or not the JVM's assertions are on. */
 public final class Invariant {
 
   private Invariant() {}
 
   /**
-   * Checks an invariant.
+   * Checks that an invariant holds.
    *
    * @param holds whether it holds
-   * @param name which invariant
+   * @param name which invariant it is
    * @throws InvariantViolation if it does not hold
    */
   public static void check(boolean holds, InvariantName name) {
--- a/core/src/main/java/org/teaseltrail/core/invariant/InvariantViolation.java
+++ b/core/src/main/java/org/teaseltrail/core/invariant/InvariantViolation.java
@@ -1,21 +1,23 @@
 package org.teaseltrail.core.invariant;
 
-/**
- * Tells that an invariant was about to be broken; the step that would have done so is not taken.
- */
+/** Tells that an invariant does not hold: a fault of the program, never of its input. */
 public final class InvariantViolation extends IllegalStateException {
 
   private static final long serialVersionUID = 1L;
 
   private final InvariantName name;
 
-  /** Creates the failure for an invariant. */
+  /** Creates the failure for the invariant. */
   public InvariantViolation(InvariantName name) {
-    super("invariant violated: " + name);
+    super(name.toString());
     this.name = name;
   }
 
-  /** Returns the invariant that was violated. */
+  /**
+   * Returns which invariant does not hold.
+   *
+   * @return the invariant
+   */
   public InvariantName name() {
     return name;
   }
--- a/core/src/main/java/org/teaseltrail/core/invariant/package-info.java
+++ b/core/src/main/java/org/teaseltrail/core/invariant/package-info.java
@@ -1,2 +1,2 @@
-/** Checks inside the program of what must always hold. */
+/** Checks, inside the running program, of what its users rely on. */
 package org.teaseltrail.core.invariant;
