--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/DeadlineWatch.java
@@ -0,0 +1,86 @@
+package org.teaseltrail.core.schedule;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.teaseltrail.core.configuration.Route;
+import org.teaseltrail.core.configuration.RouteTarget;
+import org.teaseltrail.core.id.RouteId;
+import org.teaseltrail.core.message.RefusalKind;
+import org.teaseltrail.core.schedule.fleet.UpstreamAccount;
+import org.teaseltrail.core.schedule.ticket.Nanos;
+import org.teaseltrail.core.schedule.ticket.TrackedTicket;
+
+/** Gives waiting requests up whose deadline has passed, or whose route no upstream serves. */
+final class DeadlineWatch {
+
+  private final PoolState state;
+  private final ReportGate gate;
+  private final Refusals refusals;
+  private final Map<RouteId, Long> lastServedNs = new HashMap<>();
+
+  DeadlineWatch(PoolState state, ReportGate gate, Refusals refusals) {
+    this.state = state;
+    this.gate = gate;
+    this.refusals = refusals;
+  }
+
+  /** Returns when the next deadline passes, in monotonic nanoseconds. */
+  OptionalLong nextNs() {
+    Optional<TrackedTicket> first = state.queue().firstDeadline();
+    return first.isEmpty() ? OptionalLong.empty() : OptionalLong.of(first.get().deadlineNs());
+  }
+
+  /** Gives up the requests whose deadline has passed. */
+  void passDeadlines(long nowNs) {
+    Optional<TrackedTicket> first = state.queue().firstDeadline();
+    while (first.isPresent() && first.get().deadlineNs() <= nowNs) {
+      TrackedTicket ticket = first.get();
+      String reason = "waited_ms=" + Nanos.toMs(nowNs - ticket.arrivalNs());
+      refusals.refuseWaiting(ticket, RefusalKind.DEADLINE, 0, reason, nowNs);
+      first = state.queue().firstDeadline();
+    }
+  }
+
+  /**
+   * Gives up the requests of routes that no upstream has served for a while. It takes time for
+   * upstreams to announce themselves after a change, and until every VM has reported there may be
+   * some that are not known yet.
+   */
+  void passUnserved(long nowNs) {
+    lastServedNs.keySet().retainAll(state.configuration().routes().keySet());
+    for (Route route : state.configuration().routes().values()) {
+      Long before = lastServedNs.putIfAbsent(route.id(), nowNs);
+      if (before == null || isServed(route.target(), nowNs)) {
+        lastServedNs.put(route.id(), nowNs);
+      }
+    }
+    if (gate.isOpen()) {
+      state.book().waiting().stream()
+          .filter(t -> isUnserved(t.ticket().route(), nowNs))
+          .forEach(t -> refuseUnserved(t, nowNs));
+    }
+  }
+
+  /** Returns whether no upstream has served a route for too long. */
+  boolean isUnserved(RouteId route, long nowNs) {
+    long limitNs = Nanos.fromMs(state.settings().noUpstreamMs());
+    return nowNs - lastServedNs.getOrDefault(route, nowNs) > limitNs;
+  }
+
+  private void refuseUnserved(TrackedTicket ticket, long nowNs) {
+    String reason = "route=" + ticket.ticket().route();
+    long retryAfterMs = state.settings().noUpstreamMs();
+    refusals.refuseWaiting(ticket, RefusalKind.NO_UPSTREAM, retryAfterMs, reason, nowNs);
+  }
+
+  private boolean isServed(RouteTarget target, long nowNs) {
+    for (UpstreamAccount account : state.fleet().group(target)) {
+      if (account.isServing(nowNs)) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/Dispatcher.java
@@ -1,39 +1,44 @@
 package org.teaseltrail.core.schedule;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import org.teaseltrail.core.configuration.Configuration;
 import org.teaseltrail.core.configuration.Route;
-import org.teaseltrail.core.schedule.fleet.UpstreamFleet;
+import org.teaseltrail.core.configuration.RouteTarget;
+import org.teaseltrail.core.schedule.fleet.UpstreamAccount;
 import org.teaseltrail.core.schedule.queue.RouteQueue;
 import org.teaseltrail.core.schedule.queue.ServiceOrder;
 import org.teaseltrail.core.schedule.queue.TierQueue;
-import org.teaseltrail.core.schedule.queue.WaitingQueue;
 
-/** Finds the next ticket that can start, in strict tier order. */
+/** Finds the tickets that can start now, in strict tier order. */
 final class Dispatcher {
 
   /** Tickets tried behind one that finds no room, so that a long one doesn't idle the pool. */
   private static final int LOOK_AHEAD = 8;
 
-  private final WaitingQueue queue;
-  private final UpstreamFleet fleet;
+  private final PoolState state;
   private final UpstreamChooser chooser;
+  private final Map<RouteTarget, List<UpstreamAccount>> open = new HashMap<>();
+  private UpstreamAccount reserved;
 
-  Dispatcher(WaitingQueue queue, UpstreamFleet fleet, UpstreamChooser chooser) {
-    this.queue = queue;
-    this.fleet = fleet;
-    this.chooser = chooser;
+  Dispatcher(PoolState state) {
+    this.state = state;
+    this.chooser = new UpstreamChooser(state.fleet(), state.settings());
   }
 
-  /** Returns the next placement, or empty if no waiting ticket can start now. */
-  Optional<Placement> next(Configuration configuration, long nowNs) {
-    for (TierQueue tier : queue.tiers()) {
+  /** Begins a round of placements: upstreams may have come, left or come free since the last. */
+  void begin() {
+    open.clear();
+  }
+
+  /** Returns the next placement of the round, or empty if no waiting ticket can start now. */
+  Optional<Placement> next(long nowNs) {
+    reserved = null;
+    for (TierQueue tier : state.queue().tiers()) {
       for (RouteQueue routeQueue : tier.routes()) {
-        Route route = configuration.routes().get(routeQueue.route());
-        if (route == null || routeQueue.isEmpty()) {
-          continue;
-        }
-        Optional<Placement> placement = firstThatFits(routeQueue, route, nowNs);
+        Optional<Placement> placement = firstThatFits(routeQueue, nowNs);
         if (placement.isPresent()) {
           return placement;
         }
@@ -42,15 +47,51 @@
     return Optional.empty();
   }
 
-  private Optional<Placement> firstThatFits(RouteQueue routeQueue, Route route, long nowNs) {
+  private Optional<Placement> firstThatFits(RouteQueue routeQueue, long nowNs) {
+    Route route = state.configuration().routes().get(routeQueue.route());
+    if (route == null || routeQueue.isEmpty()) {
+      return Optional.empty();
+    }
+    List<UpstreamAccount> candidates = openFor(route.target(), nowNs);
     ServiceOrder order = routeQueue.inOrder();
-    for (int tried = 0; tried < LOOK_AHEAD && order.hasNext(); tried++) {
-      Optional<Placement> placement =
-          chooser.choose(order.next(), fleet.group(route.target()), nowNs);
-      if (placement.isPresent()) {
-        return placement;
+    for (int tried = 0; tried < LOOK_AHEAD && !candidates.isEmpty() && order.hasNext(); tried++) {
+      Choice choice = chooser.choose(order.next(), candidates, reserved, nowNs);
+      if (choice.isPlaced()) {
+        return Optional.of(choice.placement());
       }
+      reserve(choice);
     }
     return Optional.empty();
   }
+
+  /**
+   * Keeps an upstream free of later tickets until a long one fits there. Guards against starvation:
+   * short requests would fill every bit of room that comes free, and a long one of a higher tier
+   * would never find enough at once.
+   */
+  private void reserve(Choice choice) {
+    if (reserved == null) {
+      reserved = choice.tooFull();
+    }
+  }
+
+  private List<UpstreamAccount> openFor(RouteTarget target, long nowNs) {
+    List<UpstreamAccount> known = open.get(target);
+    if (known == null) {
+      known = findOpen(target, nowNs);
+      open.put(target, known);
+    }
+    known.removeIf(account -> !account.hasSlot(nowNs));
+    return known;
+  }
+
+  private List<UpstreamAccount> findOpen(RouteTarget target, long nowNs) {
+    List<UpstreamAccount> found = new ArrayList<>();
+    for (UpstreamAccount account : state.fleet().group(target)) {
+      if (account.isGrantable(nowNs) && account.hasSlot(nowNs)) {
+        found.add(account);
+      }
+    }
+    return found;
+  }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/PoolScheduler.java
@@ -1,46 +1,38 @@
 package org.teaseltrail.core.schedule;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.teaseltrail.core.configuration.Configuration;
-import org.teaseltrail.core.configuration.Customer;
-import org.teaseltrail.core.configuration.Route;
 import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.PoolId;
-import org.teaseltrail.core.id.RequestId;
 import org.teaseltrail.core.id.VmId;
-import org.teaseltrail.core.invariant.Invariant;
-import org.teaseltrail.core.invariant.InvariantName;
-import org.teaseltrail.core.message.DeclineReason;
 import org.teaseltrail.core.message.EntryMessage;
-import org.teaseltrail.core.message.RefusalKind;
-import org.teaseltrail.core.message.Ticket;
-import org.teaseltrail.core.schedule.fleet.InFlight;
-import org.teaseltrail.core.schedule.fleet.UpstreamFleet;
-import org.teaseltrail.core.schedule.queue.WaitingQueue;
+import org.teaseltrail.core.schedule.fleet.SpeedChange;
 import org.teaseltrail.core.schedule.ticket.Nanos;
-import org.teaseltrail.core.schedule.ticket.TicketBook;
-import org.teaseltrail.core.schedule.ticket.TicketEstimator;
-import org.teaseltrail.core.schedule.ticket.TicketPhase;
-import org.teaseltrail.core.schedule.ticket.TrackedTicket;
 
-/** Schedules one pool by exact accounts of all that waits and all that is in flight. */
+/**
+ * Schedules one pool by exact accounts of all that waits and all that is in flight.
+ *
+ * <p>Tickets wait in one queue: tiers strictly in paid order, customers of a tier by their share of
+ * engine time, a customer's tickets by useful deadline. A ticket is granted only when an upstream
+ * can start it now. Waiting work is bounded; over the bound, the lowest tier is shed first, newest
+ * first.
+ */
 public final class PoolScheduler implements Scheduler {
 
   /** Time between ticks while something waits. */
-  private static final long TICK_NS = Nanos.fromMs(100);
+  private static final long TICK_NS = Nanos.fromMs(50);
 
-  private final PoolId pool;
-  private final SchedulerSettings settings;
-  private final WaitingQueue queue = new WaitingQueue();
-  private final TicketEstimator estimator = new TicketEstimator();
-  private final TicketBook book;
-  private final UpstreamFleet fleet;
+  private final PoolState state;
+  private final ReportGate gate = new ReportGate();
+  private final TicketIntake intake;
+  private final GrantDesk desk;
+  private final InFlightExpiry expiry;
   private final Dispatcher dispatcher;
-  private final SchedulerOutput out;
-  private Configuration configuration = Configuration.empty();
-  private long offers;
+  private final DeadlineWatch deadlines;
+  private final Shedder shedder;
+  private long reviewedNs = Long.MIN_VALUE / 2;
   private long lastNowNs;
 
   /**
@@ -49,265 +41,167 @@
    * @param pool the pool
    * @param fencing the leadership it grants under
    * @param settings its policy
-   * @param seed seeds what it draws by chance
+   * @param seed seeds what it draws by chance; nothing is drawn at present
    */
   public PoolScheduler(PoolId pool, FencingNumber fencing, SchedulerSettings settings, long seed) {
-    this.pool = pool;
-    this.settings = settings;
-    this.book = new TicketBook(Nanos.fromMs(settings.endedMemoryMs()));
-    this.fleet = new UpstreamFleet(pool);
-    this.dispatcher = new Dispatcher(queue, fleet, new UpstreamChooser());
-    this.out = new SchedulerOutput(fencing);
+    this.state = new PoolState(pool, fencing, settings);
+    Refusals refusals = new Refusals(state);
+    this.intake = new TicketIntake(state, gate, refusals);
+    this.expiry = new InFlightExpiry(state);
+    this.desk = new GrantDesk(state, intake, expiry);
+    this.dispatcher = new Dispatcher(state);
+    this.deadlines = new DeadlineWatch(state, gate, refusals);
+    this.shedder = new Shedder(state, gate, refusals);
   }
 
   @Override
   public List<SchedulerAction> handle(SchedulerEvent event, long nowNs) {
     lastNowNs = nowNs;
+    state.advance(nowNs);
     apply(event, nowNs);
-    book.expire(nowNs);
+    expire(nowNs);
+    review(nowNs);
     placeAll(nowNs);
-    return out.take();
+    shedder.shed(nowNs);
+    state.settle();
+    return state.out().take();
   }
 
   @Override
   public OptionalLong nextWakeupNs() {
-    return queue.count() == 0 ? OptionalLong.empty() : OptionalLong.of(lastNowNs + TICK_NS);
+    long wakeupNs = Long.MAX_VALUE;
+    if (state.queue().count() > 0) {
+      wakeupNs = Math.min(lastNowNs + TICK_NS, deadlines.nextNs().orElse(Long.MAX_VALUE));
+    }
+    wakeupNs = Math.min(wakeupNs, expiry.nextNs().orElse(Long.MAX_VALUE));
+    if (state.fleet().inFlightCount() > 0) {
+      wakeupNs = Math.min(wakeupNs, reviewedNs + reviewNs());
+    }
+    return wakeupNs == Long.MAX_VALUE
+        ? OptionalLong.empty()
+        : OptionalLong.of(Math.max(wakeupNs, lastNowNs + 1));
+  }
+
+  /**
+   * Checks that every account equals the sum of its parts. Linear in all that waits and runs.
+   *
+   * @throws org.teaseltrail.core.invariant.InvariantViolation if one does not
+   */
+  public void audit() {
+    state.queue().audit();
+    state.fleet().audit();
   }
 
   private void apply(SchedulerEvent event, long nowNs) {
     if (event instanceof SchedulerEvent.FromEntry from) {
       fromEntry(from.vm(), from.message(), nowNs);
     } else if (event instanceof SchedulerEvent.ConfigurationChanged changed) {
-      configuration = changed.configuration();
-      fleet.configure(configuration);
-      refuseUnrouted(nowNs);
+      state.setConfiguration(changed.configuration());
+      intake.configured(nowNs);
     } else if (event instanceof SchedulerEvent.ClaimGranted granted) {
-      claimGranted(granted.request(), nowNs);
+      desk.claimGranted(granted.request(), nowNs);
     } else if (event instanceof SchedulerEvent.ClaimDenied denied) {
-      claimDenied(denied.request(), nowNs);
+      desk.claimDenied(denied.request());
     } else if (event instanceof SchedulerEvent.VmLapsed lapsed) {
-      vmLapsed(lapsed.vm());
+      gate.heard(lapsed.vm());
+      desk.vmLapsed(lapsed.vm(), nowNs);
+    } else if (event instanceof SchedulerEvent.ReportsAwaited awaited) {
+      gate.await(awaited.vms());
     }
   }
 
   private void fromEntry(VmId vm, EntryMessage message, long nowNs) {
     if (message instanceof EntryMessage.Offer offer) {
-      offered(vm, offer.ticket(), nowNs);
+      intake.offered(vm, offer.ticket(), nowNs);
     } else if (message instanceof EntryMessage.Withdraw withdraw) {
-      withdrawn(withdraw.request(), nowNs);
+      desk.withdrawn(withdraw.request(), nowNs);
     } else if (message instanceof EntryMessage.Declined declined) {
-      declined(declined, nowNs);
-    } else if (message instanceof EntryMessage.FirstToken first) {
-      fleet.find(first.request()).ifPresent(part -> fleet.started(part, nowNs));
-    } else if (message instanceof EntryMessage.Progress progress) {
-      fleet
-          .find(progress.request())
-          .ifPresent(part -> fleet.progressed(part, progress.outputTokens(), nowNs));
+      desk.declined(declined, nowNs);
     } else if (message instanceof EntryMessage.Ended ended) {
-      ended(ended, nowNs);
+      desk.ended(ended, nowNs);
     } else if (message instanceof EntryMessage.StillRunning running) {
-      stillRunning(vm, running, nowNs);
-    } else if (message instanceof EntryMessage.UpstreamSeen seen) {
-      fleet.announce(seen.announcement(), nowNs - Nanos.fromMs(seen.heardMs()));
-    }
-  }
-
-  private void offered(VmId vm, Ticket ticket, long nowNs) {
-    if (book.hasEnded(ticket.request())) {
-      return;
-    }
-    Optional<TrackedTicket> known = book.find(ticket.request());
-    if (known.isPresent()) {
-      resendLostGrant(known.get());
-      return;
-    }
-    TrackedTicket tracked =
-        new TrackedTicket(ticket, vm, ++offers, nowNs, estimator.estimate(ticket, nowNs));
-    book.add(tracked);
-    if (!isRouted(ticket)) {
-      refuse(tracked, RefusalKind.UNKNOWN_POOL, 0, "route=" + ticket.route(), nowNs);
-      return;
+      desk.stillRunning(vm, running, nowNs);
+    } else if (message instanceof EntryMessage.ReportsComplete complete) {
+      reportsComplete(complete);
+    } else {
+      news(message, nowNs);
     }
-    queue.add(tracked, weightOf(ticket));
   }
 
-  /**
-   * Sends an outstanding grant again when its VM offers the ticket once more. Guards against a
-   * grant lost with its connection, which shows as a request that waits for ever while its slot
-   * stays taken. It is the same grant, and the VM dispatches a request once at most.
-   */
-  private void resendLostGrant(TrackedTicket known) {
-    Optional<InFlight> part = fleet.find(known.request());
-    if (known.phase() == TicketPhase.GRANTED && part.isPresent() && !part.get().isConfirmed()) {
-      out.sendGrant(known, part.get().upstream());
+  private void reportsComplete(EntryMessage.ReportsComplete complete) {
+    if (complete.fencing().equals(state.fencing())) {
+      gate.heard(complete.vm());
     }
   }
 
-  private boolean isRouted(Ticket ticket) {
-    Route route = configuration.routes().get(ticket.route());
-    return route != null && route.pool().equals(pool);
-  }
-
-  private int weightOf(Ticket ticket) {
-    Customer customer = configuration.customers().get(ticket.customer());
-    return customer == null ? 1 : Math.max(1, customer.weight());
-  }
-
-  private void refuseUnrouted(long nowNs) {
-    for (TrackedTicket ticket : book.waiting()) {
-      if (!isRouted(ticket.ticket())) {
-        queue.remove(ticket);
-        String reason = "route=" + ticket.ticket().route();
-        refuse(ticket, RefusalKind.UNKNOWN_POOL, 0, reason, nowNs);
-      }
+  private void news(EntryMessage message, long nowNs) {
+    if (message instanceof EntryMessage.FirstToken first) {
+      state
+          .fleet()
+          .find(first.request())
+          .filter(part -> part.upstreamId().equals(first.upstream()))
+          .ifPresent(part -> state.fleet().started(part, first.sinceDispatchMs(), nowNs));
+    } else if (message instanceof EntryMessage.Progress progress) {
+      state
+          .fleet()
+          .find(progress.request())
+          .filter(part -> part.upstreamId().equals(progress.upstream()))
+          .ifPresent(part -> state.fleet().progressed(part, progress.outputTokens(), nowNs));
+    } else if (message instanceof EntryMessage.UpstreamSeen seen) {
+      upstreamSeen(seen, nowNs);
+    } else if (message instanceof EntryMessage.CacheSeen seen) {
+      state.fleet().cacheEvent(seen.event());
     }
   }
 
-  private void refuse(
-      TrackedTicket ticket, RefusalKind kind, long retryAfterMs, String reason, long nowNs) {
-    book.end(ticket.request(), nowNs);
-    out.refuse(ticket, kind, retryAfterMs, reason);
-  }
-
-  private void withdrawn(RequestId request, long nowNs) {
-    Optional<InFlight> part = fleet.find(request);
-    if (part.isPresent() && part.get().isConfirmed()) {
-      return;
+  private void upstreamSeen(EntryMessage.UpstreamSeen seen, long nowNs) {
+    long heardNs = nowNs - Nanos.fromMs(seen.heardMs());
+    if (state.fleet().announce(seen.announcement(), heardNs, nowNs)) {
+      String reason =
+          "phase="
+              + seen.announcement().phase()
+              + " incarnation="
+              + seen.announcement().incarnation();
+      state.out().upstream(seen.announcement().upstream(), reason);
     }
-    part.ifPresent(fleet::remove);
-    Optional<TrackedTicket> known = book.find(request);
-    if (known.isPresent()) {
-      if (known.get().isWaiting()) {
-        queue.remove(known.get());
-      }
-      out.releaseClaim(known.get());
-    }
-    book.end(request, nowNs);
   }
 
-  private void declined(EntryMessage.Declined declined, long nowNs) {
-    Optional<InFlight> found = fleet.find(declined.request());
-    if (found.isEmpty() || !found.get().upstreamId().equals(declined.upstream())) {
-      return;
-    }
-    InFlight part = found.get();
-    TrackedTicket ticket = part.tracked();
-    if (ticket.phase() != TicketPhase.GRANTED) {
-      return;
+  private void expire(long nowNs) {
+    state.book().expire(nowNs);
+    expiry.expire(nowNs);
+    deadlines.passDeadlines(nowNs);
+    if (state.has(PolicyPart.DEADLINE_PREDICTION)) {
+      state.queue().setHopelessAside(nowNs);
     }
-    fleet.remove(part);
-    queue.charge(ticket.tier(), ticket.ticket().customer(), -ticket.estimate().engineUs());
-    out.regrant(ticket, part.upstream(), "declined=" + declined.reason());
-    if (declined.reason() == DeclineReason.UNKNOWN_REQUEST) {
-      out.releaseClaim(ticket);
-      book.end(ticket.request(), nowNs);
-      return;
-    }
-    fleet.backOff(part.upstream(), nowNs + Nanos.fromMs(settings.declineBackoffMs()));
-    waitAgain(ticket);
-  }
-
-  private void waitAgain(TrackedTicket ticket) {
-    ticket.waitAgain();
-    queue.add(ticket, weightOf(ticket.ticket()));
   }
 
-  private void ended(EntryMessage.Ended ended, long nowNs) {
-    Optional<InFlight> part = fleet.find(ended.request());
-    part.ifPresent(fleet::remove);
-    book.find(ended.request()).filter(TrackedTicket::isWaiting).ifPresent(queue::remove);
-    book.end(ended.request(), nowNs);
-  }
-
-  private void stillRunning(VmId vm, EntryMessage.StillRunning running, long nowNs) {
-    Ticket ticket = running.ticket();
-    if (book.hasEnded(ticket.request())) {
+  private void review(long nowNs) {
+    if (nowNs - reviewedNs < reviewNs()) {
       return;
     }
-    Optional<InFlight> part = fleet.find(ticket.request());
-    if (part.isPresent() && part.get().upstreamId().equals(running.upstream())) {
-      fleet.progressed(part.get(), running.outputTokens(), nowNs);
-      return;
+    reviewedNs = nowNs;
+    deadlines.passUnserved(nowNs);
+    for (SpeedChange change : state.fleet().review(nowNs)) {
+      String ratio = String.format(Locale.ROOT, "%.2f", change.ratio());
+      String reason = "speed=" + change.after() + " was=" + change.before() + " ratio=" + ratio;
+      state.out().upstream(change.upstream(), reason);
     }
-    part.ifPresent(fleet::remove);
-    book.find(ticket.request()).filter(TrackedTicket::isWaiting).ifPresent(queue::remove);
-    adopt(vm, running, nowNs);
+    state.estimator().setSpeed(state.fleet().ordinary());
   }
 
-  private void adopt(VmId vm, EntryMessage.StillRunning running, long nowNs) {
-    Ticket ticket = running.ticket();
-    TrackedTicket tracked =
-        new TrackedTicket(ticket, vm, ++offers, nowNs, estimator.estimate(ticket, nowNs));
-    tracked.granted();
-    book.add(tracked);
-    long dispatchedNs = nowNs - Nanos.fromMs(running.sinceDispatchMs());
-    InFlight part = fleet.adopt(tracked, fleet.account(running.upstream()), dispatchedNs);
-    fleet.progressed(part, running.outputTokens(), nowNs);
-  }
-
-  private void claimGranted(RequestId request, long nowNs) {
-    Optional<TrackedTicket> known = book.find(request);
-    if (known.isEmpty() || known.get().phase() != TicketPhase.CLAIMING) {
-      return;
-    }
-    TrackedTicket ticket = known.get();
-    InFlight part = fleet.find(request).orElseThrow();
-    if (part.upstream().isServing(nowNs)) {
-      sendGrant(ticket, part, "claim=committed");
-      return;
-    }
-    fleet.remove(part);
-    queue.charge(ticket.tier(), ticket.ticket().customer(), -ticket.estimate().engineUs());
-    out.regrant(ticket, part.upstream(), "left_during_claim=true");
-    waitAgain(ticket);
+  private long reviewNs() {
+    return Nanos.fromMs(state.settings().reviewIntervalMs());
   }
 
-  private void claimDenied(RequestId request, long nowNs) {
-    Optional<TrackedTicket> known = book.find(request);
-    if (known.isEmpty() || known.get().phase() != TicketPhase.CLAIMING) {
+  private void placeAll(long nowNs) {
+    if (state.queue().count() == 0) {
       return;
     }
-    TrackedTicket ticket = known.get();
-    fleet.find(request).ifPresent(fleet::remove);
-    queue.charge(ticket.tier(), ticket.ticket().customer(), -ticket.estimate().engineUs());
-    book.end(request, nowNs);
-  }
-
-  private void vmLapsed(VmId vm) {
-    for (TrackedTicket ticket : book.notGrantedOf(vm)) {
-      fleet.find(ticket.request()).ifPresent(fleet::remove);
-      if (ticket.isWaiting()) {
-        queue.remove(ticket);
-      }
-      out.releaseClaim(ticket);
-      book.forget(ticket);
-    }
-  }
-
-  private void placeAll(long nowNs) {
-    Optional<Placement> next = dispatcher.next(configuration, nowNs);
+    dispatcher.begin();
+    Optional<Placement> next = dispatcher.next(nowNs);
     while (next.isPresent()) {
-      place(next.get(), nowNs);
-      next = dispatcher.next(configuration, nowNs);
+      desk.place(next.get(), nowNs);
+      next = dispatcher.next(nowNs);
     }
   }
-
-  private void place(Placement placement, long nowNs) {
-    TrackedTicket ticket = placement.ticket();
-    queue.remove(ticket);
-    queue.charge(ticket.tier(), ticket.ticket().customer(), ticket.estimate().engineUs());
-    InFlight part = fleet.grant(ticket, placement.upstream(), placement.cachedTokens(), nowNs);
-    if (ticket.ticket().claim().isPresent()) {
-      ticket.claiming();
-      out.commitClaim(ticket, placement.upstream());
-      return;
-    }
-    sendGrant(ticket, part, placement.reason());
-  }
-
-  private void sendGrant(TrackedTicket ticket, InFlight part, String reason) {
-    Invariant.check(!book.hasEnded(ticket.request()), InvariantName.NO_GRANT_AFTER_END);
-    ticket.granted();
-    out.grant(ticket, part.upstream(), reason);
-  }
 }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/PoolState.java
@@ -0,0 +1,129 @@
+package org.teaseltrail.core.schedule;
+
+import org.teaseltrail.core.configuration.Configuration;
+import org.teaseltrail.core.configuration.Pool;
+import org.teaseltrail.core.configuration.Route;
+import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.PoolId;
+import org.teaseltrail.core.message.Ticket;
+import org.teaseltrail.core.schedule.fleet.FleetPolicy;
+import org.teaseltrail.core.schedule.fleet.UpstreamFleet;
+import org.teaseltrail.core.schedule.limit.DrainRateMeter;
+import org.teaseltrail.core.schedule.queue.TierQueue;
+import org.teaseltrail.core.schedule.queue.WaitingQueue;
+import org.teaseltrail.core.schedule.ticket.Nanos;
+import org.teaseltrail.core.schedule.ticket.TicketBook;
+import org.teaseltrail.core.schedule.ticket.TicketEstimator;
+
+/** Holds the aggregates of one pool, which the parts of its scheduler share. */
+final class PoolState {
+
+  private static final double US_PER_MS = 1_000;
+
+  private final PoolId pool;
+  private final FencingNumber fencing;
+  private final SchedulerSettings settings;
+  private final WaitingQueue queue = new WaitingQueue();
+  private final TicketEstimator estimator = new TicketEstimator();
+  private final DrainRateMeter drain = new DrainRateMeter();
+  private final TicketBook book;
+  private final UpstreamFleet fleet;
+  private final SchedulerOutput out;
+  private Configuration configuration = Configuration.empty();
+
+  PoolState(PoolId pool, FencingNumber fencing, SchedulerSettings settings) {
+    this.pool = pool;
+    this.fencing = fencing;
+    this.settings = settings;
+    this.book = new TicketBook(Nanos.fromMs(settings.endedMemoryMs()));
+    this.fleet = new UpstreamFleet(pool, fleetPolicy(settings));
+    this.out = new SchedulerOutput(fencing);
+  }
+
+  private static FleetPolicy fleetPolicy(SchedulerSettings settings) {
+    return new FleetPolicy(
+        settings.has(PolicyPart.TOKEN_WINDOW),
+        settings.has(PolicyPart.PREFILL_BOUND),
+        settings.has(PolicyPart.STRAGGLERS),
+        settings.has(PolicyPart.PREFIX_AFFINITY),
+        settings.prefillBoundMs());
+  }
+
+  FencingNumber fencing() {
+    return fencing;
+  }
+
+  SchedulerSettings settings() {
+    return settings;
+  }
+
+  boolean has(PolicyPart part) {
+    return settings.has(part);
+  }
+
+  WaitingQueue queue() {
+    return queue;
+  }
+
+  TicketEstimator estimator() {
+    return estimator;
+  }
+
+  TicketBook book() {
+    return book;
+  }
+
+  UpstreamFleet fleet() {
+    return fleet;
+  }
+
+  SchedulerOutput out() {
+    return out;
+  }
+
+  Configuration configuration() {
+    return configuration;
+  }
+
+  void setConfiguration(Configuration newer) {
+    configuration = newer;
+    fleet.configure(newer);
+  }
+
+  boolean isRouted(Ticket ticket) {
+    Route route = configuration.routes().get(ticket.route());
+    return route != null && route.pool().equals(pool);
+  }
+
+  /** Returns the bound on waiting work, in milliseconds of the pool's time. */
+  long maxWaitingMs() {
+    Pool definition = configuration.pools().get(pool);
+    return definition == null ? Long.MAX_VALUE : definition.maxWaitingMs();
+  }
+
+  /** Moves the measures of drain on, before anything of an event is done. */
+  void advance(long nowNs) {
+    drain.advance(nowNs);
+    queue.tiers().forEach(tier -> tier.drain().advance(nowNs));
+  }
+
+  /** Notes what waits, after all of an event is done. */
+  void settle() {
+    drain.setBusy(queue.count() > 0);
+    queue.tiers().forEach(tier -> tier.drain().setBusy(!tier.isEmpty()));
+  }
+
+  DrainRateMeter drain() {
+    return drain;
+  }
+
+  /** Returns how fast the pool drains, in microseconds of engine time for each millisecond. */
+  double drainUsPerMs(long nowNs) {
+    return drain.usPerMs(US_PER_MS * Math.max(1, fleet.servingCount(nowNs)));
+  }
+
+  /** Returns how fast a tier drains, in microseconds of engine time for each millisecond. */
+  double drainUsPerMs(TierQueue tier, long nowNs) {
+    return tier.drain().usPerMs(drainUsPerMs(nowNs));
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/schedule/SchedulerOutput.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/SchedulerOutput.java
@@ -7,8 +7,10 @@
 import org.teaseltrail.core.decision.DecisionKind;
 import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.message.ControlMessage;
 import org.teaseltrail.core.message.RefusalKind;
+import org.teaseltrail.core.schedule.fleet.InFlight;
 import org.teaseltrail.core.schedule.fleet.UpstreamAccount;
 import org.teaseltrail.core.schedule.ticket.TrackedTicket;
 import org.teaseltrail.core.upstream.Announcement;
@@ -30,25 +32,31 @@
     return taken;
   }
 
-  void grant(TrackedTicket ticket, UpstreamAccount upstream, String reason) {
-    sendGrant(ticket, upstream);
-    log(DecisionKind.GRANT, ticket, Optional.of(upstream.id()), reason);
+  void grant(InFlight part, String reason) {
+    sendGrant(part);
+    log(DecisionKind.GRANT, part.tracked(), Optional.of(part.upstreamId()), reason);
   }
 
-  void sendGrant(TrackedTicket ticket, UpstreamAccount upstream) {
-    Announcement announcement = upstream.announcement();
+  /** Sends a grant, or sends the same grant again. */
+  void sendGrant(InFlight part) {
+    Announcement announcement = part.announcement();
     ControlMessage.Grant grant =
         new ControlMessage.Grant(
-            ticket.request(),
-            upstream.id(),
+            part.request(),
+            part.upstreamId(),
             announcement.incarnation(),
             announcement.address(),
             fencing);
-    actions.add(new SchedulerAction.Send(ticket.vm(), grant));
+    send(part.vm(), grant);
   }
 
-  void commitClaim(TrackedTicket ticket, UpstreamAccount upstream) {
+  void send(VmId vm, ControlMessage message) {
+    actions.add(new SchedulerAction.Send(vm, message));
+  }
+
+  void commitClaim(TrackedTicket ticket, UpstreamAccount upstream, String reason) {
     actions.add(new SchedulerAction.CommitClaim(ticket.vm(), ticket.ticket(), upstream.id()));
+    log(DecisionKind.GRANT, ticket, Optional.of(upstream.id()), "claim=asked " + reason);
   }
 
   /** Releases the claim of a ticket that did not run, if it carries one. */
@@ -58,13 +66,16 @@
     }
   }
 
-  void refuse(TrackedTicket ticket, RefusalKind kind, long retryAfterMs, String reason) {
+  void refuse(TrackedTicket ticket, ControlMessage.Refused refused, String reason) {
     releaseClaim(ticket);
-    ControlMessage.Refused refused =
-        new ControlMessage.Refused(ticket.request(), kind, retryAfterMs);
-    actions.add(new SchedulerAction.Send(ticket.vm(), refused));
-    DecisionKind decision = kind == RefusalKind.SHED ? DecisionKind.SHED : DecisionKind.REFUSE;
-    log(decision, ticket, Optional.empty(), "kind=" + kind + " " + reason);
+    send(ticket.vm(), refused);
+    RefusalKind kind = refused.kind();
+    DecisionKind decision =
+        kind == RefusalKind.SHED || kind == RefusalKind.SHARE_LIMIT
+            ? DecisionKind.SHED
+            : DecisionKind.REFUSE;
+    String retry = " retry_after_ms=" + refused.retryAfterMs();
+    log(decision, ticket, Optional.empty(), "kind=" + kind + retry + " " + reason);
   }
 
   void regrant(TrackedTicket ticket, UpstreamAccount upstream, String reason) {
--- a/core/src/main/java/org/teaseltrail/core/schedule/SchedulerSettings.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/SchedulerSettings.java
@@ -7,14 +7,26 @@
  * Tunes a scheduler.
  *
  * @param parts the parts of the policy that are on
- * @param declineBackoffMs how long an upstream gets no grant after one could not be used there
+ * @param prefillBoundMs prefill that may be in process on one engine at once, in milliseconds of
+ *     its time; what a quick answer may be stalled by
+ * @param prefillPrice what a millisecond of prefill counts for in the choice of an upstream: it
+ *     stalls the whole batch, so more than one of decoding
+ * @param longestHoldMs how long a request is held at most for the engine that holds its prefix
+ * @param probeIntervalMs time between two probes of an engine that gets only probes
+ * @param noUpstreamMs how long no upstream must have served before waiting requests are refused
+ * @param reviewIntervalMs time between two judgements of the upstreams' speeds
  * @param endedMemoryMs how long an ended request is remembered, so that late messages are harmless
  * @param lapsedKeepMs how long work in flight is kept in the account after its VM lapsed
  * @param silentKeepMs how long work in flight is kept of which nothing is heard
  */
 public record SchedulerSettings(
     Set<PolicyPart> parts,
-    long declineBackoffMs,
+    double prefillBoundMs,
+    double prefillPrice,
+    long longestHoldMs,
+    long probeIntervalMs,
+    long noUpstreamMs,
+    long reviewIntervalMs,
     long endedMemoryMs,
     long lapsedKeepMs,
     long silentKeepMs) {
@@ -26,13 +38,14 @@
 
   /** Returns the settings in use unless an operator says otherwise: every part on. */
   public static SchedulerSettings defaults() {
-    return new SchedulerSettings(EnumSet.allOf(PolicyPart.class), 500, 60_000, 30_000, 600_000);
+    return new SchedulerSettings(
+        EnumSet.allOf(PolicyPart.class), 250, 2, 2_000, 2_000, 5_000, 500, 60_000, 30_000, 600_000);
   }
 
   /** Returns the same settings with one part of the policy off. */
   public SchedulerSettings without(PolicyPart part) {
-    EnumSet<PolicyPart> rest = EnumSet.allOf(PolicyPart.class);
-    rest.retainAll(parts);
+    EnumSet<PolicyPart> rest = EnumSet.noneOf(PolicyPart.class);
+    rest.addAll(parts);
     rest.remove(part);
     return withParts(rest);
   }
@@ -40,7 +53,16 @@
   /** Returns the same settings with just these parts of the policy on. */
   public SchedulerSettings withParts(Set<PolicyPart> newParts) {
     return new SchedulerSettings(
-        newParts, declineBackoffMs, endedMemoryMs, lapsedKeepMs, silentKeepMs);
+        newParts,
+        prefillBoundMs,
+        prefillPrice,
+        longestHoldMs,
+        probeIntervalMs,
+        noUpstreamMs,
+        reviewIntervalMs,
+        endedMemoryMs,
+        lapsedKeepMs,
+        silentKeepMs);
   }
 
   /** Returns whether a part of the policy is on. */
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/Shedder.java
@@ -0,0 +1,90 @@
+package org.teaseltrail.core.schedule;
+
+import java.util.Optional;
+import org.teaseltrail.core.invariant.Invariant;
+import org.teaseltrail.core.invariant.InvariantName;
+import org.teaseltrail.core.message.RefusalKind;
+import org.teaseltrail.core.schedule.queue.TierQueue;
+import org.teaseltrail.core.schedule.queue.WaitingQueue;
+import org.teaseltrail.core.schedule.ticket.TrackedTicket;
+
+/**
+ * Bounds the waiting work: over the bound, the lowest tier goes first, newest first. Requests that
+ * run are left alone.
+ */
+final class Shedder {
+
+  private final PoolState state;
+  private final ReportGate gate;
+  private final Refusals refusals;
+
+  Shedder(PoolState state, ReportGate gate, Refusals refusals) {
+    this.state = state;
+    this.gate = gate;
+    this.refusals = refusals;
+  }
+
+  /** Sheds what can't be served in time, as far as the order of tiers allows. */
+  void shed(long nowNs) {
+    if (!gate.isOpen()) {
+      return;
+    }
+    if (state.has(PolicyPart.DEADLINE_PREDICTION)) {
+      shedHopeless(nowNs);
+    }
+    if (state.has(PolicyPart.SHEDDING)) {
+      shedOverBound(nowNs);
+    }
+  }
+
+  private void shedHopeless(long nowNs) {
+    Optional<TrackedTicket> next = hopelessOfLowestTier();
+    while (next.isPresent()) {
+      shedOne(next.get(), RefusalKind.SHED, "cause=deadline_out_of_reach", nowNs);
+      next = hopelessOfLowestTier();
+    }
+  }
+
+  private Optional<TrackedTicket> hopelessOfLowestTier() {
+    return state.queue().lowest().flatMap(TierQueue::anyHopeless);
+  }
+
+  private void shedOverBound(long nowNs) {
+    WaitingQueue queue = state.queue();
+    if (queue.count() == 0) {
+      return;
+    }
+    double drainUsPerMs = state.drainUsPerMs(nowNs);
+    double boundUs = state.maxWaitingMs() * drainUsPerMs;
+    while (queue.waitingUs() > boundUs) {
+      shedNewest(queue.lowest().orElseThrow(), drainUsPerMs, nowNs);
+    }
+  }
+
+  private void shedNewest(TierQueue lowest, double drainUsPerMs, long nowNs) {
+    long waitingMs = (long) (state.queue().waitingUs() / drainUsPerMs);
+    String reason = "waiting_ms=" + waitingMs + " bound_ms=" + state.maxWaitingMs();
+    Optional<TrackedTicket> aboveShare =
+        state.has(PolicyPart.CUSTOMER_SHARE) ? lowest.newestAboveShare() : Optional.empty();
+    if (aboveShare.isPresent()) {
+      shedOne(aboveShare.get(), RefusalKind.SHARE_LIMIT, reason, nowNs);
+    } else {
+      shedOne(lowest.newest(), RefusalKind.SHED, reason, nowNs);
+    }
+  }
+
+  private void shedOne(TrackedTicket ticket, RefusalKind kind, String reason, long nowNs) {
+    checkOrder(ticket);
+    long retryAfterMs = refusals.retryAfterMs(ticket, nowNs);
+    refusals.refuseWaiting(ticket, kind, retryAfterMs, reason, nowNs);
+  }
+
+  /** Checks the promise that callers pay for, whichever way the ticket was picked. */
+  private void checkOrder(TrackedTicket ticket) {
+    Invariant.check(gate.isOpen(), InvariantName.NO_SHED_BEFORE_REPORTS);
+    for (TierQueue tier : state.queue().tiers()) {
+      boolean lowerIsKept = ticket.place().tier().isHigherThan(tier.tier()) && !tier.isEmpty();
+      Invariant.check(!lowerIsKept, InvariantName.TIER_ORDER_AT_SHED);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/FleetPolicy.java
@@ -0,0 +1,17 @@
+package org.teaseltrail.core.schedule.fleet;
+
+/**
+ * Says which limits on upstreams apply.
+ *
+ * @param tokenWindow whether the learned window on tokens in flight applies
+ * @param prefillBound whether prompt tokens in process at once are bounded
+ * @param stragglers whether slow upstreams get less
+ * @param prefixAffinity whether prefix caches are modelled
+ * @param prefillBoundMs prefill that may be in process on one engine, in milliseconds of its time
+ */
+public record FleetPolicy(
+    boolean tokenWindow,
+    boolean prefillBound,
+    boolean stragglers,
+    boolean prefixAffinity,
+    double prefillBoundMs) {}
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/InFlight.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/InFlight.java
@@ -5,27 +5,37 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.message.Ticket;
 import org.teaseltrail.core.schedule.ticket.TrackedTicket;
+import org.teaseltrail.core.upstream.Announcement;
 
 /** Is one request's part of an upstream's work in flight, from the grant to the end. */
 public final class InFlight {
 
+  /** Stands for a VM that has not lapsed. */
+  private static final long NOT_LAPSED = Long.MIN_VALUE;
+
   private final TrackedTicket tracked;
   private final UpstreamAccount upstream;
+  private final Announcement announcement;
   private final long grantedNs;
-  private final int prefillTokens;
   private final int cachedTokens;
+  private final int prefillTokens;
+  private final long prefillAheadTokens;
   private boolean confirmed;
-  private boolean started;
+  private double firstTokenMs;
   private int outputTokens;
-  private long lastHeardNs;
+  private long progressNs;
+  private long heardNs;
+  private long lapsedNs = NOT_LAPSED;
 
   InFlight(TrackedTicket tracked, UpstreamAccount upstream, int cachedTokens, long grantedNs) {
     this.tracked = tracked;
     this.upstream = upstream;
-    this.grantedNs = grantedNs;
-    this.lastHeardNs = grantedNs;
+    this.announcement = upstream.announcement();
     this.cachedTokens = cachedTokens;
     this.prefillTokens = Math.max(1, tracked.ticket().promptTokens() - cachedTokens);
+    this.prefillAheadTokens = upstream.prefillTokens();
+    this.grantedNs = grantedNs;
+    this.heardNs = grantedNs;
   }
 
   /** Returns the ticket that was granted. */
@@ -53,6 +63,13 @@
     return upstream;
   }
 
+  /**
+   * Returns the announcement it was granted under; null if it was granted by an older scheduler.
+   */
+  public Announcement announcement() {
+    return announcement;
+  }
+
   /** Returns the name of the upstream. */
   public UpstreamId upstreamId() {
     return upstream.id();
@@ -63,29 +80,34 @@
     return grantedNs;
   }
 
+  /** Returns the prompt tokens that the prefix cache was expected to save. */
+  public int cachedTokens() {
+    return cachedTokens;
+  }
+
   /** Returns the prompt tokens that the engine was expected to process. */
   public int prefillTokens() {
     return prefillTokens;
   }
 
-  /** Returns the prompt tokens that the prefix cache was expected to save. */
-  public int cachedTokens() {
-    return cachedTokens;
+  /** Returns the prompt tokens that were to be processed before its own when it was granted. */
+  public long prefillAheadTokens() {
+    return prefillAheadTokens;
   }
 
   /** Returns the tokens it may come to hold on the engine. */
   public long footprintTokens() {
-    return (long) tracked.ticket().promptTokens() + tracked.ticket().expectedOutputTokens();
+    return tracked.footprintTokens();
   }
 
-  /** Returns whether the VM has said anything that proves the dispatch. */
+  /** Returns whether its VM has said anything that proves the dispatch. */
   public boolean isConfirmed() {
     return confirmed;
   }
 
-  /** Returns whether the first token has arrived. */
-  public boolean isStarted() {
-    return started;
+  /** Returns the time from dispatch to first token, in milliseconds; zero if not known. */
+  public double firstTokenMs() {
+    return firstTokenMs;
   }
 
   /** Returns the tokens that have arrived. */
@@ -93,21 +115,46 @@
     return outputTokens;
   }
 
-  /** Returns when the VM last spoke of it, in monotonic nanoseconds. */
-  public long lastHeardNs() {
-    return lastHeardNs;
+  /** Returns when the tokens were last counted, in monotonic nanoseconds; zero if never. */
+  public long progressNs() {
+    return progressNs;
+  }
+
+  /** Returns when its VM last spoke of it, in monotonic nanoseconds. */
+  public long heardNs() {
+    return heardNs;
+  }
+
+  /** Returns whether its VM has lapsed and not spoken of it since. */
+  public boolean isLapsed() {
+    return lapsedNs != NOT_LAPSED;
+  }
+
+  /** Returns when its VM lapsed, in monotonic nanoseconds. */
+  public long lapsedNs() {
+    return lapsedNs;
+  }
+
+  /** Notes that its VM has lapsed. */
+  public void lapsedAt(long nowNs) {
+    lapsedNs = nowNs;
   }
 
   void heard(long nowNs) {
     confirmed = true;
-    lastHeardNs = nowNs;
+    lapsedNs = NOT_LAPSED;
+    heardNs = nowNs;
   }
 
-  void markStarted() {
-    started = true;
+  void firstToken(double sinceDispatchMs, long nowNs) {
+    firstTokenMs = sinceDispatchMs;
+    progress(1, nowNs);
   }
 
-  void setOutputTokens(int outputTokens) {
-    this.outputTokens = Math.max(this.outputTokens, outputTokens);
+  void progress(int tokens, long nowNs) {
+    if (tokens > outputTokens) {
+      outputTokens = tokens;
+      progressNs = nowNs;
+    }
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/PoolSpeed.java
@@ -0,0 +1,41 @@
+package org.teaseltrail.core.schedule.fleet;
+
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.function.ToDoubleFunction;
+import org.teaseltrail.core.schedule.ticket.EngineSpeed;
+
+/** Reads the speed of an ordinary engine off the upstreams of a pool. */
+final class PoolSpeed {
+
+  private static final double US_PER_MS = 1_000;
+
+  private PoolSpeed() {}
+
+  /** Returns the medians over the upstreams that have been measured. */
+  static EngineSpeed of(Collection<UpstreamAccount> accounts) {
+    double prefillUs = median(accounts, a -> a.speed().prefillUs());
+    double stepMs = median(accounts, PoolSpeed::fullStepMs);
+    double decodeUs = median(accounts, a -> fullStepMs(a) * US_PER_MS / maxBatch(a));
+    EngineSpeed assumed = EngineSpeed.ASSUMED;
+    return new EngineSpeed(
+        prefillUs > 0 ? prefillUs : assumed.prefillUs(),
+        decodeUs > 0 ? decodeUs : assumed.decodeUs(),
+        stepMs > 0 ? stepMs : assumed.stepMs());
+  }
+
+  private static double fullStepMs(UpstreamAccount account) {
+    return account.speed().stepMs(maxBatch(account));
+  }
+
+  private static int maxBatch(UpstreamAccount account) {
+    return account.announcement() == null ? 1 : Math.max(1, account.announcement().maxBatch());
+  }
+
+  private static double median(
+      Collection<UpstreamAccount> accounts, ToDoubleFunction<UpstreamAccount> measure) {
+    double[] values = accounts.stream().mapToDouble(measure).filter(v -> v > 0).toArray();
+    Arrays.sort(values);
+    return values.length == 0 ? 0 : values[values.length / 2];
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/Presence.java
@@ -0,0 +1,97 @@
+package org.teaseltrail.core.schedule.fleet;
+
+import org.teaseltrail.core.configuration.RouteTarget;
+import org.teaseltrail.core.schedule.ticket.Nanos;
+import org.teaseltrail.core.upstream.Announcement;
+import org.teaseltrail.core.upstream.ServedModel;
+import org.teaseltrail.core.upstream.UpstreamPhase;
+
+/** Knows whether an upstream may be given work: by its own word, the operators' and its silence. */
+final class Presence {
+
+  private static final long FIRST_BACKOFF_MS = 250;
+  private static final long LONGEST_BACKOFF_MS = 8_000;
+
+  private Announcement announcement;
+  private long goodUntilNs = Long.MIN_VALUE;
+  private boolean allowed;
+  private boolean draining;
+  private boolean saidToLeave;
+  private long backoffMs;
+  private long backoffUntilNs = Long.MIN_VALUE;
+
+  Announcement announcement() {
+    return announcement;
+  }
+
+  boolean isNewer(Announcement other) {
+    return announcement == null || other.sequence() > announcement.sequence();
+  }
+
+  void announce(Announcement newer, long heardNs) {
+    announcement = newer;
+    goodUntilNs = Nanos.plus(heardNs, Nanos.fromMs(newer.lifetimeMs()));
+    saidToLeave = false;
+  }
+
+  void allow(boolean nowAllowed, boolean nowDraining) {
+    allowed = nowAllowed;
+    draining = nowDraining;
+  }
+
+  /** Notes that a VM knows the upstream as leaving; holds until its next announcement. */
+  void leave() {
+    saidToLeave = true;
+  }
+
+  /** Notes that a later life has taken its place: this one never serves again. */
+  void retire() {
+    announcement = null;
+  }
+
+  boolean isServing(long nowNs) {
+    return announcement != null
+        && announcement.phase() == UpstreamPhase.SERVING
+        && allowed
+        && !draining
+        && !saidToLeave
+        && goodUntilNs > nowNs;
+  }
+
+  boolean isGrantable(long nowNs) {
+    return backoffUntilNs <= nowNs && isServing(nowNs);
+  }
+
+  /**
+   * Keeps work away for a while, each time in a row for longer. Guards against an upstream that
+   * fails at once: its slots are always free, so it would draw and fail all of the work.
+   */
+  void backOff(long nowNs) {
+    if (nowNs < backoffUntilNs) {
+      return;
+    }
+    backoffMs = Math.min(LONGEST_BACKOFF_MS, Math.max(FIRST_BACKOFF_MS, 2 * backoffMs));
+    backoffUntilNs = nowNs + Nanos.fromMs(backoffMs);
+  }
+
+  void worked() {
+    backoffMs = 0;
+  }
+
+  boolean serves(RouteTarget target) {
+    if (announcement == null) {
+      return false;
+    }
+    if (target instanceof RouteTarget.ServiceTarget service) {
+      return announcement.service().filter(service.service()::equals).isPresent();
+    }
+    RouteTarget.ModelTarget wanted = (RouteTarget.ModelTarget) target;
+    return announcement.models().stream().anyMatch(loaded -> matches(loaded, wanted));
+  }
+
+  private static boolean matches(ServedModel loaded, RouteTarget.ModelTarget wanted) {
+    return loaded.model().equals(wanted.model())
+        && loaded.version().equals(wanted.version())
+        && wanted.adapter().map(loaded.adapters()::contains).orElse(true);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/SpeedMeter.java
@@ -0,0 +1,72 @@
+package org.teaseltrail.core.schedule.fleet;
+
+/** Measures how fast one life of an upstream works, from its answers and its reports. */
+final class SpeedMeter {
+
+  /** Weight of the newest sample of a token's time: a few samples show a change. */
+  private static final double TOKEN_GAIN = 0.25;
+
+  private static final double PREFILL_GAIN = 0.2;
+
+  /** Fewest tokens processed from which a prefill speed is read; below, the network shows. */
+  private static final double MIN_PREFILL_TOKENS = 512;
+
+  private static final double US_PER_MS = 1_000;
+
+  private final StepModel steps = new StepModel();
+  private double tokenMs;
+  private int tokenSamples;
+  private double prefillUs;
+  private double spanMs;
+
+  /** Takes the time per token that was seen in an answer. */
+  void token(double batch, double sampleMs) {
+    tokenMs = tokenSamples == 0 ? sampleMs : tokenMs + TOKEN_GAIN * (sampleMs - tokenMs);
+    tokenSamples++;
+    steps.sample(batch, sampleMs);
+  }
+
+  /** Takes the step time that the upstream reports. */
+  void report(double batch, double stepMs) {
+    if (batch > 0 && stepMs > 0) {
+      steps.sample(batch, stepMs);
+    }
+  }
+
+  /** Takes the time to a first token after so many prompt tokens were processed. */
+  void prefill(double tokens, double sampleMs) {
+    if (tokens >= MIN_PREFILL_TOKENS) {
+      double sampleUs = sampleMs * US_PER_MS / tokens;
+      prefillUs = prefillUs == 0 ? sampleUs : prefillUs + PREFILL_GAIN * (sampleUs - prefillUs);
+    }
+  }
+
+  /** Takes the time from a dispatch to the end. */
+  void span(double sampleMs) {
+    spanMs = spanMs == 0 ? sampleMs : spanMs + PREFILL_GAIN * (sampleMs - spanMs);
+  }
+
+  int tokenSamples() {
+    return tokenSamples;
+  }
+
+  /** Returns the recent time per token, in milliseconds; zero before the first sample. */
+  double tokenMs() {
+    return tokenMs;
+  }
+
+  /** Returns the time of a step at a batch, in milliseconds; zero before the first sample. */
+  double stepMs(double batch) {
+    return steps.isEmpty() ? 0 : steps.stepMs(batch);
+  }
+
+  /** Returns the time to process a prompt token, in microseconds; zero before the first sample. */
+  double prefillUs() {
+    return prefillUs;
+  }
+
+  /** Returns the usual time from a dispatch to the end, in milliseconds. */
+  double spanMs() {
+    return spanMs;
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamAccount.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamAccount.java
@@ -1,37 +1,48 @@
 package org.teaseltrail.core.schedule.fleet;
 
-import java.util.HashSet;
-import java.util.Set;
+import java.util.List;
 import org.teaseltrail.core.configuration.RouteTarget;
 import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.UpstreamId;
-import org.teaseltrail.core.invariant.Invariant;
-import org.teaseltrail.core.invariant.InvariantName;
+import org.teaseltrail.core.schedule.prefix.CacheModel;
+import org.teaseltrail.core.schedule.ticket.EngineSpeed;
 import org.teaseltrail.core.schedule.ticket.Nanos;
 import org.teaseltrail.core.schedule.ticket.TrackedTicket;
 import org.teaseltrail.core.upstream.Announcement;
-import org.teaseltrail.core.upstream.ServedModel;
-import org.teaseltrail.core.upstream.UpstreamPhase;
+import org.teaseltrail.core.upstream.CacheEvent;
+import org.teaseltrail.core.upstream.LoadReport;
 
 /**
- * Keeps one life of an upstream: what it last announced, whether operators allow it, and the work
- * in flight there. The work in flight is the scheduler's own account; reports only correct it.
+ * Keeps one life of an upstream: what it last announced, whether operators allow it, the work in
+ * flight there, its speed and its cache. The work in flight is the scheduler's own account; reports
+ * only correct it, the less the older they are.
  */
 public final class UpstreamAccount {
 
+  /** Age from which a load report says nothing about the present. */
+  private static final long REPORT_USE_NS = 3_000_000_000L;
+
+  /** Part of the prefill bound that may be in process when a prompt beyond the bound comes. */
+  private static final double AHEAD_OF_LONG = 0.25;
+
+  private static final double US_PER_MS = 1_000;
+
   private final UpstreamId id;
-  private final Set<InFlight> inFlight = new HashSet<>();
-  private Announcement announcement;
-  private long heardNs;
-  private long goodUntilNs = Long.MIN_VALUE;
-  private boolean allowed;
-  private boolean draining;
-  private long backoffUntilNs = Long.MIN_VALUE;
-  private long footprintTokens;
-  private long prefillTokens;
-
-  UpstreamAccount(UpstreamId id) {
+  private final FleetPolicy policy;
+  private final Presence presence = new Presence();
+  private final WorkInFlight work = new WorkInFlight();
+  private final SpeedMeter speed = new SpeedMeter();
+  private final TokenWindow window = new TokenWindow();
+  private final CacheModel cache = new CacheModel();
+  private SpeedState state = SpeedState.ORDINARY;
+  private EngineSpeed ordinary = EngineSpeed.ASSUMED;
+  private int foreignRequests;
+  private long foreignUntilNs = Long.MIN_VALUE;
+  private long lastGrantNs = Long.MIN_VALUE / 2;
+
+  UpstreamAccount(UpstreamId id, FleetPolicy policy) {
     this.id = id;
+    this.policy = policy;
   }
 
   /** Returns the name of the upstream. */
@@ -41,131 +52,177 @@
 
   /** Returns the newest announcement; null before the first. */
   public Announcement announcement() {
-    return announcement;
+    return presence.announcement();
   }
 
-  /** Returns when the newest announcement was heard, in monotonic nanoseconds. */
-  public long heardNs() {
-    return heardNs;
+  /** Returns how its speed compares with the pool's. */
+  public SpeedState state() {
+    return state;
   }
 
   /** Returns the requests in flight. */
   public int inFlightCount() {
-    return inFlight.size();
+    return work.count();
   }
 
   /** Returns the tokens that the requests in flight may come to hold. */
   public long footprintTokens() {
-    return footprintTokens;
+    return work.footprintTokens();
   }
 
   /** Returns the prompt tokens granted and not yet known to be processed. */
   public long prefillTokens() {
-    return prefillTokens;
+    return work.prefillTokens();
+  }
+
+  /** Returns the learned window on tokens in flight. */
+  public long windowTokens() {
+    return window.tokens();
   }
 
   /** Returns whether the upstream wants work, may have it and is known to be alive. */
   public boolean isServing(long nowNs) {
-    return announcement != null
-        && announcement.phase() == UpstreamPhase.SERVING
-        && allowed
-        && !draining
-        && goodUntilNs > nowNs;
+    return presence.isServing(nowNs);
   }
 
   /** Returns whether it may be granted work now: it serves and no grant there failed just now. */
   public boolean isGrantable(long nowNs) {
-    return isServing(nowNs) && backoffUntilNs <= nowNs;
+    return presence.isGrantable(nowNs);
   }
 
-  /** Returns whether a slot is free in its batch. */
-  public boolean hasSlot() {
-    return inFlight.size() < announcement.maxBatch();
+  /** Returns whether it may run one request more, whatever that is. */
+  public boolean hasSlot(long nowNs) {
+    int slots = state.slots(announcement().maxBatch());
+    int foreign = foreignUntilNs > nowNs ? foreignRequests : 0;
+    return work.count() + foreign < slots;
   }
 
-  /** Returns whether it has what the target asks for loaded. */
-  public boolean serves(RouteTarget target) {
-    if (announcement == null) {
-      return false;
+  /** Returns whether a ticket fits the window. */
+  public boolean fitsWindow(long ticketTokens) {
+    return !policy.tokenWindow()
+        || work.count() == 0
+        || work.footprintTokens() + ticketTokens <= window.tokens();
+  }
+
+  /**
+   * Returns whether a prompt can be processed without stalling others for long.
+   *
+   * @param uncachedTokens prompt tokens to process
+   */
+  public boolean fitsPrefill(int uncachedTokens) {
+    if (!policy.prefillBound() || work.prefillTokens() == 0) {
+      return true;
     }
-    if (target instanceof RouteTarget.ServiceTarget service) {
-      return announcement.service().filter(service.service()::equals).isPresent();
+    double bound = policy.prefillBoundMs() * US_PER_MS / prefillUs();
+    double ahead = work.prefillTokens();
+    return ahead + uncachedTokens <= bound
+        || (uncachedTokens > (1 - AHEAD_OF_LONG) * bound && ahead <= AHEAD_OF_LONG * bound);
+  }
+
+  /** Returns how many tokens of a ticket's prompt its cache is expected to save. */
+  public int cachedTokens(TrackedTicket ticket) {
+    List<Long> blocks = ticket.ticket().prefixBlocks();
+    if (!policy.prefixAffinity() || blocks.isEmpty()) {
+      return 0;
     }
-    RouteTarget.ModelTarget wanted = (RouteTarget.ModelTarget) target;
-    return announcement.models().stream().anyMatch(loaded -> matches(loaded, wanted));
+    return cache.cachedTokens(blocks, ticket.ticket().promptTokens());
+  }
+
+  /** Returns the time to process a prompt token, in microseconds. */
+  public double prefillUs() {
+    return speed.prefillUs() > 0 ? speed.prefillUs() : ordinary.prefillUs();
+  }
+
+  /** Returns the time per token at a batch, in milliseconds. */
+  public double stepMs(int batch) {
+    double measured = speed.stepMs(batch);
+    return measured > 0 ? measured : ordinary.stepMs();
+  }
+
+  /** Returns the usual time from a dispatch to the end, in milliseconds; zero if not known. */
+  public double spanMs() {
+    return speed.spanMs();
   }
 
-  private static boolean matches(ServedModel loaded, RouteTarget.ModelTarget wanted) {
-    return loaded.model().equals(wanted.model())
-        && loaded.version().equals(wanted.version())
-        && wanted.adapter().map(loaded.adapters()::contains).orElse(true);
+  /** Returns when it was last granted work, in monotonic nanoseconds. */
+  public long lastGrantNs() {
+    return lastGrantNs;
   }
 
-  void announce(Announcement newer, long heardNs) {
-    this.announcement = newer;
-    this.heardNs = heardNs;
-    this.goodUntilNs = Nanos.plus(heardNs, Nanos.fromMs(newer.lifetimeMs()));
+  /** Returns whether it has what the target asks for loaded. */
+  public boolean serves(RouteTarget target) {
+    return presence.serves(target);
   }
 
-  void allow(boolean allowed, boolean draining) {
-    this.allowed = allowed;
-    this.draining = draining;
+  Presence presence() {
+    return presence;
   }
 
-  void backOffUntil(long untilNs) {
-    this.backoffUntilNs = untilNs;
+  SpeedMeter speed() {
+    return speed;
   }
 
-  boolean isNewer(Announcement other) {
-    return announcement == null || other.sequence() > announcement.sequence();
+  WorkInFlight work() {
+    return work;
+  }
+
+  CacheModel cache() {
+    return cache;
   }
 
   boolean isLaterLife(Incarnation other) {
-    return announcement != null && other.compareTo(announcement.incarnation()) > 0;
+    return announcement() != null && other.compareTo(announcement().incarnation()) > 0;
   }
 
   boolean isEarlierLife(Incarnation other) {
-    return announcement != null && other.compareTo(announcement.incarnation()) < 0;
+    return announcement() != null && other.compareTo(announcement().incarnation()) < 0;
   }
 
-  InFlight add(TrackedTicket ticket, int cachedTokens, long nowNs) {
-    InFlight part = new InFlight(ticket, this, cachedTokens, nowNs);
-    inFlight.add(part);
-    footprintTokens += part.footprintTokens();
-    prefillTokens += part.prefillTokens();
-    return part;
+  void announce(Announcement newer, long heardNs, long nowNs) {
+    presence.announce(newer, heardNs);
+    window.setBatch(newer.maxBatch());
+    cache.setCapacity(newer.cacheTokens());
+    correct(newer.load(), heardNs, nowNs);
   }
 
-  void start(InFlight part) {
-    if (!part.isStarted()) {
-      part.markStarted();
-      prefillTokens -= part.prefillTokens();
-    }
+  /**
+   * Corrects the account by a report: work there that was not granted here (by an older scheduler,
+   * say) takes slots for as long as the report is of use. The greatest recent count stands against
+   * the report, for the report is older than the account.
+   */
+  private void correct(LoadReport load, long heardNs, long nowNs) {
+    speed.report(load.runningRequests(), load.stepMs());
+    window.sample(load.stepMs(), work.footprintTokens(), nowNs);
+    int reported = load.runningRequests() + load.queuedRequests();
+    foreignRequests = Math.max(0, reported - work.recentPeak(nowNs));
+    foreignUntilNs = heardNs - Nanos.fromMs(load.ageMs()) + REPORT_USE_NS;
   }
 
-  void remove(InFlight part) {
-    Invariant.check(inFlight.remove(part), InvariantName.IN_FLIGHT_ACCOUNT_BALANCES);
-    footprintTokens -= part.footprintTokens();
-    if (!part.isStarted()) {
-      prefillTokens -= part.prefillTokens();
-    }
-    checkBalance();
+  void cacheEvent(CacheEvent event) {
+    cache.apply(event);
   }
 
-  private void checkBalance() {
-    boolean sane = footprintTokens >= 0 && prefillTokens >= 0;
-    boolean zero = footprintTokens == 0 && prefillTokens == 0;
-    Invariant.check(
-        sane && (zero || !inFlight.isEmpty()), InvariantName.IN_FLIGHT_ACCOUNT_BALANCES);
+  void setState(SpeedState newState) {
+    state = newState;
+  }
+
+  void setOrdinary(EngineSpeed newOrdinary) {
+    ordinary = newOrdinary;
+  }
+
+  InFlight add(TrackedTicket ticket, int cachedTokens, long nowNs) {
+    InFlight part = new InFlight(ticket, this, cachedTokens, nowNs);
+    work.add(part, nowNs);
+    lastGrantNs = nowNs;
+    if (policy.prefixAffinity()) {
+      cache.use(ticket.ticket().prefixBlocks());
+    }
+    return part;
   }
 
-  /** Checks that the account equals the sum of its parts; linear in the parts. */
-  void audit() {
-    long footprint = inFlight.stream().mapToLong(InFlight::footprintTokens).sum();
-    long prefill =
-        inFlight.stream().filter(p -> !p.isStarted()).mapToLong(InFlight::prefillTokens).sum();
-    Invariant.check(
-        footprint == footprintTokens && prefill == prefillTokens,
-        InvariantName.IN_FLIGHT_ACCOUNT_BALANCES);
+  /** Takes the time per token that was seen in an answer. */
+  void tokenSample(double sampleMs, long nowNs) {
+    speed.token(work.count(), sampleMs);
+    window.sample(sampleMs, work.footprintTokens(), nowNs);
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamFleet.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamFleet.java
@@ -16,8 +16,13 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.invariant.Invariant;
 import org.teaseltrail.core.invariant.InvariantName;
+import org.teaseltrail.core.message.EndKind;
+import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.schedule.prefix.PrefixDirectory;
+import org.teaseltrail.core.schedule.ticket.EngineSpeed;
 import org.teaseltrail.core.schedule.ticket.TrackedTicket;
 import org.teaseltrail.core.upstream.Announcement;
+import org.teaseltrail.core.upstream.CacheEvent;
 
 /**
  * Holds the upstreams of a pool and all work in flight. Root of the aggregate: work enters and
@@ -25,21 +30,32 @@
  */
 public final class UpstreamFleet {
 
+  /** Most prefix blocks whose holders are kept; bounds the scheduler's memory. */
+  private static final int MAX_DIRECTORY_BLOCKS = 65_536;
+
   private final PoolId pool;
+  private final FleetPolicy policy;
   private final Map<UpstreamId, UpstreamAccount> accounts = new LinkedHashMap<>();
   private final Map<RequestId, InFlight> inFlight = new LinkedHashMap<>();
   private final Map<RouteTarget, List<UpstreamAccount>> groups = new HashMap<>();
+  private final PrefixDirectory<UpstreamAccount> directory =
+      new PrefixDirectory<>(MAX_DIRECTORY_BLOCKS);
+  private final StragglerDetector detector = new StragglerDetector();
+  private EngineSpeed ordinary = EngineSpeed.ASSUMED;
   private Configuration configuration = Configuration.empty();
 
   /** Creates the fleet of a pool, empty. */
-  public UpstreamFleet(PoolId pool) {
+  public UpstreamFleet(PoolId pool, FleetPolicy policy) {
     this.pool = pool;
+    this.policy = policy;
   }
 
   /** Takes a configuration: who is allowed and who is to drain. */
   public void configure(Configuration newer) {
     configuration = newer;
     accounts.values().forEach(this::applyConfiguration);
+    accounts.values().removeIf(a -> !isAllowed(a.id()) && a.inFlightCount() == 0);
+    groups.clear();
   }
 
   /**
@@ -47,9 +63,13 @@
    *
    * @param announcement what the upstream says
    * @param heardNs when a VM heard it, in monotonic nanoseconds
-   * @return whether it was newer than what was known
+   * @param nowNs monotonic time in nanoseconds
+   * @return whether the upstream's phase has changed by it
    */
-  public boolean announce(Announcement announcement, long heardNs) {
+  public boolean announce(Announcement announcement, long heardNs, long nowNs) {
+    if (!isAllowed(announcement.upstream()) && !accounts.containsKey(announcement.upstream())) {
+      return false;
+    }
     UpstreamAccount account = account(announcement.upstream());
     if (account.isEarlierLife(announcement.incarnation())) {
       return false;
@@ -57,21 +77,34 @@
     if (account.isLaterLife(announcement.incarnation())) {
       account = nextLife(account.id());
     }
-    if (!account.isNewer(announcement)) {
+    if (!account.presence().isNewer(announcement)) {
       return false;
     }
     Announcement before = account.announcement();
-    account.announce(announcement, heardNs);
+    account.announce(announcement, heardNs, nowNs);
     if (before == null || changesWhatIsServed(before, announcement)) {
       groups.clear();
     }
-    return true;
+    return before == null || before.phase() != announcement.phase();
   }
 
   private static boolean changesWhatIsServed(Announcement before, Announcement after) {
     return !before.models().equals(after.models()) || !before.service().equals(after.service());
   }
 
+  /** Takes a cache event; one of an earlier life changes nothing. */
+  public void cacheEvent(CacheEvent event) {
+    UpstreamAccount account = accounts.get(event.upstream());
+    boolean current =
+        account != null
+            && account.announcement() != null
+            && account.announcement().incarnation().equals(event.incarnation());
+    if (policy.prefixAffinity() && current) {
+      account.cacheEvent(event);
+      directory.add(event.storedBlocks(), account);
+    }
+  }
+
   /** Returns the upstreams that have the target loaded, serving or not. */
   public List<UpstreamAccount> group(RouteTarget target) {
     return groups.computeIfAbsent(target, this::findGroup);
@@ -87,6 +120,13 @@
     return group;
   }
 
+  /** Returns upstreams that were seen to hold the longest known part of a ticket's prompt. */
+  public List<UpstreamAccount> prefixHolders(TrackedTicket ticket) {
+    return policy.prefixAffinity()
+        ? directory.holdersOf(ticket.ticket().prefixBlocks())
+        : List.of();
+  }
+
   /** Returns the account of an upstream's present life, made if there is none. */
   public UpstreamAccount account(UpstreamId id) {
     UpstreamAccount account = accounts.get(id);
@@ -98,6 +138,27 @@
     return accounts.values();
   }
 
+  /** Returns how many upstreams serve. */
+  public int servingCount(long nowNs) {
+    int serving = 0;
+    for (UpstreamAccount account : accounts.values()) {
+      serving += account.isServing(nowNs) ? 1 : 0;
+    }
+    return serving;
+  }
+
+  /** Returns how fast an ordinary upstream is. */
+  public EngineSpeed ordinary() {
+    return ordinary;
+  }
+
+  /** Measures the pool's speed and judges each upstream by it; returns what has changed. */
+  public List<SpeedChange> review(long nowNs) {
+    ordinary = PoolSpeed.of(accounts.values());
+    accounts.values().forEach(a -> a.setOrdinary(ordinary));
+    return policy.stragglers() ? detector.review(accounts.values(), nowNs) : List.of();
+  }
+
   /**
    * Sets an upstream aside for a ticket.
    *
@@ -112,19 +173,24 @@
     // Guards against work for an upstream that shuts down, which would be cut off there: the
     // chooser filters too, so a fault there shows here and not as a lost answer.
     Invariant.check(upstream.isServing(nowNs), InvariantName.NO_GRANT_TO_LEAVING_UPSTREAM);
-    Invariant.check(upstream.hasSlot(), InvariantName.WINDOW_NOT_EXCEEDED);
+    Invariant.check(upstream.hasSlot(nowNs), InvariantName.WINDOW_NOT_EXCEEDED);
+    Invariant.check(
+        upstream.fitsWindow(ticket.footprintTokens()), InvariantName.WINDOW_NOT_EXCEEDED);
     return add(ticket, upstream, cachedTokens, nowNs);
   }
 
   /** Counts a request that was dispatched under an older scheduler. */
-  public InFlight adopt(TrackedTicket ticket, UpstreamAccount upstream, long grantedNs) {
-    return add(ticket, upstream, 0, grantedNs);
+  public InFlight adopt(TrackedTicket ticket, UpstreamId upstream, long grantedNs) {
+    return add(ticket, account(upstream), 0, grantedNs);
   }
 
   private InFlight add(TrackedTicket ticket, UpstreamAccount upstream, int cached, long nowNs) {
     Invariant.check(!inFlight.containsKey(ticket.request()), InvariantName.ONE_GRANT_PER_TICKET);
     InFlight part = upstream.add(ticket, cached, nowNs);
     inFlight.put(ticket.request(), part);
+    if (policy.prefixAffinity()) {
+      directory.add(ticket.ticket().prefixBlocks(), upstream);
+    }
     return part;
   }
 
@@ -138,36 +204,69 @@
     return inFlight.values().stream().filter(p -> p.vm().equals(vm)).toList();
   }
 
+  /** Returns how many requests are in flight. */
+  public int inFlightCount() {
+    return inFlight.size();
+  }
+
   /** Notes that the first token of a request has arrived. */
-  public void started(InFlight part, long nowNs) {
+  public void started(InFlight part, double sinceDispatchMs, long nowNs) {
     part.heard(nowNs);
-    part.upstream().start(part);
+    part.firstToken(sinceDispatchMs, nowNs);
+    part.upstream().work().start(part);
+    part.upstream().presence().worked();
   }
 
   /** Notes how many tokens have arrived. */
   public void progressed(InFlight part, int outputTokens, long nowNs) {
-    started(part, nowNs);
-    part.setOutputTokens(outputTokens);
+    part.heard(nowNs);
+    if (outputTokens > 0) {
+      part.upstream().work().start(part);
+    }
+    AnswerSamples.progress(part, outputTokens, nowNs);
+    part.progress(outputTokens, nowNs);
+  }
+
+  /** Takes a request out of the account, and learns from how it went. */
+  public void ended(InFlight part, EntryMessage.Ended ended, long nowNs) {
+    remove(part);
+    if (ended.kind() == EndKind.FAILED) {
+      part.upstream().presence().backOff(nowNs);
+    }
+    if (ended.kind() == EndKind.COMPLETED) {
+      part.upstream().presence().worked();
+      AnswerSamples.completed(part, ended, nowNs);
+    }
   }
 
   /** Takes a request out of the account. */
   public void remove(InFlight part) {
     inFlight.remove(part.request());
-    part.upstream().remove(part);
+    part.upstream().work().remove(part);
+  }
+
+  /** Keeps work away from an upstream for a while, after a grant there could not be used. */
+  public void backOff(UpstreamAccount upstream, long nowNs) {
+    upstream.presence().backOff(nowNs);
   }
 
-  /** Keeps work away from an upstream until a time, after a grant there could not be used. */
-  public void backOff(UpstreamAccount upstream, long untilNs) {
-    upstream.backOffUntil(untilNs);
+  /** Keeps work away from an upstream until it announces itself anew. */
+  public void leaving(UpstreamAccount upstream) {
+    upstream.presence().leave();
   }
 
   /** Checks that every account equals the sum of its parts; linear in the work in flight. */
   public void audit() {
-    accounts.values().forEach(UpstreamAccount::audit);
+    accounts.values().forEach(a -> a.work().audit());
   }
 
   private UpstreamAccount nextLife(UpstreamId id) {
-    UpstreamAccount account = new UpstreamAccount(id);
+    UpstreamAccount before = accounts.get(id);
+    if (before != null) {
+      before.presence().retire();
+    }
+    UpstreamAccount account = new UpstreamAccount(id, policy);
+    account.setOrdinary(ordinary);
     applyConfiguration(account);
     accounts.put(id, account);
     groups.clear();
@@ -175,8 +274,13 @@
   }
 
   private void applyConfiguration(UpstreamAccount account) {
-    AllowedUpstream entry = configuration.upstreams().get(account.id());
-    boolean allowed = entry != null && entry.pool().equals(pool);
-    account.allow(allowed, allowed && entry.draining());
+    boolean allowed = isAllowed(account.id());
+    boolean draining = allowed && configuration.upstreams().get(account.id()).draining();
+    account.presence().allow(allowed, draining);
+  }
+
+  private boolean isAllowed(UpstreamId id) {
+    AllowedUpstream entry = configuration.upstreams().get(id);
+    return entry != null && entry.pool().equals(pool);
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/WorkInFlight.java
@@ -0,0 +1,85 @@
+package org.teaseltrail.core.schedule.fleet;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.teaseltrail.core.invariant.Invariant;
+import org.teaseltrail.core.invariant.InvariantName;
+
+/** Is the scheduler's own account of the work in flight on one life of an upstream. */
+final class WorkInFlight {
+
+  /** Time over which the greatest count is remembered, to compare with reports as old as that. */
+  private static final long PEAK_SPAN_NS = 2_000_000_000L;
+
+  private final Set<InFlight> parts = new LinkedHashSet<>();
+  private final Set<InFlight> unstarted = new LinkedHashSet<>();
+  private long footprintTokens;
+  private long prefillTokens;
+  private int peak;
+  private int peakBefore;
+  private long peakSinceNs;
+
+  int count() {
+    return parts.size();
+  }
+
+  long footprintTokens() {
+    return footprintTokens;
+  }
+
+  long prefillTokens() {
+    return prefillTokens;
+  }
+
+  /** Returns the part that has waited longest for its first token; null if there is none. */
+  InFlight oldestUnstarted() {
+    return unstarted.isEmpty() ? null : unstarted.iterator().next();
+  }
+
+  /** Returns the greatest count within the last few seconds. */
+  int recentPeak(long nowNs) {
+    turnPeak(nowNs);
+    return Math.max(peak, peakBefore);
+  }
+
+  void add(InFlight part, long nowNs) {
+    parts.add(part);
+    unstarted.add(part);
+    footprintTokens += part.footprintTokens();
+    prefillTokens += part.prefillTokens();
+    turnPeak(nowNs);
+    peak = Math.max(peak, parts.size());
+  }
+
+  void start(InFlight part) {
+    if (unstarted.remove(part)) {
+      prefillTokens -= part.prefillTokens();
+    }
+  }
+
+  void remove(InFlight part) {
+    Invariant.check(parts.remove(part), InvariantName.IN_FLIGHT_ACCOUNT_BALANCES);
+    start(part);
+    footprintTokens -= part.footprintTokens();
+    boolean sane = footprintTokens >= 0 && prefillTokens >= 0;
+    boolean zero = footprintTokens == 0 && prefillTokens == 0;
+    Invariant.check(sane && (zero || !parts.isEmpty()), InvariantName.IN_FLIGHT_ACCOUNT_BALANCES);
+  }
+
+  private void turnPeak(long nowNs) {
+    if (nowNs - peakSinceNs > PEAK_SPAN_NS) {
+      peakBefore = nowNs - peakSinceNs > 2 * PEAK_SPAN_NS ? parts.size() : peak;
+      peak = parts.size();
+      peakSinceNs = nowNs;
+    }
+  }
+
+  /** Checks that the sums equal the sums of the parts; linear in the parts. */
+  void audit() {
+    long footprint = parts.stream().mapToLong(InFlight::footprintTokens).sum();
+    long prefill = unstarted.stream().mapToLong(InFlight::prefillTokens).sum();
+    Invariant.check(
+        footprint == footprintTokens && prefill == prefillTokens && parts.containsAll(unstarted),
+        InvariantName.IN_FLIGHT_ACCOUNT_BALANCES);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/limit/TokenBucket.java
@@ -0,0 +1,45 @@
+package org.teaseltrail.core.schedule.limit;
+
+/** Holds one customer to its rate, with room for a burst. */
+final class TokenBucket {
+
+  private static final double NS_PER_SECOND = 1e9;
+  private static final double MS_PER_SECOND = 1e3;
+
+  private final double ratePerSecond;
+  private final double burst;
+  private double tokens;
+  private long filledNs;
+
+  TokenBucket(double ratePerSecond, double burst, long nowNs) {
+    this.ratePerSecond = ratePerSecond;
+    this.burst = Math.max(1, burst);
+    this.tokens = this.burst;
+    this.filledNs = nowNs;
+  }
+
+  boolean isFor(double otherRatePerSecond, double otherBurst) {
+    return ratePerSecond == otherRatePerSecond && burst == Math.max(1, otherBurst);
+  }
+
+  boolean tryTake(long nowNs) {
+    fill(nowNs);
+    if (tokens < 1) {
+      return false;
+    }
+    tokens--;
+    return true;
+  }
+
+  /** Returns the time until the next token, in milliseconds, rounded up. */
+  long waitMs() {
+    double missing = Math.max(0, 1 - tokens);
+    return (long) Math.ceil(missing / ratePerSecond * MS_PER_SECOND);
+  }
+
+  private void fill(long nowNs) {
+    double elapsedSeconds = Math.max(0, nowNs - filledNs) / NS_PER_SECOND;
+    tokens = Math.min(burst, tokens + elapsedSeconds * ratePerSecond);
+    filledNs = nowNs;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/prefix/PrefixDirectory.java
@@ -0,0 +1,81 @@
+package org.teaseltrail.core.schedule.prefix;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Finds the engines that hold the longest part of a prompt without asking each engine's model. It
+ * keeps the last few holders of each block; whether one holds it still is for its model to say.
+ *
+ * @param <H> the holder
+ */
+public final class PrefixDirectory<H> {
+
+  /** Holders kept for each block: enough to choose by load among them. */
+  private static final int MAX_HOLDERS = 4;
+
+  private final LinkedHashMap<Long, List<H>> holders;
+
+  /** Creates an empty directory that keeps at most so many blocks, least recently used out. */
+  public PrefixDirectory(int maxBlocks) {
+    this.holders =
+        new LinkedHashMap<>(16, 0.75f, true) {
+          private static final long serialVersionUID = 1L;
+
+          @Override
+          protected boolean removeEldestEntry(Map.Entry<Long, List<H>> eldest) {
+            return size() > maxBlocks;
+          }
+        };
+  }
+
+  /** Notes that an engine holds the blocks from now on. */
+  public void add(List<Long> blocks, H holder) {
+    for (Long block : blocks) {
+      addOne(block, holder);
+    }
+  }
+
+  private void addOne(Long block, H holder) {
+    List<H> known = holders.computeIfAbsent(block, b -> new ArrayList<>(1));
+    if (!known.isEmpty() && known.get(0) == holder) {
+      return;
+    }
+    known.remove(holder);
+    known.add(0, holder);
+    if (known.size() > MAX_HOLDERS) {
+      known.remove(MAX_HOLDERS);
+    }
+  }
+
+  /** Returns how many blocks are known. */
+  public int size() {
+    return holders.size();
+  }
+
+  /**
+   * Returns engines that were seen to hold the longest known part of a prompt.
+   *
+   * @param blocks the hash chain of the prompt; a block is known only with those before it
+   */
+  public List<H> holdersOf(List<Long> blocks) {
+    int known = knownBlocks(blocks);
+    return known == 0 ? List.of() : holders.get(blocks.get(known - 1));
+  }
+
+  private int knownBlocks(List<Long> blocks) {
+    int low = 0;
+    int high = blocks.size();
+    while (low < high) {
+      int middle = (low + high + 1) >>> 1;
+      if (holders.containsKey(blocks.get(middle - 1))) {
+        low = middle;
+      } else {
+        high = middle - 1;
+      }
+    }
+    return low;
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/schedule/queue/CustomerAccount.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/queue/CustomerAccount.java
@@ -2,8 +2,10 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeSet;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.RouteId;
+import org.teaseltrail.core.schedule.ticket.TrackedTicket;
 
 /**
  * Keeps a customer's waiting tickets of one tier and the engine time it has been served there,
@@ -13,10 +15,10 @@
 
   private final CustomerId customer;
   private final Map<RouteId, CustomerQueue> queues = new HashMap<>();
+  private final TreeSet<TrackedTicket> byArrival = new TreeSet<>(TierQueue.BY_ARRIVAL);
   private int weight = 1;
   private double virtualUs;
   private double waitingUs;
-  private int waitingCount;
 
   CustomerAccount(CustomerId customer) {
     this.customer = customer;
@@ -34,26 +36,38 @@
     return waitingUs;
   }
 
-  int waitingCount() {
-    return waitingCount;
+  boolean isIdle() {
+    return byArrival.isEmpty();
   }
 
   int weight() {
     return weight;
   }
 
-  void setWeight(int weight) {
-    this.weight = weight;
+  TrackedTicket newest() {
+    return byArrival.last();
   }
 
   CustomerQueue queue(RouteId route) {
     return queues.computeIfAbsent(route, r -> new CustomerQueue(this));
   }
 
+  /** Returns the queues that are not empty. */
   Map<RouteId, CustomerQueue> queues() {
     return queues;
   }
 
+  void add(TrackedTicket ticket) {
+    weight = ticket.place().weight();
+    byArrival.add(ticket);
+    waitingUs += ticket.estimate().engineUs();
+  }
+
+  void remove(TrackedTicket ticket) {
+    byArrival.remove(ticket);
+    waitingUs = byArrival.isEmpty() ? 0 : waitingUs - ticket.estimate().engineUs();
+  }
+
   /** Brings an idle customer to the present, so that it cannot save up time it did not use. */
   void catchUp(double systemVirtualUs) {
     virtualUs = Math.max(virtualUs, systemVirtualUs);
@@ -63,14 +77,4 @@
   void addServed(double engineUs) {
     virtualUs += engineUs / weight;
   }
-
-  void addWaiting(double engineUs) {
-    waitingUs += engineUs;
-    waitingCount++;
-  }
-
-  void removeWaiting(double engineUs) {
-    waitingCount--;
-    waitingUs = waitingCount == 0 ? 0 : waitingUs - engineUs;
-  }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/queue/CustomerQueue.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/queue/CustomerQueue.java
@@ -4,15 +4,15 @@
 import java.util.TreeSet;
 import org.teaseltrail.core.schedule.ticket.TrackedTicket;
 
-/** Orders one customer's waiting tickets of one tier and route by their useful deadline. */
+/** Orders one customer's tickets of one tier and route by their useful deadline. */
 final class CustomerQueue {
 
-  private static final Comparator<TrackedTicket> BY_USEFUL_DEADLINE =
-      Comparator.<TrackedTicket>comparingLong(t -> t.estimate().usefulNs())
+  private static final Comparator<TrackedTicket> BY_PLACE =
+      Comparator.<TrackedTicket>comparingLong(t -> t.place().orderNs())
           .thenComparingLong(TrackedTicket::order);
 
   private final CustomerAccount account;
-  private final TreeSet<TrackedTicket> tickets = new TreeSet<>(BY_USEFUL_DEADLINE);
+  private final TreeSet<TrackedTicket> tickets = new TreeSet<>(BY_PLACE);
 
   CustomerQueue(CustomerAccount account) {
     this.account = account;
--- a/core/src/main/java/org/teaseltrail/core/schedule/queue/TierQueue.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/queue/TierQueue.java
@@ -4,23 +4,38 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.RouteId;
 import org.teaseltrail.core.id.Tier;
+import org.teaseltrail.core.schedule.limit.DrainRateMeter;
 import org.teaseltrail.core.schedule.ticket.TrackedTicket;
 
 /** Holds the waiting tickets of one tier. */
 public final class TierQueue {
 
-  private static final Comparator<TrackedTicket> BY_ARRIVAL =
+  static final Comparator<TrackedTicket> BY_ARRIVAL =
       Comparator.comparingLong(TrackedTicket::arrivalNs).thenComparingLong(TrackedTicket::order);
 
+  private static final Comparator<TrackedTicket> BY_LATEST_START =
+      Comparator.<TrackedTicket>comparingLong(t -> t.estimate().latestStartNs())
+          .thenComparingLong(TrackedTicket::order);
+
+  /** Multiple of its fair share from which a customer is above its share of the waiting work. */
+  private static final double ABOVE_SHARE = 1.25;
+
   private final Tier tier;
   private final Map<CustomerId, CustomerAccount> accounts = new HashMap<>();
   private final Map<RouteId, RouteQueue> routes = new LinkedHashMap<>();
   private final TreeSet<TrackedTicket> byArrival = new TreeSet<>(BY_ARRIVAL);
+  private final TreeSet<TrackedTicket> byLatestStart = new TreeSet<>(BY_LATEST_START);
+  private final Set<TrackedTicket> hopeless = new LinkedHashSet<>();
+  private final DrainRateMeter drain = new DrainRateMeter();
+  private double waitingUs;
   private double systemVirtualUs;
 
   TierQueue(Tier tier) {
@@ -37,6 +52,21 @@
     return byArrival.isEmpty();
   }
 
+  /** Returns how many tickets wait. */
+  public int count() {
+    return byArrival.size();
+  }
+
+  /** Returns the engine time of all that waits in the tier, in microseconds. */
+  public double waitingUs() {
+    return waitingUs;
+  }
+
+  /** Returns the measure of how fast the tier drains. */
+  public DrainRateMeter drain() {
+    return drain;
+  }
+
   /** Returns the queues by route; some may be empty. */
   public Collection<RouteQueue> routes() {
     return routes.values();
@@ -47,54 +77,111 @@
     return byArrival.last();
   }
 
-  /** Returns the waiting tickets, first arrived first. */
-  public Iterable<TrackedTicket> tickets() {
-    return byArrival;
+  /**
+   * Returns the newest ticket of the customer that is furthest above its share of the waiting work,
+   * by weight, or empty if none is above.
+   */
+  public Optional<TrackedTicket> newestAboveShare() {
+    CustomerAccount greediest = null;
+    double weights = 0;
+    for (CustomerAccount account : accounts.values()) {
+      if (account.isIdle()) {
+        continue;
+      }
+      weights += account.weight();
+      if (greediest == null || load(account) > load(greediest)) {
+        greediest = account;
+      }
+    }
+    if (greediest == null) {
+      return Optional.empty();
+    }
+    double fairUs = waitingUs * greediest.weight() / weights;
+    boolean above = greediest.waitingUs() > ABOVE_SHARE * fairUs;
+    return above ? Optional.of(greediest.newest()) : Optional.empty();
+  }
+
+  private static double load(CustomerAccount account) {
+    return account.waitingUs() / account.weight();
   }
 
-  void add(TrackedTicket ticket, int weight) {
-    CustomerAccount account = account(ticket.ticket().customer());
-    account.setWeight(weight);
-    if (account.waitingCount() == 0) {
+  /** Returns a ticket that can't meet its deadline any more, if there is one. */
+  public Optional<TrackedTicket> anyHopeless() {
+    return hopeless.isEmpty() ? Optional.empty() : Optional.of(hopeless.iterator().next());
+  }
+
+  /**
+   * Sets aside the tickets that can't meet their deadline any more. They still wait, but no engine
+   * time is spent on an answer that would come too late.
+   */
+  void setHopelessAside(long nowNs) {
+    while (!byLatestStart.isEmpty() && isHopeless(byLatestStart.first(), nowNs)) {
+      TrackedTicket ticket = byLatestStart.pollFirst();
+      hopeless.add(ticket);
+      removeFromOrder(ticket);
+    }
+  }
+
+  private static boolean isHopeless(TrackedTicket ticket, long nowNs) {
+    return ticket.estimate().latestStartNs() < nowNs;
+  }
+
+  void add(TrackedTicket ticket) {
+    CustomerAccount account = account(ticket.place().customer());
+    if (account.isIdle()) {
       account.catchUp(systemVirtualUs);
     }
-    CustomerQueue queue = account.queue(ticket.ticket().route());
+    account.add(ticket);
+    byArrival.add(ticket);
+    waitingUs += ticket.estimate().engineUs();
+    if (ticket.estimate().latestStartNs() != TrackedTicket.NO_DEADLINE) {
+      byLatestStart.add(ticket);
+    }
+    addToOrder(account, ticket);
+  }
+
+  private void addToOrder(CustomerAccount account, TrackedTicket ticket) {
+    RouteId route = ticket.ticket().route();
+    CustomerQueue queue = account.queue(route);
     if (queue.isEmpty()) {
-      route(ticket.ticket().route()).add(queue);
+      routes.computeIfAbsent(route, RouteQueue::new).add(queue);
     }
     queue.add(ticket);
-    account.addWaiting(ticket.estimate().engineUs());
-    byArrival.add(ticket);
   }
 
   void remove(TrackedTicket ticket) {
-    CustomerAccount account = account(ticket.ticket().customer());
-    CustomerQueue queue = account.queue(ticket.ticket().route());
+    account(ticket.place().customer()).remove(ticket);
     byArrival.remove(ticket);
+    byLatestStart.remove(ticket);
+    waitingUs = byArrival.isEmpty() ? 0 : waitingUs - ticket.estimate().engineUs();
+    if (!hopeless.remove(ticket)) {
+      removeFromOrder(ticket);
+    }
+  }
+
+  private void removeFromOrder(TrackedTicket ticket) {
+    RouteId route = ticket.ticket().route();
+    CustomerAccount account = account(ticket.place().customer());
+    CustomerQueue queue = account.queue(route);
     queue.remove(ticket);
-    account.removeWaiting(ticket.estimate().engineUs());
     if (queue.isEmpty()) {
-      route(ticket.ticket().route()).remove(queue);
-      account.queues().remove(ticket.ticket().route());
+      routes.get(route).remove(queue);
+      account.queues().remove(route);
     }
   }
 
   /** Charges a customer for engine time; negative gives back. */
   void charge(CustomerId customer, double engineUs) {
     CustomerAccount account = account(customer);
-    account.queues().forEach((route, queue) -> route(route).remove(queue));
+    account.queues().forEach((route, queue) -> routes.get(route).remove(queue));
     if (engineUs > 0) {
       systemVirtualUs = Math.max(systemVirtualUs, account.virtualUs());
     }
     account.addServed(engineUs);
-    account.queues().forEach((route, queue) -> route(route).add(queue));
+    account.queues().forEach((route, queue) -> routes.get(route).add(queue));
   }
 
   private CustomerAccount account(CustomerId customer) {
     return accounts.computeIfAbsent(customer, CustomerAccount::new);
   }
-
-  private RouteQueue route(RouteId route) {
-    return routes.computeIfAbsent(route, RouteQueue::new);
-  }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/queue/WaitingQueue.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/queue/WaitingQueue.java
@@ -1,10 +1,14 @@
 package org.teaseltrail.core.schedule.queue;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.teaseltrail.core.id.CustomerId;
+import java.util.TreeSet;
 import org.teaseltrail.core.id.Tier;
+import org.teaseltrail.core.invariant.Invariant;
+import org.teaseltrail.core.invariant.InvariantName;
+import org.teaseltrail.core.schedule.ticket.QueuePlace;
 import org.teaseltrail.core.schedule.ticket.TrackedTicket;
 
 /**
@@ -13,7 +17,11 @@
  */
 public final class WaitingQueue {
 
+  private static final Comparator<TrackedTicket> BY_DEADLINE =
+      Comparator.comparingLong(TrackedTicket::deadlineNs).thenComparingLong(TrackedTicket::order);
+
   private final TreeMap<Tier, TierQueue> tiers = new TreeMap<>();
+  private final TreeSet<TrackedTicket> byDeadline = new TreeSet<>(BY_DEADLINE);
   private int count;
   private double waitingUs;
 
@@ -32,6 +40,11 @@
     return Optional.empty();
   }
 
+  /** Returns the queue of a ticket's tier. */
+  public TierQueue tierOf(TrackedTicket ticket) {
+    return tiers.computeIfAbsent(ticket.place().tier(), TierQueue::new);
+  }
+
   /** Returns how many tickets wait. */
   public int count() {
     return count;
@@ -42,37 +55,51 @@
     return waitingUs;
   }
 
-  /**
-   * Adds a waiting ticket.
-   *
-   * @param ticket the ticket
-   * @param weight its customer's weight
-   */
-  public void add(TrackedTicket ticket, int weight) {
-    tiers.computeIfAbsent(ticket.tier(), TierQueue::new).add(ticket, weight);
+  /** Returns the ticket whose caller's deadline passes first, if any has one. */
+  public Optional<TrackedTicket> firstDeadline() {
+    return byDeadline.isEmpty() ? Optional.empty() : Optional.of(byDeadline.first());
+  }
+
+  /** Adds a waiting ticket. */
+  public void add(TrackedTicket ticket) {
+    tierOf(ticket).add(ticket);
+    if (ticket.deadlineNs() != TrackedTicket.NO_DEADLINE) {
+      byDeadline.add(ticket);
+    }
     count++;
     waitingUs += ticket.estimate().engineUs();
   }
 
-  /**
-   * Takes a ticket out.
-   *
-   * @param ticket one that is in the queue
-   */
+  /** Takes out a ticket that is in the queue. */
   public void remove(TrackedTicket ticket) {
-    tiers.get(ticket.tier()).remove(ticket);
+    tierOf(ticket).remove(ticket);
+    byDeadline.remove(ticket);
     count--;
     waitingUs = count == 0 ? 0 : waitingUs - ticket.estimate().engineUs();
   }
 
-  /**
-   * Charges a customer for engine time within a tier.
-   *
-   * @param tier the tier
-   * @param customer the customer
-   * @param engineUs engine time in microseconds; negative gives back
-   */
-  public void charge(Tier tier, CustomerId customer, double engineUs) {
-    tiers.computeIfAbsent(tier, TierQueue::new).charge(customer, engineUs);
+  /** Charges a ticket's customer for its engine time. */
+  public void charge(TrackedTicket ticket) {
+    QueuePlace place = ticket.place();
+    tierOf(ticket).charge(place.customer(), ticket.estimate().engineUs());
+    tierOf(ticket).drain().drained(ticket.estimate().engineUs());
+  }
+
+  /** Gives a ticket's customer back a part of what it was charged. */
+  public void refund(TrackedTicket ticket, double engineUs) {
+    tierOf(ticket).charge(ticket.place().customer(), -engineUs);
+  }
+
+  /** Sets aside the tickets that can't meet their deadline any more. */
+  public void setHopelessAside(long nowNs) {
+    tiers.values().forEach(tier -> tier.setHopelessAside(nowNs));
+  }
+
+  /** Checks that the sums equal the sums over the tiers. */
+  public void audit() {
+    int counted = tiers.values().stream().mapToInt(TierQueue::count).sum();
+    double summedUs = tiers.values().stream().mapToDouble(TierQueue::waitingUs).sum();
+    boolean close = Math.abs(summedUs - waitingUs) <= 1 + 1e-6 * waitingUs;
+    Invariant.check(counted == count && close, InvariantName.WAITING_ACCOUNT_BALANCES);
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/ticket/TicketBook.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/ticket/TicketBook.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.teaseltrail.core.id.RequestId;
 import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.message.ControlMessage;
 
 /** Knows every ticket from its offer to its end, and for a while those that have ended. */
 public final class TicketBook {
@@ -28,6 +29,11 @@
     return ended.contains(request);
   }
 
+  /** Returns what a request that was given up has been told. */
+  public Optional<ControlMessage.Refused> refusal(RequestId request) {
+    return ended.refusal(request);
+  }
+
   /** Adds a ticket. */
   public void add(TrackedTicket ticket) {
     tickets.put(ticket.request(), ticket);
@@ -41,7 +47,13 @@
   /** Takes out a request for good: no offer of it is taken any more. */
   public void end(RequestId request, long nowNs) {
     tickets.remove(request);
-    ended.add(request, nowNs);
+    ended.add(request, Optional.empty(), nowNs);
+  }
+
+  /** Takes out a request that was given up, and keeps what it was told. */
+  public void refuse(ControlMessage.Refused refusal, long nowNs) {
+    tickets.remove(refusal.request());
+    ended.add(refusal.request(), Optional.of(refusal), nowNs);
   }
 
   /** Returns the tickets of a VM that aren't granted. */
--- a/core/src/main/java/org/teaseltrail/core/schedule/ticket/TicketEstimator.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/ticket/TicketEstimator.java
@@ -1,8 +1,12 @@
 package org.teaseltrail.core.schedule.ticket;
 
+import java.util.HashMap;
+import java.util.Map;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.message.RequestKind;
 import org.teaseltrail.core.message.Ticket;
 
-/** Estimates the engine time and the useful deadline of tickets. */
+/** Estimates the engine time and the useful deadline of tickets, from the speed of the pool. */
 public final class TicketEstimator {
 
   /**
@@ -14,13 +18,48 @@
   /** Multiple of its own span that a caller without a deadline is taken to wait. */
   private static final double USEFUL_SPANS = 3;
 
+  /**
+   * Part of the expected span in which a lucky answer may be done: no prompt to process, a fast
+   * engine, a short answer. Only what can't be met even so counts as hopeless.
+   */
+  private static final double BEST_CASE = 0.5;
+
+  /** Weight of the newest answer in what is learned of lengths and of service calls. */
+  private static final double GAIN = 0.05;
+
+  private static final double FIRST_SERVICE_MS = 20;
+
+  /** Calls that a plain service runs at once, for its share of time. */
+  private static final double SERVICE_CONCURRENCY = 8;
+
+  private static final double US_PER_MS = 1_000;
+  private static final double NS_PER_MS = 1e6;
+
+  private final Map<CustomerId, Double> outputRatios = new HashMap<>();
   private EngineSpeed speed = EngineSpeed.ASSUMED;
+  private double serviceMs = FIRST_SERVICE_MS;
 
   /** Takes a newly measured speed; tickets already estimated keep theirs. */
   public void setSpeed(EngineSpeed speed) {
     this.speed = speed;
   }
 
+  /**
+   * Learns from a whole answer.
+   *
+   * @param ticket its ticket
+   * @param outputTokens its length
+   * @param spanMs time from dispatch to end, in milliseconds
+   */
+  public void observe(Ticket ticket, int outputTokens, double spanMs) {
+    if (ticket.kind() == RequestKind.SERVICE_CALL) {
+      serviceMs += GAIN * (spanMs - serviceMs);
+      return;
+    }
+    double ratio = outputTokens / (double) Math.max(1, ticket.expectedOutputTokens());
+    outputRatios.merge(ticket.customer(), ratio, (old, now) -> old + GAIN * (now - old));
+  }
+
   /**
    * Estimates a ticket.
    *
@@ -29,13 +68,30 @@
    * @return its estimate
    */
   public TicketEstimate estimate(Ticket ticket, long nowNs) {
+    if (ticket.kind() == RequestKind.SERVICE_CALL) {
+      double engineUs = serviceMs * US_PER_MS / SERVICE_CONCURRENCY;
+      return timed(ticket, nowNs, engineUs, 1, serviceMs, 0);
+    }
+    double output = ticket.expectedOutputTokens() * outputRatio(ticket.customer());
     double prefillUs = ticket.promptTokens() * speed.prefillUs();
-    double engineUs = prefillUs + ticket.expectedOutputTokens() * speed.decodeUs();
-    double spanMs = prefillUs / 1_000 + ticket.expectedOutputTokens() * speed.stepMs();
+    double decodeMs = output * speed.stepMs();
+    double engineUs = prefillUs + output * speed.decodeUs();
+    return timed(
+        ticket, nowNs, engineUs, output, prefillUs / US_PER_MS + decodeMs, decodeMs * BEST_CASE);
+  }
+
+  private double outputRatio(CustomerId customer) {
+    return Math.min(1, outputRatios.getOrDefault(customer, 1.0));
+  }
+
+  private static TicketEstimate timed(
+      Ticket ticket, long nowNs, double engineUs, double output, double spanMs, double bestMs) {
+    long deadlineMs = ticket.deadlineMs();
     double usefulMs =
-        ticket.deadlineMs() > 0
-            ? ticket.deadlineMs()
-            : USEFUL_BASE_MS + USEFUL_SPANS * spanMs - ticket.waitedMs();
-    return new TicketEstimate(engineUs, spanMs, nowNs + (long) (usefulMs * 1_000_000));
+        deadlineMs > 0 ? deadlineMs : USEFUL_BASE_MS + USEFUL_SPANS * spanMs - ticket.waitedMs();
+    long usefulNs = nowNs + (long) (usefulMs * NS_PER_MS);
+    long latestStartNs =
+        deadlineMs > 0 ? usefulNs - (long) (bestMs * NS_PER_MS) : TrackedTicket.NO_DEADLINE;
+    return new TicketEstimate(engineUs, output, spanMs, usefulNs, latestStartNs);
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/ticket/TrackedTicket.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/ticket/TrackedTicket.java
@@ -2,6 +2,7 @@
 
 import org.teaseltrail.core.id.RequestId;
 import org.teaseltrail.core.id.Tier;
+import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.invariant.Invariant;
 import org.teaseltrail.core.invariant.InvariantName;
@@ -13,12 +14,19 @@
   /** Stands for the absence of a deadline. */
   public static final long NO_DEADLINE = Long.MAX_VALUE;
 
+  /** Stands for the absence of a hold. */
+  private static final long NOT_HELD = Long.MIN_VALUE;
+
   private final Ticket ticket;
   private final VmId vm;
   private final long order;
   private final long arrivalNs;
   private final long deadlineNs;
   private final TicketEstimate estimate;
+  private final QueuePlace place;
+  private long heldSinceNs = NOT_HELD;
+  private UpstreamId avoided;
+  private long avoidedUntilNs;
   private TicketPhase phase = TicketPhase.WAITING;
 
   /**
@@ -29,8 +37,10 @@
    * @param order grows with each offer; breaks ties
    * @param nowNs when the offer came, in monotonic nanoseconds
    * @param estimate the engine time it is expected to take
+   * @param place where it stands in the queue
    */
-  public TrackedTicket(Ticket ticket, VmId vm, long order, long nowNs, TicketEstimate estimate) {
+  public TrackedTicket(
+      Ticket ticket, VmId vm, long order, long nowNs, TicketEstimate estimate, QueuePlace place) {
     this.ticket = ticket;
     this.vm = vm;
     this.order = order;
@@ -38,6 +48,7 @@
     this.deadlineNs =
         ticket.deadlineMs() > 0 ? nowNs + Nanos.fromMs(ticket.deadlineMs()) : NO_DEADLINE;
     this.estimate = estimate;
+    this.place = place;
   }
 
   /** Returns what the VM offered. */
@@ -80,6 +91,24 @@
     return estimate;
   }
 
+  /** Returns where it stands in the queue. */
+  public QueuePlace place() {
+    return place;
+  }
+
+  /** Returns since when it is held for the engine that has its prefix; now if it was not. */
+  public long heldSinceNs(long nowNs) {
+    if (heldSinceNs == NOT_HELD) {
+      heldSinceNs = nowNs;
+    }
+    return heldSinceNs;
+  }
+
+  /** Returns the tokens it may come to hold on an engine. */
+  public long footprintTokens() {
+    return (long) ticket.promptTokens() + ticket.expectedOutputTokens();
+  }
+
   /** Returns how far the ticket has come. */
   public TicketPhase phase() {
     return phase;
@@ -90,6 +119,17 @@
     return phase == TicketPhase.WAITING;
   }
 
+  /** Returns whether the ticket keeps away from an upstream for now. */
+  public boolean isAvoiding(UpstreamId upstream, long nowNs) {
+    return avoided != null && nowNs < avoidedUntilNs && avoided.equals(upstream);
+  }
+
+  /** Keeps the ticket away from an upstream until a time, in monotonic nanoseconds. */
+  public void avoid(UpstreamId upstream, long untilNs) {
+    avoided = upstream;
+    avoidedUntilNs = untilNs;
+  }
+
   /** Notes that an upstream is set aside until the claim is committed. */
   public void claiming() {
     Invariant.check(phase == TicketPhase.WAITING, InvariantName.ONE_GRANT_PER_TICKET);
