--- a/core/src/main/java/org/teaseltrail/core/invariant/InvariantName.java
+++ b/core/src/main/java/org/teaseltrail/core/invariant/InvariantName.java
@@ -15,5 +15,29 @@
   /** A write is reported as synced only after it was asked for. */
   SYNCED_WRITE_WAS_ASKED_FOR,
   /** A member without a voter's rights never stands for election. */
-  ONLY_VOTERS_STAND
+  ONLY_VOTERS_STAND,
+  /** A customer's key is held by at most one live claim. */
+  ONE_CLAIM_PER_KEY,
+  /** A claim's state only moves forward. */
+  CLAIM_STATE_FORWARD,
+  /** The revision of the configuration never goes back. */
+  REVISION_NEVER_GOES_BACK,
+  /** A grant, a refusal or an order leaves only a member whose lease holds. */
+  OUTWARD_ONLY_UNDER_LEASE,
+  /** A ticket has at most one outstanding grant. */
+  ONE_GRANT_PER_TICKET,
+  /** A request that has ended is never granted again. */
+  NO_GRANT_AFTER_END,
+  /** No request is shed while one of a lower tier is still waiting. */
+  TIER_ORDER_AT_SHED,
+  /** A new scheduler sheds nothing before every VM has reported or lapsed. */
+  NO_SHED_BEFORE_REPORTS,
+  /** No upstream that is leaving, draining, silent or not allowed receives new work. */
+  NO_GRANT_TO_LEAVING_UPSTREAM,
+  /** An upstream's window is never exceeded by a grant. */
+  WINDOW_NOT_EXCEEDED,
+  /** The account of an upstream's work in flight equals the sum of its parts. */
+  IN_FLIGHT_ACCOUNT_BALANCES,
+  /** The account of waiting work equals the sum of its parts. */
+  WAITING_ACCOUNT_BALANCES
 }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/queue/TierQueue.java
@@ -0,0 +1,187 @@
+package org.teaseltrail.core.schedule.queue;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.id.RouteId;
+import org.teaseltrail.core.id.Tier;
+import org.teaseltrail.core.schedule.limit.DrainRateMeter;
+import org.teaseltrail.core.schedule.ticket.TrackedTicket;
+
+/** Holds the waiting tickets of one tier. */
+public final class TierQueue {
+
+  static final Comparator<TrackedTicket> BY_ARRIVAL =
+      Comparator.comparingLong(TrackedTicket::arrivalNs).thenComparingLong(TrackedTicket::order);
+
+  private static final Comparator<TrackedTicket> BY_LATEST_START =
+      Comparator.<TrackedTicket>comparingLong(t -> t.estimate().latestStartNs())
+          .thenComparingLong(TrackedTicket::order);
+
+  /** Multiple of its fair share from which a customer is above its share of the waiting work. */
+  private static final double ABOVE_SHARE = 1.25;
+
+  private final Tier tier;
+  private final Map<CustomerId, CustomerAccount> accounts = new HashMap<>();
+  private final Map<RouteId, RouteQueue> routes = new LinkedHashMap<>();
+  private final TreeSet<TrackedTicket> byArrival = new TreeSet<>(BY_ARRIVAL);
+  private final TreeSet<TrackedTicket> byLatestStart = new TreeSet<>(BY_LATEST_START);
+  private final Set<TrackedTicket> hopeless = new LinkedHashSet<>();
+  private final DrainRateMeter drain = new DrainRateMeter();
+  private double waitingUs;
+  private double systemVirtualUs;
+
+  TierQueue(Tier tier) {
+    this.tier = tier;
+  }
+
+  /** Returns the tier that is waited in. */
+  public Tier tier() {
+    return tier;
+  }
+
+  /** Returns whether nothing waits. */
+  public boolean isEmpty() {
+    return byArrival.isEmpty();
+  }
+
+  /** Returns how many tickets wait. */
+  public int count() {
+    return byArrival.size();
+  }
+
+  /** Returns the engine time of all that waits in the tier, in microseconds. */
+  public double waitingUs() {
+    return waitingUs;
+  }
+
+  /** Returns the measure of how fast the tier drains. */
+  public DrainRateMeter drain() {
+    return drain;
+  }
+
+  /** Returns the queues by route; some may be empty. */
+  public Collection<RouteQueue> routes() {
+    return routes.values();
+  }
+
+  /** Returns the ticket that arrived last. */
+  public TrackedTicket newest() {
+    return byArrival.last();
+  }
+
+  /**
+   * Returns the newest ticket of the customer that is furthest above its share of the waiting work,
+   * by weight, or empty if none is above.
+   */
+  public Optional<TrackedTicket> newestAboveShare() {
+    CustomerAccount greediest = null;
+    double weights = 0;
+    for (CustomerAccount account : accounts.values()) {
+      if (account.isIdle()) {
+        continue;
+      }
+      weights += account.weight();
+      if (greediest == null || load(account) > load(greediest)) {
+        greediest = account;
+      }
+    }
+    if (greediest == null) {
+      return Optional.empty();
+    }
+    double fairUs = waitingUs * greediest.weight() / weights;
+    boolean above = greediest.waitingUs() > ABOVE_SHARE * fairUs;
+    return above ? Optional.of(greediest.newest()) : Optional.empty();
+  }
+
+  private static double load(CustomerAccount account) {
+    return account.waitingUs() / account.weight();
+  }
+
+  /** Returns a ticket that can't meet its deadline any more, if there is one. */
+  public Optional<TrackedTicket> anyHopeless() {
+    return hopeless.isEmpty() ? Optional.empty() : Optional.of(hopeless.iterator().next());
+  }
+
+  /**
+   * Sets aside the tickets that can't meet their deadline any more. They still wait, but no engine
+   * time is spent on an answer that would come too late.
+   */
+  void setHopelessAside(long nowNs) {
+    while (!byLatestStart.isEmpty() && isHopeless(byLatestStart.first(), nowNs)) {
+      TrackedTicket ticket = byLatestStart.pollFirst();
+      hopeless.add(ticket);
+      removeFromOrder(ticket);
+    }
+  }
+
+  private static boolean isHopeless(TrackedTicket ticket, long nowNs) {
+    return ticket.estimate().latestStartNs() < nowNs;
+  }
+
+  void add(TrackedTicket ticket) {
+    CustomerAccount account = account(ticket.place().customer());
+    if (account.isIdle()) {
+      account.catchUp(systemVirtualUs);
+    }
+    account.add(ticket);
+    byArrival.add(ticket);
+    waitingUs += ticket.estimate().engineUs();
+    if (ticket.estimate().latestStartNs() != TrackedTicket.NO_DEADLINE) {
+      byLatestStart.add(ticket);
+    }
+    addToOrder(account, ticket);
+  }
+
+  private void addToOrder(CustomerAccount account, TrackedTicket ticket) {
+    RouteId route = ticket.ticket().route();
+    CustomerQueue queue = account.queue(route);
+    if (queue.isEmpty()) {
+      routes.computeIfAbsent(route, RouteQueue::new).add(queue);
+    }
+    queue.add(ticket);
+  }
+
+  void remove(TrackedTicket ticket) {
+    account(ticket.place().customer()).remove(ticket);
+    byArrival.remove(ticket);
+    byLatestStart.remove(ticket);
+    waitingUs = byArrival.isEmpty() ? 0 : waitingUs - ticket.estimate().engineUs();
+    if (!hopeless.remove(ticket)) {
+      removeFromOrder(ticket);
+    }
+  }
+
+  private void removeFromOrder(TrackedTicket ticket) {
+    RouteId route = ticket.ticket().route();
+    CustomerAccount account = account(ticket.place().customer());
+    CustomerQueue queue = account.queue(route);
+    queue.remove(ticket);
+    if (queue.isEmpty()) {
+      routes.get(route).remove(queue);
+      account.queues().remove(route);
+    }
+  }
+
+  /** Charges a customer for engine time; negative gives back. */
+  void charge(CustomerId customer, double engineUs) {
+    CustomerAccount account = account(customer);
+    account.queues().forEach((route, queue) -> routes.get(route).remove(queue));
+    if (engineUs > 0) {
+      systemVirtualUs = Math.max(systemVirtualUs, account.virtualUs());
+    }
+    account.addServed(engineUs);
+    account.queues().forEach((route, queue) -> routes.get(route).add(queue));
+  }
+
+  private CustomerAccount account(CustomerId customer) {
+    return accounts.computeIfAbsent(customer, CustomerAccount::new);
+  }
+}
