--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/claim/package-info.java
@@ -0,0 +1,2 @@
+/** Claims: which request holds a customer's idempotency key, and how far it has come. */
+package org.teaseltrail.core.claim;
--- a/core/src/main/java/org/teaseltrail/core/configuration/AllowedUpstream.java
+++ b/core/src/main/java/org/teaseltrail/core/configuration/AllowedUpstream.java
@@ -13,4 +13,10 @@
  * @param honoursFencing whether it refuses an order with an old fencing number
  */
 public record AllowedUpstream(
-    UpstreamId id, PoolId pool, String secretHash, boolean draining, boolean honoursFencing) {}
+    UpstreamId id, PoolId pool, String secretHash, boolean draining, boolean honoursFencing) {
+
+  /** Returns the same upstream with its draining set. */
+  public AllowedUpstream withDraining(boolean nowDraining) {
+    return new AllowedUpstream(id, pool, secretHash, nowDraining, honoursFencing);
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/configuration/Customer.java
+++ b/core/src/main/java/org/teaseltrail/core/configuration/Customer.java
@@ -20,4 +20,9 @@
     List<String> keyHashes,
     double rateRequestsPerSecond,
     double burstRequests,
-    int weight) {}
+    int weight) {
+  /** Copies the hashes. */
+  public Customer {
+    keyHashes = List.copyOf(keyHashes);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/configuration/ReferenceCheck.java
@@ -0,0 +1,92 @@
+package org.teaseltrail.core.configuration;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.teaseltrail.core.configuration.ConfigurationFailure.Duplicate;
+import org.teaseltrail.core.configuration.ConfigurationFailure.InUse;
+import org.teaseltrail.core.configuration.ConfigurationFailure.MissingReference;
+import org.teaseltrail.core.id.PoolId;
+
+/** Checks that all parts of a configuration fit each other. */
+final class ReferenceCheck {
+
+  private final Configuration before;
+  private final Configuration after;
+
+  private ReferenceCheck(Configuration before, Configuration after) {
+    this.before = before;
+    this.after = after;
+  }
+
+  /** Returns the first rule that the configuration breaks, the same on every member. */
+  static Optional<ConfigurationFailure> firstFailure(Configuration before, Configuration after) {
+    ReferenceCheck check = new ReferenceCheck(before, after);
+    return check.customers().or(check::routes).or(check::upstreams);
+  }
+
+  private Optional<ConfigurationFailure> customers() {
+    Map<String, Customer> byKey = new HashMap<>();
+    for (Customer customer : IdOrder.sorted(after.customers()).values()) {
+      if (!after.tiers().containsKey(customer.tier())) {
+        boolean existed = before.tiers().containsKey(customer.tier());
+        return unmet(EntityRef.of(customer.id()), EntityRef.of(customer.tier()), existed);
+      }
+      for (String hash : customer.keyHashes()) {
+        Customer other = byKey.putIfAbsent(hash, customer);
+        if (other != null) {
+          return duplicate(EntityRef.of(other.id()), EntityRef.of(customer.id()));
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
+  private Optional<ConfigurationFailure> routes() {
+    Map<Object, Route> byTarget = new HashMap<>();
+    for (Route route : IdOrder.sorted(after.routes()).values()) {
+      Optional<ConfigurationFailure> failure = pool(EntityRef.of(route.id()), route.pool());
+      if (failure.isPresent()) {
+        return failure;
+      }
+      Route other = byTarget.putIfAbsent(identity(route.target()), route);
+      if (other != null) {
+        return duplicate(EntityRef.of(other.id()), EntityRef.of(route.id()));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private Optional<ConfigurationFailure> upstreams() {
+    for (AllowedUpstream upstream : IdOrder.sorted(after.upstreams()).values()) {
+      Optional<ConfigurationFailure> failure = pool(EntityRef.of(upstream.id()), upstream.pool());
+      if (failure.isPresent()) {
+        return failure;
+      }
+    }
+    return Optional.empty();
+  }
+
+  private Optional<ConfigurationFailure> pool(EntityRef from, PoolId pool) {
+    if (after.pools().containsKey(pool)) {
+      return Optional.empty();
+    }
+    return unmet(from, EntityRef.of(pool), before.pools().containsKey(pool));
+  }
+
+  private static Object identity(RouteTarget target) {
+    if (target instanceof RouteTarget.ServiceTarget service) {
+      return service.service();
+    }
+    return target;
+  }
+
+  private static Optional<ConfigurationFailure> unmet(
+      EntityRef from, EntityRef missing, boolean existed) {
+    return Optional.of(existed ? new InUse(missing, from) : new MissingReference(from, missing));
+  }
+
+  private static Optional<ConfigurationFailure> duplicate(EntityRef entity, EntityRef other) {
+    return Optional.of(new Duplicate(entity, other));
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/configuration/RouteTarget.java
+++ b/core/src/main/java/org/teaseltrail/core/configuration/RouteTarget.java
@@ -1,7 +1,9 @@
 package org.teaseltrail.core.configuration;
 
+import java.util.Collections;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import org.teaseltrail.core.id.AdapterId;
 import org.teaseltrail.core.id.ModelId;
 import org.teaseltrail.core.id.ModelVersion;
@@ -26,6 +28,10 @@
    * @param service the service
    * @param nonIdempotentMethods HTTP methods whose calls may run at most once, in upper case
    */
-  record ServiceTarget(ServiceId service, Set<String> nonIdempotentMethods)
-      implements RouteTarget {}
+  record ServiceTarget(ServiceId service, Set<String> nonIdempotentMethods) implements RouteTarget {
+    /** Keeps the methods in order, so that equal targets have equal texts in every process. */
+    public ServiceTarget {
+      nonIdempotentMethods = Collections.unmodifiableSet(new TreeSet<>(nonIdempotentMethods));
+    }
+  }
 }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/invariant/package-info.java
@@ -0,0 +1,2 @@
+/** Assertions that run in the program itself. */
+package org.teaseltrail.core.invariant;
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/state/ChangeHistory.java
@@ -0,0 +1,47 @@
+package org.teaseltrail.core.state;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.teaseltrail.core.id.ChangeId;
+
+/**
+ * Remembers the results of changes for resends, oldest first. It is part of the replicated state,
+ * so a resend finds its result at a new leader and after a snapshot too.
+ */
+final class ChangeHistory {
+
+  /** The two-year size has 5,100 changes a day; a resend comes within minutes. */
+  static final int MAX_RECORDS = 6_000;
+
+  /** Two days of log time. */
+  static final long RETENTION_MS = 48L * 3_600_000;
+
+  private final Map<ChangeId, ChangeRecord> records = new LinkedHashMap<>();
+
+  ChangeHistory(List<ChangeRecord> kept) {
+    kept.forEach(one -> records.put(one.change(), one));
+  }
+
+  Optional<ChangeRecord> find(ChangeId change) {
+    return Optional.ofNullable(records.get(change));
+  }
+
+  void add(ChangeRecord added) {
+    records.put(added.change(), added);
+    Iterator<ChangeRecord> oldest = records.values().iterator();
+    while (oldest.hasNext() && mustDrop(oldest.next(), added.logTimeMs())) {
+      oldest.remove();
+    }
+  }
+
+  List<ChangeRecord> toList() {
+    return List.copyOf(records.values());
+  }
+
+  private boolean mustDrop(ChangeRecord kept, long nowMs) {
+    return records.size() > MAX_RECORDS || nowMs - kept.logTimeMs() >= RETENTION_MS;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/state/ClusterState.java
@@ -0,0 +1,140 @@
+package org.teaseltrail.core.state;
+
+import java.util.Optional;
+import org.teaseltrail.core.claim.ClaimBook;
+import org.teaseltrail.core.claim.ClaimRecord;
+import org.teaseltrail.core.configuration.Configuration;
+import org.teaseltrail.core.configuration.ConfigurationEditor;
+import org.teaseltrail.core.configuration.ConfigurationResult;
+import org.teaseltrail.core.id.Revision;
+import org.teaseltrail.core.invariant.Invariant;
+import org.teaseltrail.core.invariant.InvariantName;
+import org.teaseltrail.core.message.ClaimState;
+import org.teaseltrail.core.state.Command.AdoptClaim;
+import org.teaseltrail.core.state.Command.ChangeConfiguration;
+import org.teaseltrail.core.state.Command.CompleteClaim;
+import org.teaseltrail.core.state.Command.ExpireClaims;
+import org.teaseltrail.core.state.Command.OpenClaim;
+import org.teaseltrail.core.state.Command.ReleaseClaim;
+
+/**
+ * Is the replicated state. Members that apply the same commands in the same order hold equal states
+ * and give equal results.
+ */
+public final class ClusterState {
+
+  private final ChangeHistory changes;
+  private final ClaimBook claims;
+  private Configuration configuration;
+  private long logTimeMs;
+
+  /**
+   * Builds the state that a snapshot holds.
+   *
+   * @param snapshot the snapshot
+   */
+  public ClusterState(ClusterSnapshot snapshot) {
+    logTimeMs = snapshot.logTimeMs();
+    configuration = snapshot.configuration();
+    changes = new ChangeHistory(snapshot.changes());
+    claims = ClaimBook.restore(snapshot.claims(), snapshot.claimLimits());
+  }
+
+  /**
+   * Applies a committed command.
+   *
+   * @param command the command
+   * @return what it came to, the same on every member
+   */
+  public CommandResult apply(Command command) {
+    logTimeMs = Math.max(logTimeMs, command.logTimeMs());
+    if (command instanceof ChangeConfiguration change) {
+      return new CommandResult.OfChange(change(change));
+    }
+    if (command instanceof OpenClaim open) {
+      return new CommandResult.OfOpen(claims.open(wish(open)));
+    }
+    if (command instanceof CompleteClaim complete) {
+      return new CommandResult.OfClaim(
+          claims.finish(complete.holder(), complete.kind(), logTimeMs));
+    }
+    if (command instanceof ReleaseClaim release) {
+      return new CommandResult.OfRelease(claims.release(release.holder(), release.attempt()));
+    }
+    if (command instanceof AdoptClaim adopt) {
+      return new CommandResult.OfClaim(claims.adopt(adopt.holder(), adopt.vm(), logTimeMs));
+    }
+    ExpireClaims expire = (ExpireClaims) command;
+    return new CommandResult.OfExpiry(claims.expire(expire.limits(), logTimeMs));
+  }
+
+  /** Returns the whole state as one value. */
+  public ClusterSnapshot snapshot() {
+    return new ClusterSnapshot(
+        logTimeMs, configuration, changes.toList(), claims.limits(), claims.toList());
+  }
+
+  /** Returns the configuration. */
+  public Configuration configuration() {
+    return configuration;
+  }
+
+  /** Returns the claims, to look up only. */
+  public ClaimBook claims() {
+    return claims;
+  }
+
+  /** Returns the log time of the newest command, in milliseconds. */
+  public long logTimeMs() {
+    return logTimeMs;
+  }
+
+  /**
+   * Guards against a change that is sent again because its answer was lost: applied twice, it would
+   * undo what another operator did in between. The kept result answers instead.
+   */
+  private ChangeResult change(ChangeConfiguration command) {
+    String digest = ChangeDigest.of(command);
+    Optional<ChangeRecord> first = changes.find(command.change());
+    if (first.isPresent()) {
+      boolean same = first.get().contentDigest().equals(digest);
+      return same ? first.get().result() : new ChangeResult.ChangeIdConflict(command.change());
+    }
+    ChangeResult result = edit(command);
+    changes.add(new ChangeRecord(command.change(), digest, result, logTimeMs));
+    return result;
+  }
+
+  /**
+   * Guards against two operators who change what both have read at the same revision: the later one
+   * would overwrite the earlier unseen. It learns the present revision instead.
+   */
+  private ChangeResult edit(ChangeConfiguration command) {
+    Revision present = configuration.revision();
+    if (command.expected().isPresent() && !command.expected().get().equals(present)) {
+      return new ChangeResult.RevisionConflict(present);
+    }
+    ConfigurationResult result = ConfigurationEditor.apply(configuration, command.items());
+    if (result instanceof ConfigurationResult.Refused refused) {
+      return new ChangeResult.Refused(refused.failure());
+    }
+    Configuration changed = ((ConfigurationResult.Changed) result).configuration();
+    Invariant.check(
+        changed.revision().compareTo(present) > 0, InvariantName.REVISION_NEVER_GOES_BACK);
+    configuration = changed;
+    return new ChangeResult.Accepted(changed.revision());
+  }
+
+  private ClaimRecord wish(OpenClaim open) {
+    return new ClaimRecord(
+        open.key(),
+        open.bodyDigest(),
+        open.nonIdempotent(),
+        open.holder(),
+        open.vm(),
+        open.upstream(),
+        0,
+        ClaimState.RUNNING,
+        logTimeMs);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/state/Command.java
@@ -0,0 +1,97 @@
+package org.teaseltrail.core.state;
+
+import java.util.List;
+import java.util.Optional;
+import org.teaseltrail.core.claim.ClaimKey;
+import org.teaseltrail.core.claim.ClaimLimits;
+import org.teaseltrail.core.configuration.ConfigurationChange;
+import org.teaseltrail.core.id.ChangeId;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.id.Revision;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.message.EndKind;
+
+/**
+ * Is a command of the log. It carries all that its result depends on, the time too: log time counts
+ * the milliseconds during which the group had a leader, and each leader goes on from where the log
+ * stands.
+ */
+public sealed interface Command {
+
+  /** Returns the log time at which the leader proposed the command, in milliseconds. */
+  long logTimeMs();
+
+  /**
+   * Changes the configuration, whole or not at all.
+   *
+   * @param change names the change, so that a resend is known
+   * @param expected the revision the operator has seen, if it matters
+   * @param items what to change
+   * @param logTimeMs log time
+   */
+  record ChangeConfiguration(
+      ChangeId change, Optional<Revision> expected, List<ConfigurationChange> items, long logTimeMs)
+      implements Command {
+    /** Copies the items. */
+    public ChangeConfiguration {
+      items = List.copyOf(items);
+    }
+  }
+
+  /**
+   * Opens a claim before a grant, or grants its holder again.
+   *
+   * @param key the customer's key
+   * @param bodyDigest SHA-256 of the body, in lower-case hexadecimal
+   * @param nonIdempotent whether the request must not run twice
+   * @param holder the request
+   * @param vm its entry VM
+   * @param upstream the upstream of the grant
+   * @param logTimeMs log time
+   */
+  record OpenClaim(
+      ClaimKey key,
+      String bodyDigest,
+      boolean nonIdempotent,
+      RequestId holder,
+      VmId vm,
+      UpstreamId upstream,
+      long logTimeMs)
+      implements Command {}
+
+  /**
+   * Ends a claim.
+   *
+   * @param holder the request
+   * @param kind how it ended
+   * @param logTimeMs log time
+   */
+  record CompleteClaim(RequestId holder, EndKind kind, long logTimeMs) implements Command {}
+
+  /**
+   * Releases the claim of a request that did not run.
+   *
+   * @param holder the request
+   * @param attempt the grant that was not dispatched
+   * @param logTimeMs log time
+   */
+  record ReleaseClaim(RequestId holder, int attempt, long logTimeMs) implements Command {}
+
+  /**
+   * Lets another VM take a running answer over.
+   *
+   * @param holder the request
+   * @param vm the VM that reads it from now on
+   * @param logTimeMs log time
+   */
+  record AdoptClaim(RequestId holder, VmId vm, long logTimeMs) implements Command {}
+
+  /**
+   * Drops old claims.
+   *
+   * @param limits the leader's limits
+   * @param logTimeMs log time
+   */
+  record ExpireClaims(ClaimLimits limits, long logTimeMs) implements Command {}
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/state/CommandResult.java
@@ -0,0 +1,44 @@
+package org.teaseltrail.core.state;
+
+import java.util.Optional;
+import org.teaseltrail.core.claim.ClaimRecord;
+import org.teaseltrail.core.claim.OpenResult;
+
+/** Is what a command came to. */
+public sealed interface CommandResult {
+
+  /**
+   * A change of the configuration.
+   *
+   * @param result what it came to
+   */
+  record OfChange(ChangeResult result) implements CommandResult {}
+
+  /**
+   * The opening of a claim.
+   *
+   * @param result what it came to
+   */
+  record OfOpen(OpenResult result) implements CommandResult {}
+
+  /**
+   * The end or adoption of a claim.
+   *
+   * @param claim the claim after it, or empty if the request holds none
+   */
+  record OfClaim(Optional<ClaimRecord> claim) implements CommandResult {}
+
+  /**
+   * The release of a claim.
+   *
+   * @param released whether the key is free
+   */
+  record OfRelease(boolean released) implements CommandResult {}
+
+  /**
+   * The dropping of old claims.
+   *
+   * @param count claims dropped or settled
+   */
+  record OfExpiry(int count) implements CommandResult {}
+}
