Compose log, state, sessions and schedulers into the control member

Ruled out: rebuilding a leader's memory when its lease lapses for a moment (reports of entry VMs in flight would be lost); what comes while the lease does not hold waits in LeaseGate, and goes on only if the lease holds again in the same term, which no other leader can have interrupted.

--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
@@ -0,0 +1,102 @@
+package org.teaseltrail.core.control;
+
+import java.util.Optional;
+import org.teaseltrail.core.decision.Decision;
+import org.teaseltrail.core.id.MemberId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.message.ControlMessage;
+import org.teaseltrail.core.replication.Membership;
+import org.teaseltrail.core.replication.PeerEnvelope;
+import org.teaseltrail.core.replication.ReplicaAction;
+
+/** Is something that a control member wants done, in the order given. */
+public sealed interface ControlAction {
+
+  /**
+   * Returns whether the action may only be carried out while the member's lease holds. The program
+   * looks at the lease again right before, keeps the action back while it does not hold, and drops
+   * it if the member ceases to serve as leader.
+   */
+  default boolean isOutward() {
+    return false;
+  }
+
+  /**
+   * Write to the data folder, then tell the member.
+   *
+   * @param write the write
+   */
+  record Persist(ReplicaAction.Write write) implements ControlAction {}
+
+  /**
+   * Send a message to another member.
+   *
+   * @param envelope the message
+   */
+  record SendPeer(PeerEnvelope envelope) implements ControlAction {}
+
+  /**
+   * Tell an entry VM that this member does not lead.
+   *
+   * @param vm the VM
+   * @param message the message
+   */
+  record SendNotLeader(VmId vm, ControlMessage.NotLeader message) implements ControlAction {}
+
+  /**
+   * Send a leader's message to an entry VM.
+   *
+   * @param vm the VM
+   * @param message the message
+   */
+  record SendEntry(VmId vm, ControlMessage message) implements ControlAction {
+    @Override
+    public boolean isOutward() {
+      return true;
+    }
+  }
+
+  /**
+   * Send an order to an engine.
+   *
+   * @param order the order
+   */
+  record SendOrder(EngineOrder order) implements ControlAction {
+    @Override
+    public boolean isOutward() {
+      return true;
+    }
+  }
+
+  /**
+   * Answer an operator.
+   *
+   * @param callId the call
+   * @param result the answer
+   */
+  record Reply(long callId, OperatorResult result) implements ControlAction {}
+
+  /**
+   * Write a decision to the log.
+   *
+   * @param decision the decision
+   */
+  record LogDecision(Decision decision) implements ControlAction {}
+
+  /**
+   * The member has begun or ceased to serve as leader, or knows another leader.
+   *
+   * @param serving whether it serves as leader
+   * @param term its term
+   * @param leader the leader it knows
+   */
+  record LeadershipChanged(boolean serving, long term, Optional<MemberId> leader)
+      implements ControlAction {}
+
+  /**
+   * The member set has changed.
+   *
+   * @param membership the member set
+   */
+  record MembershipChanged(Membership membership) implements ControlAction {}
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlEvent.java
@@ -0,0 +1,53 @@
+package org.teaseltrail.core.control;
+
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.replication.PeerEnvelope;
+
+/** Is something that has happened and that a control member must know. */
+public sealed interface ControlEvent {
+
+  /**
+   * An entry VM has sent a message.
+   *
+   * @param vm the VM, as the first hello of its connection named it
+   * @param message the message
+   */
+  record FromEntry(VmId vm, EntryMessage message) implements ControlEvent {}
+
+  /**
+   * Another member has sent a message.
+   *
+   * @param envelope the message
+   */
+  record FromPeer(PeerEnvelope envelope) implements ControlEvent {}
+
+  /**
+   * Writes are synced.
+   *
+   * @param writeNumber number of the newest synced write
+   */
+  record Persisted(long writeNumber) implements ControlEvent {}
+
+  /**
+   * An operator asks for something.
+   *
+   * @param callId the call, given back in the reply
+   * @param request what is asked for
+   */
+  record OperatorCall(long callId, OperatorRequest request) implements ControlEvent {}
+
+  /**
+   * An engine has answered an order, or the order failed.
+   *
+   * @param order the order
+   * @param outcome what came of it
+   */
+  record OrderAnswered(EngineOrder order, OrderOutcome outcome) implements ControlEvent {}
+
+  /** The process is to stop: leadership goes to another member first. */
+  record HandOver() implements ControlEvent {}
+
+  /** Time has passed. */
+  record Tick() implements ControlEvent {}
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlSettings.java
@@ -0,0 +1,26 @@
+package org.teaseltrail.core.control;
+
+import org.teaseltrail.core.claim.ClaimLimits;
+import org.teaseltrail.core.session.SessionSettings;
+
+/**
+ * Sets what a control member does while it leads.
+ *
+ * @param sessions times of the entry VMs' sessions
+ * @param claims bounds of the claims
+ * @param claimExpiryEveryMs time between two looks for old claims
+ * @param placement pace of the loads it orders
+ * @param seed seeds what schedulers draw by chance
+ */
+public record ControlSettings(
+    SessionSettings sessions,
+    ClaimLimits claims,
+    long claimExpiryEveryMs,
+    PlacementSettings placement,
+    long seed) {
+
+  /** The settings in use unless an operator says otherwise. */
+  public static final ControlSettings DEFAULT =
+      new ControlSettings(
+          SessionSettings.DEFAULT, ClaimLimits.DEFAULT, 10_000, PlacementSettings.DEFAULT, 1);
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlStatus.java
@@ -0,0 +1,80 @@
+package org.teaseltrail.core.control;
+
+import java.util.List;
+import java.util.Optional;
+import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.id.MemberId;
+import org.teaseltrail.core.id.PoolId;
+import org.teaseltrail.core.id.Revision;
+import org.teaseltrail.core.id.Tier;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.replication.Membership;
+import org.teaseltrail.core.upstream.Announcement;
+
+/**
+ * Shows the state of the group as the leader sees it.
+ *
+ * @param self the member that answers
+ * @param term its term, the fencing number of its leadership
+ * @param revision the accepted configuration
+ * @param membership the member set
+ * @param claims count of claims
+ * @param entryVms the entry VMs with a session
+ * @param pools the pools
+ * @param upstreams the allowed upstreams
+ */
+public record ControlStatus(
+    MemberId self,
+    long term,
+    Revision revision,
+    Membership membership,
+    int claims,
+    List<EntryVmStatus> entryVms,
+    List<PoolStatus> pools,
+    List<UpstreamStatus> upstreams) {
+
+  /**
+   * Shows an entry VM.
+   *
+   * @param vm the VM
+   * @param dataCenter where it stands
+   * @param appliedRevision the configuration it applies
+   * @param reported whether it has told this leadership of all it holds
+   */
+  public record EntryVmStatus(
+      VmId vm, DataCenterId dataCenter, Revision appliedRevision, boolean reported) {}
+
+  /**
+   * Shows a pool.
+   *
+   * @param pool the pool
+   * @param waiting waiting requests by tier, highest tier first
+   * @param runningRequests requests granted and not ended
+   */
+  public record PoolStatus(PoolId pool, List<TierCount> waiting, int runningRequests) {}
+
+  /**
+   * Counts requests of a tier.
+   *
+   * @param tier the tier
+   * @param count how many
+   */
+  public record TierCount(Tier tier, int count) {}
+
+  /**
+   * Shows an upstream.
+   *
+   * @param upstream the upstream
+   * @param pool its pool
+   * @param draining whether operators drain it
+   * @param announcement its newest announcement that still counts
+   * @param runningRequests requests granted there and not ended
+   */
+  public record UpstreamStatus(
+      UpstreamId upstream,
+      PoolId pool,
+      boolean draining,
+      Optional<Announcement> announcement,
+      int runningRequests) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/Leadership.java
@@ -0,0 +1,277 @@
+package org.teaseltrail.core.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.stream.Stream;
+import org.teaseltrail.core.claim.ClaimBook;
+import org.teaseltrail.core.configuration.Configuration;
+import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.PoolId;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.message.ControlMessage;
+import org.teaseltrail.core.message.RefusalKind;
+import org.teaseltrail.core.replication.ProposalRejection;
+import org.teaseltrail.core.schedule.SchedulerAction;
+import org.teaseltrail.core.schedule.SchedulerEvent;
+import org.teaseltrail.core.session.Sessions;
+import org.teaseltrail.core.state.Command;
+import org.teaseltrail.core.state.CommandResult;
+
+/**
+ * Is what a member holds in memory while it leads, for one term. It is built anew with each
+ * leadership: entry VMs tell of what waits and runs, the log tells the rest.
+ */
+final class Leadership {
+
+  private static final long RETRY_NS = 10_000_000L;
+
+  private final LeaderContext context;
+  private final FencingNumber fencing;
+  private final LeaseGate gate;
+  private final LogClock clock;
+  private final Sessions sessions;
+  private final RequestBook requests = new RequestBook();
+  private final FleetView fleet = new FleetView();
+  private final PoolSchedulers schedulers;
+  private final ClaimDesk claimDesk;
+  private final EntryDesk entryDesk;
+  private final ForceWatch forceWatch;
+  private final PlacementPlanner placement;
+  private final ClaimExpiry claimExpiry;
+  private final List<Runnable> retries = new ArrayList<>();
+  private boolean active = true;
+  private long nowNs;
+
+  Leadership(LeaderContext context, FencingNumber fencing, long nowNs) {
+    this.context = context;
+    this.fencing = fencing;
+    this.nowNs = nowNs;
+    ControlSettings settings = context.settings();
+    gate = new LeaseGate(() -> context.replicated().replica().leaseHolds(this.nowNs));
+    clock = new LogClock(context.replicated().state().logTimeMs(), nowNs);
+    sessions = new Sessions(settings.sessions(), nowNs);
+    schedulers = new PoolSchedulers(context.factory(), fencing, settings.seed(), this::carryOut);
+    claimDesk = new ClaimDesk(this);
+    entryDesk = new EntryDesk(this);
+    forceWatch = new ForceWatch(context.out(), sessions);
+    placement = new PlacementPlanner(settings.placement(), fleet, context.out(), fencing);
+    claimExpiry = new ClaimExpiry(this, settings);
+  }
+
+  /** Begins to serve: the schedulers learn the configuration and may not shed yet. */
+  void begin() {
+    gate.pass(
+        () -> {
+          schedulers.configure(configuration(), nowNs);
+          entryDesk.awaitReports();
+        });
+  }
+
+  /** Ends the leadership: what is still under way for it has no effect any longer. */
+  void end() {
+    active = false;
+    forceWatch.end();
+  }
+
+  void at(long newNowNs) {
+    nowNs = newNowNs;
+    gate.drain();
+  }
+
+  void tick() {
+    gate.pass(this::tickUnderLease);
+  }
+
+  /** The configuration has changed by a commit. */
+  void configurationAccepted() {
+    gate.pass(
+        () -> {
+          Configuration configuration = configuration();
+          fleet.retain(configuration);
+          sessions.accepted(configuration.revision(), nowNs).forEach(vm -> sendConfiguration(vm));
+          schedulers.configure(configuration, nowNs);
+        });
+  }
+
+  void sendConfiguration(VmId vm) {
+    send(vm, new ControlMessage.ConfigurationUpdate(fencing, configuration()));
+  }
+
+  void send(VmId vm, ControlMessage message) {
+    context.out().sendEntry(vm, message);
+  }
+
+  void refuse(VmId vm, RequestId request, RefusalKind kind, long retryAfterMs) {
+    requests.remove(request);
+    send(vm, new ControlMessage.Refused(request, kind, retryAfterMs));
+  }
+
+  void claimExists(VmId vm, ControlMessage.ClaimExists message) {
+    requests.remove(message.request());
+    send(vm, message);
+  }
+
+  /**
+   * Gives a request's scheduler an event.
+   *
+   * @return whether the request has a grant afterwards
+   */
+  boolean feed(PoolId pool, RequestId request, SchedulerEvent event, long atNs) {
+    schedulers.handle(pool, event, atNs);
+    return requests.find(request).flatMap(TrackedRequest::upstream).isPresent();
+  }
+
+  /** Proposes a command; the callback is heard only while this leadership serves. */
+  void propose(Command command, ProposalCallback callback, long atNs) {
+    context.replicated().propose(command, new GuardedCallback(callback), atNs);
+  }
+
+  /** Tries a step again a little later. */
+  void retryLater(Runnable step) {
+    retries.add(step);
+  }
+
+  /** Returns whether a VM may still serve, as far as this leadership can know. */
+  boolean mayBeAlive(VmId vm, long atNs) {
+    return !sessions.isSettled(atNs) || sessions.find(vm).isPresent();
+  }
+
+  OptionalLong nextWakeupNs() {
+    OptionalLong retry =
+        retries.isEmpty() ? OptionalLong.empty() : OptionalLong.of(nowNs + RETRY_NS);
+    return Stream.of(
+            retry,
+            schedulers.nextWakeupNs(),
+            sessions.nextWakeupNs(nowNs),
+            forceWatch.nextWakeupNs(),
+            placement.nextWakeupNs(),
+            claimExpiry.nextWakeupNs())
+        .flatMapToLong(OptionalLong::stream)
+        .min();
+  }
+
+  LeaseGate gate() {
+    return gate;
+  }
+
+  EntryDesk entryDesk() {
+    return entryDesk;
+  }
+
+  ForceWatch forceWatch() {
+    return forceWatch;
+  }
+
+  PlacementPlanner placement() {
+    return placement;
+  }
+
+  ClaimDesk claimDesk() {
+    return claimDesk;
+  }
+
+  PoolSchedulers schedulers() {
+    return schedulers;
+  }
+
+  Sessions sessions() {
+    return sessions;
+  }
+
+  RequestBook requests() {
+    return requests;
+  }
+
+  FleetView fleet() {
+    return fleet;
+  }
+
+  FencingNumber fencing() {
+    return fencing;
+  }
+
+  LeaderContext context() {
+    return context;
+  }
+
+  ClaimBook claims() {
+    return context.replicated().state().claims();
+  }
+
+  Configuration configuration() {
+    return context.replicated().state().configuration();
+  }
+
+  long logTimeMs(long atNs) {
+    return clock.nowMs(atNs);
+  }
+
+  long nowNs() {
+    return nowNs;
+  }
+
+  private void tickUnderLease() {
+    List<Runnable> again = new ArrayList<>(retries);
+    retries.clear();
+    again.forEach(Runnable::run);
+    entryDesk.lapse();
+    schedulers.tick(nowNs);
+    forceWatch.check(nowNs);
+    if (sessions.isSettled(nowNs)) {
+      placement.plan(configuration(), nowNs);
+    }
+    claimExpiry.tick(nowNs);
+  }
+
+  private void carryOut(SchedulerAction action) {
+    if (action instanceof SchedulerAction.Send send) {
+      sendDecided(send.vm(), send.message());
+    } else if (action instanceof SchedulerAction.CommitClaim commit) {
+      claimDesk.commit(commit, nowNs);
+    } else if (action instanceof SchedulerAction.ReleaseClaim release) {
+      claimDesk.release(release.request(), () -> {}, nowNs);
+    } else if (action instanceof SchedulerAction.Log log) {
+      context.out().log(log.decision());
+    }
+  }
+
+  private void sendDecided(VmId vm, ControlMessage message) {
+    if (message instanceof ControlMessage.Grant grant) {
+      requests.find(grant.request()).ifPresent(request -> request.granted(grant.upstream()));
+      send(vm, message);
+    } else if (message instanceof ControlMessage.Refused refused) {
+      requests.remove(refused.request());
+      claimDesk.release(refused.request(), () -> send(vm, message), nowNs);
+    } else {
+      send(vm, message);
+    }
+  }
+
+  /** Holds a callback back until the lease holds, and for ever once the leadership has ended. */
+  private final class GuardedCallback implements ProposalCallback {
+
+    private final ProposalCallback inner;
+
+    GuardedCallback(ProposalCallback inner) {
+      this.inner = inner;
+    }
+
+    @Override
+    public void committed(CommandResult result, long atNs) {
+      pass(() -> inner.committed(result, nowNs));
+    }
+
+    @Override
+    public void rejected(ProposalRejection reason, long atNs) {
+      pass(() -> inner.rejected(reason, nowNs));
+    }
+
+    private void pass(Runnable step) {
+      if (active) {
+        gate.pass(step);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorDesk.java
@@ -0,0 +1,122 @@
+package org.teaseltrail.core.control;
+
+import org.teaseltrail.core.replication.ProposalRejection;
+import org.teaseltrail.core.replication.ReplicaEvent;
+import org.teaseltrail.core.state.Command;
+import org.teaseltrail.core.state.CommandResult;
+
+/** Answers operators' requests on the leader. */
+final class OperatorDesk {
+
+  private final ReplicatedState replicated;
+  private final Outbox out;
+
+  OperatorDesk(ReplicatedState replicated, Outbox out) {
+    this.replicated = replicated;
+    this.out = out;
+  }
+
+  void notLeading(long callId) {
+    out.reply(callId, new OperatorResult.NotLeader(replicated.replica().leader()));
+  }
+
+  void handle(long callId, OperatorRequest request, Leadership leadership) {
+    long nowNs = leadership.nowNs();
+    if (request instanceof OperatorRequest.Change change) {
+      change(callId, change, leadership);
+    } else if (request instanceof OperatorRequest.ReadConfiguration) {
+      out.reply(callId, new OperatorResult.ConfigurationRead(leadership.configuration()));
+    } else if (request instanceof OperatorRequest.ReadStatus) {
+      out.reply(callId, new OperatorResult.StatusRead(new StatusReport(leadership).build()));
+    } else if (request instanceof OperatorRequest.ReadDecisions) {
+      out.reply(callId, new OperatorResult.DecisionsRead(out.decisions()));
+    } else if (request instanceof OperatorRequest.AwaitInForce await) {
+      leadership.forceWatch().await(callId, await, nowNs);
+    } else if (request instanceof OperatorRequest.ChangeMembers members) {
+      replicated.propose(members.change(), new MembersCallback(callId), nowNs);
+    } else if (request instanceof OperatorRequest.TransferLeadership transfer) {
+      transfer(callId, transfer, nowNs);
+    }
+  }
+
+  private void change(long callId, OperatorRequest.Change change, Leadership leadership) {
+    long nowNs = leadership.nowNs();
+    Command command =
+        new Command.ChangeConfiguration(
+            change.change(), change.expected(), change.items(), leadership.logTimeMs(nowNs));
+    replicated.propose(command, new ChangeCallback(callId), nowNs);
+  }
+
+  private void transfer(long callId, OperatorRequest.TransferLeadership transfer, long nowNs) {
+    TransferCallback callback = new TransferCallback(callId);
+    long id = replicated.register(callback);
+    replicated.handle(new ReplicaEvent.TransferLeadership(id, transfer.successor()), nowNs);
+    replicated.forget(id);
+    if (!callback.rejected) {
+      out.reply(callId, new OperatorResult.TransferStarted());
+    }
+  }
+
+  private abstract class ReplyingCallback implements ProposalCallback {
+
+    final long callId;
+
+    ReplyingCallback(long callId) {
+      this.callId = callId;
+    }
+
+    @Override
+    public void rejected(ProposalRejection reason, long nowNs) {
+      if (reason == ProposalRejection.NOT_LEADER) {
+        notLeading(callId);
+      } else {
+        out.reply(callId, new OperatorResult.Rejected(reason));
+      }
+    }
+
+    @Override
+    public void outcomeOpen(long nowNs) {
+      out.reply(callId, new OperatorResult.OutcomeOpen());
+    }
+  }
+
+  private final class ChangeCallback extends ReplyingCallback {
+    ChangeCallback(long callId) {
+      super(callId);
+    }
+
+    @Override
+    public void committed(CommandResult result, long nowNs) {
+      var change = ((CommandResult.OfChange) result).result();
+      out.reply(callId, new OperatorResult.Changed(change));
+    }
+  }
+
+  private final class MembersCallback extends ReplyingCallback {
+    MembersCallback(long callId) {
+      super(callId);
+    }
+
+    @Override
+    public void committed(CommandResult result, long nowNs) {
+      out.reply(callId, new OperatorResult.MembersChanged(replicated.membership()));
+    }
+  }
+
+  private final class TransferCallback extends ReplyingCallback {
+    private boolean rejected;
+
+    TransferCallback(long callId) {
+      super(callId);
+    }
+
+    @Override
+    public void committed(CommandResult result, long nowNs) {}
+
+    @Override
+    public void rejected(ProposalRejection reason, long nowNs) {
+      rejected = true;
+      super.rejected(reason, nowNs);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorRequest.java
@@ -0,0 +1,59 @@
+package org.teaseltrail.core.control;
+
+import java.util.List;
+import java.util.Optional;
+import org.teaseltrail.core.configuration.ConfigurationChange;
+import org.teaseltrail.core.id.ChangeId;
+import org.teaseltrail.core.id.MemberId;
+import org.teaseltrail.core.id.Revision;
+import org.teaseltrail.core.replication.MembershipChange;
+
+/** Is what an operator asks a control member for. */
+public sealed interface OperatorRequest {
+
+  /**
+   * Change the configuration.
+   *
+   * @param change names the change for resends
+   * @param expected the revision the operator has seen, if it matters
+   * @param items what to change
+   */
+  record Change(ChangeId change, Optional<Revision> expected, List<ConfigurationChange> items)
+      implements OperatorRequest {
+    /** Copies the items. */
+    public Change {
+      items = List.copyOf(items);
+    }
+  }
+
+  /** Read the accepted configuration. */
+  record ReadConfiguration() implements OperatorRequest {}
+
+  /** Read the state of the group, the entry VMs, the pools and the upstreams. */
+  record ReadStatus() implements OperatorRequest {}
+
+  /** Read the newest decisions. */
+  record ReadDecisions() implements OperatorRequest {}
+
+  /**
+   * Wait until a configuration is in force everywhere.
+   *
+   * @param revision the configuration
+   * @param timeoutMs how long to wait
+   */
+  record AwaitInForce(Revision revision, long timeoutMs) implements OperatorRequest {}
+
+  /**
+   * Change the member set by one step.
+   *
+   * @param change the step
+   */
+  record ChangeMembers(MembershipChange change) implements OperatorRequest {}
+
+  /**
+   * Hand leadership over.
+   *
+   * @param successor the member to lead next, or empty for the one that is least behind
+   */
+  record TransferLeadership(Optional<MemberId> successor) implements OperatorRequest {}
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorResult.java
@@ -0,0 +1,91 @@
+package org.teaseltrail.core.control;
+
+import java.util.List;
+import java.util.Optional;
+import org.teaseltrail.core.configuration.Configuration;
+import org.teaseltrail.core.decision.Decision;
+import org.teaseltrail.core.id.MemberId;
+import org.teaseltrail.core.id.Revision;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.replication.Membership;
+import org.teaseltrail.core.replication.ProposalRejection;
+import org.teaseltrail.core.state.ChangeResult;
+
+/** Is what an operator's request came to. */
+public sealed interface OperatorResult {
+
+  /**
+   * The change was decided by a quorum.
+   *
+   * @param result accepted, or why not
+   */
+  record Changed(ChangeResult result) implements OperatorResult {}
+
+  /**
+   * The accepted configuration.
+   *
+   * @param configuration the configuration
+   */
+  record ConfigurationRead(Configuration configuration) implements OperatorResult {}
+
+  /**
+   * The state of the group.
+   *
+   * @param status the state
+   */
+  record StatusRead(ControlStatus status) implements OperatorResult {}
+
+  /**
+   * The newest decisions, oldest first.
+   *
+   * @param decisions the decisions
+   */
+  record DecisionsRead(List<Decision> decisions) implements OperatorResult {}
+
+  /**
+   * The configuration is in force everywhere.
+   *
+   * @param revision the configuration
+   * @param waitedFor VMs that had not applied it when the wait began
+   */
+  record InForce(Revision revision, List<VmId> waitedFor) implements OperatorResult {}
+
+  /**
+   * The wait ended before the configuration was in force everywhere.
+   *
+   * @param revision the configuration
+   * @param missing VMs that may still serve under an older one; empty if the leader is too new to
+   *     know all VMs
+   */
+  record NotInForce(Revision revision, List<VmId> missing) implements OperatorResult {}
+
+  /**
+   * The member change is committed.
+   *
+   * @param membership the member set
+   */
+  record MembersChanged(Membership membership) implements OperatorResult {}
+
+  /** Leadership was handed over, or will be within an election timeout. */
+  record TransferStarted() implements OperatorResult {}
+
+  /**
+   * This member does not lead, and nothing was done.
+   *
+   * @param leader the leader it knows
+   */
+  record NotLeader(Optional<MemberId> leader) implements OperatorResult {}
+
+  /**
+   * The request was not taken, and nothing was done.
+   *
+   * @param reason why
+   */
+  record Rejected(ProposalRejection reason) implements OperatorResult {}
+
+  /**
+   * Leadership was lost before a quorum answered: the change may or may not be accepted. A resend
+   * under the same change id tells.
+   */
+  record OutcomeOpen() implements OperatorResult {}
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/Outbox.java
@@ -0,0 +1,88 @@
+package org.teaseltrail.core.control;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.teaseltrail.core.decision.Decision;
+import org.teaseltrail.core.id.MemberId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.invariant.Invariant;
+import org.teaseltrail.core.invariant.InvariantName;
+import org.teaseltrail.core.message.ControlMessage;
+import org.teaseltrail.core.replication.Membership;
+import org.teaseltrail.core.replication.PeerEnvelope;
+import org.teaseltrail.core.replication.ReplicaAction;
+
+/** Collects the actions of one event. */
+final class Outbox {
+
+  /** Decisions that an operator can look back on. */
+  private static final int MAX_DECISIONS = 200;
+
+  private final Deque<Decision> decisions = new ArrayDeque<>();
+  private List<ControlAction> actions = new ArrayList<>();
+  private BooleanSupplier leaseHolds = () -> false;
+
+  /** Sets how to find out whether the member's lease holds. */
+  void guardBy(BooleanSupplier lease) {
+    leaseHolds = lease;
+  }
+
+  List<ControlAction> take() {
+    List<ControlAction> taken = actions;
+    actions = new ArrayList<>();
+    return taken;
+  }
+
+  void persist(ReplicaAction.Write write) {
+    actions.add(new ControlAction.Persist(write));
+  }
+
+  void sendPeer(PeerEnvelope envelope) {
+    actions.add(new ControlAction.SendPeer(envelope));
+  }
+
+  void sendNotLeader(VmId vm, ControlMessage.NotLeader message) {
+    actions.add(new ControlAction.SendNotLeader(vm, message));
+  }
+
+  void sendEntry(VmId vm, ControlMessage message) {
+    outward(new ControlAction.SendEntry(vm, message));
+  }
+
+  void sendOrder(EngineOrder order) {
+    outward(new ControlAction.SendOrder(order));
+  }
+
+  void reply(long callId, OperatorResult result) {
+    actions.add(new ControlAction.Reply(callId, result));
+  }
+
+  void log(Decision decision) {
+    if (decisions.size() == MAX_DECISIONS) {
+      decisions.removeFirst();
+    }
+    decisions.addLast(decision);
+    actions.add(new ControlAction.LogDecision(decision));
+  }
+
+  void leadershipChanged(boolean serving, long term, Optional<MemberId> leader) {
+    actions.add(new ControlAction.LeadershipChanged(serving, term, leader));
+  }
+
+  void membershipChanged(Membership membership) {
+    actions.add(new ControlAction.MembershipChanged(membership));
+  }
+
+  List<Decision> decisions() {
+    return List.copyOf(decisions);
+  }
+
+  private void outward(ControlAction action) {
+    Invariant.check(leaseHolds.getAsBoolean(), InvariantName.OUTWARD_ONLY_UNDER_LEASE);
+    actions.add(action);
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/message/RefusalKind.java
+++ b/core/src/main/java/org/teaseltrail/core/message/RefusalKind.java
@@ -15,5 +15,7 @@
   /** The pool isn't configured. */
   UNKNOWN_POOL,
   /** The key is held by a request with another body. */
-  KEY_CONFLICT
+  KEY_CONFLICT,
+  /** There is no room for another claim, so the request can't be kept from running twice. */
+  CLAIMS_FULL
 }
