--- a/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
@@ -111,7 +111,7 @@
       operatorCall(call);
     } else if (event instanceof ControlEvent.OrderAnswered answered) {
       leadership.ifPresent(
-          leader -> leader.placement().answered(answered.order(), answered.outcome()));
+          leader -> leader.placement().answered(answered.order(), answered.outcome(), nowNs));
     } else if (event instanceof ControlEvent.HandOver) {
       replicated.handle(new ReplicaEvent.TransferLeadership(0, Optional.empty()), nowNs);
     } else {
@@ -140,7 +140,10 @@
   }
 
   private void operatorCall(ControlEvent.OperatorCall call) {
-    if (leadership.isPresent() && leadership.get().gate().isOpen()) {
+    if (call.request() instanceof OperatorRequest.ReadLocalStatus) {
+      StatusReport report = new StatusReport(self, replicated, leadership);
+      out.reply(call.callId(), new OperatorResult.StatusRead(report.build(nowNs)));
+    } else if (leadership.isPresent() && leadership.get().gate().isOpen()) {
       operators.handle(call.callId(), call.request(), leadership.get());
     } else {
       operators.notLeading(call.callId());
--- a/core/src/main/java/org/teaseltrail/core/control/ControlStatus.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlStatus.java
@@ -16,6 +16,8 @@
  * Shows the state of the group as the leader sees it.
  *
  * @param self the member that answers
+ * @param leading whether it serves as leader; if not, the lists below are empty
+ * @param leader the leader it knows
  * @param term its term, the fencing number of its leadership
  * @param revision the accepted configuration
  * @param membership the member set
@@ -26,6 +28,8 @@
  */
 public record ControlStatus(
     MemberId self,
+    boolean leading,
+    Optional<MemberId> leader,
     long term,
     Revision revision,
     Membership membership,
@@ -40,10 +44,15 @@
    * @param vm the VM
    * @param dataCenter where it stands
    * @param appliedRevision the configuration it applies
+   * @param sinceHelloMs time since its last hello
    * @param reported whether it has told this leadership of all it holds
    */
   public record EntryVmStatus(
-      VmId vm, DataCenterId dataCenter, Revision appliedRevision, boolean reported) {}
+      VmId vm,
+      DataCenterId dataCenter,
+      Revision appliedRevision,
+      long sinceHelloMs,
+      boolean reported) {}
 
   /**
    * Shows a pool.
@@ -51,8 +60,10 @@
    * @param pool the pool
    * @param waiting waiting requests by tier, highest tier first
    * @param runningRequests requests granted and not ended
+   * @param mayShed whether all VMs have reported, so that load may be shed
    */
-  public record PoolStatus(PoolId pool, List<TierCount> waiting, int runningRequests) {}
+  public record PoolStatus(
+      PoolId pool, List<TierCount> waiting, int runningRequests, boolean mayShed) {}
 
   /**
    * Counts requests of a tier.
--- a/core/src/main/java/org/teaseltrail/core/control/EntryDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/EntryDesk.java
@@ -85,6 +85,11 @@
     }
   }
 
+  /** Returns whether each VM that may hold requests has told of them. */
+  boolean haveAllReported() {
+    return awaited.isEmpty();
+  }
+
   private void lapsed(VmId vm) {
     awaited.remove(vm);
     leadership.requests().removeAll(vm);
--- a/core/src/main/java/org/teaseltrail/core/control/Leadership.java
+++ b/core/src/main/java/org/teaseltrail/core/control/Leadership.java
@@ -233,7 +233,7 @@
     } else if (action instanceof SchedulerAction.ReleaseClaim release) {
       claimDesk.release(release.request(), () -> {}, nowNs);
     } else if (action instanceof SchedulerAction.Log log) {
-      context.out().log(log.decision());
+      context.out().log(log.decision(), nowNs);
     }
   }
 
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/LoggedDecision.java
@@ -0,0 +1,11 @@
+package org.teaseltrail.core.control;
+
+import org.teaseltrail.core.decision.Decision;
+
+/**
+ * Is a decision that an operator looks back on.
+ *
+ * @param decision the decision
+ * @param ageMs how long ago it was taken
+ */
+public record LoggedDecision(Decision decision, long ageMs) {}
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorDesk.java
@@ -1,5 +1,6 @@
 package org.teaseltrail.core.control;
 
+import java.util.Optional;
 import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.replication.ReplicaEvent;
 import org.teaseltrail.core.state.Command;
@@ -27,9 +28,9 @@
     } else if (request instanceof OperatorRequest.ReadConfiguration) {
       out.reply(callId, new OperatorResult.ConfigurationRead(leadership.configuration()));
     } else if (request instanceof OperatorRequest.ReadStatus) {
-      out.reply(callId, new OperatorResult.StatusRead(new StatusReport(leadership).build()));
+      out.reply(callId, new OperatorResult.StatusRead(statusOf(leadership)));
     } else if (request instanceof OperatorRequest.ReadDecisions) {
-      out.reply(callId, new OperatorResult.DecisionsRead(out.decisions()));
+      out.reply(callId, new OperatorResult.DecisionsRead(out.decisions(nowNs)));
     } else if (request instanceof OperatorRequest.AwaitInForce await) {
       leadership.forceWatch().await(callId, await, nowNs);
     } else if (request instanceof OperatorRequest.ChangeMembers members) {
@@ -39,6 +40,12 @@
     }
   }
 
+  private ControlStatus statusOf(Leadership leadership) {
+    StatusReport report =
+        new StatusReport(leadership.context().self(), replicated, Optional.of(leadership));
+    return report.build(leadership.nowNs());
+  }
+
   private void change(long callId, OperatorRequest.Change change, Leadership leadership) {
     long nowNs = leadership.nowNs();
     Command command =
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorRequest.java
@@ -32,6 +32,9 @@
   /** Read the state of the group, the entry VMs, the pools and the upstreams. */
   record ReadStatus() implements OperatorRequest {}
 
+  /** Read what the member itself knows, whether it leads or not. */
+  record ReadLocalStatus() implements OperatorRequest {}
+
   /** Read the newest decisions. */
   record ReadDecisions() implements OperatorRequest {}
 
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorResult.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorResult.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.teaseltrail.core.configuration.Configuration;
-import org.teaseltrail.core.decision.Decision;
 import org.teaseltrail.core.id.MemberId;
 import org.teaseltrail.core.id.Revision;
 import org.teaseltrail.core.id.VmId;
@@ -36,11 +35,11 @@
   record StatusRead(ControlStatus status) implements OperatorResult {}
 
   /**
-   * The newest decisions, oldest first.
+   * The newest decisions, newest first.
    *
    * @param decisions the decisions
    */
-  record DecisionsRead(List<Decision> decisions) implements OperatorResult {}
+  record DecisionsRead(List<LoggedDecision> decisions) implements OperatorResult {}
 
   /**
    * The configuration is in force everywhere.
--- a/core/src/main/java/org/teaseltrail/core/control/Outbox.java
+++ b/core/src/main/java/org/teaseltrail/core/control/Outbox.java
@@ -22,7 +22,11 @@
   /** Decisions that an operator can look back on. */
   private static final int MAX_DECISIONS = 200;
 
-  private final Deque<Decision> decisions = new ArrayDeque<>();
+  private static final long NS_PER_MS = 1_000_000L;
+
+  private record Taken(Decision decision, long atNs) {}
+
+  private final Deque<Taken> decisions = new ArrayDeque<>();
   private List<ControlAction> actions = new ArrayList<>();
   private BooleanSupplier leaseHolds = () -> false;
 
@@ -61,11 +65,11 @@
     actions.add(new ControlAction.Reply(callId, result));
   }
 
-  void log(Decision decision) {
+  void log(Decision decision, long nowNs) {
     if (decisions.size() == MAX_DECISIONS) {
-      decisions.removeFirst();
+      decisions.removeLast();
     }
-    decisions.addLast(decision);
+    decisions.addFirst(new Taken(decision, nowNs));
     actions.add(new ControlAction.LogDecision(decision));
   }
 
@@ -77,8 +81,11 @@
     actions.add(new ControlAction.MembershipChanged(membership));
   }
 
-  List<Decision> decisions() {
-    return List.copyOf(decisions);
+  /** Returns the newest decisions, newest first. */
+  List<LoggedDecision> decisions(long nowNs) {
+    return decisions.stream()
+        .map(taken -> new LoggedDecision(taken.decision(), (nowNs - taken.atNs()) / NS_PER_MS))
+        .toList();
   }
 
   private void outward(ControlAction action) {
--- a/core/src/main/java/org/teaseltrail/core/control/PlacementPlanner.java
+++ b/core/src/main/java/org/teaseltrail/core/control/PlacementPlanner.java
@@ -62,8 +62,8 @@
   }
 
   /** Takes an engine's answer; what it refused may be tried elsewhere after the pending time. */
-  void answered(EngineOrder order, OrderOutcome outcome) {
-    log(order, "outcome=" + outcome);
+  void answered(EngineOrder order, OrderOutcome outcome, long nowNs) {
+    log(order, "outcome=" + outcome, nowNs);
   }
 
   OptionalLong nextWakeupNs() {
@@ -109,10 +109,10 @@
         order.upstream(), new Pending(order, nowNs + settings.orderTimeoutMs() * NS_PER_MS));
     nextLoadAtNs = nowNs + settings.loadSpacingMs() * NS_PER_MS;
     out.sendOrder(order);
-    log(order, "outcome=ORDERED");
+    log(order, "outcome=ORDERED", nowNs);
   }
 
-  private void log(EngineOrder order, String outcome) {
+  private void log(EngineOrder order, String outcome, long nowNs) {
     String target = order.target().model() + "/" + order.target().version();
     String adapter = order.adapter().map(name -> " adapter=" + name).orElse("");
     String reason = "order=" + order.kind() + " model=" + target + adapter + " fencing=" + fencing;
@@ -123,7 +123,8 @@
             Optional.empty(),
             Optional.empty(),
             Optional.of(order.upstream()),
-            reason + " " + outcome));
+            reason + " " + outcome),
+        nowNs);
   }
 
   private boolean isDone(EngineOrder order, long nowNs) {
--- a/core/src/main/java/org/teaseltrail/core/control/StatusReport.java
+++ b/core/src/main/java/org/teaseltrail/core/control/StatusReport.java
@@ -3,38 +3,45 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.teaseltrail.core.configuration.AllowedUpstream;
 import org.teaseltrail.core.control.ControlStatus.EntryVmStatus;
 import org.teaseltrail.core.control.ControlStatus.PoolStatus;
 import org.teaseltrail.core.control.ControlStatus.TierCount;
 import org.teaseltrail.core.control.ControlStatus.UpstreamStatus;
+import org.teaseltrail.core.id.MemberId;
 import org.teaseltrail.core.id.PoolId;
 import org.teaseltrail.core.id.Tier;
 
-/** Shows a leadership's state to operators. */
+/** Shows a member's state to operators, with that of its leadership if it leads. */
 final class StatusReport {
 
-  private final Leadership leadership;
+  private final MemberId self;
+  private final ReplicatedState replicated;
+  private final Optional<Leadership> leading;
 
-  StatusReport(Leadership leadership) {
-    this.leadership = leadership;
+  StatusReport(MemberId self, ReplicatedState replicated, Optional<Leadership> leading) {
+    this.self = self;
+    this.replicated = replicated;
+    this.leading = leading;
   }
 
-  ControlStatus build() {
-    ReplicatedState replicated = leadership.context().replicated();
+  ControlStatus build(long nowNs) {
     return new ControlStatus(
-        leadership.context().self(),
+        self,
+        leading.isPresent(),
+        replicated.replica().leader(),
         replicated.replica().term(),
-        leadership.configuration().revision(),
+        replicated.state().configuration().revision(),
         replicated.membership(),
-        leadership.claims().size(),
-        entryVms(),
-        pools(),
-        upstreams());
+        replicated.state().claims().size(),
+        leading.map(leader -> entryVms(leader, nowNs)).orElse(List.of()),
+        leading.map(this::pools).orElse(List.of()),
+        leading.map(this::upstreams).orElse(List.of()));
   }
 
-  private List<EntryVmStatus> entryVms() {
+  private List<EntryVmStatus> entryVms(Leadership leadership, long nowNs) {
     return leadership.sessions().all().stream()
         .map(
             session ->
@@ -42,18 +49,19 @@
                     session.vm(),
                     session.dataCenter(),
                     session.appliedRevision(),
+                    session.sinceHelloMs(nowNs),
                     session.hasReported()))
         .toList();
   }
 
-  private List<PoolStatus> pools() {
+  private List<PoolStatus> pools(Leadership leadership) {
     return leadership.configuration().pools().keySet().stream()
         .sorted(Comparator.comparing(PoolId::value))
-        .map(this::pool)
+        .map(pool -> pool(leadership, pool))
         .toList();
   }
 
-  private PoolStatus pool(PoolId pool) {
+  private PoolStatus pool(Leadership leadership, PoolId pool) {
     Map<Tier, Integer> waiting = new TreeMap<>();
     int running = 0;
     for (TrackedRequest request : leadership.requests().all()) {
@@ -70,17 +78,17 @@
         waiting.entrySet().stream()
             .map(entry -> new TierCount(entry.getKey(), entry.getValue()))
             .toList();
-    return new PoolStatus(pool, counts, running);
+    return new PoolStatus(pool, counts, running, leadership.entryDesk().haveAllReported());
   }
 
-  private List<UpstreamStatus> upstreams() {
+  private List<UpstreamStatus> upstreams(Leadership leadership) {
     return leadership.configuration().upstreams().values().stream()
         .sorted(Comparator.comparing(upstream -> upstream.id().value()))
-        .map(this::upstream)
+        .map(upstream -> upstream(leadership, upstream))
         .toList();
   }
 
-  private UpstreamStatus upstream(AllowedUpstream upstream) {
+  private UpstreamStatus upstream(Leadership leadership, AllowedUpstream upstream) {
     long running =
         leadership.requests().all().stream()
             .filter(request -> request.upstream().filter(upstream.id()::equals).isPresent())
--- a/core/src/main/java/org/teaseltrail/core/session/Session.java
+++ b/core/src/main/java/org/teaseltrail/core/session/Session.java
@@ -14,6 +14,7 @@
   private final DataCenterId dataCenter;
   private Revision appliedRevision;
   private long lapsesAtNs;
+  private long helloAtNs;
   private boolean behind;
   private long behindSinceNs;
   private long pushedAtNs;
@@ -64,6 +65,15 @@
     return appliedRevision.compareTo(revision) >= 0;
   }
 
+  /** Returns the time since the VM's last hello, in milliseconds. */
+  public long sinceHelloMs(long nowNs) {
+    return (nowNs - helloAtNs) / 1_000_000L;
+  }
+
+  void heard(long nowNs) {
+    helloAtNs = nowNs;
+  }
+
   /** Returns when the session lapses, in nanoseconds. */
   long lapsesAtNs() {
     return lapsesAtNs;
--- a/core/src/main/java/org/teaseltrail/core/session/Sessions.java
+++ b/core/src/main/java/org/teaseltrail/core/session/Sessions.java
@@ -57,6 +57,7 @@
       session = new Session(hello, nowNs + settings.lapseNs());
       sessions.put(hello.vm(), session);
     }
+    session.heard(nowNs);
     session.apply(hello.appliedRevision());
     boolean welcome = session.behindNs(accepted, nowNs) <= settings.behindMs() * NS_PER_MS;
     if (welcome) {
