Describe both deployments' workloads and plan their requests

Shares are of engine time, so that load 1.0 is what fits on the pool by the engine model: full batches, no prefix processed twice.

--- /dev/null
+++ b/load/src/main/java/org/teaseltrail/load/workload/RequestDrawer.java
@@ -0,0 +1,66 @@
+package org.teaseltrail.load.workload;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.teaseltrail.core.id.CustomerId;
+
+/** Draws the requests of one kind: customer, prompt and answer length. */
+final class RequestDrawer {
+
+  private final Deployment deployment;
+  private final KindSpec kind;
+  private final SplittableRandom random;
+  private final Conversations conversations = new Conversations();
+
+  RequestDrawer(Deployment deployment, KindSpec kind, SplittableRandom random) {
+    this.deployment = deployment;
+    this.kind = kind;
+    this.random = random;
+  }
+
+  PlannedRequest draw(long atNs) {
+    CustomerId customer = drawCustomer();
+    Prompt prompt = beginning(customer, atNs).then(drawSegment(kind.promptTokens()));
+    int outputTokens = kind.outputTokens().draw(random);
+    Prompt withAnswer = prompt.then(new Segment(random.nextLong(), outputTokens));
+    conversations.add(kind, customer, atNs, withAnswer);
+    return new PlannedRequest(
+        0, atNs, kind, customer, deployment.tierOf(kind), prompt, outputTokens);
+  }
+
+  /** Returns the time until the next request at a rate, exponentially distributed. */
+  long drawGapNs(double ratePerSecond) {
+    return (long) (-Math.log(1 - random.nextDouble()) / ratePerSecond * 1e9);
+  }
+
+  private Prompt beginning(CustomerId customer, long atNs) {
+    if (random.nextDouble() < kind.followUpFraction()) {
+      return conversations
+          .take(kind, customer, atNs, random)
+          .orElseGet(() -> systemPrompt(customer));
+    }
+    return systemPrompt(customer);
+  }
+
+  private Prompt systemPrompt(CustomerId customer) {
+    int tokens = deployment.customer(customer).systemPromptTokens();
+    long seed = customer.value().hashCode() * 31L + kind.name().hashCode();
+    return new Prompt(List.of(new Segment(seed, tokens)));
+  }
+
+  private Segment drawSegment(LengthSpec length) {
+    return new Segment(random.nextLong(), length.draw(random));
+  }
+
+  private CustomerId drawCustomer() {
+    double total = kind.customers().stream().mapToDouble(CustomerShare::share).sum();
+    double left = random.nextDouble() * total;
+    for (CustomerShare share : kind.customers()) {
+      left -= share.share();
+      if (left < 0) {
+        return share.customer();
+      }
+    }
+    return kind.customers().get(0).customer();
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/teaseltrail/load/workload/WorkloadPlan.java
@@ -0,0 +1,96 @@
+package org.teaseltrail.load.workload;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.teaseltrail.core.message.RequestKind;
+
+/**
+ * Plans the requests of a run before it begins, so that runs with the same seed offer the same
+ * requests whatever the system does with them: the load is open-loop and the seeds are paired.
+ */
+public final class WorkloadPlan {
+
+  private final Deployment deployment;
+  private final double load;
+  private final List<Burst> bursts;
+
+  /**
+   * Creates a plan.
+   *
+   * @param deployment whose workload
+   * @param load how much of it, as a factor on what fits
+   * @param bursts times of more load
+   */
+  public WorkloadPlan(Deployment deployment, double load, List<Burst> bursts) {
+    this.deployment = deployment;
+    this.load = load;
+    this.bursts = List.copyOf(bursts);
+  }
+
+  /**
+   * Plans the generations of a run, earliest first.
+   *
+   * @param durationNs until when requests are sent
+   * @param seed what the draws follow from
+   */
+  public List<PlannedRequest> generations(long durationNs, long seed) {
+    return plan(durationNs, seed, List.of(RequestKind.GENERATION));
+  }
+
+  /**
+   * Plans all requests of a run, earliest first.
+   *
+   * @param durationNs until when requests are sent
+   * @param seed what the draws follow from
+   */
+  public List<PlannedRequest> all(long durationNs, long seed) {
+    return plan(durationNs, seed, List.of(RequestKind.values()));
+  }
+
+  private List<PlannedRequest> plan(long durationNs, long seed, List<RequestKind> targets) {
+    SplittableRandom root = new SplittableRandom(seed);
+    List<PlannedRequest> requests = new ArrayList<>();
+    for (KindSpec kind : deployment.kinds()) {
+      SplittableRandom random = root.split();
+      if (targets.contains(kind.target())) {
+        requests.addAll(planKind(kind, durationNs, random));
+      }
+    }
+    requests.sort(Comparator.comparingLong(PlannedRequest::atNs));
+    return numbered(requests);
+  }
+
+  private List<PlannedRequest> planKind(KindSpec kind, long durationNs, SplittableRandom random) {
+    double ratePerSecond = new PoolCapacity(deployment).ratePerSecond(kind) * load;
+    RequestDrawer drawer = new RequestDrawer(deployment, kind, random);
+    List<PlannedRequest> requests = new ArrayList<>();
+    long atNs = drawer.drawGapNs(ratePerSecond * factorAt(0));
+    while (atNs < durationNs) {
+      requests.add(drawer.draw(atNs));
+      atNs += drawer.drawGapNs(ratePerSecond * factorAt(atNs));
+    }
+    return requests;
+  }
+
+  private double factorAt(long atNs) {
+    return bursts.stream().mapToDouble(b -> b.factorAt(atNs)).max().orElse(1);
+  }
+
+  private static List<PlannedRequest> numbered(List<PlannedRequest> requests) {
+    List<PlannedRequest> numbered = new ArrayList<>(requests.size());
+    for (PlannedRequest r : requests) {
+      numbered.add(
+          new PlannedRequest(
+              numbered.size(),
+              r.atNs(),
+              r.kind(),
+              r.customer(),
+              r.tier(),
+              r.prompt(),
+              r.outputTokens()));
+    }
+    return numbered;
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/teaseltrail/load/workload/package-info.java
@@ -0,0 +1,2 @@
+/** Workloads of the two deployments: who sends what, how often, and until when it is useful. */
+package org.teaseltrail.load.workload;
