Merge the first parts into one tree

Cause: seven parts were built side by side; two had the same invariant check. Change: one list of invariants; the new refusal CLAIMS_FULL has its answer to callers.

--- a/core/src/main/java/org/teaseltrail/core/invariant/InvariantName.java
+++ b/core/src/main/java/org/teaseltrail/core/invariant/InvariantName.java
@@ -16,8 +16,6 @@
   SYNCED_WRITE_WAS_ASKED_FOR,
   /** A member without a voter's rights never stands for election. */
   ONLY_VOTERS_STAND,
-  /** Names what the program asserts about itself. */
-public enum InvariantName {
   /** A request's state only moves forward, but for a grant given back before its dispatch. */
   REQUEST_STATE_FORWARD,
   /** A request is dispatched to an upstream at most once. */
--- a/core/src/main/java/org/teaseltrail/core/request/NotRunReason.java
+++ b/core/src/main/java/org/teaseltrail/core/request/NotRunReason.java
@@ -18,6 +18,8 @@
   UNKNOWN_POOL("unknown-pool", 503, "The route's pool is not configured."),
   /** The key is held by a request with another body. */
   KEY_CONFLICT("key-conflict", 409, "The idempotency key belongs to another body."),
+  /** There is no room for another claim. */
+  CLAIMS_FULL("claims-full", 503, "No more idempotency keys can be kept now."),
   /** The caller hung up before the dispatch. */
   CANCELLED("cancelled", 503, "The caller hung up."),
   /** The upstream said that it refused the request before it ran. */
@@ -59,6 +61,7 @@
       case NO_UPSTREAM -> NO_UPSTREAM;
       case UNKNOWN_POOL -> UNKNOWN_POOL;
       case KEY_CONFLICT -> KEY_CONFLICT;
+      case CLAIMS_FULL -> CLAIMS_FULL;
     };
   }
 
--- a/entry/src/main/java/org/teaseltrail/entry/CallerHandler.java
+++ b/entry/src/main/java/org/teaseltrail/entry/CallerHandler.java
@@ -113,8 +113,7 @@
         Optional.empty());
   }
 
-  private Mono<Void> serve(
-      CallerExchange exchange, CallerCall call, HttpServerResponse response) {
+  private Mono<Void> serve(CallerExchange exchange, CallerCall call, HttpServerResponse response) {
     RequestId id = exchange.request();
     loop.run(
         () -> {
--- a/entry/src/main/java/org/teaseltrail/entry/ControlConnections.java
+++ b/entry/src/main/java/org/teaseltrail/entry/ControlConnections.java
@@ -50,8 +50,7 @@
               endpoint,
               FrameLimits.standard(),
               codec,
-              new ReconnectBackoff(
-                  MIN_BACKOFF_MS, MAX_BACKOFF_MS, RandomGenerator.getDefault())));
+              new ReconnectBackoff(MIN_BACKOFF_MS, MAX_BACKOFF_MS, RandomGenerator.getDefault())));
     }
   }
 
--- a/entry/src/main/java/org/teaseltrail/entry/EngineCall.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EngineCall.java
@@ -24,8 +24,7 @@
 
   @Override
   void connect(UpstreamTarget target) {
-    EngineLines lines =
-        new EngineLines(calls.loop(), exchange, attempt(), this::ended);
+    EngineLines lines = new EngineLines(calls.loop(), exchange, attempt(), this::ended);
     subscribed(lines);
     calls
         .client(target)
@@ -47,8 +46,7 @@
       case REFUSED -> tell(new EntryEvent.UpstreamRefused(request(), attempt()));
       case UNKNOWN, REJECTED ->
           tell(
-              new EntryEvent.UpstreamFailed(
-                  request(), attempt(), FailureReason.UPSTREAM_PROTOCOL));
+              new EntryEvent.UpstreamFailed(request(), attempt(), FailureReason.UPSTREAM_PROTOCOL));
       default -> broken();
     }
   }
--- a/entry/src/main/java/org/teaseltrail/entry/EngineLines.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EngineLines.java
@@ -24,8 +24,7 @@
   private final Consumer<EngineAnswer> onEnd;
   private long owedLines;
 
-  EngineLines(
-      NodeLoop loop, CallerExchange exchange, int attempt, Consumer<EngineAnswer> onEnd) {
+  EngineLines(NodeLoop loop, CallerExchange exchange, int attempt, Consumer<EngineAnswer> onEnd) {
     this.loop = loop;
     this.exchange = exchange;
     this.attempt = attempt;
--- a/entry/src/main/java/org/teaseltrail/entry/EntryHttp.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryHttp.java
@@ -28,8 +28,7 @@
   private final StatusHandler status;
 
   EntryHttp(EntryOptions options, EntryParts parts) {
-    BodyReader bodies =
-        new BodyReader(options.limits().maxBodyBytes(), options.bodyTimeoutMs());
+    BodyReader bodies = new BodyReader(options.limits().maxBodyBytes(), options.bodyTimeoutMs());
     this.options = options;
     this.callers = new CallerHandler(options, parts, bodies);
     this.upstreams = new UpstreamHandler(bodies, parts.upstreamAnswers());
@@ -43,8 +42,7 @@
         .idleTimeout(IDLE)
         .httpRequestDecoder(
             spec ->
-                spec.maxInitialLineLength(DECODER_HEADER_BYTES)
-                    .maxHeaderSize(DECODER_HEADER_BYTES))
+                spec.maxInitialLineLength(DECODER_HEADER_BYTES).maxHeaderSize(DECODER_HEADER_BYTES))
         .handle(this::handle)
         .bindNow();
   }
--- a/entry/src/main/java/org/teaseltrail/entry/JsonFields.java
+++ b/entry/src/main/java/org/teaseltrail/entry/JsonFields.java
@@ -62,8 +62,7 @@
   }
 
   long number(String name, long least, long greatest) {
-    return optionalNumber(name, least, greatest)
-        .orElseThrow(() -> refused(name + " is missing"));
+    return optionalNumber(name, least, greatest).orElseThrow(() -> refused(name + " is missing"));
   }
 
   Optional<Long> optionalNumber(String name, long least, long greatest) {
--- a/entry/src/main/java/org/teaseltrail/entry/NodeLoop.java
+++ b/entry/src/main/java/org/teaseltrail/entry/NodeLoop.java
@@ -84,9 +84,7 @@
     wakeupNs = next.getAsLong();
     wakeup =
         thread.schedule(
-            () -> guarded(this::wakeUp),
-            Math.max(0, wakeupNs - nowNs()),
-            TimeUnit.NANOSECONDS);
+            () -> guarded(this::wakeUp), Math.max(0, wakeupNs - nowNs()), TimeUnit.NANOSECONDS);
   }
 
   private void wakeUp() {
--- a/entry/src/main/java/org/teaseltrail/entry/ServiceExchange.java
+++ b/entry/src/main/java/org/teaseltrail/entry/ServiceExchange.java
@@ -81,8 +81,7 @@
   @Override
   public void conclude(Outcome outcome) {
     if (!(outcome instanceof Outcome.Completed)) {
-      answer.tryEmitValue(
-          Mono.defer(() -> Mono.from(Problem.of(request, outcome).send(response))));
+      answer.tryEmitValue(Mono.defer(() -> Mono.from(Problem.of(request, outcome).send(response))));
     }
   }
 
--- a/entry/src/main/java/org/teaseltrail/entry/ServiceForward.java
+++ b/entry/src/main/java/org/teaseltrail/entry/ServiceForward.java
@@ -7,7 +7,6 @@
 import org.teaseltrail.core.entry.EntryEvent;
 import org.teaseltrail.core.request.UpstreamTarget;
 import reactor.core.publisher.Flux;
-import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClientResponse;
--- a/entry/src/main/java/org/teaseltrail/entry/UpstreamCalls.java
+++ b/entry/src/main/java/org/teaseltrail/entry/UpstreamCalls.java
@@ -37,8 +37,7 @@
 
   /** Returns a client for one upstream. */
   HttpClient client(UpstreamTarget target) {
-    return client.baseUrl(
-        HTTP + target.address().host() + ":" + target.address().port());
+    return client.baseUrl(HTTP + target.address().host() + ":" + target.address().port());
   }
 
   NodeLoop loop() {
