Run a control member as a program: sockets, timers, gRPC, health

One thread owns the member; entry VMs and members come over wire's frames, operators over gRPC, orders go out by Reactor Netty without retries; outward actions leave only while the lease holds at that moment (OutwardQueue).

--- /dev/null
+++ b/control/src/main/java/org/teaseltrail/control/ActionRunner.java
@@ -0,0 +1,109 @@
+package org.teaseltrail.control;
+
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.teaseltrail.core.control.ControlAction;
+import org.teaseltrail.core.decision.Decision;
+import org.teaseltrail.runtime.log.DecisionLog;
+import org.teaseltrail.runtime.log.PartLogger;
+
+/** Carries a member's actions out, on the member's own thread. */
+final class ActionRunner {
+
+  private static final long HAND_OVER_MS = 2_000;
+
+  private final PartLogger logger = new PartLogger("replica");
+  private final DecisionLog decisions = new DecisionLog(new PartLogger("schedule"));
+  private final ActionTargets targets;
+  private final OutwardQueue outward;
+  private final CountDownLatch handedOver = new CountDownLatch(1);
+  private volatile boolean serving;
+  private volatile boolean leaderKnown;
+  private volatile boolean ending;
+
+  ActionRunner(ActionTargets targets, BooleanSupplier leaseHolds) {
+    this.targets = targets;
+    outward = new OutwardQueue(leaseHolds, this::runOutward);
+  }
+
+  void run(ControlAction action) {
+    if (action.isOutward()) {
+      outward.add(action);
+    } else if (action instanceof ControlAction.Persist persist) {
+      targets.writes().submit(persist.write());
+    } else if (action instanceof ControlAction.SendPeer send) {
+      targets.peers().send(send.envelope());
+    } else if (action instanceof ControlAction.SendNotLeader send) {
+      targets.entryVms().send(send.vm(), send.message());
+    } else if (action instanceof ControlAction.Reply reply) {
+      targets.calls().reply(reply.callId(), reply.result());
+    } else if (action instanceof ControlAction.LogDecision log) {
+      log(log.decision());
+    } else if (action instanceof ControlAction.LeadershipChanged changed) {
+      leadershipChanged(changed);
+    } else if (action instanceof ControlAction.HandOverRefused) {
+      handedOver.countDown();
+    } else if (action instanceof ControlAction.MembershipChanged changed) {
+      targets.peers().members(changed.membership());
+      targets.hint().members(changed.membership());
+    }
+  }
+
+  /** Sends what waits for the lease. */
+  void flush() {
+    outward.flush();
+  }
+
+  boolean knowsLeader() {
+    return leaderKnown;
+  }
+
+  /** Waits until another member may lead, for a bounded time. */
+  void awaitHandOver() {
+    ending = true;
+    if (!serving) {
+      return;
+    }
+    try {
+      handedOver.await(HAND_OVER_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void runOutward(ControlAction action) {
+    if (action instanceof ControlAction.SendEntry send) {
+      targets.entryVms().send(send.vm(), send.message());
+    } else if (action instanceof ControlAction.SendOrder send) {
+      targets.orders().send(send.order());
+    }
+  }
+
+  private void leadershipChanged(ControlAction.LeadershipChanged changed) {
+    serving = changed.serving();
+    leaderKnown = changed.serving() || changed.leader().isPresent();
+    targets.metrics().leadership(changed.serving(), changed.term());
+    String leader = changed.leader().map(Object::toString).orElse("none");
+    logger.info("Term " + changed.term() + ", leader " + leader + ", serving " + serving + ".");
+    if (!serving) {
+      outward.clear();
+      if (ending) {
+        handedOver.countDown();
+      }
+    }
+  }
+
+  private void log(Decision decision) {
+    targets.metrics().decided(decision.kind());
+    decisions
+        .line(decision.kind().name().toLowerCase(Locale.ROOT))
+        .with("request", decision.request())
+        .with("customer", decision.customer())
+        .with("tier", decision.tier())
+        .with("upstream", decision.upstream())
+        .reason(decision.reason())
+        .write();
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/teaseltrail/control/ActionTargets.java
@@ -0,0 +1,21 @@
+package org.teaseltrail.control;
+
+/**
+ * Holds where actions go.
+ *
+ * @param writes the data folder
+ * @param peers other members
+ * @param entryVms entry VMs
+ * @param orders engines
+ * @param calls operators
+ * @param hint tells operators of the leader
+ * @param metrics counts
+ */
+record ActionTargets(
+    WriteLoop writes,
+    PeerLinks peers,
+    EntryConnections entryVms,
+    OrderClient orders,
+    OperatorCalls calls,
+    LeaderHint hint,
+    ControlMetrics metrics) {}
--- /dev/null
+++ b/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
@@ -0,0 +1,161 @@
+package org.teaseltrail.control;
+
+import io.grpc.Server;
+import io.grpc.netty.NettyServerBuilder;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.teaseltrail.core.control.ControlEvent;
+import org.teaseltrail.core.control.ControlMember;
+import org.teaseltrail.core.message.ControlMessage;
+import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.replication.Replica;
+import org.teaseltrail.core.replication.ReplicaSettings;
+import org.teaseltrail.core.schedule.PoolScheduler;
+import org.teaseltrail.core.schedule.SchedulerSettings;
+import org.teaseltrail.core.upstream.SocketAddress;
+import org.teaseltrail.runtime.log.PartLogger;
+import org.teaseltrail.runtime.process.ExitCode;
+import org.teaseltrail.runtime.process.RunningProgram;
+import org.teaseltrail.wire.FrameEndpoint;
+import org.teaseltrail.wire.FrameLimits;
+import org.teaseltrail.wire.FrameServer;
+import org.teaseltrail.wire.MessageCodec;
+import org.teaseltrail.wire.SpeakerKind;
+
+/** Is a running control member. */
+final class ControlDaemon implements RunningProgram {
+
+  private static final long OPERATOR_END_MS = 1_000;
+
+  private final PartLogger logger = new PartLogger("control");
+  private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
+  private final MonotonicClock clock = new MonotonicClock();
+  private final ControlLoop loop = new ControlLoop(clock);
+  private final MessageCodec codec = new MessageCodec();
+  private final EntryConnections entryVms = new EntryConnections(loop::post);
+  private final OperatorCalls calls = new OperatorCalls(loop::post);
+  private final ControlMetrics metrics = new ControlMetrics(entryVms, loop);
+  private final PeerLinks peers;
+  private final LeaderHint hint;
+  private final WriteLoop writes;
+  private final ActionRunner runner;
+  private final FrameServer frames;
+  private final Server operators;
+  private final HealthServer health;
+
+  private ControlDaemon(ControlOptions options, MemberState state) throws IOException {
+    RandomGenerator random = new SecureRandom();
+    peers = new PeerLinks(state.member(), options.members(), codec, random, loop::post);
+    hint = new LeaderHint(state.member().id(), options.operatorAddresses());
+    writes = new WriteLoop(state.sink(), loop::post, this::storageFailed);
+    ControlMember member = member(options, state, random);
+    runner =
+        new ActionRunner(
+            new ActionTargets(
+                writes, peers, entryVms, new OrderClient(loop::post), calls, hint, metrics),
+            () -> member.leaseHolds(clock.nowNs()));
+    frames = FrameServer.listen(address(options), FrameLimits.standard(), codec, entry(), peer());
+    operators =
+        NettyServerBuilder.forAddress(options.listenOperators())
+            .addService(new OperatorService(options.region(), calls, hint))
+            .build()
+            .start();
+    health = new HealthServer(options.listenMetrics(), runner::knowsLeader, metrics::scrape);
+    writes.start();
+    peers.connect();
+    loop.start(member, runner::run, runner::flush, this::loopFailed);
+    loop.post(new ControlEvent.Tick());
+    logger.info(
+        "Member "
+            + state.member().id()
+            + " listens on "
+            + options.listen()
+            + ", for operators on "
+            + options.listenOperators()
+            + ".");
+  }
+
+  /**
+   * Starts a member.
+   *
+   * @throws IOException if the operators' address can't be listened on
+   * @throws reactor.netty.ChannelBindException if another address can't be listened on
+   */
+  static ControlDaemon start(ControlOptions options, MemberState state) throws IOException {
+    return new ControlDaemon(options, state);
+  }
+
+  @Override
+  public CompletableFuture<ExitCode> ended() {
+    return ended;
+  }
+
+  /** Hands leadership over first, so that scheduling goes on elsewhere, then ends. */
+  @Override
+  public void close() {
+    loop.post(new ControlEvent.HandOver());
+    runner.awaitHandOver();
+    operators.shutdown();
+    calls.end();
+    awaitOperators();
+    loop.stop();
+    frames.close();
+    peers.close();
+    writes.close();
+    health.close();
+    metrics.close();
+  }
+
+  private ControlMember member(ControlOptions options, MemberState state, RandomGenerator random) {
+    Replica replica =
+        new Replica(
+            options.group(),
+            state.member().id(),
+            ReplicaSettings.defaults(),
+            state.recovered(),
+            random,
+            clock.nowNs());
+    return new ControlMember(
+        state.member().id(),
+        options.control(),
+        replica,
+        new MessagePackStateCodec(codec),
+        (pool, fencing, seed) ->
+            new PoolScheduler(pool, fencing, SchedulerSettings.defaults(), seed));
+  }
+
+  private FrameEndpoint<EntryMessage, ControlMessage> entry() {
+    return new FrameEndpoint<>(
+        SpeakerKind.ENTRY_VM, EntryMessage.class, ControlMessage.class, entryVms);
+  }
+
+  private FrameEndpoint<?, ?> peer() {
+    return peers.endpoint();
+  }
+
+  private static SocketAddress address(ControlOptions options) {
+    return new SocketAddress(options.listen().getHostString(), options.listen().getPort());
+  }
+
+  private void awaitOperators() {
+    try {
+      operators.awaitTermination(OPERATOR_END_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    operators.shutdownNow();
+  }
+
+  private void storageFailed(RuntimeException failure) {
+    logger.error("The data folder failed; the member ends.", failure);
+    ended.complete(ExitCode.DATA);
+  }
+
+  private void loopFailed(Throwable failure) {
+    logger.error("The member failed and ends.", failure);
+    ended.complete(ExitCode.INTERNAL);
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/teaseltrail/control/ControlLoop.java
@@ -0,0 +1,110 @@
+package org.teaseltrail.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.teaseltrail.core.control.ControlAction;
+import org.teaseltrail.core.control.ControlEvent;
+import org.teaseltrail.core.control.ControlMember;
+
+/** Owns the member: one thread feeds it events and ticks, and passes its actions on in order. */
+final class ControlLoop {
+
+  /** Events taken between two looks at the timer. */
+  private static final int MAX_BATCH = 256;
+
+  private static final long MAX_WAIT_NS = TimeUnit.MILLISECONDS.toNanos(50);
+  private static final long END_MS = 2_000;
+
+  private final BlockingQueue<ControlEvent> queue = new LinkedBlockingQueue<>();
+  private final MonotonicClock clock;
+  private final Thread thread = new Thread(this::run, "control");
+  private ControlMember member;
+  private Consumer<ControlAction> actions;
+  private Runnable afterEvents;
+  private Consumer<Throwable> failed;
+  private volatile boolean ending;
+
+  ControlLoop(MonotonicClock clock) {
+    this.clock = clock;
+  }
+
+  /** Queues an event. May be called by any thread, before the start too. */
+  void post(ControlEvent event) {
+    queue.add(event);
+  }
+
+  int queued() {
+    return queue.size();
+  }
+
+  void start(
+      ControlMember owned,
+      Consumer<ControlAction> carryOut,
+      Runnable afterEachBatch,
+      Consumer<Throwable> whenFailed) {
+    member = owned;
+    actions = carryOut;
+    afterEvents = afterEachBatch;
+    failed = whenFailed;
+    thread.start();
+  }
+
+  void stop() {
+    ending = true;
+    try {
+      thread.join(END_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void run() {
+    try {
+      while (!ending) {
+        takeEvents();
+        tickIfDue();
+        afterEvents.run();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (RuntimeException | Error e) {
+      // A broken invariant: the state can't be trusted any longer, so the process must end.
+      failed.accept(e);
+    }
+  }
+
+  private void takeEvents() throws InterruptedException {
+    ControlEvent first = queue.poll(waitNs(), TimeUnit.NANOSECONDS);
+    if (first == null) {
+      return;
+    }
+    List<ControlEvent> batch = new ArrayList<>();
+    batch.add(first);
+    queue.drainTo(batch, MAX_BATCH - 1);
+    batch.forEach(this::handle);
+  }
+
+  private long waitNs() {
+    OptionalLong wakeup = member.nextWakeupNs();
+    if (wakeup.isEmpty()) {
+      return MAX_WAIT_NS;
+    }
+    return Math.max(0, Math.min(MAX_WAIT_NS, wakeup.getAsLong() - clock.nowNs()));
+  }
+
+  private void tickIfDue() {
+    OptionalLong wakeup = member.nextWakeupNs();
+    if (wakeup.isPresent() && wakeup.getAsLong() <= clock.nowNs()) {
+      handle(new ControlEvent.Tick());
+    }
+  }
+
+  private void handle(ControlEvent event) {
+    member.handle(event, clock.nowNs()).forEach(actions);
+  }
+}
--- a/control/src/main/java/org/teaseltrail/control/ControlMain.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlMain.java
@@ -1,6 +1,8 @@
 package org.teaseltrail.control;
 
-/** Starts a control member. */
+import org.teaseltrail.runtime.process.ProgramMain;
+
+/** Starts the program of a control member. */
 public final class ControlMain {
 
   private ControlMain() {}
@@ -11,6 +13,6 @@
    * @param args the command line
    */
   public static void main(String[] args) {
-    throw new UnsupportedOperationException("not built yet");
+    ProgramMain.main(new ControlProgram(), args);
   }
 }
--- /dev/null
+++ b/control/src/main/java/org/teaseltrail/control/ControlMetrics.java
@@ -0,0 +1,51 @@
+package org.teaseltrail.control;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import org.teaseltrail.core.decision.DecisionKind;
+import org.teaseltrail.runtime.metrics.Metrics;
+
+/** Counts what the member does. */
+final class ControlMetrics implements AutoCloseable {
+
+  private final Metrics metrics = new Metrics("teaseltrail-control");
+  private final Map<DecisionKind, Counter> decisions = new EnumMap<>(DecisionKind.class);
+  private final AtomicLong leading = new AtomicLong();
+  private final AtomicLong term = new AtomicLong();
+
+  ControlMetrics(EntryConnections entryVms, ControlLoop loop) {
+    MeterRegistry registry = metrics.registry();
+    for (DecisionKind kind : DecisionKind.values()) {
+      decisions.put(kind, registry.counter("teaseltrail.decisions", "kind", kind.name()));
+    }
+    registry.gauge("teaseltrail.leading", leading);
+    registry.gauge("teaseltrail.term", term);
+    registry.gauge("teaseltrail.entry.connections", entryVms, EntryConnections::count);
+    registry.gauge("teaseltrail.control.events.queued", loop, ControlLoop::queued);
+  }
+
+  void decided(DecisionKind kind) {
+    decisions.get(kind).increment();
+  }
+
+  void leadership(boolean serving, long newTerm) {
+    leading.set(serving ? 1 : 0);
+    term.set(newTerm);
+  }
+
+  boolean isLeading() {
+    return leading.get() == 1;
+  }
+
+  String scrape() {
+    return metrics.scrape();
+  }
+
+  @Override
+  public void close() {
+    metrics.close();
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/teaseltrail/control/ControlOptions.java
@@ -0,0 +1,70 @@
+package org.teaseltrail.control;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import org.teaseltrail.core.claim.ClaimLimits;
+import org.teaseltrail.core.control.ControlSettings;
+import org.teaseltrail.core.control.PlacementSettings;
+import org.teaseltrail.core.id.RegionId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.replication.GroupId;
+import org.teaseltrail.core.session.SessionSettings;
+import org.teaseltrail.runtime.settings.Settings;
+
+/**
+ * Holds the settings of a control member as its parts take them.
+ *
+ * @param vm this VM
+ * @param region where it stands
+ * @param group its group
+ * @param listen address for entry VMs and members
+ * @param listenOperators address for operators
+ * @param listenMetrics address for health checks and metrics
+ * @param members all VMs with members
+ * @param operatorAddresses where the members take operators' calls
+ * @param data folder of the member's state
+ * @param control what the member does while it leads
+ */
+record ControlOptions(
+    VmId vm,
+    RegionId region,
+    GroupId group,
+    InetSocketAddress listen,
+    InetSocketAddress listenOperators,
+    InetSocketAddress listenMetrics,
+    List<PeerAddress> members,
+    List<PeerAddress> operatorAddresses,
+    Path data,
+    ControlSettings control) {
+
+  private static final long CLAIM_EXPIRY_EVERY_MS = 10_000;
+
+  static ControlOptions of(Settings settings) {
+    return new ControlOptions(
+        settings.get(ControlProgramSettings.VM),
+        settings.get(ControlProgramSettings.REGION),
+        settings.get(ControlProgramSettings.GROUP),
+        settings.get(ControlProgramSettings.LISTEN),
+        settings.get(ControlProgramSettings.LISTEN_OPERATORS),
+        settings.get(ControlProgramSettings.LISTEN_METRICS),
+        settings.get(ControlProgramSettings.MEMBERS),
+        settings.get(ControlProgramSettings.OPERATOR_ADDRESSES),
+        settings.get(ControlProgramSettings.DATA),
+        control(settings));
+  }
+
+  private static ControlSettings control(Settings settings) {
+    ClaimLimits claims =
+        new ClaimLimits(
+            settings.get(ControlProgramSettings.MAX_CLAIMS),
+            settings.get(ControlProgramSettings.CLAIM_RETENTION).toMillis(),
+            settings.get(ControlProgramSettings.CLAIM_RUNNING_RETENTION).toMillis());
+    PlacementSettings placement =
+        new PlacementSettings(
+            settings.get(ControlProgramSettings.LOAD_SPACING).toMillis(),
+            settings.get(ControlProgramSettings.ORDER_TIMEOUT).toMillis());
+    return new ControlSettings(
+        SessionSettings.DEFAULT, claims, CLAIM_EXPIRY_EVERY_MS, placement, System.nanoTime());
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/teaseltrail/control/ControlProgram.java
@@ -0,0 +1,54 @@
+package org.teaseltrail.control;
+
+import java.io.IOException;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.teaseltrail.runtime.process.ExitCode;
+import org.teaseltrail.runtime.process.Program;
+import org.teaseltrail.runtime.process.ProgramException;
+import org.teaseltrail.runtime.process.RunningProgram;
+import org.teaseltrail.runtime.settings.Settings;
+import org.teaseltrail.runtime.settings.SettingsSpec;
+import reactor.netty.ChannelBindException;
+
+/** Is the daemon of a control member. */
+public final class ControlProgram implements Program {
+
+  private static final String NEW_GROUP = "new_group";
+  private static final String JOIN = "join";
+
+  @Override
+  public SettingsSpec spec() {
+    return ControlProgramSettings.SPEC;
+  }
+
+  @Override
+  public void addArguments(ArgumentParser parser) {
+    var how = parser.addMutuallyExclusiveGroup();
+    how.addArgument("--new-group")
+        .action(Arguments.storeTrue())
+        .help("begin a new group with this member alone, in a folder that holds no member yet");
+    how.addArgument("--join")
+        .action(Arguments.storeTrue())
+        .help(
+            "make a new member in a folder that holds none yet; it serves once operators have"
+                + " added it to its group");
+  }
+
+  @Override
+  public RunningProgram start(Settings settings, Namespace arguments) throws ProgramException {
+    ControlOptions options = ControlOptions.of(settings);
+    StartMode mode = StartMode.of(arguments.getBoolean(NEW_GROUP), arguments.getBoolean(JOIN));
+    try {
+      return ControlDaemon.start(options, MemberState.open(options, mode));
+    } catch (ChannelBindException e) {
+      throw new ProgramException(
+          ExitCode.LISTEN, "can't listen on " + options.listen() + ": " + e.getMessage(), e);
+    } catch (IOException e) {
+      String address = options.listenOperators().toString();
+      throw new ProgramException(
+          ExitCode.LISTEN, "can't listen on " + address + ": " + e.getMessage(), e);
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/teaseltrail/control/LeaderHint.java
@@ -0,0 +1,42 @@
+package org.teaseltrail.control;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.teaseltrail.api.v1.NotLeader;
+import org.teaseltrail.core.id.MemberId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.replication.Membership;
+
+/** Tells an operator who asked a member that does not lead where the leader is. */
+final class LeaderHint {
+
+  private final MemberId self;
+  private final List<PeerAddress> operatorAddresses;
+  private final Map<MemberId, VmId> vms = new ConcurrentHashMap<>();
+
+  LeaderHint(MemberId self, List<PeerAddress> operatorAddresses) {
+    this.self = self;
+    this.operatorAddresses = List.copyOf(operatorAddresses);
+  }
+
+  void members(Membership membership) {
+    membership.all().forEach(member -> vms.put(member.id(), member.vm()));
+  }
+
+  NotLeader write(Optional<MemberId> leader) {
+    NotLeader.Builder written = NotLeader.newBuilder().setMember(self.value());
+    leader.filter(known -> !known.equals(self)).ifPresent(known -> fill(written, known));
+    return written.build();
+  }
+
+  private void fill(NotLeader.Builder written, MemberId leader) {
+    written.setLeader(leader.value());
+    VmId vm = vms.get(leader);
+    operatorAddresses.stream()
+        .filter(peer -> peer.vm().equals(vm))
+        .map(PeerAddress::address)
+        .forEach(address -> written.setLeaderAddress(address.host() + ":" + address.port()));
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/teaseltrail/control/OperatorService.java
@@ -0,0 +1,199 @@
+package org.teaseltrail.control;
+
+import io.grpc.Status;
+import io.grpc.stub.StreamObserver;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.teaseltrail.api.v1.ApplyChangeRequest;
+import org.teaseltrail.api.v1.ApplyChangeResponse;
+import org.teaseltrail.api.v1.AwaitInForceRequest;
+import org.teaseltrail.api.v1.AwaitInForceResponse;
+import org.teaseltrail.api.v1.ChangeMembersRequest;
+import org.teaseltrail.api.v1.ChangeMembersResponse;
+import org.teaseltrail.api.v1.GetConfigurationRequest;
+import org.teaseltrail.api.v1.GetConfigurationResponse;
+import org.teaseltrail.api.v1.GetStatusRequest;
+import org.teaseltrail.api.v1.GetStatusResponse;
+import org.teaseltrail.api.v1.InForce;
+import org.teaseltrail.api.v1.ListDecisionsRequest;
+import org.teaseltrail.api.v1.ListDecisionsResponse;
+import org.teaseltrail.api.v1.MembersChanged;
+import org.teaseltrail.api.v1.OperatorGrpc;
+import org.teaseltrail.api.v1.OutcomeUnknown;
+import org.teaseltrail.core.control.OperatorRequest;
+import org.teaseltrail.core.control.OperatorResult;
+import org.teaseltrail.core.id.ChangeId;
+import org.teaseltrail.core.id.InvalidIdException;
+import org.teaseltrail.core.id.RegionId;
+import org.teaseltrail.core.id.Revision;
+
+/** Serves the operators' schema: each call becomes a request to the member. */
+final class OperatorService extends OperatorGrpc.OperatorImplBase {
+
+  private final RegionId region;
+  private final OperatorCalls calls;
+  private final LeaderHint hint;
+
+  OperatorService(RegionId region, OperatorCalls calls, LeaderHint hint) {
+    this.region = region;
+    this.calls = calls;
+    this.hint = hint;
+  }
+
+  @Override
+  public void applyChange(
+      ApplyChangeRequest request, StreamObserver<ApplyChangeResponse> observer) {
+    OperatorRequest change;
+    try {
+      change = change(request);
+    } catch (InvalidIdException e) {
+      observer.onNext(ChangeResultWriter.malformed(e));
+      observer.onCompleted();
+      return;
+    }
+    answer(change, observer, this::changedOrNot);
+  }
+
+  @Override
+  public void getConfiguration(
+      GetConfigurationRequest request, StreamObserver<GetConfigurationResponse> observer) {
+    answer(new OperatorRequest.ReadConfiguration(), observer, this::configuration);
+  }
+
+  @Override
+  public void awaitInForce(
+      AwaitInForceRequest request, StreamObserver<AwaitInForceResponse> observer) {
+    Revision revision = new Revision(Math.max(0, request.getRevision()));
+    answer(
+        new OperatorRequest.AwaitInForce(revision, request.getWaitMs()), observer, this::inForce);
+  }
+
+  @Override
+  public void getStatus(GetStatusRequest request, StreamObserver<GetStatusResponse> observer) {
+    OperatorRequest read =
+        request.getLocal()
+            ? new OperatorRequest.ReadLocalStatus()
+            : new OperatorRequest.ReadStatus();
+    answer(read, observer, this::status);
+  }
+
+  @Override
+  public void listDecisions(
+      ListDecisionsRequest request, StreamObserver<ListDecisionsResponse> observer) {
+    answer(new OperatorRequest.ReadDecisions(), observer, result -> decisions(result, request));
+  }
+
+  @Override
+  public void changeMembers(
+      ChangeMembersRequest request, StreamObserver<ChangeMembersResponse> observer) {
+    OperatorRequest step;
+    try {
+      step = MembersWriter.read(request);
+    } catch (InvalidIdException e) {
+      observer.onNext(MembersWriter.malformed());
+      observer.onCompleted();
+      return;
+    }
+    answer(step, observer, this::membersChanged);
+  }
+
+  private static OperatorRequest change(ApplyChangeRequest request) {
+    Optional<Revision> expected =
+        request.hasExpectedRevision()
+            ? Optional.of(new Revision(request.getExpectedRevision()))
+            : Optional.empty();
+    return new OperatorRequest.Change(
+        new ChangeId(request.getChangeId()),
+        expected,
+        request.getChangesList().stream().map(ChangeReader::read).toList());
+  }
+
+  private <T> void answer(
+      OperatorRequest request, StreamObserver<T> observer, Function<OperatorResult, T> writer) {
+    CompletableFuture<T> answer = calls.call(request).thenApply(writer);
+    answer.whenComplete(
+        (response, failure) -> {
+          if (failure != null) {
+            observer.onError(Status.INTERNAL.withCause(failure).asRuntimeException());
+            return;
+          }
+          observer.onNext(response);
+          observer.onCompleted();
+        });
+  }
+
+  private ApplyChangeResponse changedOrNot(OperatorResult result) {
+    if (result instanceof OperatorResult.Changed changed) {
+      return ChangeResultWriter.write(changed.result());
+    }
+    ApplyChangeResponse.Builder response = ApplyChangeResponse.newBuilder();
+    if (result instanceof OperatorResult.NotLeader other) {
+      return response.setNotLeader(hint.write(other.leader())).build();
+    }
+    return response.setOutcomeUnknown(OutcomeUnknown.getDefaultInstance()).build();
+  }
+
+  private GetConfigurationResponse configuration(OperatorResult result) {
+    GetConfigurationResponse.Builder response = GetConfigurationResponse.newBuilder();
+    if (result instanceof OperatorResult.ConfigurationRead read) {
+      return response.setConfiguration(ConfigurationWriter.write(read.configuration())).build();
+    }
+    return response.setNotLeader(hint.write(leaderOf(result))).build();
+  }
+
+  private AwaitInForceResponse inForce(OperatorResult result) {
+    AwaitInForceResponse.Builder response = AwaitInForceResponse.newBuilder();
+    if (result instanceof OperatorResult.InForce) {
+      return response.setInForce(InForce.newBuilder().setEverywhere(true)).build();
+    }
+    if (result instanceof OperatorResult.NotInForce missing) {
+      InForce.Builder written = InForce.newBuilder();
+      missing.missing().forEach(vm -> written.addWaitingForVms(vm.value()));
+      return response.setInForce(written).build();
+    }
+    return response.setNotLeader(hint.write(leaderOf(result))).build();
+  }
+
+  private GetStatusResponse status(OperatorResult result) {
+    GetStatusResponse.Builder response = GetStatusResponse.newBuilder();
+    if (result instanceof OperatorResult.StatusRead read) {
+      return response.setStatus(StatusWriter.write(region, read.status())).build();
+    }
+    return response.setNotLeader(hint.write(leaderOf(result))).build();
+  }
+
+  private ListDecisionsResponse decisions(OperatorResult result, ListDecisionsRequest wanted) {
+    ListDecisionsResponse.Builder response = ListDecisionsResponse.newBuilder();
+    if (result instanceof OperatorResult.DecisionsRead read) {
+      return response.setDecisions(DecisionWriter.write(read.decisions(), wanted)).build();
+    }
+    return response.setNotLeader(hint.write(leaderOf(result))).build();
+  }
+
+  private ChangeMembersResponse membersChanged(OperatorResult result) {
+    ChangeMembersResponse.Builder response = ChangeMembersResponse.newBuilder();
+    if (result instanceof OperatorResult.MembersChanged changed) {
+      MembersChanged members =
+          MembersChanged.newBuilder()
+              .addAllMembers(StatusWriter.members(changed.membership()))
+              .build();
+      return response.setChanged(members).build();
+    }
+    if (result instanceof OperatorResult.TransferStarted) {
+      return response.setChanged(MembersChanged.getDefaultInstance()).build();
+    }
+    if (result instanceof OperatorResult.Rejected rejected) {
+      return MembersWriter.rejected(rejected.reason());
+    }
+    if (result instanceof OperatorResult.NotLeader other) {
+      return response.setNotLeader(hint.write(other.leader())).build();
+    }
+    return response.setOutcomeUnknown(OutcomeUnknown.getDefaultInstance()).build();
+  }
+
+  /** A read whose leadership ended under way is answered like one that found none. */
+  private static Optional<org.teaseltrail.core.id.MemberId> leaderOf(OperatorResult result) {
+    return result instanceof OperatorResult.NotLeader other ? other.leader() : Optional.empty();
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/teaseltrail/control/OrderClient.java
@@ -0,0 +1,59 @@
+package org.teaseltrail.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.teaseltrail.core.control.ControlEvent;
+import org.teaseltrail.core.control.EngineOrder;
+import org.teaseltrail.core.control.OrderOutcome;
+import org.teaseltrail.core.upstream.SocketAddress;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/** Sends orders to engines, once each: an order that may have arrived is never sent again. */
+final class OrderClient {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  private static final int ACCEPTED = 202;
+  private static final int CONFLICT = 409;
+
+  private final HttpClient client = HttpClient.create().disableRetry(true).followRedirect(false);
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final Consumer<ControlEvent> events;
+
+  OrderClient(Consumer<ControlEvent> events) {
+    this.events = events;
+  }
+
+  void send(EngineOrder order) {
+    SocketAddress address = order.address();
+    client
+        .headers(headers -> headers.set("Content-Type", "application/json"))
+        .post()
+        .uri("http://" + address.host() + ":" + address.port() + "/v1/orders")
+        .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body(order))))
+        .response()
+        .timeout(TIMEOUT)
+        .map(response -> outcome(response.status().code()))
+        .onErrorReturn(OrderOutcome.UNREACHABLE)
+        .subscribe(outcome -> events.accept(new ControlEvent.OrderAnswered(order, outcome)));
+  }
+
+  private static OrderOutcome outcome(int status) {
+    if (status == ACCEPTED) {
+      return OrderOutcome.ACCEPTED;
+    }
+    return status == CONFLICT ? OrderOutcome.REFUSED_OLD_FENCING : OrderOutcome.REFUSED;
+  }
+
+  private byte[] body(EngineOrder order) {
+    try {
+      return mapper.writeValueAsString(OrderBody.of(order)).getBytes(StandardCharsets.UTF_8);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a record of texts and numbers can be written", e);
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/teaseltrail/control/PeerLinks.java
@@ -0,0 +1,111 @@
+package org.teaseltrail.control;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.teaseltrail.core.control.ControlEvent;
+import org.teaseltrail.core.id.MemberId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.replication.Member;
+import org.teaseltrail.core.replication.Membership;
+import org.teaseltrail.core.replication.PeerEnvelope;
+import org.teaseltrail.core.upstream.SocketAddress;
+import org.teaseltrail.wire.CloseReason;
+import org.teaseltrail.wire.FrameClient;
+import org.teaseltrail.wire.FrameConnection;
+import org.teaseltrail.wire.FrameEndpoint;
+import org.teaseltrail.wire.FrameLimits;
+import org.teaseltrail.wire.FrameListener;
+import org.teaseltrail.wire.MessageCodec;
+import org.teaseltrail.wire.ReconnectBackoff;
+import org.teaseltrail.wire.SpeakerKind;
+
+/**
+ * Holds a link to each other VM of control members. Each side sends on the connection that it has
+ * opened itself.
+ */
+final class PeerLinks implements AutoCloseable, FrameListener<PeerEnvelope, PeerEnvelope> {
+
+  private static final long MIN_BACKOFF_MS = 20;
+  private static final long MAX_BACKOFF_MS = 500;
+
+  private final Map<VmId, SocketAddress> addresses;
+  private final Map<VmId, FrameClient<PeerEnvelope, PeerEnvelope>> clients =
+      new ConcurrentHashMap<>();
+  private final Map<MemberId, VmId> vms = new ConcurrentHashMap<>();
+  private final Consumer<ControlEvent> events;
+  private final Member self;
+  private final MessageCodec codec;
+  private final RandomGenerator random;
+
+  PeerLinks(
+      Member self,
+      List<PeerAddress> peers,
+      MessageCodec codec,
+      RandomGenerator random,
+      Consumer<ControlEvent> events) {
+    this.self = self;
+    this.codec = codec;
+    this.random = random;
+    this.events = events;
+    addresses = peers.stream().collect(Collectors.toMap(PeerAddress::vm, PeerAddress::address));
+  }
+
+  /** Connects to all other VMs of the settings. */
+  void connect() {
+    addresses.forEach(
+        (vm, address) -> {
+          if (!vm.equals(self.vm())) {
+            clients.put(vm, client(address));
+          }
+        });
+  }
+
+  FrameEndpoint<PeerEnvelope, PeerEnvelope> endpoint() {
+    return new FrameEndpoint<>(
+        SpeakerKind.CONTROL_MEMBER, PeerEnvelope.class, PeerEnvelope.class, this);
+  }
+
+  void members(Membership membership) {
+    membership.all().forEach(member -> vms.put(member.id(), member.vm()));
+  }
+
+  /** Sends a message if its receiver's VM is connected; otherwise it is lost. */
+  void send(PeerEnvelope envelope) {
+    VmId vm = vms.get(envelope.to());
+    FrameClient<PeerEnvelope, PeerEnvelope> client = vm == null ? null : clients.get(vm);
+    if (client != null) {
+      client.send(envelope);
+    }
+  }
+
+  @Override
+  public void opened(FrameConnection<PeerEnvelope, PeerEnvelope> connection) {}
+
+  @Override
+  public void received(
+      FrameConnection<PeerEnvelope, PeerEnvelope> connection, PeerEnvelope envelope) {
+    events.accept(new ControlEvent.FromPeer(envelope));
+  }
+
+  @Override
+  public void closed(FrameConnection<PeerEnvelope, PeerEnvelope> connection, CloseReason reason) {}
+
+  @Override
+  public void close() {
+    clients.values().forEach(FrameClient::close);
+  }
+
+  private FrameClient<PeerEnvelope, PeerEnvelope> client(SocketAddress address) {
+    return FrameClient.connect(
+        address,
+        self.id().value(),
+        endpoint(),
+        FrameLimits.standard(),
+        codec,
+        new ReconnectBackoff(MIN_BACKOFF_MS, MAX_BACKOFF_MS, random));
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
@@ -7,6 +7,7 @@
 import org.teaseltrail.core.message.ControlMessage;
 import org.teaseltrail.core.replication.Membership;
 import org.teaseltrail.core.replication.PeerEnvelope;
+import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.replication.ReplicaAction;
 
 /** Is something that a control member wants done, in the order given. */
@@ -93,6 +94,13 @@
   record LeadershipChanged(boolean serving, long term, Optional<MemberId> leader)
       implements ControlAction {}
 
+  /**
+   * Leadership can't be handed over, so the process need not wait for it.
+   *
+   * @param reason why
+   */
+  record HandOverRefused(ProposalRejection reason) implements ControlAction {}
+
   /**
    * The member set has changed.
    *
--- a/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
@@ -113,7 +113,7 @@
       leadership.ifPresent(
           leader -> leader.placement().answered(answered.order(), answered.outcome(), nowNs));
     } else if (event instanceof ControlEvent.HandOver) {
-      replicated.handle(new ReplicaEvent.TransferLeadership(0, Optional.empty()), nowNs);
+      operators.handOver(nowNs);
     } else {
       replicated.handle(new ReplicaEvent.Tick(), nowNs);
       leadership.ifPresent(Leadership::tick);
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorDesk.java
@@ -40,6 +40,13 @@
     }
   }
 
+  /** Hands leadership over before the process ends. */
+  void handOver(long nowNs) {
+    long id = replicated.register(new HandOverCallback());
+    replicated.handle(new ReplicaEvent.TransferLeadership(id, Optional.empty()), nowNs);
+    replicated.forget(id);
+  }
+
   private ControlStatus statusOf(Leadership leadership) {
     StatusReport report =
         new StatusReport(leadership.context().self(), replicated, Optional.of(leadership));
@@ -64,6 +71,17 @@
     }
   }
 
+  private final class HandOverCallback implements ProposalCallback {
+
+    @Override
+    public void committed(CommandResult result, long nowNs) {}
+
+    @Override
+    public void rejected(ProposalRejection reason, long nowNs) {
+      out.handOverRefused(reason);
+    }
+  }
+
   private abstract class ReplyingCallback implements ProposalCallback {
 
     final long callId;
--- a/core/src/main/java/org/teaseltrail/core/control/Outbox.java
+++ b/core/src/main/java/org/teaseltrail/core/control/Outbox.java
@@ -14,6 +14,7 @@
 import org.teaseltrail.core.message.ControlMessage;
 import org.teaseltrail.core.replication.Membership;
 import org.teaseltrail.core.replication.PeerEnvelope;
+import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.replication.ReplicaAction;
 
 /** Collects the actions of one event. */
@@ -77,6 +78,10 @@
     actions.add(new ControlAction.LeadershipChanged(serving, term, leader));
   }
 
+  void handOverRefused(ProposalRejection reason) {
+    actions.add(new ControlAction.HandOverRefused(reason));
+  }
+
   void membershipChanged(Membership membership) {
     actions.add(new ControlAction.MembershipChanged(membership));
   }
