--- a/entry/src/main/java/org/teaseltrail/entry/EngineCall.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EngineCall.java
@@ -25,7 +25,7 @@
   @Override
   void connect(UpstreamTarget target) {
     EngineLines lines = new EngineLines(calls.loop(), exchange, attempt(), this::ended);
-    subscribed(lines);
+    subscribed(lines::close);
     calls
         .client(target)
         .headers(
