--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamAccount.java
@@ -0,0 +1,228 @@
+package org.teaseltrail.core.schedule.fleet;
+
+import java.util.List;
+import org.teaseltrail.core.configuration.RouteTarget;
+import org.teaseltrail.core.id.Incarnation;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.schedule.prefix.CacheModel;
+import org.teaseltrail.core.schedule.ticket.EngineSpeed;
+import org.teaseltrail.core.schedule.ticket.Nanos;
+import org.teaseltrail.core.schedule.ticket.TrackedTicket;
+import org.teaseltrail.core.upstream.Announcement;
+import org.teaseltrail.core.upstream.CacheEvent;
+import org.teaseltrail.core.upstream.LoadReport;
+
+/**
+ * Keeps one life of an upstream: what it last announced, whether operators allow it, the work in
+ * flight there, its speed and its cache. The work in flight is the scheduler's own account; reports
+ * only correct it, the less the older they are.
+ */
+public final class UpstreamAccount {
+
+  /** Age from which a load report says nothing about the present. */
+  private static final long REPORT_USE_NS = 3_000_000_000L;
+
+  /** Part of the prefill bound that may be in process when a prompt beyond the bound comes. */
+  private static final double AHEAD_OF_LONG = 0.25;
+
+  private static final double US_PER_MS = 1_000;
+
+  private final UpstreamId id;
+  private final FleetPolicy policy;
+  private final Presence presence = new Presence();
+  private final WorkInFlight work = new WorkInFlight();
+  private final SpeedMeter speed = new SpeedMeter();
+  private final TokenWindow window = new TokenWindow();
+  private final CacheModel cache = new CacheModel();
+  private SpeedState state = SpeedState.ORDINARY;
+  private EngineSpeed ordinary = EngineSpeed.ASSUMED;
+  private int foreignRequests;
+  private long foreignUntilNs = Long.MIN_VALUE;
+  private long lastGrantNs = Long.MIN_VALUE / 2;
+
+  UpstreamAccount(UpstreamId id, FleetPolicy policy) {
+    this.id = id;
+    this.policy = policy;
+  }
+
+  /** Returns the name of the upstream. */
+  public UpstreamId id() {
+    return id;
+  }
+
+  /** Returns the newest announcement; null before the first. */
+  public Announcement announcement() {
+    return presence.announcement();
+  }
+
+  /** Returns how its speed compares with the pool's. */
+  public SpeedState state() {
+    return state;
+  }
+
+  /** Returns the requests in flight. */
+  public int inFlightCount() {
+    return work.count();
+  }
+
+  /** Returns the tokens that the requests in flight may come to hold. */
+  public long footprintTokens() {
+    return work.footprintTokens();
+  }
+
+  /** Returns the prompt tokens granted and not yet known to be processed. */
+  public long prefillTokens() {
+    return work.prefillTokens();
+  }
+
+  /** Returns the learned window on tokens in flight. */
+  public long windowTokens() {
+    return window.tokens();
+  }
+
+  /** Returns whether the upstream wants work, may have it and is known to be alive. */
+  public boolean isServing(long nowNs) {
+    return presence.isServing(nowNs);
+  }
+
+  /** Returns whether it may be granted work now: it serves and no grant there failed just now. */
+  public boolean isGrantable(long nowNs) {
+    return presence.isGrantable(nowNs);
+  }
+
+  /** Returns whether it may run one request more, whatever that is. */
+  public boolean hasSlot(long nowNs) {
+    int slots = state.slots(announcement().maxBatch());
+    int foreign = foreignUntilNs > nowNs ? foreignRequests : 0;
+    return work.count() + foreign < slots;
+  }
+
+  /** Returns whether a ticket fits the window. */
+  public boolean fitsWindow(long ticketTokens) {
+    return !policy.tokenWindow()
+        || work.count() == 0
+        || work.footprintTokens() + ticketTokens <= window.tokens();
+  }
+
+  /**
+   * Returns whether a prompt can be processed without stalling others for long.
+   *
+   * @param uncachedTokens prompt tokens to process
+   */
+  public boolean fitsPrefill(int uncachedTokens) {
+    if (!policy.prefillBound() || work.prefillTokens() == 0) {
+      return true;
+    }
+    double bound = policy.prefillBoundMs() * US_PER_MS / prefillUs();
+    double ahead = work.prefillTokens();
+    return ahead + uncachedTokens <= bound
+        || (uncachedTokens > (1 - AHEAD_OF_LONG) * bound && ahead <= AHEAD_OF_LONG * bound);
+  }
+
+  /** Returns how many tokens of a ticket's prompt its cache is expected to save. */
+  public int cachedTokens(TrackedTicket ticket) {
+    List<Long> blocks = ticket.ticket().prefixBlocks();
+    if (!policy.prefixAffinity() || blocks.isEmpty()) {
+      return 0;
+    }
+    return cache.cachedTokens(blocks, ticket.ticket().promptTokens());
+  }
+
+  /** Returns the time to process a prompt token, in microseconds. */
+  public double prefillUs() {
+    return speed.prefillUs() > 0 ? speed.prefillUs() : ordinary.prefillUs();
+  }
+
+  /** Returns the time per token at a batch, in milliseconds. */
+  public double stepMs(int batch) {
+    double measured = speed.stepMs(batch);
+    return measured > 0 ? measured : ordinary.stepMs();
+  }
+
+  /** Returns the usual time from a dispatch to the end, in milliseconds; zero if not known. */
+  public double spanMs() {
+    return speed.spanMs();
+  }
+
+  /** Returns when it was last granted work, in monotonic nanoseconds. */
+  public long lastGrantNs() {
+    return lastGrantNs;
+  }
+
+  /** Returns whether it has what the target asks for loaded. */
+  public boolean serves(RouteTarget target) {
+    return presence.serves(target);
+  }
+
+  Presence presence() {
+    return presence;
+  }
+
+  SpeedMeter speed() {
+    return speed;
+  }
+
+  WorkInFlight work() {
+    return work;
+  }
+
+  CacheModel cache() {
+    return cache;
+  }
+
+  boolean isLaterLife(Incarnation other) {
+    return announcement() != null && other.compareTo(announcement().incarnation()) > 0;
+  }
+
+  boolean isEarlierLife(Incarnation other) {
+    return announcement() != null && other.compareTo(announcement().incarnation()) < 0;
+  }
+
+  void announce(Announcement newer, long heardNs, long nowNs) {
+    presence.announce(newer, heardNs);
+    window.setBatch(newer.maxBatch());
+    cache.setCapacity(newer.cacheTokens());
+    correct(newer.load(), heardNs, nowNs);
+  }
+
+  /**
+   * Corrects the account by a report: work there that was not granted here (by an older scheduler,
+   * say) takes slots for as long as the report is of use. The greatest recent count stands against
+   * the report, for the report is older than the account.
+   */
+  private void correct(LoadReport load, long heardNs, long nowNs) {
+    speed.report(load.runningRequests(), load.stepMs());
+    window.sample(load.stepMs(), work.footprintTokens(), nowNs);
+    int reported = load.runningRequests() + load.queuedRequests();
+    foreignRequests = Math.max(0, reported - work.recentPeak(nowNs));
+    foreignUntilNs = heardNs - Nanos.fromMs(load.ageMs()) + REPORT_USE_NS;
+  }
+
+  void cacheEvent(CacheEvent event) {
+    cache.apply(event);
+  }
+
+  void setState(SpeedState newState) {
+    state = newState;
+  }
+
+  void setOrdinary(EngineSpeed newOrdinary) {
+    ordinary = newOrdinary;
+  }
+
+  InFlight add(TrackedTicket ticket, int cachedTokens, long nowNs) {
+    InFlight part = new InFlight(ticket, this, cachedTokens, nowNs);
+    work.add(part, nowNs);
+    lastGrantNs = nowNs;
+    if (policy.prefixAffinity()) {
+      cache.use(ticket.ticket().prefixBlocks());
+    }
+    return part;
+  }
+
+  /** Takes the time per token that was seen in an answer. */
+  void tokenSample(double sampleMs, long nowNs) {
+    speed.token(work.count(), sampleMs);
+    window.sample(sampleMs, work.footprintTokens(), nowNs);
+  }
+}
