--- a/cli/src/main/java/org/teaseltrail/cli/CommandTree.java
+++ b/cli/src/main/java/org/teaseltrail/cli/CommandTree.java
@@ -8,7 +8,7 @@
 /** Declares the whole command line. */
 final class CommandTree {
 
-  private static final String DEFAULT_SERVER = "127.0.0.1:7300";
+  private static final String DEFAULT_SERVER = "127.0.0.1:7201";
   private static final long DEFAULT_TIMEOUT_MS = 10_000;
 
   private CommandTree() {}
--- a/runtime/src/main/java/org/teaseltrail/runtime/process/ProgramMain.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/ProgramMain.java
@@ -128,6 +128,8 @@
     return serve(settings, arguments);
   }
 
+  // The hook is only held, so that it is taken away when the program ends by itself.
+  @SuppressWarnings("try")
   private ExitCode serve(Settings settings, Namespace arguments) throws ProgramException {
     try (RunningProgram running = program.start(settings, arguments);
         ShutdownHook hook = new ShutdownHook(running)) {
--- a/runtime/src/main/java/org/teaseltrail/runtime/settings/DurationKind.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/settings/DurationKind.java
@@ -11,25 +11,29 @@
  */
 record DurationKind(String least, String greatest) implements ValueKind<Duration> {
 
+  /** Checks the bounds, so that a mistake in a program shows at once. */
+  DurationKind {
+    Bounds.check(() -> amount(least, ""));
+    Bounds.check(() -> amount(greatest, ""));
+  }
+
   @Override
   public Duration parse(String text) throws SettingValueException {
-    Duration value = amount(text);
-    return Range.checked(value, amount(least), amount(greatest), text, description());
+    Duration value = amount(text, description());
+    Duration leastValue = amount(least, description());
+    Duration greatestValue = amount(greatest, description());
+    return Range.checked(value, leastValue, greatestValue, text, description());
   }
 
   @Override
   public String description() {
-    return "a duration (ms, s, min, h) from " + least + " to " + greatest;
+    return "a duration (ms, s, m, h, d) from " + least + " to " + greatest;
   }
 
-  private Duration amount(String text) throws SettingValueException {
-    UnitAmount amount = UnitAmount.parse(text, description());
+  private static Duration amount(String text, String description) throws SettingValueException {
+    UnitAmount amount = UnitAmount.parse(text, description);
     DurationUnit unit =
-        DurationUnit.of(amount.unit())
-            .orElseThrow(
-                () ->
-                    new SettingValueException(
-                        SettingsProblemKind.WRONG_UNIT, "'" + text + "'; takes " + description()));
+        DurationUnit.of(amount.unit()).orElseThrow(() -> UnitAmount.wrongUnit(text, description));
     return Duration.ofNanos(
         amount.number().multiply(BigDecimal.valueOf(unit.lengthNs())).longValue());
   }
--- a/runtime/src/main/java/org/teaseltrail/runtime/settings/DurationUnit.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/settings/DurationUnit.java
@@ -6,8 +6,9 @@
 enum DurationUnit {
   MILLISECONDS("ms", 1_000_000L),
   SECONDS("s", 1_000_000_000L),
-  MINUTES("min", 60_000_000_000L),
-  HOURS("h", 3_600_000_000_000L);
+  MINUTES("m", 60_000_000_000L),
+  HOURS("h", 3_600_000_000_000L),
+  DAYS("d", 86_400_000_000_000L);
 
   private final String symbol;
   private final long lengthNs;
--- a/runtime/src/main/java/org/teaseltrail/runtime/settings/SizeKind.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/settings/SizeKind.java
@@ -10,11 +10,18 @@
  */
 record SizeKind(String least, String greatest) implements ValueKind<Long> {
 
+  /** Checks the bounds, so that a mistake in a program shows at once. */
+  SizeKind {
+    Bounds.check(() -> amountBytes(least, ""));
+    Bounds.check(() -> amountBytes(greatest, ""));
+  }
+
   @Override
   public Long parse(String text) throws SettingValueException {
-    Long valueBytes = amountBytes(text);
-    return Range.checked(
-        valueBytes, amountBytes(least), amountBytes(greatest), text, description());
+    Long valueBytes = amountBytes(text, description());
+    Long leastBytes = amountBytes(least, description());
+    Long greatestBytes = amountBytes(greatest, description());
+    return Range.checked(valueBytes, leastBytes, greatestBytes, text, description());
   }
 
   @Override
@@ -22,14 +29,10 @@
     return "a size (B, KiB, MiB, GiB) from " + least + " to " + greatest;
   }
 
-  private Long amountBytes(String text) throws SettingValueException {
-    UnitAmount amount = UnitAmount.parse(text, description());
+  private static Long amountBytes(String text, String description) throws SettingValueException {
+    UnitAmount amount = UnitAmount.parse(text, description);
     SizeUnit unit =
-        SizeUnit.of(amount.unit())
-            .orElseThrow(
-                () ->
-                    new SettingValueException(
-                        SettingsProblemKind.WRONG_UNIT, "'" + text + "'; takes " + description()));
+        SizeUnit.of(amount.unit()).orElseThrow(() -> UnitAmount.wrongUnit(text, description));
     return amount.number().multiply(BigDecimal.valueOf(unit.sizeBytes())).longValue();
   }
 }
--- a/runtime/src/main/java/org/teaseltrail/runtime/settings/UnitAmount.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/settings/UnitAmount.java
@@ -31,4 +31,16 @@
     }
     return new UnitAmount(new BigDecimal(matcher.group(1)), matcher.group(2));
   }
+
+  /**
+   * Tells that a unit is missing or not one of the kind's.
+   *
+   * @param text the text
+   * @param description what is taken
+   * @return the failure
+   */
+  static SettingValueException wrongUnit(String text, String description) {
+    return new SettingValueException(
+        SettingsProblemKind.WRONG_UNIT, "'" + text + "'; takes " + description);
+  }
 }
