--- a/core/src/main/java/org/teaseltrail/core/invariant/Invariant.java
+++ b/core/src/main/java/org/teaseltrail/core/invariant/Invariant.java
@@ -1,6 +1,6 @@
 package org.teaseltrail.core.invariant;
 
-/** Asserts inside the running program what users rely on. */
+/** Asserts invariants in the running program, whether or not the JVM's assertions are on. */
 public final class Invariant {
 
   private Invariant() {}
@@ -9,7 +9,7 @@
    * Checks that an invariant holds.
    *
    * @param holds whether it holds
-   * @param name which one
+   * @param name which invariant it is
    * @throws InvariantViolation if it does not hold
    */
   public static void check(boolean holds, InvariantName name) {
--- a/core/src/main/java/org/teaseltrail/core/invariant/InvariantViolation.java
+++ b/core/src/main/java/org/teaseltrail/core/invariant/InvariantViolation.java
@@ -1,23 +1,23 @@
 package org.teaseltrail.core.invariant;
 
-/** Tells that the program found itself in a state that must not be. */
+/** Tells that an invariant does not hold: a fault of the program, never of its input. */
 public final class InvariantViolation extends IllegalStateException {
 
   private static final long serialVersionUID = 1L;
 
   private final InvariantName name;
 
-  /**
-   * Creates the failure.
-   *
-   * @param name the invariant that does not hold
-   */
+  /** Creates the failure for the invariant. */
   public InvariantViolation(InvariantName name) {
-    super("invariant does not hold: " + name);
+    super(name.toString());
     this.name = name;
   }
 
-  /** Returns the invariant that does not hold. */
+  /**
+   * Returns which invariant does not hold.
+   *
+   * @return the invariant
+   */
   public InvariantName name() {
     return name;
   }
--- a/core/src/main/java/org/teaseltrail/core/invariant/package-info.java
+++ b/core/src/main/java/org/teaseltrail/core/invariant/package-info.java
@@ -1,2 +1,2 @@
-/** Assertions that run in the program itself. */
+/** Checks, inside the running program, of what its users rely on. */
 package org.teaseltrail.core.invariant;
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/queue/WaitingQueue.java
@@ -0,0 +1,105 @@
+package org.teaseltrail.core.schedule.queue;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.teaseltrail.core.id.Tier;
+import org.teaseltrail.core.invariant.Invariant;
+import org.teaseltrail.core.invariant.InvariantName;
+import org.teaseltrail.core.schedule.ticket.QueuePlace;
+import org.teaseltrail.core.schedule.ticket.TrackedTicket;
+
+/**
+ * Is the one queue of a pool. Root of the aggregate: tickets enter, leave and are charged through
+ * it only, so that its sums stay right.
+ */
+public final class WaitingQueue {
+
+  private static final Comparator<TrackedTicket> BY_DEADLINE =
+      Comparator.comparingLong(TrackedTicket::deadlineNs).thenComparingLong(TrackedTicket::order);
+
+  private final TreeMap<Tier, TierQueue> tiers = new TreeMap<>();
+  private final TreeSet<TrackedTicket> byDeadline = new TreeSet<>(BY_DEADLINE);
+  private int count;
+  private double waitingUs;
+
+  /** Returns the tiers, highest first; some may be empty. */
+  public Collection<TierQueue> tiers() {
+    return tiers.values();
+  }
+
+  /** Returns the lowest tier in which a ticket waits. */
+  public Optional<TierQueue> lowest() {
+    for (TierQueue queue : tiers.descendingMap().values()) {
+      if (!queue.isEmpty()) {
+        return Optional.of(queue);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the queue of a ticket's tier. */
+  public TierQueue tierOf(TrackedTicket ticket) {
+    return tiers.computeIfAbsent(ticket.place().tier(), TierQueue::new);
+  }
+
+  /** Returns how many tickets wait. */
+  public int count() {
+    return count;
+  }
+
+  /** Returns the engine time of all that waits, in microseconds. */
+  public double waitingUs() {
+    return waitingUs;
+  }
+
+  /** Returns the ticket whose caller's deadline passes first, if any has one. */
+  public Optional<TrackedTicket> firstDeadline() {
+    return byDeadline.isEmpty() ? Optional.empty() : Optional.of(byDeadline.first());
+  }
+
+  /** Adds a waiting ticket. */
+  public void add(TrackedTicket ticket) {
+    tierOf(ticket).add(ticket);
+    if (ticket.deadlineNs() != TrackedTicket.NO_DEADLINE) {
+      byDeadline.add(ticket);
+    }
+    count++;
+    waitingUs += ticket.estimate().engineUs();
+  }
+
+  /** Takes out a ticket that is in the queue. */
+  public void remove(TrackedTicket ticket) {
+    tierOf(ticket).remove(ticket);
+    byDeadline.remove(ticket);
+    count--;
+    waitingUs = count == 0 ? 0 : waitingUs - ticket.estimate().engineUs();
+  }
+
+  /** Charges a ticket's customer for its engine time. */
+  public void charge(TrackedTicket ticket) {
+    QueuePlace place = ticket.place();
+    tierOf(ticket).charge(place.customer(), ticket.estimate().engineUs());
+    tierOf(ticket).drain().drained(ticket.estimate().engineUs());
+  }
+
+  /** Gives a ticket's customer back a part of what it was charged. */
+  public void refund(TrackedTicket ticket, double engineUs) {
+    tierOf(ticket).charge(ticket.place().customer(), -engineUs);
+  }
+
+  /** Sets aside the tickets that can't meet their deadline any more. */
+  public void setHopelessAside(long nowNs) {
+    tiers.values().forEach(tier -> tier.setHopelessAside(nowNs));
+  }
+
+  /** Checks that the sums equal the sums over the tiers. */
+  public void audit() {
+    int counted = tiers.values().stream().mapToInt(TierQueue::count).sum();
+    double summedUs = tiers.values().stream().mapToDouble(TierQueue::waitingUs).sum();
+    boolean close = Math.abs(summedUs - waitingUs) <= 1 + 1e-6 * waitingUs;
+    Invariant.check(counted == count && close, InvariantName.WAITING_ACCOUNT_BALANCES);
+  }
+}
