--- a/control/src/main/java/org/teaseltrail/control/ControlProgramSettings.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlProgramSettings.java
@@ -117,7 +117,7 @@
           "placement",
           "order_timeout",
           Kinds.duration("1s", "1h"),
-          "2min",
+          "2m",
           "Time after which an order without effect is given up and another engine is tried.");
 
   static final SettingsSpec SPEC =
--- a/runtime/src/main/java/org/teaseltrail/runtime/settings/Bounds.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/settings/DeclaredText.java
@@ -1,12 +1,12 @@
 package org.teaseltrail.runtime.settings;
 
-/** Checks the bounds that a program's declarations give. */
-final class Bounds {
+/** Checks the bounds and defaults that a program's declarations give as text. */
+final class DeclaredText {
 
-  private Bounds() {}
+  private DeclaredText() {}
 
   /**
-   * Checks a bound.
+   * Checks a text.
    *
    * @param reader reads it
    * @throws IllegalArgumentException if it can't be read
@@ -15,11 +15,11 @@
     try {
       reader.read();
     } catch (SettingValueException e) {
-      throw new IllegalArgumentException("bound " + e.getMessage(), e);
+      throw new IllegalArgumentException("declared text " + e.getMessage(), e);
     }
   }
 
-  /** Reads a bound. */
+  /** Reads a declared text. */
   interface Reader {
 
     /** Reads it, and throws if it is no value of the kind. */
--- a/runtime/src/main/java/org/teaseltrail/runtime/settings/DurationKind.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/settings/DurationKind.java
@@ -13,8 +13,8 @@
 
   /** Checks the bounds, so that a mistake in a program shows at once. */
   DurationKind {
-    Bounds.check(() -> amount(least, ""));
-    Bounds.check(() -> amount(greatest, ""));
+    DeclaredText.check(() -> amount(least, ""));
+    DeclaredText.check(() -> amount(greatest, ""));
   }
 
   @Override
--- a/runtime/src/main/java/org/teaseltrail/runtime/settings/Setting.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/settings/Setting.java
@@ -56,9 +56,11 @@
    * @param doc what it does
    * @param <T> the type of its value
    * @return the declaration
+   * @throws IllegalArgumentException if the default is no value of the kind
    */
   public static <T> Setting<T> withDefault(
       String section, String key, ValueKind<T> kind, String defaultText, String doc) {
+    DeclaredText.check(() -> kind.parse(defaultText));
     return new Setting<>(
         new SettingName(section, key), kind, Optional.of(defaultText), false, defaultText, doc);
   }
--- a/runtime/src/main/java/org/teaseltrail/runtime/settings/SizeKind.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/settings/SizeKind.java
@@ -12,8 +12,8 @@
 
   /** Checks the bounds, so that a mistake in a program shows at once. */
   SizeKind {
-    Bounds.check(() -> amountBytes(least, ""));
-    Bounds.check(() -> amountBytes(greatest, ""));
+    DeclaredText.check(() -> amountBytes(least, ""));
+    DeclaredText.check(() -> amountBytes(greatest, ""));
   }
 
   @Override
--- a/runtime/src/test/java/org/teaseltrail/runtime/settings/SettingsReaderTest.java
+++ b/runtime/src/test/java/org/teaseltrail/runtime/settings/SettingsReaderTest.java
@@ -82,9 +82,11 @@
   }
 
   @Test
-  void refusesBoundsThatCannotBeRead() {
+  void refusesDeclaredTextsThatCannotBeRead() {
     assertThatIllegalArgumentException().isThrownBy(() -> Kinds.duration("1ms", "1minute"));
     assertThatIllegalArgumentException().isThrownBy(() -> Kinds.size("1KB", "1MiB"));
+    assertThatIllegalArgumentException()
+        .isThrownBy(() -> Setting.withDefault("a", "b", Kinds.integer(1, 5), "6", "Doc."));
   }
 
   private Path write(String text) throws IOException {
