--- a/core/src/main/java/org/teaseltrail/core/schedule/GrantDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/GrantDesk.java
@@ -5,6 +5,7 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.invariant.Invariant;
 import org.teaseltrail.core.invariant.InvariantName;
+import org.teaseltrail.core.message.DeclineReason;
 import org.teaseltrail.core.message.EndKind;
 import org.teaseltrail.core.message.EntryMessage;
 import org.teaseltrail.core.message.Ticket;
@@ -85,7 +86,10 @@
   /** Takes a grant back that a VM could not use; nothing ran. */
   void declined(EntryMessage.Declined declined, long nowNs) {
     Optional<InFlight> found = state.fleet().find(declined.request());
-    if (found.isEmpty() || !isOutstanding(found.get(), declined)) {
+    // A stale grant is one of an older leadership: its decline, passed on to this scheduler, must
+    // not undo this scheduler's own grant, or the request would be granted twice.
+    boolean stale = declined.reason() == DeclineReason.STALE_GRANT;
+    if (stale || found.isEmpty() || !isOutstanding(found.get(), declined)) {
       return;
     }
     InFlight part = found.get();
@@ -96,11 +100,7 @@
     switch (declined.reason()) {
       case UNKNOWN_REQUEST -> dropWaiting(part.tracked(), nowNs);
       case LEAVING -> state.fleet().leaving(part.upstream());
-      case CONNECT_FAILED, REFUSED_BY_UPSTREAM -> state.fleet().backOff(part.upstream(), nowNs);
-      case STALE_GRANT -> {
-        // A newer leadership exists; this scheduler's grants are without effect from now on.
-      }
-      default -> throw new IllegalStateException(declined.reason().name());
+      default -> state.fleet().backOff(part.upstream(), nowNs);
     }
   }
 
--- a/core/src/main/java/org/teaseltrail/core/schedule/TicketIntake.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/TicketIntake.java
@@ -59,7 +59,7 @@
     }
     Optional<TrackedTicket> known = state.book().find(ticket.request());
     if (known.isPresent()) {
-      resendLostGrant(known.get());
+      resendLostGrant(known.get(), nowNs);
       return;
     }
     TrackedTicket tracked = track(vm, ticket, nowNs);
@@ -121,9 +121,10 @@
    * grant lost with its connection, which shows as a request that waits for ever while its slot
    * stays taken. It is the same grant, and the VM dispatches a request once at most.
    */
-  private void resendLostGrant(TrackedTicket known) {
+  private void resendLostGrant(TrackedTicket known, long nowNs) {
     Optional<InFlight> part = state.fleet().find(known.request());
     if (known.phase() == TicketPhase.GRANTED && part.isPresent() && !part.get().isConfirmed()) {
+      part.get().offeredAgain(nowNs);
       state.out().sendGrant(part.get());
     }
   }
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/AnswerSamples.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/AnswerSamples.java
@@ -16,8 +16,8 @@
   /** Reads the time per token since the reading before. */
   static void progress(InFlight part, int outputTokens, long nowNs) {
     int tokens = outputTokens - part.outputTokens();
-    if (part.progressNs() > 0 && tokens >= MIN_TOKENS) {
-      double elapsedMs = (nowNs - part.progressNs()) / NS_PER_MS;
+    double elapsedMs = (nowNs - part.progressNs()) / NS_PER_MS;
+    if (part.progressNs() > 0 && tokens >= MIN_TOKENS && elapsedMs > 0) {
       part.upstream().tokenSample(elapsedMs / tokens, nowNs);
     }
   }
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/InFlight.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/InFlight.java
@@ -140,6 +140,12 @@
     lapsedNs = nowNs;
   }
 
+  /** Notes that its VM is back and still has the request waiting. */
+  public void offeredAgain(long nowNs) {
+    lapsedNs = NOT_LAPSED;
+    heardNs = nowNs;
+  }
+
   void heard(long nowNs) {
     confirmed = true;
     lapsedNs = NOT_LAPSED;
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/TokenWindow.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/TokenWindow.java
@@ -7,8 +7,8 @@
  */
 final class TokenWindow {
 
-  /** Tokens of a request in flight that a new window has room for, for each slot of the batch. */
-  private static final long START_TOKENS_PER_SLOT = 4_096;
+  /** Tokens in flight that a new window has room for at least, for each slot of the batch. */
+  private static final long START_TOKENS_PER_SLOT = 8_192;
 
   /** The window never shrinks below this for each slot, so that slots stay usable. */
   private static final long LEAST_TOKENS_PER_SLOT = 256;
@@ -27,10 +27,11 @@
   private double shortestMs = Double.MAX_VALUE;
   private long decreasedNs = Long.MIN_VALUE / 2;
 
-  void setBatch(int maxBatch) {
+  /** Sizes a new window by what the engine says of itself. */
+  void size(int maxBatch, long cacheTokens) {
     least = maxBatch * LEAST_TOKENS_PER_SLOT;
     if (tokens == 0) {
-      tokens = maxBatch * START_TOKENS_PER_SLOT;
+      tokens = Math.max(maxBatch * START_TOKENS_PER_SLOT, cacheTokens);
     }
   }
 
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamAccount.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamAccount.java
@@ -180,7 +180,7 @@
 
   void announce(Announcement newer, long heardNs, long nowNs) {
     presence.announce(newer, heardNs);
-    window.setBatch(newer.maxBatch());
+    window.size(newer.maxBatch(), newer.cacheTokens());
     cache.setCapacity(newer.cacheTokens());
     correct(newer.load(), heardNs, nowNs);
   }
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/schedule/RandomSession.java
@@ -0,0 +1,355 @@
+package org.teaseltrail.core.schedule;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.Incarnation;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.message.ControlMessage;
+import org.teaseltrail.core.message.DeclineReason;
+import org.teaseltrail.core.message.EndKind;
+import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.message.Ticket;
+import org.teaseltrail.core.message.WithdrawReason;
+import org.teaseltrail.core.upstream.CacheEvent;
+import org.teaseltrail.core.upstream.UpstreamPhase;
+
+/**
+ * Drives a scheduler with a random session of two VMs: offers, late and repeated messages, lapses,
+ * takeovers, upstreams that come and go. It keeps the VMs' side of the story and checks the
+ * scheduler's against it; the scheduler's own invariants are on as always.
+ */
+final class RandomSession {
+
+  private static final List<VmId> VMS = List.of(new VmId("vm-1"), new VmId("vm-2"));
+  private static final int UPSTREAMS = 4;
+  private static final int AUDIT_EVERY = 16;
+
+  private final Random random;
+  private final Map<RequestId, CallerRequest> requests = new HashMap<>();
+  private final Deque<Delivery> inbox = new ArrayDeque<>();
+  private final Map<String, UpstreamPhase> phases = new HashMap<>();
+  private final Set<String> drained = new HashSet<>();
+  private final Map<String, Long> incarnations = new HashMap<>();
+  private final List<SchedulerEvent> claims = new ArrayList<>();
+  private PoolFixture pool;
+  private long fencing = 1;
+  private int created;
+  private int steps;
+  private int grants;
+  private int refusals;
+
+  RandomSession(long seed) {
+    random = new Random(seed);
+    pool = newScheduler();
+  }
+
+  private record Delivery(VmId vm, ControlMessage message) {}
+
+  private PoolFixture newScheduler() {
+    PoolFixture fresh = new PoolFixture(SchedulerSettings.defaults(), fencing);
+    fresh.maxWaitingMs(500);
+    fresh.customer("c1", 1, 0, 0, 3);
+    fresh.customer("c2", 2, 50, 5, 1);
+    fresh.customer("c3", 3, 0, 0, 1);
+    for (int i = 1; i <= UPSTREAMS; i++) {
+      fresh.allow("u" + i, drained.contains("u" + i));
+    }
+    return fresh;
+  }
+
+  int grants() {
+    return grants;
+  }
+
+  int refusals() {
+    return refusals;
+  }
+
+  void run(int count) {
+    take(pool.configure());
+    for (int i = 1; i <= UPSTREAMS; i++) {
+      announce("u" + i);
+    }
+    for (int i = 0; i < count; i++) {
+      step();
+    }
+    settle();
+  }
+
+  private void step() {
+    pool.nowMs += random.nextInt(20);
+    switch (random.nextInt(16)) {
+      case 0, 1, 2, 3 -> offerNew();
+      case 4, 5, 6 -> deliver();
+      case 7, 8 -> tokens();
+      case 9, 10 -> end();
+      case 11 -> claim();
+      case 12 -> repeatSomething();
+      case 13 -> upstreamNews();
+      case 14 -> withdraw();
+      default -> rarely();
+    }
+    if (++steps % AUDIT_EVERY == 0) {
+      pool.scheduler.audit();
+    }
+  }
+
+  private void rarely() {
+    switch (random.nextInt(12)) {
+      case 0 -> takeOver();
+      case 1 -> lapse();
+      case 2 -> drainSome();
+      case 3 -> pool.nowMs += PoolFixture.LIFETIME_MS;
+      default -> take(pool.tick());
+    }
+  }
+
+  private void offerNew() {
+    int tier = 1 + random.nextInt(3);
+    int prompt = 1 + (int) Math.exp(random.nextDouble() * 9);
+    long deadlineMs = random.nextInt(3) == 0 ? 100 + random.nextInt(2_000) : 0;
+    List<Long> blocks = new ArrayList<>();
+    long conversation = random.nextInt(10);
+    for (long i = 0; i < prompt / 256; i++) {
+      blocks.add(conversation * 1_000 + i);
+    }
+    Ticket ticket =
+        PoolFixture.ticket(
+            "r" + ++created,
+            "c" + tier,
+            tier,
+            prompt,
+            1 + random.nextInt(200),
+            deadlineMs,
+            random.nextInt(4) == 0,
+            blocks);
+    CallerRequest request = new CallerRequest(ticket, VMS.get(random.nextInt(VMS.size())));
+    requests.put(ticket.request(), request);
+    say(request, new EntryMessage.Offer(ticket));
+  }
+
+  /** Delivers one message to its VM; now and then not the oldest. */
+  private void deliver() {
+    if (inbox.isEmpty()) {
+      return;
+    }
+    Delivery delivery = random.nextInt(5) == 0 ? inbox.pollLast() : inbox.pollFirst();
+    if (delivery.message() instanceof ControlMessage.Grant grant) {
+      granted(requests.get(grant.request()), grant);
+    } else if (delivery.message() instanceof ControlMessage.Refused refused) {
+      requests.get(refused.request()).refused();
+    }
+  }
+
+  private void granted(CallerRequest request, ControlMessage.Grant grant) {
+    boolean current = grant.fencing().value() == fencing;
+    if (current && request.isWaiting() && random.nextInt(8) > 0) {
+      request.dispatched(grant.upstream());
+      return;
+    }
+    DeclineReason[] reasons = DeclineReason.values();
+    DeclineReason reason =
+        request.isWaiting() && current
+            ? reasons[random.nextInt(3)]
+            : current ? DeclineReason.UNKNOWN_REQUEST : DeclineReason.STALE_GRANT;
+    if (!request.isRunning()) {
+      if (current) {
+        request.grantVoid();
+      }
+      say(request, new EntryMessage.Declined(grant.request(), grant.upstream(), reason));
+    }
+  }
+
+  private void tokens() {
+    CallerRequest request = any(CallerRequest::isRunning);
+    if (request != null) {
+      int tokens = request.moreTokens(1 + random.nextInt(20));
+      RequestId id = request.id();
+      say(
+          request,
+          random.nextBoolean()
+              ? new EntryMessage.FirstToken(id, request.upstream(), random.nextInt(500))
+              : new EntryMessage.Progress(id, request.upstream(), tokens));
+    }
+  }
+
+  private void end() {
+    CallerRequest request = any(CallerRequest::isRunning);
+    if (request != null) {
+      request.ended();
+      say(request, request.endMessage(EndKind.values()[random.nextInt(3)]));
+    }
+  }
+
+  private void claim() {
+    if (!claims.isEmpty()) {
+      take(pool.handle(claims.remove(random.nextInt(claims.size()))));
+    }
+  }
+
+  /** Says something again that was said before, or that comes long after its time. */
+  private void repeatSomething() {
+    CallerRequest request = any(r -> true);
+    if (request == null) {
+      return;
+    }
+    if (request.isEnded() && request.upstream() != null) {
+      say(request, request.endMessage(EndKind.COMPLETED));
+      say(request, new EntryMessage.FirstToken(request.id(), request.upstream(), 5));
+    }
+    say(request, new EntryMessage.Offer(request.ticket()));
+  }
+
+  private void withdraw() {
+    CallerRequest request = any(CallerRequest::isWaiting);
+    if (request != null) {
+      request.refused();
+      request.grantVoid();
+      WithdrawReason[] reasons = WithdrawReason.values();
+      WithdrawReason reason = reasons[random.nextInt(reasons.length)];
+      say(request, new EntryMessage.Withdraw(request.id(), reason));
+    }
+  }
+
+  private void upstreamNews() {
+    String upstream = "u" + (1 + random.nextInt(UPSTREAMS));
+    switch (random.nextInt(6)) {
+      case 0 -> phases.put(upstream, UpstreamPhase.LEAVING);
+      case 1 -> incarnations.merge(upstream, 2L, (old, one) -> old + 1);
+      case 2 -> cacheEvent(upstream);
+      default -> phases.put(upstream, UpstreamPhase.SERVING);
+    }
+    announce(upstream);
+  }
+
+  private void cacheEvent(String upstream) {
+    long block = random.nextInt(10) * 1_000L;
+    CacheEvent event =
+        new CacheEvent(
+            new UpstreamId(upstream),
+            new Incarnation(incarnations.getOrDefault(upstream, 1L)),
+            random.nextInt(100),
+            List.of(block, block + 1),
+            List.of(block + 2));
+    take(pool.say(VMS.get(0), new EntryMessage.CacheSeen(event)));
+  }
+
+  private void announce(String upstream) {
+    UpstreamPhase phase = phases.getOrDefault(upstream, UpstreamPhase.SERVING);
+    take(pool.announce(upstream, incarnations.getOrDefault(upstream, 1L), phase));
+  }
+
+  private void drainSome() {
+    String upstream = "u" + (1 + random.nextInt(UPSTREAMS));
+    if (!drained.remove(upstream)) {
+      drained.add(upstream);
+    }
+    pool.allow(upstream, drained.contains(upstream));
+    take(pool.configure());
+  }
+
+  /** A VM loses its session and comes back at once. */
+  private void lapse() {
+    VmId vm = VMS.get(random.nextInt(VMS.size()));
+    take(pool.handle(new SchedulerEvent.VmLapsed(vm)));
+    report(vm);
+  }
+
+  private void takeOver() {
+    fencing++;
+    claims.clear();
+    requests.values().forEach(CallerRequest::grantVoid);
+    long nowMs = pool.nowMs;
+    Map<UpstreamId, Long> sequences = pool.sequences;
+    pool = newScheduler();
+    pool.nowMs = nowMs;
+    pool.sequences.putAll(sequences);
+    take(pool.configure());
+    take(pool.handle(new SchedulerEvent.ReportsAwaited(new HashSet<>(VMS))));
+    for (int i = 1; i <= UPSTREAMS; i++) {
+      announce("u" + i);
+    }
+    VMS.forEach(this::report);
+  }
+
+  private void report(VmId vm) {
+    for (CallerRequest request : List.copyOf(requests.values())) {
+      if (!request.vm().equals(vm) || request.isEnded()) {
+        continue;
+      }
+      if (request.isRunning()) {
+        int tokens = request.moreTokens(0);
+        UpstreamId upstream = request.upstream();
+        say(request, new EntryMessage.StillRunning(request.ticket(), upstream, tokens, 10));
+      } else {
+        say(request, new EntryMessage.Offer(request.ticket()));
+      }
+    }
+    take(pool.say(vm, new EntryMessage.ReportsComplete(vm, new FencingNumber(fencing))));
+  }
+
+  /** Lets all that is left finish: nothing may be forgotten. */
+  private void settle() {
+    phases.clear();
+    for (int round = 0; round < 4_000 && any(r -> !r.isEnded()) != null; round++) {
+      pool.nowMs += 100;
+      for (int i = 1; i <= UPSTREAMS; i++) {
+        drained.remove("u" + i);
+        pool.allow("u" + i, false);
+        announce("u" + i);
+      }
+      take(round == 0 ? pool.configure() : pool.tick());
+      while (!inbox.isEmpty()) {
+        deliver();
+      }
+      claim();
+      end();
+    }
+    pool.scheduler.audit();
+    if (any(r -> !r.isEnded()) != null) {
+      throw new AssertionError("never answered: " + any(r -> !r.isEnded()).id());
+    }
+  }
+
+  private void say(CallerRequest request, EntryMessage message) {
+    take(pool.say(request.vm(), message));
+  }
+
+  private void take(List<SchedulerAction> actions) {
+    for (SchedulerAction action : actions) {
+      if (action instanceof SchedulerAction.Send send) {
+        count(send.message());
+        inbox.add(new Delivery(send.vm(), send.message()));
+      } else if (action instanceof SchedulerAction.CommitClaim commit) {
+        RequestId id = commit.ticket().request();
+        claims.add(new SchedulerEvent.ClaimGranted(id));
+      }
+    }
+  }
+
+  private void count(ControlMessage message) {
+    if (message instanceof ControlMessage.Grant grant) {
+      grants++;
+      requests.get(grant.request()).checkMayBeGranted(grant.upstream());
+    } else if (message instanceof ControlMessage.Refused refused) {
+      refusals++;
+      requests.get(refused.request()).checkMayBeRefused();
+    }
+  }
+
+  private CallerRequest any(Predicate<CallerRequest> wanted) {
+    List<CallerRequest> found = requests.values().stream().filter(wanted).toList();
+    return found.isEmpty() ? null : found.get(random.nextInt(found.size()));
+  }
+}
