standin: Run the models on a socket

The program speaks the upstreams' protocol of docs/INTERNALS.md over Reactor Netty, announces itself each second, leaves gracefully on SIGTERM, and takes faults under /admin.

A reader keeps only the number of its next frame, so one that reads slowly costs no memory beyond the answer itself. Announcements first went out at will: the test saw number 6 arrive before number 1 on a cold start; now one is under way for each entry VM and the newest goes next. A leaving engine stays for leave_grace and answers 503 not_run; a plain service has no such answer and still serves what reaches it.

--- /dev/null
+++ b/standin/src/main/java/org/teaseltrail/standin/AdminRoutes.java
@@ -0,0 +1,70 @@
+package org.teaseltrail.standin;
+
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
+import org.reactivestreams.Publisher;
+import org.teaseltrail.runtime.log.PartLogger;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** Brings about faults and shows counters, for tests and measurements. */
+final class AdminRoutes {
+
+  /** Exit code of a process that is killed, which a crash is to look like. */
+  private static final int KILLED = 137;
+
+  private static final int OK = 200;
+  private static final int ACCEPTED = 202;
+  private static final int BAD_REQUEST = 400;
+
+  private final PartLogger logger = new PartLogger("standin");
+  private final StandinBehaviour behaviour;
+  private final Runnable leave;
+
+  AdminRoutes(StandinBehaviour behaviour, Runnable leave) {
+    this.behaviour = behaviour;
+    this.leave = leave;
+  }
+
+  void addTo(HttpServerRoutes routes) {
+    routes
+        .post("/admin/straggle", this::straggle)
+        .post("/admin/leave", this::leave)
+        .post("/admin/crash", this::crash)
+        .get("/admin/counters", this::counters);
+  }
+
+  private Publisher<Void> straggle(HttpServerRequest request, HttpServerResponse response) {
+    List<String> factors =
+        new QueryStringDecoder(request.uri()).parameters().getOrDefault("factor", List.of());
+    try {
+      double factor = Double.parseDouble(factors.isEmpty() ? "" : factors.get(0));
+      if (!(factor > 0) || Double.isInfinite(factor)) {
+        return response.status(BAD_REQUEST).send();
+      }
+      logger.info("Takes " + factor + " times as long from now on.");
+      behaviour.straggle(factor);
+      return response.status(ACCEPTED).send();
+    } catch (NumberFormatException failure) {
+      return response.status(BAD_REQUEST).send();
+    }
+  }
+
+  private Publisher<Void> leave(HttpServerRequest request, HttpServerResponse response) {
+    leave.run();
+    return response.status(ACCEPTED).send();
+  }
+
+  private Publisher<Void> crash(HttpServerRequest request, HttpServerResponse response) {
+    logger.info("Crashes as asked.");
+    Runtime.getRuntime().halt(KILLED);
+    return Mono.empty();
+  }
+
+  private Publisher<Void> counters(HttpServerRequest request, HttpServerResponse response) {
+    return Mono.fromFuture(behaviour::counters)
+        .flatMap(counters -> JsonAnswer.send(response, OK, counters));
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/teaseltrail/standin/Announcer.java
@@ -0,0 +1,105 @@
+package org.teaseltrail.standin;
+
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.teaseltrail.core.upstream.Announcement;
+import org.teaseltrail.core.upstream.CacheEvent;
+import org.teaseltrail.runtime.log.PartLogger;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * Sends announcements to every entry VM and cache events to one. A VM that can't be reached is
+ * passed over: the next announcement comes in a second, and a cache event goes to another VM.
+ */
+final class Announcer implements AutoCloseable {
+
+  private static final int NO_CONTENT = 204;
+  private static final int UNREACHABLE = 0;
+  private static final int CONNECT_TIMEOUT_MS = 500;
+  private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+  private final PartLogger logger = new PartLogger("standin");
+  private final List<InetSocketAddress> entries;
+  private final Map<InetSocketAddress, Integer> lastStatus = new ConcurrentHashMap<>();
+  private final ConnectionProvider connections = ConnectionProvider.create("announce");
+  private final HttpClient client;
+  private final List<EntryLane> lanes;
+
+  Announcer(String upstream, String secret, List<InetSocketAddress> entries) {
+    this.entries = List.copyOf(entries);
+    this.client =
+        HttpClient.create(connections)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .responseTimeout(TIMEOUT)
+            .headers(headers -> identify(headers, upstream, secret));
+    this.lanes =
+        this.entries.stream()
+            .map(entry -> new EntryLane(body -> post(entry, "/v1/upstreams/announce", body)))
+            .toList();
+  }
+
+  void announce(Announcement announcement) {
+    String body = UpstreamJson.write(announcement);
+    lanes.forEach(lane -> lane.send(body));
+  }
+
+  void cacheEvent(CacheEvent event) {
+    String body = UpstreamJson.write(event);
+    int home = Math.floorMod(event.upstream().hashCode(), entries.size());
+    postCacheEvent(body, home, entries.size()).subscribe();
+  }
+
+  @Override
+  public void close() {
+    connections.dispose();
+  }
+
+  private Mono<Integer> postCacheEvent(String body, int at, int left) {
+    InetSocketAddress entry = entries.get(at % entries.size());
+    return post(entry, "/v1/upstreams/cache-events", body)
+        .flatMap(
+            status ->
+                status == UNREACHABLE && left > 1
+                    ? postCacheEvent(body, at + 1, left - 1)
+                    : Mono.just(status));
+  }
+
+  private Mono<Integer> post(InetSocketAddress entry, String path, String body) {
+    return client
+        .post()
+        .uri("http://" + entry.getAddress().getHostAddress() + ":" + entry.getPort() + path)
+        .send(ByteBufFlux.fromString(Mono.just(body)))
+        .responseSingle((response, content) -> content.then(Mono.just(response.status().code())))
+        .onErrorReturn(UNREACHABLE)
+        .doOnNext(status -> note(entry, status));
+  }
+
+  private void note(InetSocketAddress entry, int status) {
+    Integer before = lastStatus.put(entry, status);
+    if (before != null && before == status) {
+      return;
+    }
+    if (status == NO_CONTENT) {
+      logger.info("Announces to " + entry + ".");
+    } else if (status == UNREACHABLE) {
+      logger.warn("Can't reach " + entry + ".");
+    } else {
+      logger.warn("Is turned away by " + entry + " with status " + status + ".");
+    }
+  }
+
+  private static void identify(HttpHeaders headers, String upstream, String secret) {
+    headers
+        .set("X-Upstream-Id", upstream)
+        .set("X-Upstream-Secret", secret)
+        .set("Content-Type", "application/json");
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/teaseltrail/standin/EngineBehaviour.java
@@ -0,0 +1,99 @@
+package org.teaseltrail.standin;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.standin.model.EngineAction;
+import org.teaseltrail.standin.model.EngineCounters;
+import org.teaseltrail.standin.model.EngineEvent;
+import org.teaseltrail.standin.model.EngineModel;
+import org.teaseltrail.standin.model.EngineRequest;
+import org.teaseltrail.standin.model.RequestWork;
+import reactor.core.publisher.Flux;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** Runs the model of an engine. */
+final class EngineBehaviour implements StandinBehaviour {
+
+  private final EngineModel model;
+  private final StreamReaders readers;
+  private final ModelLoop<EngineEvent, EngineAction> loop;
+  private Announcer announcer;
+
+  EngineBehaviour(EngineModel model) {
+    this.model = model;
+    this.readers = new StreamReaders(model);
+    this.loop = new ModelLoop<>(model, new EngineEvent.Tick(), this::carryOut);
+  }
+
+  @Override
+  public void start(Announcer entries) {
+    loop.run(() -> announcer = entries);
+    loop.handle(new EngineEvent.Tick());
+  }
+
+  @Override
+  public void addRoutes(HttpServerRoutes routes) {
+    new StreamRoutes(this).addTo(routes);
+    new OrderRoutes(this).addTo(routes);
+    new KvRoutes(this).addTo(routes);
+  }
+
+  @Override
+  public void straggle(double factor) {
+    loop.handle(new EngineEvent.Straggle(factor));
+  }
+
+  @Override
+  public CompletableFuture<Void> leave(long graceMs) {
+    loop.handle(new EngineEvent.Leave());
+    return loop.when(() -> model.isIdle() && readers.isEmpty(), graceMs);
+  }
+
+  @Override
+  public CompletableFuture<Object> counters() {
+    CompletableFuture<Object> counters = new CompletableFuture<>();
+    loop.run(() -> counters.complete(new Counters(model.counters(), model.workByRequest())));
+    return counters;
+  }
+
+  @Override
+  public CompletableFuture<Void> failed() {
+    return loop.failed();
+  }
+
+  @Override
+  public void close() {
+    loop.close();
+  }
+
+  CompletableFuture<List<EngineAction>> handle(EngineEvent event) {
+    return loop.handle(event);
+  }
+
+  /** Returns the request that a known stream answers, or null. */
+  CompletableFuture<EngineRequest> request(RequestId id) {
+    CompletableFuture<EngineRequest> found = new CompletableFuture<>();
+    loop.run(() -> found.complete(model.request(id).orElse(null)));
+    return found;
+  }
+
+  Flux<String> read(EngineRequest request, int fromSequence) {
+    return readers.read(request, fromSequence, loop::run);
+  }
+
+  private void carryOut(EngineAction action) {
+    if (action instanceof EngineAction.Frame frame) {
+      readers.wake(frame.frame().request());
+    } else if (action instanceof EngineAction.StreamBroken broken) {
+      readers.breakOff(broken.request());
+    } else if (action instanceof EngineAction.Announce announce) {
+      announcer.announce(announce.announcement());
+    } else if (action instanceof EngineAction.PublishCacheEvent publish) {
+      announcer.cacheEvent(publish.event());
+    }
+  }
+
+  private record Counters(EngineCounters totals, Map<RequestId, RequestWork> requests) {}
+}
--- /dev/null
+++ b/standin/src/main/java/org/teaseltrail/standin/ServiceBehaviour.java
@@ -0,0 +1,91 @@
+package org.teaseltrail.standin;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.standin.model.ServiceAction;
+import org.teaseltrail.standin.model.ServiceEvent;
+import org.teaseltrail.standin.model.ServiceModel;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** Runs the model of a plain service. */
+final class ServiceBehaviour implements StandinBehaviour {
+
+  private final ServiceModel model;
+  private final ModelLoop<ServiceEvent, ServiceAction> loop;
+  private final Map<RequestId, Deque<CompletableFuture<Integer>>> calls = new HashMap<>();
+  private Announcer announcer;
+
+  ServiceBehaviour(ServiceModel model) {
+    this.model = model;
+    this.loop = new ModelLoop<>(model, new ServiceEvent.Tick(), this::carryOut);
+  }
+
+  @Override
+  public void start(Announcer entries) {
+    loop.run(() -> announcer = entries);
+    loop.handle(new ServiceEvent.Tick());
+  }
+
+  @Override
+  public void addRoutes(HttpServerRoutes routes) {
+    routes.route(request -> true, new ServiceCallHandler(this));
+  }
+
+  @Override
+  public void straggle(double factor) {
+    loop.handle(new ServiceEvent.Straggle(factor));
+  }
+
+  @Override
+  public CompletableFuture<Void> leave(long graceMs) {
+    loop.handle(new ServiceEvent.Leave());
+    return loop.when(() -> model.isIdle() && calls.isEmpty(), graceMs);
+  }
+
+  @Override
+  public CompletableFuture<Object> counters() {
+    CompletableFuture<Object> counters = new CompletableFuture<>();
+    loop.run(() -> counters.complete(new Counters(model.executionsByRequest())));
+    return counters;
+  }
+
+  @Override
+  public CompletableFuture<Void> failed() {
+    return loop.failed();
+  }
+
+  @Override
+  public void close() {
+    loop.close();
+  }
+
+  /** Runs a call; the future holds how many times the request has run here. */
+  CompletableFuture<Integer> call(RequestId request) {
+    CompletableFuture<Integer> execution = new CompletableFuture<>();
+    loop.run(() -> calls.computeIfAbsent(request, id -> new ArrayDeque<>()).add(execution));
+    loop.handle(new ServiceEvent.Call(request));
+    return execution;
+  }
+
+  private void carryOut(ServiceAction action) {
+    if (action instanceof ServiceAction.Respond respond) {
+      respond(respond.request(), respond.execution());
+    } else if (action instanceof ServiceAction.Announce announce) {
+      announcer.announce(announce.announcement());
+    }
+  }
+
+  private void respond(RequestId request, int execution) {
+    Deque<CompletableFuture<Integer>> waiting = calls.get(request);
+    waiting.remove().complete(execution);
+    if (waiting.isEmpty()) {
+      calls.remove(request);
+    }
+  }
+
+  private record Counters(Map<RequestId, Integer> executions) {}
+}
--- a/standin/src/main/java/org/teaseltrail/standin/StandinMain.java
+++ b/standin/src/main/java/org/teaseltrail/standin/StandinMain.java
@@ -1,5 +1,7 @@
 package org.teaseltrail.standin;
 
+import org.teaseltrail.runtime.process.ProgramMain;
+
 /** Starts the model of an engine or of a plain service. */
 public final class StandinMain {
 
@@ -11,6 +13,6 @@
    * @param args the command line
    */
   public static void main(String[] args) {
-    throw new UnsupportedOperationException("not built yet");
+    ProgramMain.main(new StandinProgram(), args);
   }
 }
--- /dev/null
+++ b/standin/src/main/java/org/teaseltrail/standin/StandinProgram.java
@@ -0,0 +1,43 @@
+package org.teaseltrail.standin;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.teaseltrail.runtime.process.ExitCode;
+import org.teaseltrail.runtime.process.Program;
+import org.teaseltrail.runtime.process.ProgramException;
+import org.teaseltrail.runtime.process.RunningProgram;
+import org.teaseltrail.runtime.settings.Settings;
+import org.teaseltrail.runtime.settings.SettingsSpec;
+import org.teaseltrail.standin.model.EngineModel;
+import org.teaseltrail.standin.model.ServiceModel;
+import reactor.netty.ChannelBindException;
+
+/** Is the daemon that stands in for an upstream. */
+public final class StandinProgram implements Program {
+
+  @Override
+  public SettingsSpec spec() {
+    return StandinSettings.SPEC;
+  }
+
+  @Override
+  public RunningProgram start(Settings settings, Namespace arguments) throws ProgramException {
+    StandinOptions options = StandinOptions.of(settings, System.currentTimeMillis());
+    try {
+      return start(options);
+    } catch (ChannelBindException failure) {
+      throw new ProgramException(
+          ExitCode.LISTEN,
+          "can't listen on " + options.listen() + ": " + failure.getMessage(),
+          failure);
+    }
+  }
+
+  private static RunningProgram start(StandinOptions options) {
+    if (options.engine().isPresent()) {
+      EngineModel model = new EngineModel(options.engine().get(), System.nanoTime());
+      return new StandinDaemon(options, new EngineBehaviour(model));
+    }
+    ServiceModel model = new ServiceModel(options.service().orElseThrow(), System.nanoTime());
+    return new StandinDaemon(options, new ServiceBehaviour(model));
+  }
+}
--- a/standin/src/main/java/org/teaseltrail/standin/model/EngineModel.java
+++ b/standin/src/main/java/org/teaseltrail/standin/model/EngineModel.java
@@ -18,7 +18,7 @@
  * <p>Example: hand {@link EngineEvent.Submit} to {@link #handle}, then a {@link EngineEvent.Tick}
  * at each {@link #nextWakeupNs}, and collect the {@link EngineAction.Frame} actions.
  */
-public final class EngineModel {
+public final class EngineModel implements UpstreamModel<EngineEvent, EngineAction> {
 
   private static final double STEP_SMOOTHING = 0.2;
   private static final double NS_PER_MS = 1e6;
@@ -56,13 +56,8 @@
     this.nowNs = startNs;
   }
 
-  /**
-   * Takes an event. Steps that should have ended by now end first, each at its own time.
-   *
-   * @param event what has happened
-   * @param atNs monotonic time in nanoseconds, never less than at the call before
-   * @return what the engine does, in order
-   */
+  /** Takes an event. Steps that should have ended by now end first, each at its own time. */
+  @Override
   public List<EngineAction> handle(EngineEvent event, long atNs) {
     EngineInvariant.TIME_GROWS.check(atNs >= nowNs);
     nowNs = atNs;
@@ -79,11 +74,7 @@
     return actions;
   }
 
-  /**
-   * Returns when the engine next wants a tick if nothing else happens.
-   *
-   * @return monotonic time in nanoseconds, or empty if the engine is down
-   */
+  @Override
   public OptionalLong nextWakeupNs() {
     if (!up) {
       return OptionalLong.empty();
@@ -94,6 +85,11 @@
     return OptionalLong.of(Math.min(reportNs, Math.min(stepNs, loadedNs)));
   }
 
+  @Override
+  public boolean isIdle() {
+    return batch.isEmpty();
+  }
+
   /**
    * Returns a frame of a stream, so that each reader can go at its own pace.
    *
--- a/standin/src/main/java/org/teaseltrail/standin/model/ServiceEvent.java
+++ b/standin/src/main/java/org/teaseltrail/standin/model/ServiceEvent.java
@@ -20,7 +20,7 @@
    */
   record Straggle(double factor) implements ServiceEvent {}
 
-  /** The service is to finish what it has and take nothing new. */
+  /** The service is to tell that it leaves, and to finish what still reaches it. */
   record Leave() implements ServiceEvent {}
 
   /** The service dies, with all that it holds. */
