--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogSetup.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogSetup.java
@@ -17,6 +17,7 @@
 public final class LogSetup extends ContextAwareBase implements Configurator {
 
   private static final String OWN_PACKAGE = "org.teaseltrail";
+  private static final String CONNECTIONS = "reactor.netty";
 
   /** Makes the set-up for Logback's service loader. */
   public LogSetup() {}
@@ -49,6 +50,10 @@
     Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
     root.setLevel(Level.WARN);
     root.addAppender(appender);
+    // It warns, with a stack trace, of each connection that a peer drops; the programs tell of
+    // those
+    // that matter in lines of their own.
+    context.getLogger(CONNECTIONS).setLevel(Level.ERROR);
     context.getLogger(OWN_PACKAGE).setLevel(level.level());
   }
 }
