Compare routing policies in virtual time on paired seeds

Each request ends in exactly one class; answers are checked for order and length. Waste is split by cause; cache hits are set against one cache as large as all.

--- a/load/src/main/java/org/teaseltrail/load/LoadMain.java
+++ b/load/src/main/java/org/teaseltrail/load/LoadMain.java
@@ -1,5 +1,8 @@
 package org.teaseltrail.load;
 
+import org.teaseltrail.load.command.LoadCommandLine;
+import org.teaseltrail.runtime.process.ExitCode;
+
 /** Starts the load and experiment tool. */
 public final class LoadMain {
 
@@ -11,6 +14,7 @@
    * @param args the command line
    */
   public static void main(String[] args) {
-    throw new UnsupportedOperationException("not built yet");
+    ExitCode exitCode = new LoadCommandLine(System.out, System.err).run(args);
+    System.exit(exitCode.code());
   }
 }
--- /dev/null
+++ b/load/src/main/java/org/teaseltrail/load/measure/package-info.java
@@ -0,0 +1,2 @@
+/** What is counted of each request, in virtual time and over HTTP alike. */
+package org.teaseltrail.load.measure;
--- /dev/null
+++ b/load/src/main/java/org/teaseltrail/load/policy/EngineNode.java
@@ -0,0 +1,190 @@
+package org.teaseltrail.load.policy;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.teaseltrail.core.configuration.RouteTarget.ModelTarget;
+import org.teaseltrail.core.id.Incarnation;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.message.DeclineReason;
+import org.teaseltrail.core.upstream.ServedModel;
+import org.teaseltrail.core.upstream.SocketAddress;
+import org.teaseltrail.load.workload.Deployment;
+import org.teaseltrail.load.workload.EngineSpec;
+import org.teaseltrail.standin.model.AnswerText;
+import org.teaseltrail.standin.model.EngineAction;
+import org.teaseltrail.standin.model.EngineEvent;
+import org.teaseltrail.standin.model.EngineFrame;
+import org.teaseltrail.standin.model.EngineModel;
+import org.teaseltrail.standin.model.EngineRequest;
+import org.teaseltrail.standin.model.EngineSettings;
+import org.teaseltrail.standin.model.HardwareProfile;
+import org.teaseltrail.standin.model.UpstreamIdentity;
+
+/** Runs one engine model in virtual time. */
+final class EngineNode {
+
+  private static final int PREFILL_CHUNK_TOKENS = 512;
+  private static final SocketAddress ADDRESS = new SocketAddress("127.0.0.1", 1);
+  private static final long NO_TICK = Long.MAX_VALUE;
+
+  private final VirtualTime time;
+  private final UpstreamId id;
+  private final ModelTarget target;
+  private final EngineModel model;
+  private final EngineListener listener;
+  private final UpstreamNews news;
+  private final Set<RequestId> inPrefill = new HashSet<>();
+  private long incarnation = 1;
+  private long tickAtNs = NO_TICK;
+
+  EngineNode(
+      VirtualTime time,
+      Deployment deployment,
+      EngineSpec spec,
+      EngineListener listener,
+      UpstreamNews news,
+      long seed) {
+    this.time = time;
+    this.id = spec.id();
+    this.target = new ModelTarget(deployment.model(), deployment.version(), Optional.empty());
+    this.model = new EngineModel(settings(deployment, spec, incarnation, seed), time.nowNs());
+    this.listener = listener;
+    this.news = news;
+  }
+
+  UpstreamId id() {
+    return id;
+  }
+
+  void start() {
+    handle(new EngineEvent.Tick());
+  }
+
+  void submit(TrackedRequest request) {
+    inPrefill.add(request.id());
+    handle(
+        new EngineEvent.Submit(
+            new EngineRequest(
+                request.id(),
+                target,
+                request.planned().prompt().tokens(),
+                request.blocks(),
+                request.planned().outputTokens(),
+                AnswerText.seedOf(request.id()))));
+  }
+
+  /** Stops a request; what was processed of its prompt counts as processed. */
+  void cancel(RequestId request) {
+    handle(new EngineEvent.Tick());
+    var before = model.counters();
+    if (inPrefill.contains(request)) {
+      handle(new EngineEvent.Cancel(request));
+      var after = model.counters();
+      notePartPrefill(
+          request,
+          after.cachedTokens() - before.cachedTokens(),
+          after.prefillTokens() - before.prefillTokens());
+    } else {
+      handle(new EngineEvent.Cancel(request));
+    }
+  }
+
+  void straggle(double factor) {
+    handle(new EngineEvent.Straggle(factor));
+  }
+
+  void leave() {
+    handle(new EngineEvent.Leave());
+  }
+
+  void crash() {
+    handle(new EngineEvent.Tick());
+    handle(new EngineEvent.Crash());
+    var work = model.workByRequest();
+    for (RequestId request : List.copyOf(inPrefill)) {
+      var done = work.get(request);
+      notePartPrefill(request, done.cachedTokens(), done.prefillTokens());
+    }
+  }
+
+  void restart() {
+    incarnation++;
+    handle(new EngineEvent.Restart(new Incarnation(incarnation)));
+  }
+
+  private void notePartPrefill(RequestId request, long cachedTokens, long processedTokens) {
+    if (inPrefill.remove(request) && processedTokens > 0) {
+      listener.prefilled(request, id, (int) cachedTokens, (int) processedTokens);
+    }
+  }
+
+  private void handle(EngineEvent event) {
+    List<EngineFrame> frames = new ArrayList<>();
+    for (EngineAction action : model.handle(event, time.nowNs())) {
+      carryOut(action, frames);
+    }
+    if (!frames.isEmpty()) {
+      listener.frames(id, frames);
+    }
+    planTick();
+  }
+
+  private void carryOut(EngineAction action, List<EngineFrame> frames) {
+    if (action instanceof EngineAction.Frame frame) {
+      frames.add(frame.frame());
+    } else if (action instanceof EngineAction.Prefilled done) {
+      inPrefill.remove(done.request());
+      listener.prefilled(done.request(), id, done.cachedTokens(), done.processedTokens());
+    } else if (action instanceof EngineAction.Refuse refuse) {
+      inPrefill.remove(refuse.request());
+      listener.refused(refuse.request(), id, DeclineReason.REFUSED_BY_UPSTREAM);
+    } else if (action instanceof EngineAction.Unreachable unreachable) {
+      inPrefill.remove(unreachable.request());
+      listener.refused(unreachable.request(), id, DeclineReason.CONNECT_FAILED);
+    } else if (action instanceof EngineAction.StreamBroken broken) {
+      listener.broken(broken.request(), id);
+    } else if (action instanceof EngineAction.Announce announce) {
+      news.announced(announce.announcement());
+    } else if (action instanceof EngineAction.PublishCacheEvent publish) {
+      news.cacheChanged(publish.event());
+    }
+  }
+
+  private void planTick() {
+    OptionalLong wakeupNs = model.nextWakeupNs();
+    if (wakeupNs.isPresent() && wakeupNs.getAsLong() < tickAtNs) {
+      long atNs = wakeupNs.getAsLong();
+      tickAtNs = atNs;
+      time.at(atNs, () -> tick(atNs));
+    }
+  }
+
+  private void tick(long plannedNs) {
+    if (plannedNs == tickAtNs) {
+      tickAtNs = NO_TICK;
+      handle(new EngineEvent.Tick());
+    }
+  }
+
+  private static EngineSettings settings(
+      Deployment deployment, EngineSpec spec, long incarnation, long seed) {
+    UpstreamIdentity identity =
+        new UpstreamIdentity(spec.id(), new Incarnation(incarnation), ADDRESS, spec.dataCenter());
+    HardwareProfile hardware =
+        new HardwareProfile(
+            spec.stepMs(),
+            spec.stepPerSequenceMs(),
+            spec.prefillPerTokenMs(),
+            spec.maxBatch(),
+            PREFILL_CHUNK_TOKENS,
+            spec.cacheTokens());
+    ServedModel served = new ServedModel(deployment.model(), deployment.version(), Set.of());
+    long engineSeed = seed * 31 + spec.id().value().hashCode();
+    return EngineSettings.standard(identity, hardware, List.of(served), engineSeed);
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/teaseltrail/load/policy/EntryVms.java
@@ -0,0 +1,207 @@
+package org.teaseltrail.load.policy;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.message.ControlMessage;
+import org.teaseltrail.core.message.DeclineReason;
+import org.teaseltrail.core.message.EndKind;
+import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.message.RefusalKind;
+import org.teaseltrail.core.message.Usage;
+import org.teaseltrail.core.message.WithdrawReason;
+import org.teaseltrail.core.schedule.SchedulerAction;
+import org.teaseltrail.load.measure.RequestOutcome;
+import org.teaseltrail.load.workload.Deployment;
+import org.teaseltrail.load.workload.PlannedRequest;
+import org.teaseltrail.standin.model.EngineFrame;
+
+/** Plays the entry VMs and their callers: offers requests, dispatches grants, passes tokens on. */
+final class EntryVms implements EngineListener {
+
+  private static final long NS_PER_MS = 1_000_000;
+  private static final long PROGRESS_INTERVAL_NS = 1_000 * NS_PER_MS;
+
+  private final VirtualTime time;
+  private final Deployment deployment;
+  private final Measures measures;
+  private final Network network;
+  private final Map<RequestId, TrackedRequest> requests = new HashMap<>();
+  private final Map<RequestId, Long> progressNs = new HashMap<>();
+  private Map<VmId, SchedulerNode> schedulers = Map.of();
+  private Map<UpstreamId, EngineNode> engines = Map.of();
+
+  EntryVms(VirtualTime time, Deployment deployment, Measures measures) {
+    this.time = time;
+    this.deployment = deployment;
+    this.measures = measures;
+    this.network = new Network(deployment);
+  }
+
+  void connect(Map<VmId, SchedulerNode> toSchedulers, Map<UpstreamId, EngineNode> toEngines) {
+    schedulers = toSchedulers;
+    engines = toEngines;
+  }
+
+  /** Plans a request's arrival, and its caller's hanging up if it won't wait for ever. */
+  void plan(PlannedRequest planned, VmId vm, boolean counted) {
+    TrackedRequest request = new TrackedRequest(planned, vm, counted);
+    requests.put(request.id(), request);
+    time.at(planned.atNs() + network.clientNs(), () -> arrive(request));
+    if (planned.kind().sendsDeadline()) {
+      time.at(request.usefulUntilNs() + network.clientNs(), () -> hangUp(request));
+    }
+  }
+
+  /** Takes a scheduler's message. */
+  void receive(SchedulerAction.Send send) {
+    if (send.message() instanceof ControlMessage.Grant grant) {
+      granted(send.vm(), grant);
+    } else if (send.message() instanceof ControlMessage.Refused refused) {
+      giveUp(requests.get(refused.request()), refused.kind());
+    }
+  }
+
+  /** Ends what still waits or runs. */
+  void finish() {
+    for (TrackedRequest request : List.copyOf(requests.values())) {
+      if (!request.ended() && request.planned().atNs() <= time.nowNs()) {
+        measures.ended(request, RequestOutcome.UNFINISHED);
+      }
+    }
+  }
+
+  @Override
+  public void refused(RequestId id, UpstreamId engine, DeclineReason reason) {
+    TrackedRequest request = requests.get(id);
+    time.after(network.upstreamNs(), () -> declined(request, engine, reason));
+  }
+
+  @Override
+  public void prefilled(RequestId id, UpstreamId engine, int cachedTokens, int processedTokens) {
+    measures.prefilled(requests.get(id), engine, cachedTokens, processedTokens);
+  }
+
+  @Override
+  public void frames(UpstreamId engine, List<EngineFrame> frames) {
+    time.after(network.upstreamNs(), () -> frames.forEach(f -> received(engine, f)));
+  }
+
+  @Override
+  public void broken(RequestId id, UpstreamId engine) {
+    TrackedRequest request = requests.get(id);
+    time.after(network.upstreamNs(), () -> fail(request, engine));
+  }
+
+  private void arrive(TrackedRequest request) {
+    measures.offered(request);
+    tell(request, new EntryMessage.Offer(request.ticket(deployment, time.nowNs())));
+  }
+
+  private void granted(VmId vm, ControlMessage.Grant grant) {
+    TrackedRequest request = requests.get(grant.request());
+    if (request.ended() || request.dispatched()) {
+      schedulers.get(vm).send(vm, decline(grant, DeclineReason.UNKNOWN_REQUEST));
+      return;
+    }
+    EngineNode engine = engines.get(grant.upstream());
+    request.dispatch(grant.upstream(), time.nowNs());
+    time.after(network.upstreamNs(), () -> engine.submit(request));
+  }
+
+  private static EntryMessage decline(ControlMessage.Grant grant, DeclineReason reason) {
+    return new EntryMessage.Declined(grant.request(), grant.upstream(), reason);
+  }
+
+  private void declined(TrackedRequest request, UpstreamId engine, DeclineReason reason) {
+    request.refusedByUpstream();
+    DeclineReason told = request.ended() ? DeclineReason.UNKNOWN_REQUEST : reason;
+    tell(request, new EntryMessage.Declined(request.id(), engine, told));
+  }
+
+  private void received(UpstreamId engine, EngineFrame frame) {
+    TrackedRequest request = requests.get(frame.request());
+    if (request.ended()) {
+      return;
+    }
+    AnswerCheck.inOrder(request, engine, frame.firstToken());
+    if (frame.isEnd()) {
+      complete(request, engine, frame.usage().orElseThrow());
+    } else {
+      tokens(request, engine, frame.tokens());
+    }
+  }
+
+  private void tokens(TrackedRequest request, UpstreamId engine, int count) {
+    long nowNs = time.nowNs();
+    if (request.tokens() == 0) {
+      long sinceMs = (nowNs - request.dispatchedNs()) / NS_PER_MS;
+      tell(request, new EntryMessage.FirstToken(request.id(), engine, sinceMs));
+      progressNs.put(request.id(), nowNs);
+    } else if (nowNs - progressNs.get(request.id()) >= PROGRESS_INTERVAL_NS) {
+      tell(request, new EntryMessage.Progress(request.id(), engine, request.tokens() + count));
+      progressNs.put(request.id(), nowNs);
+    }
+    measures.tokens(request, count, nowNs + network.clientNs());
+  }
+
+  private void complete(TrackedRequest request, UpstreamId engine, Usage usage) {
+    AnswerCheck.whole(request, usage);
+    end(request, engine, EndKind.COMPLETED, usage);
+    boolean useful = time.nowNs() + network.clientNs() <= request.usefulUntilNs();
+    measures.ended(request, useful ? RequestOutcome.USEFUL : RequestOutcome.LATE);
+  }
+
+  private void fail(TrackedRequest request, UpstreamId engine) {
+    if (request.ended()) {
+      return;
+    }
+    end(request, engine, EndKind.FAILED, usageSoFar(request));
+    measures.ended(request, RequestOutcome.FAILED);
+  }
+
+  private void hangUp(TrackedRequest request) {
+    if (request.ended()) {
+      return;
+    }
+    Optional<UpstreamId> engine = request.upstream();
+    if (engine.isEmpty()) {
+      tell(request, new EntryMessage.Withdraw(request.id(), WithdrawReason.DEADLINE));
+      measures.ended(request, RequestOutcome.DEADLINE);
+      return;
+    }
+    time.after(network.upstreamNs(), () -> engines.get(engine.get()).cancel(request.id()));
+    end(request, engine.get(), EndKind.CANCELLED, usageSoFar(request));
+    measures.ended(request, RequestOutcome.HUNG_UP);
+  }
+
+  private void giveUp(TrackedRequest request, RefusalKind kind) {
+    if (request.ended()) {
+      return;
+    }
+    RequestOutcome outcome =
+        switch (kind) {
+          case SHED -> RequestOutcome.SHED;
+          case DEADLINE -> RequestOutcome.DEADLINE;
+          default -> RequestOutcome.REFUSED;
+        };
+    measures.ended(request, outcome);
+  }
+
+  private void end(TrackedRequest request, UpstreamId engine, EndKind kind, Usage usage) {
+    long sinceMs = (time.nowNs() - request.dispatchedNs()) / NS_PER_MS;
+    tell(request, new EntryMessage.Ended(request.id(), engine, kind, usage, sinceMs));
+  }
+
+  private static Usage usageSoFar(TrackedRequest request) {
+    return new Usage(request.planned().prompt().tokens(), 0, request.tokens());
+  }
+
+  private void tell(TrackedRequest request, EntryMessage message) {
+    schedulers.get(request.vm()).send(request.vm(), message);
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/teaseltrail/load/policy/GroupResult.java
@@ -0,0 +1,52 @@
+package org.teaseltrail.load.policy;
+
+import java.util.List;
+import java.util.SortedMap;
+import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
+import org.HdrHistogram.Histogram;
+import org.teaseltrail.core.id.Tier;
+
+/**
+ * Is one policy in one scenario over all seeds.
+ *
+ * @param policy the policy
+ * @param scenario the scenario
+ * @param runs a result for each seed
+ */
+public record GroupResult(Policy policy, Scenario scenario, List<RunResult> runs) {
+
+  private static final double US_PER_MS = 1_000;
+
+  /** Returns a measure's spread over the seeds. */
+  public Spread spread(ToDoubleFunction<RunResult> measure) {
+    return Spread.of(runs.stream().map(measure::applyAsDouble).toList());
+  }
+
+  /** Returns the useful part of what a tier offered. */
+  public Spread goodput(Tier tier) {
+    return spread(r -> r.tiers().get(tier).goodput());
+  }
+
+  /** Returns the useful part of what a tier and all higher ones offered. */
+  public Spread prefixGoodput(Tier lowest) {
+    return spread(r -> r.prefixGoodput(lowest));
+  }
+
+  /** Returns a percentile of the time to the first token, in milliseconds, over all seeds. */
+  public double firstTokenMs(Tier tier, double percentile) {
+    return percentileMs(RunResult::firstTokenUs, tier, percentile);
+  }
+
+  /** Returns a percentile of the time between tokens, in milliseconds, over all seeds. */
+  public double interTokenMs(Tier tier, double percentile) {
+    return percentileMs(RunResult::interTokenUs, tier, percentile);
+  }
+
+  private double percentileMs(
+      Function<RunResult, SortedMap<Tier, Histogram>> of, Tier tier, double percentile) {
+    Histogram all = new Histogram(3);
+    runs.forEach(r -> all.add(of.apply(r).get(tier)));
+    return all.getValueAtPercentile(percentile) / US_PER_MS;
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/teaseltrail/load/policy/Measures.java
@@ -0,0 +1,85 @@
+package org.teaseltrail.load.policy;
+
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+import org.teaseltrail.core.id.Tier;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.load.measure.RequestOutcome;
+import org.teaseltrail.load.measure.TierTally;
+import org.teaseltrail.load.workload.Deployment;
+import org.teaseltrail.load.workload.EngineSpec;
+import org.teaseltrail.load.workload.KindSpec;
+
+/** Gathers the measures of one run. */
+final class Measures {
+
+  private static final int DIGITS = 3;
+  private static final double NS_PER_US = 1_000;
+
+  private final SortedMap<Tier, TierTally> tiers = new TreeMap<>();
+  private final SortedMap<String, TierTally> kinds = new TreeMap<>();
+  private final SortedMap<Tier, Histogram> firstToken = new TreeMap<>();
+  private final SortedMap<Tier, Histogram> interToken = new TreeMap<>();
+  private final PrefillLedger prefill;
+  private long decisions;
+
+  Measures(Deployment deployment) {
+    for (Tier tier : deployment.tiers()) {
+      tiers.put(tier, new TierTally());
+      firstToken.put(tier, new Histogram(DIGITS));
+      interToken.put(tier, new Histogram(DIGITS));
+    }
+    for (KindSpec kind : deployment.kinds()) {
+      kinds.put(kind.name(), new TierTally());
+    }
+    prefill =
+        new PrefillLedger(deployment.engines().stream().mapToLong(EngineSpec::cacheTokens).sum());
+  }
+
+  void offered(TrackedRequest request) {
+    if (request.counted()) {
+      tiers.get(request.planned().tier()).offered();
+      kinds.get(request.planned().kind().name()).offered();
+    }
+  }
+
+  void prefilled(TrackedRequest request, UpstreamId engine, int cachedTokens, int processedTokens) {
+    PrefillLedger.Prefill done =
+        prefill.processed(
+            engine, request.blocks(), cachedTokens, processedTokens, request.counted());
+    request.prefilled(done);
+    // A caller may have hung up before its engine has heard of it and tells what it processed.
+    request.outcome().ifPresent(outcome -> prefill.ended(done, outcome));
+  }
+
+  /** Notes tokens that reach the caller at a time. */
+  void tokens(TrackedRequest request, int count, long nowNs) {
+    if (request.counted()) {
+      boolean first = request.tokens() == 0;
+      long sinceNs = first ? request.planned().atNs() : request.lastTokenNs();
+      SortedMap<Tier, Histogram> histograms = first ? firstToken : interToken;
+      Histogram histogram = histograms.get(request.planned().tier());
+      histogram.recordValue((long) ((nowNs - sinceNs) / NS_PER_US));
+    }
+    request.received(count, nowNs);
+  }
+
+  void ended(TrackedRequest request, RequestOutcome outcome) {
+    request.end(outcome);
+    request.prefill().ifPresent(p -> prefill.ended(p, outcome));
+    if (request.counted()) {
+      tiers.get(request.planned().tier()).ended(outcome);
+      kinds.get(request.planned().kind().name()).ended(outcome);
+    }
+  }
+
+  void decision() {
+    decisions++;
+  }
+
+  RunResult result(String policy, long seed) {
+    return new RunResult(
+        policy, seed, tiers, kinds, prefill.tally(), firstToken, interToken, decisions);
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/teaseltrail/load/policy/PolicyRun.java
@@ -0,0 +1,115 @@
+package org.teaseltrail.load.policy;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.schedule.SchedulerEvent;
+import org.teaseltrail.core.upstream.Announcement;
+import org.teaseltrail.core.upstream.CacheEvent;
+import org.teaseltrail.load.workload.Deployment;
+import org.teaseltrail.load.workload.EngineSpec;
+import org.teaseltrail.load.workload.PlannedRequest;
+
+/** Runs one policy through one scenario with one seed. */
+public final class PolicyRun {
+
+  private final Scenario scenario;
+  private final Policy policy;
+  private final long seed;
+  private final Deployment deployment;
+  private final VirtualTime time = new VirtualTime();
+  private final Network network;
+  private final Measures measures;
+  private final EntryVms entryVms;
+  private final List<VmId> vms = new ArrayList<>();
+  private final Map<VmId, SchedulerNode> schedulers = new LinkedHashMap<>();
+  private final Map<UpstreamId, EngineNode> engines = new LinkedHashMap<>();
+  private int nextVm;
+
+  /** Prepares the run. */
+  public PolicyRun(Scenario scenario, Policy policy, long seed) {
+    this.scenario = scenario;
+    this.policy = policy;
+    this.seed = seed;
+    this.deployment = scenario.deployment();
+    this.network = new Network(deployment);
+    this.measures = new Measures(deployment);
+    this.entryVms = new EntryVms(time, deployment, measures);
+  }
+
+  /** Runs to the end. */
+  public RunResult run() {
+    createVms();
+    createEngines();
+    entryVms.connect(schedulers, engines);
+    for (PlannedRequest request : scenario.plan(seed)) {
+      VmId vm = vms.get(request.index() % vms.size());
+      entryVms.plan(request, vm, scenario.counts(request));
+    }
+    scenario.fault().plan(time, scenario, List.copyOf(engines.values()));
+    time.runUntil(scenario.endNs());
+    entryVms.finish();
+    return measures.result(policy.name(), seed);
+  }
+
+  private void createVms() {
+    for (int i = 0; i < deployment.entryVms(); i++) {
+      vms.add(new VmId("entry-" + (i + 1)));
+    }
+    if (policy.isPerVm()) {
+      vms.forEach(vm -> schedulers.put(vm, schedulerNode(seed + vms.indexOf(vm), 0)));
+    } else {
+      SchedulerNode node = schedulerNode(seed, network.controlNs());
+      vms.forEach(vm -> schedulers.put(vm, node));
+    }
+  }
+
+  private SchedulerNode schedulerNode(long schedulerSeed, long delayNs) {
+    SchedulerNode node =
+        new SchedulerNode(
+            time,
+            policy.create(deployment, schedulerSeed),
+            delayNs,
+            network.claimNs(),
+            entryVms::receive,
+            measures);
+    node.handle(new SchedulerEvent.ConfigurationChanged(PoolConfiguration.of(deployment)));
+    return node;
+  }
+
+  private void createEngines() {
+    for (EngineSpec spec : deployment.engines()) {
+      engines.put(spec.id(), new EngineNode(time, deployment, spec, entryVms, new News(), seed));
+    }
+    engines.values().forEach(EngineNode::start);
+  }
+
+  /** Passes upstreams' news on: over any one VM to the pool's scheduler, else to every VM. */
+  private void tellNews(EntryMessage message) {
+    if (policy.isPerVm()) {
+      schedulers.forEach((vm, node) -> node.send(vm, message));
+      return;
+    }
+    VmId vm = vms.get(nextVm++ % vms.size());
+    schedulers.get(vm).send(vm, message);
+  }
+
+  private final class News implements UpstreamNews {
+
+    @Override
+    public void announced(Announcement announcement) {
+      EntryMessage message = new EntryMessage.UpstreamSeen(announcement, 0);
+      time.after(network.upstreamNs(), () -> tellNews(message));
+    }
+
+    @Override
+    public void cacheChanged(CacheEvent event) {
+      EntryMessage message = new EntryMessage.CacheSeen(event);
+      time.after(network.upstreamNs(), () -> tellNews(message));
+    }
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/teaseltrail/load/policy/TrackedRequest.java
@@ -0,0 +1,154 @@
+package org.teaseltrail.load.policy;
+
+import java.util.List;
+import java.util.Optional;
+import org.teaseltrail.core.id.IdempotencyKey;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.id.RouteId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.message.Claim;
+import org.teaseltrail.core.message.Ticket;
+import org.teaseltrail.load.measure.RequestOutcome;
+import org.teaseltrail.load.workload.Deployment;
+import org.teaseltrail.load.workload.PlannedRequest;
+
+/** Follows one request of a run from its offer to its one outcome. */
+final class TrackedRequest {
+
+  private static final long NS_PER_MS = 1_000_000;
+
+  private final PlannedRequest planned;
+  private final RequestId id;
+  private final VmId vm;
+  private final boolean counted;
+  private final List<Long> blocks;
+  private Optional<UpstreamId> upstream = Optional.empty();
+  private Optional<RequestOutcome> outcome = Optional.empty();
+  private Optional<PrefillLedger.Prefill> prefill = Optional.empty();
+  private long dispatchedNs;
+  private long lastTokenNs;
+  private int tokens;
+
+  TrackedRequest(PlannedRequest planned, VmId vm, boolean counted) {
+    this.planned = planned;
+    this.id = new RequestId("r" + planned.index());
+    this.vm = vm;
+    this.counted = counted;
+    this.blocks = planned.prompt().blocks();
+  }
+
+  /** Returns the ticket as the entry VM offers it at a time. */
+  Ticket ticket(Deployment deployment, long nowNs) {
+    long waitedMs = (nowNs - planned.atNs()) / NS_PER_MS;
+    long deadlineMs = planned.kind().sendsDeadline() ? usefulUntilNs() / NS_PER_MS : 0;
+    long leftMs = deadlineMs == 0 ? 0 : Math.max(1, deadlineMs - nowNs / NS_PER_MS);
+    return new Ticket(
+        id,
+        planned.customer(),
+        planned.tier(),
+        new RouteId(deployment.pool().value()),
+        deployment.pool(),
+        planned.kind().target(),
+        planned.prompt().tokens(),
+        maxTokens(),
+        blocks,
+        waitedMs,
+        leftMs,
+        claim());
+  }
+
+  /** Returns the bound that the caller sets on the answer: the next power of two. */
+  int maxTokens() {
+    return Integer.highestOneBit(Math.max(1, 2 * planned.outputTokens() - 1));
+  }
+
+  PlannedRequest planned() {
+    return planned;
+  }
+
+  RequestId id() {
+    return id;
+  }
+
+  VmId vm() {
+    return vm;
+  }
+
+  /** Returns whether the request arrived in the measured part of the run. */
+  boolean counted() {
+    return counted;
+  }
+
+  List<Long> blocks() {
+    return blocks;
+  }
+
+  long usefulUntilNs() {
+    return planned.atNs() + planned.kind().usefulDeadlineMs() * NS_PER_MS;
+  }
+
+  boolean ended() {
+    return outcome.isPresent();
+  }
+
+  Optional<RequestOutcome> outcome() {
+    return outcome;
+  }
+
+  boolean dispatched() {
+    return upstream.isPresent();
+  }
+
+  Optional<UpstreamId> upstream() {
+    return upstream;
+  }
+
+  long dispatchedNs() {
+    return dispatchedNs;
+  }
+
+  long lastTokenNs() {
+    return lastTokenNs;
+  }
+
+  int tokens() {
+    return tokens;
+  }
+
+  Optional<PrefillLedger.Prefill> prefill() {
+    return prefill;
+  }
+
+  void dispatch(UpstreamId chosen, long nowNs) {
+    upstream = Optional.of(chosen);
+    dispatchedNs = nowNs;
+  }
+
+  /** Takes the dispatch back: the upstream refused the request before it ran. */
+  void refusedByUpstream() {
+    upstream = Optional.empty();
+  }
+
+  void prefilled(PrefillLedger.Prefill done) {
+    prefill = Optional.of(done);
+  }
+
+  void received(int count, long nowNs) {
+    tokens += count;
+    lastTokenNs = nowNs;
+  }
+
+  void end(RequestOutcome reached) {
+    if (ended()) {
+      throw new IllegalStateException(id + " has ended as " + outcome.get());
+    }
+    outcome = Optional.of(reached);
+  }
+
+  private Optional<Claim> claim() {
+    return planned.kind().idempotent()
+        ? Optional.empty()
+        : Optional.of(new Claim(new IdempotencyKey("k" + planned.index()), "0".repeat(64), true));
+  }
+}
