--- a/core/src/main/java/org/teaseltrail/core/replication/Replica.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/Replica.java
@@ -102,6 +102,16 @@
     return leadership.map(leading -> leading.leaseHolds(nowNs)).orElse(false);
   }
 
+  /**
+   * Tells whether this member's vote is bound to a leader, or may be: a lease rests on it.
+   *
+   * @param nowNs monotonic time in nanoseconds
+   * @return true while it refuses its vote to others
+   */
+  public boolean isVoteBound(long nowNs) {
+    return leadership.isPresent() || !guard.allows(false, nowNs);
+  }
+
   /**
    * Returns this member's term.
    *
--- a/core/src/test/java/org/teaseltrail/core/replication/FakeDisk.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/FakeDisk.java
@@ -59,6 +59,32 @@
     return snapshot.map(Snapshot::index).orElse(0L) >= entry.index() || entries.contains(entry);
   }
 
+  Vote syncedVote() {
+    return vote;
+  }
+
+  long syncedIndex() {
+    long covered = snapshot.map(Snapshot::index).orElse(0L);
+    return entries.isEmpty() ? covered : Math.max(covered, lastEntry().index());
+  }
+
+  /** Returns the member set that the log would hold were all writes synced. */
+  Membership writtenMembership() {
+    FakeDisk all = new FakeDisk(recovered());
+    unsynced.forEach(all::apply);
+    Membership latest = all.snapshot.map(Snapshot::membership).orElse(Membership.empty());
+    for (LogEntry entry : all.recovered().entries()) {
+      if (entry.payload() instanceof EntryPayload.MembershipPayload payload) {
+        latest = payload.membership();
+      }
+    }
+    return latest;
+  }
+
+  private LogEntry lastEntry() {
+    return entries.get(entries.size() - 1);
+  }
+
   private void apply(ReplicaAction.Write write) {
     if (write instanceof ReplicaAction.AppendToLog append) {
       entries.addAll(append.entries());
--- a/core/src/test/java/org/teaseltrail/core/replication/FakeGroup.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/FakeGroup.java
@@ -193,10 +193,19 @@
     after(
         delayNs,
         () -> {
-          FakeMember receiver = members.get(envelope.to());
-          if (receiver != null) {
-            receiver.handle(new ReplicaEvent.PeerReceived(envelope));
-          }
+          ReplicaEvent received = new ReplicaEvent.PeerReceived(envelope);
+          receiverOn(vmOf(envelope.to())).ifPresent(member -> member.handle(received));
         });
   }
+
+  private static String vmOf(MemberId id) {
+    return id.value().substring(0, id.value().indexOf('-'));
+  }
+
+  /** Returns who runs on a VM now, which after a lost disk isn't whom a message was meant for. */
+  private Optional<FakeMember> receiverOn(String vm) {
+    return members.values().stream()
+        .filter(member -> member.member().vm().value().equals(vm))
+        .findFirst();
+  }
 }
--- a/core/src/test/java/org/teaseltrail/core/replication/FakeMember.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/FakeMember.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.teaseltrail.core.id.MemberId;
 
@@ -31,6 +32,7 @@
   private long wakeupNs;
   private long appliedIndex;
   private long stateHash;
+  private long thawReads;
   private int actionsUntilCrash = -1;
 
   FakeMember(FakeGroup group, Member member, RecoveredState initial) {
@@ -38,7 +40,7 @@
     this.member = member;
     this.disk = new FakeDisk(initial);
     this.offsetNs = group.random().nextLong(1_000_000_000_000L);
-    this.rate = 1 + (group.random().nextDouble() - 0.5) * 0.04;
+    this.rate = 1 + (group.random().nextInt(3) - 1) * 0.02;
     start();
   }
 
@@ -66,6 +68,10 @@
     return isUp() && replica.leaseHolds(localNs());
   }
 
+  boolean isVoteFree() {
+    return isUp() && !replica.isVoteBound(localNs());
+  }
+
   Membership membership() {
     return replica.membership();
   }
@@ -115,9 +121,13 @@
     frozen = true;
   }
 
-  /** Goes on with all that came in meanwhile. */
+  /** Goes on with a read, and then with all that came in meanwhile. */
   void thaw() {
     frozen = false;
+    if (leads()) {
+      thawReads--;
+      read(thawReads);
+    }
     while (!frozen && isUp() && !held.isEmpty()) {
       handle(held.removeFirst());
     }
@@ -136,12 +146,14 @@
     }
     int now = life;
     List<ReplicaAction> actions = replica.handle(event, localNs());
+    checkReceiver(event, actions);
     for (ReplicaAction action : actions) {
       if (life == now) {
         carryOut(action);
       }
     }
     if (life == now) {
+      checkMembership(actions);
       startSync();
       scheduleWakeup();
     }
@@ -164,6 +176,7 @@
     if (action instanceof ReplicaAction.Write write) {
       disk.write(write);
     } else if (action instanceof ReplicaAction.SendPeer send) {
+      checkPromise(send.envelope());
       group.send(send.envelope());
     } else if (action instanceof ReplicaAction.Apply apply) {
       apply.entries().forEach(this::apply);
@@ -178,6 +191,42 @@
     }
   }
 
+  private void checkMembership(List<ReplicaAction> actions) {
+    boolean changed =
+        actions.stream()
+            .anyMatch(
+                action ->
+                    action instanceof ReplicaAction.TruncateLog
+                        || action instanceof ReplicaAction.MembershipChanged);
+    if (changed) {
+      assertThat(replica.membership()).isEqualTo(disk.writtenMembership());
+    }
+  }
+
+  private void checkReceiver(ReplicaEvent event, List<ReplicaAction> actions) {
+    if (event instanceof ReplicaEvent.PeerReceived received
+        && !received.envelope().to().equals(id())) {
+      assertThat(actions).noneMatch(FakeMember::isReply);
+    }
+  }
+
+  private static boolean isReply(ReplicaAction action) {
+    return action instanceof ReplicaAction.SendPeer send
+        && send.envelope().message().getClass().getSimpleName().endsWith("Reply");
+  }
+
+  /** Checks that what a message promises would outlive a power loss now. */
+  private void checkPromise(PeerEnvelope envelope) {
+    PeerMessage message = envelope.message();
+    if (message instanceof PeerMessage.VoteReply reply && reply.granted()) {
+      assertThat(disk.syncedVote()).isEqualTo(new Vote(reply.term(), Optional.of(envelope.to())));
+    } else if (message instanceof PeerMessage.VoteRequest request) {
+      assertThat(disk.syncedVote()).isEqualTo(new Vote(request.term(), Optional.of(id())));
+    } else if (message instanceof PeerMessage.AppendReply reply) {
+      assertThat(disk.syncedIndex()).isGreaterThanOrEqualTo(reply.matchIndex());
+    }
+  }
+
   private void apply(LogEntry entry) {
     assertThat(entry.index()).isEqualTo(appliedIndex + 1);
     appliedIndex = entry.index();
--- a/core/src/test/java/org/teaseltrail/core/replication/Fault.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/Fault.java
@@ -1,6 +1,8 @@
 package org.teaseltrail.core.replication;
 
+import java.util.List;
 import java.util.Optional;
+import org.teaseltrail.core.id.VmId;
 
 /** Is something that goes wrong, or that an operator does, in a random run. */
 enum Fault {
@@ -31,6 +33,24 @@
           member -> group.after(group.random().nextLong(2_000) * FakeGroup.MS, member::thaw));
     }
   },
+  RESTART_AT_ONCE {
+    @Override
+    void happen(FaultRun run, FakeGroup group) {
+      FakeMember member = group.anyMember();
+      if (member.isUp()) {
+        member.crash();
+        member.start();
+      }
+    }
+  },
+  CUT_FROM_LEADER {
+    @Override
+    void happen(FaultRun run, FakeGroup group) {
+      FakeMember member = group.anyMember();
+      group.leader().ifPresent(leader -> group.cut(leader, member));
+      group.leader().ifPresent(leader -> group.cut(member, leader));
+    }
+  },
   CUT_ONE_WAY {
     @Override
     void happen(FaultRun run, FakeGroup group) {
@@ -91,5 +111,15 @@
     }
   };
 
+  private static final VmId NEVER = new VmId("never");
+
   abstract void happen(FaultRun run, FakeGroup group);
+
+  private static void proposeToLeaders(FakeGroup group, MembershipChange change) {
+    for (FakeMember member : List.copyOf(group.members())) {
+      if (member.leads()) {
+        member.handle(new ReplicaEvent.ProposeMembership(0, change));
+      }
+    }
+  }
 }
--- a/core/src/test/java/org/teaseltrail/core/replication/GroupHistory.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/GroupHistory.java
@@ -51,10 +51,18 @@
         .isEqualTo(committed.size());
   }
 
+  /** Checks that nobody can be elected while a lease holds. */
   void checkLeases(Collection<FakeMember> members) {
-    List<MemberId> holders =
-        members.stream().filter(FakeMember::leaseHolds).map(FakeMember::id).toList();
+    List<FakeMember> holders = members.stream().filter(FakeMember::leaseHolds).toList();
     assertThat(holders).as("lease holders").hasSizeLessThan(2);
+    for (FakeMember holder : holders) {
+      Membership membership = holder.membership();
+      long free =
+          members.stream()
+              .filter(member -> membership.isVoter(member.id()) && member.isVoteFree())
+              .count();
+      assertThat(free).as("votes free beside a lease").isLessThan(membership.quorumCount());
+    }
   }
 
   private static void checkQuorumHolds(
