--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/replication/ElectionTest.java
@@ -0,0 +1,129 @@
+package org.teaseltrail.core.replication;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.id.MemberId;
+import org.teaseltrail.core.id.VmId;
+
+class ElectionTest {
+
+  private final FakeGroup group = new FakeGroup(7, 3);
+
+  @Test
+  void founderOfOneElectsItselfAndCommits() {
+    FakeGroup alone = new FakeGroup(1, 1);
+    FakeMember founder = alone.elect();
+    alone.propose(founder);
+    alone.run(20 * FakeGroup.MS);
+    assertThat(founder.appliedIndex()).isEqualTo(3);
+  }
+
+  /**
+   * Story: a VM is cut off for a long time and comes back. Were its term to have grown meanwhile,
+   * it would depose the leader, and users would see scheduling stop for an election.
+   */
+  @Test
+  void returnOfAnIsolatedMemberLeavesTheLeader() {
+    FakeMember leader = group.elect();
+    final long term = leader.replica().term();
+    FakeMember other = group.otherThan(leader);
+    group.isolate(other);
+    group.run(10_000 * FakeGroup.MS);
+    group.heal();
+    group.run(3_000 * FakeGroup.MS);
+    assertThat(group.elect()).isSameAs(leader);
+    assertThat(leader.replica().term()).isEqualTo(term);
+  }
+
+  /**
+   * Story: a link fails in one direction: the leader is heard but hears nobody. Its heartbeats keep
+   * the others from voting, so without a step-down nothing is committed until someone repairs it.
+   */
+  @Test
+  void deafLeaderStepsDown() {
+    FakeMember leader = group.elect();
+    group.members().forEach(other -> group.cut(other, leader));
+    group.run(3_000 * FakeGroup.MS);
+    assertThat(group.elect()).isNotSameAs(leader);
+  }
+
+  /** A kill leaves the group without a lease holder for less than the 2 s of the design. */
+  @Test
+  void nextLeaderWithinTwoSecondsOfKill() {
+    for (int seed = 0; seed < 50; seed++) {
+      FakeGroup killed = new FakeGroup(seed, 3);
+      killed.elect().crash();
+      killed.run(2_000 * FakeGroup.MS);
+      assertThat(killed.leader()).as("seed %d", seed).isPresent();
+    }
+  }
+
+  /** A leader that hands over is followed at once, without the wait for its lease. */
+  @Test
+  void handOverNeedsNoWait() {
+    FakeMember leader = group.elect();
+    leader.handle(new ReplicaEvent.TransferLeadership(0, Optional.empty()));
+    assertThat(leader.leaseHolds()).isFalse();
+    group.run(100 * FakeGroup.MS);
+    assertThat(group.leader()).isPresent();
+    assertThat(group.elect()).isNotSameAs(leader);
+  }
+
+  /**
+   * Story: a disk is replaced and the process started with an empty folder. Were it to vote, it
+   * could elect a leader that lacks what the old disk had acknowledged.
+   */
+  @Test
+  void emptyLogNeverVotes() {
+    MemberId empty = new MemberId("c9-1");
+    Replica replica =
+        new Replica(
+            FakeGroup.ID,
+            empty,
+            FakeGroup.SETTINGS,
+            RecoveredState.empty(),
+            new SplittableRandom(1),
+            0);
+    PeerMessage request = new PeerMessage.VoteRequest(5, 0, 0, false);
+    PeerEnvelope envelope = new PeerEnvelope(FakeGroup.ID, new MemberId("c8-1"), empty, request);
+    long nowNs = 10_000 * FakeGroup.MS;
+    assertThat(replica.handle(new ReplicaEvent.PeerReceived(envelope), nowNs))
+        .noneMatch(
+            action ->
+                action instanceof ReplicaAction.SaveVote saved
+                    && saved.vote().votedFor().isPresent());
+  }
+
+  /**
+   * Story: an operator resends a member change, or two operators change members at once. With both
+   * under way, two quorums could decide without a common voter.
+   */
+  @Test
+  void memberChangesFollowOneAnother() {
+    FakeMember leader = group.elect();
+    assertThat(refusal(leader, add("n1"))).isEmpty();
+    assertThat(refusal(leader, add("n2"))).contains(ProposalRejection.MEMBERSHIP_CHANGE_PENDING);
+    group.run(100 * FakeGroup.MS);
+    assertThat(refusal(leader, add("n1"))).contains(ProposalRejection.ALREADY_MEMBER);
+    assertThat(refusal(leader, new MembershipChange.PromoteLearner(new MemberId("n1-1"))))
+        .contains(ProposalRejection.LEARNER_NOT_CAUGHT_UP);
+    assertThat(refusal(leader, new MembershipChange.RemoveMember(new MemberId("n1-1")))).isEmpty();
+  }
+
+  private static MembershipChange add(String name) {
+    return new MembershipChange.AddLearner(new Member(new MemberId(name + "-1"), new VmId(name)));
+  }
+
+  private Optional<ProposalRejection> refusal(FakeMember leader, MembershipChange change) {
+    return leader
+        .replica()
+        .handle(new ReplicaEvent.ProposeMembership(0, change), leader.localNs())
+        .stream()
+        .filter(ReplicaAction.ProposalRejected.class::isInstance)
+        .map(action -> ((ReplicaAction.ProposalRejected) action).reason())
+        .findFirst();
+  }
+}
--- a/core/src/test/java/org/teaseltrail/core/replication/FakeGroup.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/FakeGroup.java
@@ -93,6 +93,13 @@
     return new ArrayList<>(members.values()).get(position);
   }
 
+  FakeMember otherThan(FakeMember... excluded) {
+    return members.values().stream()
+        .filter(member -> !List.of(excluded).contains(member))
+        .findFirst()
+        .orElseThrow();
+  }
+
   FakeMember anyMember() {
     return member(random.nextInt(members.size()));
   }
--- a/core/src/test/java/org/teaseltrail/core/replication/FakeMember.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/FakeMember.java
@@ -84,6 +84,10 @@
     return appliedIndex;
   }
 
+  boolean hasCrashed() {
+    return life > 0;
+  }
+
   void crashAfterActions(int count) {
     actionsUntilCrash = count;
   }
@@ -281,7 +285,7 @@
     }
   }
 
-  private long localNs() {
+  long localNs() {
     return offsetNs + (long) (group.nowNs() * rate);
   }
 }
--- a/core/src/test/java/org/teaseltrail/core/replication/FaultRun.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/FaultRun.java
@@ -62,18 +62,24 @@
     if (lost.isEmpty() || group.leader().isEmpty()) {
       return;
     }
-    FakeMember leader = group.leader().get();
+    if (repair(group.leader().get(), lost.get(), replacement.orElseThrow())) {
+      lost = Optional.empty();
+    }
+  }
+
+  /** Takes the next step of a repair and tells whether it is done. */
+  static boolean repair(FakeMember leader, FakeMember lost, FakeMember added) {
     Membership membership = leader.membership();
-    FakeMember added = replacement.orElseThrow();
     if (!membership.contains(added.id())) {
       propose(leader, new MembershipChange.AddLearner(added.member()));
     } else if (membership.isLearner(added.id())) {
       propose(leader, new MembershipChange.PromoteLearner(added.id()));
-    } else if (membership.contains(lost.get().id())) {
-      propose(leader, new MembershipChange.RemoveMember(lost.get().id()));
-    } else if (leader.replica().isMembershipCommitted()) {
-      lost = Optional.empty();
+    } else if (membership.contains(lost.id())) {
+      propose(leader, new MembershipChange.RemoveMember(lost.id()));
+    } else {
+      return leader.replica().isMembershipCommitted();
     }
+    return false;
   }
 
   private static void propose(FakeMember leader, MembershipChange change) {
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/replication/SyncBeforeReplyTest.java
@@ -0,0 +1,143 @@
+package org.teaseltrail.core.replication;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.id.MemberId;
+import org.teaseltrail.core.id.VmId;
+
+/**
+ * Story: a VM loses power between a reply and the sync that the reply stood for. The leader counted
+ * it, told an operator that a change is accepted, and after the restart the change is gone.
+ */
+class SyncBeforeReplyTest {
+
+  private static final MemberId SELF = new MemberId("a-1");
+  private static final MemberId LEADER = new MemberId("b-1");
+  private static final MemberId OTHER = new MemberId("c-1");
+  private static final long MS = 1_000_000L;
+
+  private long nowNs = 10_000 * MS;
+  private List<ReplicaAction> actions = new ArrayList<>();
+  private final Replica replica = start(List.of(entry(2, 1), entry(3, 1)));
+
+  @Test
+  void acknowledgesOnlySyncedEntries() {
+    receive(LEADER, append(2, 3, 1, LongStream.of(2, 2)));
+    assertThat(sent(PeerMessage.AppendReply.class)).isEmpty();
+    persisted(newestWrite());
+    assertThat(sent(PeerMessage.AppendReply.class))
+        .extracting(PeerMessage.AppendReply::matchIndex)
+        .containsExactly(5L);
+  }
+
+  /** An old entry's sync must not count for a new entry that took the old one's place. */
+  @Test
+  void syncOfEntriesCutOffCountsForNothing() {
+    receive(LEADER, append(2, 3, 1, LongStream.of(2, 2, 2)));
+    long oldWrite = newestWrite();
+    receive(OTHER, append(3, 3, 1, LongStream.of(3, 3, 3)));
+    persisted(oldWrite);
+    assertThat(sent(PeerMessage.AppendReply.class)).allMatch(reply -> reply.matchIndex() <= 3);
+  }
+
+  @Test
+  void tellsOnlySyncedVotes() {
+    receive(OTHER, new PeerMessage.VoteRequest(2, 9, 1, false));
+    assertThat(sent(PeerMessage.VoteReply.class)).isEmpty();
+    persisted(newestWrite());
+    assertThat(sent(PeerMessage.VoteReply.class)).hasSize(1);
+  }
+
+  /** A candidate whose own vote gets lost could stand in the same term again with another log. */
+  @Test
+  void asksForVotesOnlyOnceItsOwnIsSynced() {
+    receive(LEADER, append(2, 3, 1, LongStream.of(2)));
+    final long oldWrite = newestWrite();
+    nowNs += 2_000 * MS;
+    handle(new ReplicaEvent.Tick());
+    receive(OTHER, new PeerMessage.PreVoteReply(2, 3, true));
+    persisted(oldWrite);
+    assertThat(sent(PeerMessage.VoteRequest.class)).isEmpty();
+    persisted(newestWrite());
+    assertThat(sent(PeerMessage.VoteRequest.class)).hasSize(2);
+  }
+
+  /**
+   * An entry of an older term may lie on a quorum and still be replaced by a later leader (Ongaro,
+   * section 3.6.2), so it is committed only by an entry of the leader's own term.
+   */
+  @Test
+  void commitsOldEntriesOnlyByOneOfItsOwnTerm() {
+    nowNs += 2_000 * MS;
+    handle(new ReplicaEvent.Tick());
+    receive(OTHER, new PeerMessage.PreVoteReply(1, 2, true));
+    persisted(newestWrite());
+    receive(OTHER, new PeerMessage.VoteReply(2, true));
+    persisted(newestWrite());
+    receive(OTHER, new PeerMessage.AppendReply(2, 1, true, 3, 4));
+    assertThat(actions).noneMatch(ReplicaAction.Apply.class::isInstance);
+    receive(OTHER, new PeerMessage.AppendReply(2, 1, true, 4, 5));
+    assertThat(actions).anyMatch(ReplicaAction.Apply.class::isInstance);
+  }
+
+  private Replica start(List<LogEntry> entries) {
+    List<Member> voters = new ArrayList<>();
+    for (MemberId id : List.of(SELF, LEADER, OTHER)) {
+      voters.add(new Member(id, new VmId("vm")));
+    }
+    List<LogEntry> log = new ArrayList<>();
+    Membership membership = new Membership(voters, List.of());
+    log.add(new LogEntry(1, 0, new EntryPayload.MembershipPayload(membership)));
+    log.addAll(entries);
+    RecoveredState recovered =
+        new RecoveredState(new Vote(1, Optional.empty()), Optional.empty(), log);
+    return new Replica(
+        FakeGroup.ID, SELF, FakeGroup.SETTINGS, recovered, new SplittableRandom(1), 9_400 * MS);
+  }
+
+  private static LogEntry entry(long index, long term) {
+    return new LogEntry(index, term, new EntryPayload.Noop());
+  }
+
+  private static PeerMessage append(
+      long term, long previousIndex, long previousTerm, LongStream terms) {
+    List<LogEntry> entries = new ArrayList<>();
+    terms.forEach(each -> entries.add(entry(previousIndex + 1 + entries.size(), each)));
+    return new PeerMessage.Append(term, previousIndex, previousTerm, entries, 0, 1);
+  }
+
+  private void receive(MemberId from, PeerMessage message) {
+    handle(new ReplicaEvent.PeerReceived(new PeerEnvelope(FakeGroup.ID, from, SELF, message)));
+  }
+
+  private void persisted(long writeNumber) {
+    handle(new ReplicaEvent.Persisted(writeNumber));
+  }
+
+  private void handle(ReplicaEvent event) {
+    actions.addAll(replica.handle(event, nowNs));
+  }
+
+  private long newestWrite() {
+    return actions.stream()
+        .filter(ReplicaAction.Write.class::isInstance)
+        .mapToLong(action -> ((ReplicaAction.Write) action).writeNumber())
+        .max()
+        .orElseThrow();
+  }
+
+  private <T extends PeerMessage> List<T> sent(Class<T> type) {
+    return actions.stream()
+        .filter(ReplicaAction.SendPeer.class::isInstance)
+        .map(action -> ((ReplicaAction.SendPeer) action).envelope().message())
+        .filter(type::isInstance)
+        .map(type::cast)
+        .toList();
+  }
+}
