Let the token window follow the time between tokens, and take prefill out of the straggler's measure

The window compared step times with the shortest ever seen; a step that processes a 512-token chunk takes about ten times as long as one that only generates, so the window shrank to its floor and long prompts found no room.

--- a/core/src/main/java/org/teaseltrail/core/schedule/PoolState.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/PoolState.java
@@ -46,7 +46,8 @@
         settings.has(PolicyPart.PREFILL_BOUND),
         settings.has(PolicyPart.STRAGGLERS),
         settings.has(PolicyPart.PREFIX_AFFINITY),
-        settings.prefillBoundMs());
+        settings.prefillBoundMs(),
+        settings.tokenTargetMs());
   }
 
   FencingNumber fencing() {
--- a/core/src/main/java/org/teaseltrail/core/schedule/SchedulerSettings.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/SchedulerSettings.java
@@ -9,6 +9,8 @@
  * @param parts the parts of the policy that are on
  * @param prefillBoundMs prefill that may be in process on one engine at once, in milliseconds of
  *     its time; what a quick answer may be stalled by
+ * @param tokenTargetMs time between tokens from which an engine counts as crowded, in milliseconds;
+ *     the operators' target at the two-year size
  * @param prefillPrice what a millisecond of prefill counts for in the choice of an upstream: it
  *     stalls the whole batch, so more than one of decoding
  * @param longestHoldMs how long a request is held at most for the engine that holds its prefix
@@ -22,6 +24,7 @@
 public record SchedulerSettings(
     Set<PolicyPart> parts,
     double prefillBoundMs,
+    double tokenTargetMs,
     double prefillPrice,
     long longestHoldMs,
     long probeIntervalMs,
@@ -39,7 +42,17 @@
   /** Returns the settings in use unless an operator says otherwise: every part on. */
   public static SchedulerSettings defaults() {
     return new SchedulerSettings(
-        EnumSet.allOf(PolicyPart.class), 250, 2, 2_000, 2_000, 5_000, 500, 60_000, 30_000, 600_000);
+        EnumSet.allOf(PolicyPart.class),
+        250,
+        61,
+        2,
+        2_000,
+        2_000,
+        5_000,
+        500,
+        60_000,
+        30_000,
+        600_000);
   }
 
   /** Returns the same settings with one part of the policy off. */
@@ -55,6 +68,7 @@
     return new SchedulerSettings(
         newParts,
         prefillBoundMs,
+        tokenTargetMs,
         prefillPrice,
         longestHoldMs,
         probeIntervalMs,
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/FleetPolicy.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/FleetPolicy.java
@@ -8,10 +8,12 @@
  * @param stragglers whether slow upstreams get less
  * @param prefixAffinity whether prefix caches are modelled
  * @param prefillBoundMs prefill that may be in process on one engine, in milliseconds of its time
+ * @param tokenTargetMs time between tokens from which an engine counts as crowded, in milliseconds
  */
 public record FleetPolicy(
     boolean tokenWindow,
     boolean prefillBound,
     boolean stragglers,
     boolean prefixAffinity,
-    double prefillBoundMs) {}
+    double prefillBoundMs,
+    double tokenTargetMs) {}
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/SpeedMeter.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/SpeedMeter.java
@@ -14,16 +14,16 @@
   private static final double US_PER_MS = 1_000;
 
   private final StepModel steps = new StepModel();
-  private double tokenMs;
+  private double decodeMs;
   private int tokenSamples;
   private double prefillUs;
   private double spanMs;
 
-  /** Takes the time per token that was seen in an answer. */
-  void token(double batch, double sampleMs) {
-    tokenMs = tokenSamples == 0 ? sampleMs : tokenMs + TOKEN_GAIN * (sampleMs - tokenMs);
+  /** Takes the time per token that was seen in an answer, with and without other prompts' part. */
+  void token(double batch, double tokenMs, double stepMs) {
+    decodeMs = tokenSamples == 0 ? stepMs : decodeMs + TOKEN_GAIN * (stepMs - decodeMs);
     tokenSamples++;
-    steps.sample(batch, sampleMs);
+    steps.sample(batch, tokenMs);
   }
 
   /** Takes the step time that the upstream reports. */
@@ -50,9 +50,9 @@
     return tokenSamples;
   }
 
-  /** Returns the recent time per token, in milliseconds; zero before the first sample. */
-  double tokenMs() {
-    return tokenMs;
+  /** Returns the recent time per token without prompts' part; zero before the first sample. */
+  double decodeMs() {
+    return decodeMs;
   }
 
   /** Returns the time of a step at a batch, in milliseconds; zero before the first sample. */
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/StragglerDetector.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/StragglerDetector.java
@@ -86,6 +86,6 @@
   }
 
   private static double comparable(UpstreamAccount account) {
-    return account.speed().tokenMs() / (1 + SLOPE * account.inFlightCount());
+    return account.speed().decodeMs() / (1 + SLOPE * account.inFlightCount());
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/TokenWindow.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/TokenWindow.java
@@ -1,9 +1,10 @@
 package org.teaseltrail.core.schedule.fleet;
 
 /**
- * Bounds the tokens in flight on one engine by its step times: additive increase while steps are
- * short, multiplicative decrease when they grow past a multiple of the shortest (as TCP Vegas does
- * with round trips).
+ * Bounds the tokens in flight on one engine by the time between tokens of an answer: additive
+ * increase while it is within the target, multiplicative decrease while it is not (as TCP does with
+ * losses). An engine that is short of memory or shared with other work shows as time between
+ * tokens, whatever the cause.
  */
 final class TokenWindow {
 
@@ -11,22 +12,27 @@
   private static final long START_TOKENS_PER_SLOT = 8_192;
 
   /** The window never shrinks below this for each slot, so that slots stay usable. */
-  private static final long LEAST_TOKENS_PER_SLOT = 256;
-
-  /** Multiple of the shortest step from which the engine counts as crowded. */
-  private static final double CROWDED = 4;
+  private static final long LEAST_TOKENS_PER_SLOT = 512;
 
   private static final double DECREASE = 0.9;
   private static final double INCREASE = 0.05;
 
+  /** Weight of the newest sample: one answer behind a long prompt is not crowding yet. */
+  private static final double GAIN = 0.2;
+
   /** Least time between two decreases: a decrease must show before the next one. */
   private static final long SETTLE_NS = 500_000_000;
 
+  private final double targetMs;
   private long tokens;
   private long least;
-  private double shortestMs = Double.MAX_VALUE;
+  private double tokenMs;
   private long decreasedNs = Long.MIN_VALUE / 2;
 
+  TokenWindow(double targetMs) {
+    this.targetMs = targetMs;
+  }
+
   /** Sizes a new window by what the engine says of itself. */
   void size(int maxBatch, long cacheTokens) {
     least = maxBatch * LEAST_TOKENS_PER_SLOT;
@@ -39,13 +45,10 @@
     return tokens;
   }
 
-  /** Takes the time of a step at so many tokens in flight. */
-  void sample(double stepMs, long tokensInFlight, long nowNs) {
-    if (stepMs <= 0) {
-      return;
-    }
-    shortestMs = Math.min(shortestMs, stepMs);
-    if (stepMs > CROWDED * shortestMs) {
+  /** Takes the time between tokens that was seen at so many tokens in flight. */
+  void sample(double sampleMs, long tokensInFlight, long nowNs) {
+    tokenMs += GAIN * (sampleMs - tokenMs);
+    if (tokenMs > targetMs) {
       decrease(tokensInFlight, nowNs);
     } else if (tokensInFlight > tokens / 2) {
       tokens += (long) (tokens * INCREASE);
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamAccount.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamAccount.java
@@ -32,7 +32,7 @@
   private final Presence presence = new Presence();
   private final WorkInFlight work = new WorkInFlight();
   private final SpeedMeter speed = new SpeedMeter();
-  private final TokenWindow window = new TokenWindow();
+  private final TokenWindow window;
   private final CacheModel cache = new CacheModel();
   private SpeedState state = SpeedState.ORDINARY;
   private EngineSpeed ordinary = EngineSpeed.ASSUMED;
@@ -43,6 +43,7 @@
   UpstreamAccount(UpstreamId id, FleetPolicy policy) {
     this.id = id;
     this.policy = policy;
+    this.window = new TokenWindow(policy.tokenTargetMs());
   }
 
   /** Returns the name of the upstream. */
@@ -154,6 +155,11 @@
     return presence.serves(target);
   }
 
+  /** Returns how fast an ordinary engine of the pool is. */
+  EngineSpeed ordinary() {
+    return ordinary;
+  }
+
   Presence presence() {
     return presence;
   }
@@ -192,7 +198,6 @@
    */
   private void correct(LoadReport load, long heardNs, long nowNs) {
     speed.report(load.runningRequests(), load.stepMs());
-    window.sample(load.stepMs(), work.footprintTokens(), nowNs);
     int reported = load.runningRequests() + load.queuedRequests();
     foreignRequests = Math.max(0, reported - work.recentPeak(nowNs));
     foreignUntilNs = heardNs - Nanos.fromMs(load.ageMs()) + REPORT_USE_NS;
@@ -220,9 +225,15 @@
     return part;
   }
 
-  /** Takes the time per token that was seen in an answer. */
-  void tokenSample(double sampleMs, long nowNs) {
-    speed.token(work.count(), sampleMs);
-    window.sample(sampleMs, work.footprintTokens(), nowNs);
+  /**
+   * Takes what was seen in an answer.
+   *
+   * @param tokenMs time per token, in milliseconds
+   * @param stepMs the same without the time that went into other prompts
+   * @param nowNs monotonic time in nanoseconds
+   */
+  void tokenSample(double tokenMs, double stepMs, long nowNs) {
+    speed.token(work.count(), tokenMs, stepMs);
+    window.sample(tokenMs, work.footprintTokens(), nowNs);
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamFleet.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamFleet.java
@@ -212,8 +212,8 @@
   /** Notes that the first token of a request has arrived. */
   public void started(InFlight part, double sinceDispatchMs, long nowNs) {
     part.heard(nowNs);
-    part.firstToken(sinceDispatchMs, nowNs);
     part.upstream().work().start(part);
+    part.firstToken(sinceDispatchMs, nowNs);
     part.upstream().presence().worked();
   }
 
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/WorkInFlight.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/WorkInFlight.java
@@ -15,6 +15,7 @@
   private final Set<InFlight> unstarted = new LinkedHashSet<>();
   private long footprintTokens;
   private long prefillTokens;
+  private long prefilledTokens;
   private int peak;
   private int peakBefore;
   private long peakSinceNs;
@@ -31,6 +32,11 @@
     return prefillTokens;
   }
 
+  /** Returns the prompt tokens known to have been processed here, ever. */
+  long prefilledTokens() {
+    return prefilledTokens;
+  }
+
   /** Returns the part that has waited longest for its first token; null if there is none. */
   InFlight oldestUnstarted() {
     return unstarted.isEmpty() ? null : unstarted.iterator().next();
@@ -54,6 +60,7 @@
   void start(InFlight part) {
     if (unstarted.remove(part)) {
       prefillTokens -= part.prefillTokens();
+      prefilledTokens += part.prefillTokens();
     }
   }
 
