--- a/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
@@ -11,6 +11,7 @@
 import org.teaseltrail.core.control.ControlMember;
 import org.teaseltrail.core.message.ControlMessage;
 import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.replication.Member;
 import org.teaseltrail.core.replication.Replica;
 import org.teaseltrail.core.replication.ReplicaSettings;
 import org.teaseltrail.core.schedule.PoolScheduler;
@@ -19,6 +20,8 @@
 import org.teaseltrail.runtime.log.PartLogger;
 import org.teaseltrail.runtime.process.ExitCode;
 import org.teaseltrail.runtime.process.RunningProgram;
+import org.teaseltrail.storage.StorageException;
+import org.teaseltrail.storage.StorageFolder;
 import org.teaseltrail.wire.FrameEndpoint;
 import org.teaseltrail.wire.FrameLimits;
 import org.teaseltrail.wire.FrameServer;
@@ -46,17 +49,18 @@
   private final Server operators;
   private final HealthServer health;
 
-  private ControlDaemon(ControlOptions options, MemberState state) throws IOException {
+  private ControlDaemon(ControlOptions options, StorageFolder folder) throws IOException {
     RandomGenerator random = new SecureRandom();
-    peers = new PeerLinks(state.member(), options.members(), codec, random, loop::post);
-    hint = new LeaderHint(state.member().id(), options.operatorAddresses());
-    writes = new WriteLoop(state.sink(), loop::post, this::storageFailed);
-    ControlMember member = member(options, state, random);
+    Member member = folder.identity().member();
+    peers = new PeerLinks(member, options.members(), codec, random, loop::post);
+    hint = new LeaderHint(member.id(), options.operatorAddresses());
+    writes = new WriteLoop(folder, loop::post, this::storageFailed);
+    ControlMember decisions = decisions(options, folder, random);
     runner =
         new ActionRunner(
             new ActionTargets(
                 writes, peers, entryVms, new OrderClient(loop::post), calls, hint, metrics),
-            () -> member.leaseHolds(clock.nowNs()));
+            () -> decisions.leaseHolds(clock.nowNs()));
     frames = FrameServer.listen(address(options), FrameLimits.standard(), codec, entry(), peer());
     operators =
         NettyServerBuilder.forAddress(options.listenOperators())
@@ -66,11 +70,11 @@
     health = new HealthServer(options.listenMetrics(), runner::knowsLeader, metrics::scrape);
     writes.start();
     peers.connect();
-    loop.start(member, runner::run, runner::flush, this::loopFailed);
+    loop.start(decisions, runner::run, runner::flush, this::loopFailed);
     loop.post(new ControlEvent.Tick());
     logger.info(
         "Member "
-            + state.member().id()
+            + member.id()
             + " listens on "
             + options.listen()
             + ", for operators on "
@@ -84,8 +88,8 @@
    * @throws IOException if the operators' address can't be listened on
    * @throws reactor.netty.ChannelBindException if another address can't be listened on
    */
-  static ControlDaemon start(ControlOptions options, MemberState state) throws IOException {
-    return new ControlDaemon(options, state);
+  static ControlDaemon start(ControlOptions options, StorageFolder folder) throws IOException {
+    return new ControlDaemon(options, folder);
   }
 
   @Override
@@ -109,17 +113,19 @@
     metrics.close();
   }
 
-  private ControlMember member(ControlOptions options, MemberState state, RandomGenerator random) {
+  private ControlMember decisions(
+      ControlOptions options, StorageFolder folder, RandomGenerator random) {
+    Member member = folder.identity().member();
     Replica replica =
         new Replica(
             options.group(),
-            state.member().id(),
+            member.id(),
             ReplicaSettings.defaults(),
-            state.recovered(),
+            folder.recovered(),
             random,
             clock.nowNs());
     return new ControlMember(
-        state.member().id(),
+        member.id(),
         options.control(),
         replica,
         new MessagePackStateCodec(codec),
@@ -149,7 +155,7 @@
     operators.shutdownNow();
   }
 
-  private void storageFailed(RuntimeException failure) {
+  private void storageFailed(StorageException failure) {
     logger.error("The data folder failed; the member ends.", failure);
     ended.complete(ExitCode.DATA);
   }
--- a/control/src/main/java/org/teaseltrail/control/ControlProgram.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlProgram.java
@@ -10,6 +10,9 @@
 import org.teaseltrail.runtime.process.RunningProgram;
 import org.teaseltrail.runtime.settings.Settings;
 import org.teaseltrail.runtime.settings.SettingsSpec;
+import org.teaseltrail.storage.FolderMissingException;
+import org.teaseltrail.storage.StorageException;
+import org.teaseltrail.storage.StorageFolder;
 import reactor.netty.ChannelBindException;
 
 /** Is the daemon of a control member. */
@@ -40,8 +43,9 @@
   public RunningProgram start(Settings settings, Namespace arguments) throws ProgramException {
     ControlOptions options = ControlOptions.of(settings);
     StartMode mode = StartMode.of(arguments.getBoolean(NEW_GROUP), arguments.getBoolean(JOIN));
+    StorageFolder folder = open(options, mode);
     try {
-      return ControlDaemon.start(options, MemberState.open(options, mode));
+      return ControlDaemon.start(options, folder);
     } catch (ChannelBindException e) {
       throw new ProgramException(
           ExitCode.LISTEN, "can't listen on " + options.listen() + ": " + e.getMessage(), e);
@@ -51,4 +55,16 @@
           ExitCode.LISTEN, "can't listen on " + address + ": " + e.getMessage(), e);
     }
   }
+
+  private static StorageFolder open(ControlOptions options, StartMode mode)
+      throws ProgramException {
+    try {
+      return MemberFolder.open(options, mode);
+    } catch (FolderMissingException e) {
+      String hint = "; begin a group with --new-group or make a new member with --join";
+      throw new ProgramException(ExitCode.DATA, e.getMessage() + hint, e);
+    } catch (StorageException e) {
+      throw new ProgramException(ExitCode.DATA, e.getMessage(), e);
+    }
+  }
 }
--- a/control/src/main/java/org/teaseltrail/control/WriteLoop.java
+++ b/control/src/main/java/org/teaseltrail/control/WriteLoop.java
@@ -8,6 +8,8 @@
 import java.util.function.Consumer;
 import org.teaseltrail.core.control.ControlEvent;
 import org.teaseltrail.core.replication.ReplicaAction;
+import org.teaseltrail.storage.StorageException;
+import org.teaseltrail.storage.StorageFolder;
 
 /**
  * Writes to the data folder on a thread of its own, so that a slow sync never holds the member up.
@@ -19,14 +21,15 @@
   private static final long END_MS = 5_000;
 
   private final BlockingQueue<ReplicaAction.Write> queue = new LinkedBlockingQueue<>();
-  private final WriteSink sink;
+  private final StorageFolder folder;
   private final Consumer<ControlEvent> events;
-  private final Consumer<RuntimeException> failed;
+  private final Consumer<StorageException> failed;
   private final Thread thread = new Thread(this::run, "writes");
   private volatile boolean ending;
 
-  WriteLoop(WriteSink sink, Consumer<ControlEvent> events, Consumer<RuntimeException> failed) {
-    this.sink = sink;
+  WriteLoop(
+      StorageFolder folder, Consumer<ControlEvent> events, Consumer<StorageException> failed) {
+    this.folder = folder;
     this.events = events;
     this.failed = failed;
   }
@@ -48,7 +51,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    sink.close();
+    folder.close();
   }
 
   private void run() {
@@ -56,7 +59,7 @@
       while (!ending || !queue.isEmpty()) {
         writeBatch();
       }
-    } catch (RuntimeException e) {
+    } catch (StorageException e) {
       failed.accept(e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -71,7 +74,7 @@
     List<ReplicaAction.Write> batch = new ArrayList<>();
     batch.add(first);
     queue.drainTo(batch);
-    sink.write(batch);
-    events.accept(new ControlEvent.Persisted(batch.get(batch.size() - 1).writeNumber()));
+    batch.forEach(folder::write);
+    events.accept(new ControlEvent.Persisted(folder.sync()));
   }
 }
