--- a/core/src/test/java/org/teaseltrail/core/entry/EntryNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/entry/EntryNodeTest.java
@@ -170,6 +170,21 @@
     assertThat(vm.transmits(id)).isEqualTo(1);
   }
 
+  // The end of a connection that was given up is heard late, after the stream was resumed over a
+  // new one. It must not count against the new connection.
+  @Test
+  void lateEventOfOldConnectionIsIgnored() {
+    RequestId id = vm.arrive(1);
+    vm.dispatch(id);
+    final int old = vm.attempt(id);
+    vm.broken(id);
+    vm.pass(50);
+    vm.send(new EntryEvent.StreamBroken(id, old));
+    vm.pass(1_000);
+
+    assertThat(vm.all(EntryAction.Resume.class)).hasSize(1);
+  }
+
   // A stream ends without its end mark, again and again. The caller must not take the short answer
   // for a whole one: after bounded tries it is told that the request may have run.
   @Test
@@ -261,12 +276,13 @@
   // seconds from that hello's sending.
   @Test
   void lateWelcomeDoesNotLengthenSession() {
+    vm.pass(500);
     final long early = vm.lastHello(C1);
-    vm.pass(2_900);
+    vm.pass(2_400);
     vm.receive(
         C1,
         new ControlMessage.Welcome(C1, new FencingNumber(1), new Revision(5), 3_000, false, early));
-    vm.pass(101);
+    vm.pass(601);
 
     assertThat(vm.outcome(vm.arrive(1))).isPresent();
   }
