--- /dev/null
+++ b/control/src/test/java/org/teaseltrail/control/SettingsPagesTest.java
@@ -0,0 +1,32 @@
+package org.teaseltrail.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.runtime.settings.ExampleFile;
+import org.teaseltrail.runtime.settings.SettingsReader;
+import org.teaseltrail.runtime.settings.SettingsSpec;
+import org.teaseltrail.runtime.settings.SettingsTable;
+
+/** Holds the example file and the page of the settings to the program's declarations. */
+class SettingsPagesTest {
+
+  private static final Path EXAMPLE = Path.of("../conf/teaseltrail-control.ini");
+  private static final Path PAGE = Path.of("../docs/SETTINGS.md");
+
+  private final SettingsSpec spec = new ControlProgram().spec();
+
+  @Test
+  void exampleFileShowsTheDeclarations() throws Exception {
+    assertThat(EXAMPLE).hasContent(ExampleFile.print(spec));
+    assertThat(new SettingsReader(spec).read(EXAMPLE)).isNotNull();
+  }
+
+  @Test
+  void pageShowsTheDeclarations() throws IOException {
+    assertThat(Files.readString(PAGE)).contains(SettingsTable.print(spec));
+  }
+}
