--- a/load/src/main/java/org/teaseltrail/load/policy/PerfectCache.java
+++ b/load/src/main/java/org/teaseltrail/load/policy/BlockCache.java
@@ -4,17 +4,13 @@
 import java.util.List;
 import org.teaseltrail.load.workload.Prompt;
 
-/**
- * Is the bound on prefix cache hits: one cache as large as all engines' together, which every
- * request reaches, dropping the block used longest ago. No placement on real engines hits more
- * under the same rule, for each holds a part of what this holds.
- */
-final class PerfectCache {
+/** Holds prefix blocks up to a limit and drops the one used longest ago, as engines do. */
+final class BlockCache {
 
   private final long capacityBlocks;
   private final LinkedHashMap<Long, Boolean> blocks = new LinkedHashMap<>(1024, 0.75f, true);
 
-  PerfectCache(long capacityTokens) {
+  BlockCache(long capacityTokens) {
     this.capacityBlocks = capacityTokens / Prompt.BLOCK_TOKENS;
   }
 
@@ -33,6 +29,14 @@
     return (long) hits * Prompt.BLOCK_TOKENS;
   }
 
+  boolean holds(long block) {
+    return blocks.containsKey(block);
+  }
+
+  void clear() {
+    blocks.clear();
+  }
+
   private void dropOverflow() {
     var oldest = blocks.entrySet().iterator();
     long excess = blocks.size() - capacityBlocks;
--- a/load/src/main/java/org/teaseltrail/load/policy/EngineListener.java
+++ b/load/src/main/java/org/teaseltrail/load/policy/EngineListener.java
@@ -20,4 +20,7 @@
 
   /** A request's stream broke before its end. */
   void broken(RequestId request, UpstreamId engine);
+
+  /** The engine has died. */
+  void crashed(UpstreamId engine);
 }
--- a/load/src/main/java/org/teaseltrail/load/policy/EngineNode.java
+++ b/load/src/main/java/org/teaseltrail/load/policy/EngineNode.java
@@ -110,6 +110,7 @@
       var done = work.get(request);
       notePartPrefill(request, done.cachedTokens(), done.prefillTokens());
     }
+    listener.crashed(id);
   }
 
   void restart() {
--- a/load/src/main/java/org/teaseltrail/load/policy/EntryVms.java
+++ b/load/src/main/java/org/teaseltrail/load/policy/EntryVms.java
@@ -97,6 +97,11 @@
     time.after(network.upstreamNs(), () -> fail(request, engine));
   }
 
+  @Override
+  public void crashed(UpstreamId engine) {
+    measures.crashed(engine);
+  }
+
   private void arrive(TrackedRequest request) {
     measures.offered(request);
     tell(request, new EntryMessage.Offer(request.ticket(deployment, time.nowNs())));
--- a/load/src/main/java/org/teaseltrail/load/policy/Measures.java
+++ b/load/src/main/java/org/teaseltrail/load/policy/Measures.java
@@ -8,7 +8,6 @@
 import org.teaseltrail.load.measure.RequestOutcome;
 import org.teaseltrail.load.measure.TierTally;
 import org.teaseltrail.load.workload.Deployment;
-import org.teaseltrail.load.workload.EngineSpec;
 import org.teaseltrail.load.workload.KindSpec;
 
 /** Gathers the measures of one run. */
@@ -33,8 +32,7 @@
     for (KindSpec kind : deployment.kinds()) {
       kinds.put(kind.name(), new TierTally());
     }
-    prefill =
-        new PrefillLedger(deployment.engines().stream().mapToLong(EngineSpec::cacheTokens).sum());
+    prefill = new PrefillLedger(deployment.engines());
   }
 
   void offered(TrackedRequest request) {
@@ -53,6 +51,10 @@
     request.outcome().ifPresent(outcome -> prefill.ended(done, outcome));
   }
 
+  void crashed(UpstreamId engine) {
+    prefill.crashed(engine);
+  }
+
   /** Notes tokens that reach the caller at a time. */
   void tokens(TrackedRequest request, int count, long nowNs) {
     if (request.counted()) {
--- a/load/src/main/java/org/teaseltrail/load/policy/PrefillWaste.java
+++ b/load/src/main/java/org/teaseltrail/load/policy/PrefillWaste.java
@@ -2,9 +2,9 @@
 
 /** Says why prompt processing was wasted. */
 public enum PrefillWaste {
-  /** The engine had held the prefix and dropped it. */
+  /** No engine held the prefix any more. */
   REPEATED_EVICTED("evicted"),
-  /** Another engine had processed the prefix before. */
+  /** Some engine held the prefix, and the request ran on another, or before it was stored. */
   REPEATED_ELSEWHERE("elsewhere"),
   /** The caller hung up. */
   DISCARDED_CANCEL("hung up"),
--- a/load/src/main/java/org/teaseltrail/load/workload/Conversations.java
+++ b/load/src/main/java/org/teaseltrail/load/workload/Conversations.java
@@ -12,10 +12,10 @@
 final class Conversations {
 
   /** Time between a request and its follow-up; a reader's pause. */
-  private static final long PAUSE_NS = 15_000_000_000L;
+  private static final long PAUSE_NS = 10_000_000_000L;
 
   /** Time after which a conversation is carried on no more. */
-  private static final long FORGOTTEN_NS = 75_000_000_000L;
+  private static final long FORGOTTEN_NS = 40_000_000_000L;
 
   /** Longest prompt that is carried on, so that conversations end. */
   private static final int MAX_TOKENS = 24_000;
