Drive the real roles together and keep whole sessions as golden files

A module of tests only: entry VMs, control members and engines run as the real objects under virtual time, with hand-written callers, network and disk. The first session shows a quick question, a long report and a submission that must not run twice, end to end.

--- /dev/null
+++ b/session/src/test/java/org/teaseltrail/session/Call.java
@@ -0,0 +1,82 @@
+package org.teaseltrail.session;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.teaseltrail.core.entry.CallTarget;
+import org.teaseltrail.core.entry.CallerCall;
+import org.teaseltrail.core.id.IdempotencyKey;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.request.PrefixBlocks;
+import org.teaseltrail.core.request.StreamFrame;
+import org.teaseltrail.core.request.TokenEstimate;
+import org.teaseltrail.standin.model.AnswerText;
+import org.teaseltrail.standin.model.EngineRequest;
+
+/** Is what one caller wants, over all the times that it asks for it, and the answer so far. */
+final class Call {
+
+  private static final int TOKEN_BYTES = 4;
+
+  private final CallSpec spec;
+  private final byte[] promptUtf8;
+  private final long answerSeed;
+  private int nextFrame;
+
+  Call(CallSpec spec) {
+    this.spec = spec;
+    String subject = spec.key().orElse(spec.name());
+    String prompt = (subject + " ").repeat(spec.promptTokens() * TOKEN_BYTES);
+    this.promptUtf8 =
+        prompt.substring(0, spec.promptTokens() * TOKEN_BYTES).getBytes(StandardCharsets.UTF_8);
+    this.answerSeed = AnswerText.seedOf(subject);
+  }
+
+  CallSpec spec() {
+    return spec;
+  }
+
+  int nextFrame() {
+    return nextFrame;
+  }
+
+  boolean isWhole() {
+    return nextFrame == spec.maxTokens();
+  }
+
+  CallerCall ask() {
+    return new CallerCall(
+        Optional.of(SessionWorld.keyHash(spec.tier())),
+        new CallTarget.Generation(
+            SessionWorld.MODEL.model(),
+            Optional.empty(),
+            Optional.empty(),
+            promptUtf8,
+            spec.maxTokens()),
+        !spec.once(),
+        spec.key().map(IdempotencyKey::new),
+        spec.key().orElse(spec.name()),
+        spec.deadlineMs(),
+        nextFrame == 0 ? Optional.empty() : Optional.of((long) nextFrame - 1));
+  }
+
+  EngineRequest engineRequest(RequestId id) {
+    return new EngineRequest(
+        id,
+        SessionWorld.MODEL,
+        TokenEstimate.ofBytes(promptUtf8.length),
+        PrefixBlocks.of(SessionWorld.MODEL, promptUtf8),
+        spec.maxTokens(),
+        answerSeed);
+  }
+
+  /** Takes the next piece of the answer; any other piece is another caller's or out of place. */
+  void delivered(StreamFrame.Text frame) {
+    assertThat(frame.sequence()).describedAs("frame of %s", spec.name()).isEqualTo(nextFrame);
+    assertThat(frame.text())
+        .describedAs("text of %s", spec.name())
+        .isEqualTo(AnswerText.text(answerSeed, nextFrame, 1));
+    nextFrame++;
+  }
+}
