Run fault runs with fresh seeds for a given time

mvn -B verify -pl core -Dtests.excluded=none -Dtest=FaultRunLongTest -DlongRunMinutes=15 prints the seed on a failure; -DlongRunSeed=N repeats it.

--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/replication/FaultRunLongTest.java
@@ -0,0 +1,42 @@
+package org.teaseltrail.core.replication;
+
+import java.security.SecureRandom;
+import java.time.Duration;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Runs the story of {@link FaultRunProperties} with fresh seeds for as long as the system property
+ * {@code longRunMinutes} says. A failure names its seed; {@code longRunSeed} repeats it.
+ */
+@Tag("long-run")
+class FaultRunLongTest {
+
+  private static final int STEPS = 500;
+
+  @Test
+  void keepsItsPromisesWithFreshSeeds() {
+    Long repeated = Long.getLong("longRunSeed");
+    if (repeated != null) {
+      run(repeated);
+      return;
+    }
+    long endNs =
+        System.nanoTime() + Duration.ofMinutes(Long.getLong("longRunMinutes", 15)).toNanos();
+    SecureRandom seeds = new SecureRandom();
+    int runs = 0;
+    while (System.nanoTime() < endNs) {
+      run(seeds.nextLong());
+      runs++;
+    }
+    System.out.println("runs without a fault: " + runs);
+  }
+
+  private static void run(long seed) {
+    try {
+      new FaultRun(seed).run(STEPS);
+    } catch (RuntimeException | AssertionError e) {
+      throw new AssertionError("repeat with -DlongRunSeed=" + seed, e);
+    }
+  }
+}
