--- /dev/null
+++ b/bench/src/main/java/org/teaseltrail/bench/replica/BenchGroup.java
@@ -0,0 +1,102 @@
+package org.teaseltrail.bench.replica;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.teaseltrail.core.id.Incarnation;
+import org.teaseltrail.core.id.MemberId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.replication.GroupId;
+import org.teaseltrail.core.replication.MembershipChange;
+import org.teaseltrail.core.replication.ReplicaEvent;
+import org.teaseltrail.core.replication.ReplicaSettings;
+import org.teaseltrail.storage.FolderIdentity;
+import org.teaseltrail.storage.NioFileSystem;
+import org.teaseltrail.storage.StorageFolder;
+
+/** Is a group whose members run in this process, each with a data folder of its own. */
+final class BenchGroup implements AutoCloseable {
+
+  private static final GroupId GROUP = new GroupId("bench");
+  private static final long POLL_MS = 1;
+  private static final long RETRY_POLLS = 100;
+
+  private final NioFileSystem files = new NioFileSystem();
+  private final Map<MemberId, BenchMember> members = BenchMember.group();
+  private final List<BenchMember> started = new ArrayList<>();
+  private final Path root;
+  private final ReplicaSettings settings;
+  private final byte[] state;
+
+  BenchGroup(Path root, ReplicaSettings settings, int stateBytes) throws InterruptedException {
+    this.root = root;
+    this.settings = settings;
+    this.state = new byte[stateBytes];
+    FolderIdentity founder = identity(0);
+    StorageFolder.createGroup(files, root.resolve("0"), founder);
+    start(0);
+    await(() -> leader().isLeading());
+  }
+
+  BenchMember leader() {
+    return started.get(0);
+  }
+
+  /** Adds members until the group has so many voters. */
+  BenchGroup grownTo(int voters) throws InterruptedException {
+    for (int i = started.size(); i < voters; i++) {
+      BenchMember added = addLearner();
+      await(() -> added.appliedIndex() >= leader().appliedIndex());
+      change(new MembershipChange.PromoteLearner(added.id()));
+    }
+    return this;
+  }
+
+  /** Starts a member with an empty folder that follows the log. */
+  BenchMember addLearner() throws InterruptedException {
+    int number = started.size();
+    FolderIdentity identity = identity(number);
+    StorageFolder.createMember(files, root.resolve(Integer.toString(number)), identity);
+    BenchMember added = start(number);
+    change(new MembershipChange.AddLearner(identity.member()));
+    return added;
+  }
+
+  /** Waits for a condition. */
+  static void await(BooleanSupplier condition) throws InterruptedException {
+    while (!condition.getAsBoolean()) {
+      Thread.sleep(POLL_MS);
+    }
+  }
+
+  @Override
+  public void close() throws InterruptedException {
+    for (BenchMember member : started) {
+      member.close();
+    }
+  }
+
+  private void change(MembershipChange change) throws InterruptedException {
+    long before = leader().appliedIndex();
+    for (int polls = 0; leader().appliedIndex() == before; polls++) {
+      if (polls % RETRY_POLLS == 0) {
+        leader().send(new ReplicaEvent.ProposeMembership(0, change));
+      }
+      Thread.sleep(POLL_MS);
+    }
+  }
+
+  private BenchMember start(int number) {
+    Path path = root.resolve(Integer.toString(number));
+    StorageFolder folder = StorageFolder.open(files, path, GROUP);
+    BenchMember member = new BenchMember(members, folder, settings, state);
+    started.add(member);
+    return member;
+  }
+
+  private static FolderIdentity identity(int number) {
+    return FolderIdentity.fresh(GROUP, new VmId("c" + number), new Incarnation(1));
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaseltrail/bench/replica/package-info.java
@@ -0,0 +1,2 @@
+/** Measures replication and storage on real files: throughput, latency, snapshots, catch-up. */
+package org.teaseltrail.bench.replica;
