Prove configuration, claims, sessions and placement over failing members

Stories stand at the head of each test; fakes run three ControlMembers under virtual time with a synced-only disk, cuts, kills, freezes.

--- a/core/src/main/java/org/teaseltrail/core/control/EntryDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/EntryDesk.java
@@ -45,6 +45,12 @@
     if (outcome.life() == Life.STALE) {
       return;
     }
+    if (outcome.life() == Life.HELD_OFF) {
+      if (outcome.push()) {
+        leadership.sendConfiguration(hello.vm());
+      }
+      return;
+    }
     if (outcome.life() == Life.REPLACED) {
       lapsed(hello.vm());
     }
--- a/core/src/main/java/org/teaseltrail/core/session/HelloOutcome.java
+++ b/core/src/main/java/org/teaseltrail/core/session/HelloOutcome.java
@@ -17,6 +17,10 @@
     REPLACED,
     /** It goes on with the session. */
     KEPT,
+    /**
+     * It opens no session, for the VM's last one lapsed while it applied too old a configuration.
+     */
+    HELD_OFF,
     /** It comes from an earlier life than the session's and counts for nothing. */
     STALE
   }
--- a/core/src/main/java/org/teaseltrail/core/session/Session.java
+++ b/core/src/main/java/org/teaseltrail/core/session/Session.java
@@ -113,6 +113,18 @@
     return nowNs - behindSinceNs;
   }
 
+  /** Goes on counting where the same life's lapsed session stopped. */
+  void behindLike(Session lapsed) {
+    behind = lapsed.behind;
+    behindSinceNs = lapsed.behindSinceNs;
+    pushedRevision = lapsed.pushedRevision;
+    pushedAtNs = lapsed.pushedAtNs;
+  }
+
+  boolean isBehind() {
+    return behind;
+  }
+
   boolean wantsPush(Revision accepted, long nowNs, long repeatNs) {
     boolean pushed = pushedRevision.equals(accepted) && nowNs - pushedAtNs < repeatNs;
     return !applies(accepted) && !pushed;
--- a/core/src/main/java/org/teaseltrail/core/session/Sessions.java
+++ b/core/src/main/java/org/teaseltrail/core/session/Sessions.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +26,7 @@
 
   private final SessionSettings settings;
   private final long settledAtNs;
+  private final Map<VmId, Session> heldOff = new HashMap<>();
   private final Map<VmId, Session> sessions = new TreeMap<>(Comparator.comparing(VmId::value));
 
   /**
@@ -52,18 +54,19 @@
     if (life == Life.STALE) {
       return new HelloOutcome(life, false, false);
     }
-    Session session = present;
-    if (life != Life.KEPT) {
-      session = new Session(hello, nowNs + settings.lapseNs());
-      sessions.put(hello.vm(), session);
-    }
+    Session session = life == Life.KEPT ? present : opened(hello, nowNs);
     session.heard(nowNs);
     session.apply(hello.appliedRevision());
     boolean welcome = session.behindNs(accepted, nowNs) <= settings.behindMs() * NS_PER_MS;
+    boolean push = push(session, accepted, nowNs);
     if (welcome) {
       session.renew(nowNs + settings.lapseNs());
+    } else if (life == Life.OPENED) {
+      heldOff.put(hello.vm(), session);
+      return new HelloOutcome(Life.HELD_OFF, false, push);
     }
-    return new HelloOutcome(life, welcome, push(session, accepted, nowNs));
+    sessions.put(hello.vm(), session);
+    return new HelloOutcome(life, welcome, push);
   }
 
   /**
@@ -98,6 +101,9 @@
       if (session.lapsesAtNs() <= nowNs) {
         lapsed.add(session.vm());
         all.remove();
+        if (session.isBehind()) {
+          heldOff.put(session.vm(), session);
+        }
       }
     }
     return lapsed;
@@ -150,6 +156,20 @@
     return OptionalLong.of(Math.min(lapse.orElse(settledAtNs), settledAtNs));
   }
 
+  /**
+   * Guards against a VM that says hello but hangs over a new configuration: with each lapse it
+   * would be given time anew, and so admit requests under the old one again and again. The time
+   * counts on over the lapse, until it applies the accepted one or its process starts again.
+   */
+  private Session opened(Hello hello, long nowNs) {
+    Session session = new Session(hello, nowNs + settings.lapseNs());
+    Session before = heldOff.remove(hello.vm());
+    if (before != null && before.incarnation().equals(hello.incarnation())) {
+      session.behindLike(before);
+    }
+    return session;
+  }
+
   private boolean push(Session session, Revision accepted, long nowNs) {
     if (!session.wantsPush(accepted, nowNs, settings.pushRepeatMs() * NS_PER_MS)) {
       return false;
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeControl.java
@@ -0,0 +1,159 @@
+package org.teaseltrail.core.control;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.OptionalLong;
+import org.teaseltrail.core.replication.Member;
+import org.teaseltrail.core.replication.RecoveredState;
+import org.teaseltrail.core.replication.Replica;
+import org.teaseltrail.core.replication.ReplicaSettings;
+import org.teaseltrail.core.schedule.PoolScheduler;
+import org.teaseltrail.core.schedule.SchedulerSettings;
+
+/** Runs one control member on a fake disk; can be killed, frozen and cut off. */
+final class FakeControl {
+
+  private static final long SYNC_NS = 1_000_000L;
+
+  private final FakeControlGroup group;
+  private final Member member;
+  private final FakeDisk disk;
+  private final Deque<ControlEvent> held = new ArrayDeque<>();
+  private final List<ControlAction> actions = new ArrayList<>();
+  private ControlMember control;
+  private boolean serving;
+  private boolean frozen;
+  private boolean cut;
+  private long wakeupNs;
+  private int life;
+
+  FakeControl(FakeControlGroup group, Member member, RecoveredState initial) {
+    this.group = group;
+    this.member = member;
+    disk = new FakeDisk(initial);
+  }
+
+  Member member() {
+    return member;
+  }
+
+  FakeDisk disk() {
+    return disk;
+  }
+
+  ControlMember control() {
+    return control;
+  }
+
+  boolean isServing() {
+    return control != null && !frozen && serving && control.leaseHolds(group.nowNs());
+  }
+
+  boolean isCut() {
+    return cut;
+  }
+
+  /** Returns all actions since the start of the test that tell or order something. */
+  List<ControlAction> actions() {
+    return actions;
+  }
+
+  void start(ReplicaSettings settings) {
+    life++;
+    wakeupNs = Long.MAX_VALUE;
+    Replica replica =
+        new Replica(
+            FakeControlGroup.GROUP,
+            member.id(),
+            settings,
+            disk.recovered(),
+            group.random(),
+            group.nowNs());
+    control =
+        new ControlMember(
+            member.id(),
+            group.settings(),
+            replica,
+            group.codec(),
+            (pool, fencing, seed) ->
+                new PoolScheduler(pool, fencing, SchedulerSettings.defaults(), seed));
+    handle(new ControlEvent.Tick());
+  }
+
+  void kill() {
+    life++;
+    control = null;
+    serving = false;
+    held.clear();
+  }
+
+  void freeze() {
+    frozen = true;
+  }
+
+  /** Goes on at the present time with what has come in meanwhile. */
+  void thaw() {
+    frozen = false;
+    while (!held.isEmpty()) {
+      handle(held.removeFirst());
+    }
+    handle(new ControlEvent.Tick());
+  }
+
+  void cut(boolean isCut) {
+    cut = isCut;
+  }
+
+  void handle(ControlEvent event) {
+    if (control == null) {
+      return;
+    }
+    if (frozen) {
+      held.addLast(event);
+      return;
+    }
+    control.handle(event, group.nowNs()).forEach(this::carryOut);
+    scheduleWakeup();
+  }
+
+  private void carryOut(ControlAction action) {
+    if (action instanceof ControlAction.Persist persist) {
+      int started = life;
+      group.after(
+          SYNC_NS,
+          () -> {
+            if (life == started) {
+              disk.sync(persist.write());
+              handle(new ControlEvent.Persisted(persist.write().writeNumber()));
+            }
+          });
+    } else if (action instanceof ControlAction.SendPeer send) {
+      group.sendPeer(this, send.envelope());
+    } else {
+      actions.add(action);
+      group.acted(this, action);
+    }
+    if (action instanceof ControlAction.LeadershipChanged changed) {
+      serving = changed.serving();
+    }
+  }
+
+  private void scheduleWakeup() {
+    OptionalLong wanted = control.nextWakeupNs();
+    if (wanted.isEmpty() || wanted.getAsLong() >= wakeupNs) {
+      return;
+    }
+    wakeupNs = wanted.getAsLong();
+    int started = life;
+    group.after(
+        Math.max(0, wakeupNs - group.nowNs()) + 1_000,
+        () -> {
+          if (life == started) {
+            wakeupNs = Long.MAX_VALUE;
+            handle(new ControlEvent.Tick());
+          }
+        });
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeEntry.java
@@ -0,0 +1,104 @@
+package org.teaseltrail.core.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.teaseltrail.core.configuration.Configuration;
+import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.id.Incarnation;
+import org.teaseltrail.core.id.Revision;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.message.ControlMessage;
+import org.teaseltrail.core.message.EntryMessage;
+
+/** Is an entry VM that says hello twice a second and writes down what it hears. */
+final class FakeEntry {
+
+  private static final long HELLO_NS = 500_000_000L;
+
+  private final FakeControlGroup group;
+  private final VmId vm;
+  private final List<ControlMessage> heard = new ArrayList<>();
+  private Revision applied = new Revision(0);
+  private boolean silent;
+  private boolean deafToConfiguration;
+  private long sequence;
+  private long incarnation = 1;
+
+  FakeEntry(FakeControlGroup group, VmId vm) {
+    this.group = group;
+    this.vm = vm;
+    hello();
+  }
+
+  VmId vm() {
+    return vm;
+  }
+
+  Revision applied() {
+    return applied;
+  }
+
+  void silence(boolean isSilent) {
+    silent = isSilent;
+  }
+
+  /** Lets the VM hear all but configurations, as a VM that hangs while it applies one. */
+  void ignoreConfigurations() {
+    deafToConfiguration = true;
+  }
+
+  void restart() {
+    incarnation++;
+    applied = new Revision(0);
+    heard.clear();
+  }
+
+  void say(FakeControl member, EntryMessage message) {
+    group.say(vm, member, message);
+  }
+
+  void received(FakeControl from, ControlMessage message) {
+    if (silent) {
+      return;
+    }
+    heard.add(message);
+    if (message instanceof ControlMessage.ConfigurationUpdate update && !deafToConfiguration) {
+      apply(update.configuration());
+    } else if (message instanceof ControlMessage.Welcome welcome && welcome.reportsWanted()) {
+      say(from, new EntryMessage.ReportsComplete(vm, welcome.fencing()));
+    }
+  }
+
+  <T extends ControlMessage> List<T> heard(Class<T> type) {
+    return heard.stream().filter(type::isInstance).map(type::cast).toList();
+  }
+
+  <T extends ControlMessage> Optional<T> last(Class<T> type) {
+    List<T> all = heard(type);
+    return all.isEmpty() ? Optional.empty() : Optional.of(all.get(all.size() - 1));
+  }
+
+  void forget() {
+    heard.clear();
+  }
+
+  private void apply(Configuration configuration) {
+    if (configuration.revision().compareTo(applied) > 0) {
+      applied = configuration.revision();
+    }
+    assertThat(applied).isGreaterThanOrEqualTo(configuration.revision());
+  }
+
+  private void hello() {
+    if (!silent) {
+      EntryMessage.Hello hello =
+          new EntryMessage.Hello(
+              vm, new Incarnation(incarnation), new DataCenterId("dc"), applied, ++sequence);
+      group.members().forEach(member -> say(member, hello));
+    }
+    group.after(HELLO_NS, this::hello);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/control/PlacementTest.java
@@ -0,0 +1,76 @@
+package org.teaseltrail.core.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.decision.DecisionKind;
+import org.teaseltrail.core.id.FencingNumber;
+
+/** Proves which engines are ordered to load what, when, and by whom. */
+class PlacementTest {
+
+  private final FakeControlGroup group = new FakeControlGroup(3).start();
+
+  private FakeEntry fleetWithOneCopy(FakeControl leader) {
+    group.change(leader, "fleet", 0, Samples.fleet(3, "u1", "u2", "u3", "u4"));
+    FakeEntry entry = group.entry("e1");
+    group.run(1_000);
+    announce(entry, leader);
+    return entry;
+  }
+
+  private void announce(FakeEntry entry, FakeControl leader) {
+    entry.say(leader, Samples.seen("u1", "regina-a", 1));
+    entry.say(leader, Samples.seen("u2", "regina-a", 1, List.of()));
+    entry.say(leader, Samples.seen("u3", "regina-b", 1, List.of()));
+    entry.say(leader, Samples.seen("u4", "winnipeg", 1, List.of()));
+  }
+
+  private static List<EngineOrder> orders(FakeControl member) {
+    return member.actions().stream()
+        .filter(ControlAction.SendOrder.class::isInstance)
+        .map(action -> ((ControlAction.SendOrder) action).order())
+        .toList();
+  }
+
+  /** Loads come one after the other at the weight store's pace, in data centres without a copy. */
+  @Test
+  void missingCopiesAreLoadedOneByOneOverDataCentres() {
+    FakeControl leader = group.leader();
+    fleetWithOneCopy(leader);
+    group.run(4_000);
+    assertThat(orders(leader)).hasSize(1);
+    group.run(30_000);
+    assertThat(orders(leader))
+        .extracting(order -> order.upstream().value())
+        .containsExactly("u3", "u4");
+    assertThat(leader.actions())
+        .filteredOn(ControlAction.LogDecision.class::isInstance)
+        .anyMatch(
+            action -> ((ControlAction.LogDecision) action).decision().kind() == DecisionKind.PLACE);
+  }
+
+  /**
+   * The leader is frozen when an order is due and another takes over. Engines that ignore fencing
+   * numbers would load twice; the thawed leader must order nothing, and the new one orders under a
+   * greater number.
+   */
+  @Test
+  void thawedLeaderOrdersNothing() {
+    FakeControl old = group.leader();
+    final FakeEntry entry = fleetWithOneCopy(old);
+    group.run(1_000);
+    old.freeze();
+    group.run(2_000);
+    FakeControl next = group.leader();
+    announce(entry, next);
+    group.run(10_000);
+    int before = orders(old).size();
+    old.thaw();
+    group.run(5_000);
+    assertThat(orders(old)).hasSize(before);
+    assertThat(orders(next)).isNotEmpty();
+    assertThat(orders(next)).allMatch(order -> order.fencing().compareTo(new FencingNumber(1)) > 0);
+  }
+}
