--- a/entry/src/test/java/org/teaseltrail/entry/EntryWorld.java
+++ b/entry/src/test/java/org/teaseltrail/entry/EntryWorld.java
@@ -1,6 +1,9 @@
 package org.teaseltrail.entry;
 
+import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -9,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
 import org.teaseltrail.core.configuration.AllowedUpstream;
 import org.teaseltrail.core.configuration.Configuration;
@@ -103,15 +107,49 @@
 
   /** Waits for the session; each ask takes a whole exchange, so no time is slept away. */
   private void awaitReady() {
-    int asks = 0;
-    while (send("/readyz", HttpRequest.Builder::GET).statusCode() != 200) {
-      asks++;
+    await(() -> send("/readyz", HttpRequest.Builder::GET).statusCode() == 200);
+  }
+
+  /** Asks the VM for its health until the condition holds. */
+  void await(BooleanSupplier condition) {
+    for (int asks = 0; !condition.getAsBoolean(); asks++) {
       if (asks > 10_000) {
-        throw new IllegalStateException("the entry VM did not become ready");
+        throw new IllegalStateException("the condition did not come to hold");
       }
+      send("/healthz", HttpRequest.Builder::GET);
     }
   }
 
+  /** Connects until the VM takes no more connections. */
+  void awaitListenerClosed() {
+    for (int tries = 0; tries < 100_000; tries++) {
+      try {
+        new Socket("127.0.0.1", entry.address().getPort()).close();
+      } catch (IOException refused) {
+        return;
+      }
+    }
+    throw new IllegalStateException("the listener did not close");
+  }
+
+  /** Asks for a streamed answer and returns it unread. */
+  HttpResponse<InputStream> open(String body) {
+    HttpRequest request =
+        HttpRequest.newBuilder(uri("/v1/generate"))
+            .header("Authorization", "Bearer " + KEY)
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    try {
+      return client.send(request, HttpResponse.BodyHandlers.ofInputStream());
+    } catch (IOException | InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private URI uri(String path) {
+    return URI.create("http://127.0.0.1:" + entry.address().getPort() + path);
+  }
+
   HttpResponse<String> generate(String body, String... headers) {
     return send(
         "/v1/generate",
@@ -124,11 +162,11 @@
   }
 
   HttpResponse<String> send(String path, UnaryOperator<HttpRequest.Builder> shape) {
-    URI uri = URI.create("http://127.0.0.1:" + entry.address().getPort() + path);
     try {
       return client.send(
-          shape.apply(HttpRequest.newBuilder(uri)).build(), HttpResponse.BodyHandlers.ofString());
-    } catch (java.io.IOException | InterruptedException e) {
+          shape.apply(HttpRequest.newBuilder(uri(path))).build(),
+          HttpResponse.BodyHandlers.ofString());
+    } catch (IOException | InterruptedException e) {
       throw new IllegalStateException(e);
     }
   }
--- a/entry/src/test/java/org/teaseltrail/entry/FakeEngine.java
+++ b/entry/src/test/java/org/teaseltrail/entry/FakeEngine.java
@@ -2,11 +2,13 @@
 
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.LongStream;
 import org.reactivestreams.Publisher;
 import org.teaseltrail.core.upstream.SocketAddress;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -19,7 +21,10 @@
   volatile long frames = 3;
   volatile long cutAfterFrames = Long.MAX_VALUE;
   volatile boolean refuses;
-  volatile boolean hangs;
+  volatile String padding = "";
+  volatile long holdAfterFrames = Long.MAX_VALUE;
+  final AtomicLong linesMade = new AtomicLong();
+  private final Sinks.Empty<Void> released = Sinks.empty();
   private final DisposableServer server;
 
   FakeEngine() {
@@ -56,8 +61,10 @@
     if (refuses) {
       return response.status(503).sendString(Mono.just("{\"not_run\":true}"));
     }
-    if (hangs) {
-      return Mono.never();
+    if (holdAfterFrames <= frames) {
+      Flux<String> rest =
+          released.asMono().thenMany(Flux.defer(() -> lines(id, holdAfterFrames, frames + 1)));
+      return response.sendString(lines(id, 0, holdAfterFrames).concatWith(rest));
     }
     long upTo = Math.min(frames + 1, cutAfterFrames);
     boolean cut = upTo <= frames;
@@ -65,6 +72,11 @@
     return response.sendString(cut ? lines.concatWith(Flux.error(new CutException())) : lines);
   }
 
+  /** Lets held streams go on. */
+  void release() {
+    released.tryEmitEmpty();
+  }
+
   private Publisher<Void> resume(HttpServerRequest request, HttpServerResponse response) {
     long from = Long.parseLong(request.uri().replaceAll(".*from=", ""));
     calls.add("GET " + request.param("id") + " from " + from);
@@ -88,17 +100,19 @@
   }
 
   private Flux<String> lines(String id, long from, long upTo) {
-    return Flux.fromStream(LongStream.range(from, upTo).mapToObj(n -> line(id, n)));
+    long total = frames;
+    return Flux.fromStream(LongStream.range(from, upTo).mapToObj(n -> line(id, n, total)));
   }
 
-  private String line(String id, long sequence) {
+  private String line(String id, long sequence, long total) {
+    linesMade.incrementAndGet();
     String head = "{\"request_id\":\"" + id + "\",\"seq\":" + sequence;
-    return sequence < frames
-        ? head + ",\"text\":\"w" + sequence + " \"}\n"
+    return sequence < total
+        ? head + ",\"text\":\"w" + sequence + " " + padding + "\"}\n"
         : head
             + ",\"end\":true,\"usage\":{\"prompt_tokens\":4,\"cached_tokens\":1,"
             + "\"output_tokens\":"
-            + frames
+            + total
             + "}}\n";
   }
 
