--- a/wire/src/test/java/org/teaseltrail/wire/FrameLinkTest.java
+++ b/wire/src/test/java/org/teaseltrail/wire/FrameLinkTest.java
@@ -11,9 +11,11 @@
 import java.net.Socket;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.teaseltrail.core.upstream.SocketAddress;
 
 @SuppressWarnings("try")
+@Timeout(30)
 class FrameLinkTest {
 
   private static final String HOST = "127.0.0.1";
