--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/InFlight.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/InFlight.java
@@ -24,6 +24,7 @@
   private double firstTokenMs;
   private int outputTokens;
   private long progressNs;
+  private long prefilledBefore;
   private long heardNs;
   private long lapsedNs = NOT_LAPSED;
 
@@ -120,6 +121,11 @@
     return progressNs;
   }
 
+  /** Returns the prompt tokens its upstream had processed when its tokens were last counted. */
+  public long prefilledBefore() {
+    return prefilledBefore;
+  }
+
   /** Returns when its VM last spoke of it, in monotonic nanoseconds. */
   public long heardNs() {
     return heardNs;
@@ -140,6 +146,12 @@
     lapsedNs = nowNs;
   }
 
+  /** Notes that its VM is back and still has the request waiting. */
+  public void offeredAgain(long nowNs) {
+    lapsedNs = NOT_LAPSED;
+    heardNs = nowNs;
+  }
+
   void heard(long nowNs) {
     confirmed = true;
     lapsedNs = NOT_LAPSED;
@@ -155,6 +167,7 @@
     if (tokens > outputTokens) {
       outputTokens = tokens;
       progressNs = nowNs;
+      prefilledBefore = upstream.work().prefilledTokens();
     }
   }
 }
