Hold patient requests for the engine that has their prefix

Cause: at load 1.0 engines are full, so one opens at a time and the only choice was to take it; a hold came about only if the holder had no slot, lasted 2 s at most and had to beat the decode time of a faster engine, which differs by seconds for long answers. Now a full prompt queue counts as well, and a request without a deadline is held up to 10 s whatever the other engine's speed: its room goes to the tickets behind. The price of prefill is 8, for it stalls a batch of up to 16.

--- a/core/src/main/java/org/teaseltrail/core/schedule/PlacementSearch.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/PlacementSearch.java
@@ -66,6 +66,11 @@
         && upstream.fitsPrefill(ticket.ticket().promptTokens() - cachedTokens);
   }
 
+  /** Returns whether an upstream could start the ticket now. */
+  boolean couldTake(UpstreamAccount upstream, int cachedTokens) {
+    return canTake(upstream) && fits(upstream, cachedTokens);
+  }
+
   TrackedTicket ticket() {
     return ticket;
   }
--- a/core/src/main/java/org/teaseltrail/core/schedule/PrefixHold.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/PrefixHold.java
@@ -15,6 +15,8 @@
   /** Fewest tokens that must be saved; below, the wait costs more than it can bring. */
   private static final int MIN_SAVED_TOKENS = 1_024;
 
+  private static final double US_PER_MS = 1_000;
+
   private final SchedulerSettings settings;
   private final FinishTime finish;
 
@@ -38,23 +40,49 @@
 
   private boolean isWorthWaiting(PlacementSearch search, UpstreamAccount holder) {
     long nowNs = search.nowNs();
-    if (!holder.isServing(nowNs) || holder.state() == SpeedState.PROBED || holder.hasSlot(nowNs)) {
+    if (!holder.isServing(nowNs) || holder.state() == SpeedState.PROBED) {
       return false;
     }
     TrackedTicket ticket = search.ticket();
     int cached = holder.cachedTokens(ticket);
     int saved = cached - search.bestCached();
-    if (saved < MIN_SAVED_TOKENS) {
+    if (saved < MIN_SAVED_TOKENS || search.couldTake(holder, cached)) {
       return false;
     }
-    double waitMs = holder.spanMs() / Math.max(1, holder.inFlightCount());
-    double costMs = waitMs + finish.costMs(ticket, holder, cached);
-    return costMs < search.bestCostMs() && isWithinLimit(ticket, holder, saved, nowNs);
+    return isSooner(search, holder, cached) && isWithinLimit(ticket, holder, saved, nowNs);
+  }
+
+  /**
+   * Returns whether waiting for a holder ends sooner than starting elsewhere now. A caller that told
+   * no deadline is patient: for it only the engine time counts, which waiting doesn't cost, for the
+   * room is taken by the tickets behind.
+   */
+  private boolean isSooner(PlacementSearch search, UpstreamAccount holder, int cached) {
+    TrackedTicket ticket = search.ticket();
+    double waitMs = waitMs(holder, search.nowNs());
+    if (isPatient(ticket)) {
+      return waitMs < settings.longestHoldMs();
+    }
+    return waitMs + finish.costMs(ticket, holder, cached) < search.bestCostMs();
+  }
+
+  /** Returns the expected time until a full holder has room: a slot, or its prompts processed. */
+  private double waitMs(UpstreamAccount holder, long nowNs) {
+    double slotMs = holder.hasSlot(nowNs) ? 0 : holder.spanMs() / holder.inFlightCount();
+    double prefillMs = holder.prefillTokens() * holder.prefillUs() / US_PER_MS;
+    return Math.max(slotMs, prefillMs);
+  }
+
+  private static boolean isPatient(TrackedTicket ticket) {
+    return ticket.estimate().latestStartNs() == TrackedTicket.NO_DEADLINE;
   }
 
   private boolean isWithinLimit(
       TrackedTicket ticket, UpstreamAccount holder, int saved, long nowNs) {
-    double limitMs = Math.min(settings.longestHoldMs(), finish.prefillMs(holder, saved));
+    double limitMs =
+        isPatient(ticket)
+            ? settings.longestHoldMs()
+            : Math.min(settings.longestHoldMs(), finish.prefillMs(holder, saved));
     long heldNs = nowNs - ticket.heldSinceNs(nowNs);
     return Nanos.toMs(heldNs) < limitMs;
   }
--- a/core/src/main/java/org/teaseltrail/core/schedule/SchedulerSettings.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/SchedulerSettings.java
@@ -39,7 +39,7 @@
   /** Returns the settings in use unless an operator says otherwise: every part on. */
   public static SchedulerSettings defaults() {
     return new SchedulerSettings(
-        EnumSet.allOf(PolicyPart.class), 250, 2, 2_000, 2_000, 5_000, 500, 60_000, 30_000, 600_000);
+        EnumSet.allOf(PolicyPart.class), 250, 8, 10_000, 2_000, 5_000, 500, 60_000, 30_000, 600_000);
   }
 
   /** Returns the same settings with one part of the policy off. */
