--- a/control/src/main/java/org/teaseltrail/control/ChangeReader.java
+++ b/control/src/main/java/org/teaseltrail/control/ChangeReader.java
@@ -88,7 +88,7 @@
     };
   }
 
-  private static RouteTarget.ModelTarget model(org.teaseltrail.api.v1.ModelTarget model) {
+  static RouteTarget.ModelTarget model(org.teaseltrail.api.v1.ModelTarget model) {
     Optional<AdapterId> adapter =
         model.hasAdapter() ? Optional.of(new AdapterId(model.getAdapter())) : Optional.empty();
     return new RouteTarget.ModelTarget(
--- a/control/src/main/java/org/teaseltrail/control/OperatorService.java
+++ b/control/src/main/java/org/teaseltrail/control/OperatorService.java
@@ -20,6 +20,8 @@
 import org.teaseltrail.api.v1.ListDecisionsResponse;
 import org.teaseltrail.api.v1.MembersChanged;
 import org.teaseltrail.api.v1.OperatorGrpc;
+import org.teaseltrail.api.v1.OrderEngineRequest;
+import org.teaseltrail.api.v1.OrderEngineResponse;
 import org.teaseltrail.api.v1.OutcomeUnknown;
 import org.teaseltrail.core.control.OperatorRequest;
 import org.teaseltrail.core.control.OperatorResult;
@@ -98,6 +100,20 @@
     answer(step, observer, this::membersChanged);
   }
 
+  @Override
+  public void orderEngine(
+      OrderEngineRequest request, StreamObserver<OrderEngineResponse> observer) {
+    OperatorRequest order;
+    try {
+      order = OrderWriter.read(request);
+    } catch (InvalidIdException e) {
+      observer.onNext(OrderWriter.malformed());
+      observer.onCompleted();
+      return;
+    }
+    answer(order, observer, this::ordered);
+  }
+
   private static OperatorRequest change(ApplyChangeRequest request) {
     Optional<Revision> expected =
         request.hasExpectedRevision()
@@ -192,6 +208,19 @@
     return response.setOutcomeUnknown(OutcomeUnknown.getDefaultInstance()).build();
   }
 
+  private OrderEngineResponse ordered(OperatorResult result) {
+    if (result instanceof OperatorResult.OrderAnswered answered) {
+      return OrderWriter.write(answered);
+    }
+    if (result instanceof OperatorResult.OrderRejected rejected) {
+      return OrderWriter.write(rejected);
+    }
+    if (result instanceof OperatorResult.NotLeader other) {
+      return OrderEngineResponse.newBuilder().setNotLeader(hint.write(other.leader())).build();
+    }
+    return OrderWriter.unknown();
+  }
+
   /** A read whose leadership ended under way is answered like one that found none. */
   private static Optional<org.teaseltrail.core.id.MemberId> leaderOf(OperatorResult result) {
     return result instanceof OperatorResult.NotLeader other ? other.leader() : Optional.empty();
--- a/control/src/main/java/org/teaseltrail/control/PeerLinks.java
+++ b/control/src/main/java/org/teaseltrail/control/PeerLinks.java
@@ -35,6 +35,8 @@
   private final Map<VmId, SocketAddress> addresses;
   private final Map<VmId, FrameClient<PeerEnvelope, PeerEnvelope>> clients =
       new ConcurrentHashMap<>();
+  private final Map<MemberId, FrameConnection<PeerEnvelope, PeerEnvelope>> inbound =
+      new ConcurrentHashMap<>();
   private final Map<MemberId, VmId> vms = new ConcurrentHashMap<>();
   private final Consumer<ControlEvent> events;
   private final Member self;
@@ -79,6 +81,12 @@
     FrameClient<PeerEnvelope, PeerEnvelope> client = vm == null ? null : clients.get(vm);
     if (client != null) {
       client.send(envelope);
+      return;
+    }
+    // A member that joins knows no members yet; it answers the leader on the leader's connection.
+    FrameConnection<PeerEnvelope, PeerEnvelope> back = inbound.get(envelope.to());
+    if (back != null) {
+      back.send(envelope);
     }
   }
 
@@ -88,6 +96,7 @@
   @Override
   public void received(
       FrameConnection<PeerEnvelope, PeerEnvelope> connection, PeerEnvelope envelope) {
+    inbound.put(envelope.from(), connection);
     events.accept(new ControlEvent.FromPeer(envelope));
   }
 
--- a/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
@@ -111,7 +111,7 @@
       operatorCall(call);
     } else if (event instanceof ControlEvent.OrderAnswered answered) {
       leadership.ifPresent(
-          leader -> leader.placement().answered(answered.order(), answered.outcome(), nowNs));
+          leader -> leader.orderDesk().answered(answered.order(), answered.outcome(), nowNs));
     } else if (event instanceof ControlEvent.HandOver) {
       operators.handOver(nowNs);
     } else {
--- a/core/src/main/java/org/teaseltrail/core/control/EngineOrder.java
+++ b/core/src/main/java/org/teaseltrail/core/control/EngineOrder.java
@@ -8,23 +8,24 @@
 import org.teaseltrail.core.upstream.SocketAddress;
 
 /**
- * Orders an engine to load a model or an adapter.
+ * Orders an engine to load or unload or to change its role.
  *
- * @param kind what to do
+ * @param number tells the orders of one leadership apart
  * @param upstream the engine
  * @param address where it takes orders
- * @param target the model, its version and the adapter
+ * @param content what to do
  * @param fencing the leadership that orders; engines that look at it refuse an older one
  */
 public record EngineOrder(
-    OrderKind kind,
+    long number,
     UpstreamId upstream,
     SocketAddress address,
-    ModelTarget target,
+    OrderContent content,
     FencingNumber fencing) {
 
   /** Returns the adapter that the order names, if any. */
   public Optional<AdapterId> adapter() {
-    return kind == OrderKind.LOAD_ADAPTER ? target.adapter() : Optional.empty();
+    boolean named = content.kind() == OrderKind.LOAD_ADAPTER;
+    return named ? content.target().flatMap(ModelTarget::adapter) : Optional.empty();
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/control/Leadership.java
+++ b/core/src/main/java/org/teaseltrail/core/control/Leadership.java
@@ -38,6 +38,7 @@
   private final ClaimDesk claimDesk;
   private final EntryDesk entryDesk;
   private final ForceWatch forceWatch;
+  private final OrderDesk orderDesk;
   private final PlacementPlanner placement;
   private final ClaimExpiry claimExpiry;
   private final List<Runnable> retries = new ArrayList<>();
@@ -56,7 +57,8 @@
     claimDesk = new ClaimDesk(this);
     entryDesk = new EntryDesk(this);
     forceWatch = new ForceWatch(context.out(), sessions);
-    placement = new PlacementPlanner(settings.placement(), fleet, context.out(), fencing);
+    orderDesk = new OrderDesk(context.out(), fencing);
+    placement = new PlacementPlanner(settings.placement(), fleet, orderDesk);
     claimExpiry = new ClaimExpiry(this, settings);
   }
 
@@ -73,6 +75,7 @@
   void end() {
     active = false;
     forceWatch.end();
+    orderDesk.end();
   }
 
   void at(long newNowNs) {
@@ -164,8 +167,8 @@
     return forceWatch;
   }
 
-  PlacementPlanner placement() {
-    return placement;
+  OrderDesk orderDesk() {
+    return orderDesk;
   }
 
   ClaimDesk claimDesk() {
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorDesk.java
@@ -35,6 +35,8 @@
       leadership.forceWatch().await(callId, await, nowNs);
     } else if (request instanceof OperatorRequest.ChangeMembers members) {
       replicated.propose(members.change(), new MembersCallback(callId), nowNs);
+    } else if (request instanceof OperatorRequest.OrderEngine order) {
+      leadership.orderDesk().send(callId, order, leadership);
     } else if (request instanceof OperatorRequest.TransferLeadership transfer) {
       transfer(callId, transfer, nowNs);
     }
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorRequest.java
@@ -6,6 +6,7 @@
 import org.teaseltrail.core.id.ChangeId;
 import org.teaseltrail.core.id.MemberId;
 import org.teaseltrail.core.id.Revision;
+import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.replication.MembershipChange;
 
 /** Is what an operator asks a control member for. */
@@ -53,6 +54,14 @@
    */
   record ChangeMembers(MembershipChange change) implements OperatorRequest {}
 
+  /**
+   * Send an order to an engine.
+   *
+   * @param upstream the engine
+   * @param content what it is to do
+   */
+  record OrderEngine(UpstreamId upstream, OrderContent content) implements OperatorRequest {}
+
   /**
    * Hand leadership over.
    *
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorResult.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorResult.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.teaseltrail.core.configuration.Configuration;
+import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.MemberId;
 import org.teaseltrail.core.id.Revision;
 import org.teaseltrail.core.id.VmId;
@@ -65,6 +66,21 @@
    */
   record MembersChanged(Membership membership) implements OperatorResult {}
 
+  /**
+   * The engine has answered an order, or did not.
+   *
+   * @param outcome what came of it
+   * @param fencing the leadership it was sent under
+   */
+  record OrderAnswered(OrderOutcome outcome, FencingNumber fencing) implements OperatorResult {}
+
+  /**
+   * The order was not sent.
+   *
+   * @param reason why
+   */
+  record OrderRejected(OrderRejection reason) implements OperatorResult {}
+
   /** Leadership was handed over, or will be within an election timeout. */
   record TransferStarted() implements OperatorResult {}
 
--- a/core/src/main/java/org/teaseltrail/core/control/PlacementPlanner.java
+++ b/core/src/main/java/org/teaseltrail/core/control/PlacementPlanner.java
@@ -11,10 +11,7 @@
 import org.teaseltrail.core.configuration.Pool;
 import org.teaseltrail.core.configuration.Route;
 import org.teaseltrail.core.configuration.RouteTarget.ModelTarget;
-import org.teaseltrail.core.decision.Decision;
-import org.teaseltrail.core.decision.DecisionKind;
 import org.teaseltrail.core.id.DataCenterId;
-import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.upstream.Announcement;
 import org.teaseltrail.core.upstream.ServedModel;
@@ -29,30 +26,30 @@
 
   private static final long NS_PER_MS = 1_000_000L;
 
-  private record Pending(EngineOrder order, long endsAtNs) {}
+  private record Wish(Announcement engine, OrderKind kind, ModelTarget target) {}
+
+  private record Pending(Wish wish, long endsAtNs) {}
 
   private final PlacementSettings settings;
   private final FleetView fleet;
-  private final Outbox out;
-  private final FencingNumber fencing;
+  private final OrderDesk orders;
   private final Map<UpstreamId, Pending> pending = new HashMap<>();
   private long nextLoadAtNs = Long.MIN_VALUE;
   private boolean wants;
 
-  PlacementPlanner(PlacementSettings settings, FleetView fleet, Outbox out, FencingNumber fencing) {
+  PlacementPlanner(PlacementSettings settings, FleetView fleet, OrderDesk orders) {
     this.settings = settings;
     this.fleet = fleet;
-    this.out = out;
-    this.fencing = fencing;
+    this.orders = orders;
   }
 
   /** Orders the next load if one is missing and the weight store may be read again. */
   void plan(Configuration configuration, long nowNs) {
-    pending.values().removeIf(one -> nowNs >= one.endsAtNs() || isDone(one.order(), nowNs));
+    pending.values().removeIf(one -> nowNs >= one.endsAtNs() || isDone(one.wish(), nowNs));
     wants = false;
     for (Route route : inOrder(configuration)) {
       if (route.target() instanceof ModelTarget target) {
-        Optional<EngineOrder> order = missing(configuration, route, target, nowNs);
+        Optional<Wish> order = missing(configuration, route, target, nowNs);
         wants |= order.isPresent();
         if (order.isPresent() && nowNs >= nextLoadAtNs) {
           send(order.get(), nowNs);
@@ -61,16 +58,11 @@
     }
   }
 
-  /** Takes an engine's answer; what it refused may be tried elsewhere after the pending time. */
-  void answered(EngineOrder order, OrderOutcome outcome, long nowNs) {
-    log(order, "outcome=" + outcome, nowNs);
-  }
-
   OptionalLong nextWakeupNs() {
     return wants ? OptionalLong.of(nextLoadAtNs) : OptionalLong.empty();
   }
 
-  private Optional<EngineOrder> missing(
+  private Optional<Wish> missing(
       Configuration configuration, Route route, ModelTarget target, long nowNs) {
     Pool pool = configuration.pools().get(route.pool());
     List<Announcement> engines = new ArrayList<>();
@@ -88,7 +80,7 @@
     return engines.stream()
         .filter(engine -> !holders.contains(engine) && !pending.containsKey(engine.upstream()))
         .min(Comparator.comparingInt(engine -> cost(engine, holders)))
-        .map(engine -> order(engine, target));
+        .map(engine -> wish(engine, target));
   }
 
   /** Prefers data centres with fewer copies, then engines that hold fewer models. */
@@ -98,44 +90,31 @@
     return copies * 1_000 + Math.min(engine.models().size(), 999);
   }
 
-  private EngineOrder order(Announcement engine, ModelTarget target) {
+  private static Wish wish(Announcement engine, ModelTarget target) {
     boolean modelLoaded = holds(engine, withoutAdapter(target));
     OrderKind kind = modelLoaded ? OrderKind.LOAD_ADAPTER : OrderKind.LOAD_MODEL;
-    return new EngineOrder(kind, engine.upstream(), engine.address(), target, fencing);
+    return new Wish(engine, kind, target);
   }
 
-  private void send(EngineOrder order, long nowNs) {
-    pending.put(
-        order.upstream(), new Pending(order, nowNs + settings.orderTimeoutMs() * NS_PER_MS));
+  private void send(Wish wish, long nowNs) {
+    long endsAtNs = nowNs + settings.orderTimeoutMs() * NS_PER_MS;
+    pending.put(wish.engine().upstream(), new Pending(wish, endsAtNs));
     nextLoadAtNs = nowNs + settings.loadSpacingMs() * NS_PER_MS;
-    out.sendOrder(order);
-    log(order, "outcome=ORDERED", nowNs);
-  }
-
-  private void log(EngineOrder order, String outcome, long nowNs) {
-    String target = order.target().model() + "/" + order.target().version();
-    String adapter = order.adapter().map(name -> " adapter=" + name).orElse("");
-    String reason = "order=" + order.kind() + " model=" + target + adapter + " fencing=" + fencing;
-    out.log(
-        new Decision(
-            DecisionKind.PLACE,
-            Optional.empty(),
-            Optional.empty(),
-            Optional.empty(),
-            Optional.of(order.upstream()),
-            reason + " " + outcome),
-        nowNs);
+    orders.send(wish.engine(), OrderContent.of(wish.kind(), wish.target()), nowNs);
   }
 
-  private boolean isDone(EngineOrder order, long nowNs) {
+  private boolean isDone(Wish wish, long nowNs) {
     ModelTarget goal =
-        order.kind() == OrderKind.LOAD_MODEL ? withoutAdapter(order.target()) : order.target();
-    return fleet.find(order.upstream(), nowNs).filter(engine -> holds(engine, goal)).isPresent();
+        wish.kind() == OrderKind.LOAD_MODEL ? withoutAdapter(wish.target()) : wish.target();
+    return fleet
+        .find(wish.engine().upstream(), nowNs)
+        .filter(engine -> holds(engine, goal))
+        .isPresent();
   }
 
   private boolean loads(Announcement engine, ModelTarget target) {
     Pending one = pending.get(engine.upstream());
-    return one != null && one.order().target().equals(target);
+    return one != null && one.wish().target().equals(target);
   }
 
   private static boolean holds(Announcement engine, ModelTarget target) {
