--- a/standin/src/main/java/org/teaseltrail/standin/EntryLane.java
+++ b/standin/src/main/java/org/teaseltrail/standin/EntryLane.java
@@ -31,6 +31,7 @@
     Optional<String> body = next;
     next = Optional.empty();
     busy = body.isPresent();
-    body.ifPresent(text -> post.apply(text).doFinally(signal -> sendNext()).subscribe());
+    body.ifPresent(
+        text -> post.apply(text).onErrorComplete().doFinally(signal -> sendNext()).subscribe());
   }
 }
--- a/standin/src/test/java/org/teaseltrail/standin/StreamReadersTest.java
+++ b/standin/src/test/java/org/teaseltrail/standin/StreamReadersTest.java
@@ -54,7 +54,7 @@
   void slowReaderGetsWhatItAsksForAndHoldsUpNoOne() {
     model.handle(new EngineEvent.Submit(REQUEST), 0);
     Reader slow = read(3);
-    Reader fast = read(Long.MAX_VALUE);
+    final Reader fast = read(Long.MAX_VALUE);
     runAll();
     assertThat(slow.lines).hasSize(3);
     assertThat(slow.completed).isFalse();
