--- a/core/src/main/java/org/teaseltrail/core/replication/Replica.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/Replica.java
@@ -28,6 +28,7 @@
 
   private final GroupId group;
   private final ReplicaContext context;
+  private final RequestDispatch requests;
   private final VoteGuard guard;
   private final Voter voter;
   private final Candidacy candidacy;
@@ -53,6 +54,7 @@
       long nowNs) {
     this.group = group;
     this.context = new ReplicaContext(group, self, settings, recovered, random);
+    this.requests = new RequestDispatch(context.outbox);
     this.guard = new VoteGuard(settings, nowNs);
     this.voter = new Voter(context, guard);
     this.candidacy = new Candidacy(context, nowNs);
@@ -75,7 +77,7 @@
           leadership.map(leading -> leading.neededAfterIndex(nowNs)).orElse(Long.MAX_VALUE);
       context.commits.snapshotTaken(taken, context.members, neededAfterIndex);
     } else {
-      request(event, nowNs);
+      requests.handle(event, leadership, nowNs);
     }
     checkTimers(nowNs);
     return context.outbox.drain();
@@ -159,35 +161,6 @@
     return context.commits.commitIndex();
   }
 
-  private void request(ReplicaEvent event, long nowNs) {
-    if (event instanceof ReplicaEvent.Propose propose) {
-      leadership.ifPresentOrElse(
-          leading -> leading.propose(propose.proposalId(), propose.command(), nowNs),
-          () -> rejectProposal(propose.proposalId()));
-    } else if (event instanceof ReplicaEvent.ProposeMembership propose) {
-      leadership.ifPresentOrElse(
-          leading -> leading.proposeMembership(propose.proposalId(), propose.change(), nowNs),
-          () -> rejectProposal(propose.proposalId()));
-    } else if (event instanceof ReplicaEvent.TransferLeadership transfer) {
-      leadership.ifPresentOrElse(
-          leading -> leading.transfer(transfer, nowNs),
-          () -> rejectProposal(transfer.proposalId()));
-    } else if (event instanceof ReplicaEvent.ReadBarrier barrier) {
-      leadership.ifPresentOrElse(
-          leading -> leading.readBarrier(barrier.barrierId(), nowNs),
-          () -> rejectRead(barrier.barrierId()));
-    }
-  }
-
-  private void rejectProposal(long proposalId) {
-    context.outbox.add(
-        new ReplicaAction.ProposalRejected(proposalId, ProposalRejection.NOT_LEADER));
-  }
-
-  private void rejectRead(long barrierId) {
-    context.outbox.add(new ReplicaAction.ReadRejected(barrierId, ProposalRejection.NOT_LEADER));
-  }
-
   /**
    * Takes a message. One for another receiver is dropped: after a lost disk the VM runs a new
    * member, which must not answer for what the old one had promised.
