--- /dev/null
+++ b/bench/src/main/java/org/teaseltrail/bench/control/package-info.java
@@ -0,0 +1,2 @@
+/** Measures the shared state: claims, snapshots, restarts and the bytes of control. */
+package org.teaseltrail.bench.control;
--- a/control/src/main/java/org/teaseltrail/control/ActionRunner.java
+++ b/control/src/main/java/org/teaseltrail/control/ActionRunner.java
@@ -33,6 +33,8 @@
       outward.add(action);
     } else if (action instanceof ControlAction.Persist persist) {
       targets.writes().submit(persist.write());
+    } else if (action instanceof ControlAction.EncodeSnapshot encode) {
+      targets.snapshots().encode(encode);
     } else if (action instanceof ControlAction.SendPeer send) {
       targets.peers().send(send.envelope());
     } else if (action instanceof ControlAction.SendNotLeader send) {
--- a/control/src/main/java/org/teaseltrail/control/ActionTargets.java
+++ b/control/src/main/java/org/teaseltrail/control/ActionTargets.java
@@ -4,6 +4,7 @@
  * Holds where actions go.
  *
  * @param writes the data folder
+ * @param snapshots encodes snapshots
  * @param peers other members
  * @param entryVms entry VMs
  * @param orders engines
@@ -13,6 +14,7 @@
  */
 record ActionTargets(
     WriteLoop writes,
+    SnapshotEncoder snapshots,
     PeerLinks peers,
     EntryConnections entryVms,
     OrderClient orders,
--- a/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
@@ -26,6 +26,7 @@
 import org.teaseltrail.wire.FrameLimits;
 import org.teaseltrail.wire.FrameServer;
 import org.teaseltrail.wire.MessageCodec;
+import org.teaseltrail.wire.MessagePackStateCodec;
 import org.teaseltrail.wire.SpeakerKind;
 
 /** Is a running control member. */
@@ -44,6 +45,7 @@
   private final PeerLinks peers;
   private final LeaderHint hint;
   private final WriteLoop writes;
+  private final SnapshotEncoder snapshots;
   private final ActionRunner runner;
   private final FrameServer frames;
   private final Server operators;
@@ -56,10 +58,18 @@
     hint = new LeaderHint(member.id(), options.operatorAddresses());
     writes = new WriteLoop(folder, loop::post, this::storageFailed);
     ControlMember decisions = decisions(options, folder, random);
+    snapshots = new SnapshotEncoder(new MessagePackStateCodec(codec), loop::post, this::loopFailed);
     runner =
         new ActionRunner(
             new ActionTargets(
-                writes, peers, entryVms, new OrderClient(loop::post), calls, hint, metrics),
+                writes,
+                snapshots,
+                peers,
+                entryVms,
+                new OrderClient(loop::post),
+                calls,
+                hint,
+                metrics),
             () -> decisions.leaseHolds(clock.nowNs()));
     frames = FrameServer.listen(address(options), FrameLimits.standard(), codec, entry(), peer());
     operators =
@@ -108,6 +118,7 @@
     loop.stop();
     frames.close();
     peers.close();
+    snapshots.close();
     writes.close();
     health.close();
     metrics.close();
--- /dev/null
+++ b/control/src/test/java/org/teaseltrail/control/TestMember.java
@@ -0,0 +1,88 @@
+package org.teaseltrail.control;
+
+import io.grpc.ManagedChannel;
+import io.grpc.netty.NettyChannelBuilder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.teaseltrail.api.v1.OperatorGrpc;
+import org.teaseltrail.core.control.ControlSettings;
+import org.teaseltrail.core.id.RegionId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.replication.GroupId;
+import org.teaseltrail.core.upstream.SocketAddress;
+
+/** Runs a control member on loopback, with an operator's stub for it. */
+final class TestMember implements AutoCloseable {
+
+  private static final int CALL_MS = 5_000;
+
+  private final ControlOptions options;
+  private final ManagedChannel channel;
+  private ControlDaemon daemon;
+
+  TestMember(int number, List<PeerAddress> peers, List<PeerAddress> operators, Path data) {
+    options =
+        new ControlOptions(
+            new VmId("control-" + number),
+            new RegionId("prairie"),
+            new GroupId("test"),
+            address(peers.get(number - 1)),
+            address(operators.get(number - 1)),
+            new InetSocketAddress("127.0.0.1", 0),
+            peers,
+            operators,
+            data.resolve("control-" + number),
+            ControlSettings.DEFAULT);
+    channel = NettyChannelBuilder.forAddress(options.listenOperators()).usePlaintext().build();
+  }
+
+  /** Returns addresses with ports that were free a moment ago. */
+  static List<PeerAddress> addresses(int count) throws IOException {
+    var addresses = new ArrayList<PeerAddress>();
+    var sockets = new ArrayList<ServerSocket>();
+    for (int i = 1; i <= count; i++) {
+      ServerSocket socket = new ServerSocket(0);
+      sockets.add(socket);
+      SocketAddress address = new SocketAddress("127.0.0.1", socket.getLocalPort());
+      addresses.add(new PeerAddress(new VmId("control-" + i), address));
+    }
+    for (ServerSocket socket : sockets) {
+      socket.close();
+    }
+    return addresses;
+  }
+
+  TestMember start(StartMode mode) throws IOException {
+    daemon = ControlDaemon.start(options, MemberFolder.open(options, mode));
+    return this;
+  }
+
+  OperatorGrpc.OperatorBlockingStub operator() {
+    return OperatorGrpc.newBlockingStub(channel)
+        .withWaitForReady()
+        .withDeadlineAfter(CALL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Ends the member as SIGTERM does. */
+  void stop() {
+    daemon.close();
+    daemon = null;
+  }
+
+  @Override
+  public void close() {
+    channel.shutdownNow();
+    if (daemon != null) {
+      daemon.close();
+    }
+  }
+
+  private static InetSocketAddress address(PeerAddress peer) {
+    return new InetSocketAddress(peer.address().host(), peer.address().port());
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
@@ -9,6 +9,7 @@
 import org.teaseltrail.core.replication.PeerEnvelope;
 import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.replication.ReplicaAction;
+import org.teaseltrail.core.state.ClusterSnapshot;
 
 /** Is something that a control member wants done, in the order given. */
 public sealed interface ControlAction {
@@ -29,6 +30,15 @@
    */
   record Persist(ReplicaAction.Write write) implements ControlAction {}
 
+  /**
+   * Encode a snapshot and tell the member. The program does so on another thread: a hundred
+   * thousand claims take a second, in which a leader would lose its lease.
+   *
+   * @param index index of the last entry applied
+   * @param snapshot the state
+   */
+  record EncodeSnapshot(long index, ClusterSnapshot snapshot) implements ControlAction {}
+
   /**
    * Send a message to another member.
    *
--- a/core/src/main/java/org/teaseltrail/core/control/ControlEvent.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlEvent.java
@@ -29,6 +29,14 @@
    */
   record Persisted(long writeNumber) implements ControlEvent {}
 
+  /**
+   * A snapshot was encoded.
+   *
+   * @param index index of the last entry applied to it
+   * @param state the encoded state; must not be changed afterwards
+   */
+  record SnapshotEncoded(long index, byte[] state) implements ControlEvent {}
+
   /**
    * An operator asks for something.
    *
--- a/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
@@ -107,6 +107,9 @@
       replicated.handle(new ReplicaEvent.PeerReceived(from.envelope()), nowNs);
     } else if (event instanceof ControlEvent.Persisted persisted) {
       replicated.handle(new ReplicaEvent.Persisted(persisted.writeNumber()), nowNs);
+    } else if (event instanceof ControlEvent.SnapshotEncoded snapshot) {
+      ReplicaEvent taken = new ReplicaEvent.SnapshotTaken(snapshot.index(), snapshot.state());
+      replicated.handle(taken, nowNs);
     } else if (event instanceof ControlEvent.OperatorCall call) {
       operatorCall(call);
     } else if (event instanceof ControlEvent.OrderAnswered answered) {
--- a/core/src/main/java/org/teaseltrail/core/control/Outbox.java
+++ b/core/src/main/java/org/teaseltrail/core/control/Outbox.java
@@ -16,6 +16,7 @@
 import org.teaseltrail.core.replication.PeerEnvelope;
 import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.replication.ReplicaAction;
+import org.teaseltrail.core.state.ClusterSnapshot;
 
 /** Collects the actions of one event. */
 final class Outbox {
@@ -46,6 +47,10 @@
     actions.add(new ControlAction.Persist(write));
   }
 
+  void encodeSnapshot(long index, ClusterSnapshot snapshot) {
+    actions.add(new ControlAction.EncodeSnapshot(index, snapshot));
+  }
+
   void sendPeer(PeerEnvelope envelope) {
     actions.add(new ControlAction.SendPeer(envelope));
   }
--- a/core/src/main/java/org/teaseltrail/core/control/ReplicatedState.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ReplicatedState.java
@@ -115,8 +115,7 @@
       state = new ClusterState(codec.decodeSnapshot(restore.snapshot().state()));
       listener.restored(nowNs);
     } else if (action instanceof ReplicaAction.TakeSnapshot take) {
-      byte[] bytes = codec.encodeSnapshot(state.snapshot());
-      inbox.add(new ReplicaEvent.SnapshotTaken(take.index(), bytes));
+      out.encodeSnapshot(take.index(), state.snapshot());
     } else if (action instanceof ReplicaAction.MembershipChanged changed) {
       membership = changed.membership();
       out.membershipChanged(membership);
--- a/core/src/test/java/org/teaseltrail/core/control/ConfigurationServiceTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/ConfigurationServiceTest.java
@@ -64,7 +64,8 @@
 
   /**
    * The leader commits a change and is killed before it answers. The operator sends the change to
-   * the new leader, which knows it from the log, and later to one that has it from a snapshot.
+   * the new leader, which knows it from the log, and again after all members were killed, when the
+   * log's beginning is gone and only a snapshot can tell.
    */
   @Test
   void resendToNewLeaderAndAfterSnapshotReturnsTheFirstResult() {
@@ -80,10 +81,10 @@
     for (int i = 1; i <= 40; i++) {
       group.change(second, "fill-" + i, i, Samples.customer("c" + i, 1));
     }
-    group.restart(first);
     group.run(2_000);
-    assertThat(first.disk().hasSnapshot()).isTrue();
-    second.kill();
+    assertThat(second.disk().hasSnapshot()).isTrue();
+    group.members().forEach(FakeControl::kill);
+    group.members().forEach(group::restart);
     FakeControl third = group.leader();
     assertThat(group.change(third, "a", 0, Samples.tier(1))).isEqualTo(accepted(1));
     assertThat(group.change(third, "a", 0, Samples.tier(2)))
--- a/core/src/test/java/org/teaseltrail/core/control/FakeControl.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeControl.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Supplier;
 import org.teaseltrail.core.replication.Member;
 import org.teaseltrail.core.replication.RecoveredState;
 import org.teaseltrail.core.replication.Replica;
@@ -120,15 +121,14 @@
 
   private void carryOut(ControlAction action) {
     if (action instanceof ControlAction.Persist persist) {
-      int started = life;
-      group.after(
-          SYNC_NS,
+      after(
           () -> {
-            if (life == started) {
-              disk.sync(persist.write());
-              handle(new ControlEvent.Persisted(persist.write().writeNumber()));
-            }
+            disk.sync(persist.write());
+            return new ControlEvent.Persisted(persist.write().writeNumber());
           });
+    } else if (action instanceof ControlAction.EncodeSnapshot encode) {
+      byte[] state = group.codec().encodeSnapshot(encode.snapshot());
+      after(() -> new ControlEvent.SnapshotEncoded(encode.index(), state));
     } else if (action instanceof ControlAction.SendPeer send) {
       group.sendPeer(this, send.envelope());
     } else {
@@ -140,6 +140,18 @@
     }
   }
 
+  /** Does slow work beside the member, and tells it unless it was killed meanwhile. */
+  private void after(Supplier<ControlEvent> work) {
+    int started = life;
+    group.after(
+        SYNC_NS,
+        () -> {
+          if (life == started) {
+            handle(work.get());
+          }
+        });
+  }
+
   private void scheduleWakeup() {
     OptionalLong wanted = control.nextWakeupNs();
     if (wanted.isEmpty() || wanted.getAsLong() >= wakeupNs) {
--- a/control/src/main/java/org/teaseltrail/control/MessagePackStateCodec.java
+++ b/wire/src/main/java/org/teaseltrail/wire/MessagePackStateCodec.java
@@ -1,9 +1,8 @@
-package org.teaseltrail.control;
+package org.teaseltrail.wire;
 
 import org.teaseltrail.core.state.ClusterSnapshot;
 import org.teaseltrail.core.state.Command;
 import org.teaseltrail.core.state.StateCodec;
-import org.teaseltrail.wire.MessageCodec;
 
 /** Writes commands and snapshots as MessagePack. */
 public final class MessagePackStateCodec implements StateCodec {
