Bound a tier's wait by its own drain, place short prompts behind long ones, spare late answers

Waiting work was bounded by the whole pool's rate, but tier 3 is left a tenth of it. The bound is for long prompts only now, and an engine is kept free only for the window. - stragglers: healthy engines flapped between ORDINARY and PROBED, for answers behind long prompts look slow. Only answers with no long prompt in process count now, and the time per prompt token as a second measure.

--- a/core/src/main/java/org/teaseltrail/core/schedule/FinishTime.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/FinishTime.java
@@ -7,6 +7,7 @@
 final class FinishTime {
 
   private static final double US_PER_MS = 1_000;
+  private static final double NS_PER_MS = 1e6;
 
   private final double prefillPrice;
 
@@ -19,10 +20,26 @@
    * ticket's own prefill counted at its price, in milliseconds.
    */
   double costMs(TrackedTicket ticket, UpstreamAccount upstream, int cachedTokens) {
-    double aheadMs = upstream.prefillTokens() * upstream.prefillUs() / US_PER_MS;
-    double ownMs = prefillMs(upstream, ticket.ticket().promptTokens() - cachedTokens);
+    int uncached = ticket.ticket().promptTokens() - cachedTokens;
+    return finishMs(ticket, upstream, 0) + prefillMs(upstream, uncached);
+  }
+
+  /**
+   * Returns whether an upstream that starts a ticket now is expected to finish it before the
+   * caller's deadline. Guards against engine time spent on an answer that no one waits for.
+   */
+  boolean isInTime(TrackedTicket ticket, UpstreamAccount upstream, int cachedTokens, long nowNs) {
+    if (ticket.deadlineNs() == TrackedTicket.NO_DEADLINE) {
+      return true;
+    }
+    int uncached = ticket.ticket().promptTokens() - cachedTokens;
+    return nowNs + finishMs(ticket, upstream, uncached) * NS_PER_MS <= ticket.deadlineNs();
+  }
+
+  private static double finishMs(TrackedTicket ticket, UpstreamAccount upstream, int uncached) {
+    double prefillUs = (upstream.prefillTokens() + uncached) * upstream.prefillUs();
     double stepMs = upstream.stepMs(upstream.inFlightCount() + 1);
-    return aheadMs + ownMs + ticket.estimate().outputTokens() * stepMs;
+    return prefillUs / US_PER_MS + ticket.estimate().outputTokens() * stepMs;
   }
 
   /** Returns the price of processing prompt tokens, in milliseconds. */
--- a/core/src/main/java/org/teaseltrail/core/schedule/GrantDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/GrantDesk.java
@@ -64,16 +64,16 @@
     if (part.upstream().isServing(nowNs)) {
       sendGrant(ticket, part, "claim=committed");
     } else {
-      waitAgain(part, "upstream=left_during_claim");
+      waitAgain(part, nowNs, "upstream=left_during_claim");
     }
   }
 
   /** Drops a ticket whose key another request holds; its caller has been told. */
-  void claimDenied(RequestId request) {
+  void claimDenied(RequestId request, long nowNs) {
     Optional<TrackedTicket> claiming = claiming(request);
     if (claiming.isPresent()) {
       InFlight part = state.fleet().find(request).orElseThrow();
-      state.fleet().remove(part);
+      state.fleet().remove(part, nowNs);
       refundWhole(part);
       state.book().forget(claiming.get());
     }
@@ -96,7 +96,7 @@
     // Guards against a repeated decline that would undo a later grant to the same upstream: it
     // would show as a request granted twice. A decline of another upstream's grant is ignored.
     part.tracked().avoid(part.upstreamId(), nowNs + AVOID_NS);
-    waitAgain(part, "declined=" + declined.reason());
+    waitAgain(part, nowNs, "declined=" + declined.reason());
     switch (declined.reason()) {
       case UNKNOWN_REQUEST -> dropWaiting(part.tracked(), nowNs);
       case LEAVING -> state.fleet().leaving(part.upstream());
@@ -116,9 +116,9 @@
     state.book().end(ticket.request(), nowNs);
   }
 
-  private void waitAgain(InFlight part, String reason) {
+  private void waitAgain(InFlight part, long nowNs, String reason) {
     TrackedTicket ticket = part.tracked();
-    state.fleet().remove(part);
+    state.fleet().remove(part, nowNs);
     refundWhole(part);
     state.out().regrant(ticket, part.upstream(), reason);
     ticket.waitAgain();
@@ -138,7 +138,7 @@
     if (part.isPresent() && part.get().isConfirmed()) {
       return;
     }
-    part.ifPresent(state.fleet()::remove);
+    part.ifPresent(p -> state.fleet().remove(p, nowNs));
     part.ifPresent(this::refundWhole);
     Optional<TrackedTicket> known = state.book().find(request);
     known.filter(TrackedTicket::isWaiting).ifPresent(state.queue()::remove);
@@ -178,7 +178,7 @@
       markGranted(part.get());
       return;
     }
-    part.ifPresent(state.fleet()::remove);
+    part.ifPresent(p -> state.fleet().remove(p, nowNs));
     state
         .book()
         .find(ticket.request())
@@ -206,7 +206,7 @@
   /** Drops what a lapsed VM had waiting, and keeps for a while what it may have dispatched. */
   void vmLapsed(VmId vm, long nowNs) {
     for (TrackedTicket ticket : state.book().notGrantedOf(vm)) {
-      state.fleet().find(ticket.request()).ifPresent(this::removeUngranted);
+      state.fleet().find(ticket.request()).ifPresent(p -> removeUngranted(p, nowNs));
       if (ticket.isWaiting()) {
         state.queue().remove(ticket);
       }
@@ -216,8 +216,8 @@
     state.fleet().ofVm(vm).forEach(part -> expiry.lapsed(part, nowNs));
   }
 
-  private void removeUngranted(InFlight part) {
-    state.fleet().remove(part);
+  private void removeUngranted(InFlight part, long nowNs) {
+    state.fleet().remove(part, nowNs);
     refundWhole(part);
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/InFlightExpiry.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/InFlightExpiry.java
@@ -53,7 +53,7 @@
       dues.add(new Due(keepUntilNs(part), part));
       return;
     }
-    state.fleet().remove(part);
+    state.fleet().remove(part, nowNs);
     drop(part, nowNs);
     state.out().upstream(part.upstreamId(), "in_flight=expired request=" + part.request());
   }
--- a/core/src/main/java/org/teaseltrail/core/schedule/PlacementSearch.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/PlacementSearch.java
@@ -36,8 +36,13 @@
     }
     int cached = askCache ? upstream.cachedTokens(ticket) : 0;
     double costMs = finish.costMs(ticket, upstream, cached);
-    if (!fits(upstream, cached)) {
+    if (!finish.isInTime(ticket, upstream, cached, nowNs)) {
+      return;
+    }
+    if (!upstream.fitsWindow(ticket.footprintTokens())) {
       considerTooFull(upstream, costMs);
+    } else if (!upstream.fitsPrefill(ticket.ticket().promptTokens() - cached)) {
+      return;
     } else if (costMs < bestCostMs) {
       best = upstream;
       bestCostMs = costMs;
--- a/core/src/main/java/org/teaseltrail/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/PoolScheduler.java
@@ -101,7 +101,7 @@
     } else if (event instanceof SchedulerEvent.ClaimGranted granted) {
       desk.claimGranted(granted.request(), nowNs);
     } else if (event instanceof SchedulerEvent.ClaimDenied denied) {
-      desk.claimDenied(denied.request());
+      desk.claimDenied(denied.request(), nowNs);
     } else if (event instanceof SchedulerEvent.VmLapsed lapsed) {
       gate.heard(lapsed.vm());
       desk.vmLapsed(lapsed.vm(), nowNs);
--- a/core/src/main/java/org/teaseltrail/core/schedule/Shedder.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/Shedder.java
@@ -51,19 +51,26 @@
 
   private void shedOverBound(long nowNs) {
     WaitingQueue queue = state.queue();
-    if (queue.count() == 0) {
-      return;
-    }
-    double drainUsPerMs = state.drainUsPerMs(nowNs);
-    double boundUs = state.maxWaitingMs() * drainUsPerMs;
-    while (queue.waitingUs() > boundUs) {
-      shedNewest(queue.lowest().orElseThrow(), drainUsPerMs, nowNs);
+    Optional<TierQueue> lowest = queue.lowest();
+    while (lowest.isPresent() && waitMs(lowest.get(), nowNs) > state.maxWaitingMs()) {
+      shedNewest(lowest.get(), waitMs(lowest.get(), nowNs), nowNs);
+      lowest = queue.lowest();
     }
   }
 
-  private void shedNewest(TierQueue lowest, double drainUsPerMs, long nowNs) {
-    long waitingMs = (long) (state.queue().waitingUs() / drainUsPerMs);
-    String reason = "waiting_ms=" + waitingMs + " bound_ms=" + state.maxWaitingMs();
+  /**
+   * Returns how long what waits takes to drain: all of it at the pool's rate, or the lowest tier's
+   * own at the rate which the higher tiers leave it, whichever is longer. By the pool's rate alone,
+   * a tier that gets a tenth of the pool would wait ten times as long as operators allow.
+   */
+  private double waitMs(TierQueue lowest, long nowNs) {
+    double allMs = state.queue().waitingUs() / state.drainUsPerMs(nowNs);
+    double ownMs = lowest.waitingUs() / state.drainUsPerMs(lowest, nowNs);
+    return Math.max(allMs, ownMs);
+  }
+
+  private void shedNewest(TierQueue lowest, double waitMs, long nowNs) {
+    String reason = "waiting_ms=" + (long) waitMs + " bound_ms=" + state.maxWaitingMs();
     Optional<TrackedTicket> aboveShare =
         state.has(PolicyPart.CUSTOMER_SHARE) ? lowest.newestAboveShare() : Optional.empty();
     if (aboveShare.isPresent()) {
--- a/core/src/main/java/org/teaseltrail/core/schedule/TicketIntake.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/TicketIntake.java
@@ -28,6 +28,11 @@
   /** Wait from which an offer counts as one told again, not as a new request of its customer. */
   private static final long RETOLD_MS = 1_000;
 
+  /** Time by which a request goes later for each unit of its own span. */
+  private static final double SHORT_FIRST = 5;
+
+  private static final double NS_PER_MS = 1e6;
+
   private final PoolState state;
   private final ReportGate gate;
   private final Refusals refusals;
@@ -91,7 +96,15 @@
         state.has(PolicyPart.TIER_ORDER) ? ticket.tier() : ONE_TIER,
         fair ? ticket.customer() : ONE_CUSTOMER,
         fair ? weightOf(ticket) : 1,
-        byDeadline ? estimate.usefulNs() : nowNs);
+        byDeadline ? byUsefulDeadline(estimate) : nowNs);
+  }
+
+  /**
+   * Orders by useful deadline, but lets short requests go before long ones: with more waiting than
+   * can be served in time, as many short answers fit as one long one.
+   */
+  private static long byUsefulDeadline(TicketEstimate estimate) {
+    return estimate.usefulNs() + (long) (SHORT_FIRST * estimate.spanMs() * NS_PER_MS);
   }
 
   private int weightOf(Ticket ticket) {
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/InFlight.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/InFlight.java
@@ -24,7 +24,6 @@
   private double firstTokenMs;
   private int outputTokens;
   private long progressNs;
-  private long prefilledBefore;
   private long heardNs;
   private long lapsedNs = NOT_LAPSED;
 
@@ -121,11 +120,6 @@
     return progressNs;
   }
 
-  /** Returns the prompt tokens its upstream had processed when its tokens were last counted. */
-  public long prefilledBefore() {
-    return prefilledBefore;
-  }
-
   /** Returns when its VM last spoke of it, in monotonic nanoseconds. */
   public long heardNs() {
     return heardNs;
@@ -167,7 +161,6 @@
     if (tokens > outputTokens) {
       outputTokens = tokens;
       progressNs = nowNs;
-      prefilledBefore = upstream.work().prefilledTokens();
     }
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/PoolSpeed.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/PoolSpeed.java
@@ -16,7 +16,7 @@
   static EngineSpeed of(Collection<UpstreamAccount> accounts) {
     double prefillUs = median(accounts, a -> a.speed().prefillUs());
     double stepMs = median(accounts, PoolSpeed::fullStepMs);
-    double decodeUs = median(accounts, a -> fullStepMs(a) * US_PER_MS / maxBatch(a));
+    double decodeUs = median(accounts, a -> a.speed().decodeMs() * US_PER_MS / maxBatch(a));
     EngineSpeed assumed = EngineSpeed.ASSUMED;
     return new EngineSpeed(
         prefillUs > 0 ? prefillUs : assumed.prefillUs(),
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/SpeedMeter.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/SpeedMeter.java
@@ -15,15 +15,25 @@
 
   private final StepModel steps = new StepModel();
   private double decodeMs;
-  private int tokenSamples;
+  private int decodeSamples;
   private double prefillUs;
+  private int prefillSamples;
   private double spanMs;
 
-  /** Takes the time per token that was seen in an answer, with and without other prompts' part. */
-  void token(double batch, double tokenMs, double stepMs) {
-    decodeMs = tokenSamples == 0 ? stepMs : decodeMs + TOKEN_GAIN * (stepMs - decodeMs);
-    tokenSamples++;
+  /**
+   * Takes the time per token that was seen in an answer.
+   *
+   * @param batch requests on the upstream
+   * @param tokenMs time per token, in milliseconds
+   * @param quiet whether no long prompt was processed meanwhile, so that the time is the engine's
+   *     own and not that of its load
+   */
+  void token(double batch, double tokenMs, boolean quiet) {
     steps.sample(batch, tokenMs);
+    if (quiet) {
+      decodeMs = decodeSamples == 0 ? tokenMs : decodeMs + TOKEN_GAIN * (tokenMs - decodeMs);
+      decodeSamples++;
+    }
   }
 
   /** Takes the step time that the upstream reports. */
@@ -38,6 +48,7 @@
     if (tokens >= MIN_PREFILL_TOKENS) {
       double sampleUs = sampleMs * US_PER_MS / tokens;
       prefillUs = prefillUs == 0 ? sampleUs : prefillUs + PREFILL_GAIN * (sampleUs - prefillUs);
+      prefillSamples++;
     }
   }
 
@@ -46,11 +57,15 @@
     spanMs = spanMs == 0 ? sampleMs : spanMs + PREFILL_GAIN * (sampleMs - spanMs);
   }
 
-  int tokenSamples() {
-    return tokenSamples;
+  int decodeSamples() {
+    return decodeSamples;
+  }
+
+  int prefillSamples() {
+    return prefillSamples;
   }
 
-  /** Returns the recent time per token without prompts' part; zero before the first sample. */
+  /** Returns the time per token while no long prompt is processed; zero before the first sample. */
   double decodeMs() {
     return decodeMs;
   }
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/StragglerDetector.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/StragglerDetector.java
@@ -3,12 +3,14 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.function.ToDoubleFunction;
 
 /**
- * Finds engines that have become slow or silent, by their time per token against the pool's median.
- * Guards against a straggler that holds every request it draws many times longer than others would:
- * callers would see single answers crawl while the rest of the pool is quick. The measure is the
- * scheduler's own, from answers, so an engine that reports itself healthy is found too.
+ * Finds engines that have become slow or silent, by their time per token generated or processed
+ * against the pool's median. Guards against a straggler that holds every request it draws many
+ * times longer than others would: callers would see single answers crawl while the rest of the pool
+ * is quick. The measure is the scheduler's own, from answers, so an engine that reports itself
+ * healthy is found too.
  */
 final class StragglerDetector {
 
@@ -39,10 +41,13 @@
 
   /** Judges every upstream, and returns those whose state has changed. */
   List<SpeedChange> review(Collection<UpstreamAccount> accounts, long nowNs) {
-    double median = median(accounts);
+    double medianDecode = median(accounts, StragglerDetector::decodeMs);
+    double medianPrefill = median(accounts, StragglerDetector::prefillUs);
     List<SpeedChange> changes = new ArrayList<>();
     for (UpstreamAccount account : accounts) {
-      double ratio = median > 0 ? comparable(account) / median : 0;
+      double decodeRatio = ratio(decodeMs(account), medianDecode);
+      double prefillRatio = ratio(prefillUs(account), medianPrefill);
+      double ratio = Math.max(decodeRatio, prefillRatio);
       SpeedState next = isSilent(account, nowNs) ? SpeedState.PROBED : judge(account, ratio);
       if (next != account.state()) {
         changes.add(new SpeedChange(account.id(), account.state(), next, ratio));
@@ -52,10 +57,11 @@
     return changes;
   }
 
+  private static double ratio(double value, double median) {
+    return median > 0 ? value / median : 0;
+  }
+
   private static SpeedState judge(UpstreamAccount account, double ratio) {
-    if (account.speed().tokenSamples() < MIN_SAMPLES) {
-      return SpeedState.ORDINARY;
-    }
     double probedFrom = account.state() == SpeedState.PROBED ? PROBED * RECOVERED : PROBED;
     double slowFrom = account.state() == SpeedState.ORDINARY ? SLOW : SLOW * RECOVERED;
     if (ratio >= probedFrom) {
@@ -75,17 +81,22 @@
     return waitedMs > Math.max(LEAST_OVERDUE_MS, OVERDUE * expectedMs);
   }
 
-  private static double median(Collection<UpstreamAccount> accounts) {
-    double[] times =
-        accounts.stream()
-            .filter(a -> a.speed().tokenSamples() >= MIN_SAMPLES)
-            .mapToDouble(StragglerDetector::comparable)
-            .sorted()
-            .toArray();
-    return times.length < MIN_ENGINES ? 0 : times[times.length / 2];
+  private static double median(
+      Collection<UpstreamAccount> accounts, ToDoubleFunction<UpstreamAccount> measure) {
+    double[] values = accounts.stream().mapToDouble(measure).filter(v -> v > 0).sorted().toArray();
+    return values.length < MIN_ENGINES ? 0 : values[values.length / 2];
+  }
+
+  /** Returns the time per token at an empty batch; zero if too little was seen. */
+  private static double decodeMs(UpstreamAccount account) {
+    SpeedMeter speed = account.speed();
+    boolean known = speed.decodeSamples() >= MIN_SAMPLES;
+    return known ? speed.decodeMs() / (1 + SLOPE * account.inFlightCount()) : 0;
   }
 
-  private static double comparable(UpstreamAccount account) {
-    return account.speed().decodeMs() / (1 + SLOPE * account.inFlightCount());
+  /** Returns the time to process a prompt token; zero if too little was seen. */
+  private static double prefillUs(UpstreamAccount account) {
+    SpeedMeter speed = account.speed();
+    return speed.prefillSamples() >= MIN_SAMPLES ? speed.prefillUs() : 0;
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamAccount.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamAccount.java
@@ -22,8 +22,8 @@
   /** Age from which a load report says nothing about the present. */
   private static final long REPORT_USE_NS = 3_000_000_000L;
 
-  /** Part of the prefill bound that may be in process when a prompt beyond the bound comes. */
-  private static final double AHEAD_OF_LONG = 0.25;
+  /** Part of the prefill bound up to which a prompt, or what is ahead of one, counts as short. */
+  private static final double SHORT_PROMPT = 0.25;
 
   private static final double US_PER_MS = 1_000;
 
@@ -106,18 +106,19 @@
   }
 
   /**
-   * Returns whether a prompt can be processed without stalling others for long.
+   * Returns whether a prompt can be processed without stalling others for long. Short prompts
+   * always can; long ones may not pile up.
    *
    * @param uncachedTokens prompt tokens to process
    */
   public boolean fitsPrefill(int uncachedTokens) {
-    if (!policy.prefillBound() || work.prefillTokens() == 0) {
+    if (!policy.prefillBound()) {
       return true;
     }
     double bound = policy.prefillBoundMs() * US_PER_MS / prefillUs();
     double ahead = work.prefillTokens();
-    return ahead + uncachedTokens <= bound
-        || (uncachedTokens > (1 - AHEAD_OF_LONG) * bound && ahead <= AHEAD_OF_LONG * bound);
+    double share = SHORT_PROMPT * bound;
+    return uncachedTokens <= share || ahead <= share || ahead + uncachedTokens <= bound;
   }
 
   /** Returns how many tokens of a ticket's prompt its cache is expected to save. */
@@ -155,11 +156,6 @@
     return presence.serves(target);
   }
 
-  /** Returns how fast an ordinary engine of the pool is. */
-  EngineSpeed ordinary() {
-    return ordinary;
-  }
-
   Presence presence() {
     return presence;
   }
@@ -229,11 +225,11 @@
    * Takes what was seen in an answer.
    *
    * @param tokenMs time per token, in milliseconds
-   * @param stepMs the same without the time that went into other prompts
+   * @param quiet whether no long prompt was processed meanwhile
    * @param nowNs monotonic time in nanoseconds
    */
-  void tokenSample(double tokenMs, double stepMs, long nowNs) {
-    speed.token(work.count(), tokenMs, stepMs);
+  void tokenSample(double tokenMs, boolean quiet, long nowNs) {
+    speed.token(work.count(), tokenMs, quiet);
     window.sample(tokenMs, work.footprintTokens(), nowNs);
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamFleet.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamFleet.java
@@ -212,7 +212,7 @@
   /** Notes that the first token of a request has arrived. */
   public void started(InFlight part, double sinceDispatchMs, long nowNs) {
     part.heard(nowNs);
-    part.upstream().work().start(part);
+    part.upstream().work().start(part, nowNs);
     part.firstToken(sinceDispatchMs, nowNs);
     part.upstream().presence().worked();
   }
@@ -221,7 +221,7 @@
   public void progressed(InFlight part, int outputTokens, long nowNs) {
     part.heard(nowNs);
     if (outputTokens > 0) {
-      part.upstream().work().start(part);
+      part.upstream().work().start(part, nowNs);
     }
     AnswerSamples.progress(part, outputTokens, nowNs);
     part.progress(outputTokens, nowNs);
@@ -229,7 +229,7 @@
 
   /** Takes a request out of the account, and learns from how it went. */
   public void ended(InFlight part, EntryMessage.Ended ended, long nowNs) {
-    remove(part);
+    remove(part, nowNs);
     if (ended.kind() == EndKind.FAILED) {
       part.upstream().presence().backOff(nowNs);
     }
@@ -240,9 +240,9 @@
   }
 
   /** Takes a request out of the account. */
-  public void remove(InFlight part) {
+  public void remove(InFlight part, long nowNs) {
     inFlight.remove(part.request());
-    part.upstream().work().remove(part);
+    part.upstream().work().remove(part, nowNs);
   }
 
   /** Keeps work away from an upstream for a while, after a grant there could not be used. */
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/WorkInFlight.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/WorkInFlight.java
@@ -11,11 +11,14 @@
   /** Time over which the greatest count is remembered, to compare with reports as old as that. */
   private static final long PEAK_SPAN_NS = 2_000_000_000L;
 
+  /** Prompt tokens in process from which the time between tokens says little of the engine. */
+  private static final long LONG_PREFILL_TOKENS = 1_024;
+
   private final Set<InFlight> parts = new LinkedHashSet<>();
   private final Set<InFlight> unstarted = new LinkedHashSet<>();
   private long footprintTokens;
   private long prefillTokens;
-  private long prefilledTokens;
+  private long promptBusyNs = Long.MIN_VALUE;
   private int peak;
   private int peakBefore;
   private long peakSinceNs;
@@ -32,9 +35,9 @@
     return prefillTokens;
   }
 
-  /** Returns the prompt tokens known to have been processed here, ever. */
-  long prefilledTokens() {
-    return prefilledTokens;
+  /** Returns whether no long prompt has been in process since a time. */
+  boolean isQuietSince(long sinceNs) {
+    return prefillTokens < LONG_PREFILL_TOKENS && promptBusyNs < sinceNs;
   }
 
   /** Returns the part that has waited longest for its first token; null if there is none. */
@@ -57,16 +60,18 @@
     peak = Math.max(peak, parts.size());
   }
 
-  void start(InFlight part) {
+  void start(InFlight part, long nowNs) {
+    if (prefillTokens >= LONG_PREFILL_TOKENS) {
+      promptBusyNs = nowNs;
+    }
     if (unstarted.remove(part)) {
       prefillTokens -= part.prefillTokens();
-      prefilledTokens += part.prefillTokens();
     }
   }
 
-  void remove(InFlight part) {
+  void remove(InFlight part, long nowNs) {
     Invariant.check(parts.remove(part), InvariantName.IN_FLIGHT_ACCOUNT_BALANCES);
-    start(part);
+    start(part, nowNs);
     footprintTokens -= part.footprintTokens();
     boolean sane = footprintTokens >= 0 && prefillTokens >= 0;
     boolean zero = footprintTokens == 0 && prefillTokens == 0;
--- a/core/src/main/java/org/teaseltrail/core/schedule/limit/DrainRateMeter.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/limit/DrainRateMeter.java
@@ -7,7 +7,10 @@
 public final class DrainRateMeter {
 
   /** Time over which the measure forgets, in busy milliseconds; several answers' length. */
-  private static final double MEMORY_MS = 5_000;
+  private static final double MEMORY_MS = 10_000;
+
+  /** Weight of the assumed rate, in busy milliseconds. */
+  private static final double PRIOR_MS = 1_500;
 
   private static final double NS_PER_MS = 1e6;
 
@@ -49,7 +52,6 @@
    * @param priorUsPerMs the rate to assume as long as little is measured
    */
   public double usPerMs(double priorUsPerMs) {
-    double priorMs = MEMORY_MS / 5;
-    return (drainedUs + priorUsPerMs * priorMs) / (busyMs + priorMs);
+    return (drainedUs + priorUsPerMs * PRIOR_MS) / (busyMs + PRIOR_MS);
   }
 }
