Find upstreams with room without looking at all of them

Each event had counted the serving upstreams anew, three times, and looked at all of them for room. The count is kept, and each target keeps a list of the upstreams with a free place; a choice weighs at most 64 of them, beginning at another one each time, and the holders of the ticket's prefix.

--- a/core/src/main/java/org/teaseltrail/core/schedule/DeadlineWatch.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/DeadlineWatch.java
@@ -56,7 +56,8 @@
         lastServedNs.put(route.id(), nowNs);
       }
     }
-    if (gate.isOpen()) {
+    boolean anyUnserved = lastServedNs.keySet().stream().anyMatch(r -> isUnserved(r, nowNs));
+    if (anyUnserved && gate.isOpen()) {
       state.book().waiting().stream()
           .filter(t -> isUnserved(t.ticket().route(), nowNs))
           .forEach(t -> refuseUnserved(t, nowNs));
@@ -76,7 +77,7 @@
   }
 
   private boolean isServed(RouteTarget target, long nowNs) {
-    for (UpstreamAccount account : state.fleet().group(target)) {
+    for (UpstreamAccount account : state.fleet().group(target).all()) {
       if (account.isServing(nowNs)) {
         return true;
       }
--- a/core/src/main/java/org/teaseltrail/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/Dispatcher.java
@@ -1,12 +1,11 @@
 package org.teaseltrail.core.schedule;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.teaseltrail.core.configuration.Route;
-import org.teaseltrail.core.configuration.RouteTarget;
+import org.teaseltrail.core.schedule.fleet.TargetGroup;
 import org.teaseltrail.core.schedule.fleet.UpstreamAccount;
 import org.teaseltrail.core.schedule.queue.RouteQueue;
 import org.teaseltrail.core.schedule.queue.ServiceOrder;
@@ -20,7 +19,7 @@
 
   private final PoolState state;
   private final UpstreamChooser chooser;
-  private final Map<RouteTarget, List<UpstreamAccount>> open = new HashMap<>();
+  private final Map<TargetGroup, List<UpstreamAccount>> open = new HashMap<>();
   private UpstreamAccount reserved;
 
   Dispatcher(PoolState state) {
@@ -52,10 +51,11 @@
     if (route == null || routeQueue.isEmpty()) {
       return Optional.empty();
     }
-    List<UpstreamAccount> candidates = openFor(route.target(), nowNs);
+    TargetGroup group = state.fleet().group(route.target());
+    List<UpstreamAccount> candidates = openIn(group, nowNs);
     ServiceOrder order = routeQueue.inOrder();
     for (int tried = 0; tried < LOOK_AHEAD && !candidates.isEmpty() && order.hasNext(); tried++) {
-      Choice choice = chooser.choose(order.next(), candidates, reserved, nowNs);
+      Choice choice = chooser.choose(order.next(), group, candidates, reserved, nowNs);
       if (choice.isPlaced()) {
         return Optional.of(choice.placement());
       }
@@ -75,23 +75,13 @@
     }
   }
 
-  private List<UpstreamAccount> openFor(RouteTarget target, long nowNs) {
-    List<UpstreamAccount> known = open.get(target);
+  private List<UpstreamAccount> openIn(TargetGroup group, long nowNs) {
+    List<UpstreamAccount> known = open.get(group);
     if (known == null) {
-      known = findOpen(target, nowNs);
-      open.put(target, known);
+      known = group.open(nowNs);
+      open.put(group, known);
     }
     known.removeIf(account -> !account.hasSlot(nowNs));
     return known;
   }
-
-  private List<UpstreamAccount> findOpen(RouteTarget target, long nowNs) {
-    List<UpstreamAccount> found = new ArrayList<>();
-    for (UpstreamAccount account : state.fleet().group(target)) {
-      if (account.isGrantable(nowNs) && account.hasSlot(nowNs)) {
-        found.add(account);
-      }
-    }
-    return found;
-  }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/PoolState.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/PoolState.java
@@ -119,12 +119,12 @@
   }
 
   /** Returns how fast the pool drains, in microseconds of engine time for each millisecond. */
-  double drainUsPerMs(long nowNs) {
-    return drain.usPerMs(US_PER_MS * Math.max(1, fleet.servingCount(nowNs)));
+  double drainUsPerMs() {
+    return drain.usPerMs(US_PER_MS * Math.max(1, fleet.servingCount()));
   }
 
   /** Returns how fast a tier drains, in microseconds of engine time for each millisecond. */
-  double drainUsPerMs(TierQueue tier, long nowNs) {
-    return tier.drain().usPerMs(drainUsPerMs(nowNs));
+  double drainUsPerMs(TierQueue tier) {
+    return tier.drain().usPerMs(drainUsPerMs());
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/Refusals.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/Refusals.java
@@ -34,9 +34,9 @@
   }
 
   /** Returns when what waits in a ticket's tier will have drained, at the measured rate. */
-  long retryAfterMs(TrackedTicket ticket, long nowNs) {
+  long retryAfterMs(TrackedTicket ticket) {
     TierQueue tier = state.queue().tierOf(ticket);
-    double drainMs = tier.waitingUs() / state.drainUsPerMs(tier, nowNs);
+    double drainMs = tier.waitingUs() / state.drainUsPerMs(tier);
     return (long) Math.min(LONGEST_RETRY_MS, Math.max(LEAST_RETRY_MS, drainMs));
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/Shedder.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/Shedder.java
@@ -52,8 +52,8 @@
   private void shedOverBound(long nowNs) {
     WaitingQueue queue = state.queue();
     Optional<TierQueue> lowest = queue.lowest();
-    while (lowest.isPresent() && waitMs(lowest.get(), nowNs) > state.maxWaitingMs()) {
-      shedNewest(lowest.get(), waitMs(lowest.get(), nowNs), nowNs);
+    while (lowest.isPresent() && waitMs(lowest.get()) > state.maxWaitingMs()) {
+      shedNewest(lowest.get(), waitMs(lowest.get()), nowNs);
       lowest = queue.lowest();
     }
   }
@@ -63,9 +63,9 @@
    * own at the rate which the higher tiers leave it, whichever is longer. By the pool's rate alone,
    * a tier that gets a tenth of the pool would wait ten times as long as operators allow.
    */
-  private double waitMs(TierQueue lowest, long nowNs) {
-    double allMs = state.queue().waitingUs() / state.drainUsPerMs(nowNs);
-    double ownMs = lowest.waitingUs() / state.drainUsPerMs(lowest, nowNs);
+  private double waitMs(TierQueue lowest) {
+    double allMs = state.queue().waitingUs() / state.drainUsPerMs();
+    double ownMs = lowest.waitingUs() / state.drainUsPerMs(lowest);
     return Math.max(allMs, ownMs);
   }
 
@@ -82,7 +82,7 @@
 
   private void shedOne(TrackedTicket ticket, RefusalKind kind, String reason, long nowNs) {
     checkOrder(ticket);
-    long retryAfterMs = refusals.retryAfterMs(ticket, nowNs);
+    long retryAfterMs = refusals.retryAfterMs(ticket);
     refusals.refuseWaiting(ticket, kind, retryAfterMs, reason, nowNs);
   }
 
--- a/core/src/main/java/org/teaseltrail/core/schedule/UpstreamChooser.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/UpstreamChooser.java
@@ -1,8 +1,8 @@
 package org.teaseltrail.core.schedule;
 
 import java.util.List;
-import java.util.Set;
 import org.teaseltrail.core.schedule.fleet.SpeedState;
+import org.teaseltrail.core.schedule.fleet.TargetGroup;
 import org.teaseltrail.core.schedule.fleet.UpstreamAccount;
 import org.teaseltrail.core.schedule.fleet.UpstreamFleet;
 import org.teaseltrail.core.schedule.ticket.Nanos;
@@ -38,12 +38,17 @@
    * Chooses among upstreams.
    *
    * @param ticket the ticket
-   * @param open upstreams that serve the ticket's target and may be granted work
+   * @param group the upstreams that serve the ticket's target
+   * @param open those of them to choose from, which may be granted work
    * @param reserved an upstream that drains for a ticket before this one; null if none does
    * @param nowNs monotonic time in nanoseconds
    */
   Choice choose(
-      TrackedTicket ticket, List<UpstreamAccount> open, UpstreamAccount reserved, long nowNs) {
+      TrackedTicket ticket,
+      TargetGroup group,
+      List<UpstreamAccount> open,
+      UpstreamAccount reserved,
+      long nowNs) {
     PlacementSearch search = new PlacementSearch(ticket, reserved, finish, nowNs);
     if (!settings.has(PolicyPart.FINISH_TIME_CHOICE)) {
       return nextInTurn(search, open);
@@ -58,19 +63,15 @@
     }
     List<UpstreamAccount> holders = fleet.prefixHolders(ticket);
     if (!askAll) {
-      considerHolders(search, holders, open);
+      considerHolders(search, holders, group);
     }
     return hold.holds(search, holders) ? Choice.NONE : search.result();
   }
 
   private static void considerHolders(
-      PlacementSearch search, List<UpstreamAccount> holders, List<UpstreamAccount> open) {
-    if (holders.isEmpty()) {
-      return;
-    }
-    Set<UpstreamAccount> openSet = Set.copyOf(open);
+      PlacementSearch search, List<UpstreamAccount> holders, TargetGroup group) {
     for (UpstreamAccount holder : holders) {
-      if (openSet.contains(holder)) {
+      if (group.isFree(holder) && holder.isGrantable(search.nowNs())) {
         search.consider(holder, true);
       }
     }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/TargetGroup.java
@@ -0,0 +1,77 @@
+package org.teaseltrail.core.schedule.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Holds the upstreams that serve one target, and finds those with room without looking at all: in a
+ * busy pool few have room, and in an idle one a few dozen are choice enough.
+ */
+public final class TargetGroup {
+
+  /** Most upstreams that one choice weighs, besides those that hold the prefix. */
+  private static final int MAX_CANDIDATES = 64;
+
+  private final List<UpstreamAccount> all;
+  private final List<UpstreamAccount> free = new ArrayList<>();
+  private final Map<UpstreamAccount, Integer> places = new HashMap<>();
+  private int cursor;
+
+  TargetGroup(List<UpstreamAccount> all) {
+    this.all = List.copyOf(all);
+    this.all.forEach(this::update);
+  }
+
+  /** Returns all upstreams of the group, serving or not. */
+  public List<UpstreamAccount> all() {
+    return all;
+  }
+
+  /** Returns whether an upstream of the group has a free place in its batch. */
+  public boolean isFree(UpstreamAccount account) {
+    return places.containsKey(account);
+  }
+
+  /**
+   * Returns upstreams that may be granted work now, at most a few dozen, beginning at another one
+   * each time.
+   */
+  public List<UpstreamAccount> open(long nowNs) {
+    List<UpstreamAccount> open = new ArrayList<>();
+    int size = free.size();
+    if (size == 0) {
+      return open;
+    }
+    int start = size <= MAX_CANDIDATES ? 0 : cursor % size;
+    for (int i = 0; i < size && open.size() < MAX_CANDIDATES; i++) {
+      UpstreamAccount account = free.get((start + i) % size);
+      if (account.isGrantable(nowNs) && account.hasSlot(nowNs)) {
+        open.add(account);
+      }
+    }
+    cursor = start + MAX_CANDIDATES;
+    return open;
+  }
+
+  /** Takes note that an upstream's work in flight or batch has changed. */
+  void update(UpstreamAccount account) {
+    boolean wasFree = places.containsKey(account);
+    if (account.hasPlace() && !wasFree) {
+      places.put(account, free.size());
+      free.add(account);
+    } else if (!account.hasPlace() && wasFree) {
+      remove(account);
+    }
+  }
+
+  private void remove(UpstreamAccount account) {
+    int place = places.remove(account);
+    UpstreamAccount last = free.remove(free.size() - 1);
+    if (last != account) {
+      free.set(place, last);
+      places.put(last, place);
+    }
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamAccount.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamAccount.java
@@ -91,6 +91,11 @@
     return presence.isGrantable(nowNs);
   }
 
+  /** Returns whether its batch has a free place, whatever else may speak against a grant. */
+  boolean hasPlace() {
+    return announcement() != null && work.count() < announcement().maxBatch();
+  }
+
   /** Returns whether it may run one request more, whatever that is. */
   public boolean hasSlot(long nowNs) {
     int slots = state.slots(announcement().maxBatch());
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamFleet.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamFleet.java
@@ -1,6 +1,5 @@
 package org.teaseltrail.core.schedule.fleet;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -37,11 +36,12 @@
   private final FleetPolicy policy;
   private final Map<UpstreamId, UpstreamAccount> accounts = new LinkedHashMap<>();
   private final Map<RequestId, InFlight> inFlight = new LinkedHashMap<>();
-  private final Map<RouteTarget, List<UpstreamAccount>> groups = new HashMap<>();
+  private final Map<RouteTarget, TargetGroup> groups = new HashMap<>();
   private final PrefixDirectory<UpstreamAccount> directory =
       new PrefixDirectory<>(MAX_DIRECTORY_BLOCKS);
   private final StragglerDetector detector = new StragglerDetector();
   private EngineSpeed ordinary = EngineSpeed.ASSUMED;
+  private int servingCount;
   private Configuration configuration = Configuration.empty();
 
   /** Creates the fleet of a pool, empty. */
@@ -85,11 +85,17 @@
     if (before == null || changesWhatIsServed(before, announcement)) {
       groups.clear();
     }
-    return before == null || before.phase() != announcement.phase();
+    boolean changed = before == null || before.phase() != announcement.phase();
+    if (changed) {
+      countServing(nowNs);
+    }
+    return changed;
   }
 
   private static boolean changesWhatIsServed(Announcement before, Announcement after) {
-    return !before.models().equals(after.models()) || !before.service().equals(after.service());
+    return before.maxBatch() != after.maxBatch()
+        || !before.models().equals(after.models())
+        || !before.service().equals(after.service());
   }
 
   /** Takes a cache event; one of an earlier life changes nothing. */
@@ -106,18 +112,12 @@
   }
 
   /** Returns the upstreams that have the target loaded, serving or not. */
-  public List<UpstreamAccount> group(RouteTarget target) {
+  public TargetGroup group(RouteTarget target) {
     return groups.computeIfAbsent(target, this::findGroup);
   }
 
-  private List<UpstreamAccount> findGroup(RouteTarget target) {
-    List<UpstreamAccount> group = new ArrayList<>();
-    for (UpstreamAccount account : accounts.values()) {
-      if (account.serves(target)) {
-        group.add(account);
-      }
-    }
-    return group;
+  private TargetGroup findGroup(RouteTarget target) {
+    return new TargetGroup(accounts.values().stream().filter(a -> a.serves(target)).toList());
   }
 
   /** Returns upstreams that were seen to hold the longest known part of a ticket's prompt. */
@@ -138,13 +138,13 @@
     return accounts.values();
   }
 
-  /** Returns how many upstreams serve. */
-  public int servingCount(long nowNs) {
-    int serving = 0;
-    for (UpstreamAccount account : accounts.values()) {
-      serving += account.isServing(nowNs) ? 1 : 0;
-    }
-    return serving;
+  /** Returns how many upstreams served when last looked at. */
+  public int servingCount() {
+    return servingCount;
+  }
+
+  private void countServing(long nowNs) {
+    servingCount = (int) accounts.values().stream().filter(a -> a.isServing(nowNs)).count();
   }
 
   /** Returns how fast an ordinary upstream is. */
@@ -156,6 +156,7 @@
   public List<SpeedChange> review(long nowNs) {
     ordinary = PoolSpeed.of(accounts.values());
     accounts.values().forEach(a -> a.setOrdinary(ordinary));
+    countServing(nowNs);
     return policy.stragglers() ? detector.review(accounts.values(), nowNs) : List.of();
   }
 
@@ -188,6 +189,7 @@
     Invariant.check(!inFlight.containsKey(ticket.request()), InvariantName.ONE_GRANT_PER_TICKET);
     InFlight part = upstream.add(ticket, cached, nowNs);
     inFlight.put(ticket.request(), part);
+    groups.values().forEach(group -> group.update(upstream));
     if (policy.prefixAffinity()) {
       directory.add(ticket.ticket().prefixBlocks(), upstream);
     }
@@ -243,6 +245,7 @@
   public void remove(InFlight part, long nowNs) {
     inFlight.remove(part.request());
     part.upstream().work().remove(part, nowNs);
+    groups.values().forEach(group -> group.update(part.upstream()));
   }
 
   /** Keeps work away from an upstream for a while, after a grant there could not be used. */
