--- /dev/null
+++ b/bench/src/main/java/org/teaseltrail/bench/wire/WireCosts.java
@@ -0,0 +1,77 @@
+package org.teaseltrail.bench.wire;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.Arrays;
+import org.teaseltrail.wire.MessageCodec;
+
+/**
+ * Prints for each measured message its bytes, without the four bytes of its frame's length, and the
+ * processor time of writing and reading it. Processor time rather than elapsed time, so that the
+ * figures hold on a machine that others use too; {@link WireCodecBenchmark} measures elapsed time.
+ */
+public final class WireCosts {
+
+  private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+  private static final long BATCH_NS = 200_000_000;
+  private static final int WARM_UP_BATCHES = 5;
+  private static final int BATCHES = 9;
+  private static final double NS_PER_US = 1_000;
+
+  private WireCosts() {}
+
+  /**
+   * Prints a line for each message.
+   *
+   * @param args unused
+   */
+  public static void main(String[] args) {
+    MessageCodec codec = new MessageCodec();
+    System.out.println(
+        "message               bytes  encode CPU us (min..max)  decode CPU us (min..max)");
+    for (WireSample sample : WireSample.values()) {
+      byte[] bytes = sample.encode(codec);
+      System.out.printf(
+          "%-18s %8d  %s  %s%n",
+          sample,
+          bytes.length,
+          cost(() -> sample.encode(codec)),
+          cost(() -> sample.decode(codec, bytes)));
+    }
+  }
+
+  private static String cost(Operation operation) {
+    for (int i = 0; i < WARM_UP_BATCHES; i++) {
+      batchUs(operation);
+    }
+    double[] batchesUs = new double[BATCHES];
+    for (int i = 0; i < BATCHES; i++) {
+      batchesUs[i] = batchUs(operation);
+    }
+    Arrays.sort(batchesUs);
+    return String.format(
+        "%10.2f (%.2f..%.2f)", batchesUs[BATCHES / 2], batchesUs[0], batchesUs[BATCHES - 1]);
+  }
+
+  /** Returns the processor time of one operation, over operations that fill a batch. */
+  private static double batchUs(Operation operation) {
+    long startNs = THREADS.getCurrentThreadCpuTime();
+    long usedNs = 0;
+    long operations = 0;
+    int unread = 0;
+    while (usedNs < BATCH_NS) {
+      unread += operation.run() == null ? 1 : 0;
+      operations++;
+      if (operations % 16 == 0 || usedNs == 0) {
+        usedNs = THREADS.getCurrentThreadCpuTime() - startNs;
+      }
+    }
+    return unread < 0 ? 0 : usedNs / NS_PER_US / operations;
+  }
+
+  /** Is what is measured. */
+  @FunctionalInterface
+  private interface Operation {
+    Object run();
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaseltrail/bench/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Measures the codec: time of writing and reading a message, and bytes by message type. */
+package org.teaseltrail.bench.wire;
