control: let a new member answer a leader whose VM it doesn't know yet

Cause: the new member's log is empty, so PeerLinks found no VM for the leader's id and dropped every answer; the leader's probes got no reply. It now answers on the connection on which it heard the sender. Ruled out: the leader's own sends, since the learner told of term and leader within 5 s. Without it newMemberAnswersALeaderWhoseVmItDoesNotKnow has nothing to send on and fails.

--- a/control/src/main/java/org/teaseltrail/control/PeerLinks.java
+++ b/control/src/main/java/org/teaseltrail/control/PeerLinks.java
@@ -36,6 +36,8 @@
   private final Map<VmId, FrameClient<PeerEnvelope, PeerEnvelope>> clients =
       new ConcurrentHashMap<>();
   private final Map<MemberId, VmId> vms = new ConcurrentHashMap<>();
+  private final Map<MemberId, FrameConnection<PeerEnvelope, PeerEnvelope>> heardOn =
+      new ConcurrentHashMap<>();
   private final Consumer<ControlEvent> events;
   private final Member self;
   private final MessageCodec codec;
@@ -73,12 +75,21 @@
     membership.all().forEach(member -> vms.put(member.id(), member.vm()));
   }
 
-  /** Sends a message if its receiver's VM is connected; otherwise it is lost. */
+  /**
+   * Sends a message if its receiver's VM is connected; otherwise it is lost.
+   *
+   * <p>A new member's log is empty, so it doesn't know yet which VM its leader stands on. Without
+   * an answer the leader would send it nothing but probes, and it would never catch up; so it
+   * answers on the connection on which it has heard the leader.
+   */
   void send(PeerEnvelope envelope) {
     VmId vm = vms.get(envelope.to());
     FrameClient<PeerEnvelope, PeerEnvelope> client = vm == null ? null : clients.get(vm);
+    FrameConnection<PeerEnvelope, PeerEnvelope> heard = heardOn.get(envelope.to());
     if (client != null) {
       client.send(envelope);
+    } else if (heard != null) {
+      heard.send(envelope);
     }
   }
 
@@ -88,11 +99,14 @@
   @Override
   public void received(
       FrameConnection<PeerEnvelope, PeerEnvelope> connection, PeerEnvelope envelope) {
+    heardOn.put(envelope.from(), connection);
     events.accept(new ControlEvent.FromPeer(envelope));
   }
 
   @Override
-  public void closed(FrameConnection<PeerEnvelope, PeerEnvelope> connection, CloseReason reason) {}
+  public void closed(FrameConnection<PeerEnvelope, PeerEnvelope> connection, CloseReason reason) {
+    heardOn.values().removeIf(connection::equals);
+  }
 
   @Override
   public void close() {
--- /dev/null
+++ b/control/src/test/java/org/teaseltrail/control/PeerLinksTest.java
@@ -0,0 +1,85 @@
+package org.teaseltrail.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.control.ControlEvent;
+import org.teaseltrail.core.id.MemberId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.replication.GroupId;
+import org.teaseltrail.core.replication.Member;
+import org.teaseltrail.core.replication.PeerEnvelope;
+import org.teaseltrail.core.replication.PeerMessage;
+import org.teaseltrail.wire.CloseReason;
+import org.teaseltrail.wire.ConnectionOpening;
+import org.teaseltrail.wire.FrameConnection;
+
+class PeerLinksTest {
+
+  private static final MemberId LEADER = new MemberId("control-1-7");
+  private static final Member LEARNER =
+      new Member(new MemberId("control-2-9"), new VmId("control-2"));
+  private static final GroupId GROUP = new GroupId("prairie-control");
+
+  private final List<ControlEvent> events = new ArrayList<>();
+  private final PeerLinks links =
+      new PeerLinks(LEARNER, List.of(), null, new Random(1), events::add);
+  private final FakeConnection connection = new FakeConnection();
+
+  /**
+   * An operator adds a member with an empty disk and asks for its vote, which is refused for ever
+   * as not caught up. Its log is empty, so it doesn't know on which VM its leader stands, and its
+   * answers to the leader's messages were lost.
+   */
+  @Test
+  void newMemberAnswersALeaderWhoseVmItDoesNotKnow() {
+    PeerEnvelope answer = envelope(LEARNER.id(), LEADER);
+
+    links.received(connection, envelope(LEADER, LEARNER.id()));
+    links.send(answer);
+
+    assertThat(events).hasSize(1);
+    assertThat(connection.sent).containsExactly(answer);
+  }
+
+  @Test
+  void forgetsAnEndedConnection() {
+    links.received(connection, envelope(LEADER, LEARNER.id()));
+    links.closed(connection, CloseReason.CLOSED_BY_PEER);
+
+    links.send(envelope(LEARNER.id(), LEADER));
+
+    assertThat(connection.sent).isEmpty();
+  }
+
+  private static PeerEnvelope envelope(MemberId from, MemberId to) {
+    return new PeerEnvelope(GROUP, from, to, new PeerMessage.VoteReply(1, true));
+  }
+
+  private static final class FakeConnection implements FrameConnection<PeerEnvelope, PeerEnvelope> {
+
+    private final List<PeerEnvelope> sent = new ArrayList<>();
+
+    @Override
+    public ConnectionOpening opening() {
+      throw new UnsupportedOperationException("not asked for here");
+    }
+
+    @Override
+    public boolean send(PeerEnvelope message) {
+      return sent.add(message);
+    }
+
+    @Override
+    public CompletableFuture<CloseReason> closed() {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public void close() {}
+  }
+}
