--- a/control/src/test/java/org/teaseltrail/control/PeerLinksTest.java
+++ b/control/src/test/java/org/teaseltrail/control/PeerLinksTest.java
@@ -36,7 +36,7 @@
    * answers to the leader's messages were lost.
    */
   @Test
-  void newMemberAnswersALeaderWhoseVmItDoesNotKnow() {
+  void newMemberAnswersLeaderWhoseVmItDoesNotKnow() {
     PeerEnvelope answer = envelope(LEARNER.id(), LEADER);
 
     links.received(connection, envelope(LEADER, LEARNER.id()));
