Keep the entry VM's gauges, and tell of a handover that has begun

The new test fails with the old form (1 of 1) and passes with Gauge.builder. 'members transfer' printed an empty table, since its answer changes no member.

--- a/cli/src/main/java/org/teaseltrail/cli/MembersCommands.java
+++ b/cli/src/main/java/org/teaseltrail/cli/MembersCommands.java
@@ -1,5 +1,6 @@
 package org.teaseltrail.cli;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Function;
@@ -9,6 +10,7 @@
 import org.teaseltrail.api.v1.AddLearner;
 import org.teaseltrail.api.v1.ChangeMembersRequest;
 import org.teaseltrail.api.v1.ChangeMembersResponse;
+import org.teaseltrail.api.v1.Member;
 import org.teaseltrail.api.v1.MemberChangeRejected;
 import org.teaseltrail.api.v1.Status;
 import org.teaseltrail.runtime.process.ExitCode;
@@ -88,7 +90,7 @@
                 stub -> stub.changeMembers(request),
                 a -> a.hasNotLeader() ? Optional.of(a.getNotLeader()) : Optional.empty());
     if (answer.hasChanged()) {
-      context.show(answer, () -> StatusText.members(answer.getChanged().getMembersList()));
+      context.show(answer, () -> changed(answer.getChanged().getMembersList()));
       return ExitCode.OK;
     }
     if (answer.hasRejected()) {
@@ -101,6 +103,11 @@
     return ExitCode.TIMEOUT;
   }
 
+  // A transfer has only begun when it is answered, and changes no member.
+  private static String changed(List<Member> members) {
+    return members.isEmpty() ? "begun; see 'status'\n" : StatusText.members(members);
+  }
+
   private static ExitCode exitCode(MemberChangeRejected.Reason reason) {
     return switch (reason) {
       case UNKNOWN_MEMBER -> ExitCode.NOT_FOUND;
--- a/entry/src/main/java/org/teaseltrail/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryMetrics.java
@@ -1,6 +1,6 @@
 package org.teaseltrail.entry;
 
-import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Gauge;
 import java.util.function.Supplier;
 import org.teaseltrail.core.entry.EntryStatus;
 import org.teaseltrail.core.request.Outcome;
@@ -13,12 +13,17 @@
 
   /** Adds the gauges of what the VM holds. */
   void watch(Supplier<EntryStatus> status) {
-    MeterRegistry registry = metrics.registry();
-    registry.gauge("teaseltrail.entry.waiting.requests", status, s -> s.get().waitingRequests());
-    registry.gauge("teaseltrail.entry.running.requests", status, s -> s.get().runningRequests());
-    registry.gauge("teaseltrail.entry.configuration.revision", status, s -> s.get().revision());
-    registry.gauge("teaseltrail.entry.leader.fencing", status, s -> s.get().fencing());
-    registry.gauge("teaseltrail.entry.session.left.ms", status, s -> s.get().sessionLeftMs());
+    gauge("teaseltrail.entry.waiting.requests", () -> status.get().waitingRequests());
+    gauge("teaseltrail.entry.running.requests", () -> status.get().runningRequests());
+    gauge("teaseltrail.entry.configuration.revision", () -> status.get().revision());
+    gauge("teaseltrail.entry.leader.fencing", () -> status.get().fencing());
+    gauge("teaseltrail.entry.session.left.ms", () -> status.get().sessionLeftMs());
+  }
+
+  // A gauge of this form holds what it reads; one with an object beside it holds that only weakly,
+  // and reads NaN once the collector has taken it.
+  private void gauge(String name, Supplier<Number> value) {
+    Gauge.builder(name, value).register(metrics.registry());
   }
 
   /** Counts a request's end. */
--- /dev/null
+++ b/entry/src/test/java/org/teaseltrail/entry/EntryMetricsTest.java
@@ -0,0 +1,31 @@
+package org.teaseltrail.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.entry.EntryStatus;
+
+class EntryMetricsTest {
+
+  /**
+   * An operator's alert on waiting requests never fires: minutes after the start all gauges of the
+   * VM read NaN. The registry held what they read only weakly, and the collector took it.
+   */
+  @Test
+  void gaugesOutliveTheCollector() {
+    try (EntryMetrics metrics = new EntryMetrics()) {
+      watch(metrics);
+
+      System.gc();
+
+      assertThat(metrics.scrape())
+          .contains("teaseltrail_entry_waiting_requests{program=\"teaseltrail-entry\"} 7.0")
+          .doesNotContain("NaN");
+    }
+  }
+
+  private static void watch(EntryMetrics metrics) {
+    EntryStatus status = new EntryStatus(7, 2, 13, 1, 2_500);
+    metrics.watch(() -> status);
+  }
+}
