--- a/control/src/main/java/org/teaseltrail/control/PeerLinks.java
+++ b/control/src/main/java/org/teaseltrail/control/PeerLinks.java
@@ -83,7 +83,9 @@
       client.send(envelope);
       return;
     }
-    // A member that joins knows no members yet; it answers the leader on the leader's connection.
+    // A member that joins knows no members yet, so its answers would be lost: the leader would send
+    // it nothing but probes and refuse its vote for ever as not caught up. The leader's own
+    // connection leads back to the leader.
     FrameConnection<PeerEnvelope, PeerEnvelope> back = inbound.get(envelope.to());
     if (back != null) {
       back.send(envelope);
@@ -101,7 +103,9 @@
   }
 
   @Override
-  public void closed(FrameConnection<PeerEnvelope, PeerEnvelope> connection, CloseReason reason) {}
+  public void closed(FrameConnection<PeerEnvelope, PeerEnvelope> connection, CloseReason reason) {
+    inbound.values().removeIf(connection::equals);
+  }
 
   @Override
   public void close() {
