--- a/storage/src/test/java/org/teaseltrail/storage/FolderScript.java
+++ b/storage/src/test/java/org/teaseltrail/storage/FolderScript.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.replication.EntryPayload;
@@ -41,6 +42,38 @@
     return script.snapshot(30, 4, 30, true).append(4, 2).append(4, 2);
   }
 
+  /** Draws writes as a replica might ask for them. */
+  static FolderScript random(SplittableRandom random) {
+    FolderScript script = new FolderScript();
+    for (int term = 1; term <= 30; term++) {
+      long first = script.firstIndex();
+      long last = script.lastIndex();
+      boolean empty = last < first;
+      switch (empty ? 0 : random.nextInt(6)) {
+        case 0, 1, 2 -> script.append(term, random.nextInt(1, 5));
+        case 3 -> script.vote(term);
+        case 4 -> script.truncate(random.nextLong(first, last + 1));
+        default -> script.anySnapshot(random, first, last, term);
+      }
+    }
+    return script;
+  }
+
+  private void anySnapshot(SplittableRandom random, long first, long last, long term) {
+    if (random.nextInt(3) == 0) {
+      long index = last + random.nextLong(1, 5);
+      snapshot(index, term, index, true);
+    } else {
+      long index = random.nextLong(first, last + 1);
+      long entryTerm = last().entries().get((int) (index - first)).term();
+      snapshot(index, entryTerm, index - random.nextLong(3), false);
+    }
+  }
+
+  private long firstIndex() {
+    return last().snapshot().map(Snapshot::index).orElse(0L) + 1;
+  }
+
   List<ReplicaAction.Write> writes() {
     return writes;
   }
--- a/storage/src/test/java/org/teaseltrail/storage/PowerLossProperties.java
+++ b/storage/src/test/java/org/teaseltrail/storage/PowerLossProperties.java
@@ -43,6 +43,23 @@
     throw new AssertionError("script not finished within " + MAX_STEPS + " steps");
   }
 
+  @Property(seed = "4711", tries = 1_000, shrinking = ShrinkingMode.OFF)
+  void anyWritesKeepWhatWasSynced(@ForAll long seed) {
+    checkAnyWrites(seed);
+  }
+
+  static void checkAnyWrites(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    FakeFileSystem files = new FakeFileSystem();
+    StorageFolder.createGroup(files, PATH, FolderScript.IDENTITY);
+    FolderScript script = FolderScript.random(random);
+    files.losePowerAfterSteps(random.nextInt(150));
+    int synced = runUntilPowerLoss(files, script, random);
+    files.losePower(random);
+    checkRecovery(files, script, synced);
+    goOn(files, random);
+  }
+
   @Property(seed = "4711", tries = 20, shrinking = ShrinkingMode.OFF)
   void everyStepOfTheMakingCanBeDoneAgain(@ForAll long seed) {
     for (int steps = 0; steps < 40; steps++) {
