--- a/bench/src/main/java/org/teaseltrail/bench/replica/AppendLoad.java
+++ b/bench/src/main/java/org/teaseltrail/bench/replica/AppendLoad.java
@@ -38,7 +38,7 @@
     final long startNs = System.nanoTime();
     leader.listen(this::applied);
     synchronized (this) {
-      for (int i = 0; i < window; i++) {
+      for (int i = 0; i < Math.min(window, commands); i++) {
         propose();
       }
     }
