--- a/core/src/main/java/org/teaseltrail/core/schedule/PrefixHold.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/PrefixHold.java
@@ -53,9 +53,9 @@
   }
 
   /**
-   * Returns whether waiting for a holder ends sooner than starting elsewhere now. A caller that told
-   * no deadline is patient: for it only the engine time counts, which waiting doesn't cost, for the
-   * room is taken by the tickets behind.
+   * Returns whether waiting for a holder ends sooner than starting elsewhere now. A caller that
+   * told no deadline is patient: for it only the engine time counts, which waiting doesn't cost,
+   * for the room is taken by the tickets behind.
    */
   private boolean isSooner(PlacementSearch search, UpstreamAccount holder, int cached) {
     TrackedTicket ticket = search.ticket();
