--- a/load/src/main/java/org/teaseltrail/load/command/LoadCommandLine.java
+++ b/load/src/main/java/org/teaseltrail/load/command/LoadCommandLine.java
@@ -20,7 +20,8 @@
 
   private static final String COMMAND = "command";
 
-  private final List<LoadCommand> commands = List.of(new PolicyCommand());
+  private final List<LoadCommand> commands =
+      List.of(new PolicyCommand(), new RunCommand(), new CompareCommand(), new PrepareCommand());
   private final PrintStream out;
   private final PrintStream err;
 
--- a/load/src/main/java/org/teaseltrail/load/http/CallResult.java
+++ b/load/src/main/java/org/teaseltrail/load/http/CallResult.java
@@ -34,4 +34,9 @@
   CallResult {
     faults = Set.copyOf(faults);
   }
+
+  CallResult withFaults(Set<AnswerFault> newFaults) {
+    return new CallResult(
+        planned, outcome, reason, saidNotRun, requestId, firstTokenNs, endNs, usage, newFaults);
+  }
 }
--- /dev/null
+++ b/load/src/main/java/org/teaseltrail/load/http/HttpMeasurement.java
@@ -0,0 +1,66 @@
+package org.teaseltrail.load.http;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.load.workload.Deployment;
+import org.teaseltrail.load.workload.PlannedRequest;
+import org.teaseltrail.load.workload.WorkloadPlan;
+
+/**
+ * Is one open-loop run against real entry VMs, from its plan to its report.
+ *
+ * @param deployment whose workload
+ * @param load how much of it, as a factor on what fits
+ * @param durationNs how long requests are sent
+ * @param maxRequests bound on their number
+ * @param seed what the plan follows from
+ * @param entryUrls base URLs of the entry VMs
+ * @param apiKeys an API key for each customer
+ * @param standinUrls base URLs of the stand-ins, to check what ran there; may be empty
+ * @param csv file for one line for each request, if wanted
+ */
+public record HttpMeasurement(
+    Deployment deployment,
+    double load,
+    long durationNs,
+    int maxRequests,
+    long seed,
+    List<String> entryUrls,
+    Map<CustomerId, String> apiKeys,
+    List<String> standinUrls,
+    Optional<Path> csv) {
+
+  /**
+   * Runs it.
+   *
+   * @param out takes the report
+   * @return whether no answer had a fault
+   * @throws IOException if the CSV file can't be written
+   */
+  public boolean run(PrintStream out) throws IOException {
+    List<PlannedRequest> plan =
+        new WorkloadPlan(deployment, load, List.of())
+            .all(durationNs, seed).stream().limit(maxRequests).toList();
+    List<CallResult> results;
+    try (EntryClient client =
+        new EntryClient(deployment, entryUrls, apiKeys, System.currentTimeMillis())) {
+      results = new HttpRun(client, plan).run();
+    }
+    if (!standinUrls.isEmpty()) {
+      StandinCounters counters = StandinCounters.read(standinUrls);
+      results = new ExecutionCheck(counters).check(results);
+      out.println(counters.summary());
+    }
+    HttpReport report = new HttpReport(results);
+    report.lines().forEach(out::println);
+    if (csv.isPresent()) {
+      new ResultsCsv(results).write(csv.get());
+    }
+    return report.faults().isEmpty();
+  }
+}
