Keep a leader without its lease from spinning until it steps down

Cause: between the end of its lease and its stepping down, a cut-off leader offered its schedulers' passed wake-ups again and again, and its gate kept each tick that followed. It was in the control member. Ruled out: the schedulers' own wake-ups, which lie in the future once they are given a tick. Before: the wake-up lies in the past in the first millisecond without the lease (the new test fails).

--- a/core/src/main/java/org/teaseltrail/core/control/Leadership.java
+++ b/core/src/main/java/org/teaseltrail/core/control/Leadership.java
@@ -80,8 +80,16 @@
     gate.drain();
   }
 
+  /**
+   * Does what is due, unless the lease does not hold; a tick brings nothing new, so none is kept.
+   *
+   * <p>Guards against a leader that is cut off until it steps down: its schedulers' wake-ups pass,
+   * and kept ticks would pile up by the thousand.
+   */
   void tick() {
-    gate.pass(this::tickUnderLease);
+    if (gate.isOpen()) {
+      tickUnderLease();
+    }
   }
 
   /** The configuration has changed by a commit. */
@@ -138,7 +146,14 @@
     return !sessions.isSettled(atNs) || sessions.find(vm).isPresent();
   }
 
+  /**
+   * Returns when something is next due. Without the lease nothing is: a wake-up that has passed
+   * would otherwise come back at once and keep the process busy until it steps down.
+   */
   OptionalLong nextWakeupNs() {
+    if (!gate.isOpen()) {
+      return OptionalLong.empty();
+    }
     OptionalLong retry =
         retries.isEmpty() ? OptionalLong.empty() : OptionalLong.of(nowNs + RETRY_NS);
     return Stream.of(
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/control/CutOffLeaderTest.java
@@ -0,0 +1,38 @@
+package org.teaseltrail.core.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.message.EntryMessage;
+
+/** Proves what a leader does between the end of its lease and its stepping down. */
+class CutOffLeaderTest {
+
+  /**
+   * The leader is cut off while a request waits. Its lease ends, but it steps down only later. Its
+   * scheduler's wake-up has passed and can't be followed without the lease; asked for again and
+   * again it would keep a processor busy, and each tick that is kept would take memory.
+   */
+  @Test
+  void withoutTheLeaseNoWakeUpLiesInThePast() {
+    FakeControlGroup group = new FakeControlGroup(3).start();
+    FakeControl leader = group.leader();
+    FakeEntry entry = group.entry("e1");
+    group.change(leader, "fleet", 0, Samples.fleet(0, "u1"));
+    group.run(1_000);
+    entry.say(leader, new EntryMessage.Offer(Samples.ticket("r1", Optional.empty())));
+    group.run(100);
+    leader.cut(true);
+    int withoutLease = 0;
+    for (int ms = 0; ms < 2_000; ms++) {
+      group.run(1);
+      boolean leads = leader.control().leaseHolds(group.nowNs());
+      withoutLease += leads ? 0 : 1;
+      if (!leads) {
+        assertThat(leader.control().nextWakeupNs().getAsLong()).isGreaterThan(group.nowNs());
+      }
+    }
+    assertThat(withoutLease).isPositive();
+  }
+}
