Take a request back whose VM has no session when its grant arrives

Cause: an entry VM answers a grant that it may not follow with STALE_GRANT, be it an older leader's or its present leader's while the VM's own session is not valid (it has thawed, or has not yet applied a new configuration). The scheduler passes STALE_GRANT over, as it must for an older leader's. So the VM went on waiting for a grant and the scheduler for an answer: the caller got none. Ruled out: a lost grant, which the VM's next offer brings again. Mended: the VM says NO_SESSION for its own leader's grant, and the scheduler lets the request wait again, half a second away from that upstream.

--- a/core/src/main/java/org/teaseltrail/core/entry/ControlSession.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/ControlSession.java
@@ -142,9 +142,9 @@
     greatestFencing = fencing.compareTo(greatestFencing) > 0 ? fencing : greatestFencing;
   }
 
-  /** Returns whether a grant of this member and leadership may be followed. */
-  boolean mayGrant(MemberId member, FencingNumber fencing, long nowNs) {
-    return member.equals(leader) && fencing.equals(greatestFencing) && isValid(nowNs);
+  /** Returns whether a grant is of the newest leadership seen. */
+  boolean isGrantOfLeader(MemberId member, FencingNumber fencing) {
+    return member.equals(leader) && fencing.equals(greatestFencing);
   }
 
   /** Returns whether requests may be admitted. */
--- a/core/src/main/java/org/teaseltrail/core/entry/Dispatcher.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/Dispatcher.java
@@ -41,8 +41,10 @@
    */
   void granted(MemberId member, Grant grant, long nowNs) {
     Optional<Request> request = parts.requests.live(grant.request());
-    if (!parts.session.mayGrant(member, grant.fencing(), nowNs)) {
+    if (!parts.session.isGrantOfLeader(member, grant.fencing())) {
       decline(member, grant, DeclineReason.STALE_GRANT);
+    } else if (!parts.session.isValid(nowNs)) {
+      decline(member, grant, DeclineReason.NO_SESSION);
     } else if (request.isEmpty()) {
       declineUnknown(member, grant);
     } else if (request.get().state() == RequestState.WAITING) {
@@ -86,7 +88,7 @@
     if (parts.upstreams.isLeaving(target.upstream(), request.grantedLife())) {
       giveBack(request, DeclineReason.LEAVING);
     } else if (!parts.session.isValid(nowNs)) {
-      giveBack(request, DeclineReason.STALE_GRANT);
+      giveBack(request, DeclineReason.NO_SESSION);
     } else {
       dispatch(request, target, nowNs);
     }
--- a/core/src/main/java/org/teaseltrail/core/message/DeclineReason.java
+++ b/core/src/main/java/org/teaseltrail/core/message/DeclineReason.java
@@ -11,5 +11,7 @@
   /** The VM no longer holds the request. */
   UNKNOWN_REQUEST,
   /** The grant is from an older leadership than one the VM has seen. */
-  STALE_GRANT
+  STALE_GRANT,
+  /** The grant is from the newest leadership, but the VM has no valid session at the moment. */
+  NO_SESSION
 }
--- a/core/src/main/java/org/teaseltrail/core/schedule/GrantDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/GrantDesk.java
@@ -20,6 +20,9 @@
   /** How long a ticket is kept away from the upstream that declined it last. */
   private static final long AVOID_NS = Nanos.fromMs(2_000);
 
+  /** The same for a VM without a session: its next hello, half a second on, may bring it one. */
+  private static final long SESSION_NS = Nanos.fromMs(500);
+
   private final PoolState state;
   private final TicketIntake intake;
   private final InFlightExpiry expiry;
@@ -95,10 +98,12 @@
     InFlight part = found.get();
     // Guards against a repeated decline that would undo a later grant to the same upstream: it
     // would show as a request granted twice. A decline of another upstream's grant is ignored.
-    part.tracked().avoid(part.upstreamId(), nowNs + AVOID_NS);
+    boolean noSession = declined.reason() == DeclineReason.NO_SESSION;
+    part.tracked().avoid(part.upstreamId(), nowNs + (noSession ? SESSION_NS : AVOID_NS));
     waitAgain(part, "declined=" + declined.reason());
     switch (declined.reason()) {
       case UNKNOWN_REQUEST -> dropWaiting(part.tracked(), nowNs);
+      case NO_SESSION -> {}
       case LEAVING -> state.fleet().leaving(part.upstream());
       default -> state.fleet().backOff(part.upstream(), nowNs);
     }
--- a/core/src/test/java/org/teaseltrail/core/entry/EntryNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/entry/EntryNodeTest.java
@@ -92,7 +92,8 @@
   }
 
   // A grant lies in a cut link for a minute and arrives when the link heals, before any newer
-  // leader was heard. The session has run out meanwhile, so the grant counts as stale.
+  // leader was heard. The session has run out meanwhile, so the VM may not follow the grant; the
+  // leader must hear that it is this leader's grant that was given back.
   @Test
   void grantAfterSessionsEndIsDeclined() {
     RequestId id = vm.arrive(1);
@@ -100,7 +101,7 @@
     vm.grant(C1, id, 1);
 
     assertThat(vm.all(EntryAction.Connect.class)).isEmpty();
-    assertThat(lastDecline()).isEqualTo(DeclineReason.STALE_GRANT);
+    assertThat(lastDecline()).isEqualTo(DeclineReason.NO_SESSION);
   }
 
   @Test
--- a/core/src/test/java/org/teaseltrail/core/schedule/PoolSchedulerTest.java
+++ b/core/src/test/java/org/teaseltrail/core/schedule/PoolSchedulerTest.java
@@ -66,6 +66,23 @@
     assertThat(grants(actions)).containsExactly("a@u2");
   }
 
+  // A VM thaws, or applies a new configuration, and has no valid session for a moment. It gives the
+  // leader's own grant back. A scheduler that took this for an older leader's grant would count the
+  // request as running, its VM as waiting: the caller would never get an answer.
+  @Test
+  void grantsAgainWhatItsVmGaveBackForWantOfSession() {
+    PoolFixture pool = PoolFixture.serving(1, SETTINGS);
+    assertThat(grants(pool.offer(ticket("a", 1)))).containsExactly("a@u1");
+    List<SchedulerAction> actions =
+        pool.say(
+            PoolFixture.VM,
+            new EntryMessage.Declined(
+                new RequestId("a"), new UpstreamId("u1"), DeclineReason.NO_SESSION));
+    assertThat(grants(actions)).isEmpty();
+    pool.nowMs += 500;
+    assertThat(grants(pool.announce("u1", UpstreamPhase.SERVING))).containsExactly("a@u1");
+  }
+
   @Test
   void neverGrantsAnEndedOrWithdrawnRequestAgain() {
     PoolFixture pool = PoolFixture.serving(1, SETTINGS);
