Ask a learner for what a new leader has before its own first entry

Cause, from a trace: the leader had been restarted and knew of no committed entry yet, so an empty learner that answered held 'all' of it, got its vote within 600 ms, and, being empty, votes for nobody; with one voter lost, no quorum of four is left.

--- a/core/src/main/java/org/teaseltrail/core/replication/Leadership.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/Leadership.java
@@ -219,11 +219,18 @@
         .forEach(id -> peers.computeIfAbsent(id, key -> new PeerProgress(key, nextIndex)));
   }
 
+  /**
+   * Sends a heartbeat to each member.
+   *
+   * <p>A leader that was restarted doesn't know what is committed, only that it lies before its own
+   * first entry; asking for less would take an empty learner for one that has caught up.
+   */
   private void heartbeat(long nowNs) {
     nextHeartbeatNs = nowNs + context.settings.heartbeatNs();
     reads.roundBegun(lease.beginRound(nowNs));
+    long committedIndex = Math.max(context.commits.commitIndex(), firstOwnIndex);
     for (PeerProgress peer : peers.values()) {
-      peer.asked(context.commits.commitIndex(), nowNs, context.settings.catchUpNs());
+      peer.asked(committedIndex, nowNs, context.settings.catchUpNs());
       shipping.heartbeat(peer, nowNs);
       handOver.advance(peer);
     }
--- a/core/src/test/java/org/teaseltrail/core/replication/SyncBeforeReplyTest.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/SyncBeforeReplyTest.java
@@ -20,6 +20,7 @@
   private static final MemberId SELF = new MemberId("a-1");
   private static final MemberId LEADER = new MemberId("b-1");
   private static final MemberId OTHER = new MemberId("c-1");
+  private static final MemberId LEARNER = new MemberId("d-1");
   private static final long MS = 1_000_000L;
 
   private long nowNs = 10_000 * MS;
@@ -74,16 +75,35 @@
    */
   @Test
   void commitsOldEntriesOnlyByOneOfItsOwnTerm() {
+    becomeLeader();
+    receive(OTHER, new PeerMessage.AppendReply(2, 1, true, 3, 4));
+    assertThat(actions).noneMatch(ReplicaAction.Apply.class::isInstance);
+    receive(OTHER, new PeerMessage.AppendReply(2, 1, true, 4, 5));
+    assertThat(actions).anyMatch(ReplicaAction.Apply.class::isInstance);
+  }
+
+  /**
+   * Story: a restarted member is elected; it doesn't know yet what is committed, so an empty
+   * learner seems to hold all of it and gets a vote. It can't vote for anyone, and the group elects
+   * nobody.
+   */
+  @Test
+  void emptyLearnerIsNotCaughtUpWithNewLeader() {
+    becomeLeader();
+    receive(LEARNER, new PeerMessage.AppendReply(2, 1, true, 0, 1));
+    receive(OTHER, new PeerMessage.AppendReply(2, 1, true, 4, 5));
+    handle(new ReplicaEvent.ProposeMembership(8, new MembershipChange.PromoteLearner(LEARNER)));
+    assertThat(actions)
+        .contains(new ReplicaAction.ProposalRejected(8, ProposalRejection.LEARNER_NOT_CAUGHT_UP));
+  }
+
+  private void becomeLeader() {
     nowNs += 2_000 * MS;
     handle(new ReplicaEvent.Tick());
     receive(OTHER, new PeerMessage.PreVoteReply(1, 2, true));
     persisted(newestWrite());
     receive(OTHER, new PeerMessage.VoteReply(2, true));
     persisted(newestWrite());
-    receive(OTHER, new PeerMessage.AppendReply(2, 1, true, 3, 4));
-    assertThat(actions).noneMatch(ReplicaAction.Apply.class::isInstance);
-    receive(OTHER, new PeerMessage.AppendReply(2, 1, true, 4, 5));
-    assertThat(actions).anyMatch(ReplicaAction.Apply.class::isInstance);
   }
 
   private Replica start(List<LogEntry> entries) {
@@ -92,7 +112,8 @@
       voters.add(new Member(id, new VmId("vm")));
     }
     List<LogEntry> log = new ArrayList<>();
-    Membership membership = new Membership(voters, List.of());
+    Member learner = new Member(LEARNER, new VmId("vm"));
+    Membership membership = new Membership(voters, List.of(learner));
     log.add(new LogEntry(1, 0, new EntryPayload.MembershipPayload(membership)));
     log.addAll(entries);
     RecoveredState recovered =
