Let a retried release of a claim name the grant of its first try

Cause: read again, a release that the log refused (too much uncommitted) looked the attempt up anew at its retry. A VM that had lapsed and come back could have the request granted again and running by then, and the retry would have freed its key. No test brings it about: the retry must fall into 10 ms in which the log is full. Ruled out: dropping the release (the key would stay taken).

--- a/core/src/main/java/org/teaseltrail/core/control/ClaimDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ClaimDesk.java
@@ -108,12 +108,20 @@
    */
   void release(RequestId request, Runnable afterwards, long nowNs) {
     Optional<ClaimRecord> held = book().byHolder(request).filter(claim -> !claim.isFinished());
-    if (held.isEmpty()) {
+    if (held.isPresent()) {
+      release(request, held.get().attempt(), afterwards, nowNs);
+    } else {
       afterwards.run();
-      return;
     }
+  }
+
+  /**
+   * Releases one grant's claim. A release that has to be tried again still names the grant of its
+   * first try: by then the request may be granted anew and run, and its key must stay taken.
+   */
+  private void release(RequestId request, int attempt, Runnable afterwards, long nowNs) {
     Command.ReleaseClaim command =
-        new Command.ReleaseClaim(request, held.get().attempt(), leadership.logTimeMs(nowNs));
+        new Command.ReleaseClaim(request, attempt, leadership.logTimeMs(nowNs));
     leadership.propose(
         command,
         new ProposalCallback() {
@@ -124,7 +132,7 @@
 
           @Override
           public void rejected(ProposalRejection reason, long thenNs) {
-            leadership.retryLater(() -> release(request, afterwards, leadership.nowNs()));
+            leadership.retryLater(() -> release(request, attempt, afterwards, leadership.nowNs()));
           }
         },
         nowNs);
@@ -144,13 +152,13 @@
   private void opened(CommitClaim wish, OpenResult result, long nowNs) {
     Ticket ticket = wish.ticket();
     RequestId request = ticket.request();
-    if (result instanceof OpenResult.Opened) {
+    if (result instanceof OpenResult.Opened opened) {
       boolean granted =
           leadership.feed(ticket.pool(), request, new SchedulerEvent.ClaimGranted(request), nowNs);
       if (!granted) {
         // The request was withdrawn or its VM lapsed while the claim was under way: it never ran,
         // and without this its key would stay taken until the claim's retention ends.
-        release(request, () -> {}, nowNs);
+        release(request, opened.claim().attempt(), () -> {}, nowNs);
       }
       return;
     }
