--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/replication/CommitPoint.java
@@ -0,0 +1,61 @@
+package org.teaseltrail.core.replication;
+
+import java.util.List;
+import org.teaseltrail.core.invariant.Invariant;
+import org.teaseltrail.core.invariant.InvariantName;
+
+/** Knows up to which index the log is committed, and passes committed entries on once. */
+final class CommitPoint {
+
+  private final Outbox outbox;
+  private final ReplicatedLog log;
+  private final ReplicaSettings settings;
+  private final SnapshotSchedule schedule;
+  private long commitIndex;
+
+  CommitPoint(
+      Outbox outbox, ReplicatedLog log, SnapshotSchedule schedule, ReplicaSettings settings) {
+    this.outbox = outbox;
+    this.log = log;
+    this.schedule = schedule;
+    this.settings = settings;
+    this.commitIndex = log.snapshotIndex();
+    log.snapshot().ifPresent(held -> outbox.add(new ReplicaAction.RestoreSnapshot(held)));
+  }
+
+  long commitIndex() {
+    return commitIndex;
+  }
+
+  void advanceTo(long index) {
+    if (index <= commitIndex) {
+      return;
+    }
+    List<LogEntry> committed = log.range(commitIndex + 1, index);
+    commitIndex = index;
+    outbox.add(new ReplicaAction.Apply(committed));
+    if (schedule.isDue(committed, log.snapshot())) {
+      outbox.add(new ReplicaAction.TakeSnapshot(index));
+    }
+  }
+
+  /** Takes the state that was asked for, unless a leader's snapshot has overtaken it. */
+  void snapshotTaken(
+      ReplicaEvent.SnapshotTaken event, MembershipHistory members, long neededAfterIndex) {
+    schedule.taken();
+    long index = event.index();
+    if (index <= log.snapshotIndex() || index > commitIndex) {
+      return;
+    }
+    long term = log.termAt(index).getAsLong();
+    Snapshot taken = new Snapshot(index, term, members.at(index), event.state());
+    long wanted = Math.min(index - settings.keptEntries(), neededAfterIndex);
+    log.compact(taken, Math.max(wanted, index - settings.maxKeptEntries()));
+  }
+
+  void installed(Snapshot snapshot) {
+    Invariant.check(snapshot.index() > commitIndex, InvariantName.COMMIT_INDEX_GROWS);
+    commitIndex = snapshot.index();
+    outbox.add(new ReplicaAction.RestoreSnapshot(snapshot));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryMetrics.java
@@ -0,0 +1,60 @@
+package org.teaseltrail.entry;
+
+import io.micrometer.core.instrument.Gauge;
+import java.util.function.Supplier;
+import org.teaseltrail.core.entry.EntryStatus;
+import org.teaseltrail.core.request.Outcome;
+import org.teaseltrail.runtime.metrics.Metrics;
+
+/** Counts what the VM does. */
+final class EntryMetrics implements AutoCloseable {
+
+  private final Metrics metrics = new Metrics("teaseltrail-entry");
+
+  /** Adds the gauges of what the VM holds. */
+  void watch(Supplier<EntryStatus> status) {
+    gauge("teaseltrail.entry.waiting.requests", () -> status.get().waitingRequests());
+    gauge("teaseltrail.entry.running.requests", () -> status.get().runningRequests());
+    gauge("teaseltrail.entry.configuration.revision", () -> status.get().revision());
+    gauge("teaseltrail.entry.leader.fencing", () -> status.get().fencing());
+    gauge("teaseltrail.entry.session.left.ms", () -> status.get().sessionLeftMs());
+  }
+
+  // A gauge of this form holds what it reads; one with an object beside it holds that only weakly,
+  // and reads NaN once the collector has taken it.
+  private void gauge(String name, Supplier<Number> value) {
+    Gauge.builder(name, value).register(metrics.registry());
+  }
+
+  /** Counts a request's end. */
+  void ended(Outcome outcome) {
+    metrics
+        .registry()
+        .counter(
+            "teaseltrail.entry.requests.ended",
+            "outcome",
+            CallerJson.name(outcome),
+            "reason",
+            reason(outcome))
+        .increment();
+  }
+
+  private static String reason(Outcome outcome) {
+    if (outcome instanceof Outcome.NotRun notRun) {
+      return notRun.reason().problemName();
+    }
+    if (outcome instanceof Outcome.MayHaveRun failed) {
+      return failed.reason().problemName();
+    }
+    return outcome instanceof Outcome.HeldByEarlier ? "key-held" : "none";
+  }
+
+  String scrape() {
+    return metrics.scrape();
+  }
+
+  @Override
+  public void close() {
+    metrics.close();
+  }
+}
