Write answers on their connection's thread; bound memory and shutdown

Cause of a hang: an answer to a GET was written from the node's thread while the connection's thread still read the end of the request; Reactor Netty then never read the connection's next request. Seen first as EntryWorld waiting for /readyz for minutes at a load average above 40. Also: - a shutdown waits until answers are written out, not only until the node has them; - ended requests keep a small status instead of the ticket with its block hashes; - deadlines of ended requests are taken off the timer queue; - one stall watch per pause of a slow caller, not one per frame.

--- a/core/src/main/java/org/teaseltrail/core/entry/Admission.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/Admission.java
@@ -119,9 +119,7 @@
     Request request = new Request(ticket, route.target(), nowNs, firstSequence);
     parts.requests.add(request);
     if (request.deadlineNs() != 0) {
-      parts.timers.add(
-          new TimerQueue.Timer(
-              request.deadlineNs(), TimerQueue.Kind.DEADLINE, request.id(), request.attempt()));
+      parts.timers.add(TimerQueue.deadline(request.deadlineNs(), request.id()));
     }
     request.offer();
     parts.session.tell(new EntryMessage.Offer(request.ticketAt(nowNs)));
--- a/core/src/main/java/org/teaseltrail/core/entry/Dispatcher.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/Dispatcher.java
@@ -51,7 +51,8 @@
   }
 
   private void declineUnknown(MemberId member, Grant grant) {
-    boolean ranHere = parts.requests.any(grant.request()).map(r -> r.wasDispatched()).orElse(false);
+    boolean ranHere =
+        parts.requests.status(grant.request()).map(RequestStatus::dispatched).orElse(false);
     if (!ranHere) {
       decline(member, grant, DeclineReason.UNKNOWN_REQUEST);
     }
--- a/core/src/main/java/org/teaseltrail/core/entry/EntryNode.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/EntryNode.java
@@ -187,12 +187,12 @@
    * @param keyHash SHA-256 of the API key in lower-case hexadecimal, if one came
    * @return empty if the customer has no such request here
    */
-  public Optional<Request> findOwn(RequestId request, Optional<String> keyHash) {
+  public Optional<RequestStatus> findOwn(RequestId request, Optional<String> keyHash) {
     Optional<CustomerId> customer = parts.configuration.customer(keyHash).map(c -> c.id());
     return parts
         .requests
-        .any(request)
-        .filter(known -> customer.equals(Optional.of(known.ticket().customer())));
+        .status(request)
+        .filter(known -> customer.equals(Optional.of(known.customer())));
   }
 
   /**
--- a/core/src/main/java/org/teaseltrail/core/entry/RequestCloser.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/RequestCloser.java
@@ -86,6 +86,7 @@
 
   void conclude(Request request, Outcome outcome) {
     request.end(outcome);
+    parts.timers.cancel(TimerQueue.deadline(request.deadlineNs(), request.id()));
     parts.requests.moveToEnded(request);
     parts.out.add(new EntryAction.Conclude(request.id(), outcome));
   }
--- a/core/src/main/java/org/teaseltrail/core/entry/RequestTable.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/RequestTable.java
@@ -17,7 +17,7 @@
   static final int MAX_ENDED = 10_000;
 
   private final Map<RequestId, Request> live = new LinkedHashMap<>();
-  private final Map<RequestId, Request> ended = new LinkedHashMap<>();
+  private final Map<RequestId, RequestStatus> ended = new LinkedHashMap<>();
 
   void add(Request request) {
     live.put(request.id(), request);
@@ -32,13 +32,13 @@
     return live(id).filter(request -> request.attempt() == attempt);
   }
 
-  Optional<Request> any(RequestId id) {
-    return live(id).or(() -> Optional.ofNullable(ended.get(id)));
+  Optional<RequestStatus> status(RequestId id) {
+    return live(id).map(RequestStatus::of).or(() -> Optional.ofNullable(ended.get(id)));
   }
 
   void moveToEnded(Request request) {
     live.remove(request.id());
-    ended.put(request.id(), request);
+    ended.put(request.id(), RequestStatus.of(request));
     if (ended.size() > MAX_ENDED) {
       ended.remove(ended.keySet().iterator().next());
     }
--- a/core/src/main/java/org/teaseltrail/core/entry/TimerQueue.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/TimerQueue.java
@@ -3,10 +3,10 @@
 import java.util.Comparator;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
+import java.util.TreeSet;
 import org.teaseltrail.core.id.RequestId;
 
-/** Holds the times at which something about a request falls due. Timers of ended ones fire idly. */
+/** Holds the times at which something about a request falls due. */
 final class TimerQueue {
 
   /** Says what falls due. */
@@ -18,20 +18,34 @@
   /** Is one timer; the attempt matters for resumes only. */
   record Timer(long atNs, Kind kind, RequestId request, int attempt) {}
 
-  private final PriorityQueue<Timer> timers =
-      new PriorityQueue<>(Comparator.comparingLong(Timer::atNs));
+  private static final Comparator<Timer> ORDER =
+      Comparator.comparingLong(Timer::atNs)
+          .thenComparing(timer -> timer.request().value())
+          .thenComparing(Timer::kind)
+          .thenComparing(Timer::attempt);
+
+  private final TreeSet<Timer> timers = new TreeSet<>(ORDER);
 
   void add(Timer timer) {
     timers.add(timer);
   }
 
+  /** Takes a timer back, so that far deadlines of ended requests hold no memory. */
+  void cancel(Timer timer) {
+    timers.remove(timer);
+  }
+
   Optional<Timer> pollDue(long nowNs) {
-    Timer first = timers.peek();
-    return first == null || first.atNs() > nowNs ? Optional.empty() : Optional.of(timers.remove());
+    boolean due = !timers.isEmpty() && timers.first().atNs() <= nowNs;
+    return due ? Optional.of(timers.pollFirst()) : Optional.empty();
   }
 
   OptionalLong nextNs() {
-    Timer first = timers.peek();
-    return first == null ? OptionalLong.empty() : OptionalLong.of(first.atNs());
+    return timers.isEmpty() ? OptionalLong.empty() : OptionalLong.of(timers.first().atNs());
+  }
+
+  /** Returns the timer of a request's deadline. */
+  static Timer deadline(long deadlineNs, RequestId request) {
+    return new Timer(deadlineNs, Kind.DEADLINE, request, 0);
   }
 }
--- a/entry/src/main/java/org/teaseltrail/entry/CallerHandler.java
+++ b/entry/src/main/java/org/teaseltrail/entry/CallerHandler.java
@@ -25,12 +25,14 @@
   private final Exchanges exchanges;
   private final BodyReader bodies;
   private final RequestIds ids;
+  private final OpenResponses responses;
 
   CallerHandler(EntryOptions options, EntryParts parts, BodyReader bodies) {
     this.options = options;
     this.loop = parts.loop();
     this.exchanges = parts.exchanges();
     this.bodies = bodies;
+    this.responses = parts.responses();
     this.ids = new RequestIds(options.node().vm(), options.node().incarnation());
   }
 
@@ -120,9 +122,10 @@
           exchanges.add(exchange);
           loop.handle(new EntryEvent.RequestArrived(id, call));
         });
-    return Mono.from(exchange.respond(response))
-        .doOnCancel(() -> callerGone(exchange))
-        .doOnError(failure -> callerGone(exchange));
+    return responses.count(
+        Mono.from(exchange.respond(response))
+            .doOnCancel(() -> callerGone(exchange))
+            .doOnError(failure -> callerGone(exchange)));
   }
 
   private void callerGone(CallerExchange exchange) {
--- a/entry/src/main/java/org/teaseltrail/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryDaemon.java
@@ -16,12 +16,14 @@
   private static final PartLogger LOGGER = new PartLogger("entry");
 
   private final EntryParts parts;
+  private final long stallTimeoutMs;
   private final DisposableServer server;
   private final AtomicBoolean closing = new AtomicBoolean();
   private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
 
   private EntryDaemon(EntryOptions options, EntryParts parts) {
     this.parts = parts;
+    this.stallTimeoutMs = options.stallTimeoutMs();
     this.server = new EntryHttp(options, parts).listen();
   }
 
@@ -40,7 +42,8 @@
             new ControlConnections(loop),
             new UpstreamAnswers(loop),
             new EntryMetrics(),
-            new Shutdown());
+            new Shutdown(),
+            new OpenResponses());
     EntryDaemon daemon = new EntryDaemon(options, parts);
     daemon.run(options);
     return daemon;
@@ -72,6 +75,9 @@
     }
     parts.loop().submit(new EntryEvent.DrainRequested());
     parts.shutdown().whenFinished().join();
+    if (!parts.responses().awaitNone(stallTimeoutMs)) {
+      LOGGER.warn("Cuts off callers who have not read their answers to the end.");
+    }
     server.disposeNow();
     parts.control().close();
     parts.loop().close();
--- a/entry/src/main/java/org/teaseltrail/entry/EntryParts.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryParts.java
@@ -10,6 +10,7 @@
  * @param upstreamAnswers announcements that wait for their answer
  * @param metrics meters
  * @param shutdown the way out
+ * @param responses answers being written
  */
 record EntryParts(
     NodeLoop loop,
@@ -18,4 +19,5 @@
     ControlConnections control,
     UpstreamAnswers upstreamAnswers,
     EntryMetrics metrics,
-    Shutdown shutdown) {}
+    Shutdown shutdown,
+    OpenResponses responses) {}
--- a/entry/src/main/java/org/teaseltrail/entry/NodeLoop.java
+++ b/entry/src/main/java/org/teaseltrail/entry/NodeLoop.java
@@ -25,6 +25,7 @@
   private final EntryNode node;
   private Consumer<EntryAction> executor = action -> {};
   private volatile EntryStatus status;
+  private volatile boolean closed;
   private Disposable wakeup;
   private long wakeupNs = Long.MAX_VALUE;
 
@@ -45,12 +46,16 @@
 
   /** Runs a task on the node's thread. */
   void run(Runnable task) {
-    thread.schedule(() -> guarded(task));
+    if (!closed) {
+      thread.schedule(() -> guarded(task));
+    }
   }
 
   /** Runs a task on the node's thread after a delay. */
   void later(Runnable task, long delayMs) {
-    thread.schedule(() -> guarded(task), delayMs, TimeUnit.MILLISECONDS);
+    if (!closed) {
+      thread.schedule(() -> guarded(task), delayMs, TimeUnit.MILLISECONDS);
+    }
   }
 
   /** Asks the node something, on its thread. */
@@ -109,6 +114,7 @@
 
   @Override
   public void close() {
+    closed = true;
     thread.dispose();
   }
 }
--- a/entry/src/main/java/org/teaseltrail/entry/ServiceExchange.java
+++ b/entry/src/main/java/org/teaseltrail/entry/ServiceExchange.java
@@ -38,7 +38,7 @@
 
   @Override
   public Publisher<Void> respond(HttpServerResponse sameResponse) {
-    return answer.asMono().flatMap(Mono::from);
+    return ConnectionThread.of(response, answer.asMono()).flatMap(Mono::from);
   }
 
   @Override
--- a/entry/src/main/java/org/teaseltrail/entry/StatusHandler.java
+++ b/entry/src/main/java/org/teaseltrail/entry/StatusHandler.java
@@ -5,9 +5,9 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.reactivestreams.Publisher;
+import org.teaseltrail.core.entry.RequestStatus;
 import org.teaseltrail.core.id.InvalidIdException;
 import org.teaseltrail.core.id.RequestId;
-import org.teaseltrail.core.request.Request;
 import org.teaseltrail.runtime.metrics.Metrics;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
@@ -33,7 +33,7 @@
   Publisher<Void> request(HttpServerRequest request, HttpServerResponse response) {
     Optional<String> keyHash = CallerHeaders.keyHash(request.requestHeaders());
     RequestId id = requestId(request.uri().substring(REQUESTS.length()));
-    return loop.ask(() -> state(id, keyHash))
+    return ConnectionThread.of(response, loop.ask(() -> state(id, keyHash)))
         .flatMap(
             state ->
                 response
@@ -55,7 +55,7 @@
     if (!loop.node().isCustomer(keyHash)) {
       throw new RefusedRequestException(ProblemKind.UNAUTHENTICATED, "send a customer's key");
     }
-    Request request =
+    RequestStatus request =
         loop.node()
             .findOwn(id, keyHash)
             .orElseThrow(
@@ -66,7 +66,7 @@
     json.put("request_id", id.value());
     json.put("state", request.state().name().toLowerCase(Locale.ROOT));
     request.outcome().ifPresent(outcome -> json.put("outcome", CallerJson.name(outcome)));
-    request.target().ifPresent(target -> json.put("upstream", target.upstream().value()));
+    request.upstream().ifPresent(upstream -> json.put("upstream", upstream.value()));
     return json;
   }
 
@@ -75,7 +75,7 @@
   }
 
   Publisher<Void> ready(HttpServerRequest request, HttpServerResponse response) {
-    return loop.ask(() -> loop.node().isReady(loop.nowNs()))
+    return ConnectionThread.of(response, loop.ask(() -> loop.node().isReady(loop.nowNs())))
         .flatMap(
             ready ->
                 response
--- a/entry/src/main/java/org/teaseltrail/entry/StreamedExchange.java
+++ b/entry/src/main/java/org/teaseltrail/entry/StreamedExchange.java
@@ -43,7 +43,8 @@
 
   @Override
   public Publisher<Void> respond(HttpServerResponse response) {
-    return head.asMono().flatMap(problem -> Mono.from(answer(response, problem)));
+    return ConnectionThread.of(response, head.asMono())
+        .flatMap(problem -> Mono.from(answer(response, problem)));
   }
 
   private Publisher<Void> answer(HttpServerResponse response, Optional<Problem> problem) {
@@ -118,8 +119,10 @@
       return false;
     }
     whenRoom = task;
-    paused = true;
-    watchStall(takenFrames);
+    if (!paused) {
+      paused = true;
+      watchStall(takenFrames);
+    }
     if (unwrittenFrames.get() <= bufferFrames / 2) {
       loop.run(this::resumeReading);
     }
--- a/entry/src/main/java/org/teaseltrail/entry/UpstreamHandler.java
+++ b/entry/src/main/java/org/teaseltrail/entry/UpstreamHandler.java
@@ -52,9 +52,7 @@
       HttpServerRequest request,
       HttpServerResponse response,
       Function<byte[], Mono<UpstreamVerdict>> asks) {
-    return bodies
-        .read(request)
-        .flatMap(asks)
+    return ConnectionThread.of(response, bodies.read(request).flatMap(asks))
         .flatMap(verdict -> response.status(verdict.httpStatus()).send().then());
   }
 
--- a/entry/src/main/java/org/teaseltrail/entry/WholeExchange.java
+++ b/entry/src/main/java/org/teaseltrail/entry/WholeExchange.java
@@ -28,7 +28,8 @@
 
   @Override
   public Publisher<Void> respond(HttpServerResponse response) {
-    return outcome.asMono().flatMap(end -> Mono.from(answer(response, end)));
+    return ConnectionThread.of(response, outcome.asMono())
+        .flatMap(end -> Mono.from(answer(response, end)));
   }
 
   private Publisher<Void> answer(HttpServerResponse response, Outcome end) {
