--- a/core/src/main/java/org/teaseltrail/core/control/Leadership.java
+++ b/core/src/main/java/org/teaseltrail/core/control/Leadership.java
@@ -38,6 +38,7 @@
   private final ClaimDesk claimDesk;
   private final EntryDesk entryDesk;
   private final ForceWatch forceWatch;
+  private final OrderDesk orderDesk;
   private final PlacementPlanner placement;
   private final ClaimExpiry claimExpiry;
   private final List<Runnable> retries = new ArrayList<>();
@@ -56,7 +57,8 @@
     claimDesk = new ClaimDesk(this);
     entryDesk = new EntryDesk(this);
     forceWatch = new ForceWatch(context.out(), sessions);
-    placement = new PlacementPlanner(settings.placement(), fleet, context.out(), fencing);
+    orderDesk = new OrderDesk(context.out(), fencing);
+    placement = new PlacementPlanner(settings.placement(), fleet, orderDesk);
     claimExpiry = new ClaimExpiry(this, settings);
   }
 
@@ -73,6 +75,7 @@
   void end() {
     active = false;
     forceWatch.end();
+    orderDesk.end();
   }
 
   void at(long newNowNs) {
@@ -80,8 +83,16 @@
     gate.drain();
   }
 
+  /**
+   * Does what is due, unless the lease does not hold; a tick brings nothing new, so none is kept.
+   *
+   * <p>Guards against a leader that is cut off until it steps down: its schedulers' wake-ups pass,
+   * and kept ticks would pile up by the thousand.
+   */
   void tick() {
-    gate.pass(this::tickUnderLease);
+    if (gate.isOpen()) {
+      tickUnderLease();
+    }
   }
 
   /** The configuration has changed by a commit. */
@@ -138,7 +149,14 @@
     return !sessions.isSettled(atNs) || sessions.find(vm).isPresent();
   }
 
+  /**
+   * Returns when something is next due. Without the lease nothing is: a wake-up that has passed
+   * would otherwise come back at once and keep the process busy until it steps down.
+   */
   OptionalLong nextWakeupNs() {
+    if (!gate.isOpen()) {
+      return OptionalLong.empty();
+    }
     OptionalLong retry =
         retries.isEmpty() ? OptionalLong.empty() : OptionalLong.of(nowNs + RETRY_NS);
     return Stream.of(
@@ -164,8 +182,8 @@
     return forceWatch;
   }
 
-  PlacementPlanner placement() {
-    return placement;
+  OrderDesk orderDesk() {
+    return orderDesk;
   }
 
   ClaimDesk claimDesk() {
