wire: Send of a configuration only what differs from the one before

The deltas live below the messages: each connection remembers the last configuration that went out on it, so core and the daemons are as they were, and TCP keeps the order. A delta of another base ends the connection, and the next one starts whole; with that check taken out by hand deltaOfAnotherBaseIsRefused fails.

--- a/bench/src/main/java/org/teaseltrail/bench/wire/WireCosts.java
+++ b/bench/src/main/java/org/teaseltrail/bench/wire/WireCosts.java
@@ -3,7 +3,10 @@
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
 import java.util.Arrays;
+import org.teaseltrail.core.message.ControlMessage;
 import org.teaseltrail.wire.MessageCodec;
+import org.teaseltrail.wire.MessageDecoder;
+import org.teaseltrail.wire.MessageEncoder;
 
 /**
  * Prints for each measured message its bytes, without the four bytes of its frame's length, and the
@@ -38,6 +41,29 @@
           cost(() -> sample.encode(codec)),
           cost(() -> sample.decode(codec, bytes)));
     }
+    printDelta(codec, 10, 20);
+    printDelta(codec, 100, 250);
+    printDelta(codec, 440, 1_100);
+  }
+
+  /** Prints what a change of one customer costs on a connection that has the one before. */
+  private static void printDelta(MessageCodec codec, int customers, int upstreams) {
+    ControlMessage before = WireSamples.configuration(customers, upstreams);
+    ControlMessage after = WireSamples.withChangedCustomer(before);
+    byte[] whole = codec.encode(ControlMessage.class, before);
+    MessageEncoder<ControlMessage> encoder = MessageEncoder.of(ControlMessage.class, codec);
+    encoder.sent(before);
+    byte[] delta = encoder.encode(after);
+    MessageDecoder<ControlMessage> decoder = MessageDecoder.of(ControlMessage.class, codec);
+    String readCost =
+        cost(
+            () -> {
+              decoder.decode(whole);
+              return decoder.decode(delta);
+            });
+    System.out.printf(
+        "%-18s %8d  %s  %s with the whole before it%n",
+        "DELTA_OF_" + customers, delta.length, cost(() -> encoder.encode(after)), readCost);
   }
 
   private static String cost(Operation operation) {
--- a/bench/src/main/java/org/teaseltrail/bench/wire/WireSamples.java
+++ b/bench/src/main/java/org/teaseltrail/bench/wire/WireSamples.java
@@ -166,6 +166,24 @@
             upstreams(upstreams)));
   }
 
+  /** Returns the configuration one revision on, with another rate for one customer. */
+  static ControlMessage withChangedCustomer(ControlMessage before) {
+    Configuration from = ((ControlMessage.ConfigurationUpdate) before).configuration();
+    CustomerId id = new CustomerId("customer-0");
+    Customer old = from.customers().get(id);
+    Map<CustomerId, Customer> customers = new HashMap<>(from.customers());
+    customers.put(id, new Customer(id, old.tier(), old.keyHashes(), 75, 150, old.weight()));
+    return new ControlMessage.ConfigurationUpdate(
+        FENCING,
+        new Configuration(
+            new Revision(from.revision().value() + 1),
+            from.tiers(),
+            customers,
+            from.pools(),
+            from.routes(),
+            from.upstreams()));
+  }
+
   private static Map<CustomerId, Customer> customers(int count) {
     Map<CustomerId, Customer> customers = new HashMap<>();
     for (int i = 0; i < count; i++) {
--- a/wire/src/main/java/org/teaseltrail/wire/TypedConnection.java
+++ b/wire/src/main/java/org/teaseltrail/wire/TypedConnection.java
@@ -12,7 +12,8 @@
   private final FrameChannel frames;
   private final ConnectionOpening opening;
   private final FrameEndpoint<I, O> endpoint;
-  private final MessageCodec codec;
+  private final MessageEncoder<O> encoder;
+  private final MessageDecoder<I> decoder;
   private final FrameLimits limits;
 
   TypedConnection(
@@ -24,7 +25,8 @@
     this.frames = frames;
     this.opening = opening;
     this.endpoint = endpoint;
-    this.codec = codec;
+    this.encoder = MessageEncoder.of(endpoint.outType(), codec);
+    this.decoder = MessageDecoder.of(endpoint.inType(), codec);
     this.limits = limits;
   }
 
@@ -38,7 +40,7 @@
   void received(byte[] body) {
     I message;
     try {
-      message = codec.decode(endpoint.inType(), body);
+      message = decoder.decode(body);
     } catch (MalformedMessageException failure) {
       LOGGER.log(
           Level.WARNING,
@@ -56,13 +58,20 @@
     return opening;
   }
 
+  /** Queues a message. The lock keeps the order of encoding the same as that of the frames. */
   @Override
   public boolean send(O message) {
-    byte[] body = codec.encode(endpoint.outType(), message);
-    if (body.length > limits.maxFrameBytes()) {
-      throw new FrameTooLargeException(message.getClass(), body.length, limits.maxFrameBytes());
+    synchronized (encoder) {
+      byte[] body = encoder.encode(message);
+      if (body.length > limits.maxFrameBytes()) {
+        throw new FrameTooLargeException(message.getClass(), body.length, limits.maxFrameBytes());
+      }
+      boolean queued = frames.write(body);
+      if (queued) {
+        encoder.sent(message);
+      }
+      return queued;
     }
-    return frames.write(body);
   }
 
   @Override
--- a/wire/src/test/java/org/teaseltrail/wire/SampleMessages.java
+++ b/wire/src/test/java/org/teaseltrail/wire/SampleMessages.java
@@ -104,7 +104,8 @@
     Map<CustomerId, Customer> customerById = new HashMap<>();
     for (int i = 0; i < customers; i++) {
       CustomerId id = new CustomerId("division-" + i);
-      customerById.put(id, new Customer(id, new Tier(1 + i % 5), List.of(HASH), 50, 100, 1));
+      List<String> keys = List.of(String.format("%064x", i));
+      customerById.put(id, new Customer(id, new Tier(1 + i % 5), keys, 50, 100, 1));
     }
     Map<UpstreamId, AllowedUpstream> upstreamById = new HashMap<>();
     for (int i = 0; i < upstreams; i++) {
@@ -113,13 +114,21 @@
     }
     return new Configuration(
         new Revision(300),
-        Map.of(new Tier(1), new TierDefinition(new Tier(1), "gold")),
+        tiers(),
         customerById,
         Map.of(pool, new Pool(pool, 5_000, 0)),
         routes(pool),
         upstreamById);
   }
 
+  private static Map<Tier, TierDefinition> tiers() {
+    Map<Tier, TierDefinition> tiers = new HashMap<>();
+    for (int rank = 1; rank <= 5; rank++) {
+      tiers.put(new Tier(rank), new TierDefinition(new Tier(rank), "tier-" + rank));
+    }
+    return tiers;
+  }
+
   private static Map<RouteId, Route> routes(PoolId pool) {
     RouteTarget model =
         new RouteTarget.ModelTarget(
