wire: Write a configuration's frame once for all connections

A leader sends the same change to each entry VM: at 370 VMs the diff of 0.25 ms each would take 91 ms of its processor time for every change.

--- a/wire/src/main/java/org/teaseltrail/wire/ControlMessageDecoder.java
+++ b/wire/src/main/java/org/teaseltrail/wire/ControlMessageDecoder.java
@@ -18,7 +18,7 @@
   @Override
   public ControlMessage decode(byte[] body) {
     ControlMessage message =
-        body.length > 0 && body[0] == ControlMessageEncoder.DELTA_MARK
+        body.length > 0 && body[0] == ConfigurationFrames.DELTA_MARK
             ? whole(
                 codec.decode(ConfigurationDelta.class, Arrays.copyOfRange(body, 1, body.length)))
             : codec.decode(ControlMessage.class, body);
--- a/wire/src/main/java/org/teaseltrail/wire/ControlMessageEncoder.java
+++ b/wire/src/main/java/org/teaseltrail/wire/ControlMessageEncoder.java
@@ -1,6 +1,5 @@
 package org.teaseltrail.wire;
 
-import java.nio.ByteBuffer;
 import org.teaseltrail.core.configuration.Configuration;
 import org.teaseltrail.core.message.ControlMessage;
 import org.teaseltrail.core.message.ControlMessage.ConfigurationUpdate;
@@ -17,9 +16,6 @@
  */
 final class ControlMessageEncoder implements MessageEncoder<ControlMessage> {
 
-  /** The one byte that MessagePack never uses; it marks the frame of a delta. */
-  static final byte DELTA_MARK = (byte) 0xc1;
-
   private final MessageCodec codec;
   private Configuration sent;
 
@@ -29,8 +25,10 @@
 
   @Override
   public byte[] encode(ControlMessage message) {
-    if (sent != null && message instanceof ConfigurationUpdate update) {
-      return delta(update);
+    if (message instanceof ConfigurationUpdate update) {
+      return sent == null
+          ? codec.configurations().whole(update)
+          : codec.configurations().delta(sent, update);
     }
     return codec.encode(ControlMessage.class, message);
   }
@@ -41,11 +39,4 @@
       sent = update.configuration();
     }
   }
-
-  private byte[] delta(ConfigurationUpdate update) {
-    ConfigurationDelta delta =
-        ConfigurationDelta.between(update.fencing(), sent, update.configuration());
-    byte[] body = codec.encode(ConfigurationDelta.class, delta);
-    return ByteBuffer.allocate(1 + body.length).put(DELTA_MARK).put(body).array();
-  }
 }
--- a/wire/src/main/java/org/teaseltrail/wire/MessageCodec.java
+++ b/wire/src/main/java/org/teaseltrail/wire/MessageCodec.java
@@ -32,6 +32,7 @@
   private final ObjectMapper mapper;
   private final Map<Class<?>, ObjectWriter> writers = new ConcurrentHashMap<>();
   private final Map<Class<?>, ObjectReader> readers = new ConcurrentHashMap<>();
+  private final ConfigurationFrames configurations = new ConfigurationFrames(this);
 
   /** Makes a codec. It is costly to warm up, so a process keeps one. */
   public MessageCodec() {
@@ -80,6 +81,10 @@
     return message;
   }
 
+  ConfigurationFrames configurations() {
+    return configurations;
+  }
+
   private <T> T decodeChecked(Class<T> type, byte[] bytes) {
     try {
       return readers.computeIfAbsent(type, mapper::readerFor).readValue(bytes);
--- a/wire/src/test/java/org/teaseltrail/wire/ConfigurationDeltaProperties.java
+++ b/wire/src/test/java/org/teaseltrail/wire/ConfigurationDeltaProperties.java
@@ -52,6 +52,21 @@
     assertThat(encoder.encode(new ConfigurationUpdate(FENCING, next)).length).isLessThan(1_000);
   }
 
+  @Example
+  void oneFrameServesAllConnectionsButNoOtherLeadership() {
+    Configuration from = SampleMessages.configuration(5, 5);
+    ConfigurationUpdate update =
+        new ConfigurationUpdate(FENCING, changed(from, new SplittableRandom(1)));
+    byte[] first = codec.configurations().delta(from, update);
+    assertThat(codec.configurations().delta(from, update)).isSameAs(first);
+    assertThat(codec.configurations().whole(update)).isSameAs(codec.configurations().whole(update));
+    ConfigurationUpdate later =
+        new ConfigurationUpdate(new FencingNumber(5), update.configuration());
+    ControlMessageDecoder decoder = new ControlMessageDecoder(codec);
+    decoder.decode(codec.configurations().whole(new ConfigurationUpdate(FENCING, from)));
+    assertThat(decoder.decode(codec.configurations().delta(from, later))).isEqualTo(later);
+  }
+
   // A frame of one connection is handed to the state of another. The user would see VMs under
   // different configurations of one revision: a removed customer served on one of them. A delta
   // of another base must be refused.
