standin: Close kept connections at the end

One run of gracefulEndCutsNoStreamAndRefusesNewWork failed: a connection that the caller had kept open was answered with status 500 after the server had been disposed of, since the server leaves some of its kept connections open. They are closed now; the test also checks that a new connection is refused.

--- a/standin/src/main/java/org/teaseltrail/standin/Announcer.java
+++ b/standin/src/main/java/org/teaseltrail/standin/Announcer.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
@@ -75,7 +76,7 @@
   private Mono<Integer> post(InetSocketAddress entry, String path, String body) {
     return client
         .post()
-        .uri("http://" + entry.getAddress().getHostAddress() + ":" + entry.getPort() + path)
+        .uri("http://" + text(entry) + path)
         .send(ByteBufFlux.fromString(Mono.just(body)))
         .responseSingle((response, content) -> content.then(Mono.just(response.status().code())))
         .onErrorReturn(UNREACHABLE)
@@ -87,15 +88,20 @@
     if (before != null && before == status) {
       return;
     }
+    String address = text(entry);
     if (status == NO_CONTENT) {
-      logger.info("Announces to " + entry + ".");
+      logger.info("Announces to " + address + ".");
     } else if (status == UNREACHABLE) {
-      logger.warn("Can't reach " + entry + ".");
+      logger.warn("Can't reach " + address + ".");
     } else {
-      logger.warn("Is turned away by " + entry + " with status " + status + ".");
+      logger.warn("Is turned away by " + address + " with status " + status + ".");
     }
   }
 
+  private static String text(InetSocketAddress address) {
+    return NetUtil.toSocketAddressString(address);
+  }
+
   private static void identify(HttpHeaders headers, String upstream, String secret) {
     headers
         .set("X-Upstream-Id", upstream)
--- a/standin/src/main/java/org/teaseltrail/standin/StandinDaemon.java
+++ b/standin/src/main/java/org/teaseltrail/standin/StandinDaemon.java
@@ -1,5 +1,6 @@
 package org.teaseltrail.standin;
 
+import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.time.Duration;
@@ -21,6 +22,7 @@
   private final StandinOptions options;
   private final StandinBehaviour behaviour;
   private final Announcer announcer;
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final DisposableServer server;
   private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
   private final AtomicReference<CompletableFuture<Void>> leaving = new AtomicReference<>();
@@ -31,7 +33,7 @@
     this.server =
         HttpServer.create()
             .bindAddress(options::listen)
-            .channelGroup(new DefaultChannelGroup(GlobalEventExecutor.INSTANCE))
+            .channelGroup(connections)
             .route(
                 routes -> {
                   if (options.admin()) {
@@ -51,13 +53,18 @@
     return ended;
   }
 
-  /** Leaves, waits until nothing is in progress, and stops listening. */
+  /**
+   * Leaves, waits until nothing is in progress, and stops listening. Connections that callers kept
+   * open are closed too, as the server leaves some of them open, where a call would still be
+   * answered, with status 500, by a stand-in that has ended.
+   */
   @Override
   public void close() {
     if (!ended.isCompletedExceptionally()) {
       leave().join();
     }
     server.disposeNow(LAST_ANSWERS);
+    connections.close().awaitUninterruptibly();
     behaviour.close();
     announcer.close();
   }
--- a/standin/src/test/java/org/teaseltrail/standin/StandinDaemonTest.java
+++ b/standin/src/test/java/org/teaseltrail/standin/StandinDaemonTest.java
@@ -6,7 +6,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -165,6 +167,8 @@
     assertThat(lines).hasSize(41);
     assertThat(lines.get(40).get("end").asBoolean()).isTrue();
     closed.get();
+    assertThatThrownBy(() -> new Socket("127.0.0.1", port).close())
+        .isInstanceOf(ConnectException.class);
     assertThatThrownBy(() -> get("/admin/counters")).isInstanceOf(IOException.class);
   }
 
