--- a/control/src/main/java/org/teaseltrail/control/MemberFolder.java
+++ b/control/src/main/java/org/teaseltrail/control/MemberFolder.java
@@ -2,8 +2,10 @@
 
 import java.security.SecureRandom;
 import org.teaseltrail.core.id.Incarnation;
+import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.storage.FileSystemAccess;
 import org.teaseltrail.storage.FolderIdentity;
+import org.teaseltrail.storage.ForeignFolderException;
 import org.teaseltrail.storage.NioFileSystem;
 import org.teaseltrail.storage.StorageFolder;
 
@@ -25,7 +27,21 @@
     } else if (mode == StartMode.JOIN) {
       StorageFolder.createMember(files, options.data(), identity(options));
     }
-    return StorageFolder.open(files, options.data(), options.group());
+    return checked(StorageFolder.open(files, options.data(), options.group()), options);
+  }
+
+  /**
+   * Checks that the folder is this VM's own. Guards against a folder copied to another VM: both
+   * processes would speak as one member, sync apart and count as one vote each time. The identity
+   * on the disk names the VM that it was made for.
+   */
+  private static StorageFolder checked(StorageFolder folder, ControlOptions options) {
+    VmId found = folder.identity().member().vm();
+    if (!found.equals(options.vm())) {
+      folder.close();
+      throw new ForeignFolderException(options.data(), options.vm(), found);
+    }
+    return folder;
   }
 
   /**
--- /dev/null
+++ b/control/src/test/java/org/teaseltrail/control/MemberFolderTest.java
@@ -0,0 +1,68 @@
+package org.teaseltrail.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.teaseltrail.core.replication.Member;
+import org.teaseltrail.runtime.settings.ExampleFile;
+import org.teaseltrail.runtime.settings.SettingsReader;
+import org.teaseltrail.storage.FolderMissingException;
+import org.teaseltrail.storage.ForeignFolderException;
+import org.teaseltrail.storage.StorageFolder;
+
+class MemberFolderTest {
+
+  @TempDir private Path folder;
+
+  /**
+   * An operator copies a member's data folder to another VM and starts a program there. Two
+   * processes would then speak as one member and each vote and sync for it, so that an accepted
+   * change could be on one disk only. The folder is refused under another VM's settings.
+   */
+  @Test
+  void refusesFolderOfAnotherVm() throws Exception {
+    MemberFolder.open(options("control-1"), StartMode.NEW_GROUP).close();
+
+    assertThatExceptionOfType(ForeignFolderException.class)
+        .isThrownBy(() -> MemberFolder.open(options("control-2"), StartMode.GO_ON))
+        .withMessageContaining("belongs to the member on VM control-1, not control-2");
+    MemberFolder.open(options("control-1"), StartMode.GO_ON).close();
+  }
+
+  /**
+   * A VM comes back with an empty disk. It must not go on as the member that it was, whose syncs
+   * and votes are forgotten: started as before it is refused, and joining makes another member.
+   */
+  @Test
+  void emptyDiskIsAnotherMember() throws Exception {
+    Member first = member(MemberFolder.open(options("control-1"), StartMode.NEW_GROUP));
+    for (Path file : Files.list(folder.resolve("data")).toList()) {
+      Files.delete(file);
+    }
+
+    assertThatExceptionOfType(FolderMissingException.class)
+        .isThrownBy(() -> MemberFolder.open(options("control-1"), StartMode.GO_ON));
+    Member second = member(MemberFolder.open(options("control-1"), StartMode.JOIN));
+    assertThat(second.vm()).isEqualTo(first.vm());
+    assertThat(second.id()).isNotEqualTo(first.id());
+  }
+
+  private static Member member(StorageFolder open) {
+    try (open) {
+      return open.identity().member();
+    }
+  }
+
+  private ControlOptions options(String vm) throws Exception {
+    String text =
+        ExampleFile.print(ControlProgramSettings.SPEC)
+            .replace("id = control-1", "id = " + vm)
+            .replace("/var/lib/teaseltrail", folder.resolve("data").toString());
+    Path file = Files.writeString(folder.resolve("control.ini"), text);
+    return ControlOptions.of(new SettingsReader(ControlProgramSettings.SPEC).read(file));
+  }
+}
--- a/storage/src/main/java/org/teaseltrail/storage/ForeignFolderException.java
+++ b/storage/src/main/java/org/teaseltrail/storage/ForeignFolderException.java
@@ -1,9 +1,10 @@
 package org.teaseltrail.storage;
 
 import java.nio.file.Path;
+import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.replication.GroupId;
 
-/** Tells that a folder belongs to another group. */
+/** Tells that a folder belongs to another group or to another VM's member. */
 public final class ForeignFolderException extends StorageException {
 
   private static final long serialVersionUID = 1L;
@@ -12,4 +13,9 @@
   public ForeignFolderException(Path path, GroupId expected, GroupId found) {
     super(path, "belongs to group " + found + ", not " + expected, null);
   }
+
+  /** Creates the failure. */
+  public ForeignFolderException(Path path, VmId expected, VmId found) {
+    super(path, "belongs to the member on VM " + found + ", not " + expected, null);
+  }
 }
