--- a/core/src/test/java/org/teaseltrail/core/control/FakeControl.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeControl.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Supplier;
 import org.teaseltrail.core.replication.Member;
 import org.teaseltrail.core.replication.RecoveredState;
 import org.teaseltrail.core.replication.Replica;
@@ -61,6 +62,9 @@
   }
 
   void start(ReplicaSettings settings) {
+    if (control != null) {
+      return;
+    }
     life++;
     wakeupNs = Long.MAX_VALUE;
     Replica replica =
@@ -83,6 +87,7 @@
   }
 
   void kill() {
+    frozen = false;
     life++;
     control = null;
     serving = false;
@@ -120,15 +125,14 @@
 
   private void carryOut(ControlAction action) {
     if (action instanceof ControlAction.Persist persist) {
-      int started = life;
-      group.after(
-          SYNC_NS,
+      after(
           () -> {
-            if (life == started) {
-              disk.sync(persist.write());
-              handle(new ControlEvent.Persisted(persist.write().writeNumber()));
-            }
+            disk.sync(persist.write());
+            return new ControlEvent.Persisted(persist.write().writeNumber());
           });
+    } else if (action instanceof ControlAction.EncodeSnapshot encode) {
+      byte[] state = group.codec().encodeSnapshot(encode.snapshot());
+      after(() -> new ControlEvent.SnapshotEncoded(encode.index(), state));
     } else if (action instanceof ControlAction.SendPeer send) {
       group.sendPeer(this, send.envelope());
     } else {
@@ -140,6 +144,18 @@
     }
   }
 
+  /** Does slow work beside the member, and tells it unless it was killed meanwhile. */
+  private void after(Supplier<ControlEvent> work) {
+    int started = life;
+    group.after(
+        SYNC_NS,
+        () -> {
+          if (life == started) {
+            handle(work.get());
+          }
+        });
+  }
+
   private void scheduleWakeup() {
     OptionalLong wanted = control.nextWakeupNs();
     if (wanted.isEmpty() || wanted.getAsLong() >= wakeupNs) {
