Tell of a turned-away upstream once for each reason

In bin/demo each upstream that was not allowed yet wrote a line a second on each VM (verdict=NOT_ALLOWED); an upstream that operators forgot would fill the log for ever. Entry tests of core (31) and of entry (39) pass.

--- a/core/src/main/java/org/teaseltrail/core/entry/EntryNode.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/EntryNode.java
@@ -23,6 +23,7 @@
 public final class EntryNode {
 
   private final EntryParts parts;
+  private final TurnedAwayUpstreams turnedAway = new TurnedAwayUpstreams();
   private final DrainPlan drain;
   private final Admission admission;
   private final RequestCloser closer;
@@ -143,9 +144,10 @@
     UpstreamId upstream = heard.announcement().upstream();
     UpstreamVerdict verdict = parts.upstreams.judge(upstream, heard.secretHash());
     parts.out.add(new EntryAction.AnswerUpstream(heard.exchange(), verdict));
-    if (verdict != UpstreamVerdict.ACCEPTED) {
+    if (turnedAway.isNews(upstream, verdict)) {
       parts.out.log(EntryDecisionKind.UPSTREAM, Optional.of(upstream), "verdict=" + verdict);
-    } else if (parts.upstreams.hear(heard.announcement(), nowNs)) {
+    }
+    if (verdict == UpstreamVerdict.ACCEPTED && parts.upstreams.hear(heard.announcement(), nowNs)) {
       parts.session.tell(new EntryMessage.UpstreamSeen(heard.announcement(), 0));
     }
   }
