Show what a member doesn't tell as absent, not as zero

'status' printed commit index 0, synced index 0 and a window of 0 tokens, since the control member doesn't fill these fields yet: an operator would read them as measured.

--- a/cli/src/main/java/org/teaseltrail/cli/StatusText.java
+++ b/cli/src/main/java/org/teaseltrail/cli/StatusText.java
@@ -33,9 +33,12 @@
   static String members(List<Member> members) {
     TextTable table = new TextTable("MEMBER", "VM", "ROLE", "SYNCED INDEX", "HEARD MS AGO");
     for (Member member : members) {
-      String heard = member.hasSinceHeardMs() ? Long.toString(member.getSinceHeardMs()) : "";
-      String role = word(member.getRole());
-      table.row(member.getId(), member.getVm(), role, member.getSyncedIndex(), heard);
+      table.row(
+          member.getId(),
+          member.getVm(),
+          word(member.getRole()),
+          told(member.hasSyncedIndex(), member.getSyncedIndex()),
+          told(member.hasSinceHeardMs(), member.getSinceHeardMs()));
     }
     return table.print();
   }
@@ -54,12 +57,12 @@
     String leader = status.hasLeader() ? status.getLeader() : "unknown";
     return String.format(
         Locale.ROOT,
-        "region %s: leader %s, term %d, revision %d, commit index %d (told by %s)%n",
+        "region %s: leader %s, term %d, revision %d, commit index %s (told by %s)%n",
         status.getRegion(),
         leader,
         status.getTerm(),
         status.getRevision(),
-        status.getCommitIndex(),
+        told(status.hasCommitIndex(), status.getCommitIndex()),
         status.getMember());
   }
 
@@ -96,12 +99,16 @@
           word(upstream.getState()),
           upstream.getAddress(),
           upstream.getRunning(),
-          upstream.getTokensInFlight(),
-          upstream.getWindowTokens());
+          told(upstream.hasTokensInFlight(), upstream.getTokensInFlight()),
+          told(upstream.hasWindowTokens(), upstream.getWindowTokens()));
     }
     return table.print();
   }
 
+  private static String told(boolean present, long value) {
+    return present ? Long.toString(value) : "-";
+  }
+
   private static String word(Enum<?> constant) {
     return constant.name().toLowerCase(Locale.ROOT);
   }
