Hold urgent requests for a prefix of one block and more, for a tenth of a second

Now only callers with a deadline are held from one block, for the time that the saved prefill costs a full batch.

--- a/core/src/main/java/org/teaseltrail/core/schedule/PrefixHold.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/PrefixHold.java
@@ -15,6 +15,9 @@
   /** Fewest tokens that must be saved; below, the wait costs more than it can bring. */
   private static final int MIN_SAVED_TOKENS = 1_024;
 
+  /** The same for a caller with a deadline, which is held for a tenth of a second or so. */
+  private static final int MIN_SAVED_TOKENS_URGENT = 256;
+
   private static final double US_PER_MS = 1_000;
 
   private final SchedulerSettings settings;
@@ -46,7 +49,7 @@
     TrackedTicket ticket = search.ticket();
     int cached = holder.cachedTokens(ticket);
     int saved = cached - search.bestCached();
-    if (saved < MIN_SAVED_TOKENS || search.couldTake(holder, cached)) {
+    if (saved < minSavedTokens(ticket) || search.couldTake(holder, cached)) {
       return false;
     }
     return isSooner(search, holder, cached) && isWithinLimit(ticket, holder, saved, nowNs);
@@ -66,6 +69,10 @@
     return waitMs + finish.costMs(ticket, holder, cached) < search.bestCostMs();
   }
 
+  private static int minSavedTokens(TrackedTicket ticket) {
+    return isPatient(ticket) ? MIN_SAVED_TOKENS : MIN_SAVED_TOKENS_URGENT;
+  }
+
   /** Returns the expected time until a full holder has room: a slot, or its prompts processed. */
   private double waitMs(UpstreamAccount holder, long nowNs) {
     double slotMs = holder.hasSlot(nowNs) ? 0 : holder.spanMs() / holder.inFlightCount();
