Don't take an upstream for silent because a dead VM tells nothing of it

Cause: a request whose entry VM has died stays in its upstream's account for half a minute, and counted as one that waits for its first token. After 3 s the upstream looked silent and got only probes, for which that request left no slot. With one on each upstream, as when an entry VM dies under load, the pool granted nothing until they expired. Found by random sessions; it was in the scheduler. Ruled out: lost grants and the order of the queues (their accounts were whole: 46 tickets waited before 3 idle engines, each PROBED with 2 unheard requests). Tried and not taken: to count such a request as started, which also frees the prefill bound.

--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/WorkInFlight.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/WorkInFlight.java
@@ -37,9 +37,20 @@
     return prefilledTokens;
   }
 
-  /** Returns the part that has waited longest for its first token; null if there is none. */
+  /**
+   * Returns the part that has waited longest for its first token; null if there is none.
+   *
+   * <p>Guards against a dead VM whose requests make their upstreams look silent: each would get
+   * nothing but probes, for which these requests leave no slot, and the pool would stand still
+   * until they expire. Of a lapsed VM's request nothing is heard, whatever the upstream does.
+   */
   InFlight oldestUnstarted() {
-    return unstarted.isEmpty() ? null : unstarted.iterator().next();
+    for (InFlight part : unstarted) {
+      if (!part.isLapsed()) {
+        return part;
+      }
+    }
+    return null;
   }
 
   /** Returns the greatest count within the last few seconds. */
--- a/core/src/test/java/org/teaseltrail/core/schedule/PoolSchedulerTest.java
+++ b/core/src/test/java/org/teaseltrail/core/schedule/PoolSchedulerTest.java
@@ -83,6 +83,21 @@
     assertThat(grants(pool.announce("u1", UpstreamPhase.SERVING))).containsExactly("a@u1");
   }
 
+  // An entry VM dies right after its requests were granted. Nothing is heard of them, which isn't
+  // the upstream's fault; taken for silent it would get nothing new for half a minute, and with one
+  // such request on each upstream the whole pool would stand still.
+  @Test
+  void deadVmsRequestsDontMakeTheirUpstreamLookSilent() {
+    PoolFixture pool = PoolFixture.serving(1, SETTINGS);
+    assertThat(grants(pool.offer(ticket("a", 1)))).containsExactly("a@u1");
+    pool.handle(new SchedulerEvent.VmLapsed(PoolFixture.VM));
+    for (int second = 0; second < 5; second++) {
+      pool.nowMs += 1_000;
+      pool.announce("u1", UpstreamPhase.SERVING);
+    }
+    assertThat(grants(pool.offer(ticket("b", 1)))).containsExactly("b@u1");
+  }
+
   @Test
   void neverGrantsAnEndedOrWithdrawnRequestAgain() {
     PoolFixture pool = PoolFixture.serving(1, SETTINGS);
