--- a/control/src/main/java/org/teaseltrail/control/PeerLinks.java
+++ b/control/src/main/java/org/teaseltrail/control/PeerLinks.java
@@ -35,6 +35,8 @@
   private final Map<VmId, SocketAddress> addresses;
   private final Map<VmId, FrameClient<PeerEnvelope, PeerEnvelope>> clients =
       new ConcurrentHashMap<>();
+  private final Map<MemberId, FrameConnection<PeerEnvelope, PeerEnvelope>> inbound =
+      new ConcurrentHashMap<>();
   private final Map<MemberId, VmId> vms = new ConcurrentHashMap<>();
   private final Consumer<ControlEvent> events;
   private final Member self;
@@ -79,6 +81,14 @@
     FrameClient<PeerEnvelope, PeerEnvelope> client = vm == null ? null : clients.get(vm);
     if (client != null) {
       client.send(envelope);
+      return;
+    }
+    // A member that joins knows no members yet, so its answers would be lost: the leader would send
+    // it nothing but probes and refuse its vote for ever as not caught up. The leader's own
+    // connection leads back to the leader.
+    FrameConnection<PeerEnvelope, PeerEnvelope> back = inbound.get(envelope.to());
+    if (back != null) {
+      back.send(envelope);
     }
   }
 
@@ -88,11 +98,14 @@
   @Override
   public void received(
       FrameConnection<PeerEnvelope, PeerEnvelope> connection, PeerEnvelope envelope) {
+    inbound.put(envelope.from(), connection);
     events.accept(new ControlEvent.FromPeer(envelope));
   }
 
   @Override
-  public void closed(FrameConnection<PeerEnvelope, PeerEnvelope> connection, CloseReason reason) {}
+  public void closed(FrameConnection<PeerEnvelope, PeerEnvelope> connection, CloseReason reason) {
+    inbound.values().removeIf(connection::equals);
+  }
 
   @Override
   public void close() {
