--- a/session/src/test/java/org/teaseltrail/session/SessionChecks.java
+++ b/session/src/test/java/org/teaseltrail/session/SessionChecks.java
@@ -19,6 +19,7 @@
 
   private final SessionWorld world;
   private final Map<UpstreamId, Long> drainedSinceNs = new HashMap<>();
+  private final List<Long> grantedAtNs = new ArrayList<>();
   private final List<Long> acceptedAtNs = new ArrayList<>(List.of(0L));
 
   SessionChecks(SessionWorld world) {
@@ -63,6 +64,15 @@
     assertThat(left).describedAs("requests cut off by the exit of %s", entry.name()).isEmpty();
   }
 
+  /** Notes a grant that leaves, for the time without scheduling. */
+  void granted() {
+    grantedAtNs.add(world.timeline().nowNs());
+  }
+
+  List<Long> grantedAtNs() {
+    return grantedAtNs;
+  }
+
   private void accepted(Configuration configuration) {
     long nowNs = world.timeline().nowNs();
     while (newestRevision() < configuration.revision().value()) {
