entry: send answers on their connection's thread, so that a kept connection can't stall

A full mvn -B verify hung for two minutes in EntryFlowTest: GET /readyz was in the server's socket buffer, unread, and no idle timeout closed the connection. Reproduced against the program alone, one kept connection with /readyz and /healthz in turn: stalled at call 30 and at call 80; each path alone: 8,000 calls without a stall. Cause: /readyz, a whole answer, a problem and an upstream's 204 are decided on the node's thread and were sent from there; a next call that is answered at once on the connection's own thread overtakes the end of the answer. All seven places now send on the connection's thread. After: 2 times 8,000 calls in turn without a stall (0.8 s and 0.6 s), and KeptConnectionTest (2,000 calls), EntryDaemonTest, EntryBadInputTest and EntryMetricsTest pass (37). Ruled out: load of the machine (the stall lasted while the threads were idle). Not run with this change: EntryFlowTest, the whole mvn -B verify.

--- a/entry/src/main/java/org/teaseltrail/entry/Problem.java
+++ b/entry/src/main/java/org/teaseltrail/entry/Problem.java
@@ -96,7 +96,7 @@
     }
     byte[] body = Json.bytes(json());
     response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length));
-    return response.sendObject(Unpooled.wrappedBuffer(body));
+    return ConnectionThread.send(response, response.sendObject(Unpooled.wrappedBuffer(body)));
   }
 
   private ObjectNode json() {
--- a/entry/src/main/java/org/teaseltrail/entry/ServiceExchange.java
+++ b/entry/src/main/java/org/teaseltrail/entry/ServiceExchange.java
@@ -70,7 +70,7 @@
     response.status(service.httpStatus());
     ForwardedHeaders.copy(service.headers(), response::addHeader);
     response.header(HttpNames.REQUEST_ID, request.value());
-    return response.send(service.body());
+    return ConnectionThread.send(response, response.send(service.body()));
   }
 
   @Override
--- a/entry/src/main/java/org/teaseltrail/entry/StatusHandler.java
+++ b/entry/src/main/java/org/teaseltrail/entry/StatusHandler.java
@@ -36,11 +36,12 @@
     return loop.ask(() -> state(id, keyHash))
         .flatMap(
             state ->
-                response
-                    .header(HttpHeaderNames.CONTENT_TYPE, HttpNames.JSON)
-                    .header(HttpNames.REQUEST_ID, id.value())
-                    .sendByteArray(Mono.just(Json.bytes(state)))
-                    .then());
+                ConnectionThread.send(
+                    response,
+                    response
+                        .header(HttpHeaderNames.CONTENT_TYPE, HttpNames.JSON)
+                        .header(HttpNames.REQUEST_ID, id.value())
+                        .sendByteArray(Mono.just(Json.bytes(state)))));
   }
 
   private static RequestId requestId(String text) {
@@ -78,10 +79,11 @@
     return loop.ask(() -> loop.node().isReady(loop.nowNs()))
         .flatMap(
             ready ->
-                response
-                    .status(ready ? OK : UNAVAILABLE)
-                    .sendString(Mono.just(ready ? "ready\n" : "not ready\n"))
-                    .then());
+                ConnectionThread.send(
+                    response,
+                    response
+                        .status(ready ? OK : UNAVAILABLE)
+                        .sendString(Mono.just(ready ? "ready\n" : "not ready\n"))));
   }
 
   Publisher<Void> metrics(HttpServerRequest request, HttpServerResponse response) {
--- a/entry/src/main/java/org/teaseltrail/entry/StreamedExchange.java
+++ b/entry/src/main/java/org/teaseltrail/entry/StreamedExchange.java
@@ -51,9 +51,11 @@
       return problem.get().send(response);
     }
     response.header(HttpNames.REQUEST_ID, request().value());
-    return response
-        .sse()
-        .send(events.asFlux().doOnNext(e -> taken()).map(Unpooled::wrappedBuffer), e -> true);
+    return ConnectionThread.send(
+        response,
+        response
+            .sse()
+            .send(events.asFlux().doOnNext(e -> taken()).map(Unpooled::wrappedBuffer), e -> true));
   }
 
   private void taken() {
--- a/entry/src/main/java/org/teaseltrail/entry/UpstreamHandler.java
+++ b/entry/src/main/java/org/teaseltrail/entry/UpstreamHandler.java
@@ -55,7 +55,9 @@
     return bodies
         .read(request)
         .flatMap(asks)
-        .flatMap(verdict -> response.status(verdict.httpStatus()).send().then());
+        .flatMap(
+            verdict ->
+                ConnectionThread.send(response, response.status(verdict.httpStatus()).send()));
   }
 
   private static String secretHash(HttpServerRequest request) {
--- a/entry/src/main/java/org/teaseltrail/entry/WholeExchange.java
+++ b/entry/src/main/java/org/teaseltrail/entry/WholeExchange.java
@@ -44,7 +44,7 @@
     response.header(HttpHeaderNames.CONTENT_TYPE, HttpNames.JSON);
     response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length));
     response.header(HttpNames.REQUEST_ID, request().value());
-    return response.sendObject(Unpooled.wrappedBuffer(body));
+    return ConnectionThread.send(response, response.sendObject(Unpooled.wrappedBuffer(body)));
   }
 
   @Override
