Give a dead VM's slots back after 5 s instead of 30 s

Cause: work of a lapsed entry VM kept its slots for 30 s after the lapse. A VM that dies or is cut off right after it was granted every slot left nothing for the others, so a whole pool stood still for half a minute. Safe, since the engines' own load reports take slots for what still runs there unknown to the account, and a VM dispatches a request once at most whatever is granted. Ruled out: silence (the upstreams were ORDINARY).

--- a/core/src/main/java/org/teaseltrail/core/schedule/SchedulerSettings.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/SchedulerSettings.java
@@ -51,7 +51,7 @@
         5_000,
         500,
         60_000,
-        30_000,
+        5_000,
         600_000);
   }
 
