Ask a lost grant back when its upstream has left

Cause: when a VM offers a granted request once more, its grant was sent again without a look at the upstream. Change: the scheduler sends a Recall instead; the VM declines the grant unless it has dispatched the request, and only then the ticket waits again. Ruled out: making the ticket wait again at once. The first grant may still arrive: the random sessions found a request refused while granted, and its claim would have been released although it ran. Sending nothing: the request hangs for the time its account is kept. A check in the VM for announcements grown old: an upstream may announce to any VM, so silence at one says nothing. Guard off (resend always): PoolSchedulerTest.lostGrantOfUpstreamThatHasLeft- IsAskedBack fails, and the random sessions with 'r42 was granted u3, which leaves'. Their check is stricter now: grants sent again counted as no grant before. keepsGrantOfVmThatHasComeBack let its upstream fall silent and expected a grant there; the upstream announces itself in it now, the expectation stays.

--- a/core/src/main/java/org/teaseltrail/core/entry/ControlHandler.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/ControlHandler.java
@@ -29,6 +29,8 @@
       configured(update);
     } else if (message instanceof ControlMessage.Grant grant) {
       dispatcher.granted(member, grant, nowNs);
+    } else if (message instanceof ControlMessage.Recall recall) {
+      dispatcher.recalled(member, recall);
     } else if (message instanceof ControlMessage.Refused refused) {
       dispatcher.refused(refused);
     } else if (message instanceof ControlMessage.ClaimExists claim) {
--- a/core/src/main/java/org/teaseltrail/core/entry/Dispatcher.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/Dispatcher.java
@@ -2,9 +2,12 @@
 
 import java.util.Optional;
 import org.teaseltrail.core.id.MemberId;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.invariant.Invariant;
 import org.teaseltrail.core.invariant.InvariantName;
 import org.teaseltrail.core.message.ClaimState;
+import org.teaseltrail.core.message.ControlMessage;
 import org.teaseltrail.core.message.ControlMessage.ClaimExists;
 import org.teaseltrail.core.message.ControlMessage.Grant;
 import org.teaseltrail.core.message.ControlMessage.Refused;
@@ -71,13 +74,39 @@
   }
 
   private void decline(MemberId member, Grant grant, DeclineReason reason) {
+    decline(member, grant.request(), grant.upstream(), reason);
+  }
+
+  private void decline(
+      MemberId member, RequestId request, UpstreamId upstream, DeclineReason reason) {
     parts.out.add(
-        new EntryAction.SendControl(
-            member, new EntryMessage.Declined(grant.request(), grant.upstream(), reason)));
+        new EntryAction.SendControl(member, new EntryMessage.Declined(request, upstream, reason)));
     parts.out.log(
         EntryDecisionKind.DECLINE,
-        Optional.of(grant.upstream()),
-        "request=" + grant.request() + " reason=" + reason);
+        Optional.of(upstream),
+        "request=" + request + " reason=" + reason);
+  }
+
+  /**
+   * Gives back a grant that its scheduler asks back, unless the request was dispatched.
+   *
+   * <p>Only the newest leadership may ask: an older one doesn't know of later grants.
+   */
+  void recalled(MemberId member, ControlMessage.Recall recall) {
+    Optional<Request> request = parts.requests.live(recall.request());
+    if (request.isEmpty() || !parts.session.isGrantOfLeader(member, recall.fencing())) {
+      return;
+    }
+    boolean granted = request.get().state() == RequestState.GRANTED;
+    if (request.get().state() == RequestState.WAITING) {
+      decline(member, recall.request(), recall.upstream(), DeclineReason.LEAVING);
+    } else if (granted && isAt(request.get(), recall.upstream())) {
+      giveBack(request.get(), DeclineReason.LEAVING);
+    }
+  }
+
+  private static boolean isAt(Request request, UpstreamId upstream) {
+    return request.target().filter(target -> target.upstream().equals(upstream)).isPresent();
   }
 
   /** Dispatches over the connection that stands, unless the upstream is leaving by now. */
--- a/core/src/main/java/org/teaseltrail/core/message/ControlMessage.java
+++ b/core/src/main/java/org/teaseltrail/core/message/ControlMessage.java
@@ -69,6 +69,17 @@
       FencingNumber fencing)
       implements ControlMessage {}
 
+  /**
+   * Takes a grant back that may have been lost on its way. The VM declines it unless it has
+   * dispatched the request.
+   *
+   * @param request the request
+   * @param upstream the upstream of the grant, which serves no longer
+   * @param fencing the leadership that granted
+   */
+  record Recall(RequestId request, UpstreamId upstream, FencingNumber fencing)
+      implements ControlMessage {}
+
   /**
    * Tells that a waiting request is given up; it did not run.
    *
--- a/core/src/main/java/org/teaseltrail/core/schedule/SchedulerOutput.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/SchedulerOutput.java
@@ -50,6 +50,11 @@
     send(part.vm(), grant);
   }
 
+  /** Asks a grant back whose upstream serves no longer. */
+  void recall(InFlight part) {
+    send(part.vm(), new ControlMessage.Recall(part.request(), part.upstreamId(), fencing));
+  }
+
   void send(VmId vm, ControlMessage message) {
     actions.add(new SchedulerAction.Send(vm, message));
   }
--- a/core/src/main/java/org/teaseltrail/core/schedule/TicketIntake.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/TicketIntake.java
@@ -136,13 +136,23 @@
   /**
    * Sends an outstanding grant again when its VM offers the ticket once more. Guards against a
    * grant lost with its connection, which shows as a request that waits for ever while its slot
-   * stays taken. It is the same grant, and the VM dispatches a request once at most.
+   * stays taken. It is the same grant, and the VM dispatches a request once at most. If the
+   * upstream has left meanwhile, the grant is asked back instead. It isn't just forgotten here: it
+   * may still arrive, and a request that runs must not be granted again or refused.
    */
   private void resendLostGrant(TrackedTicket known, long nowNs) {
     Optional<InFlight> part = state.fleet().find(known.request());
     if (known.phase() == TicketPhase.GRANTED && part.isPresent() && !part.get().isConfirmed()) {
       part.get().offeredAgain(nowNs);
-      state.out().sendGrant(part.get());
+      sendOrRecall(part.get(), nowNs);
+    }
+  }
+
+  private void sendOrRecall(InFlight part, long nowNs) {
+    if (part.upstream().isServing(nowNs)) {
+      state.out().sendGrant(part);
+    } else {
+      state.out().recall(part);
     }
   }
 }
--- a/core/src/test/java/org/teaseltrail/core/entry/EntryFixture.java
+++ b/core/src/test/java/org/teaseltrail/core/entry/EntryFixture.java
@@ -188,6 +188,10 @@
     return receive(member, grantOf(request, fencing));
   }
 
+  List<EntryAction> recall(MemberId member, RequestId request, long fencing) {
+    return receive(member, new ControlMessage.Recall(request, U1, new FencingNumber(fencing)));
+  }
+
   static ControlMessage grantOf(RequestId request, long fencing) {
     return new ControlMessage.Grant(
         request, U1, new Incarnation(1), ADDRESS, new FencingNumber(fencing));
--- a/core/src/test/java/org/teaseltrail/core/entry/EntryNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/entry/EntryNodeTest.java
@@ -77,6 +77,27 @@
     assertThat(vm.told(EntryMessage.Declined.class)).isEmpty();
   }
 
+  // An engine leaves while a VM is frozen; the VM thaws and offers its request again. The grant
+  // that
+  // it missed, or has not followed to the first byte, is asked back and given back; a request that
+  // was dispatched goes on.
+  @Test
+  void recalledGrantIsGivenBackUnlessItWasDispatched() {
+    RequestId missed = vm.arrive(1);
+    vm.recall(C1, missed, 1);
+    assertThat(lastDecline()).isEqualTo(DeclineReason.LEAVING);
+    vm.grant(C1, missed, 1);
+    vm.recall(C1, missed, 1);
+    vm.connected(missed);
+    assertThat(vm.transmits(missed)).isZero();
+
+    RequestId running = vm.arrive(1);
+    vm.dispatch(running);
+    vm.recall(C1, running, 1);
+    assertThat(vm.transmits(running)).isEqualTo(1);
+    assertThat(vm.outcome(running)).isEmpty();
+  }
+
   // A leader freezes, another one takes over, and the frozen one thaws and sends the grants it had
   // ready, for upstreams that may have left since. The VM has seen the newer leadership.
   @Test
--- a/core/src/test/java/org/teaseltrail/core/schedule/CallerRequest.java
+++ b/core/src/test/java/org/teaseltrail/core/schedule/CallerRequest.java
@@ -92,13 +92,11 @@
     outstanding = null;
   }
 
-  /** Checks a grant; returns whether it is a new one and not one sent again. */
-  boolean checkMayBeGranted(UpstreamId to) {
-    final boolean isNew = outstanding == null;
+  /** Checks a grant, be it new or sent again. */
+  void checkMayBeGranted(UpstreamId to) {
     assertThat(endTold).as("%s was granted after its end was told", id()).isFalse();
     assertThat(outstanding).as("%s has two grants", id()).isIn(null, to);
     outstanding = to;
-    return isNew;
   }
 
   void checkMayBeRefused() {
--- a/core/src/test/java/org/teaseltrail/core/schedule/GoldenSession.java
+++ b/core/src/test/java/org/teaseltrail/core/schedule/GoldenSession.java
@@ -216,6 +216,9 @@
       String life = " incarnation=" + grant.upstreamIncarnation();
       return "grant " + grant.request() + " " + grant.upstream() + life;
     }
+    if (message instanceof ControlMessage.Recall recall) {
+      return "recall " + recall.request() + " " + recall.upstream();
+    }
     ControlMessage.Refused refused = (ControlMessage.Refused) message;
     String retry = " retry_after_ms=" + refused.retryAfterMs();
     return "refused " + refused.request() + " " + refused.kind() + retry;
--- a/core/src/test/java/org/teaseltrail/core/schedule/PoolSchedulerTest.java
+++ b/core/src/test/java/org/teaseltrail/core/schedule/PoolSchedulerTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.teaseltrail.core.id.RequestId;
 import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.message.ControlMessage;
 import org.teaseltrail.core.message.DeclineReason;
 import org.teaseltrail.core.message.EndKind;
 import org.teaseltrail.core.message.EntryMessage;
@@ -210,6 +211,26 @@
     assertThat(grants(pool.tick())).isEmpty();
   }
 
+  /**
+   * A request is sent to an engine that left seconds ago. Its VM was frozen when the grant came;
+   * meanwhile the engine announced that it leaves. The VM thaws and offers the request again, and
+   * the old grant was sent once more without a look at the engine.
+   */
+  @Test
+  void lostGrantOfUpstreamThatHasLeftIsAskedBack() {
+    PoolFixture pool = PoolFixture.serving(2, SETTINGS);
+    assertThat(grants(pool.offer(ticket("a", 1)))).containsExactly("a@u1");
+    pool.announce("u1", UpstreamPhase.LEAVING);
+    List<SchedulerAction> again = pool.offer(ticket("a", 1));
+    assertThat(grants(again)).isEmpty();
+    assertThat(PoolFixture.sent(again, ControlMessage.Recall.class))
+        .extracting(ControlMessage.Recall::upstream)
+        .containsExactly(new UpstreamId("u1"));
+    EntryMessage declined =
+        new EntryMessage.Declined(new RequestId("a"), new UpstreamId("u1"), DeclineReason.LEAVING);
+    assertThat(grants(pool.say(PoolFixture.VM, declined))).containsExactly("a@u2");
+  }
+
   /** A withdrawal that comes after the proof of the dispatch must not free a slot that is taken. */
   @Test
   void keepsSlotOfDispatchedRequestThatIsWithdrawnTooLate() {
@@ -235,6 +256,7 @@
     pool.handle(new SchedulerEvent.VmLapsed(PoolFixture.VM));
     assertThat(grants(pool.offer(ticket("a", 1)))).containsExactly("a@u1");
     pool.nowMs += SETTINGS.lapsedKeepMs() + 1;
+    pool.announce("u1", UpstreamPhase.SERVING);
     pool.announce("u2", UpstreamPhase.SERVING);
     pool.tick();
     assertThat(grants(pool.offer(ticket("a", 1)))).containsExactly("a@u1");
--- a/core/src/test/java/org/teaseltrail/core/schedule/RandomSession.java
+++ b/core/src/test/java/org/teaseltrail/core/schedule/RandomSession.java
@@ -147,11 +147,29 @@
     Delivery delivery = random.nextInt(5) == 0 ? inbox.pollLast() : inbox.pollFirst();
     if (delivery.message() instanceof ControlMessage.Grant grant) {
       granted(requests.get(grant.request()), grant);
+    } else if (delivery.message() instanceof ControlMessage.Recall recall) {
+      recalled(requests.get(recall.request()), recall);
     } else if (delivery.message() instanceof ControlMessage.Refused refused) {
       requests.get(refused.request()).refused();
     }
   }
 
+  /** Gives a grant back; one that was sent before the recall comes before it, as over TCP. */
+  private void recalled(CallerRequest request, ControlMessage.Recall recall) {
+    boolean current = recall.fencing().value() == fencing;
+    if (current && request.isWaiting()) {
+      inbox.removeIf(earlier -> isGrantOf(recall.request(), earlier.message()));
+      request.grantVoid();
+      EntryMessage declined =
+          new EntryMessage.Declined(recall.request(), recall.upstream(), DeclineReason.LEAVING);
+      say(request, declined);
+    }
+  }
+
+  private static boolean isGrantOf(RequestId request, ControlMessage message) {
+    return message instanceof ControlMessage.Grant grant && grant.request().equals(request);
+  }
+
   private void granted(CallerRequest request, ControlMessage.Grant grant) {
     boolean current = grant.fencing().value() == fencing;
     if (current && request.isWaiting() && random.nextInt(8) > 0) {
@@ -341,10 +359,10 @@
   private void count(ControlMessage message) {
     if (message instanceof ControlMessage.Grant grant) {
       grants++;
-      boolean isNew = requests.get(grant.request()).checkMayBeGranted(grant.upstream());
+      requests.get(grant.request()).checkMayBeGranted(grant.upstream());
       String upstream = grant.upstream().value();
       boolean leaves = phases.get(upstream) == UpstreamPhase.LEAVING || drained.contains(upstream);
-      if (isNew && leaves) {
+      if (leaves) {
         throw new AssertionError(grant.request() + " was granted " + upstream + ", which leaves");
       }
     } else if (message instanceof ControlMessage.Refused refused) {
