Let go of an upstream connection when its answer is whole

'jmap -histo' showed 30,297 EngineCall, StreamedExchange and HttpServerOperations: the map of connections kept each completed request's call, since only requests that ended otherwise were closed. Change: a completed request's connection leaves the map; it ends by itself. The count of connections held is a gauge now. Ruled out: closing it, which could cut off a plain service's answer that is still being written; the timers of body timeouts (they go with their request). Before: EntryFlowTest.completedRequestLeavesNoConnectionBehind fails. After: it passes, with the other 40 tests of the entry daemon.

--- a/entry/src/main/java/org/teaseltrail/entry/ActionExecutor.java
+++ b/entry/src/main/java/org/teaseltrail/entry/ActionExecutor.java
@@ -86,7 +86,9 @@
   private void conclude(RequestId request, Outcome outcome) {
     metrics.ended(outcome);
     exchanges.remove(request).ifPresent(exchange -> exchange.conclude(outcome));
-    if (!(outcome instanceof Outcome.Completed)) {
+    if (outcome instanceof Outcome.Completed) {
+      exchanges.completed(request);
+    } else {
       exchanges.close(request);
     }
   }
--- a/entry/src/main/java/org/teaseltrail/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryDaemon.java
@@ -51,7 +51,7 @@
 
   private void run(EntryOptions options) {
     parts.loop().onActions(new ActionExecutor(parts));
-    parts.metrics().watch(parts.loop()::status);
+    parts.metrics().watch(parts.loop()::status, parts.exchanges()::callCount);
     parts.shutdown().onCloseListener(() -> server.dispose());
     parts.control().open(options.node().vm(), options.members());
     LOGGER.info("Listens on " + address() + ".");
--- a/entry/src/main/java/org/teaseltrail/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryMetrics.java
@@ -12,7 +12,8 @@
   private final Metrics metrics = new Metrics("teaseltrail-entry");
 
   /** Adds the gauges of what the VM holds. */
-  void watch(Supplier<EntryStatus> status) {
+  void watch(Supplier<EntryStatus> status, Supplier<Number> upstreamCalls) {
+    gauge("teaseltrail.entry.upstream.calls", upstreamCalls);
     gauge("teaseltrail.entry.waiting.requests", () -> status.get().waitingRequests());
     gauge("teaseltrail.entry.running.requests", () -> status.get().runningRequests());
     gauge("teaseltrail.entry.configuration.revision", () -> status.get().revision());
--- a/entry/src/test/java/org/teaseltrail/entry/EntryFlowTest.java
+++ b/entry/src/test/java/org/teaseltrail/entry/EntryFlowTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -50,6 +51,20 @@
     return line.startsWith("id: ") || line.contains("\"outcome\":");
   }
 
+  // After some 30,000 answers a VM stops admitting: its memory is full, and it collects garbage
+  // without end. Each completed request's connection to its engine was still held, and with it the
+  // whole exchange with the caller.
+  @Test
+  void completedRequestLeavesNoConnectionBehind() {
+    world.engine.frames = 3;
+    assertThat(world.generate(QUESTION).statusCode()).isEqualTo(200);
+    world.await(() -> metrics().contains("upstream_calls{program=\"teaseltrail-entry\"} 0.0"));
+  }
+
+  private String metrics() {
+    return world.send("/metrics", HttpRequest.Builder::GET).body();
+  }
+
   // A caller opens a long answer (24 MB) and reads nothing. The engine must not be read to the end
   // into the VM's memory, and other callers are served; when the caller reads on, it gets it whole.
   @Test
--- a/entry/src/test/java/org/teaseltrail/entry/EntryMetricsTest.java
+++ b/entry/src/test/java/org/teaseltrail/entry/EntryMetricsTest.java
@@ -26,6 +26,6 @@
 
   private static void watch(EntryMetrics metrics) {
     EntryStatus status = new EntryStatus(7, 2, 13, 1, 2_500);
-    metrics.watch(() -> status);
+    metrics.watch(() -> status, () -> 3);
   }
 }
