Answer a late grant for an ended request with its end

Change: the VM tells such a request's end once more. A time of zero says that it is no longer known, and nothing is learned from it. Ruled out: a decline as unknown: it would say that nothing ran. A restarted VM under an unexpired session: its life is compared and its work lapses. Before: grantForEndedRequestIsAnsweredByItsEnd fails (one end told instead of two). After: core's tests pass.

--- a/core/src/main/java/org/teaseltrail/core/entry/Dispatcher.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/Dispatcher.java
@@ -12,8 +12,10 @@
 import org.teaseltrail.core.message.ControlMessage.Grant;
 import org.teaseltrail.core.message.ControlMessage.Refused;
 import org.teaseltrail.core.message.DeclineReason;
+import org.teaseltrail.core.message.EndKind;
 import org.teaseltrail.core.message.EntryMessage;
 import org.teaseltrail.core.message.RequestKind;
+import org.teaseltrail.core.message.Usage;
 import org.teaseltrail.core.message.WithdrawReason;
 import org.teaseltrail.core.request.NotRunReason;
 import org.teaseltrail.core.request.Outcome;
@@ -27,6 +29,8 @@
   /** When a caller may come back whose request its upstream refused. */
   static final long REFUSED_RETRY_AFTER_MS = 1_000;
 
+  private static final long UNKNOWN_MS = 0;
+
   private final EntryParts parts;
   private final RequestCloser closer;
 
@@ -49,20 +53,40 @@
     } else if (!parts.session.isValid(nowNs)) {
       decline(member, grant, DeclineReason.NO_SESSION);
     } else if (request.isEmpty()) {
-      declineUnknown(member, grant);
+      answerUnheld(member, grant);
     } else if (request.get().state() == RequestState.WAITING) {
       follow(member, grant, request.get(), nowNs);
     }
   }
 
-  private void declineUnknown(MemberId member, Grant grant) {
-    boolean ranHere =
-        parts.requests.status(grant.request()).map(RequestStatus::dispatched).orElse(false);
-    if (!ranHere) {
+  /**
+   * Answers a grant for a request that no longer lives here.
+   *
+   * <p>Guards against an offer that lay in a cut link while the request ran and ended under another
+   * leader: the next leader reads it late and grants. It shows as places of an upstream that stay
+   * taken for minutes. One that ran here is told as ended once more; any other did not run.
+   */
+  private void answerUnheld(MemberId member, Grant grant) {
+    Optional<RequestStatus> ran =
+        parts.requests.status(grant.request()).filter(RequestStatus::dispatched);
+    if (ran.isPresent()) {
+      parts.ends.send(endOf(ran.get(), grant.upstream()));
+    } else {
       decline(member, grant, DeclineReason.UNKNOWN_REQUEST);
     }
   }
 
+  /** Tells an end again; the time of the answer isn't kept, and zero says so. */
+  private static EntryMessage.Ended endOf(RequestStatus ran, UpstreamId granted) {
+    Optional<Usage> usage =
+        ran.outcome()
+            .filter(Outcome.Completed.class::isInstance)
+            .map(outcome -> ((Outcome.Completed) outcome).usage());
+    EndKind kind = usage.isPresent() ? EndKind.COMPLETED : EndKind.CANCELLED;
+    return new EntryMessage.Ended(
+        ran.request(), granted, kind, usage.orElse(new Usage(0, 0, 0)), UNKNOWN_MS);
+  }
+
   private void follow(MemberId member, Grant grant, Request request, long nowNs) {
     if (parts.upstreams.isLeaving(grant.upstream(), grant.upstreamIncarnation())) {
       decline(member, grant, DeclineReason.LEAVING);
--- a/core/src/main/java/org/teaseltrail/core/message/EntryMessage.java
+++ b/core/src/main/java/org/teaseltrail/core/message/EntryMessage.java
@@ -85,7 +85,7 @@
    * @param upstream the upstream
    * @param kind how
    * @param usage the work done, as far as known
-   * @param sinceDispatchMs time since the dispatch
+   * @param sinceDispatchMs time since the dispatch; zero if it is no longer known
    */
   record Ended(
       RequestId request, UpstreamId upstream, EndKind kind, Usage usage, long sinceDispatchMs)
--- a/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamFleet.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/fleet/UpstreamFleet.java
@@ -237,7 +237,9 @@
     }
     if (ended.kind() == EndKind.COMPLETED) {
       part.upstream().presence().worked();
-      AnswerSamples.completed(part, ended, nowNs);
+      if (ended.sinceDispatchMs() > 0) {
+        AnswerSamples.completed(part, ended, nowNs);
+      }
     }
   }
 
--- a/core/src/test/java/org/teaseltrail/core/entry/EntryNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/entry/EntryNodeTest.java
@@ -125,6 +125,26 @@
     assertThat(lastDecline()).isEqualTo(DeclineReason.NO_SESSION);
   }
 
+  // A pool stands still although its engines are idle. Offers lay in a cut link while their
+  // requests
+  // ran and ended under another leader; the next leader read them late and granted them, and the
+  // VM,
+  // which had nothing to dispatch, said nothing.
+  @Test
+  void grantForEndedRequestIsAnsweredByItsEnd() {
+    RequestId id = vm.arrive(1);
+    vm.dispatch(id);
+    vm.frame(id, end(id, 0));
+    vm.pass(500);
+    vm.welcome(C1, 1, 5);
+    vm.join(C2, 2, 5);
+    vm.grant(C2, id, 2);
+
+    assertThat(vm.transmits(id)).isEqualTo(1);
+    assertThat(vm.told(EntryMessage.Ended.class)).hasSize(2);
+    assertThat(vm.told(EntryMessage.Ended.class).get(1).kind()).isEqualTo(EndKind.COMPLETED);
+  }
+
   @Test
   void grantForUnknownRequestIsDeclined() {
     vm.grant(C1, new RequestId("r-other"), 1);
