Let the report of an end say whether its time is known

Cause: reading the change again: 'a time of zero is not known' stood in three places, a constant in Dispatcher and two bare comparisons in the scheduler. Change: the message itself says it (Ended.UNKNOWN_MS, knowsTime). Behaviour stays: the comparison is the same, greater than zero. Ruled out: merging core's Millis and Nanos, its twin found beside it. One saturates and the other doesn't, so that is a change of behaviour.

--- a/core/src/main/java/org/teaseltrail/core/entry/Dispatcher.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/Dispatcher.java
@@ -29,8 +29,6 @@
   /** When a caller may come back whose request its upstream refused. */
   static final long REFUSED_RETRY_AFTER_MS = 1_000;
 
-  private static final long UNKNOWN_MS = 0;
-
   private final EntryParts parts;
   private final RequestCloser closer;
 
@@ -84,7 +82,11 @@
             .map(outcome -> ((Outcome.Completed) outcome).usage());
     EndKind kind = usage.isPresent() ? EndKind.COMPLETED : EndKind.CANCELLED;
     return new EntryMessage.Ended(
-        ran.request(), granted, kind, usage.orElse(new Usage(0, 0, 0)), UNKNOWN_MS);
+        ran.request(),
+        granted,
+        kind,
+        usage.orElse(new Usage(0, 0, 0)),
+        EntryMessage.Ended.UNKNOWN_MS);
   }
 
   private void follow(MemberId member, Grant grant, Request request, long nowNs) {
--- a/core/src/main/java/org/teaseltrail/core/message/EntryMessage.java
+++ b/core/src/main/java/org/teaseltrail/core/message/EntryMessage.java
@@ -89,7 +89,16 @@
    */
   record Ended(
       RequestId request, UpstreamId upstream, EndKind kind, Usage usage, long sinceDispatchMs)
-      implements EntryMessage {}
+      implements EntryMessage {
+
+    /** Stands for a time since the dispatch that is no longer known. */
+    public static final long UNKNOWN_MS = 0;
+
+    /** Returns whether the time since the dispatch is known. */
+    public boolean knowsTime() {
+      return sinceDispatchMs > UNKNOWN_MS;
+    }
+  }
 
   /**
    * Tells a new leader of a request that was dispatched under an older one.
