--- a/control/src/main/java/org/teaseltrail/control/ActionRunner.java
+++ b/control/src/main/java/org/teaseltrail/control/ActionRunner.java
@@ -39,6 +39,8 @@
       targets.peers().send(send.envelope());
     } else if (action instanceof ControlAction.SendNotLeader send) {
       targets.entryVms().send(send.vm(), send.message());
+    } else if (action instanceof ControlAction.SendServing send) {
+      targets.servingVms().send(send.vm(), send.reply());
     } else if (action instanceof ControlAction.Reply reply) {
       targets.calls().reply(reply.callId(), reply.result());
     } else if (action instanceof ControlAction.LogDecision log) {
@@ -48,8 +50,7 @@
     } else if (action instanceof ControlAction.HandOverRefused) {
       handedOver.countDown();
     } else if (action instanceof ControlAction.MembershipChanged changed) {
-      targets.peers().members(changed.membership());
-      targets.hint().members(changed.membership());
+      targets.group().members(changed.membership());
     }
   }
 
@@ -78,6 +79,8 @@
   private void runOutward(ControlAction action) {
     if (action instanceof ControlAction.SendEntry send) {
       targets.entryVms().send(send.vm(), send.message());
+    } else if (action instanceof ControlAction.SendServing send) {
+      targets.servingVms().send(send.vm(), send.reply());
     } else if (action instanceof ControlAction.SendOrder send) {
       targets.orders().send(send.order());
     }
@@ -86,6 +89,7 @@
   private void leadershipChanged(ControlAction.LeadershipChanged changed) {
     serving = changed.serving();
     leaderKnown = changed.serving() || changed.leader().isPresent();
+    targets.group().leader(changed.leader());
     targets.metrics().leadership(changed.serving(), changed.term());
     String leader = changed.leader().map(Object::toString).orElse("none");
     logger.info("Term " + changed.term() + ", leader " + leader + ", serving " + serving + ".");
--- a/control/src/main/java/org/teaseltrail/control/ActionTargets.java
+++ b/control/src/main/java/org/teaseltrail/control/ActionTargets.java
@@ -1,5 +1,10 @@
 package org.teaseltrail.control;
 
+import org.teaseltrail.core.message.ControlMessage;
+import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
+
 /**
  * Holds where actions go.
  *
@@ -7,17 +12,19 @@
  * @param snapshots encodes snapshots
  * @param peers other members
  * @param entryVms entry VMs
+ * @param servingVms entry VMs that place requests themselves
  * @param orders engines
  * @param calls operators
- * @param hint tells operators of the leader
  * @param metrics counts
+ * @param group who must know of the members and the leader
  */
 record ActionTargets(
     WriteLoop writes,
     SnapshotEncoder snapshots,
     PeerLinks peers,
-    EntryConnections entryVms,
+    VmConnections<EntryMessage, ControlMessage> entryVms,
+    VmConnections<ServingMessage, ServingReply> servingVms,
     OrderClient orders,
     OperatorCalls calls,
-    LeaderHint hint,
-    ControlMetrics metrics) {}
+    ControlMetrics metrics,
+    GroupTargets group) {}
--- a/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
@@ -4,21 +4,31 @@
 import io.grpc.netty.NettyServerBuilder;
 import java.io.IOException;
 import java.security.SecureRandom;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.teaseltrail.core.control.ControlEvent;
 import org.teaseltrail.core.control.ControlMember;
+import org.teaseltrail.core.control.OperatorRequest;
+import org.teaseltrail.core.control.OperatorResult;
+import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.message.ControlMessage;
 import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.message.GroupMessage;
+import org.teaseltrail.core.message.GroupReply;
 import org.teaseltrail.core.replication.Member;
 import org.teaseltrail.core.replication.Replica;
 import org.teaseltrail.core.replication.ReplicaSettings;
 import org.teaseltrail.core.schedule.PoolScheduler;
 import org.teaseltrail.core.schedule.SchedulerSettings;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.upstream.SocketAddress;
+import org.teaseltrail.runtime.clock.SuspendAwareClock;
 import org.teaseltrail.runtime.log.PartLogger;
 import org.teaseltrail.runtime.process.ExitCode;
+import org.teaseltrail.runtime.process.ProgramException;
 import org.teaseltrail.runtime.process.RunningProgram;
 import org.teaseltrail.storage.StorageException;
 import org.teaseltrail.storage.StorageFolder;
@@ -30,16 +40,19 @@
 import org.teaseltrail.wire.SpeakerKind;
 
 /** Is a running control member. */
-final class ControlDaemon implements RunningProgram {
+public final class ControlDaemon implements RunningProgram {
 
   private static final long OPERATOR_END_MS = 1_000;
 
   private final PartLogger logger = new PartLogger("control");
   private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
-  private final MonotonicClock clock = new MonotonicClock();
+  private final SuspendAwareClock clock = new SuspendAwareClock();
   private final ControlLoop loop = new ControlLoop(clock);
   private final MessageCodec codec = new MessageCodec();
-  private final EntryConnections entryVms = new EntryConnections(loop::post);
+  private final VmConnections<EntryMessage, ControlMessage> entryVms =
+      new VmConnections<>(ControlEvent.FromEntry::new, loop::post);
+  private final VmConnections<ServingMessage, ServingReply> servingVms =
+      new VmConnections<>((vm, message) -> new ControlEvent.FromServingVm(message), loop::post);
   private final OperatorCalls calls = new OperatorCalls(loop::post);
   private final ControlMetrics metrics = new ControlMetrics(entryVms, loop);
   private final PeerLinks peers;
@@ -48,17 +61,29 @@
   private final SnapshotEncoder snapshots;
   private final ActionRunner runner;
   private final FrameServer frames;
-  private final Server operators;
+  private final Optional<Server> operators;
+  private final Optional<GroupJoiner> joiner;
+  private final GroupTargets group;
   private final HealthServer health;
 
   private ControlDaemon(ControlOptions options, StorageFolder folder) throws IOException {
     RandomGenerator random = new SecureRandom();
     Member member = folder.identity().member();
-    peers = new PeerLinks(member, options.members(), codec, random, loop::post);
+    VmDirectory directory =
+        options.formation().isPresent()
+            ? VmDirectory.byName()
+            : VmDirectory.listed(options.members());
+    peers = new PeerLinks(member, directory, codec, random, loop::post);
     hint = new LeaderHint(member.id(), options.operatorAddresses());
     writes = new WriteLoop(folder, loop::post, this::storageFailed);
-    ControlMember decisions = decisions(options, folder, random);
+    final ControlMember decisions = decisions(options, folder, random);
     snapshots = new SnapshotEncoder(new MessagePackStateCodec(codec), loop::post, this::loopFailed);
+    joiner =
+        options
+            .formation()
+            .map(formation -> new GroupJoiner(options.group(), member, formation, codec, random));
+    GroupDesk desk = new GroupDesk(options.group(), loop::post);
+    group = new GroupTargets(peers, hint, desk, joiner);
     runner =
         new ActionRunner(
             new ActionTargets(
@@ -66,20 +91,25 @@
                 snapshots,
                 peers,
                 entryVms,
+                servingVms,
                 new OrderClient(loop::post),
                 calls,
-                hint,
-                metrics),
+                metrics,
+                group),
             () -> decisions.leaseHolds(clock.nowNs()));
-    frames = FrameServer.listen(address(options), FrameLimits.standard(), codec, entry(), peer());
-    operators =
-        NettyServerBuilder.forAddress(options.listenOperators())
-            .addService(new OperatorService(options.region(), calls, hint))
-            .build()
-            .start();
+    frames =
+        FrameServer.listen(
+            address(options),
+            FrameLimits.standard(),
+            codec,
+            entry(),
+            serving(),
+            peer(),
+            joining(desk));
+    operators = operators(options);
     health = new HealthServer(options.listenMetrics(), runner::knowsLeader, metrics::scrape);
     writes.start();
-    peers.connect();
+    options.members().forEach(peer -> peers.connect(peer.vm()));
     loop.start(decisions, runner::run, runner::flush, this::loopFailed);
     loop.post(new ControlEvent.Tick());
     logger.info(
@@ -87,8 +117,7 @@
             + member.id()
             + " listens on "
             + options.listen()
-            + ", for operators on "
-            + options.listenOperators()
+            + options.listenOperators().map(at -> ", for operators on " + at).orElse("")
             + ".");
   }
 
@@ -102,6 +131,36 @@
     return new ControlDaemon(options, folder);
   }
 
+  /**
+   * Starts a member of a group that forms itself.
+   *
+   * @param options its settings, those of the formation among them
+   * @return the running member
+   * @throws ProgramException if it can't start
+   */
+  public static ControlDaemon start(ControlOptions options) throws ProgramException {
+    return ControlProgram.start(options, StartMode.GO_ON);
+  }
+
+  /**
+   * Asks the member for something.
+   *
+   * @param request what is asked for
+   * @return the answer, which may take as long as a quorum can't be reached
+   */
+  public CompletableFuture<OperatorResult> call(OperatorRequest request) {
+    return calls.call(request);
+  }
+
+  /**
+   * Returns the VM of the leader.
+   *
+   * @return the VM, this one too, if the member knows a leader
+   */
+  public Optional<VmId> leaderVm() {
+    return group.leaderVm();
+  }
+
   @Override
   public CompletableFuture<ExitCode> ended() {
     return ended;
@@ -112,9 +171,10 @@
   public void close() {
     loop.post(new ControlEvent.HandOver());
     runner.awaitHandOver();
-    operators.shutdown();
+    operators.ifPresent(Server::shutdown);
     calls.end();
-    awaitOperators();
+    operators.ifPresent(ControlDaemon::awaitOperators);
+    joiner.ifPresent(GroupJoiner::close);
     loop.stop();
     frames.close();
     peers.close();
@@ -149,6 +209,28 @@
         SpeakerKind.ENTRY_VM, EntryMessage.class, ControlMessage.class, entryVms);
   }
 
+  private FrameEndpoint<?, ?> serving() {
+    return new FrameEndpoint<>(
+        SpeakerKind.SERVING_VM, ServingMessage.class, ServingReply.class, servingVms);
+  }
+
+  private static FrameEndpoint<?, ?> joining(GroupDesk desk) {
+    return new FrameEndpoint<>(
+        SpeakerKind.JOINING_MEMBER, GroupMessage.class, GroupReply.class, desk);
+  }
+
+  private Optional<Server> operators(ControlOptions options) throws IOException {
+    if (options.listenOperators().isEmpty()) {
+      return Optional.empty();
+    }
+    OperatorService service = new OperatorService(options.region(), calls, hint);
+    return Optional.of(
+        NettyServerBuilder.forAddress(options.listenOperators().get())
+            .addService(service)
+            .build()
+            .start());
+  }
+
   private FrameEndpoint<?, ?> peer() {
     return peers.endpoint();
   }
@@ -157,7 +239,7 @@
     return new SocketAddress(options.listen().getHostString(), options.listen().getPort());
   }
 
-  private void awaitOperators() {
+  private static void awaitOperators(Server operators) {
     try {
       operators.awaitTermination(OPERATOR_END_MS, TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
--- a/control/src/main/java/org/teaseltrail/control/ControlLoop.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlLoop.java
@@ -10,6 +10,7 @@
 import org.teaseltrail.core.control.ControlAction;
 import org.teaseltrail.core.control.ControlEvent;
 import org.teaseltrail.core.control.ControlMember;
+import org.teaseltrail.runtime.clock.SuspendAwareClock;
 
 /** Owns the member: one thread feeds it events and ticks, and passes its actions on in order. */
 final class ControlLoop {
@@ -21,7 +22,7 @@
   private static final long END_MS = 2_000;
 
   private final BlockingQueue<ControlEvent> queue = new LinkedBlockingQueue<>();
-  private final MonotonicClock clock;
+  private final SuspendAwareClock clock;
   private final Thread thread = new Thread(this::run, "control");
   private ControlMember member;
   private Consumer<ControlAction> actions;
@@ -29,7 +30,7 @@
   private Consumer<Throwable> failed;
   private volatile boolean ending;
 
-  ControlLoop(MonotonicClock clock) {
+  ControlLoop(SuspendAwareClock clock) {
     this.clock = clock;
   }
 
--- a/control/src/main/java/org/teaseltrail/control/ControlMetrics.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlMetrics.java
@@ -16,14 +16,14 @@
   private final AtomicLong leading = new AtomicLong();
   private final AtomicLong term = new AtomicLong();
 
-  ControlMetrics(EntryConnections entryVms, ControlLoop loop) {
+  ControlMetrics(VmConnections<?, ?> entryVms, ControlLoop loop) {
     MeterRegistry registry = metrics.registry();
     for (DecisionKind kind : DecisionKind.values()) {
       decisions.put(kind, registry.counter("teaseltrail.decisions", "kind", kind.name()));
     }
     registry.gauge("teaseltrail.leading", leading);
     registry.gauge("teaseltrail.term", term);
-    registry.gauge("teaseltrail.entry.connections", entryVms, EntryConnections::count);
+    registry.gauge("teaseltrail.entry.connections", entryVms, VmConnections::count);
     registry.gauge("teaseltrail.control.events.queued", loop, ControlLoop::queued);
   }
 
--- a/control/src/main/java/org/teaseltrail/control/ControlOptions.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlOptions.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import org.teaseltrail.core.claim.ClaimLimits;
 import org.teaseltrail.core.control.ControlSettings;
 import org.teaseltrail.core.control.PlacementSettings;
@@ -19,24 +20,26 @@
  * @param region where it stands
  * @param group its group
  * @param listen address for entry VMs and members
- * @param listenOperators address for operators
+ * @param listenOperators address for operators; empty if none are served
  * @param listenMetrics address for health checks and metrics
  * @param members all VMs with members
  * @param operatorAddresses where the members take operators' calls
  * @param data folder of the member's state
  * @param control what the member does while it leads
+ * @param formation how the group forms by itself; empty if operators begin and change it
  */
-record ControlOptions(
+public record ControlOptions(
     VmId vm,
     RegionId region,
     GroupId group,
     InetSocketAddress listen,
-    InetSocketAddress listenOperators,
+    Optional<InetSocketAddress> listenOperators,
     InetSocketAddress listenMetrics,
     List<PeerAddress> members,
     List<PeerAddress> operatorAddresses,
     Path data,
-    ControlSettings control) {
+    ControlSettings control,
+    Optional<FormationOptions> formation) {
 
   private static final long CLAIM_EXPIRY_EVERY_MS = 10_000;
 
@@ -46,12 +49,13 @@
         settings.get(ControlProgramSettings.REGION),
         settings.get(ControlProgramSettings.GROUP),
         settings.get(ControlProgramSettings.LISTEN),
-        settings.get(ControlProgramSettings.LISTEN_OPERATORS),
+        Optional.of(settings.get(ControlProgramSettings.LISTEN_OPERATORS)),
         settings.get(ControlProgramSettings.LISTEN_METRICS),
         settings.get(ControlProgramSettings.MEMBERS),
         settings.get(ControlProgramSettings.OPERATOR_ADDRESSES),
         settings.get(ControlProgramSettings.DATA),
-        control(settings));
+        control(settings),
+        Optional.empty());
   }
 
   private static ControlSettings control(Settings settings) {
@@ -65,6 +69,12 @@
             settings.get(ControlProgramSettings.LOAD_SPACING).toMillis(),
             settings.get(ControlProgramSettings.ORDER_TIMEOUT).toMillis());
     return new ControlSettings(
-        SessionSettings.DEFAULT, claims, CLAIM_EXPIRY_EVERY_MS, placement, System.nanoTime());
+        SessionSettings.DEFAULT,
+        claims,
+        CLAIM_EXPIRY_EVERY_MS,
+        placement,
+        System.nanoTime(),
+        ControlSettings.DEFAULT_QUOTA_WINDOW_MS,
+        Optional.empty());
   }
 }
--- a/control/src/main/java/org/teaseltrail/control/ControlProgram.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlProgram.java
@@ -42,7 +42,11 @@
   @Override
   public RunningProgram start(Settings settings, Namespace arguments) throws ProgramException {
     ControlOptions options = ControlOptions.of(settings);
-    StartMode mode = StartMode.of(arguments.getBoolean(NEW_GROUP), arguments.getBoolean(JOIN));
+    return start(
+        options, StartMode.of(arguments.getBoolean(NEW_GROUP), arguments.getBoolean(JOIN)));
+  }
+
+  static ControlDaemon start(ControlOptions options, StartMode mode) throws ProgramException {
     StorageFolder folder = open(options, mode);
     try {
       return ControlDaemon.start(options, folder);
--- /dev/null
+++ b/control/src/main/java/org/teaseltrail/control/GroupDesk.java
@@ -0,0 +1,46 @@
+package org.teaseltrail.control;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.teaseltrail.core.control.ControlEvent;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.message.GroupMessage;
+import org.teaseltrail.core.message.GroupReply;
+import org.teaseltrail.core.replication.GroupId;
+import org.teaseltrail.core.replication.Member;
+import org.teaseltrail.core.replication.Membership;
+import org.teaseltrail.wire.CloseReason;
+import org.teaseltrail.wire.FrameConnection;
+import org.teaseltrail.wire.FrameListener;
+
+/** Takes the requests of members that want to belong to the group, and tells them who does. */
+final class GroupDesk implements FrameListener<GroupMessage, GroupReply> {
+
+  private final GroupId group;
+  private final Consumer<ControlEvent> events;
+  private volatile List<VmId> known = List.of();
+
+  GroupDesk(GroupId group, Consumer<ControlEvent> events) {
+    this.group = group;
+    this.events = events;
+  }
+
+  void members(Membership membership) {
+    known = membership.all().map(Member::vm).distinct().toList();
+  }
+
+  @Override
+  public void opened(FrameConnection<GroupMessage, GroupReply> connection) {}
+
+  @Override
+  public void received(FrameConnection<GroupMessage, GroupReply> connection, GroupMessage message) {
+    GroupMessage.Join join = (GroupMessage.Join) message;
+    if (join.group().equals(group)) {
+      events.accept(new ControlEvent.MemberJoins(join.member()));
+      connection.send(new GroupReply.KnownMembers(known));
+    }
+  }
+
+  @Override
+  public void closed(FrameConnection<GroupMessage, GroupReply> connection, CloseReason reason) {}
+}
--- a/control/src/main/java/org/teaseltrail/control/PeerLinks.java
+++ b/control/src/main/java/org/teaseltrail/control/PeerLinks.java
@@ -1,7 +1,7 @@
 package org.teaseltrail.control;
 
-import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -32,7 +32,7 @@
   private static final long MIN_BACKOFF_MS = 20;
   private static final long MAX_BACKOFF_MS = 500;
 
-  private final Map<VmId, SocketAddress> addresses;
+  private final VmDirectory directory;
   private final Map<VmId, FrameClient<PeerEnvelope, PeerEnvelope>> clients =
       new ConcurrentHashMap<>();
   private final Map<MemberId, FrameConnection<PeerEnvelope, PeerEnvelope>> inbound =
@@ -45,7 +45,7 @@
 
   PeerLinks(
       Member self,
-      List<PeerAddress> peers,
+      VmDirectory directory,
       MessageCodec codec,
       RandomGenerator random,
       Consumer<ControlEvent> events) {
@@ -53,17 +53,29 @@
     this.codec = codec;
     this.random = random;
     this.events = events;
-    addresses = peers.stream().collect(Collectors.toMap(PeerAddress::vm, PeerAddress::address));
+    this.directory = directory;
   }
 
-  /** Connects to all other VMs of the settings. */
-  void connect() {
-    addresses.forEach(
-        (vm, address) -> {
-          if (!vm.equals(self.vm())) {
-            clients.put(vm, client(address));
-          }
-        });
+  /** Connects to a VM, unless it is this one or connected already. */
+  void connect(VmId vm) {
+    if (!vm.equals(self.vm())) {
+      directory.find(vm).ifPresent(address -> clients.computeIfAbsent(vm, key -> client(address)));
+    }
+  }
+
+  /** Ends the connections to VMs that hold no member any longer. */
+  void retain(Membership membership) {
+    Set<VmId> wanted = membership.all().map(Member::vm).collect(Collectors.toSet());
+    clients
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean left = !wanted.contains(entry.getKey());
+              if (left) {
+                entry.getValue().close();
+              }
+              return left;
+            });
   }
 
   FrameEndpoint<PeerEnvelope, PeerEnvelope> endpoint() {
@@ -73,6 +85,7 @@
 
   void members(Membership membership) {
     membership.all().forEach(member -> vms.put(member.id(), member.vm()));
+    membership.all().map(Member::vm).forEach(this::connect);
   }
 
   /** Sends a message if its receiver's VM is connected; otherwise it is lost. */
--- a/control/src/test/java/org/teaseltrail/control/PeerLinksTest.java
+++ b/control/src/test/java/org/teaseltrail/control/PeerLinksTest.java
@@ -27,7 +27,7 @@
 
   private final List<ControlEvent> events = new ArrayList<>();
   private final PeerLinks links =
-      new PeerLinks(LEARNER, List.of(), null, new Random(1), events::add);
+      new PeerLinks(LEARNER, VmDirectory.listed(List.of()), null, new Random(1), events::add);
   private final FakeConnection connection = new FakeConnection();
 
   /**
--- a/control/src/test/java/org/teaseltrail/control/TestMember.java
+++ b/control/src/test/java/org/teaseltrail/control/TestMember.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.teaseltrail.api.v1.OperatorGrpc;
 import org.teaseltrail.core.control.ControlSettings;
@@ -32,13 +33,15 @@
             new RegionId("prairie"),
             new GroupId("test"),
             address(peers.get(number - 1)),
-            address(operators.get(number - 1)),
+            Optional.of(address(operators.get(number - 1))),
             new InetSocketAddress("127.0.0.1", 0),
             peers,
             operators,
             data.resolve("control-" + number),
-            ControlSettings.DEFAULT);
-    channel = NettyChannelBuilder.forAddress(options.listenOperators()).usePlaintext().build();
+            ControlSettings.DEFAULT,
+            Optional.empty());
+    channel =
+        NettyChannelBuilder.forAddress(options.listenOperators().get()).usePlaintext().build();
   }
 
   /** Returns addresses with ports that were free a moment ago. */
--- a/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
@@ -9,6 +9,7 @@
 import org.teaseltrail.core.replication.PeerEnvelope;
 import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.replication.ReplicaAction;
+import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.state.ClusterSnapshot;
 
 /** Is something that a control member wants done, in the order given. */
@@ -67,6 +68,19 @@
     }
   }
 
+  /**
+   * Send a message to an entry VM that places requests itself.
+   *
+   * @param vm the VM
+   * @param reply the message
+   */
+  record SendServing(VmId vm, ServingReply reply) implements ControlAction {
+    @Override
+    public boolean isOutward() {
+      return !(reply instanceof ServingReply.NotLeading);
+    }
+  }
+
   /**
    * Send an order to an engine.
    *
--- a/core/src/main/java/org/teaseltrail/core/control/ControlEvent.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlEvent.java
@@ -2,7 +2,9 @@
 
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.replication.Member;
 import org.teaseltrail.core.replication.PeerEnvelope;
+import org.teaseltrail.core.serving.ServingMessage;
 
 /** Is something that has happened and that a control member must know. */
 public sealed interface ControlEvent {
@@ -15,6 +17,20 @@
    */
   record FromEntry(VmId vm, EntryMessage message) implements ControlEvent {}
 
+  /**
+   * An entry VM that places requests itself has sent a message.
+   *
+   * @param message the message
+   */
+  record FromServingVm(ServingMessage message) implements ControlEvent {}
+
+  /**
+   * A process runs a member that wants to belong to the group.
+   *
+   * @param member the member
+   */
+  record MemberJoins(Member member) implements ControlEvent {}
+
   /**
    * Another member has sent a message.
    *
--- a/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
@@ -10,8 +10,12 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.message.ControlMessage;
 import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.replication.Member;
+import org.teaseltrail.core.replication.Membership;
 import org.teaseltrail.core.replication.Replica;
 import org.teaseltrail.core.replication.ReplicaEvent;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.state.ChangeResult;
 import org.teaseltrail.core.state.Command;
 import org.teaseltrail.core.state.CommandResult;
@@ -103,6 +107,12 @@
   private void dispatch(ControlEvent event) {
     if (event instanceof ControlEvent.FromEntry from) {
       fromEntry(from.vm(), from.message());
+    } else if (event instanceof ControlEvent.FromServingVm from) {
+      fromServingVm(from.message());
+    } else if (event instanceof ControlEvent.MemberJoins joins) {
+      leadership
+          .flatMap(Leadership::membershipKeeper)
+          .ifPresent(keeper -> keeper.heard(joins.member(), nowNs));
     } else if (event instanceof ControlEvent.FromPeer from) {
       replicated.handle(new ReplicaEvent.PeerReceived(from.envelope()), nowNs);
     } else if (event instanceof ControlEvent.Persisted persisted) {
@@ -132,6 +142,25 @@
     }
   }
 
+  /** A sync is answered at once or not at all, like a hello. */
+  private void fromServingVm(ServingMessage message) {
+    ServingMessage.Sync sync = (ServingMessage.Sync) message;
+    if (leadership.isPresent() && leadership.get().gate().isOpen()) {
+      leadership.get().servingDesk().sync(sync);
+      return;
+    }
+    Membership members = replicated.membership();
+    Optional<VmId> leader =
+        replicated
+            .replica()
+            .leader()
+            .filter(known -> !known.equals(self))
+            .flatMap(members::find)
+            .map(Member::vm);
+    List<VmId> vms = members.all().map(Member::vm).distinct().toList();
+    out.sendNotLeading(sync.vm(), new ServingReply.NotLeading(sync.sequence(), leader, vms));
+  }
+
   /** A hello is answered at once or not at all: it is good only for the time after its sending. */
   private void hello(EntryMessage.Hello hello) {
     if (leadership.isPresent() && leadership.get().gate().isOpen()) {
@@ -169,6 +198,9 @@
       if (accepted) {
         leadership.ifPresent(Leadership::configurationAccepted);
       }
+      if (result instanceof CommandResult.OfServing) {
+        leadership.ifPresent(Leadership::servingChanged);
+      }
     }
 
     @Override
--- a/core/src/main/java/org/teaseltrail/core/control/Leadership.java
+++ b/core/src/main/java/org/teaseltrail/core/control/Leadership.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.Stream;
 import org.teaseltrail.core.claim.ClaimBook;
@@ -15,6 +16,7 @@
 import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.schedule.SchedulerAction;
 import org.teaseltrail.core.schedule.SchedulerEvent;
+import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.session.Sessions;
 import org.teaseltrail.core.state.Command;
 import org.teaseltrail.core.state.CommandResult;
@@ -41,6 +43,8 @@
   private final OrderDesk orderDesk;
   private final PlacementPlanner placement;
   private final ClaimExpiry claimExpiry;
+  private final ServingDesk servingDesk;
+  private final Optional<MembershipKeeper> membershipKeeper;
   private final List<Runnable> retries = new ArrayList<>();
   private boolean active = true;
   private long nowNs;
@@ -60,6 +64,13 @@
     orderDesk = new OrderDesk(context.out(), fencing);
     placement = new PlacementPlanner(settings.placement(), fleet, orderDesk);
     claimExpiry = new ClaimExpiry(this, settings);
+    servingDesk = new ServingDesk(this);
+    membershipKeeper =
+        settings
+            .repair()
+            .map(
+                repair ->
+                    new MembershipKeeper(repair, context.replicated(), context.self(), nowNs));
   }
 
   /** Begins to serve: the schedulers learn the configuration and may not shed yet. */
@@ -110,6 +121,23 @@
     send(vm, new ControlMessage.ConfigurationUpdate(fencing, configuration()));
   }
 
+  /** Pushes what an outside platform has changed to the VMs that place requests themselves. */
+  void servingChanged() {
+    gate.pass(servingDesk::changed);
+  }
+
+  void sendServing(VmId vm, ServingReply reply) {
+    context.out().sendServing(vm, reply);
+  }
+
+  ServingDesk servingDesk() {
+    return servingDesk;
+  }
+
+  Optional<MembershipKeeper> membershipKeeper() {
+    return membershipKeeper;
+  }
+
   void send(VmId vm, ControlMessage message) {
     context.out().sendEntry(vm, message);
   }
@@ -165,7 +193,9 @@
             sessions.nextWakeupNs(nowNs),
             forceWatch.nextWakeupNs(),
             placement.nextWakeupNs(),
-            claimExpiry.nextWakeupNs())
+            claimExpiry.nextWakeupNs(),
+            servingDesk.nextWakeupNs(),
+            membershipKeeper.map(MembershipKeeper::nextWakeupNs).orElse(OptionalLong.empty()))
         .flatMapToLong(OptionalLong::stream)
         .min();
   }
@@ -241,6 +271,8 @@
       placement.plan(configuration(), nowNs);
     }
     claimExpiry.tick(nowNs);
+    servingDesk.tick();
+    membershipKeeper.ifPresent(keeper -> keeper.tick(nowNs));
   }
 
   private void carryOut(SchedulerAction action) {
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorDesk.java
@@ -1,14 +1,22 @@
 package org.teaseltrail.core.control;
 
 import java.util.Optional;
+import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.registry.RegistrationPhase;
 import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.replication.ReplicaEvent;
 import org.teaseltrail.core.state.Command;
 import org.teaseltrail.core.state.CommandResult;
+import org.teaseltrail.core.upstream.SocketAddress;
 
 /** Answers operators' requests on the leader. */
 final class OperatorDesk {
 
+  private static final String UNKNOWN = "unknown";
+
   private final ReplicatedState replicated;
   private final Outbox out;
 
@@ -39,9 +47,63 @@
       leadership.orderDesk().send(callId, order, leadership);
     } else if (request instanceof OperatorRequest.TransferLeadership transfer) {
       transfer(callId, transfer, nowNs);
+    } else if (request instanceof OperatorRequest.PlatformRequest platform) {
+      platform(callId, platform, leadership);
+    }
+  }
+
+  private void platform(
+      long callId, OperatorRequest.PlatformRequest request, Leadership leadership) {
+    long nowNs = leadership.nowNs();
+    long logTimeMs = leadership.logTimeMs(nowNs);
+    if (request instanceof OperatorRequest.InstallPlan install) {
+      propose(callId, new Command.InstallPlan(install.installed(), logTimeMs), nowNs);
+    } else if (request instanceof OperatorRequest.ReadPlan) {
+      replicated.read(new PlanReader(callId), nowNs);
+    } else if (request instanceof OperatorRequest.Heartbeat heartbeat) {
+      heartbeat(callId, heartbeat.heard(), leadership);
+    } else if (request instanceof OperatorRequest.Leave leave) {
+      Registration leaving = knownOrBlank(leave.upstream());
+      propose(callId, new Command.UpstreamLeaves(leaving, logTimeMs), nowNs);
+    }
+  }
+
+  /** Commits a heartbeat that changes something; the others only show that the upstream lives. */
+  private void heartbeat(long callId, Registration heard, Leadership leadership) {
+    leadership.servingDesk().heartbeat(heard);
+    if (replicated.state().registry().wouldChange(heard)) {
+      long nowNs = leadership.nowNs();
+      propose(callId, new Command.RegisterUpstream(heard, leadership.logTimeMs(nowNs)), nowNs);
+    } else {
+      out.reply(callId, new OperatorResult.ServingChanged());
     }
   }
 
+  /**
+   * Returns what is known of an upstream that leaves; of one that never registered only the id, so
+   * that a heartbeat on its way behind the leave finds it gone.
+   */
+  private Registration knownOrBlank(UpstreamId upstream) {
+    return replicated
+        .state()
+        .registry()
+        .find(upstream)
+        .orElseGet(
+            () ->
+                new Registration(
+                    upstream,
+                    new ServiceId(UNKNOWN),
+                    new SocketAddress(UNKNOWN, 0),
+                    new DataCenterId(UNKNOWN),
+                    0,
+                    RegistrationPhase.GONE,
+                    Long.MAX_VALUE));
+  }
+
+  private void propose(long callId, Command command, long nowNs) {
+    replicated.propose(command, new ServingCallback(callId), nowNs);
+  }
+
   /** Hands leadership over before the process ends. */
   void handOver(long nowNs) {
     long id = replicated.register(new HandOverCallback());
@@ -119,6 +181,35 @@
     }
   }
 
+  private final class ServingCallback extends ReplyingCallback {
+    ServingCallback(long callId) {
+      super(callId);
+    }
+
+    @Override
+    public void committed(CommandResult result, long nowNs) {
+      out.reply(callId, new OperatorResult.ServingChanged());
+    }
+  }
+
+  private final class PlanReader implements ReplicatedState.ReadCallback {
+    private final long callId;
+
+    PlanReader(long callId) {
+      this.callId = callId;
+    }
+
+    @Override
+    public void ready() {
+      out.reply(callId, new OperatorResult.PlanRead(replicated.state().plan()));
+    }
+
+    @Override
+    public void refused() {
+      notLeading(callId);
+    }
+  }
+
   private final class MembersCallback extends ReplyingCallback {
     MembersCallback(long callId) {
       super(callId);
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorRequest.java
@@ -7,6 +7,8 @@
 import org.teaseltrail.core.id.MemberId;
 import org.teaseltrail.core.id.Revision;
 import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.plan.InstalledPlan;
+import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.replication.MembershipChange;
 
 /** Is what an operator asks a control member for. */
@@ -68,4 +70,31 @@
    * @param successor the member to lead next, or empty for the one that is least behind
    */
   record TransferLeadership(Optional<MemberId> successor) implements OperatorRequest {}
+
+  /** Comes from an outside platform and its upstreams. */
+  sealed interface PlatformRequest extends OperatorRequest {}
+
+  /**
+   * Install a plan that was checked.
+   *
+   * @param installed the plan
+   */
+  record InstallPlan(InstalledPlan installed) implements PlatformRequest {}
+
+  /** Read the newest plan, confirmed by a quorum after the request came. */
+  record ReadPlan() implements PlatformRequest {}
+
+  /**
+   * Take an upstream's heartbeat in.
+   *
+   * @param heard what it told
+   */
+  record Heartbeat(Registration heard) implements PlatformRequest {}
+
+  /**
+   * Take an upstream's leave in.
+   *
+   * @param upstream the upstream
+   */
+  record Leave(UpstreamId upstream) implements PlatformRequest {}
 }
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorResult.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorResult.java
@@ -7,6 +7,7 @@
 import org.teaseltrail.core.id.MemberId;
 import org.teaseltrail.core.id.Revision;
 import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.plan.InstalledPlan;
 import org.teaseltrail.core.replication.Membership;
 import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.state.ChangeResult;
@@ -103,4 +104,14 @@
    * under the same change id tells.
    */
   record OutcomeOpen() implements OperatorResult {}
+
+  /** What an outside platform or one of its upstreams asked for is done, on a quorum of disks. */
+  record ServingChanged() implements OperatorResult {}
+
+  /**
+   * The newest plan.
+   *
+   * @param installed the plan, or empty if there is none yet
+   */
+  record PlanRead(Optional<InstalledPlan> installed) implements OperatorResult {}
 }
--- a/core/src/main/java/org/teaseltrail/core/control/Outbox.java
+++ b/core/src/main/java/org/teaseltrail/core/control/Outbox.java
@@ -16,6 +16,7 @@
 import org.teaseltrail.core.replication.PeerEnvelope;
 import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.replication.ReplicaAction;
+import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.state.ClusterSnapshot;
 
 /** Collects the actions of one event. */
@@ -63,6 +64,15 @@
     outward(new ControlAction.SendEntry(vm, message));
   }
 
+  void sendServing(VmId vm, ServingReply reply) {
+    outward(new ControlAction.SendServing(vm, reply));
+  }
+
+  /** Tells an entry VM that this member doesn't lead; true without a lease. */
+  void sendNotLeading(VmId vm, ServingReply.NotLeading reply) {
+    actions.add(new ControlAction.SendServing(vm, reply));
+  }
+
   void sendOrder(EngineOrder order) {
     outward(new ControlAction.SendOrder(order));
   }
--- a/core/src/main/java/org/teaseltrail/core/control/ReplicatedState.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ReplicatedState.java
@@ -39,6 +39,13 @@
     void leaderChanged(long nowNs);
   }
 
+  /** Learns what becomes of a read. */
+  interface ReadCallback {
+    void ready();
+
+    void refused();
+  }
+
   private record Appended(long term, ProposalCallback callback) {}
 
   private final Replica replica;
@@ -48,6 +55,7 @@
   private final Deque<ReplicaEvent> inbox = new ArrayDeque<>();
   private final Map<Long, ProposalCallback> proposed = new HashMap<>();
   private final Map<Long, Appended> appended = new TreeMap<>();
+  private final Map<Long, ReadCallback> reads = new HashMap<>();
   private ClusterState state = new ClusterState(ClusterSnapshot.empty());
   private Membership membership = Membership.empty();
   private boolean draining;
@@ -88,6 +96,13 @@
     return lastProposalId;
   }
 
+  /** Asks for a read of all that is committed, confirmed by a quorum from now on. */
+  void read(ReadCallback callback, long nowNs) {
+    lastProposalId++;
+    reads.put(lastProposalId, callback);
+    handle(new ReplicaEvent.ReadBarrier(lastProposalId), nowNs);
+  }
+
   void forget(long proposalId) {
     proposed.remove(proposalId);
   }
@@ -117,6 +132,10 @@
       listener.restored(nowNs);
     } else if (action instanceof ReplicaAction.TakeSnapshot take) {
       out.encodeSnapshot(take.index(), state.snapshot());
+    } else if (action instanceof ReplicaAction.ReadReady ready) {
+      reads.remove(ready.barrierId()).ready();
+    } else if (action instanceof ReplicaAction.ReadRejected rejected) {
+      reads.remove(rejected.barrierId()).refused();
     } else {
       carryOutLeadership(action, nowNs);
     }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
@@ -0,0 +1,196 @@
+package org.teaseltrail.core.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.replication.Member;
+import org.teaseltrail.core.replication.ProposalRejection;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.state.ClusterState;
+import org.teaseltrail.core.state.Command;
+import org.teaseltrail.core.state.CommandResult;
+
+/**
+ * Serves, on the leader, the entry VMs that place requests themselves: confirms their sessions,
+ * pushes the plan and the registrations, and tells each what goes on elsewhere.
+ */
+final class ServingDesk {
+
+  private static final long NS_PER_MS = 1_000_000L;
+
+  /** Silence after which a VM no longer counts; a session's lifetime in the users' settings. */
+  private static final long VM_SILENT_NS = 3_000 * NS_PER_MS;
+
+  /** Time after which a push that shows no effect is sent again: four syncs. */
+  private static final long PUSH_AGAIN_NS = 1_000 * NS_PER_MS;
+
+  /**
+   * Silence after which an upstream is dropped: a dozen of the users' heartbeats of 1.2 s. Entry
+   * VMs notice a dead one much sooner by its failures; one that only can't reach the control
+   * members goes on serving meanwhile.
+   */
+  private static final long UPSTREAM_SILENT_NS = 15_000 * NS_PER_MS;
+
+  private static final long CHECK_EVERY_NS = 1_000 * NS_PER_MS;
+
+  private static final class Vm {
+    private ServingMessage.Sync sync;
+    private long heardNs;
+    private long pushedPlan = ClusterState.NO_PLAN;
+    private long pushedPlanNs;
+    private long pushedRegistry;
+    private long pushedRegistryNs;
+  }
+
+  private final Leadership leadership;
+  private final Map<VmId, Vm> vms = new TreeMap<>(java.util.Comparator.comparing(VmId::value));
+  private final Map<UpstreamId, Long> heartbeatsNs = new HashMap<>();
+  private final QuotaLedger quotas;
+  private long nextCheckNs;
+
+  ServingDesk(Leadership leadership) {
+    this.leadership = leadership;
+    quotas = new QuotaLedger(leadership.context().settings().quotaWindowMs());
+  }
+
+  void sync(ServingMessage.Sync sync) {
+    Vm vm = vms.computeIfAbsent(sync.vm(), id -> new Vm());
+    vm.sync = sync;
+    vm.heardNs = leadership.nowNs();
+    quotas.told(
+        sync.vm(), sync.incarnation(), sync.quotaUsed(), sync.demandPerSecond(), vm.heardNs);
+    pushWhatIsMissing(sync.vm(), vm);
+    leadership.sendServing(sync.vm(), confirmation(sync));
+  }
+
+  /** Pushes what was just committed to all VMs. */
+  void changed() {
+    vms.forEach(this::pushWhatIsMissing);
+  }
+
+  /** Notes an upstream's heartbeat. */
+  void heartbeat(Registration heard) {
+    heartbeatsNs.put(heard.id(), leadership.nowNs());
+  }
+
+  void tick() {
+    long nowNs = leadership.nowNs();
+    if (nowNs < nextCheckNs) {
+      return;
+    }
+    nextCheckNs = nowNs + CHECK_EVERY_NS;
+    vms.entrySet()
+        .removeIf(
+            entry -> {
+              boolean silent = nowNs - entry.getValue().heardNs > VM_SILENT_NS;
+              if (silent) {
+                quotas.forget(entry.getKey(), nowNs);
+              }
+              return silent;
+            });
+    dropSilentUpstreams(nowNs);
+  }
+
+  OptionalLong nextWakeupNs() {
+    return OptionalLong.of(nextCheckNs);
+  }
+
+  private void dropSilentUpstreams(long nowNs) {
+    List<Registration> present = state().registry().present();
+    heartbeatsNs.keySet().removeIf(id -> state().registry().find(id).isEmpty());
+    for (Registration registration : present) {
+      long heardNs = heartbeatsNs.computeIfAbsent(registration.id(), id -> nowNs);
+      if (nowNs - heardNs > UPSTREAM_SILENT_NS) {
+        heartbeatsNs.remove(registration.id());
+        long logTimeMs = leadership.logTimeMs(nowNs);
+        leadership.propose(
+            new Command.DropUpstream(registration.id(), logTimeMs), new Unanswered(), nowNs);
+      }
+    }
+  }
+
+  private void pushWhatIsMissing(VmId id, Vm vm) {
+    pushPlan(id, vm);
+    pushRegistry(id, vm);
+  }
+
+  private void pushPlan(VmId id, Vm vm) {
+    long version = planVersion();
+    boolean missing = vm.sync.planVersion() < version;
+    long nowNs = leadership.nowNs();
+    boolean pushed = vm.pushedPlan == version && nowNs - vm.pushedPlanNs < PUSH_AGAIN_NS;
+    if (!missing || pushed) {
+      return;
+    }
+    vm.pushedPlan = version;
+    vm.pushedPlanNs = nowNs;
+    leadership.sendServing(
+        id, new ServingReply.PlanUpdate(leadership.fencing(), state().plan().orElseThrow().plan()));
+  }
+
+  private void pushRegistry(VmId id, Vm vm) {
+    long revision = state().registry().revision();
+    boolean missing = vm.sync.registryRevision() < revision;
+    long nowNs = leadership.nowNs();
+    boolean pushed = vm.pushedRegistry == revision && nowNs - vm.pushedRegistryNs < PUSH_AGAIN_NS;
+    if (!missing || pushed) {
+      return;
+    }
+    vm.pushedRegistry = revision;
+    vm.pushedRegistryNs = nowNs;
+    leadership.sendServing(
+        id,
+        new ServingReply.RegistryUpdate(
+            leadership.fencing(), revision, state().registry().present()));
+  }
+
+  private ServingReply.Confirmed confirmation(ServingMessage.Sync sync) {
+    Map<UpstreamId, Integer> elsewhere = new HashMap<>();
+    vms.forEach(
+        (id, vm) -> {
+          if (!id.equals(sync.vm())) {
+            vm.sync.inFlight().forEach((up, count) -> elsewhere.merge(up, count, Integer::sum));
+          }
+        });
+    Map<CustomerId, Double> quotaShares = quotas.sharesOf(sync.vm());
+    return new ServingReply.Confirmed(
+        leadership.fencing(),
+        sync.sequence(),
+        planVersion(),
+        state().registry().revision(),
+        vms.size(),
+        memberVms(),
+        elsewhere,
+        quotas.usedElsewhere(sync.vm(), leadership.nowNs()),
+        quotaShares);
+  }
+
+  private List<VmId> memberVms() {
+    return leadership.context().replicated().membership().all().map(Member::vm).distinct().toList();
+  }
+
+  private long planVersion() {
+    return state().plan().map(held -> held.plan().version()).orElse(ClusterState.NO_PLAN);
+  }
+
+  private ClusterState state() {
+    return leadership.context().replicated().state();
+  }
+
+  /** Is for steps that nobody waits for and that are tried again by themselves. */
+  private static final class Unanswered implements ProposalCallback {
+
+    @Override
+    public void committed(CommandResult result, long nowNs) {}
+
+    @Override
+    public void rejected(ProposalRejection reason, long nowNs) {}
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/ControlTies.java
@@ -0,0 +1,93 @@
+package org.teaseltrail.core.forward;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.serving.ServingSession;
+
+/** Keeps this VM's session with the control members: whom to ask, and when. */
+final class ControlTies {
+
+  private static final long NS_PER_MS = 1_000_000L;
+
+  /** Missed syncs after which the leader counts as lost and all members are asked. */
+  private static final int PATIENCE_SYNCS = 3;
+
+  private final ForwardSettings settings;
+  private final ServingSession session;
+  private final Set<VmId> members = new LinkedHashSet<>();
+  private long nextSyncNs;
+
+  ControlTies(ForwardSettings settings) {
+    this.settings = settings;
+    session = new ServingSession(settings.sessionLifetimeMs());
+    members.addAll(settings.seeds());
+  }
+
+  ServingSession session() {
+    return session;
+  }
+
+  List<VmId> members() {
+    return List.copyOf(members);
+  }
+
+  long nextSyncNs() {
+    return nextSyncNs;
+  }
+
+  /** Returns the syncs that are due: one to the leader, or one to each member if none is known. */
+  List<ForwardAction> due(ForwardNode node, long nowNs) {
+    if (nowNs < nextSyncNs) {
+      return List.of();
+    }
+    nextSyncNs = nowNs + settings.syncEveryMs() * NS_PER_MS;
+    long patienceNs = PATIENCE_SYNCS * settings.syncEveryMs() * NS_PER_MS;
+    Optional<VmId> leader = session.leader(nowNs, patienceNs);
+    List<VmId> asked = leader.map(List::of).orElseGet(this::members);
+    List<ForwardAction> syncs = new ArrayList<>();
+    for (VmId member : asked) {
+      long sequence = session.sending(member, nowNs);
+      syncs.add(new ForwardAction.SendControl(member, sync(node, sequence, nowNs)));
+    }
+    return syncs;
+  }
+
+  /**
+   * Learns of members.
+   *
+   * @return whether the set has changed
+   */
+  boolean learn(ServingReply reply) {
+    if (reply instanceof ServingReply.Confirmed confirmed) {
+      Set<VmId> told = new LinkedHashSet<>(confirmed.members());
+      boolean changed = !told.equals(members);
+      members.clear();
+      members.addAll(told);
+      return changed;
+    }
+    return reply instanceof ServingReply.NotLeading other && members.addAll(other.members());
+  }
+
+  /** Asks the seeds again too, once nobody has confirmed the session for its whole lifetime. */
+  boolean fallBackToSeeds(long nowNs) {
+    return !session.isValid(nowNs) && members.addAll(settings.seeds());
+  }
+
+  private ServingMessage.Sync sync(ForwardNode node, long sequence, long nowNs) {
+    return new ServingMessage.Sync(
+        settings.vm(),
+        settings.incarnation(),
+        sequence,
+        node.planVersion(),
+        node.registryRevision(),
+        node.inFlight(),
+        node.quotaUsed(nowNs),
+        node.demandPerSecond(nowNs));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
@@ -0,0 +1,123 @@
+package org.teaseltrail.core.forward;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.teaseltrail.core.registry.RegistrationPhase;
+
+/**
+ * Chooses the upstream for a request: the one with the least work for its size, that which is known
+ * to hold the prompt's parts before others.
+ */
+final class PlacementRule {
+
+  /** Prompt length whose prefill costs as much as a full upstream's queue, in tokens. */
+  private static final double FULL_AFFINITY_TOKENS = 12_000;
+
+  /** Greatest part of an upstream's places that affinity may outweigh. */
+  private static final double MAX_AFFINITY = 0.5;
+
+  /** Draws between equals, so that many VMs with the same view don't all choose the same. */
+  private static final double JITTER = 0.02;
+
+  /** Requests at a plain service's upstream, in relation to its places, beyond which ours wait. */
+  private static final double PLAIN_FILL = 2.0;
+
+  private final RandomGenerator random;
+
+  PlacementRule(RandomGenerator random) {
+    this.random = random;
+  }
+
+  /**
+   * Chooses an upstream.
+   *
+   * @param tracked the request
+   * @param views the service's upstreams
+   * @param engine whether they are engines
+   * @param fill requests at an engine, in relation to its places, beyond which the request waits
+   * @param nowNs monotonic time
+   * @return the upstream, or empty if the request must wait
+   */
+  Optional<UpstreamView> choose(
+      TrackedForward tracked,
+      Collection<UpstreamView> views,
+      boolean engine,
+      double fill,
+      long nowNs) {
+    List<UpstreamView> usable = usable(tracked, views, nowNs);
+    double allowedFill = engine ? fill : PLAIN_FILL;
+    Optional<String> home =
+        engine ? lastPart(tracked).flatMap(part -> homeOf(part, usable)) : Optional.empty();
+    UpstreamView best = null;
+    double bestScore = Double.POSITIVE_INFINITY;
+    for (UpstreamView view : usable) {
+      int slots = Math.max(1, view.registration().slots());
+      if (view.load() >= allowedFill * slots) {
+        continue;
+      }
+      double score = (view.load() + 1.0) / slots / view.goodShare() + random.nextDouble() * JITTER;
+      boolean isHome = home.isPresent() && home.get().equals(view.registration().id().value());
+      score -= isHome ? affinity(tracked) : 0;
+      if (score < bestScore) {
+        best = view;
+        bestScore = score;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /** Tells whether any upstream could take the request, now or when it has room. */
+  boolean hasUsable(TrackedForward tracked, Collection<UpstreamView> views, long nowNs) {
+    return !usable(tracked, views, nowNs).isEmpty();
+  }
+
+  private static List<UpstreamView> usable(
+      TrackedForward tracked, Collection<UpstreamView> views, long nowNs) {
+    List<UpstreamView> untried =
+        views.stream()
+            .filter(view -> view.registration().phase() == RegistrationPhase.READY)
+            .filter(view -> !view.isMisdirected())
+            .filter(view -> !tracked.hasTried(view.registration().id()))
+            .toList();
+    List<UpstreamView> trusted = untried.stream().filter(view -> view.isTrusted(nowNs)).toList();
+    return trusted.isEmpty() ? untried : trusted;
+  }
+
+  private static Optional<String> lastPart(TrackedForward tracked) {
+    List<PromptPart> prompt = tracked.request().prompt();
+    return prompt.isEmpty() ? Optional.empty() : Optional.of(prompt.get(prompt.size() - 1).id());
+  }
+
+  private static double affinity(TrackedForward tracked) {
+    int tokens = tracked.request().promptTokens().orElse(0);
+    return Math.min(MAX_AFFINITY, tokens / FULL_AFFINITY_TOKENS);
+  }
+
+  /**
+   * Returns the upstream where a prompt's parts are looked for first. All VMs find the same without
+   * speaking (rendezvous hashing, Thaler and Ravishankar, 1998), and little moves when an upstream
+   * comes or goes.
+   */
+  private static Optional<String> homeOf(String part, List<UpstreamView> usable) {
+    String home = null;
+    long greatest = Long.MIN_VALUE;
+    for (UpstreamView view : usable) {
+      String id = view.registration().id().value();
+      long weight = mix(part.hashCode() * 31L + id.hashCode());
+      if (weight > greatest) {
+        greatest = weight;
+        home = id;
+      }
+    }
+    return Optional.ofNullable(home);
+  }
+
+  /** Spreads a number over all its bits (the finalizer of SplitMix64, Steele et al., 2014). */
+  private static long mix(long number) {
+    long mixed = (number ^ (number >>> 30)) * 0xbf58476d1ce4e5b9L;
+    mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
+    return mixed ^ (mixed >>> 31);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/QuotaDesk.java
@@ -0,0 +1,84 @@
+package org.teaseltrail.core.forward;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.plan.PlanCustomer;
+import org.teaseltrail.core.plan.ServingPlan;
+import org.teaseltrail.core.serving.ServingReply;
+
+/** Keeps customers' quotas at this VM. */
+final class QuotaDesk {
+
+  private final long windowMs;
+  private final Map<CustomerId, QuotaWindow> windows = new HashMap<>();
+  private Map<CustomerId, Double> usedElsewhere = Map.of();
+  private Map<CustomerId, Double> shares = Map.of();
+  private int vmCount = 1;
+
+  QuotaDesk(long windowMs) {
+    this.windowMs = windowMs;
+  }
+
+  /** Takes what the leader tells. */
+  void told(ServingReply.Confirmed confirmed) {
+    usedElsewhere = confirmed.usedElsewhere();
+    shares = confirmed.quotaShares();
+    vmCount = Math.max(1, confirmed.vmCount());
+    windows.forEach(this::tell);
+  }
+
+  /** Takes a plan's quotas over; what was used stays used. */
+  void configure(ServingPlan plan) {
+    Set<CustomerId> limited =
+        plan.customers().stream()
+            .filter(PlanCustomer::hasQuota)
+            .map(PlanCustomer::id)
+            .collect(Collectors.toSet());
+    windows.keySet().retainAll(limited);
+    for (PlanCustomer customer : plan.customers()) {
+      if (customer.hasQuota()) {
+        QuotaWindow window = windows.computeIfAbsent(customer.id(), this::window);
+        window.configure(customer.quotaPerSecond(), customer.quotaBurst());
+      }
+    }
+  }
+
+  /**
+   * Counts a request.
+   *
+   * @return 0 if it is within the quota, otherwise the time until it would be, in milliseconds
+   */
+  long take(PlanCustomer customer, ForwardRequest request, long nowNs) {
+    QuotaWindow window = windows.get(customer.id());
+    if (window == null) {
+      return 0;
+    }
+    double amount = customer.quotaInTokens() ? request.quotaTokens(customer.plainTokens()) : 1;
+    return window.take(amount, nowNs);
+  }
+
+  Map<CustomerId, Double> usedHere(long nowNs) {
+    Map<CustomerId, Double> used = new HashMap<>();
+    windows.forEach((id, window) -> used.put(id, window.usedHere(nowNs)));
+    return used;
+  }
+
+  Map<CustomerId, Double> demandPerSecond(long nowNs) {
+    Map<CustomerId, Double> demand = new HashMap<>();
+    windows.forEach((id, window) -> demand.put(id, window.demandPerSecond(nowNs)));
+    return demand;
+  }
+
+  private QuotaWindow window(CustomerId id) {
+    QuotaWindow window = new QuotaWindow(windowMs);
+    tell(id, window);
+    return window;
+  }
+
+  private void tell(CustomerId id, QuotaWindow window) {
+    window.told(usedElsewhere.getOrDefault(id, 0.0), shares.getOrDefault(id, 1.0 / vmCount));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/QuotaWindow.java
@@ -0,0 +1,101 @@
+package org.teaseltrail.core.forward;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Is a customer's quota as one VM sees it: what was used here within the window, what the leader
+ * says was used elsewhere, and the part of the rest that this VM may use.
+ *
+ * <p>While much is left, a request passes wherever it comes: what the VMs use between two syncs is
+ * little against it. When little is left, each VM keeps to its part, so that all of them together
+ * can't pass the quota by more than what is under way.
+ */
+final class QuotaWindow {
+
+  private static final double NS_PER_S = 1e9;
+
+  /** Time over which demand is averaged: eight syncs, and a quarter of the users' window. */
+  private static final double DEMAND_WINDOW_S = 2;
+
+  /** Part of a quota that must be left for requests to pass regardless of the VM's part. */
+  private static final double PLENTY = 0.25;
+
+  private record Used(long atNs, double amount) {}
+
+  private final long windowNs;
+  private final Deque<Used> history = new ArrayDeque<>();
+  private double usedHere;
+  private double usedElsewhere;
+  private double takenSinceTold;
+  private double share = 1;
+  private double limit;
+  private double ratePerSecond;
+  private double demandPerSecond;
+  private long lastNs;
+  private boolean begun;
+
+  QuotaWindow(long windowMs) {
+    windowNs = windowMs * 1_000_000L;
+  }
+
+  /** Sets what may be used within the window at all VMs together. */
+  void configure(double newRatePerSecond, double burst) {
+    ratePerSecond = newRatePerSecond;
+    limit = newRatePerSecond * windowNs / NS_PER_S + burst;
+  }
+
+  /** Takes what the leader tells. */
+  void told(double elsewhere, double newShare) {
+    usedElsewhere = elsewhere;
+    share = newShare;
+    takenSinceTold = 0;
+  }
+
+  /**
+   * Takes an amount.
+   *
+   * @return 0 if it was taken, otherwise the time until it may be, in milliseconds
+   */
+  long take(double amount, long nowNs) {
+    pass(nowNs);
+    demandPerSecond += amount / DEMAND_WINDOW_S;
+    double left = limit - usedHere - usedElsewhere;
+    boolean plenty = left - amount >= PLENTY * limit;
+    boolean withinShare = amount + takenSinceTold <= share * (left + takenSinceTold);
+    boolean unused = usedHere + usedElsewhere <= 0;
+    if (plenty || withinShare || unused) {
+      history.addLast(new Used(nowNs, amount));
+      usedHere += amount;
+      takenSinceTold += amount;
+      return 0;
+    }
+    double missing = amount - share * Math.max(0, left);
+    double waitS = missing / Math.max(1, share * ratePerSecond);
+    return Math.max(1, (long) (Math.min(waitS, windowNs / NS_PER_S) * 1_000));
+  }
+
+  /** Returns what was used here within the window. */
+  double usedHere(long nowNs) {
+    pass(nowNs);
+    return usedHere;
+  }
+
+  double demandPerSecond(long nowNs) {
+    pass(nowNs);
+    return demandPerSecond;
+  }
+
+  private void pass(long nowNs) {
+    double passedS = begun ? Math.max(0, (nowNs - lastNs) / NS_PER_S) : 0;
+    begun = true;
+    lastNs = nowNs;
+    demandPerSecond *= Math.exp(-passedS / DEMAND_WINDOW_S);
+    while (!history.isEmpty() && nowNs - history.peekFirst().atNs() > windowNs) {
+      usedHere -= history.removeFirst().amount();
+    }
+    if (history.isEmpty()) {
+      usedHere = 0;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
@@ -0,0 +1,142 @@
+package org.teaseltrail.core.forward;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.plan.PlanCustomer;
+import org.teaseltrail.core.plan.PlanRoute;
+
+/** Is a request that this VM has admitted and not answered yet. */
+final class TrackedForward {
+
+  private static final long NS_PER_MS = 1_000_000L;
+
+  /** Rank of requests without a customer: behind all that pay. */
+  private static final int NO_CUSTOMER_RANK = 1_000;
+
+  private final ForwardRequest request;
+  private final PlanRoute route;
+  private final ServiceId service;
+  private final Optional<PlanCustomer> customer;
+  private final long arrivedNs;
+  private final Set<UpstreamId> tried = new HashSet<>();
+  private Optional<UpstreamView> at = Optional.empty();
+  private int attempts;
+  private int sends;
+  private long sentNs;
+  private boolean maybeRan;
+  private boolean begun;
+
+  TrackedForward(
+      ForwardRequest request,
+      PlanRoute route,
+      ServiceId service,
+      Optional<PlanCustomer> customer,
+      long arrivedNs) {
+    this.request = request;
+    this.route = route;
+    this.service = service;
+    this.customer = customer;
+    this.arrivedNs = arrivedNs;
+  }
+
+  ForwardRequest request() {
+    return request;
+  }
+
+  long number() {
+    return request.number();
+  }
+
+  PlanRoute route() {
+    return route;
+  }
+
+  ServiceId service() {
+    return service;
+  }
+
+  Optional<CustomerId> customer() {
+    return customer.map(PlanCustomer::id);
+  }
+
+  /** Returns the customer's rank, which goes before the route's. */
+  int customerRank() {
+    return customer.map(known -> known.rank().orElse(NO_CUSTOMER_RANK)).orElse(NO_CUSTOMER_RANK);
+  }
+
+  long arrivedNs() {
+    return arrivedNs;
+  }
+
+  /** Returns when the final answer is due: by the route or by the caller, whichever is sooner. */
+  long dueNs() {
+    long allowedMs = Math.min(route.timeoutMs(), request.deadlineMs().orElse(Long.MAX_VALUE));
+    return arrivedNs + allowedMs * NS_PER_MS;
+  }
+
+  /** Returns until when an answer, or a stream's first event, still finds the caller there. */
+  long patientUntilNs() {
+    return begun ? dueNs() : Math.min(dueNs(), arrivedNs + route.patienceMs() * NS_PER_MS);
+  }
+
+  long leftMs(long nowNs) {
+    return Math.max(1, (dueNs() - nowNs) / NS_PER_MS);
+  }
+
+  void sentTo(UpstreamView view, long nowNs) {
+    at = Optional.of(view);
+    attempts++;
+    sends++;
+    sentNs = nowNs;
+    tried.add(view.registration().id());
+  }
+
+  Optional<UpstreamView> at() {
+    return at;
+  }
+
+  long sentNs() {
+    return sentNs;
+  }
+
+  /** Notes that the attempt has ended. */
+  void attemptEnded(AttemptEnd end) {
+    at = Optional.empty();
+    maybeRan |= end.maybeRan();
+    boolean reachedNobody = end == AttemptEnd.NOT_CONNECTED || end == AttemptEnd.MISDIRECTED;
+    if (reachedNobody) {
+      sends--;
+    }
+  }
+
+  /** Returns all attempts, those that reached nobody among them. */
+  int attempts() {
+    return attempts;
+  }
+
+  /** Returns how many upstreams the request was sent to. */
+  int sends() {
+    return sends;
+  }
+
+  boolean hasTried(UpstreamId upstream) {
+    return tried.contains(upstream);
+  }
+
+  boolean maybeRan() {
+    return maybeRan;
+  }
+
+  /** Notes that the caller has got a part of the answer. */
+  void begin() {
+    begun = true;
+  }
+
+  boolean hasBegun() {
+    return begun;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
@@ -0,0 +1,70 @@
+package org.teaseltrail.core.forward;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.registry.Registration;
+
+/** Holds this VM's views of all registered upstreams. */
+final class UpstreamBook {
+
+  private final Map<UpstreamId, UpstreamView> views = new LinkedHashMap<>();
+  private Map<ServiceId, List<UpstreamView>> byService = Map.of();
+  private long revision = -1;
+
+  long revision() {
+    return revision;
+  }
+
+  /** Takes newer registrations over; what is believed of those that stay is kept. */
+  void update(long newRevision, List<Registration> present) {
+    if (newRevision <= revision) {
+      return;
+    }
+    revision = newRevision;
+    Map<UpstreamId, Registration> newer = new LinkedHashMap<>();
+    present.forEach(registration -> newer.put(registration.id(), registration));
+    views.keySet().retainAll(newer.keySet());
+    Map<ServiceId, List<UpstreamView>> grouped = new HashMap<>();
+    newer.forEach(
+        (id, registration) -> {
+          UpstreamView view = views.computeIfAbsent(id, key -> new UpstreamView(registration));
+          view.update(registration);
+          grouped.computeIfAbsent(registration.service(), key -> new ArrayList<>()).add(view);
+        });
+    byService = grouped;
+  }
+
+  /** Notes what the other VMs have at each upstream. */
+  void elsewhere(Map<UpstreamId, Integer> counts) {
+    views.forEach((id, view) -> view.elsewhere(counts.getOrDefault(id, 0)));
+  }
+
+  /** Corrects what the others have at an upstream by what it has told itself. */
+  void loadTold(UpstreamId upstream, int requests) {
+    UpstreamView view = views.get(upstream);
+    if (view != null) {
+      view.elsewhere(Math.max(0, requests - view.own()));
+    }
+  }
+
+  Collection<UpstreamView> of(ServiceId service) {
+    return byService.getOrDefault(service, List.of());
+  }
+
+  Map<UpstreamId, Integer> inFlight() {
+    Map<UpstreamId, Integer> counts = new HashMap<>();
+    views.forEach(
+        (id, view) -> {
+          if (view.own() > 0) {
+            counts.put(id, view.own());
+          }
+        });
+    return counts;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
@@ -0,0 +1,107 @@
+package org.teaseltrail.core.forward;
+
+import org.teaseltrail.core.registry.Registration;
+
+/**
+ * Is what this VM believes of one upstream: what it has there itself, what the others have, and how
+ * its answers went.
+ */
+final class UpstreamView {
+
+  private static final long NS_PER_MS = 1_000_000L;
+
+  /** First time for which a failure keeps requests away; a few of the users' round trips. */
+  private static final long FIRST_AVOIDANCE_MS = 250;
+
+  /** Longest such time; a crashed upstream of the users is back after 3 to 6 s. */
+  private static final long LONGEST_AVOIDANCE_MS = 3_000;
+
+  /** Weight of the newest outcome in the share of good ones: some ten outcomes decide. */
+  private static final double OUTCOME_WEIGHT = 0.1;
+
+  /** Share of good outcomes below which nothing is gained by going on counting. */
+  private static final double LEAST_GOOD_SHARE = 0.05;
+
+  private Registration registration;
+  private int own;
+  private int elsewhere;
+  private double goodShare = 1;
+  private int failuresInRow;
+  private long avoidedUntilNs;
+  private boolean avoided;
+  private boolean misdirected;
+
+  UpstreamView(Registration registration) {
+    this.registration = registration;
+  }
+
+  Registration registration() {
+    return registration;
+  }
+
+  void update(Registration newer) {
+    registration = newer;
+  }
+
+  void elsewhere(int count) {
+    elsewhere = count;
+  }
+
+  int own() {
+    return own;
+  }
+
+  /** Returns the requests that all VMs have there, as far as this one knows. */
+  int load() {
+    return own + elsewhere;
+  }
+
+  void sent() {
+    own++;
+  }
+
+  /** Takes an attempt's end in. */
+  void ended(AttemptEnd end, long nowNs) {
+    own--;
+    if (end == AttemptEnd.MISDIRECTED) {
+      misdirected = true;
+      return;
+    }
+    goodShare += OUTCOME_WEIGHT * ((end.isFailure() ? 0 : 1) - goodShare);
+    goodShare = Math.max(LEAST_GOOD_SHARE, goodShare);
+    boolean silent = end == AttemptEnd.NOT_CONNECTED || end == AttemptEnd.BROKEN;
+    if (!silent) {
+      failuresInRow = 0;
+      avoided = false;
+      return;
+    }
+    avoid(nowNs);
+  }
+
+  /** Takes a timeout or another doubt in: nothing is sent there for a while. */
+  void avoid(long nowNs) {
+    long avoidanceMs =
+        Math.min(LONGEST_AVOIDANCE_MS, FIRST_AVOIDANCE_MS << Math.min(failuresInRow, 4));
+    failuresInRow++;
+    avoided = true;
+    avoidedUntilNs = nowNs + avoidanceMs * NS_PER_MS;
+  }
+
+  /** Takes the end of an attempt that the caller or this VM broke off. */
+  void cancelled() {
+    own--;
+  }
+
+  boolean isMisdirected() {
+    return misdirected;
+  }
+
+  /** Returns whether requests go there now unless there is nothing better. */
+  boolean isTrusted(long nowNs) {
+    return !avoided || nowNs >= avoidedUntilNs;
+  }
+
+  double goodShare() {
+    return goodShare;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/plan/ServingPlan.java
@@ -0,0 +1,27 @@
+package org.teaseltrail.core.plan;
+
+import java.util.List;
+
+/**
+ * Is a whole configuration with the version that its sender gave it. The highest version counts.
+ *
+ * @param version the sender's number; grows in uneven steps
+ * @param routes the routes
+ * @param services the services
+ * @param limits bounds of callers' connections
+ * @param customers the customers
+ */
+public record ServingPlan(
+    long version,
+    List<PlanRoute> routes,
+    List<PlanService> services,
+    ClientLimits limits,
+    List<PlanCustomer> customers) {
+
+  /** Copies the lists. */
+  public ServingPlan {
+    routes = List.copyOf(routes);
+    services = List.copyOf(services);
+    customers = List.copyOf(customers);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/registry/Registration.java
@@ -0,0 +1,51 @@
+package org.teaseltrail.core.registry;
+
+import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.upstream.SocketAddress;
+
+/**
+ * Is what an upstream has told of itself. Each start of an upstream has another id.
+ *
+ * @param id the upstream's life
+ * @param service the service that it belongs to
+ * @param address where it takes requests
+ * @param dataCenter where it stands
+ * @param slots requests that it works on at once
+ * @param phase how far its registration has come
+ * @param sequence grows with each of its heartbeats
+ */
+public record Registration(
+    UpstreamId id,
+    ServiceId service,
+    SocketAddress address,
+    DataCenterId dataCenter,
+    int slots,
+    RegistrationPhase phase,
+    long sequence) {
+
+  /**
+   * Returns the registration in a later phase.
+   *
+   * @param later the phase
+   * @return the changed registration
+   */
+  public Registration in(RegistrationPhase later) {
+    return new Registration(id, service, address, dataCenter, slots, later, sequence);
+  }
+
+  /**
+   * Tells whether two heartbeats say the same but for their number.
+   *
+   * @param other the other
+   * @return true if nothing that decides has changed
+   */
+  public boolean saysSameAs(Registration other) {
+    return withSequence(0).equals(other.withSequence(0));
+  }
+
+  private Registration withSequence(long number) {
+    return new Registration(id, service, address, dataCenter, slots, phase, number);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/registry/RegistryBook.java
@@ -0,0 +1,151 @@
+package org.teaseltrail.core.registry;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.teaseltrail.core.id.UpstreamId;
+
+/**
+ * Holds the registrations of all upstreams; part of the replicated state.
+ *
+ * <p>Guards against work for an upstream that has left: a heartbeat that was delayed on its way
+ * arrives after the upstream's leave was acknowledged, maybe at another leader. The guard: phases
+ * only move on, an older sequence changes nothing, and those that have left are remembered.
+ */
+public final class RegistryBook {
+
+  /** Upstreams that have left and are remembered; bounds the state's size over many releases. */
+  private static final int MAX_GONE = 2_000;
+
+  private final Map<UpstreamId, Registration> registrations = new LinkedHashMap<>();
+  private long revision;
+
+  /**
+   * Builds the book that a snapshot holds.
+   *
+   * @param revision number of changes so far
+   * @param content the registrations, oldest first
+   */
+  public RegistryBook(long revision, List<Registration> content) {
+    this.revision = revision;
+    content.forEach(registration -> registrations.put(registration.id(), registration));
+  }
+
+  /**
+   * Tells whether a heartbeat would change anything but the sequence.
+   *
+   * @param heard the heartbeat
+   * @return true if it must be committed
+   */
+  public boolean wouldChange(Registration heard) {
+    Registration held = registrations.get(heard.id());
+    if (held == null) {
+      return true;
+    }
+    boolean outdated = heard.sequence() < held.sequence();
+    return !outdated && !merged(held, heard).saysSameAs(held);
+  }
+
+  /**
+   * Takes a heartbeat in.
+   *
+   * @param heard the heartbeat
+   */
+  public void register(Registration heard) {
+    if (!wouldChange(heard)) {
+      return;
+    }
+    Registration held = registrations.get(heard.id());
+    registrations.put(heard.id(), held == null ? heard : merged(held, heard));
+    revision++;
+  }
+
+  /**
+   * Takes an upstream's leave in. One that is not known is remembered all the same.
+   *
+   * @param leaving what is known of it
+   */
+  public void leave(Registration leaving) {
+    Registration held = registrations.get(leaving.id());
+    if (held != null && held.phase() == RegistrationPhase.GONE) {
+      return;
+    }
+    Registration known = held == null ? leaving : held;
+    registrations.remove(leaving.id());
+    registrations.put(leaving.id(), known.in(RegistrationPhase.GONE));
+    forgetOldest();
+    revision++;
+  }
+
+  /**
+   * Drops an upstream that has fallen silent; its next heartbeat brings it back.
+   *
+   * @param id the upstream
+   */
+  public void drop(UpstreamId id) {
+    Registration held = registrations.get(id);
+    if (held != null && held.phase() != RegistrationPhase.GONE) {
+      registrations.remove(id);
+      revision++;
+    }
+  }
+
+  /**
+   * Finds a registration.
+   *
+   * @param id the upstream
+   * @return the registration, of one that has left too
+   */
+  public Optional<Registration> find(UpstreamId id) {
+    return Optional.ofNullable(registrations.get(id));
+  }
+
+  /**
+   * Returns those that haven't left.
+   *
+   * @return registrations, oldest first
+   */
+  public List<Registration> present() {
+    return registrations.values().stream()
+        .filter(registration -> registration.phase() != RegistrationPhase.GONE)
+        .toList();
+  }
+
+  /**
+   * Returns all registrations.
+   *
+   * @return those that have left too, oldest first
+   */
+  public Collection<Registration> all() {
+    return List.copyOf(registrations.values());
+  }
+
+  /**
+   * Returns the number of changes so far.
+   *
+   * @return the revision
+   */
+  public long revision() {
+    return revision;
+  }
+
+  private static Registration merged(Registration held, Registration heard) {
+    boolean later = held.phase().compareTo(heard.phase()) > 0;
+    return later ? heard.in(held.phase()) : heard;
+  }
+
+  private void forgetOldest() {
+    List<UpstreamId> gone = new ArrayList<>();
+    registrations.forEach(
+        (id, registration) -> {
+          if (registration.phase() == RegistrationPhase.GONE) {
+            gone.add(id);
+          }
+        });
+    int excess = Math.max(0, gone.size() - MAX_GONE);
+    gone.subList(0, excess).forEach(registrations::remove);
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/replication/LeaderLease.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/LeaderLease.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.teaseltrail.core.id.MemberId;
 
@@ -50,6 +51,11 @@
     }
   }
 
+  OptionalLong answeredNs(MemberId member) {
+    Long sentNs = answeredSentNs.get(member);
+    return sentNs == null ? OptionalLong.empty() : OptionalLong.of(sentNs);
+  }
+
   boolean hasAnsweredSince(MemberId member, long sinceNs) {
     return answeredSentNs.containsKey(member) && answeredSentNs.get(member) >= sinceNs;
   }
--- a/core/src/main/java/org/teaseltrail/core/replication/Leadership.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/Leadership.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import org.teaseltrail.core.id.MemberId;
@@ -49,6 +50,10 @@
     return ready && lease.holds(nowNs);
   }
 
+  OptionalLong answeredNs(MemberId member) {
+    return lease.answeredNs(member);
+  }
+
   long nextWakeupNs() {
     return handOver.isUnderWay()
         ? Math.min(nextHeartbeatNs, handOver.deadlineNs())
--- a/core/src/main/java/org/teaseltrail/core/replication/RecoveredState.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/RecoveredState.java
@@ -55,7 +55,18 @@
    * @return a log with the member set as its first entry
    */
   public static RecoveredState newGroup(Member founder) {
-    LogEntry first = new LogEntry(1, 0, new EntryPayload.MembershipPayload(Membership.of(founder)));
+    return newGroup(Membership.of(founder));
+  }
+
+  /**
+   * Returns the state of each founder of a new group. All founders must begin with the same set: it
+   * is the first entry of all their logs, so that they agree on it without having spoken.
+   *
+   * @param founders the members that vote from the start
+   * @return a log with the member set as its first entry
+   */
+  public static RecoveredState newGroup(Membership founders) {
+    LogEntry first = new LogEntry(1, 0, new EntryPayload.MembershipPayload(founders));
     return new RecoveredState(Vote.none(), Optional.empty(), List.of(first));
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/replication/Replica.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/Replica.java
@@ -183,6 +183,16 @@
     }
   }
 
+  /**
+   * Tells, on a leader, when the newest message was sent that a member has answered.
+   *
+   * @param member the member
+   * @return monotonic time in nanoseconds, or empty if it hasn't answered in this term
+   */
+  public OptionalLong answeredNs(MemberId member) {
+    return leadership.map(leading -> leading.answeredNs(member)).orElse(OptionalLong.empty());
+  }
+
   private static boolean isInstall(PeerMessage message) {
     return message instanceof PeerMessage.InstallSnapshot;
   }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
@@ -0,0 +1,88 @@
+package org.teaseltrail.core.serving;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.plan.ServingPlan;
+import org.teaseltrail.core.registry.Registration;
+
+/** Is a message from a control member to an entry VM that places requests itself. */
+public sealed interface ServingReply {
+
+  /**
+   * Answers a sync: this member doesn't lead.
+   *
+   * @param sequence the sync's
+   * @param leader the leader's VM, if it is known
+   * @param members VMs of all members that this one knows
+   */
+  record NotLeading(long sequence, Optional<VmId> leader, List<VmId> members)
+      implements ServingReply {
+    /** Copies the list. */
+    public NotLeading {
+      members = List.copyOf(members);
+    }
+  }
+
+  /**
+   * Answers a sync: this member leads, its lease holds, and nothing newer than what it names was
+   * acknowledged to anyone when it was sent.
+   *
+   * @param fencing its leadership
+   * @param sequence the sync's
+   * @param planVersion version of the accepted plan
+   * @param registryRevision revision of the accepted registrations
+   * @param vmCount entry VMs with a session
+   * @param members VMs of all members
+   * @param elsewhere requests that the other entry VMs have at each upstream
+   * @param usedElsewhere what each customer with a quota has used at the other entry VMs within the
+   *     quota's window
+   * @param quotaShares the VM's part of what is left of each customer's quota, from 0 to 1
+   */
+  record Confirmed(
+      FencingNumber fencing,
+      long sequence,
+      long planVersion,
+      long registryRevision,
+      int vmCount,
+      List<VmId> members,
+      Map<UpstreamId, Integer> elsewhere,
+      Map<CustomerId, Double> usedElsewhere,
+      Map<CustomerId, Double> quotaShares)
+      implements ServingReply {
+    /** Copies the lists. */
+    public Confirmed {
+      members = List.copyOf(members);
+      elsewhere = Map.copyOf(elsewhere);
+      usedElsewhere = Map.copyOf(usedElsewhere);
+      quotaShares = Map.copyOf(quotaShares);
+    }
+  }
+
+  /**
+   * Carries the accepted plan.
+   *
+   * @param fencing the leadership that confirms it
+   * @param plan the plan
+   */
+  record PlanUpdate(FencingNumber fencing, ServingPlan plan) implements ServingReply {}
+
+  /**
+   * Carries the registrations of all upstreams that haven't left.
+   *
+   * @param fencing the leadership that confirms them
+   * @param revision their revision
+   * @param present the registrations
+   */
+  record RegistryUpdate(FencingNumber fencing, long revision, List<Registration> present)
+      implements ServingReply {
+    /** Copies the list. */
+    public RegistryUpdate {
+      present = List.copyOf(present);
+    }
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/state/ClusterState.java
+++ b/core/src/main/java/org/teaseltrail/core/state/ClusterState.java
@@ -1,5 +1,6 @@
 package org.teaseltrail.core.state;
 
+import java.util.List;
 import java.util.Optional;
 import org.teaseltrail.core.claim.ClaimBook;
 import org.teaseltrail.core.claim.ClaimRecord;
@@ -10,12 +11,18 @@
 import org.teaseltrail.core.invariant.Invariant;
 import org.teaseltrail.core.invariant.InvariantName;
 import org.teaseltrail.core.message.ClaimState;
+import org.teaseltrail.core.plan.InstalledPlan;
+import org.teaseltrail.core.registry.RegistryBook;
 import org.teaseltrail.core.state.Command.AdoptClaim;
 import org.teaseltrail.core.state.Command.ChangeConfiguration;
 import org.teaseltrail.core.state.Command.CompleteClaim;
+import org.teaseltrail.core.state.Command.DropUpstream;
 import org.teaseltrail.core.state.Command.ExpireClaims;
+import org.teaseltrail.core.state.Command.InstallPlan;
 import org.teaseltrail.core.state.Command.OpenClaim;
+import org.teaseltrail.core.state.Command.RegisterUpstream;
 import org.teaseltrail.core.state.Command.ReleaseClaim;
+import org.teaseltrail.core.state.Command.UpstreamLeaves;
 
 /**
  * Is the replicated state. Members that apply the same commands in the same order hold equal states
@@ -23,9 +30,14 @@
  */
 public final class ClusterState {
 
+  /** Stands for the version of a plan that isn't there; versions count from 0. */
+  public static final long NO_PLAN = -1;
+
   private final ChangeHistory changes;
   private final ClaimBook claims;
   private Configuration configuration;
+  private final RegistryBook registry;
+  private Optional<InstalledPlan> plan;
   private long logTimeMs;
 
   /**
@@ -38,6 +50,9 @@
     configuration = snapshot.configuration();
     changes = new ChangeHistory(snapshot.changes());
     claims = ClaimBook.restore(snapshot.claims(), snapshot.claimLimits());
+    ServingState serving = snapshot.serving().orElse(ServingState.empty());
+    plan = serving.plan();
+    registry = new RegistryBook(serving.registryRevision(), serving.registrations());
   }
 
   /**
@@ -64,14 +79,62 @@
     if (command instanceof AdoptClaim adopt) {
       return new CommandResult.OfClaim(claims.adopt(adopt.holder(), adopt.vm(), logTimeMs));
     }
-    ExpireClaims expire = (ExpireClaims) command;
-    return new CommandResult.OfExpiry(claims.expire(expire.limits(), logTimeMs));
+    if (command instanceof ExpireClaims expire) {
+      return new CommandResult.OfExpiry(claims.expire(expire.limits(), logTimeMs));
+    }
+    return applyServing((Command.ServingCommand) command);
+  }
+
+  private CommandResult applyServing(Command.ServingCommand command) {
+    if (command instanceof InstallPlan install) {
+      install(install.installed());
+    } else if (command instanceof RegisterUpstream register) {
+      registry.register(register.heard());
+    } else if (command instanceof UpstreamLeaves leaves) {
+      registry.leave(leaves.leaving());
+    } else if (command instanceof DropUpstream drop) {
+      registry.drop(drop.upstream());
+    }
+    return new CommandResult.OfServing(planVersion(), registry.revision());
+  }
+
+  /**
+   * Guards against a change that was overtaken or comes again: an older version, or other content
+   * under the version held, would take back what was acknowledged since.
+   */
+  private void install(InstalledPlan installed) {
+    if (installed.plan().version() > planVersion()) {
+      plan = Optional.of(installed);
+    }
+  }
+
+  private long planVersion() {
+    return plan.map(held -> held.plan().version()).orElse(NO_PLAN);
+  }
+
+  private ServingState serving() {
+    return new ServingState(plan, registry.revision(), List.copyOf(registry.all()));
+  }
+
+  /** Returns the accepted plan of an outside platform, if there is one. */
+  public Optional<InstalledPlan> plan() {
+    return plan;
+  }
+
+  /** Returns the registrations, to look up only. */
+  public RegistryBook registry() {
+    return registry;
   }
 
   /** Returns the whole state as one value. */
   public ClusterSnapshot snapshot() {
     return new ClusterSnapshot(
-        logTimeMs, configuration, changes.toList(), claims.limits(), claims.toList());
+        logTimeMs,
+        configuration,
+        changes.toList(),
+        claims.limits(),
+        claims.toList(),
+        Optional.of(serving()));
   }
 
   /** Returns the configuration. */
--- a/core/src/main/java/org/teaseltrail/core/state/Command.java
+++ b/core/src/main/java/org/teaseltrail/core/state/Command.java
@@ -11,6 +11,8 @@
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.message.EndKind;
+import org.teaseltrail.core.plan.InstalledPlan;
+import org.teaseltrail.core.registry.Registration;
 
 /**
  * Is a command of the log. It carries all that its result depends on, the time too: log time counts
@@ -94,4 +96,39 @@
    * @param logTimeMs log time
    */
   record ExpireClaims(ClaimLimits limits, long logTimeMs) implements Command {}
+
+  /** Changes what an outside platform decides. */
+  sealed interface ServingCommand extends Command {}
+
+  /**
+   * Installs a plan if its version is higher than the one held.
+   *
+   * @param installed the plan
+   * @param logTimeMs log time
+   */
+  record InstallPlan(InstalledPlan installed, long logTimeMs) implements ServingCommand {}
+
+  /**
+   * Takes in an upstream's heartbeat that changes something.
+   *
+   * @param heard what it told
+   * @param logTimeMs log time
+   */
+  record RegisterUpstream(Registration heard, long logTimeMs) implements ServingCommand {}
+
+  /**
+   * Takes in an upstream's leave.
+   *
+   * @param leaving what is known of it
+   * @param logTimeMs log time
+   */
+  record UpstreamLeaves(Registration leaving, long logTimeMs) implements ServingCommand {}
+
+  /**
+   * Drops an upstream of which nothing has been heard for long.
+   *
+   * @param upstream the upstream
+   * @param logTimeMs log time
+   */
+  record DropUpstream(UpstreamId upstream, long logTimeMs) implements ServingCommand {}
 }
--- a/core/src/main/java/org/teaseltrail/core/state/CommandResult.java
+++ b/core/src/main/java/org/teaseltrail/core/state/CommandResult.java
@@ -41,4 +41,12 @@
    * @param count claims dropped or settled
    */
   record OfExpiry(int count) implements CommandResult {}
+
+  /**
+   * A change of what an outside platform decides.
+   *
+   * @param planVersion version of the plan held afterwards
+   * @param registryRevision revision of the registrations afterwards
+   */
+  record OfServing(long planVersion, long registryRevision) implements CommandResult {}
 }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/state/ServingState.java
@@ -0,0 +1,27 @@
+package org.teaseltrail.core.state;
+
+import java.util.List;
+import java.util.Optional;
+import org.teaseltrail.core.plan.InstalledPlan;
+import org.teaseltrail.core.registry.Registration;
+
+/**
+ * Is the part of the replicated state that an outside platform decides.
+ *
+ * @param plan the accepted plan, if there is one
+ * @param registryRevision number of changes of the registrations so far
+ * @param registrations the registrations, oldest first
+ */
+public record ServingState(
+    Optional<InstalledPlan> plan, long registryRevision, List<Registration> registrations) {
+
+  /** Copies the list. */
+  public ServingState {
+    registrations = List.copyOf(registrations);
+  }
+
+  /** Returns the state before the first plan. */
+  public static ServingState empty() {
+    return new ServingState(Optional.empty(), 0, List.of());
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/teaseltrail/forward/AnswerHead.java
@@ -0,0 +1,28 @@
+package org.teaseltrail.forward;
+
+import java.util.Optional;
+
+/**
+ * Is what the head of an upstream's answer says.
+ *
+ * @param requestId the request that it answers
+ * @param signed whether the upstream vouches for it
+ * @param notRun whether it says that the request did not run
+ * @param eventStream whether events follow
+ * @param load the upstream's load, if it is told
+ */
+public record AnswerHead(
+    Optional<String> requestId,
+    boolean signed,
+    boolean notRun,
+    boolean eventStream,
+    Optional<ToldLoad> load) {
+
+  /**
+   * Is the load that an upstream tells.
+   *
+   * @param running requests that it works on
+   * @param waiting requests that wait there
+   */
+  public record ToldLoad(int running, int waiting) {}
+}
--- /dev/null
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
@@ -0,0 +1,73 @@
+package org.teaseltrail.forward;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.teaseltrail.core.forward.AttemptEnd;
+import org.teaseltrail.core.forward.Refusal;
+import org.teaseltrail.runtime.log.EventLog;
+import org.teaseltrail.runtime.metrics.Metrics;
+
+/** Counts what becomes of requests. Labels are enums, so their values are bounded. */
+final class ForwardMetrics implements AutoCloseable {
+
+  private final Metrics metrics = new Metrics("teaseltrail-forward");
+  private final Counter delivered;
+  private final Timer duration;
+  private final Timer firstEvent;
+  private final Map<Refusal, Counter> refused = new EnumMap<>(Refusal.class);
+  private final Map<AttemptEnd, Counter> attempts = new EnumMap<>(AttemptEnd.class);
+
+  ForwardMetrics(ForwardServer server, EventLog log) {
+    MeterRegistry registry = metrics.registry();
+    delivered = registry.counter("teaseltrail.requests.delivered");
+    duration =
+        Timer.builder("teaseltrail.request.duration")
+            .publishPercentileHistogram()
+            .register(registry);
+    firstEvent =
+        Timer.builder("teaseltrail.stream.first.event")
+            .publishPercentileHistogram()
+            .register(registry);
+    for (Refusal refusal : Refusal.values()) {
+      refused.put(
+          refusal, registry.counter("teaseltrail.requests.refused", "reason", refusal.name()));
+    }
+    for (AttemptEnd end : AttemptEnd.values()) {
+      attempts.put(end, registry.counter("teaseltrail.attempts", "end", end.name()));
+    }
+    registry.gauge("teaseltrail.requests.open", server, ForwardServer::open);
+    registry.gauge("teaseltrail.plan.version", server, ForwardServer::planVersion);
+    registry.gauge("teaseltrail.session.valid", server, node -> node.isSessionValid() ? 1 : 0);
+    registry.gauge("teaseltrail.log.lines.dropped", log, EventLog::droppedInAll);
+  }
+
+  void delivered(long elapsedNs) {
+    delivered.increment();
+    duration.record(elapsedNs, TimeUnit.NANOSECONDS);
+  }
+
+  void firstEvent(long elapsedNs) {
+    firstEvent.record(elapsedNs, TimeUnit.NANOSECONDS);
+  }
+
+  void refused(Refusal refusal) {
+    refused.get(refusal).increment();
+  }
+
+  void attempt(AttemptEnd end) {
+    attempts.get(end).increment();
+  }
+
+  String scrape() {
+    return metrics.scrape();
+  }
+
+  @Override
+  public void close() {
+    metrics.close();
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -0,0 +1,435 @@
+package org.teaseltrail.forward;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.teaseltrail.core.forward.AttemptEnd;
+import org.teaseltrail.core.forward.ForwardAction;
+import org.teaseltrail.core.forward.ForwardNode;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.plan.ClientLimits;
+import org.teaseltrail.core.plan.ServingPlan;
+import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.runtime.clock.SuspendAwareClock;
+import org.teaseltrail.runtime.log.EventLog;
+import org.teaseltrail.runtime.process.ExitCode;
+import org.teaseltrail.runtime.process.RunningProgram;
+
+/**
+ * Is a running entry VM that forwards requests. One event loop owns its decisions and all of its
+ * connections to callers and upstreams, so that nothing of them is shared between threads.
+ */
+public final class ForwardServer implements RunningProgram {
+
+  private static final long NS_PER_MS = 1_000_000L;
+  private static final int BACKLOG = 1_024;
+  private static final int MAX_LINE_BYTES = 8 * 1024;
+  private static final int CHUNK_BYTES = 16 * 1024;
+
+  /** Time between two looks for idle callers. */
+  private static final long IDLE_CHECK_MS = 500;
+
+  /** Part of the idle limit that is added: callers use connections up to near the limit. */
+  private static final double IDLE_MARGIN = 1.1;
+
+  /**
+   * Least time between the signal to end and the end. The platform asks for readiness once a second
+   * and sends callers on until the second refusal.
+   */
+  private static final long LEAST_DRAIN_MS = 3_200;
+
+  /** Time after the signal from which on idle callers' connections are ended. */
+  private static final long CLOSE_IDLE_AFTER_MS = 2_400;
+
+  /** Time before the kill by which the process ends. */
+  private static final long END_BEFORE_KILL_MS = 400;
+
+  private static final long DRAIN_POLL_MS = 50;
+
+  private final ForwardOptions options;
+  private final HeaderDialect dialect;
+  private final EventLog log;
+  private final SuspendAwareClock clock = new SuspendAwareClock();
+  private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final ForwardNode node;
+  private final UpstreamPool pool;
+  private final ControlLinks links;
+  private final ForwardMetrics metrics;
+  private final SideServer readiness;
+  private final Optional<SideServer> metricsServer;
+  private final Channel listener;
+  private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
+  private final Map<Long, Exchange> exchanges = new HashMap<>();
+  private final Map<Long, RequestStory> stories = new HashMap<>();
+  private final Set<CallerConnection> callers = new HashSet<>();
+  private long lastNumber;
+  private long wakeupNs = Long.MAX_VALUE;
+  private Future<?> wakeup;
+  private volatile boolean draining;
+  private volatile boolean ready;
+  private volatile int open;
+  private volatile long planVersion = -1;
+
+  private ForwardServer(ForwardOptions options, HeaderDialect dialect, EventLog log)
+      throws InterruptedException {
+    this.options = options;
+    this.dialect = dialect;
+    this.log = log;
+    node = new ForwardNode(options.node());
+    pool = new UpstreamPool(loop, dialect);
+    links =
+        new ControlLinks(
+            options.node().vm(),
+            new SplittableRandom(options.node().seed()),
+            reply -> loop.execute(() -> fromControl(reply)));
+    metrics = new ForwardMetrics(this, log);
+    readiness =
+        SideServer.readiness(options.listenReady(), options.readyPath(), this::acceptsCallers);
+    metricsServer =
+        options.listenMetrics().map(address -> SideServer.metrics(address, metrics::scrape));
+    listener = bind();
+    loop.execute(() -> run(node.begin()));
+    loop.next()
+        .scheduleWithFixedDelay(
+            this::checkIdle, IDLE_CHECK_MS, IDLE_CHECK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Starts to serve.
+   *
+   * @param options the settings
+   * @param dialect translates headers
+   * @param log takes a line for each request
+   * @return the running server
+   * @throws InterruptedException if the thread is interrupted while it waits for the port
+   */
+  public static ForwardServer start(ForwardOptions options, HeaderDialect dialect, EventLog log)
+      throws InterruptedException {
+    return new ForwardServer(options, dialect, log);
+  }
+
+  @Override
+  public CompletableFuture<ExitCode> ended() {
+    return ended;
+  }
+
+  /** Tells the platform to send no more callers, answers those that are here, and ends. */
+  @Override
+  public void close() {
+    log.line("drain_begin").with("open", open).write();
+    draining = true;
+    ready = false;
+    long beganNs = System.nanoTime();
+    long endNs = beganNs + (options.graceMs() - END_BEFORE_KILL_MS) * NS_PER_MS;
+    boolean idleClosed = false;
+    while (System.nanoTime() < endNs) {
+      long passedMs = (System.nanoTime() - beganNs) / NS_PER_MS;
+      if (!idleClosed && passedMs > CLOSE_IDLE_AFTER_MS) {
+        loop.execute(this::closeIdle);
+        idleClosed = true;
+      }
+      if (passedMs > LEAST_DRAIN_MS && open == 0) {
+        break;
+      }
+      pause();
+    }
+    log.line("drain_end").with("open", open).write();
+    listener.close();
+    links.close();
+    readiness.close();
+    metricsServer.ifPresent(SideServer::close);
+    metrics.close();
+    loop.shutdownGracefully(0, DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  UpstreamPool pool() {
+    return pool;
+  }
+
+  HeaderDialect dialect() {
+    return dialect;
+  }
+
+  boolean isDraining() {
+    return draining;
+  }
+
+  int open() {
+    return open;
+  }
+
+  long planVersion() {
+    return planVersion;
+  }
+
+  boolean isSessionValid() {
+    return ready;
+  }
+
+  ByteBuf allocate() {
+    return UnpooledByteBufAllocator.DEFAULT.heapBuffer();
+  }
+
+  void opened(CallerConnection caller) {
+    callers.add(caller);
+  }
+
+  void closed(CallerConnection caller) {
+    callers.remove(caller);
+  }
+
+  Exchange exchange(CallerConnection caller, FullHttpRequest received)
+      throws MalformedRequestException {
+    lastNumber++;
+    return new Exchange(this, caller, dialect.readRequest(lastNumber, received), received);
+  }
+
+  void arrived(Exchange exchange) {
+    long number = exchange.request().number();
+    long nowNs = clock.nowNs();
+    exchanges.put(number, exchange);
+    stories.put(number, new RequestStory(exchange.request(), nowNs));
+    open = exchanges.size();
+    run(node.arrived(exchange.request(), nowNs));
+  }
+
+  void begun(Exchange exchange) {
+    long number = exchange.request().number();
+    node.begun(number);
+    RequestStory story = stories.get(number);
+    if (story != null) {
+      metrics.firstEvent(story.begun(clock.nowNs()));
+    }
+  }
+
+  void attemptEnded(Exchange exchange, AttemptEnd end) {
+    long number = exchange.request().number();
+    metrics.attempt(end);
+    RequestStory story = stories.get(number);
+    if (story != null && end != AttemptEnd.ANSWERED) {
+      story.attemptEnded(log, end, exchange.answerStatus(), clock.nowNs());
+    }
+    run(node.attemptEnded(number, end, clock.nowNs()));
+  }
+
+  void callerLeft(Exchange exchange) {
+    long number = exchange.request().number();
+    long nowNs = clock.nowNs();
+    run(node.callerLeft(number, nowNs));
+    RequestStory story = stories.remove(number);
+    if (story != null) {
+      story.callerLeft(log, exchange.hasBegun(), nowNs);
+    }
+    forget(number);
+    exchange.release();
+  }
+
+  void told(UpstreamId upstream, AnswerHead.ToldLoad load) {
+    node.loadTold(upstream, load.running() + load.waiting());
+  }
+
+  /** Makes an answer of this system's own. */
+  FullHttpResponse ownAnswer(
+      HttpResponseStatus status, String reason, String requestId, long retryAfterMs) {
+    byte[] body = ("{\"error\":\"" + reason + "\"}").getBytes(StandardCharsets.UTF_8);
+    FullHttpResponse answer =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+    answer.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+    HttpUtil.setContentLength(answer, body.length);
+    dialect.writeRefusal(answer.headers(), requestId, retryAfterMs);
+    return answer;
+  }
+
+  private boolean acceptsCallers() {
+    return ready && !draining;
+  }
+
+  private void fromControl(ServingReply reply) {
+    run(node.fromControl(reply, clock.nowNs()));
+    ServingPlan plan = node.plan().orElse(null);
+    if (plan != null && plan.version() != planVersion) {
+      planVersion = plan.version();
+      log.line("plan_in_force").with("version", planVersion).write();
+    }
+  }
+
+  private void run(List<ForwardAction> actions) {
+    actions.forEach(this::carryOut);
+    noteReadiness();
+    wakeLater();
+  }
+
+  private void carryOut(ForwardAction action) {
+    if (action instanceof ForwardAction.SendControl send) {
+      links.send(send.member(), send.message());
+    } else if (action instanceof ForwardAction.KeepConnected keep) {
+      links.keep(keep.members());
+    } else if (action instanceof ForwardAction.Dispatch dispatch) {
+      stories.get(dispatch.request()).dispatched(dispatch, clock.nowNs());
+      exchanges.get(dispatch.request()).dispatch(dispatch);
+    } else if (action instanceof ForwardAction.Cancel cancel) {
+      Optional.ofNullable(exchanges.get(cancel.request())).ifPresent(Exchange::cancel);
+    } else if (action instanceof ForwardAction.Deliver deliver) {
+      deliver(deliver);
+    } else if (action instanceof ForwardAction.Refuse refuse) {
+      refuse(refuse);
+    }
+  }
+
+  private void deliver(ForwardAction.Deliver deliver) {
+    Exchange exchange = exchanges.get(deliver.request());
+    RequestStory story = stories.remove(deliver.request());
+    long nowNs = clock.nowNs();
+    metrics.delivered(story.elapsedNs(nowNs));
+    story.delivered(log, exchange.answerStatus(), nowNs);
+    forget(deliver.request());
+    exchange.deliver();
+  }
+
+  private void refuse(ForwardAction.Refuse refuse) {
+    metrics.refused(refuse.refusal());
+    HttpResponseStatus status = Answers.to(refuse.refusal()).status();
+    stories.remove(refuse.request()).refused(log, refuse, status.code(), clock.nowNs());
+    Exchange exchange = exchanges.get(refuse.request());
+    forget(refuse.request());
+    exchange.refuse(status, refuse.refusal().name(), refuse.retryAfterMs());
+  }
+
+  private void forget(long number) {
+    exchanges.remove(number);
+    open = exchanges.size();
+  }
+
+  private void noteReadiness() {
+    boolean now = node.isReady(clock.nowNs());
+    if (now != ready && !draining) {
+      ready = now;
+      log.line(now ? "session_gained" : "session_lost").with("plan_version", planVersion).write();
+    }
+  }
+
+  private void wakeLater() {
+    long nextNs = node.nextWakeupNs();
+    if (wakeup != null && !wakeup.isDone() && wakeupNs <= nextNs) {
+      return;
+    }
+    if (wakeup != null) {
+      wakeup.cancel(false);
+    }
+    wakeupNs = nextNs;
+    long delayNs = Math.max(0, nextNs - clock.nowNs());
+    wakeup = loop.next().schedule(this::tick, delayNs, TimeUnit.NANOSECONDS);
+  }
+
+  private void tick() {
+    wakeup = null;
+    run(node.tick(clock.nowNs()));
+  }
+
+  private void checkIdle() {
+    ClientLimits limits = limits();
+    long idleNs = (long) (limits.idleTimeoutMs() * IDLE_MARGIN * NS_PER_MS);
+    long headerNs = limits.headerTimeoutMs() * NS_PER_MS;
+    long nowNs = System.nanoTime();
+    List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNs, idleNs, headerNs));
+  }
+
+  private void closeIdle() {
+    List.copyOf(callers).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
+  }
+
+  private ClientLimits limits() {
+    return node.plan().map(ServingPlan::limits).orElse(ClientLimits.DEFAULT);
+  }
+
+  private Channel bind() throws InterruptedException {
+    return new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                callerPipeline(channel);
+              }
+            })
+        .bind(options.listen())
+        .sync()
+        .channel();
+  }
+
+  private void callerPipeline(Channel channel) {
+    ClientLimits limits = limits();
+    HttpDecoderConfig config =
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_LINE_BYTES)
+            .setMaxHeaderSize(limits.maxHeaderBytes())
+            .setMaxChunkSize(CHUNK_BYTES);
+    CallerConnection caller = new CallerConnection(this);
+    channel
+        .pipeline()
+        .addLast(
+            new FirstBytes(caller),
+            new HttpServerCodec(config),
+            new HttpObjectAggregator(limits.maxBodyBytes(), true),
+            caller);
+  }
+
+  private static void pause() {
+    try {
+      TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Tells a connection of bytes before they are understood. */
+  private static final class FirstBytes extends ChannelInboundHandlerAdapter {
+
+    private final CallerConnection caller;
+
+    FirstBytes(CallerConnection caller) {
+      this.caller = caller;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      caller.bytesCame();
+      context.fireChannelRead(message);
+    }
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/teaseltrail/forward/SideServer.java
@@ -0,0 +1,57 @@
+package org.teaseltrail.forward;
+
+import java.net.InetSocketAddress;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.teaseltrail.runtime.metrics.Metrics;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+
+/** Answers one question about the process beside its callers' requests. */
+final class SideServer implements AutoCloseable {
+
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  private final DisposableServer server;
+
+  private SideServer(DisposableServer server) {
+    this.server = server;
+  }
+
+  /** Tells whether callers may be sent here. */
+  static SideServer readiness(InetSocketAddress address, String path, BooleanSupplier ready) {
+    return new SideServer(
+        HttpServer.create()
+            .bindAddress(() -> address)
+            .route(
+                routes ->
+                    routes.get(
+                        path,
+                        (request, response) ->
+                            response.status(ready.getAsBoolean() ? OK : UNAVAILABLE).send()))
+            .bindNow());
+  }
+
+  /** Hands metrics out. */
+  static SideServer metrics(InetSocketAddress address, Supplier<String> metrics) {
+    return new SideServer(
+        HttpServer.create()
+            .bindAddress(() -> address)
+            .route(
+                routes ->
+                    routes.get(
+                        "/metrics",
+                        (request, response) ->
+                            response
+                                .header("Content-Type", Metrics.CONTENT_TYPE)
+                                .sendString(Mono.fromSupplier(metrics))))
+            .bindNow());
+  }
+
+  @Override
+  public void close() {
+    server.disposeNow();
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/teaseltrail/runtime/clock/package-info.java
@@ -0,0 +1,2 @@
+/** Clocks of the programs. */
+package org.teaseltrail.runtime.clock;
--- /dev/null
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/EventLog.java
@@ -0,0 +1,210 @@
+package org.teaseltrail.runtime.log;
+
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Writes one JSON object a line for each event, without ever holding a caller up.
+ *
+ * <p>Guards against a reader of the output that stops reading: a program that waits for it stops
+ * serving. The guard: lines go through a bounded queue to a thread of their own; what finds the
+ * queue full is counted, and the count is told with the next line that finds room. Routine lines
+ * have a bound a second, so that failures still find room under load.
+ *
+ * <p>Example: {@code log.line("request_end").with("request", id).with("outcome",
+ * "served").write()}.
+ */
+public final class EventLog implements AutoCloseable {
+
+  /** Lines that may wait; some 300 bytes each, so less than 1 MiB. */
+  private static final int QUEUED_LINES = 2_000;
+
+  /** Routine lines a second; several times what one entry VM of the users serves. */
+  private static final int ROUTINE_PER_SECOND = 100;
+
+  private static final long POLL_MS = 200;
+  private static final long END_MS = 500;
+  private static final long NS_PER_S = 1_000_000_000L;
+
+  private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUED_LINES);
+  private final AtomicLong dropped = new AtomicLong();
+  private final AtomicLong droppedInAll = new AtomicLong();
+  private final OutputStream out;
+  private final String program;
+  private final String vm;
+  private final Thread thread = new Thread(this::run, "event-log");
+  private volatile boolean ending;
+  private long routineSecond;
+  private int routineLines;
+
+  /**
+   * Begins to write.
+   *
+   * @param out where lines go; stays open
+   * @param program the program's name, told with each line
+   * @param vm the VM's name, told with each line
+   */
+  public EventLog(OutputStream out, String program, String vm) {
+    this.out = out;
+    this.program = program;
+    this.vm = vm;
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /**
+   * Begins a line.
+   *
+   * @param event what has happened, in lower case with underscores
+   * @return the line, to be filled and written
+   */
+  public Line line(String event) {
+    return new Line(event);
+  }
+
+  /**
+   * Returns how many lines were left out since the start.
+   *
+   * @return lines for which the queue or the bound a second had no room
+   */
+  public long droppedInAll() {
+    return droppedInAll.get();
+  }
+
+  /** Writes what waits, for a bounded time. */
+  @Override
+  public void close() {
+    ending = true;
+    try {
+      thread.join(END_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void run() {
+    try {
+      while (!ending || !queue.isEmpty()) {
+        String line = queue.poll(POLL_MS, TimeUnit.MILLISECONDS);
+        if (line != null) {
+          out.write(line.getBytes(StandardCharsets.UTF_8));
+          out.flush();
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (java.io.IOException e) {
+      // The reader is gone for good: there is nowhere to tell it, and serving must go on.
+      ending = true;
+    }
+  }
+
+  private synchronized boolean hasRoutineRoom() {
+    long second = System.nanoTime() / NS_PER_S;
+    if (second != routineSecond) {
+      routineSecond = second;
+      routineLines = 0;
+    }
+    routineLines++;
+    return routineLines <= ROUTINE_PER_SECOND;
+  }
+
+  private void drop() {
+    dropped.incrementAndGet();
+    droppedInAll.incrementAndGet();
+  }
+
+  /** Is a line being filled. */
+  public final class Line {
+
+    private final StringBuilder text = new StringBuilder(256);
+
+    private Line(String event) {
+      text.append("{\"time\":\"").append(Instant.now());
+      text.append("\",\"program\":\"").append(program);
+      text.append("\",\"vm\":\"").append(vm);
+      text.append("\",\"event\":\"").append(event).append('"');
+    }
+
+    /**
+     * Adds a text.
+     *
+     * @param field the field's name
+     * @param value its value; no key, prompt or secret
+     * @return this line
+     */
+    public Line with(String field, String value) {
+      name(field).append('"');
+      escape(value);
+      text.append('"');
+      return this;
+    }
+
+    /**
+     * Adds a number.
+     *
+     * @param field the field's name, with its unit as suffix
+     * @param value its value
+     * @return this line
+     */
+    public Line with(String field, long value) {
+      name(field).append(value);
+      return this;
+    }
+
+    /**
+     * Adds a truth value.
+     *
+     * @param field the field's name
+     * @param value its value
+     * @return this line
+     */
+    public Line with(String field, boolean value) {
+      name(field).append(value);
+      return this;
+    }
+
+    /** Writes a line that must find room even under load: a failure, or a change of state. */
+    public void write() {
+      long lost = dropped.getAndSet(0);
+      if (lost > 0) {
+        with("lines_dropped_before", lost);
+      }
+      if (!queue.offer(text.append("}\n").toString())) {
+        dropped.addAndGet(lost);
+        drop();
+      }
+    }
+
+    /** Writes a line of which only so many a second are kept. */
+    public void writeRoutine() {
+      if (hasRoutineRoom()) {
+        write();
+      } else {
+        drop();
+      }
+    }
+
+    private StringBuilder name(String field) {
+      return text.append(",\"").append(field).append("\":");
+    }
+
+    private void escape(String value) {
+      for (int i = 0; i < value.length(); i++) {
+        char c = value.charAt(i);
+        if (c == '"' || c == '\\') {
+          text.append('\\').append(c);
+        } else if (c < ' ') {
+          text.append(String.format("\\u%04x", (int) c));
+        } else {
+          text.append(c);
+        }
+      }
+    }
+  }
+}
--- a/storage/src/main/java/org/teaseltrail/storage/StorageFolder.java
+++ b/storage/src/main/java/org/teaseltrail/storage/StorageFolder.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.teaseltrail.core.replication.GroupId;
 import org.teaseltrail.core.replication.LogEntry;
+import org.teaseltrail.core.replication.Membership;
 import org.teaseltrail.core.replication.RecoveredState;
 import org.teaseltrail.core.replication.ReplicaAction;
 import org.teaseltrail.core.replication.Snapshot;
@@ -76,6 +77,23 @@
     FolderSetup.create(new DataFolder(files, path), identity, first);
   }
 
+  /**
+   * Makes the folder of one of the founders of a new group. Each founder must be given the same set
+   * of founders, itself among them.
+   *
+   * @param files the file system
+   * @param path the folder; may be there, but empty
+   * @param identity the group and the founder
+   * @param founders the members that vote from the start
+   * @throws FolderExistsException if a member's state lies there
+   * @throws DamagedFolderException if files of a member lie there without its identity
+   */
+  public static void createFounder(
+      FileSystemAccess files, Path path, FolderIdentity identity, Membership founders) {
+    List<LogEntry> first = RecoveredState.newGroup(founders).entries();
+    FolderSetup.create(new DataFolder(files, path), identity, first);
+  }
+
   /**
    * Makes the folder of a new member that is to join a group.
    *
