--- a/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
@@ -4,6 +4,7 @@
 import io.grpc.netty.NettyServerBuilder;
 import java.io.IOException;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -152,6 +153,15 @@
     return calls.call(request);
   }
 
+  /**
+   * Takes other VMs to ask for the group, should this member be outside of it.
+   *
+   * @param seeds the VMs
+   */
+  public void seeds(List<VmId> seeds) {
+    joiner.ifPresent(present -> present.candidates(seeds));
+  }
+
   /**
    * Returns the VM of the leader.
    *
--- a/control/src/main/java/org/teaseltrail/control/GroupJoiner.java
+++ b/control/src/main/java/org/teaseltrail/control/GroupJoiner.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -70,6 +71,10 @@
     changed.all().map(Member::vm).forEach(candidates::add);
   }
 
+  synchronized void candidates(List<VmId> seeds) {
+    candidates.addAll(seeds);
+  }
+
   synchronized void leaderKnown(boolean known) {
     leaderKnown = known;
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/ControlTies.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ControlTies.java
@@ -21,12 +21,18 @@
   private final ForwardSettings settings;
   private final ServingSession session;
   private final Set<VmId> members = new LinkedHashSet<>();
+  private List<VmId> seeds;
   private long nextSyncNs;
 
   ControlTies(ForwardSettings settings) {
     this.settings = settings;
     session = new ServingSession(settings.sessionLifetimeMs());
-    members.addAll(settings.seeds());
+    seeds = settings.seeds();
+    members.addAll(seeds);
+  }
+
+  void seeds(List<VmId> changed) {
+    seeds = List.copyOf(changed);
   }
 
   ServingSession session() {
@@ -76,7 +82,7 @@
 
   /** Asks the seeds again too, once nobody has confirmed the session for its whole lifetime. */
   boolean fallBackToSeeds(long nowNs) {
-    return !session.isValid(nowNs) && members.addAll(settings.seeds());
+    return !session.isValid(nowNs) && members.addAll(seeds);
   }
 
   private ServingMessage.Sync sync(ForwardNode node, long sequence, long nowNs) {
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -11,6 +11,7 @@
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.PlanCustomer;
 import org.teaseltrail.core.plan.PlanIndex;
 import org.teaseltrail.core.plan.PlanRoute;
@@ -30,6 +31,9 @@
   /** When a caller may come back that was turned away for want of a plan: two syncs. */
   private static final long PLAN_RETRY_MS = 500;
 
+  /** When a caller may come back that met a VM about to end; its next try goes to another VM. */
+  private static final long ENDING_RETRY_MS = 20;
+
   /** When a caller may come back that found no place: about a short answer's time. */
   private static final long PLACE_RETRY_MS = 400;
 
@@ -55,6 +59,7 @@
   private final Map<Long, TrackedForward> tracked = new HashMap<>();
   private final TreeMap<Long, List<TrackedForward>> dueNs = new TreeMap<>();
   private Optional<PlanIndex> plan = Optional.empty();
+  private boolean ending;
   private int vmCount = 1;
   private List<ForwardAction> out = new ArrayList<>();
 
@@ -68,7 +73,7 @@
     random = new SplittableRandom(settings.seed());
     placement = new PlacementRule(random);
     ties = new ControlTies(settings);
-    quotas = new QuotaDesk(settings.quotaWindowMs());
+    quotas = new QuotaDesk(settings);
   }
 
   /**
@@ -81,6 +86,23 @@
     return take();
   }
 
+  /**
+   * Takes other seeds, to be asked once the members known now don't answer.
+   *
+   * @param seeds control members' VMs
+   */
+  public void seeds(List<VmId> seeds) {
+    ties.seeds(seeds);
+  }
+
+  /**
+   * Takes no requests from now on. Guards against a request that comes late in a shutdown, over a
+   * connection that was kept: it would be cut at the end, though another VM could have served it.
+   */
+  public void end() {
+    ending = true;
+  }
+
   /**
    * Takes a request that was read whole.
    *
@@ -89,6 +111,10 @@
    * @return what is to be done
    */
   public List<ForwardAction> arrived(ForwardRequest request, long nowNs) {
+    if (ending) {
+      refuse(request.number(), Refusal.ENDING, ENDING_RETRY_MS);
+      return take();
+    }
     if (plan.isEmpty()) {
       refuse(request.number(), Refusal.PLAN_UNCERTAIN, PLAN_RETRY_MS);
       return take();
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardSettings.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardSettings.java
@@ -9,6 +9,8 @@
  *
  * @param vm this VM
  * @param incarnation which life of its process
+ * @param quotaOver part of a quota by which it may be passed by mistake, over all VMs
+ * @param quotaSlack what may pass it besides, over all VMs, in the quota's unit
  * @param seeds control members to ask first
  * @param sessionLifetimeMs how long a confirmation by the leader is good for, in milliseconds
  * @param syncEveryMs time between two syncs with the leader, in milliseconds
@@ -28,6 +30,8 @@
     long retryWindowMs,
     double retrySlack,
     long quotaWindowMs,
+    double quotaOver,
+    double quotaSlack,
     long seed) {
   /** Copies the list. */
   public ForwardSettings {
--- a/core/src/main/java/org/teaseltrail/core/forward/QuotaDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/QuotaDesk.java
@@ -12,14 +12,23 @@
 /** Keeps customers' quotas at this VM. */
 final class QuotaDesk {
 
-  private final long windowMs;
+  /**
+   * Part of the tolerance that is used, so that callers near their quota are not refused by
+   * mistake; the rest is for what the VMs use between two syncs and what a new leader hasn't heard
+   * of yet.
+   */
+  private static final double USED_TOLERANCE = 0.4;
+
+  private static final double MS_PER_S = 1_000;
+
+  private final ForwardSettings settings;
   private final Map<CustomerId, QuotaWindow> windows = new HashMap<>();
   private Map<CustomerId, Double> usedElsewhere = Map.of();
   private Map<CustomerId, Double> shares = Map.of();
   private int vmCount = 1;
 
-  QuotaDesk(long windowMs) {
-    this.windowMs = windowMs;
+  QuotaDesk(ForwardSettings settings) {
+    this.settings = settings;
   }
 
   /** Takes what the leader tells. */
@@ -41,11 +50,19 @@
     for (PlanCustomer customer : plan.customers()) {
       if (customer.hasQuota()) {
         QuotaWindow window = windows.computeIfAbsent(customer.id(), this::window);
-        window.configure(customer.quotaPerSecond(), customer.quotaBurst());
+        window.configure(customer.quotaPerSecond(), tolerated(customer));
       }
     }
   }
 
+  /** Returns the burst of a quota, raised by the part of the tolerance that is used. */
+  private double tolerated(PlanCustomer customer) {
+    double windowS = settings.quotaWindowMs() / MS_PER_S;
+    double whole = customer.quotaPerSecond() * windowS + customer.quotaBurst();
+    double slack = customer.quotaInTokens() ? settings.quotaSlack() : 0;
+    return customer.quotaBurst() + USED_TOLERANCE * (whole * settings.quotaOver() + slack);
+  }
+
   /**
    * Counts a request.
    *
@@ -73,7 +90,7 @@
   }
 
   private QuotaWindow window(CustomerId id) {
-    QuotaWindow window = new QuotaWindow(windowMs);
+    QuotaWindow window = new QuotaWindow(settings.quotaWindowMs());
     tell(id, window);
     return window;
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/Refusal.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/Refusal.java
@@ -8,6 +8,8 @@
   UNKNOWN_KEY(false),
   /** This VM has no plan yet, or can't be sure that its plan is the newest. */
   PLAN_UNCERTAIN(false),
+  /** This VM is about to end and couldn't finish it. */
+  ENDING(false),
   /** Its customer has used its quota up. */
   OVER_QUOTA(false),
   /** No upstream takes it now. */
--- a/core/src/test/java/org/teaseltrail/core/control/FakeControlGroup.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeControlGroup.java
@@ -76,6 +76,29 @@
     }
   }
 
+  /** Starts a member with an empty disk that asks to be taken in, as its process does. */
+  FakeControl join(String id, String vm) {
+    Member member = new Member(new MemberId(id), new VmId(vm));
+    FakeControl joining = new FakeControl(this, member, RecoveredState.empty());
+    members.add(joining);
+    joining.start(replicaSettings);
+    askToJoin(joining);
+    return joining;
+  }
+
+  /** Asks every 300 ms, whoever may lead, until the member is killed. */
+  private void askToJoin(FakeControl joining) {
+    if (joining.control() == null) {
+      return;
+    }
+    for (FakeControl member : List.copyOf(members)) {
+      if (member != joining && !member.isCut() && !joining.isCut()) {
+        member.handle(new ControlEvent.MemberJoins(joining.member()));
+      }
+    }
+    after(300 * NS_PER_MS, () -> askToJoin(joining));
+  }
+
   FakeControlGroup start() {
     members.forEach(member -> member.start(replicaSettings));
     return this;
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
@@ -0,0 +1,318 @@
+package org.teaseltrail.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.Incarnation;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.plan.PlanCustomer;
+import org.teaseltrail.core.plan.Plans;
+import org.teaseltrail.core.plan.ServingPlan;
+import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.registry.RegistrationPhase;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.upstream.SocketAddress;
+
+/** Admits, places, repeats and ends requests. */
+class ForwardNodeTest {
+
+  private static final long MS = 1_000_000L;
+  private static final VmId MEMBER = new VmId("10.0.0.9:7600");
+  private static final FencingNumber TERM = new FencingNumber(1);
+
+  private final ForwardNode node =
+      new ForwardNode(
+          new ForwardSettings(
+              new VmId("entry-1"),
+              new Incarnation(1),
+              List.of(MEMBER),
+              3_000,
+              250,
+              0.2,
+              10_000,
+              50,
+              8_000,
+              0,
+              0,
+              1));
+
+  private long nowNs = MS;
+  private long lastNumber;
+  private long lastSequence;
+  private List<ForwardAction> actions = new ArrayList<>();
+
+  @BeforeEach
+  void begin() {
+    node.begin();
+  }
+
+  private static Registration upstream(String id, ServiceId service, int slots) {
+    return new Registration(
+        new UpstreamId(id),
+        service,
+        new SocketAddress("10.0.0.1", 80),
+        new DataCenterId("a"),
+        slots,
+        RegistrationPhase.READY,
+        1);
+  }
+
+  private void serveWith(ServingPlan plan, Registration... present) {
+    node.fromControl(new ServingReply.PlanUpdate(TERM, plan), nowNs);
+    node.fromControl(new ServingReply.RegistryUpdate(TERM, 1, List.of(present)), nowNs);
+    confirm(plan.version());
+  }
+
+  private void confirm(long version) {
+    for (ForwardAction action : node.tick(nowNs)) {
+      if (action instanceof ForwardAction.SendControl send) {
+        lastSequence = ((ServingMessage.Sync) send.message()).sequence();
+      }
+    }
+    node.fromControl(
+        new ServingReply.Confirmed(
+            TERM, lastSequence, version, 1, 1, List.of(MEMBER), Map.of(), Map.of(), Map.of()),
+        nowNs);
+  }
+
+  private long arrive(String path, Optional<String> key) {
+    lastNumber++;
+    actions =
+        node.arrived(
+            new ForwardRequest(
+                lastNumber,
+                "id-" + lastNumber,
+                Plans.HOST,
+                path,
+                key,
+                OptionalLong.of(4_000),
+                OptionalInt.of(1_000),
+                OptionalInt.of(100),
+                List.of(new PromptPart("abc", 1_000))),
+            nowNs);
+    return lastNumber;
+  }
+
+  private long arrive(String path) {
+    return arrive(path, Optional.of(Plans.KEY));
+  }
+
+  private void end(long number, AttemptEnd end) {
+    actions = node.attemptEnded(number, end, nowNs);
+  }
+
+  private List<Refusal> refusals() {
+    return actions.stream()
+        .filter(ForwardAction.Refuse.class::isInstance)
+        .map(action -> ((ForwardAction.Refuse) action).refusal())
+        .toList();
+  }
+
+  private List<String> dispatches() {
+    return actions.stream()
+        .filter(ForwardAction.Dispatch.class::isInstance)
+        .map(action -> ((ForwardAction.Dispatch) action).upstream().id().value())
+        .toList();
+  }
+
+  /** A VM that has just started knows no routes; it must not say that there is none. */
+  @Test
+  void withoutPlanNothingIsUnknown() {
+    arrive("/safe/x");
+    assertThat(refusals()).containsExactly(Refusal.PLAN_UNCERTAIN);
+  }
+
+  @Test
+  void refusesByThePlan() {
+    serveWith(Plans.plan(1), upstream("p1", Plans.PLAIN, 6));
+    arrive("/nowhere/x");
+    assertThat(refusals()).containsExactly(Refusal.NO_ROUTE);
+    arrive("/safe/x", Optional.of("forged"));
+    assertThat(refusals()).containsExactly(Refusal.UNKNOWN_KEY);
+    arrive("/safe/x", Optional.empty());
+    assertThat(refusals()).containsExactly(Refusal.UNKNOWN_KEY);
+  }
+
+  /**
+   * A VM freezes while a key is revoked, wakes 4 s later and takes the requests that have come
+   * meanwhile. The key must not run, and a key that it doesn't know may be new.
+   */
+  @Test
+  void afterFreezeNoKeyRuns() {
+    serveWith(Plans.plan(1), upstream("p1", Plans.PLAIN, 6));
+    nowNs += 4_000 * MS;
+    arrive("/safe/x");
+    assertThat(refusals()).containsExactly(Refusal.PLAN_UNCERTAIN);
+    arrive("/safe/x", Optional.of("maybe-new"));
+    assertThat(refusals()).containsExactly(Refusal.PLAN_UNCERTAIN);
+    arrive("/nowhere/x");
+    assertThat(refusals()).containsExactly(Refusal.PLAN_UNCERTAIN);
+    assertThat(node.isReady(nowNs)).isFalse();
+  }
+
+  /** A plan that an operator replaced comes once more, over a slow link. */
+  @Test
+  void neverGoesBackToAnOlderPlan() {
+    serveWith(Plans.plan(5), upstream("p1", Plans.PLAIN, 6));
+    node.fromControl(new ServingReply.PlanUpdate(TERM, Plans.plan(4)), nowNs);
+    assertThat(node.plan().orElseThrow().version()).isEqualTo(5);
+  }
+
+  @Test
+  void repeatsSafeRequestElsewhere() {
+    serveWith(Plans.plan(1), upstream("p1", Plans.PLAIN, 6), upstream("p2", Plans.PLAIN, 6));
+    long number = arrive("/safe/x");
+    List<String> first = dispatches();
+    end(number, AttemptEnd.BROKEN);
+    assertThat(dispatches()).hasSize(1).isNotEqualTo(first);
+    end(number, AttemptEnd.BROKEN);
+    assertThat(refusals()).containsExactly(Refusal.BROKEN);
+  }
+
+  /** A doubled quiz submission muddles a record: what may have run is not sent again. */
+  @Test
+  void sendsUnsafeRequestOnce() {
+    serveWith(Plans.plan(1), upstream("p1", Plans.PLAIN, 6), upstream("p2", Plans.PLAIN, 6));
+    long number = arrive("/unsafe/x");
+    end(number, AttemptEnd.BROKEN);
+    assertThat(dispatches()).isEmpty();
+    assertThat(refusals()).containsExactly(Refusal.BROKEN);
+  }
+
+  /** No connection was made, so nothing was sent: even an unsafe request may go elsewhere. */
+  @Test
+  void sendsUnsafeRequestElsewhereIfNothingWasSent() {
+    serveWith(Plans.plan(1), upstream("p1", Plans.PLAIN, 6), upstream("p2", Plans.PLAIN, 6));
+    long number = arrive("/unsafe/x");
+    end(number, AttemptEnd.NOT_CONNECTED);
+    assertThat(dispatches()).hasSize(1);
+  }
+
+  /** An upstream that refused is told to the caller as "not run", which must be true. */
+  @Test
+  void refusedRequestHasNotRun() {
+    serveWith(Plans.plan(1), upstream("p1", Plans.PLAIN, 6));
+    long number = arrive("/unsafe/x");
+    end(number, AttemptEnd.REFUSED);
+    assertThat(refusals()).containsExactly(Refusal.NOT_RUN);
+    long safe = arrive("/safe/x");
+    end(safe, AttemptEnd.BROKEN);
+    assertThat(refusals()).containsExactly(Refusal.BROKEN);
+  }
+
+  /** A first attempt may have run and the second was refused: "not run" would be false. */
+  @Test
+  void refusalAfterBrokenAttemptIsNoPromise() {
+    serveWith(Plans.plan(1), upstream("p1", Plans.PLAIN, 6), upstream("p2", Plans.PLAIN, 6));
+    long number = arrive("/safe/x");
+    end(number, AttemptEnd.BROKEN);
+    end(number, AttemptEnd.REFUSED);
+    assertThat(refusals()).containsExactly(Refusal.BROKEN);
+  }
+
+  @Test
+  void waitsForPlaceInOrderOfRank() {
+    serveWith(
+        Plans.plan(1, Plans.customer(Plans.KEY, 0), second()), upstream("e1", Plans.ENGINES, 1));
+    long running = arrive("/stream/x");
+    final long low = arrive("/stream/x", Optional.of("key-2"));
+    assertThat(actions).isEmpty();
+    long high = arrive("/stream/x");
+    assertThat(actions).isEmpty();
+    end(running, AttemptEnd.ANSWERED);
+    assertThat(dispatchedRequests()).containsExactly(high);
+    end(high, AttemptEnd.ANSWERED);
+    assertThat(dispatchedRequests()).containsExactly(low);
+  }
+
+  /** A request that found no place is told so while the caller can still do something else. */
+  @Test
+  void givesUpWaitingInTime() {
+    serveWith(Plans.plan(1), upstream("e1", Plans.ENGINES, 1));
+    arrive("/stream/x");
+    arrive("/stream/x");
+    nowNs += 1_300 * MS;
+    actions = node.tick(nowNs);
+    assertThat(refusals()).containsExactly(Refusal.WAITED_TOO_LONG);
+  }
+
+  @Test
+  void answersAtTheRoutesTimeout() {
+    serveWith(Plans.plan(1), upstream("p1", Plans.PLAIN, 6));
+    arrive("/unsafe/x");
+    nowNs += 4_000 * MS;
+    actions = node.tick(nowNs);
+    assertThat(actions).anyMatch(ForwardAction.Cancel.class::isInstance);
+    assertThat(refusals()).containsExactly(Refusal.TIMED_OUT);
+  }
+
+  /**
+   * A VM is told to end. A caller's kept connection brings a request 3 s later; it ran, and was cut
+   * when the process ended.
+   */
+  @Test
+  void takesNothingShortlyBeforeItsEnd() {
+    serveWith(Plans.plan(1), upstream("p1", Plans.PLAIN, 6));
+    node.end();
+    arrive("/safe/x");
+    assertThat(refusals()).containsExactly(Refusal.ENDING);
+  }
+
+  @Test
+  void stopsWorkWhenTheCallerLeaves() {
+    serveWith(Plans.plan(1), upstream("p1", Plans.PLAIN, 6));
+    long number = arrive("/safe/x");
+    actions = node.callerLeft(number, nowNs);
+    assertThat(actions).containsExactly(new ForwardAction.Cancel(number));
+    end(number, AttemptEnd.BROKEN);
+    assertThat(actions).isEmpty();
+  }
+
+  /** An upstream acknowledged as leaving must get nothing more, waiting requests included. */
+  @Test
+  void sendsNothingToDrainingUpstream() {
+    Registration ready = upstream("e1", Plans.ENGINES, 1);
+    serveWith(Plans.plan(1), ready);
+    long running = arrive("/stream/x");
+    arrive("/stream/x");
+    node.fromControl(
+        new ServingReply.RegistryUpdate(TERM, 2, List.of(ready.in(RegistrationPhase.DRAINING))),
+        nowNs);
+    end(running, AttemptEnd.ANSWERED);
+    assertThat(dispatches()).isEmpty();
+  }
+
+  @Test
+  void refusesOverQuota() {
+    serveWith(Plans.plan(1, Plans.customer(Plans.KEY, 100)), upstream("p1", Plans.PLAIN, 100));
+    arrive("/safe/x");
+    assertThat(refusals()).isEmpty();
+    arrive("/safe/x");
+    assertThat(refusals()).containsExactly(Refusal.OVER_QUOTA);
+  }
+
+  private List<Long> dispatchedRequests() {
+    return actions.stream()
+        .filter(ForwardAction.Dispatch.class::isInstance)
+        .map(action -> ((ForwardAction.Dispatch) action).request())
+        .toList();
+  }
+
+  private static PlanCustomer second() {
+    return new PlanCustomer(
+        new CustomerId("customer-2"), List.of("key-2"), OptionalInt.of(2), true, 200, 0, 0);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/plan/PlanCheckTest.java
@@ -0,0 +1,98 @@
+package org.teaseltrail.core.plan;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.id.RouteId;
+import org.teaseltrail.core.id.ServiceId;
+
+/** Refuses each kind of plan that doesn't fit together. */
+class PlanCheckTest {
+
+  private final ServingPlan good = Plans.plan(1);
+
+  @Test
+  void takesPlanThatFits() {
+    assertThat(PlanCheck.failureOf(good)).isEmpty();
+  }
+
+  @Test
+  void refusesUnknownService() {
+    PlanRoute lost = Plans.route("lost", RouteKind.SAFE, false, new ServiceId("nowhere"), 1);
+    assertThat(PlanCheck.failureOf(with(lost))).contains(PlanFailure.UNKNOWN_SERVICE);
+  }
+
+  @Test
+  void refusesTwoRoutesAtOnePlace() {
+    PlanRoute twin = Plans.route("safe", RouteKind.UNSAFE, false, Plans.PLAIN, 1);
+    assertThat(PlanCheck.failureOf(with(twin))).contains(PlanFailure.SAME_PLACE);
+  }
+
+  @Test
+  void refusesRouteWithoutWeight() {
+    assertThat(PlanCheck.failureOf(with(changed(0, 1_000)))).contains(PlanFailure.NO_WEIGHT);
+  }
+
+  @Test
+  void refusesRouteWithoutTime() {
+    assertThat(PlanCheck.failureOf(with(changed(1, 0)))).contains(PlanFailure.NO_TIMEOUT);
+  }
+
+  @Test
+  void refusesKeyOfTwoCustomers() {
+    PlanCustomer other =
+        new PlanCustomer(
+            new CustomerId("other"), List.of(Plans.KEY), OptionalInt.empty(), true, 1, 0, 0);
+    ServingPlan shared = Plans.plan(1, Plans.customer(Plans.KEY, 0), other);
+    assertThat(PlanCheck.failureOf(shared)).contains(PlanFailure.SHARED_KEY);
+  }
+
+  @Test
+  void findsLongestPrefix() {
+    PlanRoute deeper =
+        new PlanRoute(
+            new RouteId("deeper"),
+            Plans.HOST,
+            "/safe/deep/",
+            RouteKind.SAFE,
+            false,
+            List.of(new WeightedService(Plans.PLAIN, 1)),
+            1,
+            1,
+            0,
+            0,
+            1,
+            false);
+    PlanIndex index = new PlanIndex(with(deeper));
+    assertThat(index.route(Plans.HOST + ":80", "/safe/deep/x")).contains(deeper);
+    assertThat(index.route(Plans.HOST, "/safe/x").orElseThrow().id().value()).isEqualTo("safe");
+    assertThat(index.route(Plans.HOST, "/safer/x")).isEmpty();
+    assertThat(index.route("other.example", "/safe/x")).isEmpty();
+  }
+
+  private static PlanRoute changed(int weight, long timeoutMs) {
+    return new PlanRoute(
+        new RouteId("changed"),
+        Plans.HOST,
+        "/changed/",
+        RouteKind.SAFE,
+        false,
+        List.of(new WeightedService(Plans.PLAIN, weight)),
+        timeoutMs,
+        1,
+        0,
+        0,
+        1,
+        true);
+  }
+
+  private ServingPlan with(PlanRoute added) {
+    List<PlanRoute> routes = new ArrayList<>(good.routes());
+    routes.add(added);
+    return new ServingPlan(1, routes, good.services(), good.limits(), good.customers());
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/plan/Plans.java
@@ -0,0 +1,62 @@
+package org.teaseltrail.core.plan;
+
+import java.util.List;
+import java.util.OptionalInt;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.id.RouteId;
+import org.teaseltrail.core.id.ServiceId;
+
+/** Makes plans for tests: a service of engines and a plain one, a route of each kind. */
+public final class Plans {
+
+  public static final ServiceId ENGINES = new ServiceId("engines");
+  public static final ServiceId PLAIN = new ServiceId("plain");
+  public static final String HOST = "calls.example";
+  public static final String KEY = "key-1";
+  public static final CustomerId CUSTOMER = new CustomerId("customer-1");
+
+  private Plans() {}
+
+  /** Makes a plan without a quota. */
+  public static ServingPlan plan(long version) {
+    return plan(version, customer(KEY, 0));
+  }
+
+  /** Makes a plan with the given customers. */
+  public static ServingPlan plan(long version, PlanCustomer... customers) {
+    return new ServingPlan(
+        version,
+        List.of(
+            route("safe", RouteKind.SAFE, false, PLAIN, 2),
+            route("unsafe", RouteKind.UNSAFE, false, PLAIN, 1),
+            route("resumable", RouteKind.STREAMING, true, ENGINES, 2),
+            route("stream", RouteKind.STREAMING, false, ENGINES, 1)),
+        List.of(new PlanService(ENGINES, 100, true), new PlanService(PLAIN, 100, false)),
+        ClientLimits.DEFAULT,
+        List.of(customers));
+  }
+
+  /** Makes a customer with a quota in tokens a second, 0 for none. */
+  public static PlanCustomer customer(String key, double tokensPerSecond) {
+    return new PlanCustomer(
+        CUSTOMER, List.of(key), OptionalInt.of(1), true, 200, tokensPerSecond, tokensPerSecond);
+  }
+
+  /** Makes a route whose paths begin with its name. */
+  public static PlanRoute route(
+      String name, RouteKind kind, boolean resumable, ServiceId service, int maxAttempts) {
+    return new PlanRoute(
+        new RouteId(name),
+        HOST,
+        "/" + name + "/",
+        kind,
+        resumable,
+        List.of(new WeightedService(service, 1)),
+        4_000,
+        500,
+        0,
+        1,
+        maxAttempts,
+        true);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/registry/RegistryBookTest.java
@@ -0,0 +1,95 @@
+package org.teaseltrail.core.registry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.upstream.SocketAddress;
+
+/** Keeps upstreams that have left from coming back. */
+class RegistryBookTest {
+
+  private final RegistryBook book = new RegistryBook(0, List.of());
+
+  private static Registration beat(RegistrationPhase phase, long sequence) {
+    return new Registration(
+        new UpstreamId("i-1"),
+        new ServiceId("engines"),
+        new SocketAddress("10.0.0.1", 80),
+        new DataCenterId("a"),
+        7,
+        phase,
+        sequence);
+  }
+
+  /**
+   * An upstream says that it drains and is acknowledged; requests still reach it seconds later. A
+   * heartbeat that it had sent before was late and made it ready again.
+   */
+  @Test
+  void lateHeartbeatDoesNotUndoDraining() {
+    book.register(beat(RegistrationPhase.READY, 1));
+    book.register(beat(RegistrationPhase.DRAINING, 5));
+    book.register(beat(RegistrationPhase.READY, 4));
+    assertThat(book.present()).containsExactly(beat(RegistrationPhase.DRAINING, 5));
+  }
+
+  /** A newer heartbeat may say ready by mistake; draining stays, as it was acknowledged. */
+  @Test
+  void drainingIsNeverTakenBack() {
+    book.register(beat(RegistrationPhase.DRAINING, 5));
+    book.register(beat(RegistrationPhase.READY, 6));
+    assertThat(book.present().get(0).phase()).isEqualTo(RegistrationPhase.DRAINING);
+  }
+
+  /**
+   * An upstream takes leave and is acknowledged; its address goes to another service. Its last
+   * heartbeat, held up by a cut, arrives afterwards and would bring it back.
+   */
+  @Test
+  void heartbeatAfterLeaveChangesNothing() {
+    book.register(beat(RegistrationPhase.READY, 1));
+    book.leave(beat(RegistrationPhase.READY, 1));
+    final long revision = book.revision();
+    assertThat(book.wouldChange(beat(RegistrationPhase.READY, 9))).isFalse();
+    book.register(beat(RegistrationPhase.READY, 9));
+    assertThat(book.present()).isEmpty();
+    assertThat(book.revision()).isEqualTo(revision);
+  }
+
+  /** The leave comes first, as the upstream's first heartbeat was lost on its way. */
+  @Test
+  void leaveOfUnknownUpstreamIsRemembered() {
+    book.leave(beat(RegistrationPhase.GONE, Long.MAX_VALUE));
+    book.register(beat(RegistrationPhase.READY, 1));
+    assertThat(book.present()).isEmpty();
+  }
+
+  @Test
+  void heartbeatWithNothingNewNeedsNoCommit() {
+    book.register(beat(RegistrationPhase.READY, 1));
+    assertThat(book.wouldChange(beat(RegistrationPhase.READY, 2))).isFalse();
+    assertThat(book.wouldChange(beat(RegistrationPhase.DRAINING, 2))).isTrue();
+  }
+
+  @Test
+  void droppedUpstreamComesBackWithItsNextHeartbeat() {
+    book.register(beat(RegistrationPhase.READY, 1));
+    book.drop(new UpstreamId("i-1"));
+    assertThat(book.present()).isEmpty();
+    book.register(beat(RegistrationPhase.READY, 2));
+    assertThat(book.present()).hasSize(1);
+  }
+
+  @Test
+  void copyFromItsContentIsEqual() {
+    book.register(beat(RegistrationPhase.READY, 1));
+    book.leave(beat(RegistrationPhase.READY, 1));
+    RegistryBook copy = new RegistryBook(book.revision(), List.copyOf(book.all()));
+    copy.register(beat(RegistrationPhase.READY, 2));
+    assertThat(copy.present()).isEmpty();
+  }
+}
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -38,6 +38,7 @@
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardNode;
 import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.ClientLimits;
 import org.teaseltrail.core.plan.ServingPlan;
 import org.teaseltrail.core.serving.ServingReply;
@@ -69,8 +70,12 @@
    */
   private static final long LEAST_DRAIN_MS = 3_200;
 
-  /** Time after the signal from which on idle callers' connections are ended. */
-  private static final long CLOSE_IDLE_AFTER_MS = 2_400;
+  /**
+   * Time after the signal from which on no request is taken and idle callers' connections are
+   * ended. By then the platform sends nobody any longer, and the grace still has room for an
+   * answer.
+   */
+  private static final long TAKE_NONE_AFTER_MS = 2_500;
 
   /** Time before the kill by which the process ends. */
   private static final long END_BEFORE_KILL_MS = 400;
@@ -144,6 +149,16 @@
     return ended;
   }
 
+  /**
+   * Takes other seeds, to be asked once the members known now don't answer.
+   *
+   * @param seeds control members' VMs
+   */
+  public void seeds(List<VmId> seeds) {
+    log.line("settings_reloaded").with("seeds", seeds.toString()).write();
+    loop.execute(() -> node.seeds(seeds));
+  }
+
   /** Tells the platform to send no more callers, answers those that are here, and ends. */
   @Override
   public void close() {
@@ -152,12 +167,12 @@
     ready = false;
     long beganNs = System.nanoTime();
     long endNs = beganNs + (options.graceMs() - END_BEFORE_KILL_MS) * NS_PER_MS;
-    boolean idleClosed = false;
+    boolean takesNone = false;
     while (System.nanoTime() < endNs) {
       long passedMs = (System.nanoTime() - beganNs) / NS_PER_MS;
-      if (!idleClosed && passedMs > CLOSE_IDLE_AFTER_MS) {
-        loop.execute(this::closeIdle);
-        idleClosed = true;
+      if (!takesNone && passedMs > TAKE_NONE_AFTER_MS) {
+        loop.execute(this::takeNone);
+        takesNone = true;
       }
       if (passedMs > LEAST_DRAIN_MS && open == 0) {
         break;
@@ -365,7 +380,8 @@
     List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNs, idleNs, headerNs));
   }
 
-  private void closeIdle() {
+  private void takeNone() {
+    node.end();
     List.copyOf(callers).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
   }
 
--- a/runtime/src/main/java/org/teaseltrail/runtime/process/ProgramMain.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/ProgramMain.java
@@ -125,14 +125,16 @@
       return ExitCode.OK;
     }
     LogSetup.configure(settings.get(LogSettings.FORMAT), settings.get(LogSettings.LEVEL));
-    return serve(settings, arguments);
+    return serve(settings, Path.of(file), arguments);
   }
 
-  // The hook is only held, so that it is taken away when the program ends by itself.
+  // Hook and signal are only held, so that they are taken away when the program ends by itself.
   @SuppressWarnings("try")
-  private ExitCode serve(Settings settings, Namespace arguments) throws ProgramException {
+  private ExitCode serve(Settings settings, Path file, Namespace arguments)
+      throws ProgramException {
     try (RunningProgram running = program.start(settings, arguments);
-        ShutdownHook hook = new ShutdownHook(running)) {
+        ShutdownHook hook = new ShutdownHook(running);
+        ReloadSignal reload = new ReloadSignal(() -> reload(running, file))) {
       logger.info("Runs.");
       return running.ended().join();
     } catch (CompletionException e) {
@@ -140,4 +142,14 @@
       return ExitCode.INTERNAL;
     }
   }
+
+  /** Reads the settings anew; wrong ones are told and change nothing. */
+  private void reload(RunningProgram running, Path file) {
+    try {
+      running.reload(new SettingsReader(program.spec()).read(file));
+      logger.info("Has read its settings anew.");
+    } catch (SettingsInvalidException e) {
+      logger.error("Goes on with the settings it has.", e);
+    }
+  }
 }
--- a/runtime/src/main/java/org/teaseltrail/runtime/process/RunningProgram.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/RunningProgram.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.runtime.process;
 
 import java.util.concurrent.CompletableFuture;
+import org.teaseltrail.runtime.settings.Settings;
 
 /** Is a daemon that has started. Closing it ends it gracefully. */
 public interface RunningProgram extends AutoCloseable {
@@ -12,6 +13,13 @@
    */
   CompletableFuture<ExitCode> ended();
 
+  /**
+   * Takes changed settings over, as far as the program can while it runs. By default it takes none.
+   *
+   * @param settings the changed settings, checked
+   */
+  default void reload(Settings settings) {}
+
   /** Ends the program gracefully and returns once nothing of it is in progress. */
   @Override
   void close();
