--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -37,6 +37,18 @@
   /** When a caller may come back that found no place: about a short answer's time. */
   private static final long PLACE_RETRY_MS = 400;
 
+  /** Longest such time; a third of the shortest deadline that callers honour it for. */
+  private static final long LONGEST_RETRY_MS = 1_500;
+
+  /** Pace that a line is given at least, so that a service that is just back isn't shed. */
+  private static final double LEAST_PACE_PER_S = 4;
+
+  /** Requests that may wait whatever the pace. */
+  private static final int LEAST_LINE = 4;
+
+  private static final double NS_PER_S = 1e9;
+  private static final double MS_PER_S = 1e3;
+
   /**
    * Part of a caller's patience that a request may wait for a place; the rest is for the answer.
    */
@@ -180,6 +192,17 @@
     upstreams.loadTold(upstream, requests);
   }
 
+  /**
+   * Takes what an upstream needed for a part of an answer: a stream's event, or the whole answer of
+   * a plain service.
+   *
+   * @param upstream the upstream
+   * @param elapsedMs the time, in milliseconds
+   */
+  public void pace(UpstreamId upstream, double elapsedMs) {
+    upstreams.pace(upstream, elapsedMs);
+  }
+
   /**
    * Takes a caller's leaving: nothing more is done for its request.
    *
@@ -366,13 +389,12 @@
   private void placeOrWait(TrackedForward request, long nowNs) {
     boolean overtakes = !line(request.service()).isEmpty();
     if (!overtakes && place(request, nowNs)) {
+      line(request.service()).served(nowNs);
       return;
     }
     line(request.service()).add(request);
     schedule(request);
-    if (overtakes) {
-      serveLine(request.service(), nowNs);
-    }
+    serveLine(request.service(), nowNs);
   }
 
   private boolean place(TrackedForward request, long nowNs) {
@@ -482,7 +504,38 @@
   private void serveLine(ServiceId service, long nowNs) {
     WaitingLine waiting = line(service);
     if (!waiting.isEmpty()) {
-      waiting.serve(request -> place(request, nowNs));
+      waiting.serve(request -> place(request, nowNs), nowNs);
+      shed(waiting, nowNs);
+    }
+  }
+
+  /**
+   * Gives up what the line is too long for, the least urgent first.
+   *
+   * <p>Guards against a line that grows under more load than fits: each request in it would be held
+   * until its caller leaves, and told nothing it can act on. What can't be served at the line's
+   * pace before its patience ends is told so at once.
+   */
+  private void shed(WaitingLine waiting, long nowNs) {
+    double pace = Math.max(LEAST_PACE_PER_S, waiting.pacePerSecond(nowNs));
+    while (waiting.last().isPresent()) {
+      TrackedForward last = waiting.last().get();
+      double patienceS = (last.patientUntilNs() - last.arrivedNs()) * WAIT_PART / NS_PER_S;
+      if (waiting.size() <= Math.max(LEAST_LINE, pace * patienceS)) {
+        return;
+      }
+      waiting.remove(last);
+      tracked.remove(last.number());
+      long backMs = (long) (waiting.size() / pace * MS_PER_S);
+      endWithout(last, Math.max(PLACE_RETRY_MS, Math.min(LONGEST_RETRY_MS, backMs)));
+    }
+  }
+
+  private void endWithout(TrackedForward request, long retryAfterMs) {
+    if (request.maybeRan()) {
+      refuse(request.number(), Refusal.BROKEN, 0);
+    } else {
+      refuse(request.number(), Refusal.NO_UPSTREAM, retryAfterMs);
     }
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
@@ -21,6 +21,9 @@
   /** Draws between equals, so that many VMs with the same view don't all choose the same. */
   private static final double JITTER = 0.02;
 
+  /** Bound on how far a measured speed counts; the users' servers differ by a factor of five. */
+  private static final double MOST_SLOWNESS = 2.5;
+
   /** Requests at a plain service's upstream, in relation to its places, beyond which ours wait. */
   private static final double PLAIN_FILL = 2.0;
 
@@ -50,6 +53,7 @@
     double allowedFill = engine ? fill : PLAIN_FILL;
     Optional<String> home =
         engine ? lastPart(tracked).flatMap(part -> homeOf(part, usable)) : Optional.empty();
+    double usualPaceMs = usualPaceMs(usable);
     UpstreamView best = null;
     double bestScore = Double.POSITIVE_INFINITY;
     for (UpstreamView view : usable) {
@@ -57,7 +61,9 @@
       if (view.load() >= allowedFill * slots) {
         continue;
       }
-      double score = (view.load() + 1.0) / slots / view.goodShare() + random.nextDouble() * JITTER;
+      double slowness = slowness(view, usualPaceMs);
+      double work = (view.load() + 1.0) / slots * slowness / view.goodShare();
+      double score = work + random.nextDouble() * JITTER;
       boolean isHome = home.isPresent() && home.get().equals(view.registration().id().value());
       score -= isHome ? affinity(tracked) : 0;
       if (score < bestScore) {
@@ -68,6 +74,24 @@
     return Optional.ofNullable(best);
   }
 
+  /** Returns the mean pace of the upstreams that have one, or 0. */
+  private static double usualPaceMs(List<UpstreamView> views) {
+    return views.stream()
+        .mapToDouble(UpstreamView::paceMs)
+        .filter(paceMs -> paceMs > 0)
+        .average()
+        .orElse(0);
+  }
+
+  /** Returns how much longer an upstream takes than usual; servers of a service differ in speed. */
+  private static double slowness(UpstreamView view, double usualPaceMs) {
+    if (view.paceMs() == 0 || usualPaceMs == 0) {
+      return 1;
+    }
+    double ratio = view.paceMs() / usualPaceMs;
+    return Math.max(1 / MOST_SLOWNESS, Math.min(MOST_SLOWNESS, ratio));
+  }
+
   /** Tells whether any upstream could take the request, now or when it has room. */
   boolean hasUsable(TrackedForward tracked, Collection<UpstreamView> views, long nowNs) {
     return !usable(tracked, views, nowNs).isEmpty();
--- a/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
@@ -14,6 +14,12 @@
 
   private static final long NS_PER_MS = 1_000_000L;
 
+  /**
+   * Part of the objective after which a waiting request counts as late: the users' prompts take
+   * some 50 to 150 ms to their first token, a fifth of their shortest objectives.
+   */
+  private static final double OBJECTIVE_PART_FOR_WAITING = 0.8;
+
   /** Rank of requests without a customer: behind all that pay. */
   private static final int NO_CUSTOMER_RANK = 1_000;
 
@@ -29,6 +35,7 @@
   private long sentNs;
   private boolean maybeRan;
   private boolean begun;
+  private boolean late;
 
   TrackedForward(
       ForwardRequest request,
@@ -131,6 +138,21 @@
     return maybeRan;
   }
 
+  /** Tells whether the request can no longer be answered on time; told by {@link #markLate}. */
+  boolean isLate() {
+    return late;
+  }
+
+  boolean turnsLate(long nowNs) {
+    long onTimeUntilNs =
+        arrivedNs + (long) (route.objectiveMs() * NS_PER_MS * OBJECTIVE_PART_FOR_WAITING);
+    return !late && nowNs > onTimeUntilNs;
+  }
+
+  void markLate() {
+    late = true;
+  }
+
   /** Notes that the caller has got a part of the answer. */
   void begin() {
     begun = true;
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
@@ -53,6 +53,13 @@
     }
   }
 
+  void pace(UpstreamId upstream, double elapsedMs) {
+    UpstreamView view = views.get(upstream);
+    if (view != null) {
+      view.pace(elapsedMs);
+    }
+  }
+
   Collection<UpstreamView> of(ServiceId service) {
     return byService.getOrDefault(service, List.of());
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
@@ -19,6 +19,9 @@
   /** Weight of the newest outcome in the share of good ones: some ten outcomes decide. */
   private static final double OUTCOME_WEIGHT = 0.1;
 
+  /** Weight of the newest time in the pace: some five answers decide. */
+  private static final double PACE_WEIGHT = 0.2;
+
   /** Share of good outcomes below which nothing is gained by going on counting. */
   private static final double LEAST_GOOD_SHARE = 0.05;
 
@@ -30,6 +33,7 @@
   private long avoidedUntilNs;
   private boolean avoided;
   private boolean misdirected;
+  private double paceMs;
 
   UpstreamView(Registration registration) {
     this.registration = registration;
@@ -101,6 +105,16 @@
     return !avoided || nowNs >= avoidedUntilNs;
   }
 
+  /** Takes the time that a part of an answer took. */
+  void pace(double elapsedMs) {
+    paceMs = paceMs == 0 ? elapsedMs : paceMs + PACE_WEIGHT * (elapsedMs - paceMs);
+  }
+
+  /** Returns the time that a part of an answer takes, in milliseconds; 0 if none is known. */
+  double paceMs() {
+    return paceMs;
+  }
+
   double goodShare() {
     return goodShare;
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/WaitingLine.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/WaitingLine.java
@@ -1,18 +1,38 @@
 package org.teaseltrail.core.forward;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 
-/** Holds requests that wait for a place at a service's upstreams, the most urgent first. */
+/**
+ * Holds requests that wait for a place at a service's upstreams: by the customer's rank, then those
+ * that can still be answered on time, then by the route's rank, then as they came.
+ *
+ * <p>Under more load than fits, a line that is served strictly as it came makes every request late.
+ * Those that are late already give way: an answer on time is worth three to four times a late one
+ * to the users.
+ */
 final class WaitingLine {
 
-  private final TreeSet<TrackedForward> waiting =
-      new TreeSet<>(
-          Comparator.comparingInt(TrackedForward::customerRank)
-              .thenComparingInt(tracked -> tracked.route().priority())
-              .thenComparingLong(TrackedForward::number));
+  private static final long NS_PER_S = 1_000_000_000L;
+
+  /** Time over which the pace of the line is measured; longer than a burst's first moment. */
+  private static final long PACE_WINDOW_NS = 2 * NS_PER_S;
+
+  private static final Comparator<TrackedForward> ORDER =
+      Comparator.comparingInt(TrackedForward::customerRank)
+          .thenComparing(TrackedForward::isLate)
+          .thenComparingInt(tracked -> tracked.route().priority())
+          .thenComparingLong(TrackedForward::number);
+
+  private final TreeSet<TrackedForward> waiting = new TreeSet<>(ORDER);
+  private final Deque<Long> servedNs = new ArrayDeque<>();
 
   void add(TrackedForward tracked) {
     waiting.add(tracked);
@@ -31,12 +51,45 @@
   }
 
   /** Takes out, the most urgent first, those that a place is found for. */
-  void serve(Predicate<TrackedForward> place) {
+  void serve(Predicate<TrackedForward> place, long nowNs) {
+    moveLate(nowNs);
     Iterator<TrackedForward> inOrder = waiting.iterator();
     while (inOrder.hasNext()) {
       if (place.test(inOrder.next())) {
         inOrder.remove();
+        served(nowNs);
       }
     }
   }
+
+  /** Notes that a request found a place. */
+  void served(long nowNs) {
+    servedNs.addLast(nowNs);
+    forget(nowNs);
+  }
+
+  /** Returns how many requests find a place in a second. */
+  double pacePerSecond(long nowNs) {
+    forget(nowNs);
+    return servedNs.size() * (double) NS_PER_S / PACE_WINDOW_NS;
+  }
+
+  /** Returns the request to be given up first: the least urgent, the newest among its equals. */
+  Optional<TrackedForward> last() {
+    return waiting.isEmpty() ? Optional.empty() : Optional.of(waiting.last());
+  }
+
+  private void moveLate(long nowNs) {
+    List<TrackedForward> turned = new ArrayList<>();
+    waiting.stream().filter(tracked -> tracked.turnsLate(nowNs)).forEach(turned::add);
+    waiting.removeAll(turned);
+    turned.forEach(TrackedForward::markLate);
+    waiting.addAll(turned);
+  }
+
+  private void forget(long nowNs) {
+    while (!servedNs.isEmpty() && nowNs - servedNs.peekFirst() > PACE_WINDOW_NS) {
+      servedNs.removeFirst();
+    }
+  }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -31,6 +31,7 @@
   /** Bytes of an answer without events at most; bounds what one upstream can make this VM hold. */
   private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
+  private static final double NS_PER_MS = 1e6;
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int REQUEST_TIMEOUT = 408;
@@ -175,6 +176,10 @@
     private int status;
     private boolean relays;
     private boolean over;
+    private long sentNs;
+    private long firstEventNs;
+    private long lastEventNs;
+    private int eventBatches;
 
     Attempt(ForwardAction.Dispatch dispatch) {
       this.dispatch = dispatch;
@@ -186,6 +191,7 @@
         return;
       }
       connection = made;
+      sentNs = System.nanoTime();
       made.send(callOf(), this);
     }
 
@@ -241,6 +247,7 @@
 
     @Override
     public void complete() {
+      tellPace();
       end(endOfWhole());
     }
 
@@ -280,6 +287,7 @@
       if (whole.length == 0) {
         return;
       }
+      noteEvents();
       if (!headSent) {
         beginStream();
       }
@@ -289,6 +297,22 @@
       }
     }
 
+    private void noteEvents() {
+      lastEventNs = System.nanoTime();
+      firstEventNs = eventBatches == 0 ? lastEventNs : firstEventNs;
+      eventBatches++;
+    }
+
+    /** Tells the time between events, or that of a plain answer. */
+    private void tellPace() {
+      if (eventBatches > 1) {
+        double betweenMs = (lastEventNs - firstEventNs) / NS_PER_MS / (eventBatches - 1);
+        server.pace(dispatch.upstream().id(), betweenMs);
+      } else if (!relays) {
+        server.pace(dispatch.upstream().id(), (System.nanoTime() - sentNs) / NS_PER_MS);
+      }
+    }
+
     private void keepBounded(ByteBuf part) {
       if (answerBody.readableBytes() + part.readableBytes() > MAX_ANSWER_BYTES) {
         connection.abandon();
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -274,6 +274,10 @@
     node.loadTold(upstream, load.running() + load.waiting());
   }
 
+  void pace(UpstreamId upstream, double elapsedMs) {
+    node.pace(upstream, elapsedMs);
+  }
+
   /** Makes an answer of this system's own. */
   FullHttpResponse ownAnswer(
       HttpResponseStatus status, String reason, String requestId, long retryAfterMs) {
