Let counts of others fade, and give only free room to requests over quota

Change: what lies in the tolerance gets a place only where there is room and nobody waits; counts of others fade from 0.5 s on.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -60,6 +60,9 @@
   /** Requests at an engine, in relation to its places, beyond which others wait here. */
   private static final double ENGINE_FILL = 1.0;
 
+  /** The same for requests that nobody is owed a place for. */
+  private static final double FREE_ROOM_FILL = 0.6;
+
   private final ForwardSettings settings;
   private final RandomGenerator random;
   private final PlacementRule placement;
@@ -187,9 +190,10 @@
    *
    * @param upstream the upstream
    * @param requests requests that it works on or that wait there
+   * @param nowNs time
    */
-  public void loadTold(UpstreamId upstream, int requests) {
-    upstreams.loadTold(upstream, requests);
+  public void loadTold(UpstreamId upstream, int requests, long nowNs) {
+    upstreams.loadTold(upstream, requests, nowNs);
   }
 
   /**
@@ -327,7 +331,7 @@
     }
     learnMembers(confirmed);
     vmCount = Math.max(1, confirmed.vmCount());
-    upstreams.elsewhere(confirmed.elsewhere());
+    upstreams.elsewhere(confirmed.elsewhere(), nowNs);
     quotas.told(confirmed);
     serveLines(nowNs);
   }
@@ -362,16 +366,25 @@
 
   private void admit(
       ForwardRequest request, PlanRoute route, Optional<PlanCustomer> customer, long nowNs) {
-    long waitMs = customer.map(known -> quotas.take(known, request, nowNs)).orElse(0L);
-    if (waitMs > 0) {
-      refuse(request.number(), Refusal.OVER_QUOTA, waitMs);
-      return;
-    }
+    QuotaVerdict verdict =
+        customer.map(known -> quotas.asked(known, request, nowNs)).orElse(QuotaVerdict.WITHIN);
     ServiceId service = drawService(route);
     TrackedForward admitted = new TrackedForward(request, route, service, customer, nowNs);
     tracked.put(request.number(), admitted);
     budget(service).request(nowNs);
-    placeOrWait(admitted, nowNs);
+    if (verdict == QuotaVerdict.WITHIN) {
+      placeOrWait(admitted, nowNs);
+    } else if (verdict == QuotaVerdict.OVER || !placeInFreeRoom(admitted, nowNs)) {
+      tracked.remove(request.number());
+      long waitMs = quotas.waitMs(customer.orElseThrow(), request);
+      refuse(request.number(), Refusal.OVER_QUOTA, waitMs);
+      return;
+    }
+    customer.ifPresent(known -> quotas.take(known, request, nowNs));
+  }
+
+  private boolean placeInFreeRoom(TrackedForward request, long nowNs) {
+    return line(request.service()).isEmpty() && place(request, FREE_ROOM_FILL, nowNs);
   }
 
   private ServiceId drawService(PlanRoute route) {
@@ -398,12 +411,16 @@
   }
 
   private boolean place(TrackedForward request, long nowNs) {
+    return place(request, ENGINE_FILL, nowNs);
+  }
+
+  private boolean place(TrackedForward request, double fill, long nowNs) {
     boolean engine =
         plan.flatMap(held -> held.service(request.service()))
             .map(PlanService::engine)
             .orElse(false);
     Optional<UpstreamView> chosen =
-        placement.choose(request, upstreams.of(request.service()), engine, ENGINE_FILL, nowNs);
+        placement.choose(request, upstreams.of(request.service()), engine, fill, nowNs);
     chosen.ifPresent(view -> dispatch(request, view, nowNs));
     return chosen.isPresent();
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
@@ -58,11 +58,11 @@
     double bestScore = Double.POSITIVE_INFINITY;
     for (UpstreamView view : usable) {
       int slots = Math.max(1, view.registration().slots());
-      if (view.load() >= allowedFill * slots) {
+      if (view.load(nowNs) >= allowedFill * slots) {
         continue;
       }
       double slowness = slowness(view, usualPaceMs);
-      double work = (view.load() + 1.0) / slots * slowness / view.goodShare();
+      double work = (view.load(nowNs) + 1.0) / slots * slowness / view.goodShare();
       double score = work + random.nextDouble() * JITTER;
       boolean isHome = home.isPresent() && home.get().equals(view.registration().id().value());
       score -= isHome ? affinity(tracked) : 0;
--- a/core/src/main/java/org/teaseltrail/core/forward/QuotaDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/QuotaDesk.java
@@ -50,31 +50,45 @@
     for (PlanCustomer customer : plan.customers()) {
       if (customer.hasQuota()) {
         QuotaWindow window = windows.computeIfAbsent(customer.id(), this::window);
-        window.configure(customer.quotaPerSecond(), tolerated(customer));
+        window.configure(customer.quotaPerSecond(), customer.quotaBurst(), tolerance(customer));
       }
     }
   }
 
-  /** Returns the burst of a quota, raised by the part of the tolerance that is used. */
-  private double tolerated(PlanCustomer customer) {
+  /** Returns the part that is used of what may pass a quota by mistake. */
+  private double tolerance(PlanCustomer customer) {
     double windowS = settings.quotaWindowMs() / MS_PER_S;
     double whole = customer.quotaPerSecond() * windowS + customer.quotaBurst();
     double slack = customer.quotaInTokens() ? settings.quotaSlack() : 0;
-    return customer.quotaBurst() + USED_TOLERANCE * (whole * settings.quotaOver() + slack);
+    return USED_TOLERANCE * (whole * settings.quotaOver() + slack);
   }
 
-  /**
-   * Counts a request.
-   *
-   * @return 0 if it is within the quota, otherwise the time until it would be, in milliseconds
-   */
-  long take(PlanCustomer customer, ForwardRequest request, long nowNs) {
+  /** Notes that a request has come, and says how it stands to its customer's quota. */
+  QuotaVerdict asked(PlanCustomer customer, ForwardRequest request, long nowNs) {
     QuotaWindow window = windows.get(customer.id());
     if (window == null) {
-      return 0;
+      return QuotaVerdict.WITHIN;
+    }
+    double amount = amount(customer, request);
+    window.asked(amount, nowNs);
+    return window.verdict(amount, nowNs);
+  }
+
+  /** Counts a request that is admitted. */
+  void take(PlanCustomer customer, ForwardRequest request, long nowNs) {
+    QuotaWindow window = windows.get(customer.id());
+    if (window != null) {
+      window.take(amount(customer, request), nowNs);
     }
-    double amount = customer.quotaInTokens() ? request.quotaTokens(customer.plainTokens()) : 1;
-    return window.take(amount, nowNs);
+  }
+
+  /** Returns when a refused request may be within the quota, in milliseconds. */
+  long waitMs(PlanCustomer customer, ForwardRequest request) {
+    return windows.get(customer.id()).waitMs(amount(customer, request));
+  }
+
+  private static double amount(PlanCustomer customer, ForwardRequest request) {
+    return customer.quotaInTokens() ? request.quotaTokens(customer.plainTokens()) : 1;
   }
 
   Map<CustomerId, Double> usedHere(long nowNs) {
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/QuotaVerdict.java
@@ -0,0 +1,14 @@
+package org.teaseltrail.core.forward;
+
+/** Says how a request stands to its customer's quota. */
+enum QuotaVerdict {
+  /** It is owed a place. */
+  WITHIN,
+  /**
+   * It may be over the quota, by less than the users tolerate. It gets a place that is free now and
+   * takes none from those that are owed one.
+   */
+  TOLERATED,
+  /** It is refused. */
+  OVER
+}
--- a/core/src/main/java/org/teaseltrail/core/forward/QuotaWindow.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/QuotaWindow.java
@@ -14,6 +14,7 @@
 final class QuotaWindow {
 
   private static final double NS_PER_S = 1e9;
+  private static final double MS_PER_S = 1e3;
 
   /** Time over which demand is averaged: eight syncs, and a quarter of the users' window. */
   private static final double DEMAND_WINDOW_S = 2;
@@ -30,6 +31,7 @@
   private double takenSinceTold;
   private double share = 1;
   private double limit;
+  private double tolerance;
   private double ratePerSecond;
   private double demandPerSecond;
   private long lastNs;
@@ -39,10 +41,11 @@
     windowNs = windowMs * 1_000_000L;
   }
 
-  /** Sets what may be used within the window at all VMs together. */
-  void configure(double newRatePerSecond, double burst) {
+  /** Sets what may be used within the window at all VMs together, and what may pass it. */
+  void configure(double newRatePerSecond, double burst, double newTolerance) {
     ratePerSecond = newRatePerSecond;
     limit = newRatePerSecond * windowNs / NS_PER_S + burst;
+    tolerance = newTolerance;
   }
 
   /** Takes what the leader tells. */
@@ -52,27 +55,43 @@
     takenSinceTold = 0;
   }
 
-  /**
-   * Takes an amount.
-   *
-   * @return 0 if it was taken, otherwise the time until it may be, in milliseconds
-   */
-  long take(double amount, long nowNs) {
+  /** Notes that an amount is asked for, whether it is taken or not. */
+  void asked(double amount, long nowNs) {
     pass(nowNs);
     demandPerSecond += amount / DEMAND_WINDOW_S;
-    double left = limit - usedHere - usedElsewhere;
-    boolean plenty = left - amount >= PLENTY * limit;
-    boolean withinShare = amount + takenSinceTold <= share * (left + takenSinceTold);
-    boolean unused = usedHere + usedElsewhere <= 0;
-    if (plenty || withinShare || unused) {
-      history.addLast(new Used(nowNs, amount));
-      usedHere += amount;
-      takenSinceTold += amount;
-      return 0;
+  }
+
+  /** Says how an amount stands to the quota. */
+  QuotaVerdict verdict(double amount, long nowNs) {
+    pass(nowNs);
+    if (fits(amount, limit)) {
+      return QuotaVerdict.WITHIN;
     }
+    return fits(amount, limit + tolerance) ? QuotaVerdict.TOLERATED : QuotaVerdict.OVER;
+  }
+
+  /** Counts an amount as used. */
+  void take(double amount, long nowNs) {
+    pass(nowNs);
+    history.addLast(new Used(nowNs, amount));
+    usedHere += amount;
+    takenSinceTold += amount;
+  }
+
+  /** Returns the time until an amount may be within the quota, in milliseconds. */
+  long waitMs(double amount) {
+    double left = limit - usedHere - usedElsewhere;
     double missing = amount - share * Math.max(0, left);
     double waitS = missing / Math.max(1, share * ratePerSecond);
-    return Math.max(1, (long) (Math.min(waitS, windowNs / NS_PER_S) * 1_000));
+    return Math.max(1, (long) (Math.min(waitS, windowNs / NS_PER_S) * MS_PER_S));
+  }
+
+  private boolean fits(double amount, double allowed) {
+    double left = allowed - usedHere - usedElsewhere;
+    boolean plenty = left - amount >= PLENTY * allowed;
+    boolean withinShare = amount + takenSinceTold <= share * (left + takenSinceTold);
+    boolean unused = usedHere + usedElsewhere <= 0;
+    return plenty || withinShare || unused;
   }
 
   /** Returns what was used here within the window. */
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
@@ -41,15 +41,15 @@
   }
 
   /** Notes what the other VMs have at each upstream. */
-  void elsewhere(Map<UpstreamId, Integer> counts) {
-    views.forEach((id, view) -> view.elsewhere(counts.getOrDefault(id, 0)));
+  void elsewhere(Map<UpstreamId, Integer> counts, long nowNs) {
+    views.forEach((id, view) -> view.elsewhere(counts.getOrDefault(id, 0), nowNs));
   }
 
   /** Corrects what the others have at an upstream by what it has told itself. */
-  void loadTold(UpstreamId upstream, int requests) {
+  void loadTold(UpstreamId upstream, int requests, long nowNs) {
     UpstreamView view = views.get(upstream);
     if (view != null) {
-      view.elsewhere(Math.max(0, requests - view.own()));
+      view.elsewhere(Math.max(0, requests - view.own()), nowNs);
     }
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
@@ -10,6 +10,12 @@
 
   private static final long NS_PER_MS = 1_000_000L;
 
+  /** Age up to which the others' counts are taken as they are: two syncs. */
+  private static final long FRESH_NS = 500 * NS_PER_MS;
+
+  /** Time in which an older count falls to a third: about that of a middling answer. */
+  private static final double FADING_NS = 700 * NS_PER_MS;
+
   /** First time for which a failure keeps requests away; a few of the users' round trips. */
   private static final long FIRST_AVOIDANCE_MS = 250;
 
@@ -28,6 +34,7 @@
   private Registration registration;
   private int own;
   private int elsewhere;
+  private long elsewhereToldNs;
   private double goodShare = 1;
   private int failuresInRow;
   private long avoidedUntilNs;
@@ -47,17 +54,25 @@
     registration = newer;
   }
 
-  void elsewhere(int count) {
+  void elsewhere(int count, long nowNs) {
     elsewhere = count;
+    elsewhereToldNs = nowNs;
   }
 
   int own() {
     return own;
   }
 
-  /** Returns the requests that all VMs have there, as far as this one knows. */
-  int load() {
-    return own + elsewhere;
+  /**
+   * Returns the requests that all VMs have there, as far as this one knows.
+   *
+   * <p>Guards against a count that nobody corrects while no member leads: an upstream that was full
+   * then would count as full until the next leader, though its requests have long ended. What the
+   * others had fades once it is older than a few syncs.
+   */
+  double load(long nowNs) {
+    double ageNs = Math.max(0, nowNs - elsewhereToldNs - FRESH_NS);
+    return own + elsewhere * Math.exp(-ageNs / FADING_NS);
   }
 
   void sent() {
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
@@ -304,6 +304,21 @@
     assertThat(refusals()).containsExactly(Refusal.OVER_QUOTA);
   }
 
+  /**
+   * A leader is lost while an upstream was full of the others' requests. Nothing goes there any
+   * longer, though its work has long ended: the count stands until the next leader.
+   */
+  @Test
+  void oldCountsOfOthersFade() {
+    serveWith(Plans.plan(1), upstream("e1", Plans.ENGINES, 4));
+    node.loadTold(new UpstreamId("e1"), 4, nowNs);
+    arrive("/stream/x");
+    assertThat(dispatches()).isEmpty();
+    nowNs += 900 * MS;
+    actions = node.tick(nowNs);
+    assertThat(dispatches()).hasSize(1);
+  }
+
   private List<Long> dispatchedRequests() {
     return actions.stream()
         .filter(ForwardAction.Dispatch.class::isInstance)
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -271,7 +271,7 @@
   }
 
   void told(UpstreamId upstream, AnswerHead.ToldLoad load) {
-    node.loadTold(upstream, load.running() + load.waiting());
+    node.loadTold(upstream, load.running() + load.waiting(), clock.nowNs());
   }
 
   void pace(UpstreamId upstream, double elapsedMs) {
