Keep to a VM's own part of a quota while no leader tells

Each VM went on with the last sum it had been told: as long as a quarter seemed left it admitted all, and six VMs did so at once.

Change: what the leader told counts for 0.6 s; after that a VM keeps to its part of the whole. A quarter instead of two fifths of the tolerance is used. The test of six VMs without a leader holds the bound.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -332,7 +332,7 @@
     learnMembers(confirmed);
     vmCount = Math.max(1, confirmed.vmCount());
     upstreams.elsewhere(confirmed.elsewhere(), nowNs);
-    quotas.told(confirmed);
+    quotas.told(confirmed, nowNs);
     serveLines(nowNs);
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/QuotaDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/QuotaDesk.java
@@ -17,7 +17,7 @@
    * mistake; the rest is for what the VMs use between two syncs and what a new leader hasn't heard
    * of yet.
    */
-  private static final double USED_TOLERANCE = 0.4;
+  private static final double USED_TOLERANCE = 0.25;
 
   private static final double MS_PER_S = 1_000;
 
@@ -26,13 +26,15 @@
   private Map<CustomerId, Double> usedElsewhere = Map.of();
   private Map<CustomerId, Double> shares = Map.of();
   private int vmCount = 1;
+  private long toldNs;
 
   QuotaDesk(ForwardSettings settings) {
     this.settings = settings;
   }
 
   /** Takes what the leader tells. */
-  void told(ServingReply.Confirmed confirmed) {
+  void told(ServingReply.Confirmed confirmed, long nowNs) {
+    toldNs = nowNs;
     usedElsewhere = confirmed.usedElsewhere();
     shares = confirmed.quotaShares();
     vmCount = Math.max(1, confirmed.vmCount());
@@ -110,6 +112,7 @@
   }
 
   private void tell(CustomerId id, QuotaWindow window) {
-    window.told(usedElsewhere.getOrDefault(id, 0.0), shares.getOrDefault(id, 1.0 / vmCount));
+    window.told(
+        usedElsewhere.getOrDefault(id, 0.0), shares.getOrDefault(id, 1.0 / vmCount), toldNs);
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/QuotaWindow.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/QuotaWindow.java
@@ -22,6 +22,13 @@
   /** Part of a quota that must be left for requests to pass regardless of the VM's part. */
   private static final double PLENTY = 0.25;
 
+  /**
+   * Age up to which what the leader told is relied on: two syncs. Later, as while no member leads,
+   * each VM keeps to its part of the whole: all of them together would use what is left of the
+   * quota many times over if each went on to believe that it is left.
+   */
+  private static final long FRESH_NS = 600_000_000L;
+
   private record Used(long atNs, double amount) {}
 
   private final long windowNs;
@@ -35,6 +42,7 @@
   private double ratePerSecond;
   private double demandPerSecond;
   private long lastNs;
+  private long toldNs;
   private boolean begun;
 
   QuotaWindow(long windowMs) {
@@ -49,7 +57,8 @@
   }
 
   /** Takes what the leader tells. */
-  void told(double elsewhere, double newShare) {
+  void told(double elsewhere, double newShare, long nowNs) {
+    toldNs = nowNs;
     usedElsewhere = elsewhere;
     share = newShare;
     takenSinceTold = 0;
@@ -64,6 +73,10 @@
   /** Says how an amount stands to the quota. */
   QuotaVerdict verdict(double amount, long nowNs) {
     pass(nowNs);
+    if (nowNs - toldNs > FRESH_NS) {
+      boolean ownPart = usedHere + amount <= share * limit;
+      return ownPart ? QuotaVerdict.WITHIN : QuotaVerdict.OVER;
+    }
     if (fits(amount, limit)) {
       return QuotaVerdict.WITHIN;
     }
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/forward/QuotaWindowTest.java
@@ -0,0 +1,84 @@
+package org.teaseltrail.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Holds a quota over several VMs that hear of each other late, or not at all. */
+class QuotaWindowTest {
+
+  private static final long MS = 1_000_000L;
+  private static final int VMS = 6;
+  private static final double RATE = 1_000;
+
+  /** Rate times window, and a burst of one second. */
+  private static final double LIMIT = RATE * 9;
+
+  private final List<QuotaWindow> windows = new ArrayList<>();
+
+  private QuotaWindow window() {
+    QuotaWindow window = new QuotaWindow(8_000);
+    window.configure(RATE, RATE, 0);
+    window.told(0, 1.0 / VMS, 0);
+    windows.add(window);
+    return window;
+  }
+
+  /** Asks for amounts at all VMs from one time to another, and returns what was admitted. */
+  private double admitted(long fromMs, long untilMs, boolean leaderKnown) {
+    double sum = 0;
+    for (long ms = fromMs; ms < untilMs; ms += 10) {
+      if (leaderKnown && ms % 250 == 0) {
+        tell(ms);
+      }
+      for (QuotaWindow window : windows) {
+        window.asked(20, ms * MS);
+        if (window.verdict(20, ms * MS) == QuotaVerdict.WITHIN) {
+          window.take(20, ms * MS);
+          sum += 20;
+        }
+      }
+    }
+    return sum;
+  }
+
+  private void tell(long ms) {
+    double used = windows.stream().mapToDouble(window -> window.usedHere(ms * MS)).sum();
+    for (QuotaWindow window : windows) {
+      window.told(used - window.usedHere(ms * MS), 1.0 / VMS, ms * MS);
+    }
+  }
+
+  @Test
+  void allVmsTogetherKeepToTheQuota() {
+    for (int i = 0; i < VMS; i++) {
+      window();
+    }
+    assertThat(admitted(0, 8_000, true)).isBetween(0.8 * LIMIT, 1.1 * LIMIT);
+  }
+
+  /**
+   * The leader is lost while a customer has used little, and the customer then sends many times its
+   * usual. Each VM saw most of the quota left and gave it out alone.
+   */
+  @Test
+  void withoutLeaderEachVmKeepsToItsPart() {
+    for (int i = 0; i < VMS; i++) {
+      window();
+    }
+    tell(0);
+    assertThat(admitted(1_000, 9_000, false)).isBetween(0.8 * LIMIT, 1.1 * LIMIT);
+  }
+
+  @Test
+  void usedQuotaComesBackWithTheWindow() {
+    QuotaWindow window = window();
+    window.told(0, 1, 0);
+    window.take(LIMIT, 0);
+    assertThat(window.verdict(20, 100 * MS)).isEqualTo(QuotaVerdict.OVER);
+    window.told(0, 1, 8_100 * MS);
+    assertThat(window.verdict(20, 8_100 * MS)).isEqualTo(QuotaVerdict.WITHIN);
+  }
+}
