Forget an upstream's failures with time

Cause: an upstream whose answers had all failed for a while kept the belief of a twentieth of good answers, as nothing was sent to it that could show better; a scripted test showed it idle beside a full one.

Change: the belief goes back to good within some seconds without answers, and so does a measured pace.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -202,9 +202,10 @@
    *
    * @param upstream the upstream
    * @param elapsedMs the time, in milliseconds
+   * @param nowNs time
    */
-  public void pace(UpstreamId upstream, double elapsedMs) {
-    upstreams.pace(upstream, elapsedMs);
+  public void pace(UpstreamId upstream, double elapsedMs, long nowNs) {
+    upstreams.pace(upstream, elapsedMs, nowNs);
   }
 
   /**
--- a/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
@@ -61,8 +61,8 @@
       if (view.load(nowNs) >= allowedFill * slots) {
         continue;
       }
-      double slowness = slowness(view, usualPaceMs);
-      double work = (view.load(nowNs) + 1.0) / slots * slowness / view.goodShare();
+      double slowness = slowness(view, usualPaceMs, nowNs);
+      double work = (view.load(nowNs) + 1.0) / slots * slowness / view.goodShare(nowNs);
       double score = work + random.nextDouble() * JITTER;
       boolean isHome = home.isPresent() && home.get().equals(view.registration().id().value());
       score -= isHome ? affinity(tracked) : 0;
@@ -84,12 +84,13 @@
   }
 
   /** Returns how much longer an upstream takes than usual; servers of a service differ in speed. */
-  private static double slowness(UpstreamView view, double usualPaceMs) {
+  private static double slowness(UpstreamView view, double usualPaceMs, long nowNs) {
     if (view.paceMs() == 0 || usualPaceMs == 0) {
       return 1;
     }
     double ratio = view.paceMs() / usualPaceMs;
-    return Math.max(1 / MOST_SLOWNESS, Math.min(MOST_SLOWNESS, ratio));
+    double bounded = Math.max(1 / MOST_SLOWNESS, Math.min(MOST_SLOWNESS, ratio));
+    return 1 + (bounded - 1) * view.paceWeight(nowNs);
   }
 
   /** Tells whether any upstream could take the request, now or when it has room. */
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
@@ -53,10 +53,10 @@
     }
   }
 
-  void pace(UpstreamId upstream, double elapsedMs) {
+  void pace(UpstreamId upstream, double elapsedMs, long nowNs) {
     UpstreamView view = views.get(upstream);
     if (view != null) {
-      view.pace(elapsedMs);
+      view.pace(elapsedMs, nowNs);
     }
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
@@ -28,8 +28,14 @@
   /** Weight of the newest time in the pace: some five answers decide. */
   private static final double PACE_WEIGHT = 0.2;
 
-  /** Share of good outcomes below which nothing is gained by going on counting. */
-  private static final double LEAST_GOOD_SHARE = 0.05;
+  /**
+   * Least share of good outcomes that is believed; so much worse an upstream is used only when the
+   * others are full.
+   */
+  private static final double LEAST_GOOD_SHARE = 0.2;
+
+  /** Time in which what an upstream's answers showed loses two thirds of its weight. */
+  private static final double FORGETTING_NS = 3_000 * NS_PER_MS;
 
   private Registration registration;
   private int own;
@@ -41,6 +47,8 @@
   private boolean avoided;
   private boolean misdirected;
   private double paceMs;
+  private long pacedNs;
+  private long answeredNs;
 
   UpstreamView(Registration registration) {
     this.registration = registration;
@@ -86,8 +94,10 @@
       misdirected = true;
       return;
     }
-    goodShare += OUTCOME_WEIGHT * ((end.isFailure() ? 0 : 1) - goodShare);
+    double before = goodShare(nowNs);
+    goodShare = before + OUTCOME_WEIGHT * ((end.isFailure() ? 0 : 1) - before);
     goodShare = Math.max(LEAST_GOOD_SHARE, goodShare);
+    answeredNs = nowNs;
     boolean silent = end == AttemptEnd.NOT_CONNECTED || end == AttemptEnd.BROKEN;
     if (!silent) {
       failuresInRow = 0;
@@ -121,8 +131,14 @@
   }
 
   /** Takes the time that a part of an answer took. */
-  void pace(double elapsedMs) {
+  void pace(double elapsedMs, long nowNs) {
     paceMs = paceMs == 0 ? elapsedMs : paceMs + PACE_WEIGHT * (elapsedMs - paceMs);
+    pacedNs = nowNs;
+  }
+
+  /** Returns how far the measured pace still counts, from 1 when it is new down to 0. */
+  double paceWeight(long nowNs) {
+    return Math.exp(-Math.max(0, nowNs - pacedNs) / FORGETTING_NS);
   }
 
   /** Returns the time that a part of an answer takes, in milliseconds; 0 if none is known. */
@@ -130,7 +146,15 @@
     return paceMs;
   }
 
-  double goodShare() {
-    return goodShare;
+  /**
+   * Returns the share of good outcomes among the newest ones.
+   *
+   * <p>Guards against an upstream that failed for a while and is given nothing ever after: it shows
+   * as a healthy upstream without work while the others are full. Without new answers the belief
+   * goes back to good by itself, and a request tries the upstream again.
+   */
+  double goodShare(long nowNs) {
+    double weight = Math.exp(-Math.max(0, nowNs - answeredNs) / FORGETTING_NS);
+    return 1 - (1 - goodShare) * weight;
   }
 }
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
@@ -304,6 +304,30 @@
     assertThat(refusals()).containsExactly(Refusal.OVER_QUOTA);
   }
 
+  /**
+   * All of an upstream's answers fail for a while. It recovers, and yet gets nothing for the rest
+   * of the day while the other one is full: nothing ever showed that it works again.
+   */
+  @Test
+  void triesUpstreamAgainThatHadFailed() {
+    serveWith(Plans.plan(1), upstream("e1", Plans.ENGINES, 8), upstream("e2", Plans.ENGINES, 8));
+    String failing = "e1";
+    for (int i = 0; i < 60; i++) {
+      long number = arrive("/stream/x");
+      boolean fails = dispatches().contains(failing);
+      nowNs += 10 * MS;
+      end(number, fails ? AttemptEnd.FAILED_ANSWER : AttemptEnd.ANSWERED);
+    }
+    nowNs += 10_000 * MS;
+    confirm(1);
+    List<String> placed = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      arrive("/stream/x");
+      placed.addAll(dispatches());
+    }
+    assertThat(placed).contains("e1", "e2");
+  }
+
   /**
    * A leader is lost while an upstream was full of the others' requests. Nothing goes there any
    * longer, though its work has long ended: the count stands until the next leader.
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -275,7 +275,7 @@
   }
 
   void pace(UpstreamId upstream, double elapsedMs) {
-    node.pace(upstream, elapsedMs);
+    node.pace(upstream, elapsedMs, clock.nowNs());
   }
 
   /** Makes an answer of this system's own. */
