Split the requests' desk off the forwarding node

What places, lets wait, repeats and ends admitted requests is RequestDesk; the node admits and speaks with the control members. Two changes of behaviour found in the reading: a stream that ran into its deadline after it had begun no longer counts against its upstream (a long answer is no doubt about it), and a begun stream that waits to go on elsewhere may wait until its deadline instead of three fifths of its first patience, which had passed already.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -1,12 +1,10 @@
 package org.teaseltrail.core.forward;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.ServiceId;
@@ -34,48 +32,13 @@
   /** When a caller may come back that met a VM about to end; its next try goes to another VM. */
   private static final long ENDING_RETRY_MS = 20;
 
-  /** When a caller may come back that found no place: about a short answer's time. */
-  private static final long PLACE_RETRY_MS = 400;
-
-  /** Longest such time; a third of the shortest deadline that callers honour it for. */
-  private static final long LONGEST_RETRY_MS = 1_500;
-
-  /** Pace that a line is given at least, so that a service that is just back isn't shed. */
-  private static final double LEAST_PACE_PER_S = 4;
-
-  /** Requests that may wait whatever the pace. */
-  private static final int LEAST_LINE = 4;
-
-  private static final double NS_PER_S = 1e9;
-  private static final double MS_PER_S = 1e3;
-
-  /**
-   * Part of a caller's patience that a request may wait for a place; the rest is for the answer.
-   */
-  private static final double WAIT_PART = 0.6;
-
-  /** Attempts at most, those that reached nobody among them. */
-  private static final int MAX_ATTEMPTS = 5;
-
-  /** Requests at an engine, in relation to its places, beyond which others wait here. */
-  private static final double ENGINE_FILL = 1.0;
-
-  /** The same for requests that nobody is owed a place for. */
-  private static final double FREE_ROOM_FILL = 0.6;
-
-  private final ForwardSettings settings;
   private final RandomGenerator random;
-  private final PlacementRule placement;
   private final ControlTies ties;
   private final UpstreamBook upstreams = new UpstreamBook();
   private final QuotaDesk quotas;
-  private final Map<ServiceId, WaitingLine> lines = new HashMap<>();
-  private final Map<ServiceId, RetryBudget> budgets = new HashMap<>();
-  private final Map<Long, TrackedForward> tracked = new HashMap<>();
-  private final TreeMap<Long, List<TrackedForward>> dueNs = new TreeMap<>();
+  private final RequestDesk requests;
   private Optional<PlanIndex> plan = Optional.empty();
   private boolean ending;
-  private int vmCount = 1;
   private List<ForwardAction> out = new ArrayList<>();
 
   /**
@@ -84,9 +47,14 @@
    * @param settings its settings
    */
   public ForwardNode(ForwardSettings settings) {
-    this.settings = settings;
     random = new SplittableRandom(settings.seed());
-    placement = new PlacementRule(random);
+    requests =
+        new RequestDesk(
+            settings,
+            new PlacementRule(random),
+            upstreams,
+            this::isEngine,
+            action -> out.add(action));
     ties = new ControlTies(settings);
     quotas = new QuotaDesk(settings);
   }
@@ -159,16 +127,7 @@
    * @return what is to be done
    */
   public List<ForwardAction> attemptEnded(long number, AttemptEnd end, long nowNs) {
-    TrackedForward request = tracked.get(number);
-    if (request == null || request.at().isEmpty()) {
-      return take();
-    }
-    request.at().get().ended(end, nowNs);
-    request.attemptEnded(end);
-    if (end == AttemptEnd.ANSWERED || !goOn(request, end, nowNs)) {
-      finish(request, end);
-    }
-    serveLine(request.service(), nowNs);
+    requests.attemptEnded(number, end, nowNs);
     return take();
   }
 
@@ -178,11 +137,7 @@
    * @param number the request's number
    */
   public void begun(long number) {
-    TrackedForward request = tracked.get(number);
-    if (request != null) {
-      request.begin();
-      schedule(request);
-    }
+    requests.begun(number);
   }
 
   /**
@@ -216,12 +171,7 @@
    * @return what is to be done
    */
   public List<ForwardAction> callerLeft(long number, long nowNs) {
-    TrackedForward request = tracked.remove(number);
-    if (request != null) {
-      line(request.service()).remove(request);
-      cancel(request);
-      serveLine(request.service(), nowNs);
-    }
+    requests.callerLeft(number, nowNs);
     return take();
   }
 
@@ -245,7 +195,7 @@
     } else if (reply instanceof ServingReply.RegistryUpdate update) {
       if (ties.session().isNewest(update.fencing())) {
         upstreams.update(update.revision(), update.present());
-        serveLines(nowNs);
+        requests.serveLines(nowNs);
       }
     }
     return take();
@@ -262,10 +212,7 @@
     if (ties.fallBackToSeeds(nowNs)) {
       out.add(new ForwardAction.KeepConnected(ties.members()));
     }
-    while (!dueNs.isEmpty() && dueNs.firstKey() <= nowNs) {
-      dueNs.pollFirstEntry().getValue().forEach(request -> due(request, nowNs));
-    }
-    serveLines(nowNs);
+    requests.tick(nowNs);
     return take();
   }
 
@@ -275,7 +222,7 @@
    * @return time in nanoseconds
    */
   public long nextWakeupNs() {
-    return dueNs.isEmpty() ? ties.nextSyncNs() : Math.min(ties.nextSyncNs(), dueNs.firstKey());
+    return Math.min(ties.nextSyncNs(), requests.nextDueNs().orElse(Long.MAX_VALUE));
   }
 
   /**
@@ -303,7 +250,7 @@
    * @return those that wait and those at upstreams
    */
   public int open() {
-    return tracked.size();
+    return requests.open();
   }
 
   long planVersion() {
@@ -331,10 +278,10 @@
       return;
     }
     learnMembers(confirmed);
-    vmCount = Math.max(1, confirmed.vmCount());
+    requests.vmCount(confirmed.vmCount());
     upstreams.elsewhere(confirmed.elsewhere(), nowNs);
     quotas.told(confirmed, nowNs);
-    serveLines(nowNs);
+    requests.serveLines(nowNs);
   }
 
   private void learnMembers(ServingReply reply) {
@@ -369,14 +316,11 @@
       ForwardRequest request, PlanRoute route, Optional<PlanCustomer> customer, long nowNs) {
     QuotaVerdict verdict =
         customer.map(known -> quotas.asked(known, request, nowNs)).orElse(QuotaVerdict.WITHIN);
-    ServiceId service = drawService(route);
-    TrackedForward admitted = new TrackedForward(request, route, service, customer, nowNs);
-    tracked.put(request.number(), admitted);
-    budget(service).request(nowNs);
+    TrackedForward admitted =
+        new TrackedForward(request, route, drawService(route), customer, nowNs);
     if (verdict == QuotaVerdict.WITHIN) {
-      placeOrWait(admitted, nowNs);
-    } else if (verdict == QuotaVerdict.OVER || !placeInFreeRoom(admitted, nowNs)) {
-      tracked.remove(request.number());
+      requests.admit(admitted, nowNs);
+    } else if (verdict == QuotaVerdict.OVER || !requests.admitToFreeRoom(admitted, nowNs)) {
       long waitMs = quotas.waitMs(customer.orElseThrow(), request);
       refuse(request.number(), Refusal.OVER_QUOTA, waitMs);
       return;
@@ -384,10 +328,6 @@
     customer.ifPresent(known -> quotas.take(known, request, nowNs));
   }
 
-  private boolean placeInFreeRoom(TrackedForward request, long nowNs) {
-    return line(request.service()).isEmpty() && place(request, FREE_ROOM_FILL, nowNs);
-  }
-
   private ServiceId drawService(PlanRoute route) {
     int total = route.targets().stream().mapToInt(WeightedService::weight).sum();
     int drawn = random.nextInt(total);
@@ -400,176 +340,14 @@
     throw new IllegalStateException("weights of " + route.id());
   }
 
-  private void placeOrWait(TrackedForward request, long nowNs) {
-    boolean overtakes = !line(request.service()).isEmpty();
-    if (!overtakes && place(request, nowNs)) {
-      line(request.service()).served(nowNs);
-      return;
-    }
-    line(request.service()).add(request);
-    schedule(request);
-    serveLine(request.service(), nowNs);
-  }
-
-  private boolean place(TrackedForward request, long nowNs) {
-    return place(request, ENGINE_FILL, nowNs);
-  }
-
-  private boolean place(TrackedForward request, double fill, long nowNs) {
-    boolean engine =
-        plan.flatMap(held -> held.service(request.service()))
-            .map(PlanService::engine)
-            .orElse(false);
-    Optional<UpstreamView> chosen =
-        placement.choose(request, upstreams.of(request.service()), engine, fill, nowNs);
-    chosen.ifPresent(view -> dispatch(request, view, nowNs));
-    return chosen.isPresent();
-  }
-
-  private void dispatch(TrackedForward request, UpstreamView view, long nowNs) {
-    view.sent();
-    request.sentTo(view, nowNs);
-    schedule(request);
-    out.add(
-        new ForwardAction.Dispatch(
-            request.number(),
-            request.attempts(),
-            view.registration(),
-            request.route(),
-            request.customer(),
-            request.leftMs(nowNs)));
-  }
-
-  /** Tries again where that is allowed. */
-  private boolean goOn(TrackedForward request, AttemptEnd end, long nowNs) {
-    boolean mayRepeat = !end.maybeRan() || request.route().mayRepeat();
-    boolean attemptsLeft =
-        request.sends() < request.route().maxAttempts() && request.attempts() < MAX_ATTEMPTS;
-    boolean timeLeft = nowNs < request.patientUntilNs();
-    boolean elsewhere = placement.hasUsable(request, upstreams.of(request.service()), nowNs);
-    if (!mayRepeat || !attemptsLeft || !timeLeft || !elsewhere) {
-      return false;
-    }
-    boolean free = end == AttemptEnd.NOT_CONNECTED;
-    double ownSlack = settings.retrySlack() / vmCount;
-    if (!free && !budget(request.service()).take(ownSlack, nowNs)) {
-      return false;
-    }
-    placeOrWait(request, nowNs);
-    return true;
-  }
-
-  private void finish(TrackedForward request, AttemptEnd end) {
-    tracked.remove(request.number());
-    if (end == AttemptEnd.ANSWERED || end == AttemptEnd.FAILED_ANSWER) {
-      out.add(new ForwardAction.Deliver(request.number()));
-    } else if (request.maybeRan()) {
-      refuse(request.number(), Refusal.BROKEN, 0);
-    } else {
-      refuse(request.number(), Refusal.NOT_RUN, PLACE_RETRY_MS);
-    }
-  }
-
-  /** Looks after a request whose time may have come. */
-  private void due(TrackedForward request, long nowNs) {
-    boolean over = tracked.get(request.number()) != request;
-    if (over) {
-      return;
-    }
-    if (nowNs < wakeNs(request)) {
-      schedule(request);
-      return;
-    }
-    tracked.remove(request.number());
-    line(request.service()).remove(request);
-    boolean atUpstream = request.at().isPresent();
-    request.at().ifPresent(view -> timedOut(view, nowNs));
-    cancel(request);
-    if (atUpstream || request.maybeRan()) {
-      refuse(request.number(), Refusal.TIMED_OUT, 0);
-    } else {
-      refuse(request.number(), Refusal.WAITED_TOO_LONG, PLACE_RETRY_MS);
-    }
-  }
-
-  private void timedOut(UpstreamView view, long nowNs) {
-    view.avoid(nowNs);
-  }
-
-  private void cancel(TrackedForward request) {
-    if (request.at().isPresent()) {
-      request.at().get().cancelled();
-      out.add(new ForwardAction.Cancel(request.number()));
-    }
-  }
-
-  private void schedule(TrackedForward request) {
-    dueNs.computeIfAbsent(wakeNs(request), key -> new ArrayList<>()).add(request);
-  }
-
-  private static long wakeNs(TrackedForward request) {
-    if (request.at().isPresent()) {
-      return request.dueNs();
-    }
-    long patienceNs = request.patientUntilNs() - request.arrivedNs();
-    return request.arrivedNs() + (long) (patienceNs * WAIT_PART);
-  }
-
-  private void serveLines(long nowNs) {
-    List.copyOf(lines.keySet()).forEach(service -> serveLine(service, nowNs));
-  }
-
-  private void serveLine(ServiceId service, long nowNs) {
-    WaitingLine waiting = line(service);
-    if (!waiting.isEmpty()) {
-      waiting.serve(request -> place(request, nowNs), nowNs);
-      shed(waiting, nowNs);
-    }
-  }
-
-  /**
-   * Gives up what the line is too long for, the least urgent first.
-   *
-   * <p>Guards against a line that grows under more load than fits: each request in it would be held
-   * until its caller leaves, and told nothing it can act on. What can't be served at the line's
-   * pace before its patience ends is told so at once.
-   */
-  private void shed(WaitingLine waiting, long nowNs) {
-    double pace = Math.max(LEAST_PACE_PER_S, waiting.pacePerSecond(nowNs));
-    while (waiting.last().isPresent()) {
-      TrackedForward last = waiting.last().get();
-      double patienceS = (last.patientUntilNs() - last.arrivedNs()) * WAIT_PART / NS_PER_S;
-      if (waiting.size() <= Math.max(LEAST_LINE, pace * patienceS)) {
-        return;
-      }
-      waiting.remove(last);
-      tracked.remove(last.number());
-      long backMs = (long) (waiting.size() / pace * MS_PER_S);
-      endWithout(last, Math.max(PLACE_RETRY_MS, Math.min(LONGEST_RETRY_MS, backMs)));
-    }
-  }
-
-  private void endWithout(TrackedForward request, long retryAfterMs) {
-    if (request.maybeRan()) {
-      refuse(request.number(), Refusal.BROKEN, 0);
-    } else {
-      refuse(request.number(), Refusal.NO_UPSTREAM, retryAfterMs);
-    }
+  private boolean isEngine(ServiceId service) {
+    return plan.flatMap(held -> held.service(service)).map(PlanService::engine).orElse(false);
   }
 
   private void refuse(long number, Refusal refusal, long retryAfterMs) {
     out.add(new ForwardAction.Refuse(number, refusal, retryAfterMs));
   }
 
-  private WaitingLine line(ServiceId service) {
-    return lines.computeIfAbsent(service, key -> new WaitingLine());
-  }
-
-  private RetryBudget budget(ServiceId service) {
-    return budgets.computeIfAbsent(
-        service, key -> new RetryBudget(settings.retryWindowMs(), settings.retryRatio()));
-  }
-
   private List<ForwardAction> take() {
     List<ForwardAction> taken = out;
     out = new ArrayList<>();
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -0,0 +1,314 @@
+package org.teaseltrail.core.forward;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.teaseltrail.core.id.ServiceId;
+
+/**
+ * Looks after the requests that were admitted: places them, lets them wait, repeats them where that
+ * is allowed, and ends each with one answer.
+ */
+final class RequestDesk {
+
+  /** When a caller may come back that found no place: about a short answer's time. */
+  private static final long PLACE_RETRY_MS = 400;
+
+  /** Longest such time; a third of the shortest deadline that callers honour it for. */
+  private static final long LONGEST_RETRY_MS = 1_500;
+
+  /** Pace that a line is given at least, so that a service that is just back isn't shed. */
+  private static final double LEAST_PACE_PER_S = 4;
+
+  /** Requests that may wait whatever the pace. */
+  private static final int LEAST_LINE = 4;
+
+  private static final double NS_PER_S = 1e9;
+  private static final double MS_PER_S = 1e3;
+
+  /**
+   * Part of a caller's patience that a request may wait for a place; the rest is for the answer.
+   */
+  private static final double WAIT_PART = 0.6;
+
+  /** Attempts at most, those that reached nobody among them. */
+  private static final int MAX_ATTEMPTS = 5;
+
+  /** Requests at an engine, in relation to its places, beyond which others wait here. */
+  private static final double ENGINE_FILL = 1.0;
+
+  /** The same for requests that nobody is owed a place for. */
+  private static final double FREE_ROOM_FILL = 0.6;
+
+  private final ForwardSettings settings;
+  private final PlacementRule placement;
+  private final UpstreamBook upstreams;
+  private final Predicate<ServiceId> isEngine;
+  private final Consumer<ForwardAction> out;
+  private final Map<ServiceId, WaitingLine> lines = new HashMap<>();
+  private final Map<ServiceId, RetryBudget> budgets = new HashMap<>();
+  private final Map<Long, TrackedForward> tracked = new HashMap<>();
+  private final TreeMap<Long, List<TrackedForward>> dueNs = new TreeMap<>();
+  private int vmCount = 1;
+
+  RequestDesk(
+      ForwardSettings settings,
+      PlacementRule placement,
+      UpstreamBook upstreams,
+      Predicate<ServiceId> isEngine,
+      Consumer<ForwardAction> out) {
+    this.settings = settings;
+    this.placement = placement;
+    this.upstreams = upstreams;
+    this.isEngine = isEngine;
+    this.out = out;
+  }
+
+  /** Takes how many VMs share the budgets of repeats. */
+  void vmCount(int count) {
+    vmCount = Math.max(1, count);
+  }
+
+  int open() {
+    return tracked.size();
+  }
+
+  OptionalLong nextDueNs() {
+    return dueNs.isEmpty() ? OptionalLong.empty() : OptionalLong.of(dueNs.firstKey());
+  }
+
+  /** Takes a request that is owed a place. */
+  void admit(TrackedForward request, long nowNs) {
+    tracked.put(request.number(), request);
+    budget(request.service()).request(nowNs);
+    placeOrWait(request, nowNs);
+  }
+
+  /**
+   * Takes a request only if there is room that nobody waits for.
+   *
+   * @return whether it was taken
+   */
+  boolean admitToFreeRoom(TrackedForward request, long nowNs) {
+    tracked.put(request.number(), request);
+    boolean taken = line(request.service()).isEmpty() && place(request, FREE_ROOM_FILL, nowNs);
+    if (taken) {
+      budget(request.service()).request(nowNs);
+    } else {
+      tracked.remove(request.number());
+    }
+    return taken;
+  }
+
+  /** Takes the end of an attempt; one of a request that is over already changes nothing. */
+  void attemptEnded(long number, AttemptEnd end, long nowNs) {
+    TrackedForward request = tracked.get(number);
+    if (request == null || request.at().isEmpty()) {
+      return;
+    }
+    request.at().get().ended(end, nowNs);
+    request.attemptEnded(end);
+    if (end == AttemptEnd.ANSWERED || !goOn(request, end, nowNs)) {
+      finish(request, end);
+    }
+    serveLine(request.service(), nowNs);
+  }
+
+  /** Notes that the caller has got the first part of a stream. */
+  void begun(long number) {
+    TrackedForward request = tracked.get(number);
+    if (request != null) {
+      request.begin();
+      schedule(request);
+    }
+  }
+
+  void callerLeft(long number, long nowNs) {
+    TrackedForward request = tracked.remove(number);
+    if (request != null) {
+      line(request.service()).remove(request);
+      cancel(request);
+      serveLine(request.service(), nowNs);
+    }
+  }
+
+  /** Ends what is out of time. */
+  void tick(long nowNs) {
+    while (!dueNs.isEmpty() && dueNs.firstKey() <= nowNs) {
+      dueNs.pollFirstEntry().getValue().forEach(request -> due(request, nowNs));
+    }
+    serveLines(nowNs);
+  }
+
+  private void placeOrWait(TrackedForward request, long nowNs) {
+    boolean overtakes = !line(request.service()).isEmpty();
+    if (!overtakes && place(request, nowNs)) {
+      line(request.service()).served(nowNs);
+      return;
+    }
+    line(request.service()).add(request);
+    schedule(request);
+    serveLine(request.service(), nowNs);
+  }
+
+  private boolean place(TrackedForward request, long nowNs) {
+    return place(request, ENGINE_FILL, nowNs);
+  }
+
+  private boolean place(TrackedForward request, double fill, long nowNs) {
+    boolean engine = isEngine.test(request.service());
+    Optional<UpstreamView> chosen =
+        placement.choose(request, upstreams.of(request.service()), engine, fill, nowNs);
+    chosen.ifPresent(view -> dispatch(request, view, nowNs));
+    return chosen.isPresent();
+  }
+
+  private void dispatch(TrackedForward request, UpstreamView view, long nowNs) {
+    view.sent();
+    request.sentTo(view, nowNs);
+    schedule(request);
+    out.accept(
+        new ForwardAction.Dispatch(
+            request.number(),
+            request.attempts(),
+            view.registration(),
+            request.route(),
+            request.customer(),
+            request.leftMs(nowNs)));
+  }
+
+  /** Tries again where that is allowed. */
+  private boolean goOn(TrackedForward request, AttemptEnd end, long nowNs) {
+    boolean mayRepeat = !end.maybeRan() || request.route().mayRepeat();
+    boolean attemptsLeft =
+        request.sends() < request.route().maxAttempts() && request.attempts() < MAX_ATTEMPTS;
+    boolean timeLeft = nowNs < request.patientUntilNs();
+    boolean elsewhere = placement.hasUsable(request, upstreams.of(request.service()), nowNs);
+    if (!mayRepeat || !attemptsLeft || !timeLeft || !elsewhere) {
+      return false;
+    }
+    boolean free = end == AttemptEnd.NOT_CONNECTED;
+    double ownSlack = settings.retrySlack() / vmCount;
+    if (!free && !budget(request.service()).take(ownSlack, nowNs)) {
+      return false;
+    }
+    placeOrWait(request, nowNs);
+    return true;
+  }
+
+  private void finish(TrackedForward request, AttemptEnd end) {
+    tracked.remove(request.number());
+    if (end == AttemptEnd.ANSWERED || end == AttemptEnd.FAILED_ANSWER) {
+      out.accept(new ForwardAction.Deliver(request.number()));
+    } else if (request.maybeRan()) {
+      refuse(request.number(), Refusal.BROKEN, 0);
+    } else {
+      refuse(request.number(), Refusal.NOT_RUN, PLACE_RETRY_MS);
+    }
+  }
+
+  /** Looks after a request whose time may have come. */
+  private void due(TrackedForward request, long nowNs) {
+    boolean over = tracked.get(request.number()) != request;
+    if (over) {
+      return;
+    }
+    if (nowNs < wakeNs(request)) {
+      schedule(request);
+      return;
+    }
+    tracked.remove(request.number());
+    line(request.service()).remove(request);
+    boolean atUpstream = request.at().isPresent();
+    if (!request.hasBegun()) {
+      request.at().ifPresent(view -> view.avoid(nowNs));
+    }
+    cancel(request);
+    if (atUpstream || request.maybeRan()) {
+      refuse(request.number(), Refusal.TIMED_OUT, 0);
+    } else {
+      refuse(request.number(), Refusal.WAITED_TOO_LONG, PLACE_RETRY_MS);
+    }
+  }
+
+  private void cancel(TrackedForward request) {
+    if (request.at().isPresent()) {
+      request.at().get().cancelled();
+      out.accept(new ForwardAction.Cancel(request.number()));
+    }
+  }
+
+  private void schedule(TrackedForward request) {
+    dueNs.computeIfAbsent(wakeNs(request), key -> new ArrayList<>()).add(request);
+  }
+
+  private static long wakeNs(TrackedForward request) {
+    if (request.at().isPresent() || request.hasBegun()) {
+      return request.dueNs();
+    }
+    long patienceNs = request.patientUntilNs() - request.arrivedNs();
+    return request.arrivedNs() + (long) (patienceNs * WAIT_PART);
+  }
+
+  /** Places what waits, as far as there is room. */
+  void serveLines(long nowNs) {
+    List.copyOf(lines.keySet()).forEach(service -> serveLine(service, nowNs));
+  }
+
+  private void serveLine(ServiceId service, long nowNs) {
+    WaitingLine waiting = line(service);
+    if (!waiting.isEmpty()) {
+      waiting.serve(request -> place(request, nowNs), nowNs);
+      shed(waiting, nowNs);
+    }
+  }
+
+  /**
+   * Gives up what the line is too long for, the least urgent first.
+   *
+   * <p>Guards against a line that grows under more load than fits: each request in it would be held
+   * until its caller leaves, and told nothing it can act on. What can't be served at the line's
+   * pace before its patience ends is told so at once.
+   */
+  private void shed(WaitingLine waiting, long nowNs) {
+    double pace = Math.max(LEAST_PACE_PER_S, waiting.pacePerSecond(nowNs));
+    while (waiting.last().isPresent()) {
+      TrackedForward last = waiting.last().get();
+      double patienceS = (last.patientUntilNs() - last.arrivedNs()) * WAIT_PART / NS_PER_S;
+      if (waiting.size() <= Math.max(LEAST_LINE, pace * patienceS)) {
+        return;
+      }
+      waiting.remove(last);
+      tracked.remove(last.number());
+      long backMs = (long) (waiting.size() / pace * MS_PER_S);
+      endWithout(last, Math.max(PLACE_RETRY_MS, Math.min(LONGEST_RETRY_MS, backMs)));
+    }
+  }
+
+  private void endWithout(TrackedForward request, long retryAfterMs) {
+    if (request.maybeRan()) {
+      refuse(request.number(), Refusal.BROKEN, 0);
+    } else {
+      refuse(request.number(), Refusal.NO_UPSTREAM, retryAfterMs);
+    }
+  }
+
+  private void refuse(long number, Refusal refusal, long retryAfterMs) {
+    out.accept(new ForwardAction.Refuse(number, refusal, retryAfterMs));
+  }
+
+  private WaitingLine line(ServiceId service) {
+    return lines.computeIfAbsent(service, key -> new WaitingLine());
+  }
+
+  private RetryBudget budget(ServiceId service) {
+    return budgets.computeIfAbsent(
+        service, key -> new RetryBudget(settings.retryWindowMs(), settings.retryRatio()));
+  }
+}
