--- /dev/null
+++ b/forward/src/test/java/org/teaseltrail/forward/EventBlocksTest.java
@@ -0,0 +1,47 @@
+package org.teaseltrail.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** Passes whole events on, each once. */
+class EventBlocksTest {
+
+  private final EventBlocks blocks = new EventBlocks();
+
+  private String take(String text) throws Exception {
+    return new String(blocks.take(text.getBytes(StandardCharsets.UTF_8)), StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void passesWholeEventsUnchanged() throws Exception {
+    assertThat(take("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+        .isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assertThat(blocks.lastId()).contains("2");
+    assertThat(blocks.isBetweenEvents()).isTrue();
+  }
+
+  /**
+   * An upstream crashes in the middle of an event and another one goes on. The caller must not get
+   * half an event, nor one twice.
+   */
+  @Test
+  void goesOnElsewhereAfterTheLastWholeEvent() throws Exception {
+    assertThat(take("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
+    assertThat(blocks.isBetweenEvents()).isFalse();
+    blocks.dropPart();
+    assertThat(blocks.lastId()).contains("1");
+    assertThat(take("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
+  }
+
+  @Test
+  void cutsAtAnyByte() throws Exception {
+    StringBuilder passed = new StringBuilder();
+    String stream = "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n";
+    for (char c : stream.toCharArray()) {
+      passed.append(take(String.valueOf(c)));
+    }
+    assertThat(passed).hasToString(stream);
+  }
+}
