Let the test of a forgotten failure fail without its guard

With the guard off the test had still passed: the failing upstream got too few requests for its belief to fall. Now it fails alone first. Shown with the guard off: this test red; likewise, each with its own guard off, the tests of fading counts, of quotas without a leader and of requests late in a shutdown.

--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
@@ -310,14 +310,15 @@
    */
   @Test
   void triesUpstreamAgainThatHadFailed() {
-    serveWith(Plans.plan(1), upstream("e1", Plans.ENGINES, 8), upstream("e2", Plans.ENGINES, 8));
-    String failing = "e1";
+    Registration failing = upstream("e1", Plans.ENGINES, 8);
+    serveWith(Plans.plan(1), failing);
     for (int i = 0; i < 60; i++) {
       long number = arrive("/stream/x");
-      boolean fails = dispatches().contains(failing);
       nowNs += 10 * MS;
-      end(number, fails ? AttemptEnd.FAILED_ANSWER : AttemptEnd.ANSWERED);
+      end(number, AttemptEnd.FAILED_ANSWER);
     }
+    Registration other = upstream("e2", Plans.ENGINES, 8);
+    node.fromControl(new ServingReply.RegistryUpdate(TERM, 2, List.of(failing, other)), nowNs);
     nowNs += 10_000 * MS;
     confirm(1);
     List<String> placed = new ArrayList<>();
