Give the log's leader role a name of its own

core.control and core.replication both had a class Leadership: one serves entry VMs and operators, the other leads the log. The second is LeaderRole now.

--- a/core/src/main/java/org/teaseltrail/core/replication/Leadership.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/LeaderRole.java
@@ -12,7 +12,7 @@
 import org.teaseltrail.core.id.MemberId;
 
 /** Leads for one term: appends, ships, commits, and knows when it must stop. */
-final class Leadership {
+final class LeaderRole {
 
   private static final long NANOS_PER_MS = 1_000_000L;
 
@@ -28,7 +28,7 @@
   private long nextHeartbeatNs;
   private boolean ready;
 
-  Leadership(ReplicaContext context, long nowNs) {
+  LeaderRole(ReplicaContext context, long nowNs) {
     this.context = context;
     this.lease = new LeaderLease(context, nowNs);
     this.shipping = new LogShipping(context, lease);
--- a/core/src/main/java/org/teaseltrail/core/replication/Replica.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/Replica.java
@@ -33,7 +33,7 @@
   private final Voter voter;
   private final Candidacy candidacy;
   private Optional<Follower> follower = Optional.empty();
-  private Optional<Leadership> leadership = Optional.empty();
+  private Optional<LeaderRole> leadership = Optional.empty();
 
   /**
    * Creates a replica.
@@ -273,7 +273,7 @@
     context.ballot.synced(writeNumber);
     voter.tellSyncedVote();
     follower.ifPresent(Follower::synced);
-    leadership.ifPresent(Leadership::synced);
+    leadership.ifPresent(LeaderRole::synced);
     if (candidacy.ownVoteMaybeSynced()) {
       lead(nowNs);
     }
@@ -323,14 +323,14 @@
     candidacy.end();
     follower = Optional.empty();
     context.leaderIs(Optional.of(context.self));
-    leadership = Optional.of(new Leadership(context, nowNs));
+    leadership = Optional.of(new LeaderRole(context, nowNs));
   }
 
   private void stepDown(long nowNs) {
     if (leadership.isEmpty()) {
       return;
     }
-    Leadership ended = leadership.get();
+    LeaderRole ended = leadership.get();
     leadership = Optional.empty();
     ended.end();
     if (ended.isReady()) {
--- a/core/src/main/java/org/teaseltrail/core/replication/RequestDispatch.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/RequestDispatch.java
@@ -12,7 +12,7 @@
   }
 
   /** Handles a request; a tick asks for nothing. */
-  void handle(ReplicaEvent event, Optional<Leadership> leadership, long nowNs) {
+  void handle(ReplicaEvent event, Optional<LeaderRole> leadership, long nowNs) {
     if (event instanceof ReplicaEvent.Propose propose) {
       leadership.ifPresentOrElse(
           leading -> leading.propose(propose.proposalId(), propose.command(), nowNs),
