--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -1,26 +1,17 @@
 package org.teaseltrail.forward;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -54,9 +45,6 @@
 public final class ForwardServer implements RunningProgram {
 
   private static final long NS_PER_MS = 1_000_000L;
-  private static final int BACKLOG = 1_024;
-  private static final int MAX_LINE_BYTES = 8 * 1024;
-  private static final int CHUNK_BYTES = 16 * 1024;
 
   /** Time between two looks for idle callers. */
   private static final long IDLE_CHECK_MS = 500;
@@ -123,7 +111,7 @@
         SideServer.readiness(options.listenReady(), options.readyPath(), this::acceptsCallers);
     metricsServer =
         options.listenMetrics().map(address -> SideServer.metrics(address, metrics::scrape));
-    listener = bind();
+    listener = CallerListener.bind(this, loop, options.listen());
     loop.execute(() -> run(node.begin()));
     loop.next()
         .scheduleWithFixedDelay(
@@ -338,7 +326,7 @@
 
   private void refuse(ForwardAction.Refuse refuse) {
     metrics.refused(refuse.refusal());
-    HttpResponseStatus status = Answers.to(refuse.refusal()).status();
+    HttpResponseStatus status = RefusalStatus.of(refuse.refusal()).status();
     stories.remove(refuse.request()).refused(log, refuse, status.code(), clock.nowNs());
     Exchange exchange = exchanges.get(refuse.request());
     forget(refuse.request());
@@ -389,46 +377,11 @@
     List.copyOf(callers).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
   }
 
-  private ClientLimits limits() {
+  /** Returns the bounds of callers' connections that hold now. */
+  ClientLimits limits() {
     return node.plan().map(ServingPlan::limits).orElse(ClientLimits.DEFAULT);
   }
 
-  private Channel bind() throws InterruptedException {
-    return new ServerBootstrap()
-        .group(loop)
-        .channel(NioServerSocketChannel.class)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(
-            new ChannelInitializer<>() {
-              @Override
-              protected void initChannel(Channel channel) {
-                callerPipeline(channel);
-              }
-            })
-        .bind(options.listen())
-        .sync()
-        .channel();
-  }
-
-  private void callerPipeline(Channel channel) {
-    ClientLimits limits = limits();
-    HttpDecoderConfig config =
-        new HttpDecoderConfig()
-            .setMaxInitialLineLength(MAX_LINE_BYTES)
-            .setMaxHeaderSize(limits.maxHeaderBytes())
-            .setMaxChunkSize(CHUNK_BYTES);
-    CallerConnection caller = new CallerConnection(this);
-    channel
-        .pipeline()
-        .addLast(
-            new FirstBytes(caller),
-            new HttpServerCodec(config),
-            new HttpObjectAggregator(limits.maxBodyBytes(), true),
-            caller);
-  }
-
   private static void pause() {
     try {
       TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MS);
@@ -436,20 +389,4 @@
       Thread.currentThread().interrupt();
     }
   }
-
-  /** Tells a connection of bytes before they are understood. */
-  private static final class FirstBytes extends ChannelInboundHandlerAdapter {
-
-    private final CallerConnection caller;
-
-    FirstBytes(CallerConnection caller) {
-      this.caller = caller;
-    }
-
-    @Override
-    public void channelRead(ChannelHandlerContext context, Object message) {
-      caller.bytesCame();
-      context.fireChannelRead(message);
-    }
-  }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/Answers.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RefusalStatus.java
@@ -3,8 +3,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.teaseltrail.core.forward.Refusal;
 
-/** Says which status tells a caller of a refusal. */
-enum Answers {
+/** Says which HTTP status tells a caller of a refusal. */
+enum RefusalStatus {
   /** Nothing here answers to the request. */
   NOT_FOUND(HttpResponseStatus.NOT_FOUND),
   /** The request's sender isn't known. */
@@ -20,7 +20,7 @@
 
   private final HttpResponseStatus status;
 
-  Answers(HttpResponseStatus status) {
+  RefusalStatus(HttpResponseStatus status) {
     this.status = status;
   }
 
@@ -28,7 +28,7 @@
     return status;
   }
 
-  static Answers to(Refusal refusal) {
+  static RefusalStatus of(Refusal refusal) {
     return switch (refusal) {
       case NO_ROUTE -> NOT_FOUND;
       case UNKNOWN_KEY -> UNAUTHORIZED;
