Count what a thawed VM reads as heard when its stall began

Cause: an entry VM that was frozen reads what its sockets held as if it were new.

Ruled out: no grant on replayed announcements until all sessions have reported (costs time after each death of a leader); the upstream's own time in the announcement (its clock isn't ours).

Change: a VM notices that no event came for 0.7 s, longer than its hellos are apart, and for 0.3 s after that tells announcements with the age of the stall.

--- a/core/src/main/java/org/teaseltrail/core/entry/EntryNode.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/EntryNode.java
@@ -10,6 +10,7 @@
 import org.teaseltrail.core.message.EntryMessage;
 import org.teaseltrail.core.message.WithdrawReason;
 import org.teaseltrail.core.request.FailureReason;
+import org.teaseltrail.core.request.Millis;
 import org.teaseltrail.core.request.NotRunReason;
 import org.teaseltrail.core.request.Request;
 
@@ -31,6 +32,7 @@
   private final StreamHandler streams;
   private final ControlHandler control;
   private final ScheduledWork scheduled;
+  private final StallWatch stalls = new StallWatch();
   private long nowNs;
 
   /**
@@ -58,6 +60,7 @@
    */
   public List<EntryAction> handle(EntryEvent event, long now) {
     nowNs = now;
+    stalls.running(now);
     scheduled.advance(now);
     if (event instanceof EntryEvent.ControlConnected connected) {
       parts.session.connected(connected.member(), now);
@@ -147,8 +150,11 @@
     if (turnedAway.isNews(upstream, verdict)) {
       parts.out.log(EntryDecisionKind.UPSTREAM, Optional.of(upstream), "verdict=" + verdict);
     }
-    if (verdict == UpstreamVerdict.ACCEPTED && parts.upstreams.hear(heard.announcement(), nowNs)) {
-      parts.session.tell(new EntryMessage.UpstreamSeen(heard.announcement(), 0));
+    long heardNs = stalls.earliestNs(nowNs);
+    if (verdict == UpstreamVerdict.ACCEPTED
+        && parts.upstreams.hear(heard.announcement(), heardNs)) {
+      long ageMs = Millis.ofNanos(nowNs - heardNs);
+      parts.session.tell(new EntryMessage.UpstreamSeen(heard.announcement(), ageMs));
     }
   }
 
