Let requests wait for a larger allowance, and age what ended VMs used

Ruled out: larger allowances (they set more aside for each VM that dies).

Change: a request that only this VM's allowance is too small for waits up to 120 ms while the leader is asked for more; the leader notes when VMs took what, so an ended VM's use leaves the window as it would have; a new leader is told how long ended lives count. The types for quotas have a package of their own.

--- a/control/src/main/java/org/teaseltrail/control/ControlOptions.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlOptions.java
@@ -9,7 +9,7 @@
 import org.teaseltrail.core.control.PlacementSettings;
 import org.teaseltrail.core.id.RegionId;
 import org.teaseltrail.core.id.VmId;
-import org.teaseltrail.core.plan.QuotaBounds;
+import org.teaseltrail.core.quota.QuotaBounds;
 import org.teaseltrail.core.replication.GroupId;
 import org.teaseltrail.core.session.SessionSettings;
 import org.teaseltrail.runtime.settings.Settings;
--- a/core/src/main/java/org/teaseltrail/core/control/ControlSettings.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlSettings.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 import org.teaseltrail.core.claim.ClaimLimits;
-import org.teaseltrail.core.plan.QuotaBounds;
+import org.teaseltrail.core.quota.QuotaBounds;
 import org.teaseltrail.core.session.SessionSettings;
 
 /**
--- a/core/src/main/java/org/teaseltrail/core/control/QuotaLedger.java
+++ b/core/src/main/java/org/teaseltrail/core/control/QuotaLedger.java
@@ -1,18 +1,19 @@
 package org.teaseltrail.core.control;
 
-import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.VmId;
-import org.teaseltrail.core.serving.QuotaGrant;
-import org.teaseltrail.core.serving.QuotaReport;
+import org.teaseltrail.core.quota.QuotaGrant;
+import org.teaseltrail.core.quota.QuotaUse;
 
 /**
  * Adds up, on the leader, what customers have used of their quotas at all entry VMs, and allows
@@ -29,45 +30,41 @@
  *       window.
  *   <li>An answer is lost: the VM goes on with its older allowance. It counts with the greater of
  *       both until it tells again.
- *   <li>Another member leads: it knows no VM. Those that survive tell what they hold, and what the
- *       leader before counted for all others; what is held by VMs that don't come forward stays set
- *       aside for as long as they could use it.
+ *   <li>Another member leads: see {@link QuotaInheritance}.
  * </ul>
  */
 final class QuotaLedger {
 
-  /** Part of the rest that is divided evenly, since callers may move to any VM at once. */
-  private static final double EVEN_PART = 0.3;
+  /**
+   * Part of the rest that is divided evenly, since callers may move to any VM at once. A VM that
+   * lacks more asks for it, so it needs to cover no more than some requests.
+   */
+  private static final double EVEN_PART = 0.15;
 
   /**
    * Time of its customers' usual demand that a VM is allowed at most beyond the even part. Guards
    * against a killed VM that takes most of a quota with it for a window: what it held can't be used
-   * elsewhere until then. Eight syncs, so that a few lost ones don't leave a VM without.
+   * elsewhere until then. Four syncs, so that a lost one or two don't leave a VM without.
    */
-  private static final double COVERED_S = 2;
+  private static final double COVERED_S = 1;
 
-  private static final class Account {
-    private final Incarnation incarnation;
-    private QuotaReport report;
-    private Map<CustomerId, Double> held = Map.of();
-
-    private Account(Incarnation incarnation) {
-      this.incarnation = incarnation;
-    }
-  }
+  private static final long NS_PER_MS = 1_000_000L;
 
   private record Life(VmId vm, Incarnation incarnation) {}
 
-  private record Former(
-      long untilNs, Life life, Map<CustomerId, Double> used, Map<CustomerId, Double> held) {}
+  private record Account(Life life, Map<CustomerId, QuotaLine> lines) {
+
+    double sum(CustomerId customer, ToDoubleFunction<QuotaLine> amount) {
+      QuotaLine line = lines.get(customer);
+      return line == null ? 0 : amount.applyAsDouble(line);
+    }
+  }
 
-  private final long windowNs;
-  private final long unknownUntilNs;
+  private final long windowMs;
+  private final QuotaInheritance inheritance;
   private final Map<VmId, Account> accounts = new TreeMap<>(Comparator.comparing(VmId::value));
-  private final Deque<Former> formers = new ArrayDeque<>();
+  private final List<Account> ended = new ArrayList<>();
   private final Set<Life> cameForward = new HashSet<>();
-  private final Map<CustomerId, Double> heldBefore = new HashMap<>();
-  private final Map<CustomerId, Double> heldByKnown = new HashMap<>();
 
   /**
    * Creates a ledger that knows no VM.
@@ -77,50 +74,41 @@
    * @param nowNs when this member began to lead
    */
   QuotaLedger(long windowMs, long silentNs, long nowNs) {
-    windowNs = windowMs * 1_000_000L;
-    unknownUntilNs = nowNs + silentNs + windowNs;
+    this.windowMs = windowMs;
+    inheritance = new QuotaInheritance(nowNs + silentNs + windowMs * NS_PER_MS);
   }
 
   /** Takes what a VM tells. */
-  void told(VmId vm, Incarnation incarnation, QuotaReport report, long nowNs) {
+  void told(VmId vm, Incarnation incarnation, List<QuotaUse> uses, long nowNs) {
     Life life = new Life(vm, incarnation);
-    Account account = accounts.get(vm);
-    if (account != null && !account.incarnation.equals(incarnation)) {
+    Account known = accounts.get(vm);
+    if (known != null && !known.life().equals(life)) {
       forget(vm, nowNs);
-      account = null;
     }
-    if (account == null) {
-      formers.removeIf(former -> former.life().equals(life));
-      account = new Account(incarnation);
-      accounts.put(vm, account);
-      if (cameForward.add(life)) {
-        comesForward(report);
+    if (cameForward.add(life)) {
+      uses.forEach(use -> inheritance.comesForward(use, nowNs));
+    }
+    ended.removeIf(account -> account.life().equals(life));
+    Account account = accounts.computeIfAbsent(vm, id -> new Account(life, new HashMap<>()));
+    for (QuotaUse use : uses) {
+      QuotaLine line = account.lines().get(use.customer());
+      if (line == null) {
+        account.lines().put(use.customer(), new QuotaLine(windowMs, use, nowNs));
+      } else {
+        line.told(use, nowNs);
       }
     }
-    account.report = report;
-    account.held = report.held();
   }
 
   /** Takes a VM out that has fallen silent; what it holds counts on for the window. */
   void forget(VmId vm, long nowNs) {
-    Account before = accounts.remove(vm);
-    if (before != null) {
-      Life life = new Life(vm, before.incarnation);
-      formers.addLast(new Former(nowNs + windowNs, life, before.report.used(), before.held));
+    Account account = accounts.remove(vm);
+    if (account != null) {
+      account.lines().values().forEach(line -> line.end(nowNs));
+      ended.add(account);
     }
   }
 
-  private void comesForward(QuotaReport report) {
-    add(heldByKnown, report.held());
-    report
-        .heldElsewhere()
-        .forEach(
-            (id, elsewhere) -> {
-              double all = report.held().getOrDefault(id, 0.0) + elsewhere;
-              heldBefore.merge(id, all, Math::max);
-            });
-  }
-
   /**
    * Allows a VM its part of what is left.
    *
@@ -129,78 +117,82 @@
    * @param nowNs time
    * @return what the VM may take after what it told
    */
-  QuotaGrant grant(VmId vm, Map<CustomerId, Double> limits, long nowNs) {
-    while (!formers.isEmpty() && formers.peekFirst().untilNs() <= nowNs) {
-      formers.removeFirst();
-    }
-    Account account = accounts.get(vm);
-    Map<CustomerId, Double> usedElsewhere = new HashMap<>();
-    Map<CustomerId, Double> allowances = new HashMap<>();
-    Map<CustomerId, Double> heldElsewhere = new HashMap<>();
-    Map<CustomerId, Double> held = new HashMap<>();
-    limits.forEach(
-        (id, limit) -> {
-          double used = account.report.used().getOrDefault(id, 0.0);
-          double othersUsed = usedByOthers(vm, id);
-          double othersHold = heldByOthers(vm, id, nowNs);
-          double left = Math.max(0, limit - used - othersUsed);
-          double allowance =
-              Math.max(0, Math.min(partOf(account, id, left), limit - othersHold - used));
-          usedElsewhere.put(id, othersUsed);
-          allowances.put(id, allowance);
-          heldElsewhere.put(id, othersHold);
-          held.put(id, Math.max(used + allowance, amount(account.report.held(), id)));
-        });
-    account.held = held;
-    return new QuotaGrant(usedElsewhere, allowances, heldElsewhere);
+  List<QuotaGrant> grants(VmId vm, Map<CustomerId, Double> limits, long nowNs) {
+    dropOutOfWindow(nowNs);
+    List<QuotaGrant> grants = new ArrayList<>();
+    limits.forEach((customer, limit) -> grants.add(grant(vm, customer, limit, nowNs)));
+    return grants;
   }
 
-  private double usedByOthers(VmId vm, CustomerId customer) {
-    double sum = formers.stream().mapToDouble(former -> amount(former.used(), customer)).sum();
-    for (Map.Entry<VmId, Account> entry : accounts.entrySet()) {
-      boolean other = !entry.getKey().equals(vm);
-      sum += other ? amount(entry.getValue().report.used(), customer) : 0;
+  private QuotaGrant grant(VmId vm, CustomerId customer, double limit, long nowNs) {
+    double used = accounts.get(vm).sum(customer, line -> line.used(nowNs));
+    double usedByEnded = ofEnded(customer, line -> line.used(nowNs));
+    double heldByEnded = usedByEnded + inheritance.heldByEnded(customer, nowNs);
+    double usedElsewhere = ofOthers(vm, customer, line -> line.used(nowNs)) + usedByEnded;
+    double heldElsewhere =
+        ofOthers(vm, customer, line -> line.held(nowNs))
+            + inheritance.heldByUnknown(customer, nowNs);
+    double left = Math.max(0, limit - used - usedElsewhere);
+    double free = limit - used - heldElsewhere - heldByEnded;
+    double allowance = Math.max(0, Math.min(part(vm, customer, left), free));
+    QuotaLine line = accounts.get(vm).lines().get(customer);
+    if (line == null) {
+      QuotaUse nothing = new QuotaUse(customer, 0, 0, 0, 0, 0, 0, 0, 0);
+      line = new QuotaLine(windowMs, nothing, nowNs);
+      accounts.get(vm).lines().put(customer, line);
     }
-    return sum;
+    line.allow(allowance);
+    return new QuotaGrant(
+        customer,
+        allowance,
+        usedElsewhere,
+        heldElsewhere,
+        heldByEnded,
+        endedForNs(customer, nowNs) / NS_PER_MS);
   }
 
-  private double heldByOthers(VmId vm, CustomerId customer, long nowNs) {
-    double byFormers =
-        formers.stream().mapToDouble(former -> amount(former.held(), customer)).sum();
-    double sum = byFormers + heldByUnknown(customer, nowNs);
-    for (Map.Entry<VmId, Account> entry : accounts.entrySet()) {
-      boolean other = !entry.getKey().equals(vm);
-      sum += other ? amount(entry.getValue().held, customer) : 0;
+  /**
+   * Returns what a VM is allowed of what is left: by demand, and a part that is the same for all.
+   */
+  private double part(VmId vm, CustomerId customer, double left) {
+    double total = 0;
+    for (Account account : accounts.values()) {
+      total += account.sum(customer, QuotaLine::demandPerSecond);
     }
-    return sum;
+    double own = accounts.get(vm).sum(customer, QuotaLine::demandPerSecond);
+    double even = left / accounts.size();
+    double evenPart = EVEN_PART * even;
+    double byDemand = total > 0 ? left * own / total : even;
+    double part = evenPart + (1 - EVEN_PART) * byDemand;
+    double covered = Math.min(part, Math.max(evenPart, COVERED_S * own));
+    double wanted = accounts.get(vm).sum(customer, QuotaLine::wanted);
+    return Math.max(covered, Math.min(left, wanted));
   }
 
-  /** Returns what is held by VMs that the leader before knew and that have not come forward. */
-  private double heldByUnknown(CustomerId customer, long nowNs) {
-    if (nowNs >= unknownUntilNs) {
-      return 0;
+  private double ofOthers(VmId vm, CustomerId customer, ToDoubleFunction<QuotaLine> amount) {
+    double sum = 0;
+    for (Account account : accounts.values()) {
+      boolean other = !account.life().vm().equals(vm);
+      sum += other ? account.sum(customer, amount) : 0;
     }
-    return Math.max(0, amount(heldBefore, customer) - amount(heldByKnown, customer));
+    return sum;
   }
 
-  private double partOf(Account account, CustomerId customer, double left) {
-    double total = 0;
-    for (Account each : accounts.values()) {
-      total += amount(each.report.demandPerSecond(), customer);
-    }
-    double even = left / accounts.size();
-    double own = amount(account.report.demandPerSecond(), customer);
-    double byDemand = total > 0 ? left * own / total : even;
-    double evenPart = EVEN_PART * even;
-    double part = evenPart + (1 - EVEN_PART) * byDemand;
-    return Math.min(part, Math.max(evenPart, COVERED_S * own));
+  private double ofEnded(CustomerId customer, ToDoubleFunction<QuotaLine> amount) {
+    return ended.stream().mapToDouble(account -> account.sum(customer, amount)).sum();
   }
 
-  private static double amount(Map<CustomerId, Double> amounts, CustomerId customer) {
-    return amounts.getOrDefault(customer, 0.0);
+  private long endedForNs(CustomerId customer, long nowNs) {
+    double longest =
+        ended.stream()
+            .mapToDouble(account -> account.sum(customer, line -> line.lastsNs(nowNs)))
+            .max()
+            .orElse(0);
+    return Math.max((long) longest, inheritance.endedForNs(customer, nowNs));
   }
 
-  private static void add(Map<CustomerId, Double> sums, Map<CustomerId, Double> amounts) {
-    amounts.forEach((id, amount) -> sums.merge(id, amount, Double::sum));
+  private void dropOutOfWindow(long nowNs) {
+    ended.removeIf(
+        account -> account.lines().values().stream().allMatch(line -> line.held(nowNs) <= 0));
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
@@ -10,7 +10,7 @@
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.PlanCustomer;
-import org.teaseltrail.core.plan.QuotaBounds;
+import org.teaseltrail.core.quota.QuotaBounds;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.replication.Member;
 import org.teaseltrail.core.replication.ProposalRejection;
@@ -178,7 +178,7 @@
         vms.size(),
         memberVms(),
         elsewhere,
-        quotas.grant(sync.vm(), quotaLimits(), leadership.nowNs()));
+        quotas.grants(sync.vm(), quotaLimits(), leadership.nowNs()));
   }
 
   /** Returns what all VMs together may be allowed of each customer's quota. */
--- a/core/src/main/java/org/teaseltrail/core/forward/ControlTies.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ControlTies.java
@@ -18,11 +18,15 @@
   /** Missed syncs after which the leader counts as lost and all members are asked. */
   private static final int PATIENCE_SYNCS = 3;
 
+  /** Time between two syncs at least, whatever asks for them; a fifth of the usual one. */
+  private static final long LEAST_PAUSE_NS = 50 * NS_PER_MS;
+
   private final ForwardSettings settings;
   private final ServingSession session;
   private final Set<VmId> members = new LinkedHashSet<>();
   private List<VmId> seeds;
   private long nextSyncNs;
+  private long lastSyncNs;
 
   ControlTies(ForwardSettings settings) {
     this.settings = settings;
@@ -47,11 +51,18 @@
     return nextSyncNs;
   }
 
+  /** Brings the next sync forward, as far as the time since the last one allows. */
+  void syncSoon(long nowNs) {
+    long soonestNs = Math.max(nowNs, lastSyncNs + LEAST_PAUSE_NS);
+    nextSyncNs = Math.min(nextSyncNs, soonestNs);
+  }
+
   /** Returns the syncs that are due: one to the leader, or one to each member if none is known. */
   List<ForwardAction> due(ForwardNode node, long nowNs) {
     if (nowNs < nextSyncNs) {
       return List.of();
     }
+    lastSyncNs = nowNs;
     nextSyncNs = nowNs + settings.syncEveryMs() * NS_PER_MS;
     long patienceNs = PATIENCE_SYNCS * settings.syncEveryMs() * NS_PER_MS;
     Optional<VmId> leader = session.leader(nowNs, patienceNs);
@@ -93,6 +104,6 @@
         node.planVersion(),
         node.registryRevision(),
         node.inFlight(),
-        node.quotaReport(sequence, nowNs));
+        node.quotaUses(sequence, nowNs));
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -15,7 +15,7 @@
 import org.teaseltrail.core.plan.PlanService;
 import org.teaseltrail.core.plan.ServingPlan;
 import org.teaseltrail.core.plan.WeightedService;
-import org.teaseltrail.core.serving.QuotaReport;
+import org.teaseltrail.core.quota.QuotaUse;
 import org.teaseltrail.core.serving.ServingReply;
 
 /**
@@ -36,6 +36,7 @@
   private final ControlTies ties;
   private final UpstreamBook upstreams = new UpstreamBook();
   private final QuotaDesk quotas;
+  private final ShortOfQuota shortOfQuota = new ShortOfQuota();
   private final RequestDesk requests;
   private Optional<PlanIndex> plan = Optional.empty();
   private boolean ending;
@@ -171,6 +172,7 @@
    * @return what is to be done
    */
   public List<ForwardAction> callerLeft(long number, long nowNs) {
+    shortOfQuota.remove(number);
     requests.callerLeft(number, nowNs);
     return take();
   }
@@ -212,6 +214,9 @@
     if (ties.fallBackToSeeds(nowNs)) {
       out.add(new ForwardAction.KeepConnected(ties.members()));
     }
+    for (TrackedForward overdue : shortOfQuota.takeOverdue(nowNs)) {
+      refuseByQuota(overdue, overdue.payer().orElseThrow(), nowNs);
+    }
     requests.tick(nowNs);
     return take();
   }
@@ -222,7 +227,11 @@
    * @return time in nanoseconds
    */
   public long nextWakeupNs() {
-    return Math.min(ties.nextSyncNs(), requests.nextDueNs().orElse(Long.MAX_VALUE));
+    long requestDueNs =
+        Math.min(
+            requests.nextDueNs().orElse(Long.MAX_VALUE),
+            shortOfQuota.nextDueNs().orElse(Long.MAX_VALUE));
+    return Math.min(ties.nextSyncNs(), requestDueNs);
   }
 
   /**
@@ -250,7 +259,7 @@
    * @return those that wait and those at upstreams
    */
   public int open() {
-    return requests.open();
+    return requests.open() + shortOfQuota.size();
   }
 
   long planVersion() {
@@ -265,8 +274,8 @@
     return upstreams.inFlight();
   }
 
-  QuotaReport quotaReport(long sequence, long nowNs) {
-    return quotas.report(sequence, ties.session().isValid(nowNs), nowNs);
+  List<QuotaUse> quotaUses(long sequence, long nowNs) {
+    return quotas.uses(sequence, ties.session().isValid(nowNs), nowNs);
   }
 
   private void confirmed(ServingReply.Confirmed confirmed, long nowNs) {
@@ -277,6 +286,9 @@
     requests.vmCount(confirmed.vmCount());
     upstreams.elsewhere(confirmed.elsewhere(), nowNs);
     quotas.told(confirmed, nowNs);
+    for (TrackedForward request : shortOfQuota.takeAll()) {
+      admitByQuota(request, request.payer().orElseThrow(), nowNs);
+    }
     requests.serveLines(nowNs);
   }
 
@@ -310,18 +322,48 @@
 
   private void admit(
       ForwardRequest request, PlanRoute route, Optional<PlanCustomer> customer, long nowNs) {
-    QuotaVerdict verdict =
-        customer.map(known -> quotas.asked(known, request, nowNs)).orElse(QuotaVerdict.WITHIN);
     TrackedForward admitted =
         new TrackedForward(request, route, drawService(route), customer, nowNs);
-    if (verdict == QuotaVerdict.WITHIN) {
+    if (customer.isEmpty()) {
       requests.admit(admitted, nowNs);
-    } else if (verdict == QuotaVerdict.OVER || !requests.admitToFreeRoom(admitted, nowNs)) {
-      long waitMs = quotas.waitMs(customer.orElseThrow(), request);
-      refuse(request.number(), Refusal.OVER_QUOTA, waitMs);
       return;
     }
-    customer.ifPresent(known -> quotas.take(known, request, nowNs));
+    quotas.asked(customer.get(), request, nowNs);
+    admitByQuota(admitted, customer.get(), nowNs);
+  }
+
+  private void admitByQuota(TrackedForward request, PlanCustomer customer, long nowNs) {
+    switch (quotas.verdict(customer, request.request(), nowNs)) {
+      case WITHIN -> {
+        quotas.take(customer, request.request(), nowNs);
+        requests.admit(request, nowNs);
+      }
+      case TOLERATED -> {
+        if (requests.admitToFreeRoom(request, nowNs)) {
+          quotas.take(customer, request.request(), nowNs);
+        } else {
+          refuseByQuota(request, customer, nowNs);
+        }
+      }
+      case SHORT_HERE -> askForQuota(request, customer, nowNs);
+      case OVER -> refuseByQuota(request, customer, nowNs);
+      default -> throw new IllegalStateException("a verdict without a rule");
+    }
+  }
+
+  private void askForQuota(TrackedForward request, PlanCustomer customer, long nowNs) {
+    if (ShortOfQuota.isOverdue(request, nowNs)) {
+      refuseByQuota(request, customer, nowNs);
+      return;
+    }
+    quotas.want(customer, request.request());
+    shortOfQuota.add(request);
+    ties.syncSoon(nowNs);
+  }
+
+  private void refuseByQuota(TrackedForward request, PlanCustomer customer, long nowNs) {
+    long waitMs = quotas.waitMs(customer, request.request(), nowNs);
+    refuse(request.number(), Refusal.OVER_QUOTA, waitMs);
   }
 
   private ServiceId drawService(PlanRoute route) {
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardSettings.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardSettings.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.VmId;
-import org.teaseltrail.core.plan.QuotaBounds;
+import org.teaseltrail.core.quota.QuotaBounds;
 
 /**
  * Sets how an entry VM forwards.
--- a/core/src/main/java/org/teaseltrail/core/forward/QuotaDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/QuotaDesk.java
@@ -1,17 +1,18 @@
 package org.teaseltrail.core.forward;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.ToDoubleFunction;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.plan.PlanCustomer;
-import org.teaseltrail.core.plan.QuotaBounds;
 import org.teaseltrail.core.plan.ServingPlan;
-import org.teaseltrail.core.serving.QuotaGrant;
-import org.teaseltrail.core.serving.QuotaReport;
+import org.teaseltrail.core.quota.QuotaBounds;
+import org.teaseltrail.core.quota.QuotaGrant;
+import org.teaseltrail.core.quota.QuotaUse;
 import org.teaseltrail.core.serving.ServingReply;
 
 /** Keeps customers' quotas at this VM. */
@@ -35,7 +36,7 @@
   private final long memoryNs;
   private final Map<CustomerId, QuotaWindow> windows = new HashMap<>();
   private final TreeMap<Long, Map<CustomerId, Double>> takenBefore = new TreeMap<>();
-  private QuotaGrant grant = QuotaGrant.NONE;
+  private Map<CustomerId, QuotaGrant> grants = Map.of();
   private long grantedNs;
 
   /**
@@ -51,7 +52,9 @@
 
   /** Takes what the leader tells. */
   void told(ServingReply.Confirmed confirmed, long nowNs) {
-    grant = confirmed.quotas();
+    grants =
+        confirmed.quotas().stream()
+            .collect(Collectors.toMap(QuotaGrant::customer, Function.identity()));
     grantedNs = nowNs;
     Map<CustomerId, Double> before = takenBefore.getOrDefault(confirmed.sequence(), Map.of());
     takenBefore.headMap(confirmed.sequence(), true).clear();
@@ -74,15 +77,26 @@
     }
   }
 
-  /** Notes that a request has come, and says how it stands to its customer's quota. */
-  QuotaVerdict asked(PlanCustomer customer, ForwardRequest request, long nowNs) {
+  /** Notes that a request has come. */
+  void asked(PlanCustomer customer, ForwardRequest request, long nowNs) {
     QuotaWindow window = windows.get(customer.id());
-    if (window == null) {
-      return QuotaVerdict.WITHIN;
+    if (window != null) {
+      window.asked(amount(customer, request), nowNs);
+    }
+  }
+
+  /** Says how a request stands to its customer's quota. */
+  QuotaVerdict verdict(PlanCustomer customer, ForwardRequest request, long nowNs) {
+    QuotaWindow window = windows.get(customer.id());
+    return window == null ? QuotaVerdict.WITHIN : window.verdict(amount(customer, request), nowNs);
+  }
+
+  /** Notes that a request waits until the leader allows more. */
+  void want(PlanCustomer customer, ForwardRequest request) {
+    QuotaWindow window = windows.get(customer.id());
+    if (window != null) {
+      window.want(amount(customer, request));
     }
-    double amount = amount(customer, request);
-    window.asked(amount, nowNs);
-    return window.verdict(amount, nowNs);
   }
 
   /** Counts a request that is admitted. */
@@ -94,8 +108,9 @@
   }
 
   /** Returns when a refused request may be within the quota, in milliseconds. */
-  long waitMs(PlanCustomer customer, ForwardRequest request) {
-    long untilFreeMs = windows.get(customer.id()).waitMs(amount(customer, request));
+  long waitMs(PlanCustomer customer, ForwardRequest request, long nowNs) {
+    QuotaWindow window = windows.get(customer.id());
+    long untilFreeMs = window == null ? 0 : window.waitMs(amount(customer, request), nowNs);
     return Math.max(ALLOWANCE_RETRY_MS, untilFreeMs);
   }
 
@@ -108,36 +123,30 @@
    * the leader answers with.
    *
    * @param sequence the sync's, which the answer carries back
-   * @param mayTake whether requests may be admitted; if not, the allowance left is given back
+   * @param mayTake whether requests may be admitted; if not, allowances are given back
    * @param nowNs time
    */
-  QuotaReport report(long sequence, boolean mayTake, long nowNs) {
-    takenBefore.put(sequence, map(QuotaWindow::takenEver));
+  List<QuotaUse> uses(long sequence, boolean mayTake, long nowNs) {
+    Map<CustomerId, Double> taken = new HashMap<>();
+    windows.forEach((id, window) -> taken.put(id, window.takenEver()));
+    takenBefore.put(sequence, taken);
     if (takenBefore.size() > MOST_OPEN) {
       takenBefore.pollFirstEntry();
     }
-    boolean remembers = grant != QuotaGrant.NONE && nowNs - grantedNs < memoryNs;
-    return new QuotaReport(
-        map(window -> window.usedHere(nowNs)),
-        map(window -> window.usedHere(nowNs) + (mayTake ? window.allowance() : 0)),
-        remembers ? grant.heldElsewhere() : Map.of(),
-        map(window -> window.demandPerSecond(nowNs)));
-  }
-
-  private Map<CustomerId, Double> map(ToDoubleFunction<QuotaWindow> amount) {
-    Map<CustomerId, Double> amounts = new HashMap<>();
-    windows.forEach((id, window) -> amounts.put(id, amount.applyAsDouble(window)));
-    return amounts;
+    boolean remembers = !grants.isEmpty() && nowNs - grantedNs < memoryNs;
+    return windows.values().stream().map(window -> window.use(mayTake, remembers, nowNs)).toList();
   }
 
   private QuotaWindow window(CustomerId id) {
-    QuotaWindow window = new QuotaWindow(bounds.windowMs());
+    QuotaWindow window = new QuotaWindow(id, bounds);
     tell(id, window, 0);
     return window;
   }
 
   private void tell(CustomerId id, QuotaWindow window, double taken) {
-    double elsewhere = grant.usedElsewhere().getOrDefault(id, 0.0);
-    window.told(elsewhere, grant.allowances().getOrDefault(id, 0.0), taken);
+    QuotaGrant grant = grants.get(id);
+    if (grant != null) {
+      window.told(grant, taken);
+    }
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/QuotaWindow.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/QuotaWindow.java
@@ -1,7 +1,10 @@
 package org.teaseltrail.core.forward;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.quota.QuotaBounds;
+import org.teaseltrail.core.quota.QuotaGrant;
+import org.teaseltrail.core.quota.QuotaUse;
+import org.teaseltrail.core.quota.SlidingSum;
 
 /**
  * Is a customer's quota as one VM sees it: what was used here within the window, what the leader
@@ -15,27 +18,28 @@
 final class QuotaWindow {
 
   private static final double NS_PER_S = 1e9;
-  private static final double MS_PER_S = 1e3;
 
   /** Time over which demand is averaged: eight syncs, and a quarter of the users' window. */
   private static final double DEMAND_WINDOW_S = 2;
 
-  private record Used(long atNs, double amount) {}
-
-  private final long windowNs;
-  private final Deque<Used> history = new ArrayDeque<>();
-  private double usedHere;
-  private double usedElsewhere;
-  private double takenEver;
+  private final CustomerId customer;
+  private final QuotaBounds bounds;
+  private final SlidingSum history;
+  private QuotaGrant grant;
   private double allowedUntil;
+  private double takenEver;
+  private double wanted;
   private double limit;
   private double tolerance;
   private double demandPerSecond;
   private long lastNs;
   private boolean begun;
 
-  QuotaWindow(long windowMs) {
-    windowNs = windowMs * 1_000_000L;
+  QuotaWindow(CustomerId customer, QuotaBounds bounds) {
+    this.customer = customer;
+    this.bounds = bounds;
+    history = new SlidingSum(bounds.windowMs());
+    grant = new QuotaGrant(customer, 0, 0, 0, 0, 0);
   }
 
   /** Sets what may be used within the window at all VMs together, and what may pass it. */
@@ -47,13 +51,13 @@
   /**
    * Takes what the leader tells.
    *
-   * @param elsewhere what was used at the other VMs
-   * @param allowance what may be taken here after the message that the leader answers
-   * @param takenBefore what {@link #takenEver} was when that message was sent
+   * @param told the grant
+   * @param takenBefore what {@link #takenEver} was when the sync was sent that it answers
    */
-  void told(double elsewhere, double allowance, double takenBefore) {
-    usedElsewhere = elsewhere;
-    allowedUntil = takenBefore + allowance;
+  void told(QuotaGrant told, double takenBefore) {
+    grant = told;
+    allowedUntil = takenBefore + told.allowance();
+    wanted = 0;
   }
 
   /** Notes that an amount is asked for, whether it is taken or not. */
@@ -64,32 +68,35 @@
 
   /** Says how an amount stands to the quota. */
   QuotaVerdict verdict(double amount, long nowNs) {
-    pass(nowNs);
-    if (amount > allowance()) {
-      return QuotaVerdict.OVER;
-    }
-    double usedBefore = usedHere + usedElsewhere;
+    double usedBefore = history.at(nowNs) + grant.usedElsewhere();
     double used = usedBefore + amount;
     boolean unused = usedBefore <= 0;
-    if (used <= limit || unused) {
-      return QuotaVerdict.WITHIN;
+    boolean within = used <= limit || unused;
+    if (!within && used > limit + tolerance) {
+      return QuotaVerdict.OVER;
     }
-    return used <= limit + tolerance ? QuotaVerdict.TOLERATED : QuotaVerdict.OVER;
+    if (amount > allowance()) {
+      return within ? QuotaVerdict.SHORT_HERE : QuotaVerdict.OVER;
+    }
+    return within ? QuotaVerdict.WITHIN : QuotaVerdict.TOLERATED;
+  }
+
+  /** Notes that a request waits until the leader allows more. */
+  void want(double amount) {
+    wanted += amount;
   }
 
   /** Counts an amount as used. */
   void take(double amount, long nowNs) {
-    pass(nowNs);
-    history.addLast(new Used(nowNs, amount));
-    usedHere += amount;
+    history.add(amount, nowNs);
     takenEver += amount;
   }
 
   /** Returns the time until an amount may be within the quota, in milliseconds. */
-  long waitMs(double amount) {
-    double missing = usedHere + usedElsewhere + amount - limit;
-    double waitS = missing * windowNs / NS_PER_S / Math.max(1, limit);
-    return Math.max(1, (long) (Math.min(waitS, windowNs / NS_PER_S) * MS_PER_S));
+  long waitMs(double amount, long nowNs) {
+    double missing = history.at(nowNs) + grant.usedElsewhere() + amount - limit;
+    double waitMs = missing * bounds.windowMs() / Math.max(1, limit);
+    return Math.max(1, (long) Math.min(waitMs, bounds.windowMs()));
   }
 
   /** Returns what may still be taken here. */
@@ -102,15 +109,25 @@
     return takenEver;
   }
 
-  /** Returns what was used here within the window. */
-  double usedHere(long nowNs) {
-    pass(nowNs);
-    return usedHere;
-  }
-
-  double demandPerSecond(long nowNs) {
+  /**
+   * Tells what the leader must know.
+   *
+   * @param mayTake whether requests may be admitted; if not, the allowance is given back
+   * @param remembers whether what a leader counted for others may still matter
+   * @param nowNs time
+   */
+  QuotaUse use(boolean mayTake, boolean remembers, long nowNs) {
     pass(nowNs);
-    return demandPerSecond;
+    return new QuotaUse(
+        customer,
+        history.at(nowNs),
+        takenEver,
+        mayTake ? allowance() : 0,
+        demandPerSecond,
+        wanted,
+        remembers ? grant.heldElsewhere() : 0,
+        remembers ? grant.heldByEnded() : 0,
+        remembers ? grant.endedForMs() : 0);
   }
 
   private void pass(long nowNs) {
@@ -118,11 +135,5 @@
     begun = true;
     lastNs = nowNs;
     demandPerSecond *= Math.exp(-passedS / DEMAND_WINDOW_S);
-    while (!history.isEmpty() && nowNs - history.peekFirst().atNs() > windowNs) {
-      usedHere -= history.removeFirst().amount();
-    }
-    if (history.isEmpty()) {
-      usedHere = 0;
-    }
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/ShortOfQuota.java
@@ -0,0 +1,58 @@
+package org.teaseltrail.core.forward;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/**
+ * Holds requests that are within their customer's quota while this VM asks the leader to be allowed
+ * more of it.
+ *
+ * <p>Guards against refusing callers that are within their quota: allowances are small, so that
+ * little is set aside for a VM that dies, and a customer's requests don't come evenly.
+ */
+final class ShortOfQuota {
+
+  /** Time that the leader's answer is waited for: some round trips between the users' regions. */
+  private static final long PATIENCE_NS = 120_000_000L;
+
+  private final Map<Long, TrackedForward> waiting = new LinkedHashMap<>();
+
+  void add(TrackedForward request) {
+    waiting.put(request.number(), request);
+  }
+
+  void remove(long number) {
+    waiting.remove(number);
+  }
+
+  int size() {
+    return waiting.size();
+  }
+
+  /** Takes all out, as they came. */
+  List<TrackedForward> takeAll() {
+    List<TrackedForward> taken = new ArrayList<>(waiting.values());
+    waiting.clear();
+    return taken;
+  }
+
+  /** Takes those out that have waited long enough. */
+  List<TrackedForward> takeOverdue(long nowNs) {
+    List<TrackedForward> overdue = new ArrayList<>();
+    waiting.values().stream().filter(request -> isOverdue(request, nowNs)).forEach(overdue::add);
+    overdue.forEach(request -> waiting.remove(request.number()));
+    return overdue;
+  }
+
+  /** Tells whether a request has waited long enough. */
+  static boolean isOverdue(TrackedForward request, long nowNs) {
+    return nowNs - request.arrivedNs() >= PATIENCE_NS;
+  }
+
+  OptionalLong nextDueNs() {
+    return waiting.values().stream().mapToLong(request -> request.arrivedNs() + PATIENCE_NS).min();
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
@@ -70,6 +70,11 @@
     return customer.map(PlanCustomer::id);
   }
 
+  /** Returns the customer whose quota it counts against. */
+  Optional<PlanCustomer> payer() {
+    return customer;
+  }
+
   /** Returns the customer's rank, which goes before the route's. */
   int customerRank() {
     return customer.map(known -> known.rank().orElse(NO_CUSTOMER_RANK)).orElse(NO_CUSTOMER_RANK);
--- a/core/src/main/java/org/teaseltrail/core/quota/QuotaBounds.java
+++ b/core/src/main/java/org/teaseltrail/core/quota/QuotaBounds.java
@@ -1,4 +1,6 @@
-package org.teaseltrail.core.plan;
+package org.teaseltrail.core.quota;
+
+import org.teaseltrail.core.plan.PlanCustomer;
 
 /**
  * Says how quotas are counted over all entry VMs, by the users' rules.
--- a/core/src/main/java/org/teaseltrail/core/quota/QuotaGrant.java
+++ b/core/src/main/java/org/teaseltrail/core/quota/QuotaGrant.java
@@ -1,27 +1,22 @@
-package org.teaseltrail.core.serving;
+package org.teaseltrail.core.quota;
 
-import java.util.Map;
 import org.teaseltrail.core.id.CustomerId;
 
 /**
- * Is what the leader allows an entry VM of its customers' quotas; amounts are in each quota's unit.
+ * Is what the leader allows an entry VM of one customer's quota. Amounts are requests or tokens, by
+ * the quota's unit.
  *
- * @param usedElsewhere what was used at the other VMs within the window
- * @param allowances what may be taken at this VM after the sync that is answered
- * @param heldElsewhere what is counted for all other VMs: what they used and what they may yet take
+ * @param customer the customer
+ * @param allowance what may be taken at the VM after the sync that is answered
+ * @param usedElsewhere what was used within the window at the other VMs
+ * @param heldElsewhere what is counted for the other VMs: what they used and what they may take
+ * @param heldByEnded what is counted for ended lives of VMs
+ * @param endedForMs how long the last of that counts on, in milliseconds
  */
 public record QuotaGrant(
-    Map<CustomerId, Double> usedElsewhere,
-    Map<CustomerId, Double> allowances,
-    Map<CustomerId, Double> heldElsewhere) {
-
-  /** Allows nothing. */
-  public static final QuotaGrant NONE = new QuotaGrant(Map.of(), Map.of(), Map.of());
-
-  /** Copies the maps. */
-  public QuotaGrant {
-    usedElsewhere = Map.copyOf(usedElsewhere);
-    allowances = Map.copyOf(allowances);
-    heldElsewhere = Map.copyOf(heldElsewhere);
-  }
-}
+    CustomerId customer,
+    double allowance,
+    double usedElsewhere,
+    double heldElsewhere,
+    double heldByEnded,
+    long endedForMs) {}
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingMessage.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingMessage.java
@@ -1,9 +1,11 @@
 package org.teaseltrail.core.serving;
 
+import java.util.List;
 import java.util.Map;
 import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.quota.QuotaUse;
 
 /** Is a message from an entry VM that places requests itself to a control member. */
 public sealed interface ServingMessage {
@@ -26,11 +28,12 @@
       long planVersion,
       long registryRevision,
       Map<UpstreamId, Integer> inFlight,
-      QuotaReport quotas)
+      List<QuotaUse> quotas)
       implements ServingMessage {
-    /** Copies the map. */
+    /** Copies the map and the list. */
     public Sync {
       inFlight = Map.copyOf(inFlight);
+      quotas = List.copyOf(quotas);
     }
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
@@ -7,6 +7,7 @@
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.ServingPlan;
+import org.teaseltrail.core.quota.QuotaGrant;
 import org.teaseltrail.core.registry.Registration;
 
 /** Is a message from a control member to an entry VM that places requests itself. */
@@ -48,12 +49,13 @@
       int vmCount,
       List<VmId> members,
       Map<UpstreamId, Integer> elsewhere,
-      QuotaGrant quotas)
+      List<QuotaGrant> quotas)
       implements ServingReply {
     /** Copies the lists. */
     public Confirmed {
       members = List.copyOf(members);
       elsewhere = Map.copyOf(elsewhere);
+      quotas = List.copyOf(quotas);
     }
   }
 
--- a/core/src/test/java/org/teaseltrail/core/control/QuotaInCutTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/QuotaInCutTest.java
@@ -19,10 +19,10 @@
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.Plans;
-import org.teaseltrail.core.plan.QuotaBounds;
+import org.teaseltrail.core.quota.QuotaBounds;
+import org.teaseltrail.core.quota.QuotaGrant;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.registry.RegistrationPhase;
-import org.teaseltrail.core.serving.QuotaGrant;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.upstream.SocketAddress;
@@ -77,24 +77,29 @@
     return node;
   }
 
-  private void sync(ForwardNode node, long nowNs) {
-    sync(node, true, nowNs);
+  private double sync(ForwardNode node, long nowNs) {
+    return sync(node, true, nowNs);
   }
 
-  private void sync(ForwardNode node, boolean answerArrives, long nowNs) {
+  /** Lets a VM sync if it wants to; returns what runs by the answer. */
+  private double sync(ForwardNode node, boolean answerArrives, long nowNs) {
+    double runs = 0;
     for (ForwardAction action : node.tick(nowNs)) {
       if (action instanceof ForwardAction.SendControl send) {
         ServingMessage.Sync sync = (ServingMessage.Sync) send.message();
         ledger.told(sync.vm(), sync.incarnation(), sync.quotas(), nowNs);
-        QuotaGrant grant = ledger.grant(sync.vm(), Map.of(Plans.CUSTOMER, LIMIT), nowNs);
+        List<QuotaGrant> grants = ledger.grants(sync.vm(), Map.of(Plans.CUSTOMER, LIMIT), nowNs);
         ServingReply.Confirmed reply =
             new ServingReply.Confirmed(
-                term, sync.sequence(), 1, 1, VMS, List.of(MEMBER), Map.of(), grant);
-        if (answerArrives) {
-          node.fromControl(reply, nowNs);
-        }
+                term, sync.sequence(), 1, 1, VMS, List.of(MEMBER), Map.of(), grants);
+        runs += answerArrives ? running(node.fromControl(reply, nowNs)) : 0;
       }
     }
+    return runs;
+  }
+
+  private static double running(List<ForwardAction> actions) {
+    return TOKENS * actions.stream().filter(ForwardAction.Dispatch.class::isInstance).count();
   }
 
   private void leaderChanges(long nowNs) {
@@ -115,9 +120,7 @@
             OptionalInt.of(TOKENS),
             OptionalInt.of(0),
             List.of());
-    boolean runs =
-        node.arrived(request, nowNs).stream().anyMatch(ForwardAction.Dispatch.class::isInstance);
-    return runs ? TOKENS : 0;
+    return running(node.arrived(request, nowNs));
   }
 
   /**
@@ -135,8 +138,8 @@
     for (long ms = 0; ms < 4_000; ms += 10) {
       boolean cut = ms >= 1_000;
       for (int i = 0; i < VMS; i++) {
-        if (ms % 250 == 0 && !(cut && i < CUT_OFF)) {
-          sync(nodes.get(i), ms * MS);
+        if (!(cut && i < CUT_OFF)) {
+          used += sync(nodes.get(i), ms * MS);
         }
         boolean asks = cut || ms % 500 == 0;
         used += asks ? ask(nodes.get(i), ms * MS) : 0;
@@ -161,9 +164,7 @@
         leaderChanges(ms * MS);
       }
       for (int i = dead ? CUT_OFF : 0; i < VMS; i++) {
-        if (ms % 250 == 0) {
-          sync(nodes.get(i), ms * MS);
-        }
+        used += sync(nodes.get(i), ms * MS);
         boolean asks = ms >= 500;
         used += asks ? ask(nodes.get(i), ms * MS) : 0;
       }
@@ -186,9 +187,7 @@
       boolean lost = ms >= 500;
       for (int i = 0; i < VMS; i++) {
         boolean deaf = lost && i < CUT_OFF;
-        if (ms % 250 == 0) {
-          sync(nodes.get(i), !deaf, ms * MS);
-        }
+        used += sync(nodes.get(i), !deaf, ms * MS);
         boolean asks = deaf ? ms >= 2_000 : lost;
         used += asks ? ask(nodes.get(i), ms * MS) : 0;
       }
@@ -211,9 +210,7 @@
         nodes.set(0, node(0, ms));
       }
       for (int i = 0; i < VMS; i++) {
-        if (ms % 250 == 0) {
-          sync(nodes.get(i), ms * MS);
-        }
+        used += sync(nodes.get(i), ms * MS);
         used += i == 0 ? ask(nodes.get(i), ms * MS) : 0;
       }
     }
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
@@ -19,11 +19,11 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.PlanCustomer;
 import org.teaseltrail.core.plan.Plans;
-import org.teaseltrail.core.plan.QuotaBounds;
 import org.teaseltrail.core.plan.ServingPlan;
+import org.teaseltrail.core.quota.QuotaBounds;
+import org.teaseltrail.core.quota.QuotaGrant;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.registry.RegistrationPhase;
-import org.teaseltrail.core.serving.QuotaGrant;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.upstream.SocketAddress;
@@ -76,8 +76,8 @@
     confirm(plan.version());
   }
 
-  private static QuotaGrant grantOfAll() {
-    return new QuotaGrant(Map.of(), Map.of(Plans.CUSTOMER, 1e9), Map.of());
+  private static List<QuotaGrant> grantOfAll() {
+    return List.of(new QuotaGrant(Plans.CUSTOMER, 1e9, 0, 0, 0, 0));
   }
 
   private void confirm(long version) {
--- a/core/src/test/java/org/teaseltrail/core/forward/QuotaWindowTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/QuotaWindowTest.java
@@ -5,6 +5,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.plan.Plans;
+import org.teaseltrail.core.quota.QuotaBounds;
+import org.teaseltrail.core.quota.QuotaGrant;
 
 /** Holds a quota over several VMs that hear of each other late, or not at all. */
 class QuotaWindowTest {
@@ -19,9 +22,9 @@
   private final List<QuotaWindow> windows = new ArrayList<>();
 
   private QuotaWindow window() {
-    QuotaWindow window = new QuotaWindow(8_000);
+    QuotaWindow window = new QuotaWindow(Plans.CUSTOMER, QuotaBounds.DEFAULT);
     window.configure(LIMIT, 0);
-    window.told(0, LIMIT / VMS, 0);
+    tell(window, 0, LIMIT / VMS);
     windows.add(window);
     return window;
   }
@@ -45,13 +48,22 @@
   }
 
   private void tell(long ms) {
-    double used = windows.stream().mapToDouble(window -> window.usedHere(ms * MS)).sum();
+    double used = windows.stream().mapToDouble(window -> usedAt(window, ms)).sum();
     for (QuotaWindow window : windows) {
-      double usedElsewhere = used - window.usedHere(ms * MS);
-      window.told(usedElsewhere, (LIMIT - used) / VMS, window.takenEver());
+      double usedElsewhere = used - usedAt(window, ms);
+      tell(window, usedElsewhere, (LIMIT - used) / VMS);
     }
   }
 
+  private static void tell(QuotaWindow window, double usedElsewhere, double allowance) {
+    QuotaGrant grant = new QuotaGrant(Plans.CUSTOMER, allowance, usedElsewhere, 0, 0, 0);
+    window.told(grant, window.takenEver());
+  }
+
+  private static double usedAt(QuotaWindow window, long ms) {
+    return window.use(true, true, ms * MS).used();
+  }
+
   @Test
   void allVmsTogetherKeepToTheQuota() {
     for (int i = 0; i < VMS; i++) {
@@ -77,11 +89,11 @@
   @Test
   void usedQuotaComesBackWithTheWindow() {
     QuotaWindow window = window();
-    window.told(0, LIMIT, 0);
+    tell(window, 0, LIMIT);
     window.take(LIMIT, 0);
     assertThat(window.verdict(20, 100 * MS)).isEqualTo(QuotaVerdict.OVER);
-    assertThat(window.usedHere(8_100 * MS)).isZero();
-    window.told(0, LIMIT, window.takenEver());
+    assertThat(usedAt(window, 8_100)).isZero();
+    tell(window, 0, LIMIT);
     assertThat(window.verdict(20, 8_100 * MS)).isEqualTo(QuotaVerdict.WITHIN);
   }
 }
--- a/core/src/test/java/org/teaseltrail/core/serving/ServingSessionTest.java
+++ b/core/src/test/java/org/teaseltrail/core/serving/ServingSessionTest.java
@@ -19,14 +19,7 @@
 
   private static ServingReply.Confirmed confirmed(long fencing, long sequence, long version) {
     return new ServingReply.Confirmed(
-        new FencingNumber(fencing),
-        sequence,
-        version,
-        1,
-        1,
-        List.of(MEMBER),
-        Map.of(),
-        QuotaGrant.NONE);
+        new FencingNumber(fencing), sequence, version, 1, 1, List.of(MEMBER), Map.of(), List.of());
   }
 
   /**
