Log the customer, the objective and the longest pause of a served request

Cause: half of the streams of a slow upstream were late with no line that said why; first events were in time. The pause between events was missing.

Also noted: a stream that goes on elsewhere tells the node so.

--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -52,6 +52,7 @@
   private HttpResponse answerHead;
   private ByteBuf answerBody = Unpooled.EMPTY_BUFFER;
   private boolean headSent;
+  private long longestPauseNs;
 
   Exchange(
       ForwardServer server,
@@ -86,6 +87,11 @@
     return answerHead == null ? 0 : answerHead.status().code();
   }
 
+  /** Returns the longest time between two parts of the stream, in milliseconds, for the log. */
+  long longestPauseMs() {
+    return (long) (longestPauseNs / NS_PER_MS);
+  }
+
   /** Sends the request to an upstream. */
   void dispatch(ForwardAction.Dispatch dispatch) {
     Attempt next = new Attempt(dispatch);
@@ -164,7 +170,6 @@
     HttpUtil.setTransferEncodingChunked(head, true);
     caller.write(head);
     headSent = true;
-    server.begun(this);
   }
 
   /** Is one attempt at one upstream. */
@@ -287,10 +292,14 @@
       if (whole.length == 0) {
         return;
       }
+      boolean first = eventBatches == 0;
       noteEvents();
       if (!headSent) {
         beginStream();
       }
+      if (first) {
+        server.begun(Exchange.this);
+      }
       caller.write(new DefaultHttpContent(Unpooled.wrappedBuffer(whole)));
       if (!caller.isWritable()) {
         connection.readMore(false);
@@ -298,8 +307,13 @@
     }
 
     private void noteEvents() {
-      lastEventNs = System.nanoTime();
-      firstEventNs = eventBatches == 0 ? lastEventNs : firstEventNs;
+      long nowNs = System.nanoTime();
+      if (eventBatches == 0) {
+        firstEventNs = nowNs;
+      } else {
+        longestPauseNs = Math.max(longestPauseNs, nowNs - lastEventNs);
+      }
+      lastEventNs = nowNs;
       eventBatches++;
     }
 
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -227,11 +227,12 @@
     run(node.arrived(exchange.request(), nowNs));
   }
 
+  /** Takes the first part of a stream from the upstream that now has the request. */
   void begun(Exchange exchange) {
     long number = exchange.request().number();
     node.begun(number);
     RequestStory story = stories.get(number);
-    if (story != null) {
+    if (story != null && !story.hasBegun()) {
       metrics.firstEvent(story.begun(clock.nowNs()));
     }
   }
@@ -319,7 +320,7 @@
     RequestStory story = stories.remove(deliver.request());
     long nowNs = clock.nowNs();
     metrics.delivered(story.elapsedNs(nowNs));
-    story.delivered(log, exchange.answerStatus(), nowNs);
+    story.delivered(log, exchange.answerStatus(), exchange.longestPauseMs(), nowNs);
     forget(deliver.request());
     exchange.deliver();
   }
--- a/forward/src/main/java/org/teaseltrail/forward/RequestStory.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RequestStory.java
@@ -27,6 +27,10 @@
     dispatchedNs = nowNs;
   }
 
+  boolean hasBegun() {
+    return begunNs > 0;
+  }
+
   /** Notes the first event; returns the time until it. */
   long begun(long nowNs) {
     begunNs = nowNs;
@@ -45,8 +49,11 @@
         .write();
   }
 
-  void delivered(EventLog log, int status, long nowNs) {
-    line(log, "request_served", nowNs).with("status", status).writeRoutine();
+  void delivered(EventLog log, int status, long longestPauseMs, long nowNs) {
+    line(log, "request_served", nowNs)
+        .with("status", status)
+        .with("longest_pause_ms", longestPauseMs)
+        .writeRoutine();
   }
 
   void refused(EventLog log, ForwardAction.Refuse refuse, int status, long nowNs) {
@@ -67,9 +74,12 @@
         log.line(event)
             .with("request", request.id())
             .with("elapsed_ms", (nowNs - arrivedNs) / NS_PER_MS);
+    last.flatMap(ForwardAction.Dispatch::customer)
+        .ifPresent(customer -> line.with("customer", customer.value()));
     last.ifPresent(
         dispatch ->
             line.with("route", dispatch.route().id().value())
+                .with("objective_ms", dispatch.route().objectiveMs())
                 .with("upstream", dispatch.upstream().id().value())
                 .with("attempt", dispatch.attempt())
                 .with("waited_ms", (dispatchedNs - arrivedNs) / NS_PER_MS));
