--- a/cli/src/main/java/org/teaseltrail/cli/CommandTree.java
+++ b/cli/src/main/java/org/teaseltrail/cli/CommandTree.java
@@ -47,6 +47,7 @@
     ApplyCommand.add(commands);
     StatusCommands.add(commands);
     DecisionsCommand.add(commands);
+    ExplainCommand.add(commands);
     MembersCommands.add(commands);
     OrderCommand.add(commands);
     return parser;
--- /dev/null
+++ b/cli/src/main/java/org/teaseltrail/cli/explain/Cause.java
@@ -0,0 +1,129 @@
+package org.teaseltrail.cli.explain;
+
+import java.util.Arrays;
+import java.util.function.Predicate;
+
+/** Names what became of a request and why, by its last line. The first that fits is told. */
+enum Cause {
+  UNKNOWN(
+      Cause::isUntold,
+      "No line tells of it: it reached no VM whose log is here, or its VM was killed, or it was"
+          + " served while more than the routine lines of a second were written.",
+      "`start` lines of the VMs of its data centre at that time"),
+  NO_PLAN(
+      refusedFor("PLAN_UNCERTAIN"),
+      "Its VM could not know whether its plan was the newest, as no control member had confirmed"
+          + " it lately.",
+      "`session_lost` on that VM; if all VMs lost it, the control members had no leader"),
+  REJECTED(
+      refusedFor("UNKNOWN_KEY", "NO_ROUTE"),
+      "The plan in force there has no such key or route.",
+      "`plan_in_force` on that VM, and what the plan of that version holds"),
+  OVER_QUOTA(
+      refusedFor("OVER_QUOTA"),
+      "Its customer's quota was used up over all VMs, or the leader could not allow this VM more"
+          + " in time.",
+      "`retry_after_ms`: 300 means the VM's allowance, more means the quota"),
+  NO_PLACE(
+      refusedFor("NO_UPSTREAM", "WAITED_TOO_LONG", "NOT_RUN"),
+      "No upstream had a place for it in time.",
+      "the same refusals at other VMs: everywhere means too few upstreams, one VM alone means that"
+          + " its view is wrong"),
+  VM_ENDING(
+      refusedFor("ENDING"),
+      "Its VM was about to end and takes no more requests.",
+      "`drain_begin` on that VM"),
+  BROKEN(
+      refusedFor("BROKEN"),
+      "An upstream's answer broke off or was none, and the request may not be repeated, or not any"
+          + " more.",
+      "the upstream's own log, and other failures there at that time"),
+  TIMED_OUT(
+      refusedFor("TIMED_OUT"),
+      "An upstream had it until the time of the caller or of the route was over.",
+      "`waited_ms` against `elapsed_ms`: a long wait means too few places, a short one a slow"
+          + " upstream"),
+  CALLER_LEFT(
+      lastIs("caller_left"),
+      "Its caller closed the connection before the answer's end.",
+      "`first_event_ms` and `elapsed_ms`: whether it had waited long"),
+  FAILED_BY_UPSTREAM(
+      lastIs("request_served").and(Cause::hasFailureStatus),
+      "The upstream answered with a failure, and that answer was passed on.",
+      "the upstream's own log, and other failures there at that time"),
+  LATE(
+      lastIs("request_served").and(Cause::missedObjective),
+      "It was answered after its objective.",
+      "`waited_ms` for the wait for a place; the rest is the upstream's"),
+  SERVED(
+      lastIs("request_served"),
+      "It was answered within its objective.",
+      "`longest_pause_ms` if it was a stream"),
+  OPEN(
+      Cause::isAny,
+      "Its end is not in these logs: it still runs, or its VM was killed.",
+      "`start` lines of that VM after the last line");
+
+  private static final int FIRST_FAILURE_STATUS = 500;
+
+  private final Predicate<Story> fits;
+  private final String sentence;
+  private final String lookNext;
+
+  Cause(Predicate<Story> fits, String sentence, String lookNext) {
+    this.fits = fits;
+    this.sentence = sentence;
+    this.lookNext = lookNext;
+  }
+
+  /** Returns what became of a request. */
+  static Cause of(Story story) {
+    return Arrays.stream(values()).filter(cause -> cause.fits.test(story)).findFirst().orElse(OPEN);
+  }
+
+  String sentence() {
+    return sentence;
+  }
+
+  /** Returns where to look for the cause of the cause. */
+  String lookNext() {
+    return lookNext;
+  }
+
+  private static Predicate<Story> lastIs(String event) {
+    return story -> story.end().filter(line -> line.event().equals(event)).isPresent();
+  }
+
+  private static Predicate<Story> refusedFor(String... reasons) {
+    return lastIs("request_refused")
+        .and(
+            story ->
+                story
+                    .end()
+                    .flatMap(line -> line.text("reason"))
+                    .filter(Arrays.asList(reasons)::contains)
+                    .isPresent());
+  }
+
+  private static boolean isUntold(Story story) {
+    return story.own().isEmpty();
+  }
+
+  private static boolean isAny(Story story) {
+    return true;
+  }
+
+  private static boolean hasFailureStatus(Story story) {
+    return lastNumber(story, "status") >= FIRST_FAILURE_STATUS;
+  }
+
+  private static long lastNumber(Story story, String field) {
+    return story.end().orElseThrow().number(field).orElse(0);
+  }
+
+  private static boolean missedObjective(Story story) {
+    LogLine end = story.end().orElseThrow();
+    long answeredMs = end.number("first_event_ms").orElse(lastNumber(story, "elapsed_ms"));
+    return end.number("objective_ms").stream().anyMatch(objectiveMs -> answeredMs > objectiveMs);
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/teaseltrail/cli/explain/LogBook.java
@@ -0,0 +1,67 @@
+package org.teaseltrail.cli.explain;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Holds the log lines of several processes, those of one VM in the order in which it wrote them.
+ */
+final class LogBook {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final List<LogLine> lines = new ArrayList<>();
+  private int unreadable;
+
+  /**
+   * Reads lines. What stands before the first brace of a line is left out, as a collector may put
+   * the source's name there; lines without a brace are other output.
+   *
+   * @param reader the lines
+   * @throws IOException if they can't be read
+   */
+  void read(BufferedReader reader) throws IOException {
+    for (String text = reader.readLine(); text != null; text = reader.readLine()) {
+      int brace = text.indexOf('{');
+      if (brace >= 0) {
+        Optional<LogLine> line = parse(text.substring(brace));
+        line.ifPresent(lines::add);
+        unreadable += line.isPresent() ? 0 : 1;
+      }
+    }
+  }
+
+  private static Optional<LogLine> parse(String json) {
+    try {
+      JsonNode node = JSON.readTree(json);
+      boolean complete =
+          node.hasNonNull("time") && node.hasNonNull("vm") && node.hasNonNull("event");
+      if (!complete) {
+        return Optional.empty();
+      }
+      Instant time = Instant.parse(node.get("time").asText());
+      return Optional.of(
+          new LogLine(time, node.get("vm").asText(), node.get("event").asText(), node));
+    } catch (JsonProcessingException | DateTimeException e) {
+      // Counted by the caller and told: a line may be cut where a process was killed.
+      return Optional.empty();
+    }
+  }
+
+  List<LogLine> lines() {
+    return List.copyOf(lines);
+  }
+
+  /** Returns how many lines looked like a log line and were none. */
+  int unreadable() {
+    return unreadable;
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
@@ -144,11 +144,16 @@
 
   /** A sync is answered at once or not at all, like a hello. */
   private void fromServingVm(ServingMessage message) {
-    ServingMessage.Sync sync = (ServingMessage.Sync) message;
     if (leadership.isPresent() && leadership.get().gate().isOpen()) {
-      leadership.get().servingDesk().sync(sync);
+      leadership.get().servingDesk().message(message);
       return;
     }
+    if (message instanceof ServingMessage.Sync sync) {
+      syncElsewhere(sync);
+    }
+  }
+
+  private void syncElsewhere(ServingMessage.Sync sync) {
     Membership members = replicated.membership();
     Optional<VmId> leader =
         replicated
--- a/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
@@ -4,9 +4,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.PlanCustomer;
@@ -64,6 +66,8 @@
   private final Map<UpstreamId, Long> heartbeatsNs = new HashMap<>();
   private final QuotaBounds quotaBounds;
   private final QuotaLedger quotas;
+  private final SlotDesk slots = new SlotDesk();
+  private Set<ServiceId> toldContended = Set.of();
   private long nextCheckNs;
 
   ServingDesk(Leadership leadership) {
@@ -72,13 +76,55 @@
     quotas = new QuotaLedger(quotaBounds.windowMs(), VM_SILENT_NS, leadership.nowNs());
   }
 
-  void sync(ServingMessage.Sync sync) {
+  void message(ServingMessage message) {
+    if (message instanceof ServingMessage.Sync sync) {
+      sync(sync);
+    } else if (message instanceof ServingMessage.Lines lines) {
+      slots.lines(lines, leadership.nowNs());
+      tellContention();
+      handOutPlaces();
+    }
+  }
+
+  private void sync(ServingMessage.Sync sync) {
     Vm vm = vms.computeIfAbsent(sync.vm(), id -> new Vm());
     vm.sync = sync;
     vm.heardNs = leadership.nowNs();
+    slots.heard(sync.vm(), sync.inFlight());
     quotas.told(sync.vm(), sync.incarnation(), sync.quotas(), vm.heardNs);
     pushWhatIsMissing(sync.vm(), vm);
     leadership.sendServing(sync.vm(), confirmation(sync));
+    handOutPlaces();
+  }
+
+  /** Tells all VMs at once when places begin or cease to be handed out. */
+  private void tellContention() {
+    Set<ServiceId> contended = contended();
+    if (!contended.equals(toldContended)) {
+      toldContended = contended;
+      ServingReply.Contention told =
+          new ServingReply.Contention(leadership.fencing(), List.copyOf(contended));
+      vms.keySet().forEach(vm -> leadership.sendServing(vm, told));
+    }
+  }
+
+  private Set<ServiceId> contended() {
+    return slots.contended(leadership.nowNs());
+  }
+
+  private void handOutPlaces() {
+    for (ServiceId service : contended()) {
+      List<Registration> upstreams =
+          state().registry().present().stream()
+              .filter(registration -> registration.service().equals(service))
+              .toList();
+      for (SlotDesk.Grant grant : slots.distribute(service, upstreams, leadership.nowNs())) {
+        leadership.sendServing(
+            grant.vm(),
+            new ServingReply.SlotGrant(
+                leadership.fencing(), grant.sequence(), grant.service(), grant.upstream()));
+      }
+    }
   }
 
   /** Pushes what was just committed to all VMs. */
@@ -92,6 +138,7 @@
   }
 
   void tick() {
+    tellContention();
     long nowNs = leadership.nowNs();
     if (nowNs < nextCheckNs) {
       return;
@@ -103,6 +150,7 @@
               boolean silent = nowNs - entry.getValue().heardNs > VM_SILENT_NS;
               if (silent) {
                 quotas.forget(entry.getKey(), nowNs);
+                slots.forget(entry.getKey());
               }
               return silent;
             });
@@ -178,6 +226,7 @@
         vms.size(),
         memberVms(),
         elsewhere,
+        List.copyOf(contended()),
         quotas.grants(sync.vm(), quotaLimits(), leadership.nowNs()));
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/ControlTies.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ControlTies.java
@@ -39,6 +39,10 @@
     seeds = List.copyOf(changed);
   }
 
+  VmId vm() {
+    return settings.vm();
+  }
+
   ServingSession session() {
     return session;
   }
@@ -52,9 +56,8 @@
   }
 
   /** Brings the next sync forward, as far as the time since the last one allows. */
-  void syncSoon(long nowNs) {
-    long soonestNs = Math.max(nowNs, lastSyncNs + LEAST_PAUSE_NS);
-    nextSyncNs = Math.min(nextSyncNs, soonestNs);
+  void syncSoon() {
+    nextSyncNs = Math.min(nextSyncNs, lastSyncNs + LEAST_PAUSE_NS);
   }
 
   /** Returns the syncs that are due: one to the leader, or one to each member if none is known. */
@@ -64,9 +67,7 @@
     }
     lastSyncNs = nowNs;
     nextSyncNs = nowNs + settings.syncEveryMs() * NS_PER_MS;
-    long patienceNs = PATIENCE_SYNCS * settings.syncEveryMs() * NS_PER_MS;
-    Optional<VmId> leader = session.leader(nowNs, patienceNs);
-    List<VmId> asked = leader.map(List::of).orElseGet(this::members);
+    List<VmId> asked = leader(nowNs).map(List::of).orElseGet(this::members);
     List<ForwardAction> syncs = new ArrayList<>();
     for (VmId member : asked) {
       long sequence = session.sending(member, nowNs);
@@ -96,6 +97,15 @@
     return !session.isValid(nowNs) && members.addAll(seeds);
   }
 
+  /** Returns a message with what waits, to the leader if one is known. */
+  Optional<ForwardAction> lines(ServingMessage.Lines lines, long nowNs) {
+    return leader(nowNs).map(leader -> new ForwardAction.SendControl(leader, lines));
+  }
+
+  private Optional<VmId> leader(long nowNs) {
+    return session.leader(nowNs, PATIENCE_SYNCS * settings.syncEveryMs() * NS_PER_MS);
+  }
+
   private ServingMessage.Sync sync(ForwardNode node, long sequence, long nowNs) {
     return new ServingMessage.Sync(
         settings.vm(),
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -16,6 +16,8 @@
 import org.teaseltrail.core.plan.ServingPlan;
 import org.teaseltrail.core.plan.WeightedService;
 import org.teaseltrail.core.quota.QuotaUse;
+import org.teaseltrail.core.serving.LineState;
+import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
 
 /**
@@ -35,11 +37,13 @@
   private final RandomGenerator random;
   private final ControlTies ties;
   private final UpstreamBook upstreams = new UpstreamBook();
+  private final SlotTies slots = new SlotTies();
   private final QuotaDesk quotas;
   private final ShortOfQuota shortOfQuota = new ShortOfQuota();
   private final RequestDesk requests;
   private Optional<PlanIndex> plan = Optional.empty();
   private boolean ending;
+  private long toldChanges;
   private List<ForwardAction> out = new ArrayList<>();
 
   /**
@@ -54,6 +58,7 @@
             settings,
             new PlacementRule(random),
             upstreams,
+            slots,
             this::isEngine,
             action -> out.add(action));
     ties = new ControlTies(settings);
@@ -67,7 +72,7 @@
    */
   public List<ForwardAction> begin() {
     out.add(new ForwardAction.KeepConnected(ties.members()));
-    return take();
+    return drain();
   }
 
   /**
@@ -97,26 +102,26 @@
   public List<ForwardAction> arrived(ForwardRequest request, long nowNs) {
     if (ending) {
       refuse(request.number(), Refusal.ENDING, ENDING_RETRY_MS);
-      return take();
+      return take(nowNs);
     }
     if (plan.isEmpty()) {
       refuse(request.number(), Refusal.PLAN_UNCERTAIN, PLAN_RETRY_MS);
-      return take();
+      return take(nowNs);
     }
     boolean certain = ties.session().isValid(nowNs);
     Optional<PlanRoute> route = plan.get().route(request.host(), request.path());
     if (route.isEmpty()) {
       refuseByPlan(request, Refusal.NO_ROUTE, certain);
-      return take();
+      return take(nowNs);
     }
     boolean keyed = route.get().needsKey() && plan.get().hasCustomers();
     Optional<PlanCustomer> customer = keyed ? customerOf(request) : Optional.empty();
     if (keyed && (!certain || customer.isEmpty())) {
       refuseByPlan(request, Refusal.UNKNOWN_KEY, certain);
-      return take();
+      return take(nowNs);
     }
     admit(request, route.get(), customer, nowNs);
-    return take();
+    return take(nowNs);
   }
 
   /**
@@ -129,7 +134,7 @@
    */
   public List<ForwardAction> attemptEnded(long number, AttemptEnd end, long nowNs) {
     requests.attemptEnded(number, end, nowNs);
-    return take();
+    return take(nowNs);
   }
 
   /**
@@ -174,7 +179,7 @@
   public List<ForwardAction> callerLeft(long number, long nowNs) {
     shortOfQuota.remove(number);
     requests.callerLeft(number, nowNs);
-    return take();
+    return take(nowNs);
   }
 
   /**
@@ -190,6 +195,16 @@
     } else if (reply instanceof ServingReply.NotLeading other) {
       ties.session().notLeading(other);
       learnMembers(other);
+    } else if (reply instanceof ServingReply.Contention contention) {
+      if (ties.session().isNewest(contention.fencing())) {
+        slots.contended(contention.fencing(), contention.services(), nowNs);
+        requests.serveLines(nowNs);
+      }
+    } else if (reply instanceof ServingReply.SlotGrant grant) {
+      if (ties.session().isNewest(grant.fencing())) {
+        slots.granted(grant.fencing(), grant.sequence(), nowNs);
+        requests.granted(grant.service(), grant.upstream(), nowNs);
+      }
     } else if (reply instanceof ServingReply.PlanUpdate update) {
       if (ties.session().isNewest(update.fencing())) {
         apply(update.plan());
@@ -200,7 +215,7 @@
         requests.serveLines(nowNs);
       }
     }
-    return take();
+    return take(nowNs);
   }
 
   /**
@@ -218,7 +233,7 @@
       refuseByQuota(overdue, overdue.payer().orElseThrow(), nowNs);
     }
     requests.tick(nowNs);
-    return take();
+    return take(nowNs);
   }
 
   /**
@@ -285,6 +300,7 @@
     learnMembers(confirmed);
     requests.vmCount(confirmed.vmCount());
     upstreams.elsewhere(confirmed.elsewhere(), nowNs);
+    slots.contended(confirmed.fencing(), confirmed.contended(), nowNs);
     quotas.told(confirmed, nowNs);
     for (TrackedForward request : shortOfQuota.takeAll()) {
       admitByQuota(request, request.payer().orElseThrow(), nowNs);
@@ -358,7 +374,7 @@
     }
     quotas.want(customer, request.request());
     shortOfQuota.add(request);
-    ties.syncSoon(nowNs);
+    ties.syncSoon();
   }
 
   private void refuseByQuota(TrackedForward request, PlanCustomer customer, long nowNs) {
@@ -386,7 +402,30 @@
     out.add(new ForwardAction.Refuse(number, refusal, retryAfterMs));
   }
 
-  private List<ForwardAction> take() {
+  /** Takes what is to be done; the leader is told of changes to what waits. */
+  private List<ForwardAction> take(long nowNs) {
+    if (requests.hasWaiting()) {
+      ties.syncSoon();
+    }
+    tellLines(nowNs);
+    return drain();
+  }
+
+  private void tellLines(long nowNs) {
+    boolean changed = requests.changes() != toldChanges;
+    if (!changed) {
+      return;
+    }
+    List<LineState> lines = requests.lineStates();
+    if (!lines.isEmpty() || slots.isAnyContended()) {
+      toldChanges = requests.changes();
+      ServingMessage.Lines told =
+          new ServingMessage.Lines(ties.vm(), slots.grantsSeen(), upstreams.inFlight(), lines);
+      ties.lines(told, nowNs).ifPresent(out::add);
+    }
+  }
+
+  private List<ForwardAction> drain() {
     List<ForwardAction> taken = out;
     out = new ArrayList<>();
     return taken;
--- a/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
@@ -96,6 +96,16 @@
     return views.stream().anyMatch(view -> slowness(view, usualPaceMs, nowNs) < SLOW);
   }
 
+  /** Tells whether a request may go to an upstream that was chosen for it. */
+  boolean accepts(
+      TrackedForward tracked, Collection<UpstreamView> views, UpstreamView chosen, long nowNs) {
+    List<UpstreamView> usable = usable(tracked, views, nowNs);
+    double usualPaceMs = usualPaceMs(usable);
+    boolean avoidsSlow = isLong(tracked) && hasQuick(usable, usualPaceMs, nowNs);
+    boolean tooSlow = avoidsSlow && slowness(chosen, usualPaceMs, nowNs) >= SLOW;
+    return usable.contains(chosen) && !tooSlow;
+  }
+
   /** Returns the mean pace of the upstreams that have one, or 0. */
   private static double usualPaceMs(List<UpstreamView> views) {
     return views.stream()
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -10,6 +10,8 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.serving.LineState;
 
 /**
  * Looks after the requests that were admitted: places them, lets them wait, repeats them where that
@@ -55,14 +57,18 @@
   private final Map<ServiceId, RetryBudget> budgets = new HashMap<>();
   private final Map<Long, TrackedForward> tracked = new HashMap<>();
   private final TreeMap<Long, List<TrackedForward>> dueNs = new TreeMap<>();
+  private final SlotTies slots;
   private int vmCount = 1;
+  private long changes;
 
   RequestDesk(
       ForwardSettings settings,
       PlacementRule placement,
       UpstreamBook upstreams,
+      SlotTies slots,
       Predicate<ServiceId> isEngine,
       Consumer<ForwardAction> out) {
+    this.slots = slots;
     this.settings = settings;
     this.placement = placement;
     this.upstreams = upstreams;
@@ -97,7 +103,9 @@
    */
   boolean admitToFreeRoom(TrackedForward request, long nowNs) {
     tracked.put(request.number(), request);
-    boolean taken = line(request.service()).isEmpty() && place(request, FREE_ROOM_FILL, nowNs);
+    boolean nobodyWaits =
+        line(request.service()).isEmpty() && !slots.isArbitrated(request.service(), nowNs);
+    boolean taken = nobodyWaits && place(request, FREE_ROOM_FILL, nowNs);
     if (taken) {
       budget(request.service()).request(nowNs);
     } else {
@@ -114,6 +122,7 @@
     }
     request.at().get().ended(end, nowNs);
     request.attemptEnded(end);
+    changes++;
     if (end == AttemptEnd.ANSWERED || !goOn(request, end, nowNs)) {
       finish(request, end);
     }
@@ -134,6 +143,7 @@
     if (request != null) {
       line(request.service()).remove(request);
       cancel(request);
+      changes++;
       serveLine(request.service(), nowNs);
     }
   }
@@ -147,12 +157,15 @@
   }
 
   private void placeOrWait(TrackedForward request, long nowNs) {
-    boolean overtakes = !line(request.service()).isEmpty();
-    if (!overtakes && place(request, nowNs)) {
+    boolean waitsForOthers =
+        !line(request.service()).isEmpty() || slots.isArbitrated(request.service(), nowNs);
+    if (!waitsForOthers && place(request, nowNs)) {
       line(request.service()).served(nowNs);
       return;
     }
     line(request.service()).add(request);
+    slots.lineChanged(request.service());
+    changes++;
     schedule(request);
     serveLine(request.service(), nowNs);
   }
@@ -171,6 +184,7 @@
 
   private void dispatch(TrackedForward request, UpstreamView view, long nowNs) {
     view.sent();
+    changes++;
     request.sentTo(view, nowNs);
     schedule(request);
     out.accept(
@@ -225,11 +239,12 @@
     }
     tracked.remove(request.number());
     line(request.service()).remove(request);
-    boolean atUpstream = request.at().isPresent();
+    final boolean atUpstream = request.at().isPresent();
     if (!request.hasBegun()) {
       request.at().ifPresent(view -> view.avoid(nowNs));
     }
     cancel(request);
+    changes++;
     if (atUpstream || request.maybeRan()) {
       refuse(request.number(), Refusal.TIMED_OUT, 0);
     } else {
@@ -264,7 +279,11 @@
   private void serveLine(ServiceId service, long nowNs) {
     WaitingLine waiting = line(service);
     if (!waiting.isEmpty()) {
-      waiting.serve(request -> place(request, nowNs), nowNs);
+      if (slots.isArbitrated(service, nowNs)) {
+        waiting.moveLate(nowNs);
+      } else {
+        waiting.serve(request -> place(request, nowNs), nowNs);
+      }
       shed(waiting, nowNs);
     }
   }
@@ -303,6 +322,49 @@
     out.accept(new ForwardAction.Refuse(number, refusal, retryAfterMs));
   }
 
+  /** Uses a place that the leader has granted for the most urgent request that can use it. */
+  void granted(ServiceId service, UpstreamId upstream, long nowNs) {
+    changes++;
+    boolean used =
+        upstreams
+            .find(upstream)
+            .map(view -> line(service).serveOne(request -> placeAt(request, view, nowNs), nowNs))
+            .orElse(false);
+    if (!used) {
+      slots.markUnwanted(service, upstream);
+    }
+  }
+
+  private boolean placeAt(TrackedForward request, UpstreamView view, long nowNs) {
+    boolean accepted = placement.accepts(request, upstreams.of(request.service()), view, nowNs);
+    if (accepted) {
+      dispatch(request, view, nowNs);
+    }
+    return accepted;
+  }
+
+  /** Returns a number that grows with each change of the lines or of what is at upstreams. */
+  long changes() {
+    return changes;
+  }
+
+  /** Tells what waits for engines. */
+  List<LineState> lineStates() {
+    List<LineState> states = new ArrayList<>();
+    lines.forEach(
+        (service, waiting) -> {
+          if (isEngine.test(service) && !waiting.isEmpty()) {
+            states.add(new LineState(service, waiting.counts(), slots.unwanted(service)));
+          }
+        });
+    return states;
+  }
+
+  /** Tells whether any request waits for a place. */
+  boolean hasWaiting() {
+    return lines.values().stream().anyMatch(waiting -> !waiting.isEmpty());
+  }
+
   private WaitingLine line(ServiceId service) {
     return lines.computeIfAbsent(service, key -> new WaitingLine());
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
@@ -8,6 +8,7 @@
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.plan.PlanCustomer;
 import org.teaseltrail.core.plan.PlanRoute;
+import org.teaseltrail.core.serving.Urgency;
 
 /** Is a request that this VM has admitted and not answered yet. */
 final class TrackedForward {
@@ -75,8 +76,12 @@
     return customer;
   }
 
+  Urgency urgency() {
+    return new Urgency(customerRank(), late, route.priority());
+  }
+
   /** Returns the customer's rank, which goes before the route's. */
-  int customerRank() {
+  private int customerRank() {
     return customer.map(known -> known.rank().orElse(NO_CUSTOMER_RANK)).orElse(NO_CUSTOMER_RANK);
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.registry.Registration;
@@ -60,6 +61,10 @@
     }
   }
 
+  Optional<UpstreamView> find(UpstreamId upstream) {
+    return Optional.ofNullable(views.get(upstream));
+  }
+
   Collection<UpstreamView> of(ServiceId service) {
     return byService.getOrDefault(service, List.of());
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/WaitingLine.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/WaitingLine.java
@@ -7,16 +7,15 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import org.teaseltrail.core.serving.LineState;
+import org.teaseltrail.core.serving.Urgency;
 
 /**
- * Holds requests that wait for a place at a service's upstreams: by the customer's rank, then those
- * that can still be answered on time, then by the route's rank, then as they came.
- *
- * <p>Under more load than fits, a line that is served strictly as it came makes every request late.
- * Those that are late already give way: an answer on time is worth three to four times a late one
- * to the users.
+ * Holds requests that wait for a place at a service's upstreams, by {@link Urgency}, then as they
+ * came.
  */
 final class WaitingLine {
 
@@ -26,10 +25,7 @@
   private static final long PACE_WINDOW_NS = 2 * NS_PER_S;
 
   private static final Comparator<TrackedForward> ORDER =
-      Comparator.comparingInt(TrackedForward::customerRank)
-          .thenComparing(TrackedForward::isLate)
-          .thenComparingInt(tracked -> tracked.route().priority())
-          .thenComparingLong(TrackedForward::number);
+      Comparator.comparing(TrackedForward::urgency).thenComparingLong(TrackedForward::number);
 
   private final TreeSet<TrackedForward> waiting = new TreeSet<>(ORDER);
   private final Deque<Long> servedNs = new ArrayDeque<>();
@@ -62,6 +58,28 @@
     }
   }
 
+  /**
+   * Takes out the most urgent for which a place is found.
+   *
+   * @return whether there is one
+   */
+  boolean serveOne(Predicate<TrackedForward> place, long nowNs) {
+    moveLate(nowNs);
+    Optional<TrackedForward> served = waiting.stream().filter(place).findFirst();
+    served.ifPresent(waiting::remove);
+    served.ifPresent(request -> served(nowNs));
+    return served.isPresent();
+  }
+
+  /** Counts those that wait by urgency, the most urgent first. */
+  List<LineState.Count> counts() {
+    TreeMap<Urgency, Integer> counts = new TreeMap<>();
+    waiting.forEach(tracked -> counts.merge(tracked.urgency(), 1, Integer::sum));
+    return counts.entrySet().stream()
+        .map(entry -> new LineState.Count(entry.getKey(), entry.getValue()))
+        .toList();
+  }
+
   /** Notes that a request found a place. */
   void served(long nowNs) {
     servedNs.addLast(nowNs);
@@ -79,7 +97,8 @@
     return waiting.isEmpty() ? Optional.empty() : Optional.of(waiting.last());
   }
 
-  private void moveLate(long nowNs) {
+  /** Puts those that can no longer be answered on time behind the others. */
+  void moveLate(long nowNs) {
     List<TrackedForward> turned = new ArrayList<>();
     waiting.stream().filter(tracked -> tracked.turnsLate(nowNs)).forEach(turned::add);
     waiting.removeAll(turned);
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingMessage.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingMessage.java
@@ -10,6 +10,13 @@
 /** Is a message from an entry VM that places requests itself to a control member. */
 public sealed interface ServingMessage {
 
+  /**
+   * Returns who sends it.
+   *
+   * @return the entry VM
+   */
+  VmId vm();
+
   /**
    * Renews the VM's session and tells what goes on there.
    *
@@ -36,4 +43,21 @@
       quotas = List.copyOf(quotas);
     }
   }
+
+  /**
+   * Tells what waits at the VM, and what it has at each upstream; the newest replaces those before.
+   *
+   * @param vm the VM
+   * @param grantsSeen sequence of the newest grant of this leader that the VM has seen, 0 for none
+   * @param inFlight requests that it has at each upstream, those without any left out
+   * @param lines what waits for each service of engines, those where nothing waits left out
+   */
+  record Lines(VmId vm, long grantsSeen, Map<UpstreamId, Integer> inFlight, List<LineState> lines)
+      implements ServingMessage {
+    /** Copies the map and the list. */
+    public Lines {
+      inFlight = Map.copyOf(inFlight);
+      lines = List.copyOf(lines);
+    }
+  }
 }
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.ServingPlan;
@@ -39,6 +40,7 @@
    * @param vmCount entry VMs with a session
    * @param members VMs of all members
    * @param elsewhere requests that the other entry VMs have at each upstream
+   * @param contended services whose places the leader hands out
    * @param quotas what the VM may take of customers' quotas
    */
   record Confirmed(
@@ -49,16 +51,42 @@
       int vmCount,
       List<VmId> members,
       Map<UpstreamId, Integer> elsewhere,
+      List<ServiceId> contended,
       List<QuotaGrant> quotas)
       implements ServingReply {
     /** Copies the lists. */
     public Confirmed {
       members = List.copyOf(members);
       elsewhere = Map.copyOf(elsewhere);
+      contended = List.copyOf(contended);
       quotas = List.copyOf(quotas);
     }
   }
 
+  /**
+   * Says for which services the leader hands out the places, since requests wait for them.
+   *
+   * @param fencing its leadership
+   * @param services all such services
+   */
+  record Contention(FencingNumber fencing, List<ServiceId> services) implements ServingReply {
+    /** Copies the list. */
+    public Contention {
+      services = List.copyOf(services);
+    }
+  }
+
+  /**
+   * Gives the VM a place for the most urgent of its waiting requests that can use it.
+   *
+   * @param fencing the leadership that gives it
+   * @param sequence grows with each grant to this VM
+   * @param service whose requests may use it
+   * @param upstream where the place is
+   */
+  record SlotGrant(FencingNumber fencing, long sequence, ServiceId service, UpstreamId upstream)
+      implements ServingReply {}
+
   /**
    * Carries the accepted plan.
    *
--- a/core/src/test/java/org/teaseltrail/core/control/QuotaInCutTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/QuotaInCutTest.java
@@ -91,7 +91,7 @@
         List<QuotaGrant> grants = ledger.grants(sync.vm(), Map.of(Plans.CUSTOMER, LIMIT), nowNs);
         ServingReply.Confirmed reply =
             new ServingReply.Confirmed(
-                term, sync.sequence(), 1, 1, VMS, List.of(MEMBER), Map.of(), grants);
+                term, sync.sequence(), 1, 1, VMS, List.of(MEMBER), Map.of(), List.of(), grants);
         runs += answerArrives ? running(node.fromControl(reply, nowNs)) : 0;
       }
     }
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/control/SlotDeskTest.java
@@ -0,0 +1,117 @@
+package org.teaseltrail.core.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.plan.Plans;
+import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.registry.RegistrationPhase;
+import org.teaseltrail.core.serving.LineState;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.Urgency;
+import org.teaseltrail.core.upstream.SocketAddress;
+
+/** Hands out free places over all entry VMs. */
+class SlotDeskTest {
+
+  private static final long MS = 1_000_000L;
+  private static final VmId ONE = new VmId("entry-1");
+  private static final VmId OTHER = new VmId("entry-2");
+  private static final Urgency URGENT = new Urgency(1, false, 0);
+  private static final Urgency LESS = new Urgency(1, false, 2);
+  private static final Registration ENGINE = engine("e1", RegistrationPhase.READY);
+
+  private final SlotDesk desk = new SlotDesk();
+
+  private static Registration engine(String id, RegistrationPhase phase) {
+    return new Registration(
+        new UpstreamId(id),
+        Plans.ENGINES,
+        new SocketAddress("10.0.0.1", 80),
+        new DataCenterId("a"),
+        2,
+        phase,
+        1);
+  }
+
+  private void tell(VmId vm, long seen, int inFlight, Urgency urgency, int waiting) {
+    tell(vm, seen, inFlight, urgency, waiting, List.of());
+  }
+
+  private void tell(
+      VmId vm, long seen, int inFlight, Urgency urgency, int waiting, List<UpstreamId> unwanted) {
+    LineState.Count count = new LineState.Count(urgency, waiting);
+    LineState line = new LineState(Plans.ENGINES, List.of(count), unwanted);
+    Map<UpstreamId, Integer> there = Map.of(ENGINE.id(), inFlight);
+    desk.lines(new ServingMessage.Lines(vm, seen, there, List.of(line)), 0);
+  }
+
+  private List<VmId> granted(long nowMs, Registration... upstreams) {
+    return desk.distribute(Plans.ENGINES, List.of(upstreams), nowMs * MS).stream()
+        .map(SlotDesk.Grant::vm)
+        .toList();
+  }
+
+  /**
+   * A place becomes free where a quick question's VM sees it first, while a long review of the same
+   * customer, of the highest rank, waits at another VM and misses its objective.
+   */
+  @Test
+  void theMostUrgentOfAllVmsGoesFirst() {
+    tell(ONE, 0, 1, LESS, 3);
+    tell(OTHER, 0, 0, URGENT, 1);
+    assertThat(granted(0, ENGINE)).containsExactly(OTHER);
+  }
+
+  /**
+   * An upstream comes while many requests wait. Each VM saw it empty and sent all it had there, far
+   * beyond its places.
+   */
+  @Test
+  void handsOutNoMorePlacesThanThereAre() {
+    tell(ONE, 0, 0, LESS, 5);
+    tell(OTHER, 0, 0, LESS, 5);
+    assertThat(granted(0, ENGINE)).hasSize(2);
+    assertThat(granted(1, ENGINE)).isEmpty();
+  }
+
+  @Test
+  void grantThatWasUsedCountsOnce() {
+    tell(ONE, 0, 0, LESS, 2);
+    assertThat(granted(0, ENGINE)).hasSize(2);
+    tell(ONE, 2, 1, LESS, 1);
+    assertThat(granted(1, ENGINE)).containsExactly(ONE);
+  }
+
+  @Test
+  void lostGrantIsHandedOutAgain() {
+    tell(ONE, 0, 0, LESS, 2);
+    assertThat(granted(0, ENGINE)).hasSize(2);
+    assertThat(granted(301, ENGINE)).hasSize(2);
+  }
+
+  @Test
+  void leavingUpstreamGetsNothing() {
+    tell(ONE, 0, 0, LESS, 2);
+    assertThat(granted(0, engine("e1", RegistrationPhase.DRAINING))).isEmpty();
+  }
+
+  @Test
+  void goesToTheNextVmIfOneCannotUseThePlace() {
+    tell(ONE, 0, 0, URGENT, 1, List.of(ENGINE.id()));
+    tell(OTHER, 0, 1, LESS, 1);
+    assertThat(granted(0, ENGINE)).containsExactly(OTHER);
+  }
+
+  @Test
+  void contentionEndsAfterTheLastWaitingRequest() {
+    tell(ONE, 0, 0, LESS, 1);
+    assertThat(desk.contended(499 * MS)).containsExactly(Plans.ENGINES);
+    assertThat(desk.contended(500 * MS)).isEmpty();
+  }
+}
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
@@ -24,6 +24,7 @@
 import org.teaseltrail.core.quota.QuotaGrant;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.registry.RegistrationPhase;
+import org.teaseltrail.core.serving.LineState;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.upstream.SocketAddress;
@@ -49,6 +50,7 @@
               QuotaBounds.DEFAULT,
               1));
 
+  private List<ServiceId> contended = List.of();
   private long nowNs = MS;
   private long lastNumber;
   private long lastSequence;
@@ -88,7 +90,7 @@
     }
     node.fromControl(
         new ServingReply.Confirmed(
-            TERM, lastSequence, version, 1, 1, List.of(MEMBER), Map.of(), grantOfAll()),
+            TERM, lastSequence, version, 1, 1, List.of(MEMBER), Map.of(), contended, grantOfAll()),
         nowNs);
   }
 
@@ -388,4 +390,71 @@
     arriveWithPrompt(100);
     assertThat(dispatches()).containsExactly(slow.id().value());
   }
+
+  /**
+   * Requests wait at several VMs. Whichever VM's request ended took the free place, though
+   * something more urgent waited at another one.
+   */
+  @Test
+  void waitsForTheLeadersGrantWhileOthersWait() {
+    contended = List.of(Plans.ENGINES);
+    Registration engine = upstream("e1", Plans.ENGINES, 8);
+    serveWith(Plans.plan(1), engine);
+    arrive("/stream/x");
+    assertThat(dispatches()).isEmpty();
+    assertThat(toldWaiting()).isEqualTo(1);
+    grant(engine);
+    assertThat(dispatches()).containsExactly("e1");
+    assertThat(toldWaiting()).isZero();
+  }
+
+  /** The leader is lost while requests wait for its grants; they must not wait on. */
+  @Test
+  void placesByItselfOnceTheLeaderIsSilent() {
+    contended = List.of(Plans.ENGINES);
+    serveWith(Plans.plan(1), upstream("e1", Plans.ENGINES, 8));
+    arrive("/stream/x");
+    nowNs += 200 * MS;
+    actions = node.tick(nowNs);
+    assertThat(dispatches()).isEmpty();
+    nowNs += 101 * MS;
+    actions = node.tick(nowNs);
+    assertThat(dispatches()).containsExactly("e1");
+  }
+
+  @Test
+  void tellsOfGrantThatNothingCanUse() {
+    contended = List.of(Plans.ENGINES);
+    Registration leaving = upstream("e1", Plans.ENGINES, 8).in(RegistrationPhase.DRAINING);
+    serveWith(Plans.plan(1), leaving);
+    arrive("/stream/x");
+    grant(leaving);
+    assertThat(dispatches()).isEmpty();
+    ServingMessage.Lines told = told();
+    assertThat(told.grantsSeen()).isEqualTo(1);
+    assertThat(told.lines().get(0).unwanted()).containsExactly(leaving.id());
+  }
+
+  private void grant(Registration upstream) {
+    ServingReply.SlotGrant grant =
+        new ServingReply.SlotGrant(TERM, 1, upstream.service(), upstream.id());
+    actions = node.fromControl(grant, nowNs);
+  }
+
+  private ServingMessage.Lines told() {
+    return actions.stream()
+        .filter(ForwardAction.SendControl.class::isInstance)
+        .map(action -> ((ForwardAction.SendControl) action).message())
+        .filter(ServingMessage.Lines.class::isInstance)
+        .map(ServingMessage.Lines.class::cast)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private int toldWaiting() {
+    return told().lines().stream()
+        .flatMap(line -> line.waiting().stream())
+        .mapToInt(LineState.Count::requests)
+        .sum();
+  }
 }
--- a/core/src/test/java/org/teaseltrail/core/serving/ServingSessionTest.java
+++ b/core/src/test/java/org/teaseltrail/core/serving/ServingSessionTest.java
@@ -19,7 +19,15 @@
 
   private static ServingReply.Confirmed confirmed(long fencing, long sequence, long version) {
     return new ServingReply.Confirmed(
-        new FencingNumber(fencing), sequence, version, 1, 1, List.of(MEMBER), Map.of(), List.of());
+        new FencingNumber(fencing),
+        sequence,
+        version,
+        1,
+        1,
+        List.of(MEMBER),
+        Map.of(),
+        List.of(),
+        List.of());
   }
 
   /**
