Give one of four places to the least urgent kind that waits

Ruled out: shares by customer (all of them waited alike).

Change: every fourth place of a service goes to the least urgent route among requests of the first one's customer rank that are in time like it; the grant says for which urgency it is meant.

--- a/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
@@ -122,7 +122,11 @@
         leadership.sendServing(
             grant.vm(),
             new ServingReply.SlotGrant(
-                leadership.fencing(), grant.sequence(), grant.service(), grant.upstream()));
+                leadership.fencing(),
+                grant.sequence(),
+                grant.service(),
+                grant.upstream(),
+                grant.urgency()));
       }
     }
   }
--- a/core/src/main/java/org/teaseltrail/core/control/SlotDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotDesk.java
@@ -43,6 +43,13 @@
   /** Time after which a grant that nothing is heard of counts as lost: many round trips. */
   private static final long GRANT_LOST_NS = 300_000_000L;
 
+  /**
+   * Of so many places, one goes to the least urgent kind of request that waits. Guards against a
+   * kind of request that is never served while there is more load than fits: the users want each
+   * kind to get at least two fifths of what it is owed.
+   */
+  private static final long OTHERS_TURN = 4;
+
   /**
    * Is a place handed out to a VM.
    *
@@ -50,8 +57,9 @@
    * @param sequence grows with each grant to that VM
    * @param service whose requests may use it
    * @param upstream where it is
+   * @param urgency that of the request it is meant for
    */
-  record Grant(VmId vm, long sequence, ServiceId service, UpstreamId upstream) {}
+  record Grant(VmId vm, long sequence, ServiceId service, UpstreamId upstream, Urgency urgency) {}
 
   private record Open(Grant grant, long atNs) {}
 
@@ -65,20 +73,23 @@
       return open.stream().filter(each -> each.grant().upstream().equals(upstream)).count();
     }
 
-    /** Returns the most urgent that waits, beyond what the open grants serve. */
-    private Optional<Urgency> mostUrgent(ServiceId service) {
+    /** Returns the urgencies of what waits beyond what the open grants are meant for. */
+    private List<Urgency> waiting(ServiceId service) {
       LineState line = lines.get(service);
       if (line == null) {
-        return Optional.empty();
-      }
-      long served = open.stream().filter(each -> each.grant().service().equals(service)).count();
-      for (LineState.Count count : line.waiting()) {
-        if (served < count.requests()) {
-          return Optional.of(count.urgency());
-        }
-        served -= count.requests();
+        return List.of();
       }
-      return Optional.empty();
+      return line.waiting().stream()
+          .filter(count -> count.requests() > openFor(service, count.urgency()))
+          .map(LineState.Count::urgency)
+          .toList();
+    }
+
+    private long openFor(ServiceId service, Urgency urgency) {
+      return open.stream()
+          .map(Open::grant)
+          .filter(grant -> grant.service().equals(service) && grant.urgency().equals(urgency))
+          .count();
     }
 
     private boolean wants(ServiceId service, UpstreamId upstream) {
@@ -88,7 +99,11 @@
 
   private record Candidate(VmId id, Vm vm, Urgency urgency) {}
 
+  private static final Comparator<Candidate> MOST_URGENT_FIRST =
+      Comparator.comparing(Candidate::urgency);
+
   private final Map<VmId, Vm> vms = new TreeMap<>(Comparator.comparing(VmId::value));
+  private final Map<ServiceId, Long> granted = new HashMap<>();
   private final Map<ServiceId, Long> contendedUntilNs = new HashMap<>();
 
   /** Takes what a VM has at each upstream. */
@@ -169,17 +184,26 @@
   }
 
   private Optional<Candidate> next(ServiceId service, Set<VmId> passedOver) {
-    Candidate first = null;
-    for (Map.Entry<VmId, Vm> entry : vms.entrySet()) {
-      Optional<Urgency> urgency = entry.getValue().mostUrgent(service);
-      if (urgency.isEmpty() || passedOver.contains(entry.getKey())) {
-        continue;
-      }
-      if (first == null || urgency.get().compareTo(first.urgency()) < 0) {
-        first = new Candidate(entry.getKey(), entry.getValue(), urgency.get());
-      }
-    }
-    return Optional.ofNullable(first);
+    List<Candidate> candidates = new ArrayList<>();
+    vms.forEach(
+        (id, vm) -> {
+          if (!passedOver.contains(id)) {
+            vm.waiting(service).forEach(each -> candidates.add(new Candidate(id, vm, each)));
+          }
+        });
+    Optional<Candidate> first = candidates.stream().min(MOST_URGENT_FIRST);
+    boolean othersTurn = granted.getOrDefault(service, 0L) % OTHERS_TURN == OTHERS_TURN - 1;
+    return othersTurn ? first.flatMap(most -> leastUrgentKind(candidates, most.urgency())) : first;
+  }
+
+  /**
+   * Returns a candidate of the least urgent route among those that are like the first otherwise.
+   */
+  private static Optional<Candidate> leastUrgentKind(List<Candidate> candidates, Urgency first) {
+    return candidates.stream()
+        .filter(each -> each.urgency().customerRank() == first.customerRank())
+        .filter(each -> each.urgency().late() == first.late())
+        .max(MOST_URGENT_FIRST);
   }
 
   private static Optional<UpstreamId> emptiest(
@@ -190,11 +214,12 @@
         .map(Map.Entry::getKey);
   }
 
-  private static Grant grant(
-      Candidate candidate, ServiceId service, UpstreamId upstream, long nowNs) {
+  private Grant grant(Candidate candidate, ServiceId service, UpstreamId upstream, long nowNs) {
+    granted.merge(service, 1L, Long::sum);
     Vm vm = candidate.vm();
     vm.lastSequence++;
-    Grant grant = new Grant(candidate.id(), vm.lastSequence, service, upstream);
+    Grant grant =
+        new Grant(candidate.id(), vm.lastSequence, service, upstream, candidate.urgency());
     vm.open.addLast(new Open(grant, nowNs));
     return grant;
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -203,7 +203,7 @@
     } else if (reply instanceof ServingReply.SlotGrant grant) {
       if (ties.session().isNewest(grant.fencing())) {
         slots.granted(grant.fencing(), grant.sequence(), nowNs);
-        requests.granted(grant.service(), grant.upstream(), nowNs);
+        requests.granted(grant, nowNs);
       }
     } else if (reply instanceof ServingReply.PlanUpdate update) {
       if (ties.session().isNewest(update.fencing())) {
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -10,8 +10,8 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.teaseltrail.core.id.ServiceId;
-import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.serving.LineState;
+import org.teaseltrail.core.serving.ServingReply;
 
 /**
  * Looks after the requests that were admitted: places them, lets them wait, repeats them where that
@@ -322,19 +322,21 @@
     out.accept(new ForwardAction.Refuse(number, refusal, retryAfterMs));
   }
 
-  /** Uses a place that the leader has granted for the most urgent request that can use it. */
-  void granted(ServiceId service, UpstreamId upstream, long nowNs) {
+  /** Uses a place that the leader has granted. */
+  void granted(ServingReply.SlotGrant grant, long nowNs) {
     changes++;
     boolean used =
-        upstreams
-            .find(upstream)
-            .map(view -> line(service).serveOne(request -> placeAt(request, view, nowNs), nowNs))
-            .orElse(false);
+        upstreams.find(grant.upstream()).map(view -> use(grant, view, nowNs)).orElse(false);
     if (!used) {
-      slots.markUnwanted(service, upstream);
+      slots.markUnwanted(grant.service(), grant.upstream());
     }
   }
 
+  private boolean use(ServingReply.SlotGrant grant, UpstreamView view, long nowNs) {
+    return line(grant.service())
+        .serveOne(grant.urgency(), request -> placeAt(request, view, nowNs), nowNs);
+  }
+
   private boolean placeAt(TrackedForward request, UpstreamView view, long nowNs) {
     boolean accepted = placement.accepts(request, upstreams.of(request.service()), view, nowNs);
     if (accepted) {
--- a/core/src/main/java/org/teaseltrail/core/forward/WaitingLine.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/WaitingLine.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.teaseltrail.core.serving.LineState;
 import org.teaseltrail.core.serving.Urgency;
 
@@ -59,13 +60,16 @@
   }
 
   /**
-   * Takes out the most urgent for which a place is found.
+   * Takes out the first request of an urgency for which a place is found, or else the first of all.
    *
    * @return whether there is one
    */
-  boolean serveOne(Predicate<TrackedForward> place, long nowNs) {
+  boolean serveOne(Urgency meantFor, Predicate<TrackedForward> place, long nowNs) {
     moveLate(nowNs);
-    Optional<TrackedForward> served = waiting.stream().filter(place).findFirst();
+    Stream<TrackedForward> meant =
+        waiting.stream().filter(tracked -> tracked.urgency().equals(meantFor));
+    Optional<TrackedForward> served =
+        Stream.concat(meant, waiting.stream()).filter(place).findFirst();
     served.ifPresent(waiting::remove);
     served.ifPresent(request -> served(nowNs));
     return served.isPresent();
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
@@ -77,14 +77,16 @@
   }
 
   /**
-   * Gives the VM a place for the most urgent of its waiting requests that can use it.
+   * Gives the VM a place for one of its waiting requests that can use it.
    *
    * @param fencing the leadership that gives it
    * @param sequence grows with each grant to this VM
    * @param service whose requests may use it
    * @param upstream where the place is
+   * @param urgency that of the request it is meant for; any other may use it if there is none
    */
-  record SlotGrant(FencingNumber fencing, long sequence, ServiceId service, UpstreamId upstream)
+  record SlotGrant(
+      FencingNumber fencing, long sequence, ServiceId service, UpstreamId upstream, Urgency urgency)
       implements ServingReply {}
 
   /**
--- a/core/src/test/java/org/teaseltrail/core/control/SlotDeskTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/SlotDeskTest.java
@@ -114,4 +114,29 @@
     assertThat(desk.contended(499 * MS)).containsExactly(Plans.ENGINES);
     assertThat(desk.contended(500 * MS)).isEmpty();
   }
+
+  /**
+   * There is more load than fits for long, and the least urgent kind of request is never served,
+   * though it takes little of the places.
+   */
+  @Test
+  void oneOfSomePlacesGoesToTheLeastUrgentKind() {
+    int least = 0;
+    for (int i = 0; i < 20; i++) {
+      tell(ONE, i, 1, URGENT, 9);
+      tell(OTHER, i, 0, LESS, 9);
+      least += granted(0, ENGINE).contains(OTHER) ? 1 : 0;
+    }
+    assertThat(least).isEqualTo(5);
+  }
+
+  @Test
+  void lateRequestsGiveWayWhateverTheirKind() {
+    Urgency late = new Urgency(1, true, 0);
+    for (int i = 0; i < 8; i++) {
+      tell(ONE, i, 1, late, 9);
+      tell(OTHER, i, 0, LESS, 9);
+      assertThat(granted(0, ENGINE)).containsExactly(OTHER);
+    }
+  }
 }
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
@@ -27,6 +27,7 @@
 import org.teaseltrail.core.serving.LineState;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.serving.Urgency;
 import org.teaseltrail.core.upstream.SocketAddress;
 
 /** Admits, places, repeats and ends requests. */
@@ -441,7 +442,8 @@
 
   private void grant(Registration upstream) {
     ServingReply.SlotGrant grant =
-        new ServingReply.SlotGrant(TERM, 1, upstream.service(), upstream.id());
+        new ServingReply.SlotGrant(
+            TERM, 1, upstream.service(), upstream.id(), new Urgency(1, false, 1));
     actions = node.fromControl(grant, nowNs);
   }
 
