Split the lines and their bound off the request desk

WaitingLines knows all lines and who serves them, LineBound when one is too long; the patience for a place moves to the request. Nothing changes in what is decided; the tests are as they were.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -404,7 +404,7 @@
 
   /** Takes what is to be done; the leader is told of changes to what waits. */
   private List<ForwardAction> take(long nowNs) {
-    if (requests.hasWaiting()) {
+    if (requests.lines().hasWaiting()) {
       ties.syncSoon();
     }
     tellLines(nowNs);
@@ -416,7 +416,7 @@
     if (!changed) {
       return;
     }
-    List<LineState> lines = requests.lineStates();
+    List<LineState> lines = requests.lines().states();
     if (!lines.isEmpty() || slots.isAnyContended()) {
       toldChanges = requests.changes();
       ServingMessage.Lines told =
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/LineBound.java
@@ -0,0 +1,48 @@
+package org.teaseltrail.core.forward;
+
+import java.util.Optional;
+
+/**
+ * Bounds a line by the pace at which it is served.
+ *
+ * <p>Guards against a line that grows under more load than fits: each request in it would be held
+ * until its caller leaves, and told nothing it can act on. What can't be served at the line's pace
+ * before its patience ends is told so at once, the least urgent first.
+ */
+final class LineBound {
+
+  /** When a caller may come back that found no place: about a short answer's time. */
+  static final long PLACE_RETRY_MS = 400;
+
+  /** Longest such time; a third of the shortest deadline that callers honour it for. */
+  private static final long LONGEST_RETRY_MS = 1_500;
+
+  /** Pace that a line is given at least, so that a service that is just back isn't shed. */
+  private static final double LEAST_PACE_PER_S = 4;
+
+  /** Requests that may wait whatever the pace. */
+  private static final int LEAST_LINE = 4;
+
+  private static final double MS_PER_S = 1e3;
+
+  private LineBound() {}
+
+  /** Returns the least urgent request of a line that is too long. */
+  static Optional<TrackedForward> excess(WaitingLine waiting, long nowNs) {
+    return waiting.last().filter(last -> waiting.size() > bound(waiting, last, nowNs));
+  }
+
+  private static double bound(WaitingLine waiting, TrackedForward last, long nowNs) {
+    return Math.max(LEAST_LINE, pace(waiting, nowNs) * last.longestWaitS());
+  }
+
+  /** Returns when a caller may come back for which a line is too long, in milliseconds. */
+  static long retryAfterMs(WaitingLine waiting, long nowNs) {
+    long servedInMs = (long) (waiting.size() / pace(waiting, nowNs) * MS_PER_S);
+    return Math.max(PLACE_RETRY_MS, Math.min(LONGEST_RETRY_MS, servedInMs));
+  }
+
+  private static double pace(WaitingLine waiting, long nowNs) {
+    return Math.max(LEAST_PACE_PER_S, waiting.pacePerSecond(nowNs));
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -10,7 +10,6 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.teaseltrail.core.id.ServiceId;
-import org.teaseltrail.core.serving.LineState;
 import org.teaseltrail.core.serving.ServingReply;
 
 /**
@@ -19,26 +18,6 @@
  */
 final class RequestDesk {
 
-  /** When a caller may come back that found no place: about a short answer's time. */
-  private static final long PLACE_RETRY_MS = 400;
-
-  /** Longest such time; a third of the shortest deadline that callers honour it for. */
-  private static final long LONGEST_RETRY_MS = 1_500;
-
-  /** Pace that a line is given at least, so that a service that is just back isn't shed. */
-  private static final double LEAST_PACE_PER_S = 4;
-
-  /** Requests that may wait whatever the pace. */
-  private static final int LEAST_LINE = 4;
-
-  private static final double NS_PER_S = 1e9;
-  private static final double MS_PER_S = 1e3;
-
-  /**
-   * Part of a caller's patience that a request may wait for a place; the rest is for the answer.
-   */
-  private static final double WAIT_PART = 0.6;
-
   /** Attempts at most, those that reached nobody among them. */
   private static final int MAX_ATTEMPTS = 5;
 
@@ -53,11 +32,11 @@
   private final UpstreamBook upstreams;
   private final Predicate<ServiceId> isEngine;
   private final Consumer<ForwardAction> out;
-  private final Map<ServiceId, WaitingLine> lines = new HashMap<>();
   private final Map<ServiceId, RetryBudget> budgets = new HashMap<>();
   private final Map<Long, TrackedForward> tracked = new HashMap<>();
   private final TreeMap<Long, List<TrackedForward>> dueNs = new TreeMap<>();
   private final SlotTies slots;
+  private final WaitingLines lines;
   private int vmCount = 1;
   private long changes;
 
@@ -69,6 +48,7 @@
       Predicate<ServiceId> isEngine,
       Consumer<ForwardAction> out) {
     this.slots = slots;
+    lines = new WaitingLines(slots, isEngine);
     this.settings = settings;
     this.placement = placement;
     this.upstreams = upstreams;
@@ -103,9 +83,8 @@
    */
   boolean admitToFreeRoom(TrackedForward request, long nowNs) {
     tracked.put(request.number(), request);
-    boolean nobodyWaits =
-        line(request.service()).isEmpty() && !slots.isArbitrated(request.service(), nowNs);
-    boolean taken = nobodyWaits && place(request, FREE_ROOM_FILL, nowNs);
+    boolean taken =
+        !lines.hasOthersFirst(request.service(), nowNs) && place(request, FREE_ROOM_FILL, nowNs);
     if (taken) {
       budget(request.service()).request(nowNs);
     } else {
@@ -141,7 +120,7 @@
   void callerLeft(long number, long nowNs) {
     TrackedForward request = tracked.remove(number);
     if (request != null) {
-      line(request.service()).remove(request);
+      lines.remove(request);
       cancel(request);
       changes++;
       serveLine(request.service(), nowNs);
@@ -157,14 +136,12 @@
   }
 
   private void placeOrWait(TrackedForward request, long nowNs) {
-    boolean waitsForOthers =
-        !line(request.service()).isEmpty() || slots.isArbitrated(request.service(), nowNs);
-    if (!waitsForOthers && place(request, nowNs)) {
-      line(request.service()).served(nowNs);
+    boolean othersFirst = lines.hasOthersFirst(request.service(), nowNs);
+    if (!othersFirst && place(request, nowNs)) {
+      lines.of(request.service()).served(nowNs);
       return;
     }
-    line(request.service()).add(request);
-    slots.lineChanged(request.service());
+    lines.add(request);
     changes++;
     schedule(request);
     serveLine(request.service(), nowNs);
@@ -223,7 +200,7 @@
     } else if (request.maybeRan()) {
       refuse(request.number(), Refusal.BROKEN, 0);
     } else {
-      refuse(request.number(), Refusal.NOT_RUN, PLACE_RETRY_MS);
+      refuse(request.number(), Refusal.NOT_RUN, LineBound.PLACE_RETRY_MS);
     }
   }
 
@@ -238,7 +215,7 @@
       return;
     }
     tracked.remove(request.number());
-    line(request.service()).remove(request);
+    lines.remove(request);
     final boolean atUpstream = request.at().isPresent();
     if (!request.hasBegun()) {
       request.at().ifPresent(view -> view.avoid(nowNs));
@@ -248,7 +225,7 @@
     if (atUpstream || request.maybeRan()) {
       refuse(request.number(), Refusal.TIMED_OUT, 0);
     } else {
-      refuse(request.number(), Refusal.WAITED_TOO_LONG, PLACE_RETRY_MS);
+      refuse(request.number(), Refusal.WAITED_TOO_LONG, LineBound.PLACE_RETRY_MS);
     }
   }
 
@@ -267,19 +244,18 @@
     if (request.at().isPresent() || request.hasBegun()) {
       return request.dueNs();
     }
-    long patienceNs = request.patientUntilNs() - request.arrivedNs();
-    return request.arrivedNs() + (long) (patienceNs * WAIT_PART);
+    return request.waitsUntilNs();
   }
 
   /** Places what waits, as far as there is room. */
   void serveLines(long nowNs) {
-    List.copyOf(lines.keySet()).forEach(service -> serveLine(service, nowNs));
+    lines.services().forEach(service -> serveLine(service, nowNs));
   }
 
   private void serveLine(ServiceId service, long nowNs) {
-    WaitingLine waiting = line(service);
+    WaitingLine waiting = lines.of(service);
     if (!waiting.isEmpty()) {
-      if (slots.isArbitrated(service, nowNs)) {
+      if (lines.isArbitrated(service, nowNs)) {
         waiting.moveLate(nowNs);
       } else {
         waiting.serve(request -> place(request, nowNs), nowNs);
@@ -288,25 +264,14 @@
     }
   }
 
-  /**
-   * Gives up what the line is too long for, the least urgent first.
-   *
-   * <p>Guards against a line that grows under more load than fits: each request in it would be held
-   * until its caller leaves, and told nothing it can act on. What can't be served at the line's
-   * pace before its patience ends is told so at once.
-   */
+  /** Gives up what the line is too long for. */
   private void shed(WaitingLine waiting, long nowNs) {
-    double pace = Math.max(LEAST_PACE_PER_S, waiting.pacePerSecond(nowNs));
-    while (waiting.last().isPresent()) {
-      TrackedForward last = waiting.last().get();
-      double patienceS = (last.patientUntilNs() - last.arrivedNs()) * WAIT_PART / NS_PER_S;
-      if (waiting.size() <= Math.max(LEAST_LINE, pace * patienceS)) {
-        return;
-      }
-      waiting.remove(last);
-      tracked.remove(last.number());
-      long backMs = (long) (waiting.size() / pace * MS_PER_S);
-      endWithout(last, Math.max(PLACE_RETRY_MS, Math.min(LONGEST_RETRY_MS, backMs)));
+    Optional<TrackedForward> excess = LineBound.excess(waiting, nowNs);
+    while (excess.isPresent()) {
+      waiting.remove(excess.get());
+      tracked.remove(excess.get().number());
+      endWithout(excess.get(), LineBound.retryAfterMs(waiting, nowNs));
+      excess = LineBound.excess(waiting, nowNs);
     }
   }
 
@@ -333,7 +298,8 @@
   }
 
   private boolean use(ServingReply.SlotGrant grant, UpstreamView view, long nowNs) {
-    return line(grant.service())
+    return lines
+        .of(grant.service())
         .serveOne(grant.urgency(), request -> placeAt(request, view, nowNs), nowNs);
   }
 
@@ -350,25 +316,8 @@
     return changes;
   }
 
-  /** Tells what waits for engines. */
-  List<LineState> lineStates() {
-    List<LineState> states = new ArrayList<>();
-    lines.forEach(
-        (service, waiting) -> {
-          if (isEngine.test(service) && !waiting.isEmpty()) {
-            states.add(new LineState(service, waiting.counts(), slots.unwanted(service)));
-          }
-        });
-    return states;
-  }
-
-  /** Tells whether any request waits for a place. */
-  boolean hasWaiting() {
-    return lines.values().stream().anyMatch(waiting -> !waiting.isEmpty());
-  }
-
-  private WaitingLine line(ServiceId service) {
-    return lines.computeIfAbsent(service, key -> new WaitingLine());
+  WaitingLines lines() {
+    return lines;
   }
 
   private RetryBudget budget(ServiceId service) {
--- a/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
@@ -21,6 +21,13 @@
    */
   private static final double OBJECTIVE_PART_FOR_WAITING = 0.8;
 
+  /**
+   * Part of a caller's patience that a request may wait for a place; the rest is for the answer.
+   */
+  private static final double WAIT_PART = 0.6;
+
+  private static final double NS_PER_S = 1e9;
+
   /** Rank of requests without a customer: behind all that pay. */
   private static final int NO_CUSTOMER_RANK = 1_000;
 
@@ -100,6 +107,16 @@
     return begun ? dueNs() : Math.min(dueNs(), arrivedNs + route.patienceMs() * NS_PER_MS);
   }
 
+  /** Returns until when it waits for a place. */
+  long waitsUntilNs() {
+    return arrivedNs + (long) ((patientUntilNs() - arrivedNs) * WAIT_PART);
+  }
+
+  /** Returns how long it waits for a place at most, in seconds. */
+  double longestWaitS() {
+    return (waitsUntilNs() - arrivedNs) / NS_PER_S;
+  }
+
   long leftMs(long nowNs) {
     return Math.max(1, (dueNs() - nowNs) / NS_PER_MS);
   }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/WaitingLines.java
@@ -0,0 +1,66 @@
+package org.teaseltrail.core.forward;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.serving.LineState;
+
+/** Holds the lines of all services, and knows who serves them: this VM or the leader. */
+final class WaitingLines {
+
+  private final SlotTies slots;
+  private final Predicate<ServiceId> isEngine;
+  private final Map<ServiceId, WaitingLine> lines = new HashMap<>();
+
+  WaitingLines(SlotTies slots, Predicate<ServiceId> isEngine) {
+    this.slots = slots;
+    this.isEngine = isEngine;
+  }
+
+  WaitingLine of(ServiceId service) {
+    return lines.computeIfAbsent(service, key -> new WaitingLine());
+  }
+
+  List<ServiceId> services() {
+    return List.copyOf(lines.keySet());
+  }
+
+  void add(TrackedForward request) {
+    of(request.service()).add(request);
+    slots.lineChanged(request.service());
+  }
+
+  void remove(TrackedForward request) {
+    of(request.service()).remove(request);
+  }
+
+  /** Tells whether the leader hands out a service's places. */
+  boolean isArbitrated(ServiceId service, long nowNs) {
+    return slots.isArbitrated(service, nowNs);
+  }
+
+  /** Tells whether a request that comes must let others go first, here or at other VMs. */
+  boolean hasOthersFirst(ServiceId service, long nowNs) {
+    return !of(service).isEmpty() || isArbitrated(service, nowNs);
+  }
+
+  /** Tells whether any request waits for a place. */
+  boolean hasWaiting() {
+    return lines.values().stream().anyMatch(waiting -> !waiting.isEmpty());
+  }
+
+  /** Tells what waits for engines. */
+  List<LineState> states() {
+    List<LineState> states = new ArrayList<>();
+    lines.forEach(
+        (service, waiting) -> {
+          if (isEngine.test(service) && !waiting.isEmpty()) {
+            states.add(new LineState(service, waiting.counts(), slots.unwanted(service)));
+          }
+        });
+    return states;
+  }
+}
