--- a/core/src/main/java/org/teaseltrail/core/control/SlotDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotDesk.java
@@ -43,6 +43,8 @@
   /** Time after which a grant that nothing is heard of counts as lost: many round trips. */
   private static final long GRANT_LOST_NS = 300_000_000L;
 
+  private static final long NS_PER_MS = 1_000_000L;
+
   /**
    * Of so many places, one goes to the least urgent kind of request that waits. Guards against a
    * kind of request that is never served while there is more load than fits: the users want each
@@ -66,6 +68,7 @@
   private static final class Vm {
     private Map<UpstreamId, Integer> inFlight = Map.of();
     private Map<ServiceId, LineState> lines = Map.of();
+    private long toldNs;
     private final Deque<Open> open = new ArrayDeque<>();
     private long lastSequence;
 
@@ -73,16 +76,21 @@
       return open.stream().filter(each -> each.grant().upstream().equals(upstream)).count();
     }
 
-    /** Returns the urgencies of what waits beyond what the open grants are meant for. */
-    private List<Urgency> waiting(ServiceId service) {
+    /** Returns, for each urgency, the first of what waits beyond what open grants are meant for. */
+    private List<Candidate> candidates(VmId id, ServiceId service) {
       LineState line = lines.get(service);
       if (line == null) {
         return List.of();
       }
-      return line.waiting().stream()
-          .filter(count -> count.requests() > openFor(service, count.urgency()))
-          .map(LineState.Count::urgency)
-          .toList();
+      List<Candidate> candidates = new ArrayList<>();
+      for (LineState.Waiting waiting : line.waiting()) {
+        int served = (int) openFor(service, waiting.urgency());
+        if (served < waiting.waitedMs().size()) {
+          long sinceNs = toldNs - waiting.waitedMs().get(served) * NS_PER_MS;
+          candidates.add(new Candidate(id, this, waiting.urgency(), sinceNs));
+        }
+      }
+      return candidates;
     }
 
     private long openFor(ServiceId service, Urgency urgency) {
@@ -97,10 +105,15 @@
     }
   }
 
-  private record Candidate(VmId id, Vm vm, Urgency urgency) {}
+  private record Candidate(VmId id, Vm vm, Urgency urgency, long waitsSinceNs) {}
 
   private static final Comparator<Candidate> MOST_URGENT_FIRST =
-      Comparator.comparing(Candidate::urgency);
+      Comparator.comparing(Candidate::urgency).thenComparingLong(Candidate::waitsSinceNs);
+
+  private static final Comparator<Candidate> LEAST_URGENT_FIRST =
+      Comparator.comparing(Candidate::urgency)
+          .reversed()
+          .thenComparingLong(Candidate::waitsSinceNs);
 
   private final Map<VmId, Vm> vms = new TreeMap<>(Comparator.comparing(VmId::value));
   private final Map<ServiceId, Long> granted = new HashMap<>();
@@ -122,6 +135,7 @@
       contendedUntilNs.put(line.service(), nowNs + CONTENDED_NS);
     }
     vm.lines = lines;
+    vm.toldNs = nowNs;
   }
 
   /** Takes a VM out that has fallen silent. */
@@ -188,7 +202,7 @@
     vms.forEach(
         (id, vm) -> {
           if (!passedOver.contains(id)) {
-            vm.waiting(service).forEach(each -> candidates.add(new Candidate(id, vm, each)));
+            candidates.addAll(vm.candidates(id, service));
           }
         });
     Optional<Candidate> first = candidates.stream().min(MOST_URGENT_FIRST);
@@ -203,7 +217,7 @@
     return candidates.stream()
         .filter(each -> each.urgency().customerRank() == first.customerRank())
         .filter(each -> each.urgency().late() == first.late())
-        .max(MOST_URGENT_FIRST);
+        .min(LEAST_URGENT_FIRST);
   }
 
   private static Optional<UpstreamId> emptiest(
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -416,7 +416,7 @@
     if (!changed) {
       return;
     }
-    List<LineState> lines = requests.lines().states();
+    List<LineState> lines = requests.lines().states(nowNs);
     if (!lines.isEmpty() || slots.isAnyContended()) {
       toldChanges = requests.changes();
       ServingMessage.Lines told =
--- a/core/src/main/java/org/teaseltrail/core/forward/WaitingLine.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/WaitingLine.java
@@ -20,6 +20,7 @@
  */
 final class WaitingLine {
 
+  private static final long NS_PER_MS = 1_000_000L;
   private static final long NS_PER_S = 1_000_000_000L;
 
   /** Time over which the pace of the line is measured; longer than a burst's first moment. */
@@ -75,12 +76,15 @@
     return served.isPresent();
   }
 
-  /** Counts those that wait by urgency, the most urgent first. */
-  List<LineState.Count> counts() {
-    TreeMap<Urgency, Integer> counts = new TreeMap<>();
-    waiting.forEach(tracked -> counts.merge(tracked.urgency(), 1, Integer::sum));
-    return counts.entrySet().stream()
-        .map(entry -> new LineState.Count(entry.getKey(), entry.getValue()))
+  /** Tells what waits by urgency, the most urgent first. */
+  List<LineState.Waiting> byUrgency(long nowNs) {
+    TreeMap<Urgency, List<Long>> waits = new TreeMap<>();
+    for (TrackedForward tracked : waiting) {
+      long waitedMs = (nowNs - tracked.arrivedNs()) / NS_PER_MS;
+      waits.computeIfAbsent(tracked.urgency(), key -> new ArrayList<>()).add(waitedMs);
+    }
+    return waits.entrySet().stream()
+        .map(entry -> new LineState.Waiting(entry.getKey(), entry.getValue()))
         .toList();
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/WaitingLines.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/WaitingLines.java
@@ -53,12 +53,12 @@
   }
 
   /** Tells what waits for engines. */
-  List<LineState> states() {
+  List<LineState> states(long nowNs) {
     List<LineState> states = new ArrayList<>();
     lines.forEach(
         (service, waiting) -> {
           if (isEngine.test(service) && !waiting.isEmpty()) {
-            states.add(new LineState(service, waiting.counts(), slots.unwanted(service)));
+            states.add(new LineState(service, waiting.byUrgency(nowNs), slots.unwanted(service)));
           }
         });
     return states;
--- a/core/src/main/java/org/teaseltrail/core/serving/LineState.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/LineState.java
@@ -8,10 +8,10 @@
  * Is what an entry VM tells of the requests that wait there for a place at one service.
  *
  * @param service the service
- * @param waiting how many wait of each urgency, the most urgent first
+ * @param waiting what waits, by urgency, the most urgent first
  * @param unwanted upstreams that none of them can use at present
  */
-public record LineState(ServiceId service, List<Count> waiting, List<UpstreamId> unwanted) {
+public record LineState(ServiceId service, List<Waiting> waiting, List<UpstreamId> unwanted) {
 
   /** Copies the lists. */
   public LineState {
@@ -20,10 +20,16 @@
   }
 
   /**
-   * Is a number of waiting requests.
+   * Is what waits of one urgency.
    *
-   * @param urgency what they have in common
-   * @param requests how many there are
+   * @param urgency the urgency
+   * @param waitedMs how long each request has waited, in milliseconds, the longest first
    */
-  public record Count(Urgency urgency, int requests) {}
+  public record Waiting(Urgency urgency, List<Long> waitedMs) {
+
+    /** Copies the list. */
+    public Waiting {
+      waitedMs = List.copyOf(waitedMs);
+    }
+  }
 }
--- a/core/src/test/java/org/teaseltrail/core/control/SlotDeskTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/SlotDeskTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -45,8 +46,13 @@
 
   private void tell(
       VmId vm, long seen, int inFlight, Urgency urgency, int waiting, List<UpstreamId> unwanted) {
-    LineState.Count count = new LineState.Count(urgency, waiting);
-    LineState line = new LineState(Plans.ENGINES, List.of(count), unwanted);
+    List<Long> waitedMs = Collections.nCopies(waiting, 100L);
+    tell(vm, seen, inFlight, new LineState.Waiting(urgency, waitedMs), unwanted);
+  }
+
+  private void tell(
+      VmId vm, long seen, int inFlight, LineState.Waiting waiting, List<UpstreamId> unwanted) {
+    LineState line = new LineState(Plans.ENGINES, List.of(waiting), unwanted);
     Map<UpstreamId, Integer> there = Map.of(ENGINE.id(), inFlight);
     desk.lines(new ServingMessage.Lines(vm, seen, there, List.of(line)), 0);
   }
@@ -139,4 +145,17 @@
       assertThat(granted(0, ENGINE)).containsExactly(OTHER);
     }
   }
+
+  /**
+   * Callers of one data centre are served and those of others are not: among equally urgent
+   * requests the VM whose name comes first got every place.
+   */
+  @Test
+  void equallyUrgentRequestsGoInTheOrderInWhichTheyCame() {
+    tell(ONE, 0, 1, new LineState.Waiting(LESS, List.of(30L, 10L)), List.of());
+    tell(OTHER, 0, 0, new LineState.Waiting(LESS, List.of(90L, 20L)), List.of());
+    assertThat(granted(0, ENGINE)).containsExactly(OTHER);
+    tell(OTHER, 1, 0, new LineState.Waiting(LESS, List.of(20L)), List.of());
+    assertThat(granted(0, ENGINE)).containsExactly(ONE);
+  }
 }
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
@@ -24,7 +24,6 @@
 import org.teaseltrail.core.quota.QuotaGrant;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.registry.RegistrationPhase;
-import org.teaseltrail.core.serving.LineState;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.serving.Urgency;
@@ -460,7 +459,7 @@
   private int toldWaiting() {
     return told().lines().stream()
         .flatMap(line -> line.waiting().stream())
-        .mapToInt(LineState.Count::requests)
+        .mapToInt(waiting -> waiting.waitedMs().size())
         .sum();
   }
 }
