Hold log lines to one schema, and write changes of leader as lines

Cause: events and fields of the log were strings at each place; the page could miss one, and control members told their leader only in words on standard error, which the platform's level leaves out. Who asks why all entry VMs lost their sessions found no line.

Change: LogEvent and LogField name every event, its fields and what they hold; a line refuses a field that its event hasn't. Control members write leadership_changed with term, leader and whether they lead.

--- a/cli/src/main/java/org/teaseltrail/cli/explain/Story.java
+++ b/cli/src/main/java/org/teaseltrail/cli/explain/Story.java
@@ -33,7 +33,7 @@
 
   /** What is worth telling of the control members. */
   private static final Set<String> OF_CONTROL =
-      Set.of("start", "stop", "plan_received", "plan_refused", "leading", "following");
+      Set.of("start", "stop", "plan_received", "plan_refused", "leadership_changed");
 
   private static final String CONTROL = "teaseltrail-control";
 
--- a/control/src/main/java/org/teaseltrail/control/ActionRunner.java
+++ b/control/src/main/java/org/teaseltrail/control/ActionRunner.java
@@ -7,6 +7,9 @@
 import org.teaseltrail.core.control.ControlAction;
 import org.teaseltrail.core.decision.Decision;
 import org.teaseltrail.runtime.log.DecisionLog;
+import org.teaseltrail.runtime.log.EventLog;
+import org.teaseltrail.runtime.log.LogEvent;
+import org.teaseltrail.runtime.log.LogField;
 import org.teaseltrail.runtime.log.PartLogger;
 
 /** Carries a member's actions out, on the member's own thread. */
@@ -86,12 +89,21 @@
     }
   }
 
+  private static void write(EventLog log, ControlAction.LeadershipChanged changed, String leader) {
+    log.line(LogEvent.LEADERSHIP_CHANGED)
+        .with(LogField.TERM, changed.term())
+        .with(LogField.LEADER, leader)
+        .with(LogField.LEADING, changed.serving())
+        .write();
+  }
+
   private void leadershipChanged(ControlAction.LeadershipChanged changed) {
     serving = changed.serving();
     leaderKnown = changed.serving() || changed.leader().isPresent();
     targets.group().leader(changed.leader());
     targets.metrics().leadership(changed.serving(), changed.term());
     String leader = changed.leader().map(Object::toString).orElse("none");
+    targets.log().ifPresent(log -> write(log, changed, leader));
     logger.info("Term " + changed.term() + ", leader " + leader + ", serving " + serving + ".");
     if (!serving) {
       outward.clear();
--- a/control/src/main/java/org/teaseltrail/control/ActionTargets.java
+++ b/control/src/main/java/org/teaseltrail/control/ActionTargets.java
@@ -1,9 +1,11 @@
 package org.teaseltrail.control;
 
+import java.util.Optional;
 import org.teaseltrail.core.message.ControlMessage;
 import org.teaseltrail.core.message.EntryMessage;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.runtime.log.EventLog;
 
 /**
  * Holds where actions go.
@@ -17,6 +19,7 @@
  * @param calls operators
  * @param metrics counts
  * @param group who must know of the members and the leader
+ * @param log takes a line for each change of leader, if there is one
  */
 record ActionTargets(
     WriteLoop writes,
@@ -27,4 +30,5 @@
     OrderClient orders,
     OperatorCalls calls,
     ControlMetrics metrics,
-    GroupTargets group) {}
+    GroupTargets group,
+    Optional<EventLog> log) {}
--- a/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
@@ -96,7 +96,8 @@
                 new OrderClient(loop::post),
                 calls,
                 metrics,
-                group),
+                group,
+                options.log()),
             () -> decisions.leaseHolds(clock.nowNs()));
     frames =
         FrameServer.listen(
--- a/control/src/main/java/org/teaseltrail/control/ControlOptions.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlOptions.java
@@ -12,6 +12,7 @@
 import org.teaseltrail.core.quota.QuotaBounds;
 import org.teaseltrail.core.replication.GroupId;
 import org.teaseltrail.core.session.SessionSettings;
+import org.teaseltrail.runtime.log.EventLog;
 import org.teaseltrail.runtime.settings.Settings;
 
 /**
@@ -28,6 +29,7 @@
  * @param data folder of the member's state
  * @param control what the member does while it leads
  * @param formation how the group forms by itself; empty if operators begin and change it
+ * @param log takes a line for each change of leader, if there is one
  */
 public record ControlOptions(
     VmId vm,
@@ -40,7 +42,8 @@
     List<PeerAddress> operatorAddresses,
     Path data,
     ControlSettings control,
-    Optional<FormationOptions> formation) {
+    Optional<FormationOptions> formation,
+    Optional<EventLog> log) {
 
   private static final long CLAIM_EXPIRY_EVERY_MS = 10_000;
 
@@ -56,6 +59,7 @@
         settings.get(ControlProgramSettings.OPERATOR_ADDRESSES),
         settings.get(ControlProgramSettings.DATA),
         control(settings),
+        Optional.empty(),
         Optional.empty());
   }
 
--- a/control/src/test/java/org/teaseltrail/control/TestMember.java
+++ b/control/src/test/java/org/teaseltrail/control/TestMember.java
@@ -39,6 +39,7 @@
             operators,
             data.resolve("control-" + number),
             ControlSettings.DEFAULT,
+            Optional.empty(),
             Optional.empty());
     channel =
         NettyChannelBuilder.forAddress(options.listenOperators().get()).usePlaintext().build();
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -35,6 +35,8 @@
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.runtime.clock.SuspendAwareClock;
 import org.teaseltrail.runtime.log.EventLog;
+import org.teaseltrail.runtime.log.LogEvent;
+import org.teaseltrail.runtime.log.LogField;
 import org.teaseltrail.runtime.process.ExitCode;
 import org.teaseltrail.runtime.process.RunningProgram;
 
@@ -143,14 +145,14 @@
    * @param seeds control members' VMs
    */
   public void seeds(List<VmId> seeds) {
-    log.line("settings_reloaded").with("seeds", seeds.toString()).write();
+    log.line(LogEvent.SETTINGS_RELOADED).with(LogField.SEEDS, seeds.toString()).write();
     loop.execute(() -> node.seeds(seeds));
   }
 
   /** Tells the platform to send no more callers, answers those that are here, and ends. */
   @Override
   public void close() {
-    log.line("drain_begin").with("open", open).write();
+    log.line(LogEvent.DRAIN_BEGIN).with(LogField.OPEN, open).write();
     draining = true;
     ready = false;
     long beganNs = System.nanoTime();
@@ -167,7 +169,7 @@
       }
       pause();
     }
-    log.line("drain_end").with("open", open).write();
+    log.line(LogEvent.DRAIN_END).with(LogField.OPEN, open).write();
     listener.close();
     links.close();
     readiness.close();
@@ -288,7 +290,7 @@
     ServingPlan plan = node.plan().orElse(null);
     if (plan != null && plan.version() != planVersion) {
       planVersion = plan.version();
-      log.line("plan_in_force").with("version", planVersion).write();
+      log.line(LogEvent.PLAN_IN_FORCE).with(LogField.VERSION, planVersion).write();
     }
   }
 
@@ -343,7 +345,9 @@
     boolean now = node.isReady(clock.nowNs());
     if (now != ready && !draining) {
       ready = now;
-      log.line(now ? "session_gained" : "session_lost").with("plan_version", planVersion).write();
+      log.line(now ? LogEvent.SESSION_GAINED : LogEvent.SESSION_LOST)
+          .with(LogField.PLAN_VERSION, planVersion)
+          .write();
     }
   }
 
--- a/forward/src/main/java/org/teaseltrail/forward/RequestStory.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RequestStory.java
@@ -5,6 +5,8 @@
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardRequest;
 import org.teaseltrail.runtime.log.EventLog;
+import org.teaseltrail.runtime.log.LogEvent;
+import org.teaseltrail.runtime.log.LogField;
 
 /** Gathers what happens to one request, for its lines in the log. */
 final class RequestStory {
@@ -42,49 +44,49 @@
   }
 
   void attemptEnded(EventLog log, AttemptEnd end, int status, long nowNs) {
-    line(log, "attempt_failed", nowNs)
-        .with("end", end.name())
-        .with("status", status)
-        .with("at_upstream_ms", (nowNs - dispatchedNs) / NS_PER_MS)
+    line(log, LogEvent.ATTEMPT_FAILED, nowNs)
+        .with(LogField.END, end.name())
+        .with(LogField.STATUS, status)
+        .with(LogField.AT_UPSTREAM_MS, (nowNs - dispatchedNs) / NS_PER_MS)
         .write();
   }
 
   void delivered(EventLog log, int status, long longestPauseMs, long nowNs) {
-    line(log, "request_served", nowNs)
-        .with("status", status)
-        .with("longest_pause_ms", longestPauseMs)
+    line(log, LogEvent.REQUEST_SERVED, nowNs)
+        .with(LogField.STATUS, status)
+        .with(LogField.LONGEST_PAUSE_MS, longestPauseMs)
         .writeRoutine();
   }
 
   void refused(EventLog log, ForwardAction.Refuse refuse, int status, long nowNs) {
-    line(log, "request_refused", nowNs)
-        .with("reason", refuse.refusal().name())
-        .with("maybe_ran", refuse.refusal().maybeRan())
-        .with("status", status)
-        .with("retry_after_ms", refuse.retryAfterMs())
+    line(log, LogEvent.REQUEST_REFUSED, nowNs)
+        .with(LogField.REASON, refuse.refusal().name())
+        .with(LogField.MAYBE_RAN, refuse.refusal().maybeRan())
+        .with(LogField.STATUS, status)
+        .with(LogField.RETRY_AFTER_MS, refuse.retryAfterMs())
         .write();
   }
 
   void callerLeft(EventLog log, boolean begun, long nowNs) {
-    line(log, "caller_left", nowNs).with("begun", begun).write();
+    line(log, LogEvent.CALLER_LEFT, nowNs).with(LogField.BEGUN, begun).write();
   }
 
-  private EventLog.Line line(EventLog log, String event, long nowNs) {
+  private EventLog.Line line(EventLog log, LogEvent event, long nowNs) {
     EventLog.Line line =
         log.line(event)
-            .with("request", request.id())
-            .with("elapsed_ms", (nowNs - arrivedNs) / NS_PER_MS);
+            .with(LogField.REQUEST, request.id())
+            .with(LogField.ELAPSED_MS, (nowNs - arrivedNs) / NS_PER_MS);
     last.flatMap(ForwardAction.Dispatch::customer)
-        .ifPresent(customer -> line.with("customer", customer.value()));
+        .ifPresent(customer -> line.with(LogField.CUSTOMER, customer.value()));
     last.ifPresent(
         dispatch ->
-            line.with("route", dispatch.route().id().value())
-                .with("objective_ms", dispatch.route().objectiveMs())
-                .with("upstream", dispatch.upstream().id().value())
-                .with("attempt", dispatch.attempt())
-                .with("waited_ms", (dispatchedNs - arrivedNs) / NS_PER_MS));
+            line.with(LogField.ROUTE, dispatch.route().id().value())
+                .with(LogField.OBJECTIVE_MS, dispatch.route().objectiveMs())
+                .with(LogField.UPSTREAM, dispatch.upstream().id().value())
+                .with(LogField.ATTEMPT, dispatch.attempt())
+                .with(LogField.WAITED_MS, (dispatchedNs - arrivedNs) / NS_PER_MS));
     if (begunNs > 0) {
-      line.with("first_event_ms", (begunNs - arrivedNs) / NS_PER_MS);
+      line.with(LogField.FIRST_EVENT_MS, (begunNs - arrivedNs) / NS_PER_MS);
     }
     return line;
   }
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/EventLog.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/EventLog.java
@@ -16,8 +16,7 @@
  * queue full is counted, and the count is told with the next line that finds room. Routine lines
  * have a bound a second, so that failures still find room under load.
  *
- * <p>Example: {@code log.line("request_end").with("request", id).with("outcome",
- * "served").write()}.
+ * <p>Example: {@code log.line(LogEvent.PLAN_IN_FORCE).with(LogField.VERSION, 7).write()}.
  */
 public final class EventLog implements AutoCloseable {
 
@@ -60,10 +59,10 @@
   /**
    * Begins a line.
    *
-   * @param event what has happened, in lower case with underscores
+   * @param event what has happened
    * @return the line, to be filled and written
    */
-  public Line line(String event) {
+  public Line line(LogEvent event) {
     return new Line(event);
   }
 
@@ -124,21 +123,24 @@
 
     private final StringBuilder text = new StringBuilder(256);
 
-    private Line(String event) {
+    private final LogEvent event;
+
+    private Line(LogEvent event) {
+      this.event = event;
       text.append("{\"time\":\"").append(Instant.now());
       text.append("\",\"program\":\"").append(program);
       text.append("\",\"vm\":\"").append(vm);
-      text.append("\",\"event\":\"").append(event).append('"');
+      text.append("\",\"event\":\"").append(event.text()).append('"');
     }
 
     /**
      * Adds a text.
      *
-     * @param field the field's name
+     * @param field what is told
      * @param value its value; no key, prompt or secret
      * @return this line
      */
-    public Line with(String field, String value) {
+    public Line with(LogField field, String value) {
       name(field).append('"');
       escape(value);
       text.append('"');
@@ -148,11 +150,11 @@
     /**
      * Adds a number.
      *
-     * @param field the field's name, with its unit as suffix
+     * @param field what is told
      * @param value its value
      * @return this line
      */
-    public Line with(String field, long value) {
+    public Line with(LogField field, long value) {
       name(field).append(value);
       return this;
     }
@@ -160,11 +162,11 @@
     /**
      * Adds a truth value.
      *
-     * @param field the field's name
+     * @param field what is told
      * @param value its value
      * @return this line
      */
-    public Line with(String field, boolean value) {
+    public Line with(LogField field, boolean value) {
       name(field).append(value);
       return this;
     }
@@ -173,7 +175,7 @@
     public void write() {
       long lost = dropped.getAndSet(0);
       if (lost > 0) {
-        with("lines_dropped_before", lost);
+        with(LogField.LINES_DROPPED_BEFORE, lost);
       }
       if (!queue.offer(text.append("}\n").toString())) {
         dropped.addAndGet(lost);
@@ -190,8 +192,11 @@
       }
     }
 
-    private StringBuilder name(String field) {
-      return text.append(",\"").append(field).append("\":");
+    private StringBuilder name(LogField field) {
+      if (!event.fields().contains(field)) {
+        throw new IllegalArgumentException(event + " has no " + field);
+      }
+      return text.append(",\"").append(field.text()).append("\":");
     }
 
     private void escape(String value) {
--- /dev/null
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -0,0 +1,111 @@
+package org.teaseltrail.runtime.log;
+
+import java.util.EnumSet;
+import java.util.Locale;
+import java.util.Set;
+
+/** Names what log lines tell of, and which fields the lines of each may have. */
+public enum LogEvent {
+  /** A process starts. */
+  START,
+  /** A process ends. */
+  STOP,
+  /** An entry VM may take its plan for the newest from now on. */
+  SESSION_GAINED(LogField.PLAN_VERSION),
+  /** An entry VM may not any more. */
+  SESSION_LOST(LogField.PLAN_VERSION),
+  /** An entry VM applies a newer plan. */
+  PLAN_IN_FORCE(LogField.VERSION),
+  /** Changed settings were read. */
+  SETTINGS_RELOADED(LogField.SEEDS),
+  /** An entry VM was told to end. */
+  DRAIN_BEGIN(LogField.OPEN),
+  /** An entry VM ends. */
+  DRAIN_END(LogField.OPEN),
+  /** A whole answer was delivered. */
+  REQUEST_SERVED(
+      LogField.REQUEST,
+      LogField.ELAPSED_MS,
+      LogField.CUSTOMER,
+      LogField.ROUTE,
+      LogField.OBJECTIVE_MS,
+      LogField.UPSTREAM,
+      LogField.ATTEMPT,
+      LogField.WAITED_MS,
+      LogField.FIRST_EVENT_MS,
+      LogField.LONGEST_PAUSE_MS,
+      LogField.STATUS),
+  /** An attempt ended without a good answer. */
+  ATTEMPT_FAILED(
+      LogField.REQUEST,
+      LogField.ELAPSED_MS,
+      LogField.CUSTOMER,
+      LogField.ROUTE,
+      LogField.OBJECTIVE_MS,
+      LogField.UPSTREAM,
+      LogField.ATTEMPT,
+      LogField.WAITED_MS,
+      LogField.FIRST_EVENT_MS,
+      LogField.END,
+      LogField.STATUS,
+      LogField.AT_UPSTREAM_MS),
+  /** A caller got an answer of this system's own. */
+  REQUEST_REFUSED(
+      LogField.REQUEST,
+      LogField.ELAPSED_MS,
+      LogField.CUSTOMER,
+      LogField.ROUTE,
+      LogField.OBJECTIVE_MS,
+      LogField.UPSTREAM,
+      LogField.ATTEMPT,
+      LogField.WAITED_MS,
+      LogField.FIRST_EVENT_MS,
+      LogField.REASON,
+      LogField.MAYBE_RAN,
+      LogField.STATUS,
+      LogField.RETRY_AFTER_MS),
+  /** A caller closed its connection before the answer's end. */
+  CALLER_LEFT(
+      LogField.REQUEST,
+      LogField.ELAPSED_MS,
+      LogField.CUSTOMER,
+      LogField.ROUTE,
+      LogField.OBJECTIVE_MS,
+      LogField.UPSTREAM,
+      LogField.ATTEMPT,
+      LogField.WAITED_MS,
+      LogField.FIRST_EVENT_MS,
+      LogField.BEGUN),
+  /** A control member has read an operator's plan. */
+  PLAN_RECEIVED(LogField.VERSION),
+  /** An operator's plan isn't valid. */
+  PLAN_REFUSED(LogField.REASON),
+  /** An upstream took leave. */
+  UPSTREAM_LEAVES(LogField.UPSTREAM),
+  /** A control member leads, follows another, or knows no leader. */
+  LEADERSHIP_CHANGED(LogField.TERM, LogField.LEADER, LogField.LEADING);
+
+  private final Set<LogField> fields;
+
+  LogEvent(LogField... fields) {
+    this.fields = EnumSet.of(LogField.LINES_DROPPED_BEFORE, fields);
+  }
+
+  /**
+   * Returns the event's name in a line.
+   *
+   * @return lower case with underscores
+   */
+  public String text() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
+  /**
+   * Returns which fields a line of this event may have beside those of every line.
+   *
+   * @return the fields
+   */
+  public Set<LogField> fields() {
+    return EnumSet.copyOf(fields);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -0,0 +1,81 @@
+package org.teaseltrail.runtime.log;
+
+import java.util.Locale;
+
+/** Names the fields of log lines and says what they hold; units are part of the names. */
+public enum LogField {
+  /** The id that a caller gave its request. */
+  REQUEST("the caller's id of that attempt"),
+  /** Time since the request had been read whole. */
+  ELAPSED_MS("time since the request was read whole"),
+  /** Who pays. */
+  CUSTOMER("whose key the request carries"),
+  /** By which route a request was placed. */
+  ROUTE("the route's name"),
+  /** Time in which an answer is on time. */
+  OBJECTIVE_MS("the route's objective"),
+  /** Where a request was sent, or who leaves. */
+  UPSTREAM("an upstream's life"),
+  /** Which of the request's attempts. */
+  ATTEMPT("which of the request's attempts, from 1"),
+  /** Time before the attempt. */
+  WAITED_MS("time from the reading to the attempt's dispatch"),
+  /** Time to the first part of a stream. */
+  FIRST_EVENT_MS("time from the reading to a stream's first event"),
+  /** Longest time between two parts of a stream. */
+  LONGEST_PAUSE_MS("longest time between two parts of a stream"),
+  /** How an attempt ended. */
+  END("how the attempt ended"),
+  /** Time that an upstream had a request. */
+  AT_UPSTREAM_MS("time that the upstream had the request"),
+  /** The status that the caller or this VM got. */
+  STATUS("the HTTP status, 0 for none"),
+  /** Why something was refused. */
+  REASON("why it was refused"),
+  /** Whether an upstream may have begun to work. */
+  MAYBE_RAN("whether an upstream may have run the request"),
+  /** When the caller may come back. */
+  RETRY_AFTER_MS("when the caller may come back, 0 if no time can be told"),
+  /** Whether the caller had got a part. */
+  BEGUN("whether the caller had got a part of the answer"),
+  /** A plan's version. */
+  VERSION("the plan's version"),
+  /** The plan that a VM serves under. */
+  PLAN_VERSION("version of the plan in force on the VM"),
+  /** Addresses of members. */
+  SEEDS("control members to be asked first"),
+  /** Requests without an answer. */
+  OPEN("requests without an answer"),
+  /** Number of a leadership. */
+  TERM("the term of the control group"),
+  /** Who leads. */
+  LEADER("the member that leads, none if it is not known"),
+  /** Whether this member leads. */
+  LEADING("whether this member leads and serves"),
+  /** Lines that found no room. */
+  LINES_DROPPED_BEFORE("lines before this one that found no room");
+
+  private final String meaning;
+
+  LogField(String meaning) {
+    this.meaning = meaning;
+  }
+
+  /**
+   * Returns the field's name in a line.
+   *
+   * @return lower case with underscores
+   */
+  public String text() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
+  /**
+   * Returns what the field holds.
+   *
+   * @return a phrase
+   */
+  public String meaning() {
+    return meaning;
+  }
+}
--- a/runtime/src/test/java/org/teaseltrail/runtime/EventLogTest.java
+++ b/runtime/src/test/java/org/teaseltrail/runtime/EventLogTest.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.teaseltrail.runtime.log.EventLog;
+import org.teaseltrail.runtime.log.LogEvent;
+import org.teaseltrail.runtime.log.LogField;
 
 /** Writes lines and holds nobody up. */
 @Timeout(30)
@@ -21,7 +23,10 @@
   void writesOneObjectPerLine() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     EventLog log = new EventLog(out, "program", "vm-1");
-    log.line("request_refused").with("reason", "say \"no\"\t").with("waited_ms", 7).write();
+    log.line(LogEvent.REQUEST_REFUSED)
+        .with(LogField.REASON, "say \"no\"\t")
+        .with(LogField.WAITED_MS, 7)
+        .write();
     log.close();
     assertThat(out.toString())
         .contains("\"event\":\"request_refused\"")
@@ -37,7 +42,7 @@
     CountDownLatch reads = new CountDownLatch(1);
     EventLog log = new EventLog(new StoppedReader(reads), "program", "vm-1");
     for (int i = 0; i < 10_000; i++) {
-      log.line("request_refused").write();
+      log.line(LogEvent.REQUEST_REFUSED).write();
     }
     assertThat(log.droppedInAll()).isGreaterThan(5_000);
     reads.countDown();
