Split the tests of entry VMs and of forwarding nodes by what they hold

Each test is as it was: 30 of the first stand in EntryNodeTest, EntryStreamTest and EntrySessionTest, 23 of the second in ForwardNodeTest and ForwardPlacementTest, over ForwardNodeCase.

--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/entry/EntrySessionTest.java
@@ -0,0 +1,262 @@
+package org.teaseltrail.core.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.teaseltrail.core.entry.EntryFixture.C1;
+import static org.teaseltrail.core.entry.EntryFixture.C2;
+import static org.teaseltrail.core.entry.EntryFixture.end;
+
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.IdempotencyKey;
+import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.id.Revision;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.message.ControlMessage;
+import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.message.RefusalKind;
+import org.teaseltrail.core.message.WithdrawReason;
+import org.teaseltrail.core.request.NotRunReason;
+import org.teaseltrail.core.request.Outcome;
+import org.teaseltrail.core.upstream.UpstreamPhase;
+
+/** Admits only while its session and configuration allow, and ends without cutting anything. */
+class EntrySessionTest {
+
+  private final EntryFixture vm = new EntryFixture();
+
+  @BeforeEach
+  void join() {
+    vm.join(C1, 1, 5);
+  }
+
+  // A VM is cut off and would serve a removed customer for as long as the cut lasts. It stops
+  // admitting when its session ends, and what runs there goes on.
+  @Test
+  void cutOffVmStopsAdmittingAfterThreeSeconds() {
+    RequestId running = vm.arrive(1);
+    vm.dispatch(running);
+    vm.pass(2_999);
+    RequestId before = vm.arrive(1);
+    vm.pass(2);
+    RequestId after = vm.arrive(1);
+
+    assertThat(vm.outcome(before)).isEmpty();
+    assertThat(vm.outcome(after)).contains(new Outcome.NotRun(NotRunReason.NOT_ADMITTING, 1_000));
+    vm.frame(running, end(running, 0));
+    assertThat(vm.outcome(running).orElseThrow()).isInstanceOf(Outcome.Completed.class);
+    assertThat(vm.node.isReady(vm.nowNs)).isFalse();
+  }
+
+  // An answer to an old hello is held up on the way. It must not lengthen the session beyond three
+  // seconds from that hello's sending.
+  @Test
+  void lateWelcomeDoesNotLengthenSession() {
+    vm.pass(500);
+    final long early = vm.lastHello(C1);
+    vm.pass(2_400);
+    vm.receive(
+        C1,
+        new ControlMessage.Welcome(C1, new FencingNumber(1), new Revision(5), 3_000, false, early));
+    vm.pass(601);
+
+    assertThat(vm.outcome(vm.arrive(1))).isPresent();
+  }
+
+  // An operator's change is accepted, but its update is held up. A welcome that names the newer
+  // revision doesn't lengthen the session until the update is applied.
+  @Test
+  void welcomeCountsOnlyWithItsConfigurationApplied() {
+    vm.pass(2_500);
+    vm.welcome(C1, 1, 6);
+    vm.pass(501);
+    assertThat(vm.node.isReady(vm.nowNs)).isFalse();
+
+    vm.receive(C1, EntryFixture.update(1, 6));
+    assertThat(vm.node.isReady(vm.nowNs)).isTrue();
+  }
+
+  // Updates arrive out of order, and one of an older leader late. A removed customer would be
+  // served again if an older revision were applied.
+  @Test
+  void olderConfigurationIsNeverApplied() {
+    vm.receive(C1, EntryFixture.update(1, 7));
+    vm.receive(C1, EntryFixture.update(1, 6));
+    assertThat(vm.node.status().revision()).isEqualTo(7);
+
+    vm.join(C2, 2, 7);
+    vm.receive(C1, EntryFixture.update(1, 9));
+    assertThat(vm.node.status().revision()).isEqualTo(7);
+  }
+
+  @Test
+  void admitsNothingBeforeConfigurationIsConfirmed() {
+    EntryFixture fresh = new EntryFixture();
+    fresh.send(new EntryEvent.ControlConnected(C1));
+    fresh.welcome(C1, 1, 5);
+
+    assertThat(fresh.outcome(fresh.arrive(1)))
+        .contains(new Outcome.NotRun(NotRunReason.NOT_ADMITTING, 1_000));
+  }
+
+  // The leader is killed. The new one knows nothing: it is told of what waits, what runs, what has
+  // ended unheard and which upstreams announced themselves, and then that this was all.
+  @Test
+  void newLeaderIsToldOfEverything() {
+    final RequestId waiting = vm.arrive(2);
+    RequestId running = vm.arrive(1);
+    RequestId done = vm.arrive(1);
+    vm.dispatch(running);
+    vm.dispatch(done);
+    vm.frame(done, end(done, 0));
+    vm.announce(UpstreamPhase.SERVING, 1);
+    vm.actions.clear();
+    vm.send(new EntryEvent.ControlDisconnected(C1));
+    vm.join(C2, 2, 5);
+
+    assertThat(vm.told(EntryMessage.UpstreamSeen.class)).hasSize(1);
+    assertThat(vm.told(EntryMessage.Offer.class))
+        .extracting(offer -> offer.ticket().request())
+        .containsExactly(waiting);
+    assertThat(vm.told(EntryMessage.StillRunning.class))
+        .extracting(still -> still.ticket().request())
+        .containsExactly(running);
+    assertThat(vm.told(EntryMessage.Ended.class))
+        .extracting(EntryMessage.Ended::request)
+        .containsExactly(done);
+    assertThat(vm.told(EntryMessage.ReportsComplete.class)).hasSize(1);
+  }
+
+  // A report of an end is lost with its connection: the upstream's window would stay taken. It is
+  // sent again over the new connection, until a welcome to a later hello shows that it was read.
+  @Test
+  void endIsReportedUntilWelcomed() {
+    RequestId id = vm.arrive(1);
+    vm.dispatch(id);
+    vm.frame(id, end(id, 0));
+    vm.send(new EntryEvent.ControlDisconnected(C1));
+    vm.join(C1, 1, 5);
+    assertThat(vm.told(EntryMessage.Ended.class)).hasSize(2);
+
+    vm.pass(500);
+    vm.welcome(C1, 1, 5);
+    vm.send(new EntryEvent.ControlDisconnected(C1));
+    vm.join(C1, 1, 5);
+    assertThat(vm.told(EntryMessage.Ended.class)).hasSize(2);
+  }
+
+  // All schedulers of a region are gone. Every VM gives its waiting requests up at the same times,
+  // the lowest tier first, and tells the callers at once when to come back.
+  @Test
+  void givesUpFromLowestTierUpWithoutScheduler() {
+    final RequestId top = vm.arrive(1);
+    final RequestId middle = vm.arrive(2);
+    final RequestId low = vm.arrive(3);
+    vm.pass(9_999);
+    assertThat(vm.all(EntryAction.Conclude.class)).isEmpty();
+
+    vm.pass(1);
+    assertThat(vm.outcome(low)).contains(new Outcome.NotRun(NotRunReason.NO_SCHEDULER, 5_000));
+    assertThat(vm.outcome(middle)).isEmpty();
+    vm.pass(5_000);
+    assertThat(vm.outcome(middle)).isPresent();
+    assertThat(vm.outcome(top)).isEmpty();
+    vm.pass(5_000);
+    assertThat(vm.outcome(top)).isPresent();
+  }
+
+  @Test
+  void passedDeadlineEndsWaitingRequestAtOnce() {
+    RequestId id = vm.arrive(1, Optional.empty(), 200, Optional.empty());
+    assertThat(vm.node.nextWakeupNs().orElseThrow()).isEqualTo(vm.nowNs + 200_000_000L);
+    vm.pass(200);
+
+    assertThat(vm.outcome(id)).contains(new Outcome.NotRun(NotRunReason.DEADLINE, 0));
+    assertThat(vm.told(EntryMessage.Withdraw.class))
+        .singleElement()
+        .extracting(EntryMessage.Withdraw::reason)
+        .isEqualTo(WithdrawReason.DEADLINE);
+  }
+
+  @Test
+  void goneCallerFreesItsUpstreamUnlessItMayComeBack() {
+    final RequestId waiting = vm.arrive(1);
+    RequestId plain = vm.arrive(1);
+    RequestId keyed = vm.arrive(1, Optional.of("k"), 0, Optional.empty());
+    vm.dispatch(plain);
+    vm.dispatch(keyed);
+    vm.send(new EntryEvent.CallerGone(waiting));
+    vm.send(new EntryEvent.CallerGone(plain));
+    vm.send(new EntryEvent.CallerGone(keyed));
+
+    assertThat(vm.outcome(waiting)).contains(new Outcome.NotRun(NotRunReason.CANCELLED, 0));
+    assertThat(vm.all(EntryAction.CancelUpstream.class))
+        .singleElement()
+        .extracting(EntryAction.CancelUpstream::request)
+        .isEqualTo(plain);
+    vm.frame(keyed, end(keyed, 0));
+    assertThat(vm.outcome(keyed).orElseThrow()).isInstanceOf(Outcome.Completed.class);
+  }
+
+  @Test
+  void refusalReachesCallerWithRetryAfter() {
+    RequestId id = vm.arrive(3);
+    vm.receive(C1, new ControlMessage.Refused(id, RefusalKind.SHED, 700));
+
+    assertThat(vm.outcome(id)).contains(new Outcome.NotRun(NotRunReason.SHED, 700));
+  }
+
+  @Test
+  void nonIdempotentCallNeedsKey() {
+    CallTarget post = new CallTarget.ServiceCall(new ServiceId("s"), "POST");
+    RequestId without = vm.arriveWith(call(post, Optional.empty()));
+    RequestId with = vm.arriveWith(call(post, Optional.of(new IdempotencyKey("k"))));
+    RequestId get =
+        vm.arriveWith(
+            call(new CallTarget.ServiceCall(new ServiceId("s"), "GET"), Optional.empty()));
+
+    assertThat(vm.outcome(without)).contains(new Outcome.NotRun(NotRunReason.KEY_REQUIRED, 0));
+    assertThat(vm.outcome(with)).isEmpty();
+    assertThat(vm.outcome(get)).isEmpty();
+    assertThat(vm.told(EntryMessage.Offer.class).get(0).ticket().claim().orElseThrow())
+        .matches(claim -> claim.nonIdempotent());
+  }
+
+  private static CallerCall call(CallTarget target, Optional<IdempotencyKey> key) {
+    return new CallerCall(Optional.of("key-1"), target, true, key, "digest", 0, Optional.empty());
+  }
+
+  // The balancer still sends requests while it learns that the VM leaves. They are served; then the
+  // listener closes, and the process ends only when the last answer is whole.
+  @Test
+  void shutdownCutsNothing() {
+    RequestId running = vm.arrive(1);
+    vm.dispatch(running);
+    vm.send(new EntryEvent.DrainRequested());
+    assertThat(vm.node.isReady(vm.nowNs)).isFalse();
+    RequestId late = vm.arrive(1);
+    assertThat(vm.outcome(late)).isEmpty();
+    vm.dispatch(late);
+    vm.frame(late, end(late, 0));
+
+    vm.pass(2_500);
+    vm.welcome(C1, 1, 5);
+    vm.pass(2_500);
+    vm.welcome(C1, 1, 5);
+    assertThat(vm.all(EntryAction.CloseListener.class)).hasSize(1);
+    assertThat(vm.all(EntryAction.Exit.class)).isEmpty();
+    vm.frame(running, end(running, 0));
+    assertThat(vm.outcome(running).orElseThrow()).isInstanceOf(Outcome.Completed.class);
+    vm.pass(500);
+    vm.welcome(C1, 1, 5);
+    assertThat(vm.all(EntryAction.Exit.class)).hasSize(1);
+  }
+
+  @Test
+  void silentMemberIsReconnected() {
+    vm.pass(EntryFixture.SILENCE_MS + 1);
+
+    assertThat(vm.all(EntryAction.ReconnectControl.class)).hasSize(1);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeCase.java
@@ -0,0 +1,158 @@
+package org.teaseltrail.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.BeforeEach;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.Incarnation;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.plan.PlanCustomer;
+import org.teaseltrail.core.plan.Plans;
+import org.teaseltrail.core.plan.ServingPlan;
+import org.teaseltrail.core.quota.QuotaBounds;
+import org.teaseltrail.core.quota.QuotaGrant;
+import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.registry.RegistrationPhase;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.upstream.SocketAddress;
+
+/** Is a forwarding node with what tests ask and see of it. */
+abstract class ForwardNodeCase {
+
+  static final long MS = 1_000_000L;
+  static final VmId MEMBER = new VmId("10.0.0.9:7600");
+  static final FencingNumber TERM = new FencingNumber(1);
+
+  final ForwardNode node =
+      new ForwardNode(
+          new ForwardSettings(
+              new VmId("entry-1"),
+              new Incarnation(1),
+              List.of(MEMBER),
+              3_000,
+              250,
+              0.2,
+              10_000,
+              50,
+              QuotaBounds.DEFAULT,
+              1));
+
+  List<ServiceId> contended = List.of();
+  long nowNs = MS;
+  long lastNumber;
+  long lastSequence;
+  List<ForwardAction> actions = new ArrayList<>();
+
+  @BeforeEach
+  void begin() {
+    node.begin();
+  }
+
+  static Registration upstream(String id, ServiceId service, int slots) {
+    return new Registration(
+        new UpstreamId(id),
+        service,
+        new SocketAddress("10.0.0.1", 80),
+        new DataCenterId("a"),
+        slots,
+        RegistrationPhase.READY,
+        1);
+  }
+
+  void serveWith(ServingPlan plan, Registration... present) {
+    node.fromControl(new ServingReply.PlanUpdate(TERM, plan), nowNs);
+    node.fromControl(new ServingReply.RegistryUpdate(TERM, 1, List.of(present)), nowNs);
+    confirm(plan.version());
+  }
+
+  static List<QuotaGrant> grantOfAll() {
+    return List.of(new QuotaGrant(Plans.CUSTOMER, 1e9, 0, 0, 0, 0));
+  }
+
+  void confirm(long version) {
+    for (ForwardAction action : node.tick(nowNs)) {
+      if (action instanceof ForwardAction.SendControl send) {
+        lastSequence = ((ServingMessage.Sync) send.message()).sequence();
+      }
+    }
+    node.fromControl(
+        new ServingReply.Confirmed(
+            TERM, lastSequence, version, 1, 1, List.of(MEMBER), Map.of(), contended, grantOfAll()),
+        nowNs);
+  }
+
+  long arrive(String path, Optional<String> key) {
+    return arrive(path, key, 1_000);
+  }
+
+  long arrive(String path, Optional<String> key, int promptTokens) {
+    lastNumber++;
+    actions =
+        node.arrived(
+            new ForwardRequest(
+                lastNumber,
+                "id-" + lastNumber,
+                Plans.HOST,
+                path,
+                key,
+                OptionalLong.of(4_000),
+                OptionalInt.of(promptTokens),
+                OptionalInt.of(100),
+                List.of(new PromptPart("abc", promptTokens))),
+            nowNs);
+    return lastNumber;
+  }
+
+  long arrive(String path) {
+    return arrive(path, Optional.of(Plans.KEY));
+  }
+
+  long arriveWithPrompt(int promptTokens) {
+    return arrive("/stream/x", Optional.of(Plans.KEY), promptTokens);
+  }
+
+  void end(long number, AttemptEnd end) {
+    actions = node.attemptEnded(number, end, nowNs);
+  }
+
+  void assertThatNothingHappensToRequests() {
+    assertThat(actions).allMatch(ForwardAction.SendControl.class::isInstance);
+  }
+
+  List<Refusal> refusals() {
+    return actions.stream()
+        .filter(ForwardAction.Refuse.class::isInstance)
+        .map(action -> ((ForwardAction.Refuse) action).refusal())
+        .toList();
+  }
+
+  List<String> dispatches() {
+    return actions.stream()
+        .filter(ForwardAction.Dispatch.class::isInstance)
+        .map(action -> ((ForwardAction.Dispatch) action).upstream().id().value())
+        .toList();
+  }
+
+  List<Long> dispatchedRequests() {
+    return actions.stream()
+        .filter(ForwardAction.Dispatch.class::isInstance)
+        .map(action -> ((ForwardAction.Dispatch) action).request())
+        .toList();
+  }
+
+  static PlanCustomer second() {
+    return new PlanCustomer(
+        new CustomerId("customer-2"), List.of("key-2"), OptionalInt.of(2), true, 200, 0, 0);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardPlacementTest.java
@@ -0,0 +1,178 @@
+package org.teaseltrail.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.plan.Plans;
+import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.registry.RegistrationPhase;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.serving.Urgency;
+
+/** Places requests, by itself and by what the leader grants. */
+class ForwardPlacementTest extends ForwardNodeCase {
+
+  /** An upstream acknowledged as leaving must get nothing more, waiting requests included. */
+  @Test
+  void sendsNothingToDrainingUpstream() {
+    Registration ready = upstream("e1", Plans.ENGINES, 1);
+    serveWith(Plans.plan(1), ready);
+    long running = arrive("/stream/x");
+    arrive("/stream/x");
+    node.fromControl(
+        new ServingReply.RegistryUpdate(TERM, 2, List.of(ready.in(RegistrationPhase.DRAINING))),
+        nowNs);
+    end(running, AttemptEnd.ANSWERED);
+    assertThat(dispatches()).isEmpty();
+  }
+
+  /**
+   * All of an upstream's answers fail for a while. It recovers, and yet gets nothing for the rest
+   * of the day while the other one is full: nothing ever showed that it works again.
+   */
+  @Test
+  void triesUpstreamAgainThatHadFailed() {
+    Registration failing = upstream("e1", Plans.ENGINES, 8);
+    serveWith(Plans.plan(1), failing);
+    for (int i = 0; i < 60; i++) {
+      long number = arrive("/stream/x");
+      nowNs += 10 * MS;
+      end(number, AttemptEnd.FAILED_ANSWER);
+    }
+    Registration other = upstream("e2", Plans.ENGINES, 8);
+    node.fromControl(new ServingReply.RegistryUpdate(TERM, 2, List.of(failing, other)), nowNs);
+    nowNs += 10_000 * MS;
+    confirm(1);
+    List<String> placed = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      arrive("/stream/x");
+      placed.addAll(dispatches());
+    }
+    assertThat(placed).contains("e1", "e2");
+  }
+
+  /**
+   * A leader is lost while an upstream was full of the others' requests. Nothing goes there any
+   * longer, though its work has long ended: the count stands until the next leader.
+   */
+  @Test
+  void oldCountsOfOthersFade() {
+    serveWith(Plans.plan(1), upstream("e1", Plans.ENGINES, 4));
+    node.loadTold(new UpstreamId("e1"), 4, nowNs);
+    arrive("/stream/x");
+    assertThat(dispatches()).isEmpty();
+    nowNs += 900 * MS;
+    actions = node.tick(nowNs);
+    assertThat(dispatches()).hasSize(1);
+  }
+
+  /**
+   * Half of the streams of a slow upstream pause longer than callers accept: while it reads a long
+   * prompt, chunk by chunk, each chunk holds up every stream there.
+   */
+  @Test
+  void sendsLongPromptsToQuickUpstreams() {
+    Registration slow = upstream("e1", Plans.ENGINES, 8);
+    Registration quick = upstream("e2", Plans.ENGINES, 8);
+    serveWith(Plans.plan(1), slow, quick);
+    node.pace(slow.id(), 90, nowNs);
+    node.pace(quick.id(), 30, nowNs);
+    for (int i = 0; i < 8; i++) {
+      arriveWithPrompt(10_000);
+      assertThat(dispatches()).containsExactly(quick.id().value());
+    }
+    arriveWithPrompt(10_000);
+    assertThat(dispatches()).isEmpty();
+    arriveWithPrompt(100);
+    assertThat(dispatches()).containsExactly(slow.id().value());
+  }
+
+  /** Two prompts at once hold up all streams of a slow upstream longer than callers accept. */
+  @Test
+  void sendsSlowUpstreamOnePromptAfterTheOther() {
+    Registration slow = upstream("e1", Plans.ENGINES, 8);
+    Registration quick = upstream("e2", Plans.ENGINES, 1);
+    serveWith(Plans.plan(1), slow, quick);
+    node.pace(slow.id(), 90, nowNs);
+    node.pace(quick.id(), 30, nowNs);
+    arriveWithPrompt(10_000);
+    final long first = arriveWithPrompt(100);
+    assertThat(dispatches()).containsExactly(slow.id().value());
+    arriveWithPrompt(100);
+    assertThat(dispatches()).isEmpty();
+    actions = node.begun(first, nowNs);
+    assertThat(dispatches()).containsExactly(slow.id().value());
+  }
+
+  /**
+   * Requests wait at several VMs. Whichever VM's request ended took the free place, though
+   * something more urgent waited at another one.
+   */
+  @Test
+  void waitsForTheLeadersGrantWhileOthersWait() {
+    contended = List.of(Plans.ENGINES);
+    Registration engine = upstream("e1", Plans.ENGINES, 8);
+    serveWith(Plans.plan(1), engine);
+    arrive("/stream/x");
+    assertThat(dispatches()).isEmpty();
+    assertThat(toldWaiting()).isEqualTo(1);
+    grant(engine);
+    assertThat(dispatches()).containsExactly("e1");
+    assertThat(toldWaiting()).isZero();
+  }
+
+  /** The leader is lost while requests wait for its grants; they must not wait on. */
+  @Test
+  void placesByItselfOnceTheLeaderIsSilent() {
+    contended = List.of(Plans.ENGINES);
+    serveWith(Plans.plan(1), upstream("e1", Plans.ENGINES, 8));
+    arrive("/stream/x");
+    nowNs += 200 * MS;
+    actions = node.tick(nowNs);
+    assertThat(dispatches()).isEmpty();
+    nowNs += 101 * MS;
+    actions = node.tick(nowNs);
+    assertThat(dispatches()).containsExactly("e1");
+  }
+
+  @Test
+  void tellsOfGrantThatNothingCanUse() {
+    contended = List.of(Plans.ENGINES);
+    Registration leaving = upstream("e1", Plans.ENGINES, 8).in(RegistrationPhase.DRAINING);
+    serveWith(Plans.plan(1), leaving);
+    arrive("/stream/x");
+    grant(leaving);
+    assertThat(dispatches()).isEmpty();
+    ServingMessage.Lines told = told();
+    assertThat(told.grantsSeen()).isEqualTo(1);
+    assertThat(told.lines().get(0).unwanted()).containsExactly(leaving.id());
+  }
+
+  private void grant(Registration upstream) {
+    ServingReply.SlotGrant grant =
+        new ServingReply.SlotGrant(
+            TERM, 1, upstream.service(), upstream.id(), new Urgency(1, false, 1));
+    actions = node.fromControl(grant, nowNs);
+  }
+
+  private ServingMessage.Lines told() {
+    return actions.stream()
+        .filter(ForwardAction.SendControl.class::isInstance)
+        .map(action -> ((ForwardAction.SendControl) action).message())
+        .filter(ServingMessage.Lines.class::isInstance)
+        .map(ServingMessage.Lines.class::cast)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private int toldWaiting() {
+    return told().lines().stream()
+        .flatMap(line -> line.waiting().stream())
+        .mapToInt(waiting -> waiting.waitedMs().size())
+        .sum();
+  }
+}
