--- a/cli/src/test/java/org/teaseltrail/cli/CommandsPageTest.java
+++ b/cli/src/test/java/org/teaseltrail/cli/CommandsPageTest.java
@@ -45,6 +45,7 @@
         "status",
         "pools",
         "decisions",
+        "explain",
         "members list",
         "members add",
         "members promote",
