Split the quotas' gate off the forwarding node

Ruled out: moving it into QuotaDesk, which only counts and knows no requests that wait.

Change: QuotaGate decides, asks for more and refuses; ForwardNode passes arrivals, answers and ticks on. Nothing changes in what is decided.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -39,8 +39,8 @@
   private final UpstreamBook upstreams = new UpstreamBook();
   private final SlotTies slots = new SlotTies();
   private final QuotaDesk quotas;
-  private final ShortOfQuota shortOfQuota = new ShortOfQuota();
   private final RequestDesk requests;
+  private final QuotaGate quotaGate;
   private Optional<PlanIndex> plan = Optional.empty();
   private boolean ending;
   private long toldChanges;
@@ -63,6 +63,7 @@
             action -> out.add(action));
     ties = new ControlTies(settings);
     quotas = new QuotaDesk(settings.quotas(), settings.sessionLifetimeMs());
+    quotaGate = new QuotaGate(quotas, requests, ties, action -> out.add(action));
   }
 
   /**
@@ -180,7 +181,7 @@
    * @return what is to be done
    */
   public List<ForwardAction> callerLeft(long number, long nowNs) {
-    shortOfQuota.remove(number);
+    quotaGate.callerLeft(number);
     requests.callerLeft(number, nowNs);
     return take(nowNs);
   }
@@ -232,9 +233,7 @@
     if (ties.fallBackToSeeds(nowNs)) {
       out.add(new ForwardAction.KeepConnected(ties.members()));
     }
-    for (TrackedForward overdue : shortOfQuota.takeOverdue(nowNs)) {
-      refuseByQuota(overdue, overdue.payer().orElseThrow(), nowNs);
-    }
+    quotaGate.tick(nowNs);
     requests.tick(nowNs);
     return take(nowNs);
   }
@@ -248,7 +247,7 @@
     long requestDueNs =
         Math.min(
             requests.nextDueNs().orElse(Long.MAX_VALUE),
-            shortOfQuota.nextDueNs().orElse(Long.MAX_VALUE));
+            quotaGate.nextDueNs().orElse(Long.MAX_VALUE));
     return Math.min(ties.nextSyncNs(), requestDueNs);
   }
 
@@ -277,7 +276,7 @@
    * @return those that wait and those at upstreams
    */
   public int open() {
-    return requests.open() + shortOfQuota.size();
+    return requests.open() + quotaGate.waiting();
   }
 
   long planVersion() {
@@ -304,10 +303,7 @@
     requests.vmCount(confirmed.vmCount());
     upstreams.elsewhere(confirmed.elsewhere(), nowNs);
     slots.contended(confirmed.fencing(), confirmed.contended(), nowNs);
-    quotas.told(confirmed, nowNs);
-    for (TrackedForward request : shortOfQuota.takeAll()) {
-      admitByQuota(request, request.payer().orElseThrow(), nowNs);
-    }
+    quotaGate.told(confirmed, nowNs);
     requests.serveLines(nowNs);
   }
 
@@ -343,46 +339,7 @@
       ForwardRequest request, PlanRoute route, Optional<PlanCustomer> customer, long nowNs) {
     TrackedForward admitted =
         new TrackedForward(request, route, drawService(route), customer, nowNs);
-    if (customer.isEmpty()) {
-      requests.admit(admitted, nowNs);
-      return;
-    }
-    quotas.asked(customer.get(), request, nowNs);
-    admitByQuota(admitted, customer.get(), nowNs);
-  }
-
-  private void admitByQuota(TrackedForward request, PlanCustomer customer, long nowNs) {
-    switch (quotas.verdict(customer, request.request(), nowNs)) {
-      case WITHIN -> {
-        quotas.take(customer, request.request(), nowNs);
-        requests.admit(request, nowNs);
-      }
-      case TOLERATED -> {
-        if (requests.admitToFreeRoom(request, nowNs)) {
-          quotas.take(customer, request.request(), nowNs);
-        } else {
-          refuseByQuota(request, customer, nowNs);
-        }
-      }
-      case SHORT_HERE -> askForQuota(request, customer, nowNs);
-      case OVER -> refuseByQuota(request, customer, nowNs);
-      default -> throw new IllegalStateException("a verdict without a rule");
-    }
-  }
-
-  private void askForQuota(TrackedForward request, PlanCustomer customer, long nowNs) {
-    if (ShortOfQuota.isOverdue(request, nowNs)) {
-      refuseByQuota(request, customer, nowNs);
-      return;
-    }
-    quotas.want(customer, request.request());
-    shortOfQuota.add(request);
-    ties.syncSoon();
-  }
-
-  private void refuseByQuota(TrackedForward request, PlanCustomer customer, long nowNs) {
-    long waitMs = quotas.waitMs(customer, request.request(), nowNs);
-    refuse(request.number(), Refusal.OVER_QUOTA, waitMs);
+    quotaGate.arrived(admitted, nowNs);
   }
 
   private ServiceId drawService(PlanRoute route) {
