Call one piece where the change had written it again

Cause, found by reading the whole change again: pushes of plan and registry were twins in ServingDesk; ip:port was taken apart in six places; the rule for long prompts stood twice in PlacementRule; nine fields of request lines were listed four times; a set of fields was copied for each field of each log line, on every request's way; two tests of quotas built the same VMs and requests.

Ruled out: AddressKind of the settings (it also reads [IPv6]:port) and the platform's prompt parts (id:tokens) have another form; RequestDesk's count of changes can't be derived from the lines, whose waiting times always differ.

Change: Push, SocketAddress.parse, avoidsSlow, one shared set and LogEvent.has, QuotaSamples. TrackedForward.isLate had no caller.

--- a/control/src/main/java/org/teaseltrail/control/PeerAddress.java
+++ b/control/src/main/java/org/teaseltrail/control/PeerAddress.java
@@ -24,8 +24,7 @@
     if (at < 1 || colon < at + 2) {
       throw new IllegalArgumentException("not of the form vm@ip:port");
     }
-    int port = Integer.parseInt(text.substring(colon + 1));
-    SocketAddress address = new SocketAddress(text.substring(at + 1, colon), port);
+    SocketAddress address = SocketAddress.parse(text.substring(at + 1));
     return new PeerAddress(new VmId(text.substring(0, at)), address);
   }
 }
--- a/control/src/main/java/org/teaseltrail/control/VmDirectory.java
+++ b/control/src/main/java/org/teaseltrail/control/VmDirectory.java
@@ -26,12 +26,8 @@
    */
   static VmDirectory byName() {
     return vm -> {
-      int colon = vm.value().lastIndexOf(':');
-      if (colon < 1) {
-        return Optional.empty();
-      }
-      int port = Integer.parseInt(vm.value().substring(colon + 1));
-      return Optional.of(new SocketAddress(vm.value().substring(0, colon), port));
+      boolean named = vm.value().lastIndexOf(':') > 0;
+      return named ? Optional.of(SocketAddress.parse(vm.value())) : Optional.empty();
     };
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
@@ -1,5 +1,6 @@
 package org.teaseltrail.core.control;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -55,14 +56,29 @@
   private static final class Vm {
     private ServingMessage.Sync sync;
     private long heardNs;
-    private long pushedPlan = ClusterState.NO_PLAN;
-    private long pushedPlanNs;
-    private long pushedRegistry;
-    private long pushedRegistryNs;
+    private final Push plan = new Push();
+    private final Push registry = new Push();
+  }
+
+  /** Remembers which version of something was pushed to a VM, and when. */
+  private static final class Push {
+    private long version = Long.MIN_VALUE;
+    private long atNs;
+
+    /** Tells whether a version must be sent, and takes it as sent then. */
+    private boolean isDue(long held, long newest, long nowNs) {
+      boolean sentLately = version == newest && nowNs - atNs < PUSH_AGAIN_NS;
+      if (held >= newest || sentLately) {
+        return false;
+      }
+      version = newest;
+      atNs = nowNs;
+      return true;
+    }
   }
 
   private final Leadership leadership;
-  private final Map<VmId, Vm> vms = new TreeMap<>(java.util.Comparator.comparing(VmId::value));
+  private final Map<VmId, Vm> vms = new TreeMap<>(Comparator.comparing(VmId::value));
   private final Map<UpstreamId, Long> heartbeatsNs = new HashMap<>();
   private final QuotaBounds quotaBounds;
   private final QuotaLedger quotas;
@@ -180,38 +196,19 @@
   }
 
   private void pushWhatIsMissing(VmId id, Vm vm) {
-    pushPlan(id, vm);
-    pushRegistry(id, vm);
-  }
-
-  private void pushPlan(VmId id, Vm vm) {
-    long version = planVersion();
-    boolean missing = vm.sync.planVersion() < version;
     long nowNs = leadership.nowNs();
-    boolean pushed = vm.pushedPlan == version && nowNs - vm.pushedPlanNs < PUSH_AGAIN_NS;
-    if (!missing || pushed) {
-      return;
+    if (vm.plan.isDue(vm.sync.planVersion(), planVersion(), nowNs)) {
+      leadership.sendServing(
+          id,
+          new ServingReply.PlanUpdate(leadership.fencing(), state().plan().orElseThrow().plan()));
     }
-    vm.pushedPlan = version;
-    vm.pushedPlanNs = nowNs;
-    leadership.sendServing(
-        id, new ServingReply.PlanUpdate(leadership.fencing(), state().plan().orElseThrow().plan()));
-  }
-
-  private void pushRegistry(VmId id, Vm vm) {
     long revision = state().registry().revision();
-    boolean missing = vm.sync.registryRevision() < revision;
-    long nowNs = leadership.nowNs();
-    boolean pushed = vm.pushedRegistry == revision && nowNs - vm.pushedRegistryNs < PUSH_AGAIN_NS;
-    if (!missing || pushed) {
-      return;
+    if (vm.registry.isDue(vm.sync.registryRevision(), revision, nowNs)) {
+      leadership.sendServing(
+          id,
+          new ServingReply.RegistryUpdate(
+              leadership.fencing(), revision, state().registry().present()));
     }
-    vm.pushedRegistry = revision;
-    vm.pushedRegistryNs = nowNs;
-    leadership.sendServing(
-        id,
-        new ServingReply.RegistryUpdate(
-            leadership.fencing(), revision, state().registry().present()));
   }
 
   private ServingReply.Confirmed confirmation(ServingMessage.Sync sync) {
--- a/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
@@ -65,7 +65,7 @@
     Optional<String> home =
         engine ? lastPart(tracked).flatMap(part -> homeOf(part, usable)) : Optional.empty();
     double usualPaceMs = usualPaceMs(usable);
-    boolean avoidsSlow = engine && isLong(tracked) && hasQuick(usable, usualPaceMs, nowNs);
+    boolean avoidsSlow = engine && avoidsSlow(tracked, usable, usualPaceMs, nowNs);
     UpstreamView best = null;
     double bestScore = Double.POSITIVE_INFINITY;
     for (UpstreamView view : usable) {
@@ -90,12 +90,11 @@
     return Optional.ofNullable(best);
   }
 
-  private static boolean isLong(TrackedForward tracked) {
-    return tracked.request().promptTokens().orElse(0) >= LONG_PROMPT_TOKENS;
-  }
-
-  private static boolean hasQuick(List<UpstreamView> views, double usualPaceMs, long nowNs) {
-    return views.stream().anyMatch(view -> slowness(view, usualPaceMs, nowNs) < SLOW);
+  /** Tells whether a request has a long prompt and there is a quicker upstream for it. */
+  private static boolean avoidsSlow(
+      TrackedForward tracked, List<UpstreamView> views, double usualPaceMs, long nowNs) {
+    boolean isLong = tracked.request().promptTokens().orElse(0) >= LONG_PROMPT_TOKENS;
+    return isLong && views.stream().anyMatch(view -> slowness(view, usualPaceMs, nowNs) < SLOW);
   }
 
   /**
@@ -115,8 +114,9 @@
       TrackedForward tracked, Collection<UpstreamView> views, UpstreamView chosen, long nowNs) {
     List<UpstreamView> usable = usable(tracked, views, nowNs);
     double usualPaceMs = usualPaceMs(usable);
-    boolean avoidsSlow = isLong(tracked) && hasQuick(usable, usualPaceMs, nowNs);
-    boolean tooSlow = avoidsSlow && slowness(chosen, usualPaceMs, nowNs) >= SLOW;
+    boolean tooSlow =
+        slowness(chosen, usualPaceMs, nowNs) >= SLOW
+            && avoidsSlow(tracked, usable, usualPaceMs, nowNs);
     return usable.contains(chosen) && !tooSlow;
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
@@ -168,11 +168,6 @@
     return maybeRan;
   }
 
-  /** Tells whether the request can no longer be answered on time; told by {@link #markLate}. */
-  boolean isLate() {
-    return late;
-  }
-
   boolean turnsLate(long nowNs) {
     long onTimeUntilNs =
         arrivedNs + (long) (route.objectiveMs() * NS_PER_MS * OBJECTIVE_PART_FOR_WAITING);
--- a/core/src/test/java/org/teaseltrail/core/control/QuotaInCutTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/QuotaInCutTest.java
@@ -5,27 +5,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardNode;
 import org.teaseltrail.core.forward.ForwardRequest;
-import org.teaseltrail.core.forward.ForwardSettings;
-import org.teaseltrail.core.id.DataCenterId;
 import org.teaseltrail.core.id.FencingNumber;
-import org.teaseltrail.core.id.Incarnation;
-import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.Plans;
-import org.teaseltrail.core.quota.QuotaBounds;
 import org.teaseltrail.core.quota.QuotaGrant;
-import org.teaseltrail.core.registry.Registration;
-import org.teaseltrail.core.registry.RegistrationPhase;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
-import org.teaseltrail.core.upstream.SocketAddress;
 
 /** Holds a customer's quota over all entry VMs while some of them are cut off. */
 class QuotaInCutTest {
@@ -37,7 +26,6 @@
   private static final double LIMIT = RATE * 9;
   private static final int TOKENS = 1_100;
   private static final FencingNumber TERM = new FencingNumber(1);
-  private static final VmId MEMBER = new VmId("10.0.0.9:7600");
 
   private QuotaLedger ledger = new QuotaLedger(8_000, 3_000, 0);
   private final List<ForwardNode> nodes = new ArrayList<>();
@@ -49,32 +37,7 @@
   }
 
   private static ForwardNode node(int number, long incarnation) {
-    ForwardNode node =
-        new ForwardNode(
-            new ForwardSettings(
-                new VmId("entry-" + number),
-                new Incarnation(incarnation),
-                List.of(MEMBER),
-                3_000,
-                250,
-                0.2,
-                10_000,
-                50,
-                QuotaBounds.DEFAULT,
-                number));
-    Registration upstream =
-        new Registration(
-            new UpstreamId("p1"),
-            Plans.PLAIN,
-            new SocketAddress("10.0.0.1", 80),
-            new DataCenterId("a"),
-            1_000_000,
-            RegistrationPhase.READY,
-            1);
-    node.fromControl(
-        new ServingReply.PlanUpdate(TERM, Plans.plan(1, Plans.customer(Plans.KEY, RATE))), 0);
-    node.fromControl(new ServingReply.RegistryUpdate(TERM, 1, List.of(upstream)), 0);
-    return node;
+    return QuotaSamples.node(new VmId("entry-" + number), incarnation, RATE);
   }
 
   private double sync(ForwardNode node, long nowNs) {
@@ -91,7 +54,15 @@
         List<QuotaGrant> grants = ledger.grants(sync.vm(), Map.of(Plans.CUSTOMER, LIMIT), nowNs);
         ServingReply.Confirmed reply =
             new ServingReply.Confirmed(
-                term, sync.sequence(), 1, 1, VMS, List.of(MEMBER), Map.of(), List.of(), grants);
+                term,
+                sync.sequence(),
+                1,
+                1,
+                VMS,
+                List.of(QuotaSamples.MEMBER),
+                Map.of(),
+                List.of(),
+                grants);
         runs += answerArrives ? running(node.fromControl(reply, nowNs)) : 0;
       }
     }
@@ -109,17 +80,7 @@
 
   private double ask(ForwardNode node, long nowNs) {
     lastNumber++;
-    ForwardRequest request =
-        new ForwardRequest(
-            lastNumber,
-            "id-" + lastNumber,
-            Plans.HOST,
-            "/unsafe/x",
-            Optional.of(Plans.KEY),
-            OptionalLong.empty(),
-            OptionalInt.of(TOKENS),
-            OptionalInt.of(0),
-            List.of());
+    ForwardRequest request = QuotaSamples.request(lastNumber, TOKENS);
     return running(node.arrived(request, nowNs));
   }
 
--- a/core/src/test/java/org/teaseltrail/core/control/QuotaProperties.java
+++ b/core/src/test/java/org/teaseltrail/core/control/QuotaProperties.java
@@ -5,9 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -16,20 +13,13 @@
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardNode;
 import org.teaseltrail.core.forward.ForwardRequest;
-import org.teaseltrail.core.forward.ForwardSettings;
-import org.teaseltrail.core.id.DataCenterId;
 import org.teaseltrail.core.id.FencingNumber;
-import org.teaseltrail.core.id.Incarnation;
-import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.Plans;
 import org.teaseltrail.core.quota.QuotaBounds;
 import org.teaseltrail.core.quota.SlidingSum;
-import org.teaseltrail.core.registry.Registration;
-import org.teaseltrail.core.registry.RegistrationPhase;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
-import org.teaseltrail.core.upstream.SocketAddress;
 
 /**
  * Holds one customer's quota over entry VMs that are cut off, killed and started anew, lose answers
@@ -45,7 +35,6 @@
   private static final int TOKENS = 1_100;
   private static final double RATE = 50_000;
   private static final double LIMIT = RATE * 9;
-  private static final VmId MEMBER = new VmId("10.0.0.9:7600");
 
   /** Is one entry VM of a run. */
   private static final class Vm {
@@ -76,7 +65,7 @@
       random = new SplittableRandom(seed);
       for (int i = 0; i < 2 + random.nextInt(5); i++) {
         Vm vm = new Vm(i);
-        vm.node = node(i, 1);
+        vm.node = QuotaSamples.node(vmId(i), 1, RATE);
         vms.add(vm);
       }
     }
@@ -112,7 +101,7 @@
       boolean otherRemembers = vms.stream().anyMatch(each -> each != vm && isSound(each, ms));
       if (otherRemembers && ms >= vm.downUntilMs) {
         vm.downUntilMs = ms + 500 + random.nextInt(2_000);
-        vm.node = node(vm.number, ms + 2);
+        vm.node = QuotaSamples.node(vmId(vm.number), ms + 2, RATE);
       }
     }
 
@@ -164,7 +153,7 @@
               1,
               1,
               vms.size(),
-              List.of(MEMBER),
+              List.of(QuotaSamples.MEMBER),
               Map.of(),
               List.of(),
               ledger.grants(sync.vm(), Map.of(Plans.CUSTOMER, LIMIT), ms * MS));
@@ -175,53 +164,12 @@
 
     private ForwardRequest request() {
       lastNumber++;
-      return new ForwardRequest(
-          lastNumber,
-          "id-" + lastNumber,
-          Plans.HOST,
-          "/unsafe/x",
-          Optional.of(Plans.KEY),
-          OptionalLong.empty(),
-          OptionalInt.of(TOKENS),
-          OptionalInt.of(0),
-          List.of());
+      return QuotaSamples.request(lastNumber, TOKENS);
     }
 
     private static VmId vmId(int number) {
       return new VmId("entry-" + number);
     }
-
-    private ForwardNode node(int number, long incarnation) {
-      ForwardNode node =
-          new ForwardNode(
-              new ForwardSettings(
-                  vmId(number),
-                  new Incarnation(incarnation),
-                  List.of(MEMBER),
-                  SILENT_MS,
-                  250,
-                  0.2,
-                  10_000,
-                  50,
-                  QuotaBounds.DEFAULT,
-                  number));
-      Registration upstream =
-          new Registration(
-              new UpstreamId("p1"),
-              Plans.PLAIN,
-              new SocketAddress("10.0.0.1", 80),
-              new DataCenterId("a"),
-              1_000_000,
-              RegistrationPhase.READY,
-              1);
-      node.fromControl(
-          new ServingReply.PlanUpdate(
-              new FencingNumber(1), Plans.plan(1, Plans.customer(Plans.KEY, RATE))),
-          0);
-      node.fromControl(
-          new ServingReply.RegistryUpdate(new FencingNumber(1), 1, List.of(upstream)), 0);
-      return node;
-    }
   }
 
   @Property(seed = "20261202", tries = 40, shrinking = ShrinkingMode.OFF)
--- a/entry/src/main/java/org/teaseltrail/entry/MemberAddress.java
+++ b/entry/src/main/java/org/teaseltrail/entry/MemberAddress.java
@@ -23,9 +23,7 @@
     if (at < 1 || colon < at + 2) {
       throw new IllegalArgumentException("not of the form member@ip:port");
     }
-    SocketAddress address =
-        new SocketAddress(
-            text.substring(at + 1, colon), Integer.parseInt(text.substring(colon + 1)));
+    SocketAddress address = SocketAddress.parse(text.substring(at + 1));
     return new MemberAddress(new MemberId(text.substring(0, at)), address);
   }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/ControlLinks.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ControlLinks.java
@@ -87,10 +87,8 @@
   }
 
   private FrameClient<ServingReply, ServingMessage> client(VmId vm) {
-    int colon = vm.value().lastIndexOf(':');
-    int port = Integer.parseInt(vm.value().substring(colon + 1));
     return FrameClient.connect(
-        new SocketAddress(vm.value().substring(0, colon), port),
+        SocketAddress.parse(vm.value()),
         self.value(),
         new FrameEndpoint<>(SpeakerKind.SERVING_VM, ServingReply.class, ServingMessage.class, this),
         LIMITS,
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/EventLog.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/EventLog.java
@@ -193,7 +193,7 @@
     }
 
     private StringBuilder name(LogField field) {
-      if (!event.fields().contains(field)) {
+      if (!event.has(field)) {
         throw new IllegalArgumentException(event + " has no " + field);
       }
       return text.append(",\"").append(field.text()).append("\":");
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -23,59 +23,18 @@
   /** An entry VM ends. */
   DRAIN_END(LogField.OPEN),
   /** A whole answer was delivered. */
-  REQUEST_SERVED(
-      LogField.REQUEST,
-      LogField.ELAPSED_MS,
-      LogField.CUSTOMER,
-      LogField.ROUTE,
-      LogField.OBJECTIVE_MS,
-      LogField.UPSTREAM,
-      LogField.ATTEMPT,
-      LogField.WAITED_MS,
-      LogField.FIRST_EVENT_MS,
-      LogField.LONGEST_PAUSE_MS,
-      LogField.STATUS),
+  REQUEST_SERVED(Shared.OF_REQUEST, LogField.LONGEST_PAUSE_MS, LogField.STATUS),
   /** An attempt ended without a good answer. */
-  ATTEMPT_FAILED(
-      LogField.REQUEST,
-      LogField.ELAPSED_MS,
-      LogField.CUSTOMER,
-      LogField.ROUTE,
-      LogField.OBJECTIVE_MS,
-      LogField.UPSTREAM,
-      LogField.ATTEMPT,
-      LogField.WAITED_MS,
-      LogField.FIRST_EVENT_MS,
-      LogField.END,
-      LogField.STATUS,
-      LogField.AT_UPSTREAM_MS),
+  ATTEMPT_FAILED(Shared.OF_REQUEST, LogField.END, LogField.STATUS, LogField.AT_UPSTREAM_MS),
   /** A caller got an answer of this system's own. */
   REQUEST_REFUSED(
-      LogField.REQUEST,
-      LogField.ELAPSED_MS,
-      LogField.CUSTOMER,
-      LogField.ROUTE,
-      LogField.OBJECTIVE_MS,
-      LogField.UPSTREAM,
-      LogField.ATTEMPT,
-      LogField.WAITED_MS,
-      LogField.FIRST_EVENT_MS,
+      Shared.OF_REQUEST,
       LogField.REASON,
       LogField.MAYBE_RAN,
       LogField.STATUS,
       LogField.RETRY_AFTER_MS),
   /** A caller closed its connection before the answer's end. */
-  CALLER_LEFT(
-      LogField.REQUEST,
-      LogField.ELAPSED_MS,
-      LogField.CUSTOMER,
-      LogField.ROUTE,
-      LogField.OBJECTIVE_MS,
-      LogField.UPSTREAM,
-      LogField.ATTEMPT,
-      LogField.WAITED_MS,
-      LogField.FIRST_EVENT_MS,
-      LogField.BEGUN),
+  CALLER_LEFT(Shared.OF_REQUEST, LogField.BEGUN),
   /** A control member has read an operator's plan. */
   PLAN_RECEIVED(LogField.VERSION),
   /** An operator's plan isn't valid. */
@@ -88,7 +47,12 @@
   private final Set<LogField> fields;
 
   LogEvent(LogField... fields) {
+    this(EnumSet.noneOf(LogField.class), fields);
+  }
+
+  LogEvent(Set<LogField> shared, LogField... fields) {
     this.fields = EnumSet.of(LogField.LINES_DROPPED_BEFORE, fields);
+    this.fields.addAll(shared);
   }
 
   /**
@@ -101,11 +65,28 @@
   }
 
   /**
-   * Returns which fields a line of this event may have beside those of every line.
+   * Tells whether a line of this event may have a field beside those of every line.
    *
-   * @return the fields
+   * @param field the field
+   * @return false if such a line never has it
    */
-  public Set<LogField> fields() {
-    return EnumSet.copyOf(fields);
+  public boolean has(LogField field) {
+    return fields.contains(field);
+  }
+
+  /** Holds fields that several events share; an enum can't refer to its own before its values. */
+  private static final class Shared {
+
+    private static final Set<LogField> OF_REQUEST =
+        EnumSet.of(
+            LogField.REQUEST,
+            LogField.ELAPSED_MS,
+            LogField.CUSTOMER,
+            LogField.ROUTE,
+            LogField.OBJECTIVE_MS,
+            LogField.UPSTREAM,
+            LogField.ATTEMPT,
+            LogField.WAITED_MS,
+            LogField.FIRST_EVENT_MS);
   }
 }
