Tell lives of an upstream apart, and refuse heartbeats of other writers

RegistryBook took the new life's smaller sequence for an older heartbeat and a leave for one of all lives; a VM went on counting the former life's requests.

Change: a registration carries its birth. A later life replaces an earlier one, an earlier one changes nothing, a leave binds its own life (if the call names none, that of the life that is known). VMs begin anew with a new life, in their views and in their pool of connections.

Seen: the wire examples show no born; a heartbeat without one is of birth 0.

--- a/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
@@ -18,6 +18,7 @@
 import org.teaseltrail.core.message.EntryMessage;
 import org.teaseltrail.core.message.GroupMessage;
 import org.teaseltrail.core.message.GroupReply;
+import org.teaseltrail.core.registry.HeartbeatFailure;
 import org.teaseltrail.core.replication.Member;
 import org.teaseltrail.core.replication.Replica;
 import org.teaseltrail.core.replication.ReplicaSettings;
@@ -172,6 +173,11 @@
     return group.leaderVm();
   }
 
+  /** Counts a heartbeat that can't be taken in. */
+  void heartbeatRefused(HeartbeatFailure failure) {
+    metrics.heartbeatRefused(failure);
+  }
+
   @Override
   public CompletableFuture<ExitCode> ended() {
     return ended;
--- a/control/src/main/java/org/teaseltrail/control/ControlMetrics.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlMetrics.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import org.teaseltrail.core.decision.DecisionKind;
+import org.teaseltrail.core.registry.HeartbeatFailure;
 import org.teaseltrail.runtime.metrics.Metrics;
 
 /** Counts what the member does. */
@@ -13,6 +14,8 @@
 
   private final Metrics metrics = new Metrics("teaseltrail-control");
   private final Map<DecisionKind, Counter> decisions = new EnumMap<>(DecisionKind.class);
+  private final Map<HeartbeatFailure, Counter> heartbeatsRefused =
+      new EnumMap<>(HeartbeatFailure.class);
   private final AtomicLong leading = new AtomicLong();
   private final AtomicLong term = new AtomicLong();
 
@@ -21,6 +24,10 @@
     for (DecisionKind kind : DecisionKind.values()) {
       decisions.put(kind, registry.counter("teaseltrail.decisions", "kind", kind.name()));
     }
+    for (HeartbeatFailure failure : HeartbeatFailure.values()) {
+      heartbeatsRefused.put(
+          failure, registry.counter("teaseltrail.heartbeats.refused", "reason", failure.name()));
+    }
     registry.gauge("teaseltrail.leading", leading);
     registry.gauge("teaseltrail.term", term);
     registry.gauge("teaseltrail.entry.connections", entryVms, VmConnections::count);
@@ -31,6 +38,10 @@
     decisions.get(kind).increment();
   }
 
+  void heartbeatRefused(HeartbeatFailure failure) {
+    heartbeatsRefused.get(failure).increment();
+  }
+
   void leadership(boolean serving, long newTerm) {
     leading.set(serving ? 1 : 0);
     term.set(newTerm);
--- a/control/src/main/java/org/teaseltrail/control/RestartingMember.java
+++ b/control/src/main/java/org/teaseltrail/control/RestartingMember.java
@@ -7,6 +7,7 @@
 import org.teaseltrail.core.control.OperatorRequest;
 import org.teaseltrail.core.control.OperatorResult;
 import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.registry.HeartbeatFailure;
 import org.teaseltrail.runtime.log.PartLogger;
 import org.teaseltrail.runtime.process.ExitCode;
 import org.teaseltrail.runtime.process.ProgramException;
@@ -73,6 +74,15 @@
     return current.flatMap(ControlDaemon::leaderVm);
   }
 
+  /**
+   * Counts a heartbeat that can't be taken in.
+   *
+   * @param failure what is wrong with it
+   */
+  public void heartbeatRefused(HeartbeatFailure failure) {
+    current.ifPresent(daemon -> daemon.heartbeatRefused(failure));
+  }
+
   /**
    * Takes other VMs to ask for the group, should this member be outside of it.
    *
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorDesk.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import org.teaseltrail.core.id.DataCenterId;
 import org.teaseltrail.core.id.ServiceId;
-import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.registry.RegistrationPhase;
 import org.teaseltrail.core.replication.ProposalRejection;
@@ -63,7 +62,7 @@
     } else if (request instanceof OperatorRequest.Heartbeat heartbeat) {
       heartbeat(callId, heartbeat.heard(), leadership);
     } else if (request instanceof OperatorRequest.Leave leave) {
-      Registration leaving = knownOrBlank(leave.upstream());
+      Registration leaving = knownOrBlank(leave);
       propose(callId, new Command.UpstreamLeaves(leaving, logTimeMs), nowNs);
     }
   }
@@ -81,17 +80,18 @@
 
   /**
    * Returns what is known of an upstream that leaves; of one that never registered only the id, so
-   * that a heartbeat on its way behind the leave finds it gone.
+   * that a heartbeat on its way behind the leave finds it gone. A leave that doesn't name its life
+   * is that of the life that is known, or of all lives if none is.
    */
-  private Registration knownOrBlank(UpstreamId upstream) {
-    return replicated
-        .state()
-        .registry()
-        .find(upstream)
+  private Registration knownOrBlank(OperatorRequest.Leave leave) {
+    Optional<Registration> known = replicated.state().registry().find(leave.upstream());
+    return known
+        .filter(held -> leave.bornMs().orElse(held.bornMs()) == held.bornMs())
         .orElseGet(
             () ->
                 new Registration(
-                    upstream,
+                    leave.upstream(),
+                    leave.bornMs().orElse(Long.MAX_VALUE),
                     new ServiceId(UNKNOWN),
                     new SocketAddress(UNKNOWN, 0),
                     new DataCenterId(UNKNOWN),
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.teaseltrail.core.configuration.ConfigurationChange;
 import org.teaseltrail.core.id.ChangeId;
 import org.teaseltrail.core.id.MemberId;
@@ -95,6 +96,7 @@
    * Take an upstream's leave in.
    *
    * @param upstream the upstream
+   * @param bornMs which life of it, if the call says so, in Unix milliseconds
    */
-  record Leave(UpstreamId upstream) implements PlatformRequest {}
+  record Leave(UpstreamId upstream, OptionalLong bornMs) implements PlatformRequest {}
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
@@ -23,7 +23,10 @@
     return revision;
   }
 
-  /** Takes newer registrations over; what is believed of those that stay is kept. */
+  /**
+   * Takes newer registrations over; what is believed of those that stay is kept. A new life under
+   * the same id begins with nothing believed: it holds no prompt and works on no request.
+   */
   void update(long newRevision, List<Registration> present) {
     if (newRevision <= revision) {
       return;
@@ -35,7 +38,11 @@
     Map<ServiceId, List<UpstreamView>> grouped = new HashMap<>();
     newer.forEach(
         (id, registration) -> {
-          UpstreamView view = views.computeIfAbsent(id, key -> new UpstreamView(registration));
+          UpstreamView view = views.get(id);
+          if (view == null || !view.registration().life().equals(registration.life())) {
+            view = new UpstreamView(registration);
+            views.put(id, view);
+          }
           view.update(registration);
           grouped.computeIfAbsent(registration.service(), key -> new ArrayList<>()).add(view);
         });
--- a/core/src/main/java/org/teaseltrail/core/registry/Registration.java
+++ b/core/src/main/java/org/teaseltrail/core/registry/Registration.java
@@ -6,18 +6,21 @@
 import org.teaseltrail.core.upstream.SocketAddress;
 
 /**
- * Is what an upstream has told of itself. Each start of an upstream has another id.
+ * Is what an upstream has told of itself. An upstream may start again under the id that it had; the
+ * time of its start tells its lives apart.
  *
- * @param id the upstream's life
+ * @param id the upstream
+ * @param bornMs its start in Unix milliseconds by its own clock, 0 if it doesn't tell
  * @param service the service that it belongs to
  * @param address where it takes requests
  * @param dataCenter where it stands
  * @param slots requests that it works on at once
  * @param phase how far its registration has come
- * @param sequence grows with each of its heartbeats
+ * @param sequence grows with each heartbeat of one life
  */
 public record Registration(
     UpstreamId id,
+    long bornMs,
     ServiceId service,
     SocketAddress address,
     DataCenterId dataCenter,
@@ -25,6 +28,15 @@
     RegistrationPhase phase,
     long sequence) {
 
+  /**
+   * Returns which life of the upstream this is.
+   *
+   * @return the life
+   */
+  public UpstreamLife life() {
+    return new UpstreamLife(id, bornMs);
+  }
+
   /**
    * Returns the registration in a later phase.
    *
@@ -32,7 +44,7 @@
    * @return the changed registration
    */
   public Registration in(RegistrationPhase later) {
-    return new Registration(id, service, address, dataCenter, slots, later, sequence);
+    return new Registration(id, bornMs, service, address, dataCenter, slots, later, sequence);
   }
 
   /**
@@ -46,6 +58,6 @@
   }
 
   private Registration withSequence(long number) {
-    return new Registration(id, service, address, dataCenter, slots, phase, number);
+    return new Registration(id, bornMs, service, address, dataCenter, slots, phase, number);
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/registry/RegistryBook.java
+++ b/core/src/main/java/org/teaseltrail/core/registry/RegistryBook.java
@@ -12,8 +12,9 @@
  * Holds the registrations of all upstreams; part of the replicated state.
  *
  * <p>Guards against work for an upstream that has left: a heartbeat that was delayed on its way
- * arrives after the upstream's leave was acknowledged, maybe at another leader. The guard: phases
- * only move on, an older sequence changes nothing, and those that have left are remembered.
+ * arrives after the upstream's leave was acknowledged, maybe at another leader. The guard: within
+ * one life phases only move on and an older sequence changes nothing, those that have left are
+ * remembered, and an earlier life changes nothing of a later one.
  */
 public final class RegistryBook {
 
@@ -42,10 +43,10 @@
    */
   public boolean wouldChange(Registration heard) {
     Registration held = registrations.get(heard.id());
-    if (held == null) {
+    if (held == null || heard.bornMs() > held.bornMs()) {
       return true;
     }
-    boolean outdated = heard.sequence() < held.sequence();
+    boolean outdated = heard.bornMs() < held.bornMs() || heard.sequence() < held.sequence();
     return !outdated && !merged(held, heard).saysSameAs(held);
   }
 
@@ -59,21 +60,25 @@
       return;
     }
     Registration held = registrations.get(heard.id());
-    registrations.put(heard.id(), held == null ? heard : merged(held, heard));
+    boolean newLife = held == null || heard.bornMs() > held.bornMs();
+    registrations.put(heard.id(), newLife ? heard : merged(held, heard));
     revision++;
   }
 
   /**
-   * Takes an upstream's leave in. One that is not known is remembered all the same.
+   * Takes the leave of one life of an upstream in. One that is not known is remembered all the
+   * same; one before the life that is known changes nothing.
    *
    * @param leaving what is known of it
    */
   public void leave(Registration leaving) {
     Registration held = registrations.get(leaving.id());
-    if (held != null && held.phase() == RegistrationPhase.GONE) {
+    boolean sameLife = held != null && held.bornMs() == leaving.bornMs();
+    boolean outdated = held != null && leaving.bornMs() < held.bornMs();
+    if (outdated || (sameLife && held.phase() == RegistrationPhase.GONE)) {
       return;
     }
-    Registration known = held == null ? leaving : held;
+    Registration known = sameLife ? held : leaving;
     registrations.remove(leaving.id());
     registrations.put(leaving.id(), known.in(RegistrationPhase.GONE));
     forgetOldest();
--- a/core/src/test/java/org/teaseltrail/core/control/QuotaSamples.java
+++ b/core/src/test/java/org/teaseltrail/core/control/QuotaSamples.java
@@ -46,6 +46,7 @@
     Registration upstream =
         new Registration(
             new UpstreamId("p1"),
+            0,
             Plans.PLAIN,
             new SocketAddress("10.0.0.1", 80),
             new DataCenterId("a"),
--- a/core/src/test/java/org/teaseltrail/core/control/SlotDeskTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/SlotDeskTest.java
@@ -34,6 +34,7 @@
   private static Registration engine(String id, RegistrationPhase phase) {
     return new Registration(
         new UpstreamId(id),
+        0,
         Plans.ENGINES,
         new SocketAddress("10.0.0.1", 80),
         new DataCenterId("a"),
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeCase.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeCase.java
@@ -62,6 +62,7 @@
   static Registration upstream(String id, ServiceId service, int slots) {
     return new Registration(
         new UpstreamId(id),
+        0,
         service,
         new SocketAddress("10.0.0.1", 80),
         new DataCenterId("a"),
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardPlacementTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardPlacementTest.java
@@ -175,4 +175,30 @@
         .mapToInt(waiting -> waiting.waitedMs().size())
         .sum();
   }
+
+  /**
+   * An upstream with its places full crashes and starts again under its id. The VM went on counting
+   * the requests of the life before, and what came waited beside an empty upstream.
+   */
+  @Test
+  void laterLifeOfAnUpstreamBeginsEmpty() {
+    Registration first = upstream("e1", Plans.ENGINES, 1);
+    serveWith(Plans.plan(1), first);
+    arrive("/stream/x");
+    assertThat(dispatches()).containsExactly("e1");
+    arrive("/stream/x");
+    assertThat(dispatches()).isEmpty();
+    Registration later =
+        new Registration(
+            first.id(),
+            7,
+            first.service(),
+            first.address(),
+            first.dataCenter(),
+            first.slots(),
+            first.phase(),
+            1);
+    actions = node.fromControl(new ServingReply.RegistryUpdate(TERM, 2, List.of(later)), nowNs);
+    assertThat(dispatches()).containsExactly("e1");
+  }
 }
--- a/core/src/test/java/org/teaseltrail/core/registry/RegistryBookTest.java
+++ b/core/src/test/java/org/teaseltrail/core/registry/RegistryBookTest.java
@@ -17,6 +17,7 @@
   private static Registration beat(RegistrationPhase phase, long sequence) {
     return new Registration(
         new UpstreamId("i-1"),
+        0,
         new ServiceId("engines"),
         new SocketAddress("10.0.0.1", 80),
         new DataCenterId("a"),
@@ -92,4 +93,64 @@
     copy.register(beat(RegistrationPhase.READY, 2));
     assertThat(copy.present()).isEmpty();
   }
+
+  private static Registration life(long bornMs, RegistrationPhase phase, long sequence) {
+    Registration beat = beat(phase, sequence);
+    return new Registration(
+        beat.id(),
+        bornMs,
+        beat.service(),
+        beat.address(),
+        beat.dataCenter(),
+        beat.slots(),
+        phase,
+        sequence);
+  }
+
+  /**
+   * An upstream crashes and starts again under its id; its sequence begins anew. Its heartbeats
+   * were taken for older than those of the life before, so that a changed address never came in.
+   */
+  @Test
+  void laterLifeReplacesEarlierOneThoughItsSequenceIsSmaller() {
+    book.register(life(100, RegistrationPhase.DRAINING, 50));
+    book.register(life(200, RegistrationPhase.READY, 1));
+    assertThat(book.present()).containsExactly(life(200, RegistrationPhase.READY, 1));
+  }
+
+  /** A heartbeat of the life before, held up by a cut, comes behind those of the next life. */
+  @Test
+  void lateHeartbeatOfEarlierLifeChangesNothing() {
+    book.register(life(200, RegistrationPhase.READY, 1));
+    assertThat(book.wouldChange(life(100, RegistrationPhase.DRAINING, 90))).isFalse();
+    book.register(life(100, RegistrationPhase.DRAINING, 90));
+    assertThat(book.present()).containsExactly(life(200, RegistrationPhase.READY, 1));
+  }
+
+  /**
+   * An upstream takes leave, is acknowledged and starts again under its id. The leave binds its own
+   * life for good and no other; the next life was never used.
+   */
+  @Test
+  void leaveBindsItsOwnLifeOnly() {
+    book.register(life(100, RegistrationPhase.READY, 5));
+    book.leave(life(100, RegistrationPhase.READY, 5));
+    book.register(life(100, RegistrationPhase.READY, 6));
+    assertThat(book.present()).isEmpty();
+    book.register(life(200, RegistrationPhase.READY, 1));
+    assertThat(book.present()).containsExactly(life(200, RegistrationPhase.READY, 1));
+    book.leave(life(100, RegistrationPhase.GONE, 7));
+    assertThat(book.present()).hasSize(1);
+  }
+
+  /** The same after a snapshot was taken and another member has become leader. */
+  @Test
+  void leaveOfOneLifeHoldsInSnapshot() {
+    book.register(life(200, RegistrationPhase.READY, 1));
+    book.leave(life(200, RegistrationPhase.READY, 1));
+    RegistryBook copy = new RegistryBook(book.revision(), List.copyOf(book.all()));
+    copy.register(life(200, RegistrationPhase.READY, 9));
+    copy.register(life(100, RegistrationPhase.READY, 99));
+    assertThat(copy.present()).isEmpty();
+  }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamPool.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamPool.java
@@ -16,8 +16,8 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
-import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.registry.UpstreamLife;
 
 /** Keeps connections to upstreams that are idle, and makes new ones. */
 final class UpstreamPool {
@@ -49,8 +49,8 @@
 
   private static final int MAX_HEADER_BYTES = 32 * 1024;
 
-  private final Map<UpstreamId, Deque<UpstreamConnection>> idle = new HashMap<>();
-  private final Map<UpstreamConnection, UpstreamId> owners = new HashMap<>();
+  private final Map<UpstreamLife, Deque<UpstreamConnection>> idle = new HashMap<>();
+  private final Map<UpstreamConnection, UpstreamLife> owners = new HashMap<>();
   private final EventLoopGroup loop;
   private final HeaderDialect dialect;
 
@@ -67,7 +67,7 @@
    * @param failed hears that there is none; nothing was sent
    */
   void connect(Registration upstream, Consumer<UpstreamConnection> connected, Runnable failed) {
-    Deque<UpstreamConnection> ready = idle.get(upstream.id());
+    Deque<UpstreamConnection> ready = idle.get(upstream.life());
     long nowNs = System.nanoTime();
     while (ready != null && !ready.isEmpty()) {
       UpstreamConnection kept = ready.pollLast();
@@ -81,7 +81,7 @@
   }
 
   void idle(UpstreamConnection connection) {
-    UpstreamId owner = owners.get(connection);
+    UpstreamLife owner = owners.get(connection);
     if (owner == null) {
       connection.close();
       return;
@@ -94,7 +94,7 @@
   }
 
   void forget(UpstreamConnection connection) {
-    UpstreamId owner = owners.remove(connection);
+    UpstreamLife owner = owners.remove(connection);
     Deque<UpstreamConnection> ready = owner == null ? null : idle.get(owner);
     if (ready != null) {
       ready.remove(connection);
@@ -122,7 +122,7 @@
     connecting.addListener(
         done -> {
           if (done.isSuccess()) {
-            owners.put(connection, upstream.id());
+            owners.put(connection, upstream.life());
             connected.accept(connection);
           } else {
             failed.run();
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -39,6 +39,8 @@
   PLAN_RECEIVED(LogField.VERSION),
   /** An operator's plan isn't valid. */
   PLAN_REFUSED(LogField.REASON),
+  /** A heartbeat can't be taken in: it is of another writer, or was damaged. */
+  HEARTBEAT_REFUSED(LogField.UPSTREAM, LogField.REASON),
   /** An upstream took leave. */
   UPSTREAM_LEAVES(LogField.UPSTREAM),
   /** A control member leads, follows another, or knows no leader. */
