Let VMs keep to their own places while nobody leads

Each VM goes on by its own count, and what it believes of the others fades within a second, so nine VMs fill the engines nine times: 211, 166 and 128 requests at 91 places in three half seconds, first events at p90 after 635 to 714 ms instead of 105 to 135.

Change: with each confirmation the leader tells a VM its own part of all places (PlaceShares: by what each VM has lately wanted, a fifth evenly). A VM that has heard nothing for 0.4 s sends to an upstream only within its part. As a place is dealt to one VM only, all together can't pass an upstream's places.

Ruled out: a longer memory of the others' counts. It holds back where they have ended and still lets all VMs send at once.

--- a/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
@@ -15,10 +15,12 @@
 import org.teaseltrail.core.plan.PlanCustomer;
 import org.teaseltrail.core.quota.QuotaBounds;
 import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.registry.RegistryBook;
 import org.teaseltrail.core.replication.Member;
 import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.serving.UpstreamPlaces;
 import org.teaseltrail.core.state.ClusterState;
 import org.teaseltrail.core.state.Command;
 import org.teaseltrail.core.state.CommandResult;
@@ -83,6 +85,7 @@
   private final QuotaBounds quotaBounds;
   private final QuotaLedger quotas;
   private final SlotDesk slots = new SlotDesk();
+  private final PlaceShares shares = new PlaceShares();
   private Set<ServiceId> toldContended = Set.of();
   private long nextCheckNs;
 
@@ -107,12 +110,26 @@
     vm.sync = sync;
     vm.heardNs = leadership.nowNs();
     slots.heard(sync.vm(), sync.inFlight());
+    shares.heard(sync.vm(), wanted(sync));
     quotas.told(sync.vm(), sync.incarnation(), sync.quotas(), vm.heardNs);
     pushWhatIsMissing(sync.vm(), vm);
     leadership.sendServing(sync.vm(), confirmation(sync));
     handOutPlaces();
   }
 
+  /** Returns how many requests a VM has at each service, those that wait among them. */
+  private Map<ServiceId, Integer> wanted(ServingMessage.Sync sync) {
+    Map<ServiceId, Integer> wanted = slots.waiting(sync.vm());
+    sync.inFlight()
+        .forEach(
+            (upstream, count) ->
+                state()
+                    .registry()
+                    .find(upstream)
+                    .ifPresent(known -> wanted.merge(known.service(), count, Integer::sum)));
+    return wanted;
+  }
+
   /** Tells all VMs at once when places begin or cease to be handed out. */
   private void tellContention() {
     Set<ServiceId> contended = contended();
@@ -171,6 +188,7 @@
               if (silent) {
                 quotas.forget(entry.getKey(), nowNs);
                 slots.forget(entry.getKey());
+                shares.forget(entry.getKey());
               }
               return silent;
             });
@@ -226,11 +244,16 @@
         state().registry().revision(),
         vms.size(),
         memberVms(),
-        elsewhere,
+        new UpstreamPlaces(elsewhere, ownParts(sync.vm())),
         List.copyOf(contended()),
         quotas.grants(sync.vm(), quotaLimits(), leadership.nowNs()));
   }
 
+  private Map<UpstreamId, Integer> ownParts(VmId vm) {
+    RegistryBook registry = state().registry();
+    return shares.of(vm, registry.revision(), registry.present(), leadership.nowNs());
+  }
+
   /** Returns what all VMs together may be allowed of each customer's quota. */
   private Map<CustomerId, Double> quotaLimits() {
     return state().plan().stream()
--- a/core/src/main/java/org/teaseltrail/core/control/SlotDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotDesk.java
@@ -144,6 +144,16 @@
     vm.toldNs = nowNs;
   }
 
+  /** Returns how many requests wait at a VM for each service. */
+  Map<ServiceId, Integer> waiting(VmId id) {
+    Map<ServiceId, Integer> waiting = new HashMap<>();
+    Vm vm = vms.get(id);
+    if (vm != null) {
+      vm.lines.forEach((service, line) -> waiting.put(service, line.size()));
+    }
+    return waiting;
+  }
+
   /** Takes a VM out that has fallen silent. */
   void forget(VmId id) {
     vms.remove(id);
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -301,7 +301,7 @@
     }
     learnMembers(confirmed);
     requests.vmCount(confirmed.vmCount());
-    upstreams.elsewhere(confirmed.elsewhere(), nowNs);
+    upstreams.placesTold(confirmed.places(), nowNs);
     slots.contended(confirmed.fencing(), confirmed.contended(), nowNs);
     quotaGate.told(confirmed, nowNs);
     requests.serveLines(nowNs);
--- a/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
@@ -69,8 +69,7 @@
     UpstreamView best = null;
     double bestScore = Double.POSITIVE_INFINITY;
     for (UpstreamView view : usable) {
-      int slots = Math.max(1, view.registration().slots());
-      if (view.load(nowNs) >= allowedFill * slots) {
+      if (!view.hasRoom(allowedFill, nowNs)) {
         continue;
       }
       double slowness = slowness(view, usualPaceMs, nowNs);
@@ -78,6 +77,7 @@
       if (engine && tooSlow) {
         continue;
       }
+      int slots = Math.max(1, view.registration().slots());
       double work = (view.load(nowNs) + 1.0) / slots * slowness / view.goodShare(nowNs);
       double score = work + random.nextDouble() * JITTER;
       boolean isHome = home.isPresent() && home.get().equals(view.registration().id().value());
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
@@ -11,6 +11,7 @@
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.serving.UpstreamPlaces;
 
 /** Holds this VM's views of all registered upstreams. */
 final class UpstreamBook {
@@ -49,9 +50,14 @@
     byService = grouped;
   }
 
-  /** Notes what the other VMs have at each upstream. */
-  void elsewhere(Map<UpstreamId, Integer> counts, long nowNs) {
-    views.forEach((id, view) -> view.elsewhere(counts.getOrDefault(id, 0), nowNs));
+  /** Takes what the leader tells of the places. */
+  void placesTold(UpstreamPlaces places, long nowNs) {
+    views.forEach(
+        (id, view) ->
+            view.placesTold(
+                places.elsewhere().getOrDefault(id, 0),
+                places.ownParts().getOrDefault(id, 0),
+                nowNs));
   }
 
   /** Corrects what the others have at an upstream by what it has told itself. */
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
@@ -1,5 +1,6 @@
 package org.teaseltrail.core.forward;
 
+import java.util.OptionalInt;
 import org.teaseltrail.core.registry.Registration;
 
 /**
@@ -13,6 +14,12 @@
   /** Age up to which the others' counts are taken as they are: two syncs. */
   private static final long FRESH_NS = 500 * NS_PER_MS;
 
+  /**
+   * Silence of the leader after which this VM keeps to its own part of the places: one sync that
+   * did not come back, and as long again for a slow one.
+   */
+  private static final long ALONE_NS = 400 * NS_PER_MS;
+
   /** Time in which an older count falls to a third: about that of a middling answer. */
   private static final double FADING_NS = 700 * NS_PER_MS;
 
@@ -42,6 +49,8 @@
   private int unread;
   private int elsewhere;
   private long elsewhereToldNs;
+  private OptionalInt ownPart = OptionalInt.empty();
+  private long placesToldNs;
   private double goodShare = 1;
   private int failuresInRow;
   private long avoidedUntilNs;
@@ -68,6 +77,25 @@
     elsewhereToldNs = nowNs;
   }
 
+  /** Takes what the leader tells: what the others have there, and this VM's part of the places. */
+  void placesTold(int othersHave, int part, long nowNs) {
+    elsewhere(othersHave, nowNs);
+    ownPart = OptionalInt.of(part);
+    placesToldNs = nowNs;
+  }
+
+  /**
+   * Tells whether a request has room there.
+   *
+   * @param fill requests, in relation to places, beyond which it has none
+   * @param nowNs time
+   */
+  boolean hasRoom(double fill, long nowNs) {
+    boolean alone = ownPart.isPresent() && nowNs - placesToldNs > ALONE_NS;
+    boolean beyondOwnPart = alone && own >= fill * ownPart.getAsInt();
+    return !beyondOwnPart && load(nowNs) < fill * Math.max(1, registration.slots());
+  }
+
   int own() {
     return own;
   }
--- a/core/src/main/java/org/teaseltrail/core/serving/LineState.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/LineState.java
@@ -22,6 +22,15 @@
     slow = List.copyOf(slow);
   }
 
+  /**
+   * Returns how many requests wait.
+   *
+   * @return the sum over all urgencies
+   */
+  public int size() {
+    return waiting.stream().mapToInt(each -> each.waitedMs().size()).sum();
+  }
+
   /**
    * Is what waits of one urgency.
    *
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
@@ -1,7 +1,6 @@
 package org.teaseltrail.core.serving;
 
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.ServiceId;
@@ -39,7 +38,7 @@
    * @param registryRevision revision of the accepted registrations
    * @param vmCount entry VMs with a session
    * @param members VMs of all members
-   * @param elsewhere requests that the other entry VMs have at each upstream
+   * @param places what the others have at upstreams, and which places are the VM's own
    * @param contended services whose places the leader hands out
    * @param quotas what the VM may take of customers' quotas
    */
@@ -50,14 +49,13 @@
       long registryRevision,
       int vmCount,
       List<VmId> members,
-      Map<UpstreamId, Integer> elsewhere,
+      UpstreamPlaces places,
       List<ServiceId> contended,
       List<QuotaGrant> quotas)
       implements ServingReply {
     /** Copies the lists. */
     public Confirmed {
       members = List.copyOf(members);
-      elsewhere = Map.copyOf(elsewhere);
       contended = List.copyOf(contended);
       quotas = List.copyOf(quotas);
     }
--- a/core/src/test/java/org/teaseltrail/core/control/QuotaInCutTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/QuotaInCutTest.java
@@ -60,7 +60,7 @@
                 1,
                 VMS,
                 List.of(QuotaSamples.MEMBER),
-                Map.of(),
+                QuotaSamples.PLACES,
                 List.of(),
                 grants);
         runs += answerArrives ? running(node.fromControl(reply, nowNs)) : 0;
--- a/core/src/test/java/org/teaseltrail/core/control/QuotaProperties.java
+++ b/core/src/test/java/org/teaseltrail/core/control/QuotaProperties.java
@@ -155,7 +155,7 @@
               1,
               vms.size(),
               List.of(QuotaSamples.MEMBER),
-              Map.of(),
+              QuotaSamples.PLACES,
               List.of(),
               ledger.grants(sync.vm(), Map.of(Plans.CUSTOMER, LIMIT), ms * MS));
       if (ms >= vm.deafUntilMs) {
--- a/core/src/test/java/org/teaseltrail/core/control/QuotaSamples.java
+++ b/core/src/test/java/org/teaseltrail/core/control/QuotaSamples.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.core.control;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -17,6 +18,7 @@
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.registry.RegistrationPhase;
 import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.serving.UpstreamPlaces;
 import org.teaseltrail.core.upstream.SocketAddress;
 
 /** Makes entry VMs and requests for tests of a quota over several VMs. */
@@ -24,6 +26,12 @@
 
   static final VmId MEMBER = new VmId("10.0.0.9:7600");
 
+  private static final UpstreamId UPSTREAM = new UpstreamId("p1");
+  private static final int MANY = 1_000_000;
+
+  /** What the leader tells of the upstream: there is room for whatever a VM sends. */
+  static final UpstreamPlaces PLACES = new UpstreamPlaces(Map.of(), Map.of(UPSTREAM, MANY));
+
   private static final FencingNumber TERM = new FencingNumber(1);
 
   private QuotaSamples() {}
@@ -45,12 +53,12 @@
                 vm.value().hashCode()));
     Registration upstream =
         new Registration(
-            new UpstreamId("p1"),
+            UPSTREAM,
             0,
             Plans.PLAIN,
             new SocketAddress("10.0.0.1", 80),
             new DataCenterId("a"),
-            1_000_000,
+            MANY,
             RegistrationPhase.READY,
             1);
     node.fromControl(
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeCase.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeCase.java
@@ -3,11 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.DataCenterId;
@@ -25,6 +27,7 @@
 import org.teaseltrail.core.registry.RegistrationPhase;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.serving.UpstreamPlaces;
 import org.teaseltrail.core.upstream.SocketAddress;
 
 /** Is a forwarding node with what tests ask and see of it. */
@@ -49,6 +52,7 @@
               1));
 
   List<ServiceId> contended = List.of();
+  UpstreamPlaces places = UpstreamPlaces.NONE;
   long nowNs = MS;
   long lastNumber;
   long lastSequence;
@@ -72,6 +76,9 @@
   }
 
   void serveWith(ServingPlan plan, Registration... present) {
+    Map<UpstreamId, Integer> all = new HashMap<>();
+    Stream.of(present).forEach(upstream -> all.put(upstream.id(), upstream.slots()));
+    places = new UpstreamPlaces(Map.of(), all);
     node.fromControl(new ServingReply.PlanUpdate(TERM, plan), nowNs);
     node.fromControl(new ServingReply.RegistryUpdate(TERM, 1, List.of(present)), nowNs);
     confirm(plan.version());
@@ -90,7 +97,7 @@
     }
     node.fromControl(
         new ServingReply.Confirmed(
-            TERM, lastSequence, version, 1, 1, List.of(MEMBER), Map.of(), contended, grants()),
+            TERM, lastSequence, version, 1, 1, List.of(MEMBER), places, contended, grants()),
         nowNs);
   }
 
--- a/core/src/test/java/org/teaseltrail/core/serving/ServingSessionTest.java
+++ b/core/src/test/java/org/teaseltrail/core/serving/ServingSessionTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.VmId;
@@ -25,7 +24,7 @@
         1,
         1,
         List.of(MEMBER),
-        Map.of(),
+        UpstreamPlaces.NONE,
         List.of(),
         List.of());
   }
