Let requests wait for a session that is about to come

Change: Reception (split off ForwardNode) lets a request wait that can't be judged yet: before the first session 0.8 of the objective (0.4 s where the route isn't known for want of a plan), 0.2 of it where a session was lost, never more than 0.3 of the caller's deadline. Then it is refused with when to come back: what is left of a usual start, or 0.2 s, as the next try goes to another VM.

The two tests that asked for the refusal at once now ask that nothing runs meanwhile and that the refusal comes after the wait: a request that waits was not given up on. New: requestsThatComeJustBeforeTheFirstSessionAreServed, requestsThatComeAtThawWaitForTheLeadersWord (both refused before), vmWithoutSessionLetsCallersGoSoon.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -6,15 +6,13 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
+import java.util.stream.LongStream;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
-import org.teaseltrail.core.plan.PlanCustomer;
 import org.teaseltrail.core.plan.PlanIndex;
-import org.teaseltrail.core.plan.PlanRoute;
 import org.teaseltrail.core.plan.PlanService;
 import org.teaseltrail.core.plan.ServingPlan;
-import org.teaseltrail.core.plan.WeightedService;
 import org.teaseltrail.core.quota.QuotaUse;
 import org.teaseltrail.core.serving.LineState;
 import org.teaseltrail.core.serving.ServingMessage;
@@ -28,19 +26,16 @@
  */
 public final class ForwardNode {
 
-  /** When a caller may come back that was turned away for want of a plan: two syncs. */
-  private static final long PLAN_RETRY_MS = 500;
-
   /** When a caller may come back that met a VM about to end; its next try goes to another VM. */
   private static final long ENDING_RETRY_MS = 20;
 
-  private final RandomGenerator random;
   private final ControlTies ties;
   private final UpstreamBook upstreams = new UpstreamBook();
   private final SlotTies slots = new SlotTies();
   private final QuotaDesk quotas;
   private final RequestDesk requests;
   private final QuotaGate quotaGate;
+  private final Reception reception;
   private Optional<PlanIndex> plan = Optional.empty();
   private boolean ending;
   private long toldChanges;
@@ -52,7 +47,7 @@
    * @param settings its settings
    */
   public ForwardNode(ForwardSettings settings) {
-    random = new SplittableRandom(settings.seed());
+    RandomGenerator random = new SplittableRandom(settings.seed());
     requests =
         new RequestDesk(
             settings,
@@ -64,6 +59,7 @@
     ties = new ControlTies(settings);
     quotas = new QuotaDesk(settings.quotas(), settings.sessionLifetimeMs());
     quotaGate = new QuotaGate(quotas, requests, ties, action -> out.add(action));
+    reception = new Reception(random, ties, quotaGate, action -> out.add(action));
   }
 
   /**
@@ -105,23 +101,7 @@
       refuse(request.number(), Refusal.ENDING, ENDING_RETRY_MS);
       return take(nowNs);
     }
-    if (plan.isEmpty()) {
-      refuse(request.number(), Refusal.PLAN_UNCERTAIN, PLAN_RETRY_MS);
-      return take(nowNs);
-    }
-    boolean certain = ties.session().isValid(nowNs);
-    Optional<PlanRoute> route = plan.get().route(request.host(), request.path());
-    if (route.isEmpty()) {
-      refuseByPlan(request, Refusal.NO_ROUTE, certain);
-      return take(nowNs);
-    }
-    boolean keyed = route.get().needsKey() && plan.get().hasCustomers();
-    Optional<PlanCustomer> customer = keyed ? customerOf(request) : Optional.empty();
-    if (keyed && (!certain || customer.isEmpty())) {
-      refuseByPlan(request, Refusal.UNKNOWN_KEY, certain);
-      return take(nowNs);
-    }
-    admit(request, route.get(), customer, nowNs);
+    reception.arrived(request, nowNs);
     return take(nowNs);
   }
 
@@ -181,6 +161,7 @@
    * @return what is to be done
    */
   public List<ForwardAction> callerLeft(long number, long nowNs) {
+    reception.callerLeft(number);
     quotaGate.callerLeft(number);
     requests.callerLeft(number, nowNs);
     return take(nowNs);
@@ -211,7 +192,7 @@
       }
     } else if (reply instanceof ServingReply.PlanUpdate update) {
       if (ties.session().isNewest(update.fencing())) {
-        apply(update.plan());
+        apply(update.plan(), nowNs);
       }
     } else if (reply instanceof ServingReply.RegistryUpdate update) {
       if (ties.session().isNewest(update.fencing())) {
@@ -233,6 +214,7 @@
     if (ties.fallBackToSeeds(nowNs)) {
       out.add(new ForwardAction.KeepConnected(ties.members()));
     }
+    reception.tick(nowNs);
     quotaGate.tick(nowNs);
     requests.tick(nowNs);
     return take(nowNs);
@@ -244,11 +226,13 @@
    * @return time in nanoseconds
    */
   public long nextWakeupNs() {
-    long requestDueNs =
-        Math.min(
+    return LongStream.of(
+            ties.nextSyncNs(),
             requests.nextDueNs().orElse(Long.MAX_VALUE),
-            quotaGate.nextDueNs().orElse(Long.MAX_VALUE));
-    return Math.min(ties.nextSyncNs(), requestDueNs);
+            quotaGate.nextDueNs().orElse(Long.MAX_VALUE),
+            reception.nextDueNs().orElse(Long.MAX_VALUE))
+        .min()
+        .getAsLong();
   }
 
   /**
@@ -276,7 +260,7 @@
    * @return those that wait and those at upstreams
    */
   public int open() {
-    return requests.open() + quotaGate.waiting();
+    return requests.open() + quotaGate.waiting() + reception.waiting();
   }
 
   long planVersion() {
@@ -304,6 +288,7 @@
     upstreams.placesTold(confirmed.places(), nowNs);
     slots.contended(confirmed.fencing(), confirmed.contended(), nowNs);
     quotaGate.told(confirmed, nowNs);
+    reception.lookAgain(nowNs);
     requests.serveLines(nowNs);
   }
 
@@ -313,45 +298,16 @@
     }
   }
 
-  private void apply(ServingPlan newer) {
+  private void apply(ServingPlan newer, long nowNs) {
     if (newer.version() <= planVersion()) {
       return;
     }
-    plan = Optional.of(new PlanIndex(newer));
+    PlanIndex index = new PlanIndex(newer);
+    plan = Optional.of(index);
     quotas.configure(newer);
+    reception.configure(index);
     ties.session().inForce(newer.version());
-  }
-
-  /** Refuses by the plan, unless a newer one may say otherwise. */
-  private void refuseByPlan(ForwardRequest request, Refusal refusal, boolean certain) {
-    if (certain) {
-      refuse(request.number(), refusal, 0);
-    } else {
-      refuse(request.number(), Refusal.PLAN_UNCERTAIN, PLAN_RETRY_MS);
-    }
-  }
-
-  private Optional<PlanCustomer> customerOf(ForwardRequest request) {
-    return request.key().flatMap(key -> plan.orElseThrow().customer(key));
-  }
-
-  private void admit(
-      ForwardRequest request, PlanRoute route, Optional<PlanCustomer> customer, long nowNs) {
-    TrackedForward admitted =
-        new TrackedForward(request, route, drawService(route), customer, nowNs);
-    quotaGate.arrived(admitted, nowNs);
-  }
-
-  private ServiceId drawService(PlanRoute route) {
-    int total = route.targets().stream().mapToInt(WeightedService::weight).sum();
-    int drawn = random.nextInt(total);
-    for (WeightedService target : route.targets()) {
-      drawn -= target.weight();
-      if (drawn < 0) {
-        return target.service();
-      }
-    }
-    throw new IllegalStateException("weights of " + route.id());
+    reception.lookAgain(nowNs);
   }
 
   private boolean isEngine(ServiceId service) {
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
@@ -15,7 +15,45 @@
   @Test
   void withoutPlanNothingIsUnknown() {
     arrive("/safe/x");
+    assertThat(refusals()).isEmpty();
+    assertThat(dispatches()).isEmpty();
+    waitMs(400);
+    assertThat(refusals()).containsExactly(Refusal.PLAN_UNCERTAIN);
+  }
+
+  /**
+   * All VMs lose power and start again. Requests that came half a second before the session were
+   * told to come back; most came back too early, or their objective had passed.
+   */
+  @Test
+  void requestsThatComeJustBeforeTheFirstSessionAreServed() {
+    arrive("/safe/x");
+    waitMs(300);
+    assertThat(refusals()).isEmpty();
+    serveWith(Plans.plan(1), upstream("p1", Plans.PLAIN, 6));
+    assertThat(dispatches()).containsExactly("p1");
+  }
+
+  /** A VM thaws; it asks the leader at once, and callers that came meanwhile needn't be refused. */
+  @Test
+  void requestsThatComeAtThawWaitForTheLeadersWord() {
+    serveWith(Plans.plan(1), upstream("p1", Plans.PLAIN, 6));
+    nowNs += 4_000 * MS;
+    arrive("/safe/x");
+    nowNs += 20 * MS;
+    confirm(1);
+    assertThat(dispatches()).containsExactly("p1");
+  }
+
+  /** A VM that is cut off for long must let its callers go on to others, while they have time. */
+  @Test
+  void vmWithoutSessionLetsCallersGoSoon() {
+    serveWith(Plans.plan(1), upstream("p1", Plans.PLAIN, 6));
+    nowNs += 4_000 * MS;
+    arrive("/safe/x");
+    waitMs(100);
     assertThat(refusals()).containsExactly(Refusal.PLAN_UNCERTAIN);
+    assertThat(retriesAfterMs()).allMatch(afterMs -> afterMs > 0 && afterMs <= 200);
   }
 
   @Test
@@ -38,12 +76,15 @@
     serveWith(Plans.plan(1), upstream("p1", Plans.PLAIN, 6));
     nowNs += 4_000 * MS;
     arrive("/safe/x");
-    assertThat(refusals()).containsExactly(Refusal.PLAN_UNCERTAIN);
+    assertThat(dispatches()).isEmpty();
     arrive("/safe/x", Optional.of("maybe-new"));
-    assertThat(refusals()).containsExactly(Refusal.PLAN_UNCERTAIN);
+    assertThat(dispatches()).isEmpty();
     arrive("/nowhere/x");
-    assertThat(refusals()).containsExactly(Refusal.PLAN_UNCERTAIN);
+    assertThat(dispatches()).isEmpty();
     assertThat(node.isReady(nowNs)).isFalse();
+    waitMs(400);
+    assertThat(dispatches()).isEmpty();
+    assertThat(refusals()).hasSize(3).containsOnly(Refusal.PLAN_UNCERTAIN);
   }
 
   /** A plan that an operator replaced comes once more, over a slow link. */
