Name route and customer in each refusal's line

The refusal now carries both from where it is decided. Red before: refusalOfRequestThatWaitedNamesRouteAndCustomer (no such fields).

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardAction.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardAction.java
@@ -49,8 +49,32 @@
    * @param request the request's number
    * @param refusal why
    * @param retryAfterMs when the caller may come back, in milliseconds; 0 if no time can be told
+   * @param route its route, if one was found
+   * @param customer whose key it carries, if that is known
    */
-  record Refuse(long request, Refusal refusal, long retryAfterMs) implements ForwardAction {}
+  record Refuse(
+      long request,
+      Refusal refusal,
+      long retryAfterMs,
+      Optional<PlanRoute> route,
+      Optional<CustomerId> customer)
+      implements ForwardAction {
+
+    /** Refuses a request that was not judged by the plan. */
+    static Refuse unjudged(long request, Refusal refusal, long retryAfterMs) {
+      return new Refuse(request, refusal, retryAfterMs, Optional.empty(), Optional.empty());
+    }
+
+    /** Refuses a request that the plan allows. */
+    static Refuse of(TrackedForward request, Refusal refusal, long retryAfterMs) {
+      return new Refuse(
+          request.number(),
+          refusal,
+          retryAfterMs,
+          Optional.of(request.route()),
+          request.customer());
+    }
+  }
 
   /**
    * Send a message to a control member.
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -315,7 +315,7 @@
   }
 
   private void refuse(long number, Refusal refusal, long retryAfterMs) {
-    out.add(new ForwardAction.Refuse(number, refusal, retryAfterMs));
+    out.add(ForwardAction.Refuse.unjudged(number, refusal, retryAfterMs));
   }
 
   /** Takes what is to be done; the leader is told of changes to what waits. */
--- a/core/src/main/java/org/teaseltrail/core/forward/QuotaGate.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/QuotaGate.java
@@ -89,6 +89,6 @@
 
   private void refuse(TrackedForward request, long nowNs) {
     long waitMs = quotas.waitMs(request.payer().orElseThrow(), request.request(), nowNs);
-    out.accept(new ForwardAction.Refuse(request.number(), Refusal.OVER_QUOTA, waitMs));
+    out.accept(ForwardAction.Refuse.of(request, Refusal.OVER_QUOTA, waitMs));
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/Reception.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/Reception.java
@@ -211,7 +211,7 @@
   }
 
   private boolean refuse(ForwardRequest request, Refusal refusal, long retryAfterMs) {
-    out.accept(new ForwardAction.Refuse(request.number(), refusal, retryAfterMs));
+    out.accept(ForwardAction.Refuse.unjudged(request.number(), refusal, retryAfterMs));
     return true;
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -210,9 +210,9 @@
     if (end == AttemptEnd.ANSWERED || end == AttemptEnd.FAILED_ANSWER) {
       out.accept(new ForwardAction.Deliver(request.number()));
     } else if (request.maybeRan()) {
-      refuse(request.number(), Refusal.BROKEN, 0);
+      refuse(request, Refusal.BROKEN, 0);
     } else {
-      refuse(request.number(), Refusal.NOT_RUN, LineBound.PLACE_RETRY_MS);
+      refuse(request, Refusal.NOT_RUN, LineBound.PLACE_RETRY_MS);
     }
   }
 
@@ -235,9 +235,9 @@
     cancel(request);
     changes++;
     if (atUpstream || request.maybeRan()) {
-      refuse(request.number(), Refusal.TIMED_OUT, 0);
+      refuse(request, Refusal.TIMED_OUT, 0);
     } else {
-      refuse(request.number(), Refusal.WAITED_TOO_LONG, LineBound.PLACE_RETRY_MS);
+      refuse(request, Refusal.WAITED_TOO_LONG, LineBound.PLACE_RETRY_MS);
     }
   }
 
@@ -291,14 +291,14 @@
 
   private void endWithout(TrackedForward request, long retryAfterMs) {
     if (request.maybeRan()) {
-      refuse(request.number(), Refusal.BROKEN, 0);
+      refuse(request, Refusal.BROKEN, 0);
     } else {
-      refuse(request.number(), Refusal.NO_UPSTREAM, retryAfterMs);
+      refuse(request, Refusal.NO_UPSTREAM, retryAfterMs);
     }
   }
 
-  private void refuse(long number, Refusal refusal, long retryAfterMs) {
-    out.accept(new ForwardAction.Refuse(number, refusal, retryAfterMs));
+  private void refuse(TrackedForward request, Refusal refusal, long retryAfterMs) {
+    out.accept(ForwardAction.Refuse.of(request, refusal, retryAfterMs));
   }
 
   /** Uses a place that the leader has granted. */
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
@@ -213,4 +213,21 @@
     arrive("/safe/x");
     assertThat(refusals()).containsExactly(Refusal.OVER_QUOTA);
   }
+
+  /** Thousands of refusals named neither route nor customer, and nobody could tell who was hit. */
+  @Test
+  void refusalOfRequestThatWaitedNamesRouteAndCustomer() {
+    serveWith(Plans.plan(1), upstream("e1", Plans.ENGINES, 1));
+    arrive("/stream/x");
+    arrive("/stream/x");
+    waitMs(2_500);
+    ForwardAction.Refuse refused =
+        actions.stream()
+            .filter(ForwardAction.Refuse.class::isInstance)
+            .map(ForwardAction.Refuse.class::cast)
+            .findFirst()
+            .orElseThrow();
+    assertThat(refused.route().orElseThrow().id().value()).isEqualTo("stream");
+    assertThat(refused.customer()).contains(Plans.CUSTOMER);
+  }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/ControlLinks.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ControlLinks.java
@@ -25,13 +25,13 @@
 final class ControlLinks implements AutoCloseable, FrameListener<ServingReply, ServingMessage> {
 
   private static final long MIN_BACKOFF_MS = 50;
+
   /**
    * Greatest time between two tries to connect to a member. A member that is back is heard of half
    * of it later; a try is one packet.
    */
   private static final long MAX_BACKOFF_MS = 250;
 
-
   /**
    * Silence after which a link is made anew: guards against one that has fallen silent without a
    * reset, well within the session's lifetime.
--- a/forward/src/main/java/org/teaseltrail/forward/RequestStory.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RequestStory.java
@@ -4,6 +4,8 @@
 import org.teaseltrail.core.forward.AttemptEnd;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardRequest;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.plan.PlanRoute;
 import org.teaseltrail.runtime.log.EventLog;
 import org.teaseltrail.runtime.log.LogEvent;
 import org.teaseltrail.runtime.log.LogField;
@@ -59,8 +61,11 @@
   }
 
   void refused(EventLog log, ForwardAction.Refuse refuse, int status, long nowNs) {
-    line(log, LogEvent.REQUEST_REFUSED, nowNs)
-        .with(LogField.REASON, refuse.refusal().name())
+    EventLog.Line line = line(log, LogEvent.REQUEST_REFUSED, nowNs);
+    if (last.isEmpty()) {
+      subject(line, refuse.route(), refuse.customer());
+    }
+    line.with(LogField.REASON, refuse.refusal().name())
         .with(LogField.MAYBE_RAN, refuse.refusal().maybeRan())
         .with(LogField.STATUS, status)
         .with(LogField.RETRY_AFTER_MS, refuse.retryAfterMs())
@@ -76,13 +81,13 @@
         log.line(event)
             .with(LogField.REQUEST, request.id())
             .with(LogField.ELAPSED_MS, (nowNs - arrivedNs) / NS_PER_MS);
-    last.flatMap(ForwardAction.Dispatch::customer)
-        .ifPresent(customer -> line.with(LogField.CUSTOMER, customer.value()));
+    subject(
+        line,
+        last.map(ForwardAction.Dispatch::route),
+        last.flatMap(ForwardAction.Dispatch::customer));
     last.ifPresent(
         dispatch ->
-            line.with(LogField.ROUTE, dispatch.route().id().value())
-                .with(LogField.OBJECTIVE_MS, dispatch.route().objectiveMs())
-                .with(LogField.UPSTREAM, dispatch.upstream().id().value())
+            line.with(LogField.UPSTREAM, dispatch.upstream().id().value())
                 .with(LogField.ATTEMPT, dispatch.attempt())
                 .with(LogField.WAITED_MS, (dispatchedNs - arrivedNs) / NS_PER_MS));
     if (begunNs > 0) {
@@ -90,4 +95,14 @@
     }
     return line;
   }
+
+  /** Says what was asked for, and by whom. */
+  private static void subject(
+      EventLog.Line line, Optional<PlanRoute> route, Optional<CustomerId> customer) {
+    customer.ifPresent(known -> line.with(LogField.CUSTOMER, known.value()));
+    route.ifPresent(
+        known ->
+            line.with(LogField.ROUTE, known.id().value())
+                .with(LogField.OBJECTIVE_MS, known.objectiveMs()));
+  }
 }
