Tell callers soon that their request can't be on time while others can

Change: requests that can't be on time any more are bounded by the pace at which such ones found a place in the last two seconds, two per VM at least. The others are refused when they turn late, with when to come back.

A short overload still costs nobody the answer.

--- a/core/src/main/java/org/teaseltrail/core/forward/LineBound.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/LineBound.java
@@ -1,5 +1,6 @@
 package org.teaseltrail.core.forward;
 
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -8,6 +9,11 @@
  * <p>Guards against a line that grows under more load than fits: each request in it would be held
  * until its caller leaves, and told nothing it can act on. What can't be served at the line's pace
  * before its patience ends is told so at once, the least urgent first.
+ *
+ * <p>Requests that can't be on time any more are bounded by the pace at which such ones are served.
+ * While there is more load than fits, that is none: those on time always go first, and a late one
+ * would be held to the end and refused then. Told at once, its caller can come back when there is
+ * room.
  */
 final class LineBound {
 
@@ -23,13 +29,27 @@
   /** Requests that may wait whatever the pace. */
   private static final int LEAST_LINE = 4;
 
+  /** Of these, requests that can't be on time any more; each VM tries some, so that one shows. */
+  private static final int LEAST_LATE = 2;
+
   private static final double MS_PER_S = 1e3;
 
   private LineBound() {}
 
   /** Returns the least urgent request of a line that is too long. */
   static Optional<TrackedForward> excess(WaitingLine waiting, long nowNs) {
-    return waiting.last().filter(last -> waiting.size() > bound(waiting, last, nowNs));
+    return lateExcess(waiting, nowNs)
+        .or(() -> waiting.last().filter(last -> waiting.size() > bound(waiting, last, nowNs)));
+  }
+
+  private static Optional<TrackedForward> lateExcess(WaitingLine waiting, long nowNs) {
+    List<TrackedForward> late = waiting.late();
+    if (late.size() <= LEAST_LATE) {
+      return Optional.empty();
+    }
+    TrackedForward last = late.get(late.size() - 1);
+    double bound = waiting.latePacePerSecond(nowNs) * last.longestWaitS();
+    return late.size() > Math.max(LEAST_LATE, bound) ? Optional.of(last) : Optional.empty();
   }
 
   private static double bound(WaitingLine waiting, TrackedForward last, long nowNs) {
--- a/core/src/main/java/org/teaseltrail/core/forward/WaitingLine.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/WaitingLine.java
@@ -31,6 +31,7 @@
 
   private final TreeSet<TrackedForward> waiting = new TreeSet<>(ORDER);
   private final Deque<Long> servedNs = new ArrayDeque<>();
+  private final Deque<Long> servedLateNs = new ArrayDeque<>();
 
   void add(TrackedForward tracked) {
     waiting.add(tracked);
@@ -53,9 +54,10 @@
     moveLate(nowNs);
     Iterator<TrackedForward> inOrder = waiting.iterator();
     while (inOrder.hasNext()) {
-      if (place.test(inOrder.next())) {
+      TrackedForward request = inOrder.next();
+      if (place.test(request)) {
         inOrder.remove();
-        served(nowNs);
+        served(request, nowNs);
       }
     }
   }
@@ -72,7 +74,7 @@
     Optional<TrackedForward> served =
         Stream.concat(meant, waiting.stream()).filter(place).findFirst();
     served.ifPresent(waiting::remove);
-    served.ifPresent(request -> served(nowNs));
+    served.ifPresent(request -> served(request, nowNs));
     return served.isPresent();
   }
 
@@ -89,15 +91,33 @@
   }
 
   /** Notes that a request found a place. */
-  void served(long nowNs) {
+  void served(TrackedForward request, long nowNs) {
     servedNs.addLast(nowNs);
-    forget(nowNs);
+    if (request.isLate()) {
+      servedLateNs.addLast(nowNs);
+    }
   }
 
   /** Returns how many requests find a place in a second. */
   double pacePerSecond(long nowNs) {
-    forget(nowNs);
-    return servedNs.size() * (double) NS_PER_S / PACE_WINDOW_NS;
+    return pace(servedNs, nowNs);
+  }
+
+  /** Returns how many requests that can't be on time any more find a place in a second. */
+  double latePacePerSecond(long nowNs) {
+    return pace(servedLateNs, nowNs);
+  }
+
+  private static double pace(Deque<Long> timesNs, long nowNs) {
+    while (!timesNs.isEmpty() && nowNs - timesNs.peekFirst() > PACE_WINDOW_NS) {
+      timesNs.removeFirst();
+    }
+    return timesNs.size() * (double) NS_PER_S / PACE_WINDOW_NS;
+  }
+
+  /** Returns the requests that can't be on time any more, the most urgent first. */
+  List<TrackedForward> late() {
+    return waiting.stream().filter(TrackedForward::isLate).toList();
   }
 
   /** Returns the request to be given up first: the least urgent, the newest among its equals. */
@@ -113,10 +133,4 @@
     turned.forEach(TrackedForward::markLate);
     waiting.addAll(turned);
   }
-
-  private void forget(long nowNs) {
-    while (!servedNs.isEmpty() && nowNs - servedNs.peekFirst() > PACE_WINDOW_NS) {
-      servedNs.removeFirst();
-    }
-  }
 }
