Log how long a request's caller waits

A caller that comes back after a refusal says so by nothing but the time it has left, and the logs did not hold it. Needed to find out how many late answers are those of callers that were refused first.

--- a/forward/src/main/java/org/teaseltrail/forward/RequestStory.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RequestStory.java
@@ -81,6 +81,7 @@
         log.line(event)
             .with(LogField.REQUEST, request.id())
             .with(LogField.ELAPSED_MS, (nowNs - arrivedNs) / NS_PER_MS);
+    request.deadlineMs().ifPresent(deadlineMs -> line.with(LogField.DEADLINE_MS, deadlineMs));
     subject(
         line,
         last.map(ForwardAction.Dispatch::route),
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -86,6 +86,7 @@
             LogField.CUSTOMER,
             LogField.ROUTE,
             LogField.OBJECTIVE_MS,
+            LogField.DEADLINE_MS,
             LogField.UPSTREAM,
             LogField.ATTEMPT,
             LogField.WAITED_MS,
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -15,6 +15,7 @@
   /** Time in which an answer is on time. */
   OBJECTIVE_MS("the route's objective"),
   /** Where a request was sent, or who leaves. */
+  DEADLINE_MS("time that the caller waits from then on"),
   UPSTREAM("an upstream's life"),
   /** Which of the request's attempts. */
   ATTEMPT("which of the request's attempts, from 1"),
