Tell nothing of places before a new leader knows who holds them

Change: for the first 0.3 s of a leadership, a sync of each VM, the leader tells and hands out nothing of places; VMs go on within the parts they were told before, and one that was never told keeps to one request at each upstream.

--- a/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
@@ -55,6 +55,13 @@
 
   private static final long CHECK_EVERY_NS = 1_000 * NS_PER_MS;
 
+  /**
+   * Time after the beginning of a leadership in which nothing is told or handed out of upstreams'
+   * places: a sync of each VM. Guards against engines that are filled twice when the leader
+   * changes: the new one took the places of VMs it had not heard of yet for free.
+   */
+  private static final long PLACES_SETTLE_NS = 300 * NS_PER_MS;
+
   private static final class Vm {
     private ServingMessage.Sync sync;
     private long heardNs;
@@ -87,12 +94,14 @@
   private final SlotDesk slots = new SlotDesk();
   private final PlaceShares shares = new PlaceShares();
   private Set<ServiceId> toldContended = Set.of();
+  private final long placesSettledNs;
   private long nextCheckNs;
 
   ServingDesk(Leadership leadership) {
     this.leadership = leadership;
     quotaBounds = leadership.context().settings().quotas();
     quotas = new QuotaLedger(quotaBounds.windowMs(), VM_SILENT_NS, leadership.nowNs());
+    placesSettledNs = leadership.nowNs() + PLACES_SETTLE_NS;
   }
 
   void message(ServingMessage message) {
@@ -142,7 +151,11 @@
   }
 
   private Set<ServiceId> contended() {
-    return slots.contended(leadership.nowNs());
+    return knowsPlaces() ? slots.contended(leadership.nowNs()) : Set.of();
+  }
+
+  private boolean knowsPlaces() {
+    return leadership.nowNs() >= placesSettledNs;
   }
 
   private void handOutPlaces() {
@@ -230,13 +243,6 @@
   }
 
   private ServingReply.Confirmed confirmation(ServingMessage.Sync sync) {
-    Map<UpstreamId, Integer> elsewhere = new HashMap<>();
-    vms.forEach(
-        (id, vm) -> {
-          if (!id.equals(sync.vm())) {
-            vm.sync.inFlight().forEach((up, count) -> elsewhere.merge(up, count, Integer::sum));
-          }
-        });
     return new ServingReply.Confirmed(
         leadership.fencing(),
         sync.sequence(),
@@ -244,14 +250,22 @@
         state().registry().revision(),
         vms.size(),
         memberVms(),
-        new UpstreamPlaces(elsewhere, ownParts(sync.vm())),
+        knowsPlaces() ? places(sync.vm()) : UpstreamPlaces.NONE,
         List.copyOf(contended()),
         quotas.grants(sync.vm(), quotaLimits(), leadership.nowNs()));
   }
 
-  private Map<UpstreamId, Integer> ownParts(VmId vm) {
+  private UpstreamPlaces places(VmId asking) {
+    Map<UpstreamId, Integer> elsewhere = new HashMap<>();
+    vms.forEach(
+        (id, vm) -> {
+          if (!id.equals(asking)) {
+            vm.sync.inFlight().forEach((up, count) -> elsewhere.merge(up, count, Integer::sum));
+          }
+        });
     RegistryBook registry = state().registry();
-    return shares.of(vm, registry.revision(), registry.present(), leadership.nowNs());
+    return new UpstreamPlaces(
+        elsewhere, shares.of(asking, registry.revision(), registry.present(), leadership.nowNs()));
   }
 
   /** Returns what there is to hand out of each customer's quota. */
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
@@ -52,6 +52,9 @@
 
   /** Takes what the leader tells of the places. */
   void placesTold(UpstreamPlaces places, long nowNs) {
+    if (places.equals(UpstreamPlaces.NONE)) {
+      return;
+    }
     views.forEach(
         (id, view) ->
             view.placesTold(
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
@@ -20,6 +20,12 @@
    */
   private static final long ALONE_NS = 400 * NS_PER_MS;
 
+  /**
+   * This VM's part of an upstream's places before a leader has told: all VMs may have been started
+   * together, and each has the requests that waited for it.
+   */
+  private static final int UNTOLD_PART = 1;
+
   /** Time in which an older count falls to a third: about that of a middling answer. */
   private static final double FADING_NS = 700 * NS_PER_MS;
 
@@ -91,8 +97,8 @@
    * @param nowNs time
    */
   boolean hasRoom(double fill, long nowNs) {
-    boolean alone = ownPart.isPresent() && nowNs - placesToldNs > ALONE_NS;
-    boolean beyondOwnPart = alone && own >= fill * ownPart.getAsInt();
+    boolean alone = ownPart.isEmpty() || nowNs - placesToldNs > ALONE_NS;
+    boolean beyondOwnPart = alone && own >= fill * ownPart.orElse(UNTOLD_PART);
     return !beyondOwnPart && load(nowNs) < fill * Math.max(1, registration.slots());
   }
 
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
@@ -38,7 +38,8 @@
    * @param registryRevision revision of the accepted registrations
    * @param vmCount entry VMs with a session
    * @param members VMs of all members
-   * @param places what the others have at upstreams, and which places are the VM's own
+   * @param places what the others have at upstreams, and which places are the VM's own; {@link
+   *     UpstreamPlaces#NONE} for as long as the leader doesn't know
    * @param contended services whose places the leader hands out
    * @param quotas what the VM may take of customers' quotas
    */
--- a/core/src/main/java/org/teaseltrail/core/serving/UpstreamPlaces.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/UpstreamPlaces.java
@@ -12,7 +12,7 @@
 public record UpstreamPlaces(
     Map<UpstreamId, Integer> elsewhere, Map<UpstreamId, Integer> ownParts) {
 
-  /** Nothing is known of any upstream. */
+  /** The leader doesn't know yet; what an entry VM was told before goes on. */
   public static final UpstreamPlaces NONE = new UpstreamPlaces(Map.of(), Map.of());
 
   /** Copies the maps. */
