--- a/core/src/main/java/org/teaseltrail/core/forward/LineBound.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/LineBound.java
@@ -7,13 +7,13 @@
  * Bounds a line by the pace at which it is served.
  *
  * <p>Guards against a line that grows under more load than fits: each request in it would be held
- * until its caller leaves, and told nothing it can act on. What can't be served at the line's pace
- * before its patience ends is told so at once, the least urgent first.
+ * until its caller leaves, and told nothing it can act on. What can't be served in time at the
+ * line's pace is told so at once, the least urgent first.
  *
- * <p>Requests that can't be on time any more are bounded by the pace at which such ones are served.
- * While there is more load than fits, that is none: those on time always go first, and a late one
- * would be held to the end and refused then. Told at once, its caller can come back when there is
- * room.
+ * <p>Requests that can still be on time and those that can't are bounded each by its own pace.
+ * While there is more load than fits, no late one is served: those on time always go first. A late
+ * one would be held to the end and refused then; told at once, its caller can come back when there
+ * is room.
  */
 final class LineBound {
 
@@ -26,43 +26,63 @@
   /** Pace that a line is given at least, so that a service that is just back isn't shed. */
   private static final double LEAST_PACE_PER_S = 4;
 
+  /**
+   * Requests a second that a place is taken to serve at least: the users' streams hold one for 0.2
+   * to 1.3 s. It counts while a line has no pace yet, as after a start.
+   */
+  private static final double PACE_OF_PLACE_PER_S = 2;
+
   /** Requests that may wait whatever the pace. */
   private static final int LEAST_LINE = 4;
 
-  /** Of these, requests that can't be on time any more; each VM tries some, so that one shows. */
+  /**
+   * Requests that can't be on time and may wait whatever the pace; some show that one is served.
+   */
   private static final int LEAST_LATE = 2;
 
   private static final double MS_PER_S = 1e3;
 
-  private LineBound() {}
+  private final WaitingLine waiting;
+  private final int ownPlaces;
+
+  /**
+   * Creates the bound of a line.
+   *
+   * @param waiting the line
+   * @param ownPlaces places of the service that this VM may fill if it hears from no leader
+   */
+  LineBound(WaitingLine waiting, int ownPlaces) {
+    this.waiting = waiting;
+    this.ownPlaces = ownPlaces;
+  }
 
   /** Returns the least urgent request of a line that is too long. */
-  static Optional<TrackedForward> excess(WaitingLine waiting, long nowNs) {
-    return lateExcess(waiting, nowNs)
-        .or(() -> waiting.last().filter(last -> waiting.size() > bound(waiting, last, nowNs)));
+  Optional<TrackedForward> excess(long nowNs) {
+    return lateExcess(nowNs).or(() -> beyond(waiting.all(), LEAST_LINE, pace(nowNs)));
   }
 
-  private static Optional<TrackedForward> lateExcess(WaitingLine waiting, long nowNs) {
-    List<TrackedForward> late = waiting.late();
-    if (late.size() <= LEAST_LATE) {
-      return Optional.empty();
-    }
-    TrackedForward last = late.get(late.size() - 1);
-    double bound = waiting.latePacePerSecond(nowNs) * last.longestWaitS();
-    return late.size() > Math.max(LEAST_LATE, bound) ? Optional.of(last) : Optional.empty();
+  private Optional<TrackedForward> lateExcess(long nowNs) {
+    return beyond(waiting.late(), LEAST_LATE, waiting.latePacePerSecond(nowNs));
   }
 
-  private static double bound(WaitingLine waiting, TrackedForward last, long nowNs) {
-    return Math.max(LEAST_LINE, pace(waiting, nowNs) * last.longestWaitS());
+  private static Optional<TrackedForward> beyond(
+      List<TrackedForward> requests, int least, double pacePerSecond) {
+    if (requests.size() <= least) {
+      return Optional.empty();
+    }
+    TrackedForward last = requests.get(requests.size() - 1);
+    double bound = Math.max(least, pacePerSecond * last.longestWaitS());
+    return requests.size() > bound ? Optional.of(last) : Optional.empty();
   }
 
-  /** Returns when a caller may come back for which a line is too long, in milliseconds. */
-  static long retryAfterMs(WaitingLine waiting, long nowNs) {
-    long servedInMs = (long) (waiting.size() / pace(waiting, nowNs) * MS_PER_S);
+  /** Returns when a caller may come back for which the line is too long, in milliseconds. */
+  long retryAfterMs(long nowNs) {
+    long servedInMs = (long) (waiting.size() / pace(nowNs) * MS_PER_S);
     return Math.max(PLACE_RETRY_MS, Math.min(LONGEST_RETRY_MS, servedInMs));
   }
 
-  private static double pace(WaitingLine waiting, long nowNs) {
-    return Math.max(LEAST_PACE_PER_S, waiting.pacePerSecond(nowNs));
+  private double pace(long nowNs) {
+    double usual = Math.max(LEAST_PACE_PER_S, PACE_OF_PLACE_PER_S * ownPlaces);
+    return Math.max(usual, waiting.pacePerSecond(nowNs));
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -274,18 +274,19 @@
       } else {
         waiting.serve(request -> place(request, nowNs), nowNs);
       }
-      shed(waiting, nowNs);
+      shed(service, waiting, nowNs);
     }
   }
 
   /** Gives up what the line is too long for. */
-  private void shed(WaitingLine waiting, long nowNs) {
-    Optional<TrackedForward> excess = LineBound.excess(waiting, nowNs);
+  private void shed(ServiceId service, WaitingLine waiting, long nowNs) {
+    LineBound bound = new LineBound(waiting, upstreams.ownPlaces(service));
+    Optional<TrackedForward> excess = bound.excess(nowNs);
     while (excess.isPresent()) {
       waiting.remove(excess.get());
       forget(excess.get());
-      endWithout(excess.get(), LineBound.retryAfterMs(waiting, nowNs));
-      excess = LineBound.excess(waiting, nowNs);
+      endWithout(excess.get(), bound.retryAfterMs(nowNs));
+      excess = bound.excess(nowNs);
     }
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
@@ -184,9 +184,11 @@
   }
 
   boolean turnsLate(long nowNs) {
-    long onTimeUntilNs =
-        arrivedNs + (long) (route.objectiveMs() * NS_PER_MS * OBJECTIVE_PART_FOR_WAITING);
-    return !late && nowNs > onTimeUntilNs;
+    return !late && nowNs > onTimeUntilNs();
+  }
+
+  private long onTimeUntilNs() {
+    return arrivedNs + (long) (route.objectiveMs() * NS_PER_MS * OBJECTIVE_PART_FOR_WAITING);
   }
 
   void markLate() {
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
@@ -98,10 +98,15 @@
    */
   boolean hasRoom(double fill, long nowNs) {
     boolean alone = ownPart.isEmpty() || nowNs - placesToldNs > ALONE_NS;
-    boolean beyondOwnPart = alone && own >= fill * ownPart.orElse(UNTOLD_PART);
+    boolean beyondOwnPart = alone && own >= fill * ownPart();
     return !beyondOwnPart && load(nowNs) < fill * Math.max(1, registration.slots());
   }
 
+  /** Returns how many of its places this VM may fill if it hears from no leader. */
+  int ownPart() {
+    return ownPart.orElse(UNTOLD_PART);
+  }
+
   int own() {
     return own;
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/WaitingLine.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/WaitingLine.java
@@ -115,16 +115,16 @@
     return timesNs.size() * (double) NS_PER_S / PACE_WINDOW_NS;
   }
 
+  /** Returns all requests, the most urgent first. */
+  List<TrackedForward> all() {
+    return List.copyOf(waiting);
+  }
+
   /** Returns the requests that can't be on time any more, the most urgent first. */
   List<TrackedForward> late() {
     return waiting.stream().filter(TrackedForward::isLate).toList();
   }
 
-  /** Returns the request to be given up first: the least urgent, the newest among its equals. */
-  Optional<TrackedForward> last() {
-    return waiting.isEmpty() ? Optional.empty() : Optional.of(waiting.last());
-  }
-
   /** Puts those that can no longer be answered on time behind the others. */
   void moveLate(long nowNs) {
     List<TrackedForward> turned = new ArrayList<>();
--- a/core/src/test/java/org/teaseltrail/core/forward/LateLineTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/LateLineTest.java
@@ -101,4 +101,20 @@
     assertThat(dispatchedAfterMs).hasSize(6);
     assertThat(ms).isLessThan(700);
   }
+
+  /**
+   * A VM has just been started, and twenty callers have waited for it. Its line had no pace yet and
+   * was cut to seven, though its places serve all of them within a second.
+   */
+  @Test
+  void callersThatWaitedForStartAreNotShed() {
+    serveWith(Plans.plan(1), upstream("e1", Plans.ENGINES, 8));
+    for (int i = 0; i < 20; i++) {
+      arrivedMs.put(lastNumber + 1, nowMs());
+      arrive("/stream/x");
+      take();
+    }
+    assertThat(dispatchedAfterMs).hasSize(8);
+    assertThat(refusedAfterMs).isEmpty();
+  }
 }
