Hand no places to a VM that has fallen silent

A VM syncs every 0.05 s while requests wait, so after 0.5 s of silence it gets none.

vmThatIsCutOffGetsNoPlaces: with the bound off half of the places go to the silent VM (two checks red). leastUrgentKindDoesNotComeToHoldMostPlaces now tells its lines at the time that it plays, instead of all at 0; its bounds are as they were.

--- a/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
@@ -118,7 +118,7 @@
     Vm vm = vms.computeIfAbsent(sync.vm(), id -> new Vm());
     vm.sync = sync;
     vm.heardNs = leadership.nowNs();
-    slots.heard(sync.vm(), sync.inFlight());
+    slots.heard(sync.vm(), sync.inFlight(), leadership.nowNs());
     shares.heard(sync.vm(), wanted(sync));
     quotas.told(sync.vm(), sync.incarnation(), sync.quotas(), vm.heardNs);
     pushWhatIsMissing(sync.vm(), vm);
--- a/core/src/main/java/org/teaseltrail/core/control/SlotDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotDesk.java
@@ -44,6 +44,13 @@
   /** Time after which a grant that nothing is heard of counts as lost: many round trips. */
   private static final long GRANT_LOST_NS = 300_000_000L;
 
+  /**
+   * Silence after which a VM gets no places: ten syncs of a VM where requests wait. Guards against
+   * a VM that is cut off and keeps its line here: each place granted to it counts as taken for as
+   * long as a grant may be on its way, and requests of others wait beside it.
+   */
+  private static final long VM_HEARD_NS = 500_000_000L;
+
   private static final long NS_PER_MS = 1_000_000L;
 
   /**
@@ -80,6 +87,7 @@
     private List<HeldPlaces> held = List.of();
     private Map<ServiceId, LineState> lines = Map.of();
     private long toldNs;
+    private long heardNs;
     private final Deque<Open> open = new ArrayDeque<>();
     private long lastSequence;
 
@@ -151,13 +159,15 @@
   private final Map<ServiceId, Long> contendedUntilNs = new HashMap<>();
 
   /** Takes what a VM has at each upstream. */
-  void heard(VmId id, Map<UpstreamId, Integer> inFlight) {
-    vms.computeIfAbsent(id, key -> new Vm()).inFlight = inFlight;
+  void heard(VmId id, Map<UpstreamId, Integer> inFlight, long nowNs) {
+    Vm vm = vms.computeIfAbsent(id, key -> new Vm());
+    vm.inFlight = inFlight;
+    vm.heardNs = nowNs;
   }
 
   /** Takes what waits at a VM. */
   void lines(ServingMessage.Lines message, long nowNs) {
-    heard(message.vm(), message.inFlight());
+    heard(message.vm(), message.inFlight(), nowNs);
     Vm vm = vms.get(message.vm());
     vm.open.removeIf(each -> each.grant().sequence() <= message.grantsSeen());
     Map<ServiceId, LineState> lines = new HashMap<>();
@@ -204,7 +214,7 @@
     vms.values().forEach(vm -> vm.open.removeIf(each -> nowNs - each.atNs() > GRANT_LOST_NS));
     Map<UpstreamId, Integer> free = free(upstreams);
     List<Grant> grants = new ArrayList<>();
-    Set<VmId> passedOver = new HashSet<>();
+    Set<VmId> passedOver = silent(nowNs);
     double othersMost = OTHERS_PART * places(upstreams);
     Optional<Candidate> next = next(service, othersMost, passedOver);
     while (next.isPresent() && !free.isEmpty()) {
@@ -221,6 +231,17 @@
     return grants;
   }
 
+  private Set<VmId> silent(long nowNs) {
+    Set<VmId> silent = new HashSet<>();
+    vms.forEach(
+        (id, vm) -> {
+          if (nowNs - vm.heardNs > VM_HEARD_NS) {
+            silent.add(id);
+          }
+        });
+    return silent;
+  }
+
   private Map<UpstreamId, Integer> free(Collection<Registration> upstreams) {
     Map<UpstreamId, Integer> free = new HashMap<>();
     for (Registration upstream : upstreams) {
--- a/core/src/test/java/org/teaseltrail/core/control/SlotDeskTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/SlotDeskTest.java
@@ -111,6 +111,26 @@
     assertThat(granted(301, ENGINE)).hasSize(2);
   }
 
+  /**
+   * A VM is cut off while requests wait there. Its line stayed at the leader for three seconds, the
+   * first of all, and half of the places went to it for nothing while others waited.
+   */
+  @Test
+  void vmThatIsCutOffGetsNoPlaces() {
+    tell(ONE, 0, 0, URGENT, 2);
+    assertThat(granted(0, ENGINE)).containsExactly(ONE, ONE);
+    desk.heard(OTHER, Map.of(), 700 * MS);
+    LineState line =
+        new LineState(
+            Plans.ENGINES,
+            List.of(new LineState.Waiting(LESS, List.of(10L, 10L))),
+            List.of(),
+            List.of());
+    desk.lines(
+        new ServingMessage.Lines(OTHER, 0, Map.of(), Map.of(), List.of(), List.of(line)), 700 * MS);
+    assertThat(granted(700, ENGINE)).containsExactly(OTHER, OTHER);
+  }
+
   @Test
   void leavingUpstreamGetsNothing() {
     tell(ONE, 0, 0, LESS, 2);
@@ -206,7 +226,7 @@
           List.of(
               new HeldPlaces(Plans.ENGINES, URGENT.routeRank(), urgentEndsMs.size()),
               new HeldPlaces(Plans.ENGINES, LESS.routeRank(), longEndsMs.size()));
-      tellBoth(seen, urgentEndsMs.size() + longEndsMs.size());
+      tellBoth(seen, urgentEndsMs.size() + longEndsMs.size(), ms);
       for (SlotDesk.Grant grant : desk.distribute(Plans.ENGINES, List.of(engine), ms * MS)) {
         seen = grant.sequence();
         boolean isLong = grant.urgency().equals(LESS);
@@ -217,7 +237,7 @@
     assertThat(heldByLong / 1_000.0).isBetween(0.15 * 20, 0.3 * 20);
   }
 
-  private void tellBoth(long seen, int inFlight) {
+  private void tellBoth(long seen, int inFlight, long nowMs) {
     List<Long> waitedMs = Collections.nCopies(50, 100L);
     LineState line =
         new LineState(
@@ -226,6 +246,6 @@
             List.of(),
             List.of());
     Map<UpstreamId, Integer> there = Map.of(ENGINE.id(), inFlight);
-    desk.lines(new ServingMessage.Lines(ONE, seen, there, unread, held, List.of(line)), 0);
+    desk.lines(new ServingMessage.Lines(ONE, seen, there, unread, held, List.of(line)), nowMs * MS);
   }
 }
