Split what the leader knows of one VM off the hand-out of places

SlotVm now keeps it behind methods; SlotDesk decides. No behaviour is meant to change; SlotDeskTest is as it was.

--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotVm.java
@@ -0,0 +1,162 @@
+package org.teaseltrail.core.control;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.serving.HeldPlaces;
+import org.teaseltrail.core.serving.LineState;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.Urgency;
+
+/** Is what the leader knows of one entry VM while it hands out places. */
+final class SlotVm {
+
+  /** Time after which a grant that nothing is heard of counts as lost: many round trips. */
+  private static final long GRANT_LOST_NS = 300_000_000L;
+
+  /**
+   * Silence after which a VM gets no places: ten syncs of a VM where requests wait. Guards against
+   * a VM that is cut off and keeps its line here: each place granted to it counts as taken for as
+   * long as a grant may be on its way, and requests of others wait beside it.
+   */
+  private static final long HEARD_NS = 500_000_000L;
+
+  private static final long NS_PER_MS = 1_000_000L;
+
+  /**
+   * Is the first request of one urgency that waits at a VM and has no place yet.
+   *
+   * @param vm where it waits
+   * @param urgency its urgency
+   * @param waitsSinceNs when it came
+   */
+  record Candidate(SlotVm vm, Urgency urgency, long waitsSinceNs) {}
+
+  private record Open(SlotDesk.Grant grant, long atNs) {}
+
+  private final VmId id;
+  private final Deque<Open> open = new ArrayDeque<>();
+  private Map<UpstreamId, Integer> inFlight = Map.of();
+  private Map<UpstreamId, Integer> unread = Map.of();
+  private List<HeldPlaces> held = List.of();
+  private Map<ServiceId, LineState> lines = Map.of();
+  private long linesToldNs;
+  private long heardNs;
+  private long lastSequence;
+
+  SlotVm(VmId id) {
+    this.id = id;
+  }
+
+  VmId id() {
+    return id;
+  }
+
+  /** Takes what the VM has at each upstream. */
+  void heard(Map<UpstreamId, Integer> requests, long nowNs) {
+    inFlight = requests;
+    heardNs = nowNs;
+  }
+
+  /** Takes what waits at the VM, and which grants it has seen. */
+  void told(ServingMessage.Lines message, long nowNs) {
+    heard(message.inFlight(), nowNs);
+    open.removeIf(each -> each.grant().sequence() <= message.grantsSeen());
+    unread = message.unread();
+    held = message.held();
+    lines = new HashMap<>();
+    message.lines().forEach(line -> lines.put(line.service(), line));
+    linesToldNs = nowNs;
+  }
+
+  boolean isSilent(long nowNs) {
+    return nowNs - heardNs > HEARD_NS;
+  }
+
+  /** Returns how many requests wait there for each service. */
+  Map<ServiceId, Integer> waiting() {
+    Map<ServiceId, Integer> waiting = new HashMap<>();
+    lines.forEach((service, line) -> waiting.put(service, line.size()));
+    return waiting;
+  }
+
+  void forgetLostGrants(long nowNs) {
+    open.removeIf(each -> nowNs - each.atNs() > GRANT_LOST_NS);
+  }
+
+  /** Returns how many places of an upstream the VM has in use or was granted. */
+  int takes(UpstreamId upstream) {
+    return inFlight.getOrDefault(upstream, 0) + (int) openAt(upstream);
+  }
+
+  /** Returns the places that a kind of request holds or is granted. */
+  long heldBy(ServiceId service, int routeRank) {
+    long granted =
+        open.stream()
+            .map(Open::grant)
+            .filter(grant -> grant.service().equals(service))
+            .filter(grant -> grant.urgency().routeRank() == routeRank)
+            .count();
+    long inUse =
+        held.stream()
+            .filter(each -> each.service().equals(service) && each.routeRank() == routeRank)
+            .mapToInt(HeldPlaces::places)
+            .sum();
+    return granted + inUse;
+  }
+
+  /** Returns, for each urgency, the first of what waits beyond what open grants are meant for. */
+  List<Candidate> candidates(ServiceId service) {
+    LineState line = lines.get(service);
+    if (line == null) {
+      return List.of();
+    }
+    List<Candidate> candidates = new ArrayList<>();
+    for (LineState.Waiting waiting : line.waiting()) {
+      int served = (int) openFor(service, waiting.urgency());
+      if (served < waiting.waitedMs().size()) {
+        long sinceNs = linesToldNs - waiting.waitedMs().get(served) * NS_PER_MS;
+        candidates.add(new Candidate(this, waiting.urgency(), sinceNs));
+      }
+    }
+    return candidates;
+  }
+
+  boolean wants(ServiceId service, UpstreamId upstream) {
+    return !lines.get(service).unwanted().contains(upstream);
+  }
+
+  boolean findsSlow(ServiceId service, UpstreamId upstream) {
+    return lines.get(service).slow().contains(upstream);
+  }
+
+  /** Tells whether an upstream may have a prompt of this VM's before it that it has not read. */
+  boolean isReading(UpstreamId upstream) {
+    return unread.getOrDefault(upstream, 0) > 0 || openAt(upstream) > 0;
+  }
+
+  /** Gives the VM a place. */
+  SlotDesk.Grant grant(ServiceId service, UpstreamId upstream, Urgency urgency, long nowNs) {
+    lastSequence++;
+    SlotDesk.Grant grant = new SlotDesk.Grant(id, lastSequence, service, upstream, urgency);
+    open.addLast(new Open(grant, nowNs));
+    return grant;
+  }
+
+  private long openAt(UpstreamId upstream) {
+    return open.stream().filter(each -> each.grant().upstream().equals(upstream)).count();
+  }
+
+  private long openFor(ServiceId service, Urgency urgency) {
+    return open.stream()
+        .map(Open::grant)
+        .filter(grant -> grant.service().equals(service) && grant.urgency().equals(urgency))
+        .count();
+  }
+}
