--- a/core/src/test/java/org/teaseltrail/core/control/NewLeaderPlacesTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/NewLeaderPlacesTest.java
@@ -6,20 +6,17 @@
 import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.forward.ForwardSamples;
 import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.InstalledPlan;
 import org.teaseltrail.core.plan.Plans;
-import org.teaseltrail.core.registry.Registration;
-import org.teaseltrail.core.registry.RegistrationPhase;
 import org.teaseltrail.core.serving.LineState;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.serving.UpstreamPlaces;
 import org.teaseltrail.core.serving.Urgency;
-import org.teaseltrail.core.upstream.SocketAddress;
 
 /** Tells and hands out places only once a new leader knows who holds them. */
 class NewLeaderPlacesTest {
@@ -37,23 +34,13 @@
     FakeControl first = group.leader();
     group.run(500);
     group.ask(first, new OperatorRequest.InstallPlan(new InstalledPlan(Plans.plan(1), "{}")));
-    group.ask(first, new OperatorRequest.Heartbeat(engine()));
+    group.ask(
+        first,
+        new OperatorRequest.Heartbeat(ForwardSamples.upstream(ENGINE.value(), Plans.ENGINES, 4)));
     first.kill();
     leader = group.leader();
   }
 
-  private static Registration engine() {
-    return new Registration(
-        ENGINE,
-        0,
-        Plans.ENGINES,
-        new SocketAddress("10.0.0.1", 80),
-        new DataCenterId("a"),
-        4,
-        RegistrationPhase.READY,
-        1);
-  }
-
   private UpstreamPlaces toldPlaces() {
     sequence++;
     leader.handle(
--- a/core/src/test/java/org/teaseltrail/core/control/PlacesWithoutLeaderTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/PlacesWithoutLeaderTest.java
@@ -17,20 +17,15 @@
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardNode;
 import org.teaseltrail.core.forward.ForwardRequest;
-import org.teaseltrail.core.forward.ForwardSettings;
-import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.forward.ForwardSamples;
 import org.teaseltrail.core.id.FencingNumber;
-import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.Plans;
-import org.teaseltrail.core.quota.QuotaBounds;
 import org.teaseltrail.core.registry.Registration;
-import org.teaseltrail.core.registry.RegistrationPhase;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.serving.UpstreamPlaces;
-import org.teaseltrail.core.upstream.SocketAddress;
 
 /**
  * Plays a burst on several entry VMs while no member leads. The pattern: many users come at once
@@ -47,7 +42,6 @@
   private static final int PLACES = 7;
   private static final int HELD_MS = 300;
   private static final FencingNumber TERM = new FencingNumber(1);
-  private static final VmId MEMBER = new VmId("10.0.0.9:7600");
 
   private record End(long atMs, int vm, long request, UpstreamId upstream) {}
 
@@ -66,47 +60,20 @@
   @BeforeEach
   void start() {
     for (int i = 0; i < ENGINES; i++) {
-      engines.add(engine(i));
+      engines.add(ForwardSamples.upstream("e" + i, Plans.ENGINES, PLACES));
     }
     for (int i = 0; i < VMS; i++) {
-      ForwardNode node = node(i);
+      ForwardNode node = new ForwardNode(ForwardSamples.settings(vm(i), 1));
       node.fromControl(new ServingReply.PlanUpdate(TERM, Plans.plan(1)), 0);
       node.fromControl(new ServingReply.RegistryUpdate(TERM, 1, engines), 0);
       nodes.add(node);
     }
   }
 
-  private static Registration engine(int number) {
-    return new Registration(
-        new UpstreamId("e" + number),
-        0,
-        Plans.ENGINES,
-        new SocketAddress("10.0.0.1", 80 + number),
-        new DataCenterId("a"),
-        PLACES,
-        RegistrationPhase.READY,
-        1);
-  }
-
   private static VmId vm(int number) {
     return new VmId("entry-" + number);
   }
 
-  private static ForwardNode node(int number) {
-    return new ForwardNode(
-        new ForwardSettings(
-            vm(number),
-            new Incarnation(1),
-            List.of(MEMBER),
-            3_000,
-            250,
-            0.2,
-            10_000,
-            50,
-            QuotaBounds.DEFAULT,
-            number));
-  }
-
   private void play(long fromMs, long untilMs, int perSecond, boolean leads) {
     for (long ms = fromMs; ms < untilMs; ms++) {
       end(ms);
@@ -159,7 +126,7 @@
         1,
         1,
         VMS,
-        List.of(MEMBER),
+        List.of(ForwardSamples.MEMBER),
         new UpstreamPlaces(elsewhere, shares.of(sync.vm(), 1, engines, ms * MS)),
         List.of(),
         List.of());
--- a/core/src/test/java/org/teaseltrail/core/control/SlotDeskTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/SlotDeskTest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.forward.ForwardSamples;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.Plans;
@@ -17,7 +17,6 @@
 import org.teaseltrail.core.serving.LineState;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.Urgency;
-import org.teaseltrail.core.upstream.SocketAddress;
 
 /** Hands out free places over all entry VMs. */
 class SlotDeskTest {
@@ -39,15 +38,7 @@
   }
 
   private static Registration engine(String id, RegistrationPhase phase, int places) {
-    return new Registration(
-        new UpstreamId(id),
-        0,
-        Plans.ENGINES,
-        new SocketAddress("10.0.0.1", 80),
-        new DataCenterId("a"),
-        places,
-        phase,
-        1);
+    return ForwardSamples.upstream(id, Plans.ENGINES, places).in(phase);
   }
 
   private void tell(VmId vm, long seen, int inFlight, Urgency urgency, int waiting) {
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeCase.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeCase.java
@@ -12,44 +12,27 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.teaseltrail.core.id.CustomerId;
-import org.teaseltrail.core.id.DataCenterId;
 import org.teaseltrail.core.id.FencingNumber;
-import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.PlanCustomer;
 import org.teaseltrail.core.plan.Plans;
 import org.teaseltrail.core.plan.ServingPlan;
-import org.teaseltrail.core.quota.QuotaBounds;
 import org.teaseltrail.core.quota.QuotaGrant;
 import org.teaseltrail.core.registry.Registration;
-import org.teaseltrail.core.registry.RegistrationPhase;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.serving.UpstreamPlaces;
-import org.teaseltrail.core.upstream.SocketAddress;
 
 /** Is a forwarding node with what tests ask and see of it. */
 abstract class ForwardNodeCase {
 
   static final long MS = 1_000_000L;
-  static final VmId MEMBER = new VmId("10.0.0.9:7600");
+  static final VmId MEMBER = ForwardSamples.MEMBER;
   static final FencingNumber TERM = new FencingNumber(1);
 
-  final ForwardNode node =
-      new ForwardNode(
-          new ForwardSettings(
-              new VmId("entry-1"),
-              new Incarnation(1),
-              List.of(MEMBER),
-              3_000,
-              250,
-              0.2,
-              10_000,
-              50,
-              QuotaBounds.DEFAULT,
-              1));
+  final ForwardNode node = new ForwardNode(ForwardSamples.settings(new VmId("entry-1"), 1));
 
   List<ServiceId> contended = List.of();
   UpstreamPlaces places = UpstreamPlaces.NONE;
@@ -64,15 +47,7 @@
   }
 
   static Registration upstream(String id, ServiceId service, int slots) {
-    return new Registration(
-        new UpstreamId(id),
-        0,
-        service,
-        new SocketAddress("10.0.0.1", 80),
-        new DataCenterId("a"),
-        slots,
-        RegistrationPhase.READY,
-        1);
+    return ForwardSamples.upstream(id, service, slots);
   }
 
   void serveWith(ServingPlan plan, Registration... present) {
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardSamples.java
@@ -0,0 +1,49 @@
+package org.teaseltrail.core.forward;
+
+import java.util.List;
+import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.id.Incarnation;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.quota.QuotaBounds;
+import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.registry.RegistrationPhase;
+import org.teaseltrail.core.upstream.SocketAddress;
+
+/** Makes settings of entry VMs and registrations of upstreams for tests. */
+public final class ForwardSamples {
+
+  /** The control member that the VMs ask first. */
+  public static final VmId MEMBER = new VmId("10.0.0.9:7600");
+
+  private ForwardSamples() {}
+
+  /** Makes settings with the users' times; the seed follows from the VM's name. */
+  public static ForwardSettings settings(VmId vm, long incarnation) {
+    return new ForwardSettings(
+        vm,
+        new Incarnation(incarnation),
+        List.of(MEMBER),
+        3_000,
+        250,
+        0.2,
+        10_000,
+        50,
+        QuotaBounds.DEFAULT,
+        vm.value().hashCode());
+  }
+
+  /** Makes the first heartbeat of an upstream that takes requests. */
+  public static Registration upstream(String id, ServiceId service, int places) {
+    return new Registration(
+        new UpstreamId(id),
+        0,
+        service,
+        new SocketAddress("10.0.0.1", 80),
+        new DataCenterId("a"),
+        places,
+        RegistrationPhase.READY,
+        1);
+  }
+}
