--- a/core/src/main/java/org/teaseltrail/core/forward/LineBound.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/LineBound.java
@@ -1,19 +1,13 @@
 package org.teaseltrail.core.forward;
 
-import java.util.List;
 import java.util.Optional;
 
 /**
  * Bounds a line by the pace at which it is served.
  *
  * <p>Guards against a line that grows under more load than fits: each request in it would be held
- * until its caller leaves, and told nothing it can act on. What can't be served in time at the
- * line's pace is told so at once, the least urgent first.
- *
- * <p>Requests that can still be on time and those that can't are bounded each by its own pace.
- * While there is more load than fits, no late one is served: those on time always go first. A late
- * one would be held to the end and refused then; told at once, its caller can come back when there
- * is room.
+ * until its caller leaves, and told nothing it can act on. What can't be served at the line's pace
+ * before its patience ends is told so at once, the least urgent first.
  */
 final class LineBound {
 
@@ -35,11 +29,6 @@
   /** Requests that may wait whatever the pace. */
   private static final int LEAST_LINE = 4;
 
-  /**
-   * Requests that can't be on time and may wait whatever the pace; some show that one is served.
-   */
-  private static final int LEAST_LATE = 2;
-
   private static final double MS_PER_S = 1e3;
 
   private final WaitingLine waiting;
@@ -58,21 +47,11 @@
 
   /** Returns the least urgent request of a line that is too long. */
   Optional<TrackedForward> excess(long nowNs) {
-    return lateExcess(nowNs).or(() -> beyond(waiting.all(), LEAST_LINE, pace(nowNs)));
-  }
-
-  private Optional<TrackedForward> lateExcess(long nowNs) {
-    return beyond(waiting.late(), LEAST_LATE, waiting.latePacePerSecond(nowNs));
+    return waiting.last().filter(last -> waiting.size() > most(last, nowNs));
   }
 
-  private static Optional<TrackedForward> beyond(
-      List<TrackedForward> requests, int least, double pacePerSecond) {
-    if (requests.size() <= least) {
-      return Optional.empty();
-    }
-    TrackedForward last = requests.get(requests.size() - 1);
-    double bound = Math.max(least, pacePerSecond * last.longestWaitS());
-    return requests.size() > bound ? Optional.of(last) : Optional.empty();
+  private double most(TrackedForward last, long nowNs) {
+    return Math.max(LEAST_LINE, pace(nowNs) * last.longestWaitS());
   }
 
   /** Returns when a caller may come back for which the line is too long, in milliseconds. */
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -144,7 +144,7 @@
   private void placeOrWait(TrackedForward request, long nowNs) {
     boolean othersFirst = lines.hasOthersFirst(request.service(), nowNs);
     if (!othersFirst && place(request, nowNs)) {
-      lines.of(request.service()).served(request, nowNs);
+      lines.of(request.service()).served(nowNs);
       return;
     }
     lines.add(request);
--- a/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
@@ -195,11 +195,6 @@
     late = true;
   }
 
-  /** Tells whether it waits behind those that can still be answered on time. */
-  boolean isLate() {
-    return late;
-  }
-
   /** Notes that the caller has got a part of the answer. */
   void begin() {
     begun = true;
--- a/core/src/main/java/org/teaseltrail/core/forward/WaitingLine.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/WaitingLine.java
@@ -31,7 +31,6 @@
 
   private final TreeSet<TrackedForward> waiting = new TreeSet<>(ORDER);
   private final Deque<Long> servedNs = new ArrayDeque<>();
-  private final Deque<Long> servedLateNs = new ArrayDeque<>();
 
   void add(TrackedForward tracked) {
     waiting.add(tracked);
@@ -57,7 +56,7 @@
       TrackedForward request = inOrder.next();
       if (place.test(request)) {
         inOrder.remove();
-        served(request, nowNs);
+        served(nowNs);
       }
     }
   }
@@ -74,7 +73,7 @@
     Optional<TrackedForward> served =
         Stream.concat(meant, waiting.stream()).filter(place).findFirst();
     served.ifPresent(waiting::remove);
-    served.ifPresent(request -> served(request, nowNs));
+    served.ifPresent(request -> served(nowNs));
     return served.isPresent();
   }
 
@@ -91,38 +90,20 @@
   }
 
   /** Notes that a request found a place. */
-  void served(TrackedForward request, long nowNs) {
+  void served(long nowNs) {
     servedNs.addLast(nowNs);
-    if (request.isLate()) {
-      servedLateNs.addLast(nowNs);
-    }
+    forget(nowNs);
   }
 
   /** Returns how many requests find a place in a second. */
   double pacePerSecond(long nowNs) {
-    return pace(servedNs, nowNs);
-  }
-
-  /** Returns how many requests that can't be on time any more find a place in a second. */
-  double latePacePerSecond(long nowNs) {
-    return pace(servedLateNs, nowNs);
-  }
-
-  private static double pace(Deque<Long> timesNs, long nowNs) {
-    while (!timesNs.isEmpty() && nowNs - timesNs.peekFirst() > PACE_WINDOW_NS) {
-      timesNs.removeFirst();
-    }
-    return timesNs.size() * (double) NS_PER_S / PACE_WINDOW_NS;
+    forget(nowNs);
+    return servedNs.size() * (double) NS_PER_S / PACE_WINDOW_NS;
   }
 
-  /** Returns all requests, the most urgent first. */
-  List<TrackedForward> all() {
-    return List.copyOf(waiting);
-  }
-
-  /** Returns the requests that can't be on time any more, the most urgent first. */
-  List<TrackedForward> late() {
-    return waiting.stream().filter(TrackedForward::isLate).toList();
+  /** Returns the request to be given up first: the least urgent, the newest among its equals. */
+  Optional<TrackedForward> last() {
+    return waiting.isEmpty() ? Optional.empty() : Optional.of(waiting.last());
   }
 
   /** Puts those that can no longer be answered on time behind the others. */
@@ -133,4 +114,10 @@
     turned.forEach(TrackedForward::markLate);
     waiting.addAll(turned);
   }
+
+  private void forget(long nowNs) {
+    while (!servedNs.isEmpty() && nowNs - servedNs.peekFirst() > PACE_WINDOW_NS) {
+      servedNs.removeFirst();
+    }
+  }
 }
