Add up places and registrations only where they are needed

Found by reading the whole change once more; no behaviour is meant to change. At each event of a VM where requests wait, its own places were added up over all upstreams, also for a line that can't be too long; at each sync the leader made the list of present upstreams, though places are dealt once a second. Both are asked for only when they are used now. The plan in force was kept in ForwardNode and in Reception; it is Reception's. Which life of an upstream is later stood twice in RegistryBook.

PlacesWithoutLeaderTest passes the registry in place of its parts; its checks are as they were.

--- a/core/src/main/java/org/teaseltrail/core/control/PlaceShares.java
+++ b/core/src/main/java/org/teaseltrail/core/control/PlaceShares.java
@@ -13,6 +13,7 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.registry.RegistrationPhase;
+import org.teaseltrail.core.registry.RegistryBook;
 
 /**
  * Deals the places of all upstreams out to the entry VMs, by what each has lately wanted, for the
@@ -60,18 +61,16 @@
    * Returns the places that a VM may fill by itself.
    *
    * @param vm a VM that was heard of
-   * @param revision the registrations' revision
-   * @param present the registrations
+   * @param registry the registrations
    * @param nowNs time
    * @return places by upstream, those without any left out
    */
-  Map<UpstreamId, Integer> of(
-      VmId vm, long revision, Collection<Registration> present, long nowNs) {
-    boolean outdated = revision != dealtRevision || wants.size() != dealtVms;
+  Map<UpstreamId, Integer> of(VmId vm, RegistryBook registry, long nowNs) {
+    boolean outdated = registry.revision() != dealtRevision || wants.size() != dealtVms;
     if (outdated || nowNs - dealtNs >= DEAL_EVERY_NS || !parts.containsKey(vm)) {
-      deal(present);
+      deal(registry.present());
       dealtNs = nowNs;
-      dealtRevision = revision;
+      dealtRevision = registry.revision();
       dealtVms = wants.size();
     }
     return parts.getOrDefault(vm, Map.of());
--- a/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
@@ -15,7 +15,6 @@
 import org.teaseltrail.core.plan.PlanCustomer;
 import org.teaseltrail.core.quota.QuotaBounds;
 import org.teaseltrail.core.registry.Registration;
-import org.teaseltrail.core.registry.RegistryBook;
 import org.teaseltrail.core.replication.Member;
 import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.serving.ServingMessage;
@@ -93,8 +92,8 @@
   private final QuotaLedger quotas;
   private final SlotDesk slots = new SlotDesk();
   private final PlaceShares shares = new PlaceShares();
-  private Set<ServiceId> toldContended = Set.of();
   private final long placesSettledNs;
+  private Set<ServiceId> toldContended = Set.of();
   private long nextCheckNs;
 
   ServingDesk(Leadership leadership) {
@@ -263,9 +262,7 @@
             vm.sync.inFlight().forEach((up, count) -> elsewhere.merge(up, count, Integer::sum));
           }
         });
-    RegistryBook registry = state().registry();
-    return new UpstreamPlaces(
-        elsewhere, shares.of(asking, registry.revision(), registry.present(), leadership.nowNs()));
+    return new UpstreamPlaces(elsewhere, shares.of(asking, state().registry(), leadership.nowNs()));
   }
 
   /** Returns what there is to hand out of each customer's quota. */
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -36,7 +36,6 @@
   private final RequestDesk requests;
   private final QuotaGate quotaGate;
   private final Reception reception;
-  private Optional<PlanIndex> plan = Optional.empty();
   private boolean ending;
   private long toldChanges;
   private List<ForwardAction> out = new ArrayList<>();
@@ -242,7 +241,7 @@
    * @return true while the plan is known to be the newest
    */
   public boolean isReady(long nowNs) {
-    return plan.isPresent() && ties.session().isValid(nowNs);
+    return reception.plan().isPresent() && ties.session().isValid(nowNs);
   }
 
   /**
@@ -251,7 +250,7 @@
    * @return the plan, if one has come
    */
   public Optional<ServingPlan> plan() {
-    return plan.map(PlanIndex::plan);
+    return reception.plan().map(PlanIndex::plan);
   }
 
   /**
@@ -264,7 +263,7 @@
   }
 
   long planVersion() {
-    return plan.map(held -> held.plan().version()).orElse(-1L);
+    return reception.plan().map(held -> held.plan().version()).orElse(-1L);
   }
 
   long registryRevision() {
@@ -302,16 +301,18 @@
     if (newer.version() <= planVersion()) {
       return;
     }
-    PlanIndex index = new PlanIndex(newer);
-    plan = Optional.of(index);
     quotas.configure(newer);
-    reception.configure(index);
+    reception.configure(new PlanIndex(newer));
     ties.session().inForce(newer.version());
     reception.lookAgain(nowNs);
   }
 
   private boolean isEngine(ServiceId service) {
-    return plan.flatMap(held -> held.service(service)).map(PlanService::engine).orElse(false);
+    return reception
+        .plan()
+        .flatMap(held -> held.service(service))
+        .map(PlanService::engine)
+        .orElse(false);
   }
 
   private void refuse(long number, Refusal refusal, long retryAfterMs) {
--- a/core/src/main/java/org/teaseltrail/core/forward/LineBound.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/LineBound.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.core.forward;
 
 import java.util.Optional;
+import java.util.function.IntSupplier;
 
 /**
  * Bounds a line by the pace at which it is served.
@@ -32,26 +33,26 @@
   private static final double MS_PER_S = 1e3;
 
   private final WaitingLine waiting;
-  private final int ownPlaces;
+  private final IntSupplier ownPlaces;
 
   /**
    * Creates the bound of a line.
    *
    * @param waiting the line
-   * @param ownPlaces places of the service that this VM may fill if it hears from no leader
+   * @param ownPlaces counts the service's places that this VM may fill if it hears from no leader;
+   *     asked only for a line that may be too long
    */
-  LineBound(WaitingLine waiting, int ownPlaces) {
+  LineBound(WaitingLine waiting, IntSupplier ownPlaces) {
     this.waiting = waiting;
     this.ownPlaces = ownPlaces;
   }
 
   /** Returns the least urgent request of a line that is too long. */
   Optional<TrackedForward> excess(long nowNs) {
-    return waiting.last().filter(last -> waiting.size() > most(last, nowNs));
-  }
-
-  private double most(TrackedForward last, long nowNs) {
-    return Math.max(LEAST_LINE, pace(nowNs) * last.longestWaitS());
+    if (waiting.size() <= LEAST_LINE) {
+      return Optional.empty();
+    }
+    return waiting.last().filter(last -> waiting.size() > pace(nowNs) * last.longestWaitS());
   }
 
   /** Returns when a caller may come back for which the line is too long, in milliseconds. */
@@ -61,7 +62,7 @@
   }
 
   private double pace(long nowNs) {
-    double usual = Math.max(LEAST_PACE_PER_S, PACE_OF_PLACE_PER_S * ownPlaces);
+    double usual = Math.max(LEAST_PACE_PER_S, PACE_OF_PLACE_PER_S * ownPlaces.getAsInt());
     return Math.max(usual, waiting.pacePerSecond(nowNs));
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/Reception.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/Reception.java
@@ -83,6 +83,11 @@
     plan = Optional.of(newer);
   }
 
+  /** Returns the plan in force, if one has come. */
+  Optional<PlanIndex> plan() {
+    return plan;
+  }
+
   /** Takes a request that was read whole. */
   void arrived(ForwardRequest request, long nowNs) {
     if (!decide(request, nowNs, nowNs)) {
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -280,7 +280,7 @@
 
   /** Gives up what the line is too long for. */
   private void shed(ServiceId service, WaitingLine waiting, long nowNs) {
-    LineBound bound = new LineBound(waiting, upstreams.ownPlaces(service));
+    LineBound bound = new LineBound(waiting, () -> upstreams.ownPlaces(service));
     Optional<TrackedForward> excess = bound.excess(nowNs);
     while (excess.isPresent()) {
       waiting.remove(excess.get());
--- a/core/src/main/java/org/teaseltrail/core/registry/RegistryBook.java
+++ b/core/src/main/java/org/teaseltrail/core/registry/RegistryBook.java
@@ -43,7 +43,7 @@
    */
   public boolean wouldChange(Registration heard) {
     Registration held = registrations.get(heard.id());
-    if (held == null || heard.bornMs() > held.bornMs()) {
+    if (isNewLife(held, heard)) {
       return true;
     }
     boolean outdated = heard.bornMs() < held.bornMs() || heard.sequence() < held.sequence();
@@ -60,8 +60,7 @@
       return;
     }
     Registration held = registrations.get(heard.id());
-    boolean newLife = held == null || heard.bornMs() > held.bornMs();
-    registrations.put(heard.id(), newLife ? heard : merged(held, heard));
+    registrations.put(heard.id(), isNewLife(held, heard) ? heard : merged(held, heard));
     revision++;
   }
 
@@ -137,6 +136,10 @@
     return revision;
   }
 
+  private static boolean isNewLife(Registration held, Registration heard) {
+    return held == null || heard.bornMs() > held.bornMs();
+  }
+
   private static Registration merged(Registration held, Registration heard) {
     boolean later = held.phase().compareTo(heard.phase()) > 0;
     return later ? heard.in(held.phase()) : heard;
--- a/core/src/test/java/org/teaseltrail/core/control/PlacesWithoutLeaderTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/PlacesWithoutLeaderTest.java
@@ -23,6 +23,7 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.Plans;
 import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.registry.RegistryBook;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.serving.UpstreamPlaces;
@@ -74,6 +75,10 @@
     return new VmId("entry-" + number);
   }
 
+  private RegistryBook registry() {
+    return new RegistryBook(1, engines);
+  }
+
   private void play(long fromMs, long untilMs, int perSecond, boolean leads) {
     for (long ms = fromMs; ms < untilMs; ms++) {
       end(ms);
@@ -127,7 +132,7 @@
         1,
         VMS,
         List.of(ForwardSamples.MEMBER),
-        new UpstreamPlaces(elsewhere, shares.of(sync.vm(), 1, engines, ms * MS)),
+        new UpstreamPlaces(elsewhere, shares.of(sync.vm(), registry(), ms * MS)),
         List.of(),
         List.of());
   }
@@ -195,7 +200,7 @@
     Map<VmId, Integer> dealt = new HashMap<>();
     Map<UpstreamId, Integer> byEngine = new HashMap<>();
     for (int i = 0; i < 3; i++) {
-      Map<UpstreamId, Integer> part = shares.of(vm(i), 1, engines, MS);
+      Map<UpstreamId, Integer> part = shares.of(vm(i), registry(), MS);
       dealt.put(vm(i), part.values().stream().mapToInt(Integer::intValue).sum());
       part.forEach((engine, places) -> byEngine.merge(engine, places, Integer::sum));
     }
