--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/control/QuotaOverManyVmsTest.java
@@ -0,0 +1,120 @@
+package org.teaseltrail.core.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.teaseltrail.core.forward.ForwardAction;
+import org.teaseltrail.core.forward.ForwardNode;
+import org.teaseltrail.core.forward.Refusal;
+import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.plan.Plans;
+import org.teaseltrail.core.quota.QuotaGrant;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
+
+/**
+ * Plays one customer whose few large requests come to many VMs. The pattern: half of its quota for
+ * twenty seconds, spread over all VMs at random, so that each VM sees a request every few seconds,
+ * of up to half a second of the quota's rate. Figures: the users' sixty VMs, their least quota and
+ * the sizes of their prompts.
+ */
+@Tag("known-red")
+class QuotaOverManyVmsTest {
+
+  private static final long MS = 1_000_000L;
+  private static final int VMS = 60;
+  private static final double RATE = 36_000;
+  private static final double LIMIT = RATE * 9;
+  private static final double HANDED_OUT_TOLERANCE = 120_000;
+  private static final double LOAD = 0.5;
+  private static final int STEP_MS = 5;
+  private static final int LENGTH_MS = 20_000;
+  private static final int WARM_UP_MS = 2_000;
+  private static final int[] SIZES = {700, 700, 700, 1_900, 1_900, 1_900, 6_700, 6_700, 20_000};
+  private static final double MEAN_SIZE = 4_578;
+  private static final FencingNumber TERM = new FencingNumber(1);
+
+  private final QuotaLedger ledger = new QuotaLedger(8_000, 3_000, 0);
+  private final List<ForwardNode> nodes = new ArrayList<>();
+  private long asked;
+  private long refused;
+
+  /**
+   * A customer within its quota is refused as over it, with a wait that means its VM was allowed
+   * too little. It happens with many VMs only, each of which sees few of its requests: the leader
+   * bounds how much each VM's allowance may grow, and with sixty VMs those bounds add up.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void customerWithinItsQuotaIsNotRefused(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    for (int i = 0; i < VMS; i++) {
+      nodes.add(QuotaSamples.node(new VmId("entry-" + i), 1, RATE));
+    }
+    double perStep = LOAD * RATE * STEP_MS / 1_000 / MEAN_SIZE;
+    for (long ms = 0; ms < LENGTH_MS; ms += STEP_MS) {
+      long nowNs = ms * MS;
+      nodes.forEach(node -> sync(node, nowNs));
+      if (random.nextDouble() < perStep) {
+        ask(random, ms);
+      }
+    }
+    assertThat(refused).isLessThanOrEqualTo(asked / 100);
+  }
+
+  private void ask(SplittableRandom random, long ms) {
+    ForwardNode node = nodes.get(random.nextInt(VMS));
+    int tokens = SIZES[random.nextInt(SIZES.length)];
+    asked += ms >= WARM_UP_MS ? 1 : 0;
+    note(node.arrived(QuotaSamples.request(ms, tokens), ms * MS), ms);
+  }
+
+  private void note(List<ForwardAction> actions, long ms) {
+    if (ms >= WARM_UP_MS) {
+      refused +=
+          actions.stream()
+              .filter(ForwardAction.Refuse.class::isInstance)
+              .map(ForwardAction.Refuse.class::cast)
+              .filter(refuse -> refuse.refusal() == Refusal.OVER_QUOTA)
+              .count();
+    }
+  }
+
+  private void sync(ForwardNode node, long nowNs) {
+    if (nowNs < node.nextWakeupNs()) {
+      return;
+    }
+    List<ForwardAction> actions = node.tick(nowNs);
+    note(actions, nowNs / MS);
+    for (ForwardAction action : actions) {
+      if (action instanceof ForwardAction.SendControl send
+          && send.message() instanceof ServingMessage.Sync sync) {
+        ledger.told(sync.vm(), sync.incarnation(), sync.quotas(), nowNs);
+        QuotaLimit limit =
+            new QuotaLimit(LIMIT + HANDED_OUT_TOLERANCE, RATE, RATE + HANDED_OUT_TOLERANCE, 50_000);
+        List<QuotaGrant> grants = ledger.grants(sync.vm(), Map.of(Plans.CUSTOMER, limit), nowNs);
+        note(
+            node.fromControl(
+                new ServingReply.Confirmed(
+                    TERM,
+                    sync.sequence(),
+                    1,
+                    1,
+                    VMS,
+                    List.of(QuotaSamples.MEMBER),
+                    QuotaSamples.PLACES,
+                    List.of(),
+                    grants),
+                nowNs),
+            nowNs / MS);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/wire/src/test/java/org/teaseltrail/wire/ServingPushTest.java
@@ -0,0 +1,126 @@
+package org.teaseltrail.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.id.DataCenterId;
+import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.RouteId;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.plan.ClientLimits;
+import org.teaseltrail.core.plan.PlanRoute;
+import org.teaseltrail.core.plan.RouteKind;
+import org.teaseltrail.core.plan.ServingPlan;
+import org.teaseltrail.core.plan.WeightedService;
+import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.registry.RegistrationPhase;
+import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.upstream.SocketAddress;
+
+/**
+ * A plan of many routes is in force, and an operator's next orders are not acknowledged, though
+ * nothing fails: each changes a few routes, but the leader writes the whole plan anew for each of
+ * sixty entry VMs before it answers, for a second and more, and loses its lease meanwhile. The same
+ * happens with registrations, each of which brings all others along to all VMs.
+ */
+@Tag("known-red")
+class ServingPushTest {
+
+  private static final FencingNumber FENCING = new FencingNumber(3);
+  private static final ServiceId SERVICE = new ServiceId("tutor-llm");
+  private static final int ROUTES = 1_776;
+  private static final int UPSTREAMS = 98;
+  private static final int SMALL_BYTES = 1_000;
+
+  private final MessageCodec codec = new MessageCodec();
+  private final MessageEncoder<ServingReply> encoder = MessageEncoder.of(ServingReply.class, codec);
+  private final MessageDecoder<ServingReply> decoder = MessageDecoder.of(ServingReply.class, codec);
+
+  static PlanRoute route(int number, long timeoutMs) {
+    return new PlanRoute(
+        new RouteId("route-" + number),
+        "calls.example",
+        "/path-" + number + "/",
+        RouteKind.STREAMING,
+        false,
+        List.of(new WeightedService(SERVICE, 1)),
+        timeoutMs,
+        500,
+        600,
+        1,
+        1,
+        true);
+  }
+
+  private static ServingPlan plan(long version, List<PlanRoute> routes) {
+    return new ServingPlan(version, routes, List.of(), ClientLimits.DEFAULT, List.of());
+  }
+
+  private static List<PlanRoute> routes() {
+    return IntStream.range(0, ROUTES).mapToObj(number -> route(number, 10_000)).toList();
+  }
+
+  private static Registration registration(int number) {
+    return new Registration(
+        new UpstreamId("i-" + number),
+        0,
+        SERVICE,
+        new SocketAddress("10.0.0." + number, 80),
+        new DataCenterId("regina-a"),
+        7,
+        RegistrationPhase.READY,
+        1);
+  }
+
+  private int push(ServingReply update) {
+    byte[] body = encoder.encode(update);
+    encoder.sent(update);
+    assertThat(decoder.decode(body)).isEqualTo(update);
+    return body.length;
+  }
+
+  @Test
+  void changeOfOneRouteIsSmallHoweverLargeThePlan() {
+    List<PlanRoute> routes = new ArrayList<>(routes());
+    push(new ServingReply.PlanUpdate(FENCING, plan(1, routes)));
+    routes.set(700, route(700, 8_000));
+    routes.remove(20);
+    routes.add(route(ROUTES, 10_000));
+    assertThat(push(new ServingReply.PlanUpdate(FENCING, plan(2, routes)))).isLessThan(SMALL_BYTES);
+  }
+
+  @Test
+  void routesInAnotherOrderComeInThatOrder() {
+    push(new ServingReply.PlanUpdate(FENCING, plan(1, List.of(route(1, 1), route(2, 1)))));
+    push(new ServingReply.PlanUpdate(FENCING, plan(2, List.of(route(2, 1), route(1, 1)))));
+    push(new ServingReply.PlanUpdate(FENCING, plan(3, List.of(route(3, 1), route(1, 1)))));
+  }
+
+  @Test
+  void planIsWrittenOnceForAllVms() {
+    ServingPlan first = plan(1, routes());
+    MessageEncoder<ServingReply> second = MessageEncoder.of(ServingReply.class, codec);
+    ServingReply update = new ServingReply.PlanUpdate(FENCING, first);
+    assertThat(second.encode(update)).isSameAs(encoder.encode(update));
+  }
+
+  @Test
+  void registrationsThatComeOneByOneCostWhatTheyAre() {
+    List<Registration> present = new ArrayList<>();
+    int pushedBytes = 0;
+    for (int number = 0; number < UPSTREAMS; number++) {
+      present.add(registration(number));
+      pushedBytes += push(new ServingReply.RegistryUpdate(FENCING, number + 1, present));
+    }
+    assertThat(pushedBytes).isLessThan(UPSTREAMS * SMALL_BYTES);
+    present.set(5, present.get(5).in(RegistrationPhase.DRAINING));
+    present.remove(50);
+    assertThat(push(new ServingReply.RegistryUpdate(FENCING, UPSTREAMS + 1, present)))
+        .isLessThan(SMALL_BYTES);
+  }
+}
