--- a/core/src/main/java/org/teaseltrail/core/control/QuotaLedger.java
+++ b/core/src/main/java/org/teaseltrail/core/control/QuotaLedger.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.core.control;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -72,6 +73,18 @@
    */
   private static final double GROWTH_PART = 0.05;
 
+  /**
+   * VMs at least whose accounts of the others must hold, all where there are fewer: of eight, one
+   * survives but for 1 in 100 losses of half of all VMs together with the leader.
+   */
+  private static final int LEAST_WITNESSES = 8;
+
+  /**
+   * One in so many VMs must have an account of the others that holds. With sixty these have told
+   * within a quarter of a sync, so that all together may grow four times as fast as if all had to.
+   */
+  private static final int WITNESSES_OF = 4;
+
   /** Silence after which a VM is no witness of what the others hold, nor holds up their growth. */
   private static final long WITNESS_NS = 500_000_000L;
 
@@ -220,9 +233,24 @@
     witnesses(vm, customer, nowNs).forEach(witness -> witness.othersGrew(growth));
   }
 
-  /** Returns by how much a VM may come to hold more, so that the others' accounts of it hold. */
+  /**
+   * Returns by how much a VM may come to hold more, so that the accounts of enough others hold.
+   *
+   * <p>Guards against callers within their quota who are refused where there are many VMs: if every
+   * VM's account had to hold, all of them together could grow only as fast as the one that told
+   * longest ago allows. Each of sixty VMs sees few of a customer's requests, so nearly every large
+   * one needs its VM's allowance to grow. A new leader takes the greatest account that it is told,
+   * so it is enough that one of those that hold survives.
+   */
   private double mayGrow(VmId vm, CustomerId customer, double limit, long nowNs) {
-    return witnesses(vm, customer, nowNs).mapToDouble(QuotaLine::othersMayGrow).min().orElse(limit);
+    double[] accounts =
+        witnesses(vm, customer, nowNs).mapToDouble(QuotaLine::othersMayGrow).toArray();
+    if (accounts.length == 0) {
+      return limit;
+    }
+    Arrays.sort(accounts);
+    int needed = Math.max(LEAST_WITNESSES, accounts.length / WITNESSES_OF);
+    return accounts[Math.max(0, accounts.length - needed)];
   }
 
   private Stream<QuotaLine> witnesses(VmId vm, CustomerId customer, long nowNs) {
--- a/core/src/test/java/org/teaseltrail/core/control/QuotaOverManyVmsTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/QuotaOverManyVmsTest.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.teaseltrail.core.forward.ForwardAction;
@@ -25,7 +24,6 @@
  * of up to half a second of the quota's rate. Figures: the users' sixty VMs, their least quota and
  * the sizes of their prompts.
  */
-@Tag("known-red")
 class QuotaOverManyVmsTest {
 
   private static final long MS = 1_000_000L;
