--- a/core/src/main/java/org/teaseltrail/core/control/SlotDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotDesk.java
@@ -118,21 +118,30 @@
    */
   List<Grant> distribute(ServiceId service, Collection<Registration> upstreams, long nowNs) {
     vms.values().forEach(vm -> vm.forgetLostGrants(nowNs));
-    Map<UpstreamId, Integer> free = free(upstreams);
+    if (vms.values().stream().noneMatch(vm -> vm.hasLine(service))) {
+      return List.of();
+    }
+    PlaceTally tally = new PlaceTally(vms.values(), service);
+    Map<UpstreamId, Integer> free = free(upstreams, tally);
+    if (free.isEmpty()) {
+      return List.of();
+    }
     List<Grant> grants = new ArrayList<>();
     Set<VmId> passedOver = silent(nowNs);
     double othersMost = OTHERS_PART * places(upstreams);
-    Optional<SlotVm.Candidate> next = next(service, othersMost, passedOver);
+    Optional<SlotVm.Candidate> next = next(service, othersMost, tally, passedOver);
     while (next.isPresent() && !free.isEmpty()) {
       SlotVm.Candidate candidate = next.get();
-      Optional<UpstreamId> place = emptiest(service, candidate.vm(), free);
+      Optional<UpstreamId> place = emptiest(service, candidate.vm(), free, tally);
       if (place.isPresent()) {
-        grants.add(grant(candidate, service, place.get(), nowNs));
+        Grant grant = grant(candidate, service, place.get(), nowNs);
+        grants.add(grant);
+        tally.granted(grant, service);
         free.computeIfPresent(place.get(), (id, places) -> places > 1 ? places - 1 : null);
       } else {
         passedOver.add(candidate.vm().id());
       }
-      next = next(service, othersMost, passedOver);
+      next = next(service, othersMost, tally, passedOver);
     }
     return grants;
   }
@@ -144,10 +153,10 @@
         .collect(Collectors.toCollection(HashSet::new));
   }
 
-  private Map<UpstreamId, Integer> free(Collection<Registration> upstreams) {
+  private Map<UpstreamId, Integer> free(Collection<Registration> upstreams, PlaceTally tally) {
     Map<UpstreamId, Integer> free = new HashMap<>();
     for (Registration upstream : upstreams) {
-      int places = upstream.slots() - taken(upstream.id());
+      int places = upstream.slots() - tally.takenAt(upstream.id());
       if (upstream.phase() == RegistrationPhase.READY && places > 0) {
         free.put(upstream.id(), places);
       }
@@ -162,12 +171,8 @@
         .sum();
   }
 
-  private int taken(UpstreamId upstream) {
-    return vms.values().stream().mapToInt(vm -> vm.takes(upstream)).sum();
-  }
-
   private Optional<SlotVm.Candidate> next(
-      ServiceId service, double othersMost, Set<VmId> passedOver) {
+      ServiceId service, double othersMost, PlaceTally tally, Set<VmId> passedOver) {
     List<SlotVm.Candidate> candidates = new ArrayList<>();
     vms.forEach(
         (id, vm) -> {
@@ -180,7 +185,7 @@
     if (!othersTurn || first.isEmpty()) {
       return first;
     }
-    return lessUrgentKind(service, othersMost, candidates, first.get().urgency()).or(() -> first);
+    return lessUrgentKind(othersMost, tally, candidates, first.get().urgency()).or(() -> first);
   }
 
   /**
@@ -188,32 +193,23 @@
    * whose kind holds few places.
    */
   private Optional<SlotVm.Candidate> lessUrgentKind(
-      ServiceId service, double othersMost, List<SlotVm.Candidate> candidates, Urgency first) {
+      double othersMost, PlaceTally tally, List<SlotVm.Candidate> candidates, Urgency first) {
     return candidates.stream()
         .filter(each -> each.urgency().customerRank() == first.customerRank())
         .filter(each -> each.urgency().late() == first.late())
-        .filter(each -> heldBy(service, each.urgency().routeRank()) < othersMost)
+        .filter(each -> tally.heldBy(each.urgency().routeRank()) < othersMost)
         .min(LEAST_URGENT_FIRST);
   }
 
-  private long heldBy(ServiceId service, int routeRank) {
-    return vms.values().stream().mapToLong(vm -> vm.heldBy(service, routeRank)).sum();
-  }
-
   private Optional<UpstreamId> emptiest(
-      ServiceId service, SlotVm vm, Map<UpstreamId, Integer> free) {
+      ServiceId service, SlotVm vm, Map<UpstreamId, Integer> free, PlaceTally tally) {
     return free.entrySet().stream()
         .filter(entry -> vm.wants(service, entry.getKey()))
-        .filter(entry -> !vm.findsSlow(service, entry.getKey()) || !isReading(entry.getKey()))
+        .filter(entry -> !vm.findsSlow(service, entry.getKey()) || !tally.readsAt(entry.getKey()))
         .max(Map.Entry.comparingByValue())
         .map(Map.Entry::getKey);
   }
 
-  /** Tells whether an upstream may have a prompt before it that it has not read. */
-  private boolean isReading(UpstreamId upstream) {
-    return vms.values().stream().anyMatch(vm -> vm.isReading(upstream));
-  }
-
   private Grant grant(
       SlotVm.Candidate candidate, ServiceId service, UpstreamId upstream, long nowNs) {
     granted.merge(service, 1L, Long::sum);
--- a/core/src/main/java/org/teaseltrail/core/control/SlotVm.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotVm.java
@@ -90,25 +90,19 @@
     open.removeIf(each -> nowNs - each.atNs() > GRANT_LOST_NS);
   }
 
-  /** Returns how many places of an upstream the VM has in use or was granted. */
-  int takes(UpstreamId upstream) {
-    return inFlight.getOrDefault(upstream, 0) + (int) openAt(upstream);
+  /** Adds what the VM has in use and was granted; by kinds of requests only for one service. */
+  void addTo(PlaceTally tally, ServiceId service) {
+    inFlight.forEach(tally::inUse);
+    unread.keySet().forEach(tally::isReading);
+    open.forEach(each -> tally.granted(each.grant(), service));
+    held.stream()
+        .filter(each -> each.service().equals(service))
+        .forEach(each -> tally.held(each.routeRank(), each.places()));
   }
 
-  /** Returns the places that a kind of request holds or is granted. */
-  long heldBy(ServiceId service, int routeRank) {
-    long granted =
-        open.stream()
-            .map(Open::grant)
-            .filter(grant -> grant.service().equals(service))
-            .filter(grant -> grant.urgency().routeRank() == routeRank)
-            .count();
-    long inUse =
-        held.stream()
-            .filter(each -> each.service().equals(service) && each.routeRank() == routeRank)
-            .mapToInt(HeldPlaces::places)
-            .sum();
-    return granted + inUse;
+  /** Tells whether requests for a service wait there. */
+  boolean hasLine(ServiceId service) {
+    return lines.containsKey(service);
   }
 
   /** Returns, for each urgency, the first of what waits beyond what open grants are meant for. */
@@ -136,11 +130,6 @@
     return lines.get(service).slow().contains(upstream);
   }
 
-  /** Tells whether an upstream may have a prompt of this VM's before it that it has not read. */
-  boolean isReading(UpstreamId upstream) {
-    return unread.getOrDefault(upstream, 0) > 0 || openAt(upstream) > 0;
-  }
-
   /** Gives the VM a place. */
   SlotDesk.Grant grant(ServiceId service, UpstreamId upstream, Urgency urgency, long nowNs) {
     lastSequence++;
@@ -149,10 +138,6 @@
     return grant;
   }
 
-  private long openAt(UpstreamId upstream) {
-    return open.stream().filter(each -> each.grant().upstream().equals(upstream)).count();
-  }
-
   private long openFor(ServiceId service, Urgency urgency) {
     return open.stream()
         .map(Open::grant)
--- a/core/src/main/java/org/teaseltrail/core/forward/ControlTies.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ControlTies.java
@@ -27,12 +27,19 @@
    */
   private static final long SEARCH_PAUSE_NS = 100 * NS_PER_MS;
 
+  /**
+   * Pause for each VM between syncs of VMs where requests wait, so that the leader gets no more
+   * than 240 of them a second in all; twelve VMs or fewer come to {@link #LEAST_PAUSE_NS}.
+   */
+  private static final long PAUSE_OF_VM_NS = 4 * NS_PER_MS;
+
   private final ForwardSettings settings;
   private final ServingSession session;
   private final Set<VmId> members = new LinkedHashSet<>();
   private List<VmId> seeds;
   private long nextSyncNs;
   private long lastSyncNs;
+  private int vmCount = 1;
 
   ControlTies(ForwardSettings settings) {
     this.settings = settings;
@@ -61,11 +68,23 @@
     return nextSyncNs;
   }
 
-  /** Brings the next sync forward, as far as the time since the last one allows. */
+  /** Brings the next sync forward for what only the leader can give. */
   void syncSoon() {
     nextSyncNs = Math.min(nextSyncNs, lastSyncNs + LEAST_PAUSE_NS);
   }
 
+  /**
+   * Brings the next sync forward while requests wait for places: the more VMs there are, the less.
+   *
+   * <p>Guards against a leader that is kept busy by syncs alone: in an overload requests wait at
+   * all VMs, and sixty of them sent 1,200 syncs a second. Places for engines are handed out by
+   * other messages then, so a sync brings only what the others hold at plain services.
+   */
+  void syncForPlaces() {
+    long pauseNs = Math.max(LEAST_PAUSE_NS, vmCount * PAUSE_OF_VM_NS);
+    nextSyncNs = Math.min(nextSyncNs, lastSyncNs + pauseNs);
+  }
+
   /** Returns the syncs that are due: one to the leader, or one to each member if none is known. */
   List<ForwardAction> due(ForwardNode node, long nowNs) {
     if (nowNs < nextSyncNs) {
@@ -90,6 +109,7 @@
    */
   boolean learn(ServingReply reply) {
     if (reply instanceof ServingReply.Confirmed confirmed) {
+      vmCount = confirmed.vmCount();
       Set<VmId> told = new LinkedHashSet<>(confirmed.members());
       boolean changed = !told.equals(members);
       members.clear();
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -322,7 +322,7 @@
   /** Takes what is to be done; the leader is told of changes to what waits. */
   private List<ForwardAction> take(long nowNs) {
     if (requests.lines().hasWaiting()) {
-      ties.syncSoon();
+      ties.syncForPlaces();
     }
     tellLines(nowNs);
     return drain();
--- a/runtime/src/main/java/org/teaseltrail/runtime/process/ProgramMain.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/ProgramMain.java
@@ -86,6 +86,8 @@
   private ArgumentParser parser() {
     ArgumentParser parser =
         ArgumentParsers.newFor(program.spec().program())
+            // The width would be asked of another process, at each start of a daemon.
+            .terminalWidthDetection(false)
             .build()
             .defaultHelp(true)
             .description(program.spec().summary())
