--- a/control/src/main/java/org/teaseltrail/control/ControlLoop.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlLoop.java
@@ -1,10 +1,6 @@
 package org.teaseltrail.control;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.OptionalLong;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.teaseltrail.core.control.ControlAction;
@@ -15,13 +11,10 @@
 /** Owns the member: one thread feeds it events and ticks, and passes its actions on in order. */
 final class ControlLoop {
 
-  /** Events taken between two looks at the timer. */
-  private static final int MAX_BATCH = 256;
-
   private static final long MAX_WAIT_NS = TimeUnit.MILLISECONDS.toNanos(50);
   private static final long END_MS = 2_000;
 
-  private final BlockingQueue<ControlEvent> queue = new LinkedBlockingQueue<>();
+  private final EventQueue queue = new EventQueue();
   private final SuspendAwareClock clock;
   private final SlowLog slow;
   private final Thread thread = new Thread(this::run, "control");
@@ -48,11 +41,11 @@
   void start(
       ControlMember owned,
       Consumer<ControlAction> carryOut,
-      Runnable afterEachBatch,
+      Runnable afterEachEvent,
       Consumer<Throwable> whenFailed) {
     member = owned;
     actions = carryOut;
-    afterEvents = afterEachBatch;
+    afterEvents = afterEachEvent;
     failed = whenFailed;
     thread.start();
   }
@@ -69,7 +62,7 @@
   private void run() {
     try {
       while (!ending) {
-        takeEvents();
+        takeEvent();
         tickIfDue();
         afterEvents.run();
       }
@@ -81,15 +74,12 @@
     }
   }
 
-  private void takeEvents() throws InterruptedException {
-    ControlEvent first = queue.poll(waitNs(), TimeUnit.NANOSECONDS);
-    if (first == null) {
-      return;
+  /** Takes one event, so that neither timers nor what is urgent wait for more than that. */
+  private void takeEvent() throws InterruptedException {
+    ControlEvent event = queue.poll(waitNs());
+    if (event != null) {
+      handle(event);
     }
-    List<ControlEvent> batch = new ArrayList<>();
-    batch.add(first);
-    queue.drainTo(batch, MAX_BATCH - 1);
-    batch.forEach(this::handle);
   }
 
   private long waitNs() {
