--- a/wire/src/main/java/org/teaseltrail/wire/MessageCodec.java
+++ b/wire/src/main/java/org/teaseltrail/wire/MessageCodec.java
@@ -1,5 +1,7 @@
 package org.teaseltrail.wire;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonFormat.Shape;
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -7,11 +9,14 @@
 import com.fasterxml.jackson.databind.ObjectWriter;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.teaseltrail.core.quota.QuotaGrant;
+import org.teaseltrail.core.quota.QuotaUse;
 
 /**
  * Writes records and sealed interfaces of records as MessagePack, and reads them back.
@@ -29,6 +34,12 @@
  */
 public final class MessageCodec {
 
+  /**
+   * Records of numbers that each sync carries dozens of; they are written without the names of
+   * their components, and grow at their end only.
+   */
+  private static final List<Class<?>> COUNTED = List.of(QuotaUse.class, QuotaGrant.class);
+
   private final ObjectMapper mapper;
   private final Map<Class<?>, ObjectWriter> writers = new ConcurrentHashMap<>();
   private final Map<Class<?>, ObjectReader> readers = new ConcurrentHashMap<>();
@@ -41,6 +52,8 @@
     mapper.registerModule(new Jdk8Module());
     mapper.registerModule(new ValueTypeModule());
     mapper.setAnnotationIntrospector(new SealedTypeIntrospector());
+    COUNTED.forEach(
+        type -> mapper.configOverride(type).setFormat(JsonFormat.Value.forShape(Shape.ARRAY)));
     mapper.setDefaultPropertyInclusion(JsonInclude.Include.NON_ABSENT);
     mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
     mapper.enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES);
