--- a/core/src/main/java/org/teaseltrail/core/forward/WaitingLines.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/WaitingLines.java
@@ -71,7 +71,8 @@
                     service,
                     waiting.byUrgency(nowNs),
                     slots.unwanted(service),
-                    placement.slow(upstreams.of(service), nowNs)));
+                    placement.slow(upstreams.of(service), nowNs),
+                    upstreams.doubted(service, nowNs)));
           }
         });
     return states;
