--- a/core/src/main/java/org/teaseltrail/core/control/PlaceTally.java
+++ b/core/src/main/java/org/teaseltrail/core/control/PlaceTally.java
@@ -19,7 +19,6 @@
 
   private final Map<UpstreamId, Integer> taken = new HashMap<>();
   private final Set<UpstreamId> reading = new HashSet<>();
-  private final Map<UpstreamId, Integer> doubts = new HashMap<>();
   private final Map<Integer, Long> heldByRank = new HashMap<>();
 
   /** Adds up what the VMs hold; by kinds of requests only for one service. */
@@ -51,16 +50,6 @@
     heldByRank.merge(routeRank, (long) places, Long::sum);
   }
 
-  /** Counts a VM whose requests an upstream has lately failed. */
-  void doubted(UpstreamId upstream) {
-    doubts.merge(upstream, 1, Integer::sum);
-  }
-
-  /** Returns how many VMs' requests an upstream has lately failed. */
-  int doubtsOf(UpstreamId upstream) {
-    return doubts.getOrDefault(upstream, 0);
-  }
-
   /** Returns how many places of an upstream are in use or handed out. */
   int takenAt(UpstreamId upstream) {
     return taken.getOrDefault(upstream, 0);
--- a/core/src/main/java/org/teaseltrail/core/control/SlotDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotDesk.java
@@ -201,21 +201,12 @@
         .min(LEAST_URGENT_FIRST);
   }
 
-  /**
-   * Returns the emptiest of the upstreams that the fewest VMs doubt.
-   *
-   * <p>Guards against upstreams that have gone dark and draw all places to themselves: nothing runs
-   * there, so they are the emptiest, and each of sixty VMs found out for itself, again and again,
-   * at the price of its requests' attempts. One VM's failure now counts for all that wait.
-   */
   private Optional<UpstreamId> emptiest(
       ServiceId service, SlotVm vm, Map<UpstreamId, Integer> free, PlaceTally tally) {
-    Comparator<Map.Entry<UpstreamId, Integer>> leastDoubted =
-        Comparator.comparingInt(entry -> tally.doubtsOf(entry.getKey()));
     return free.entrySet().stream()
         .filter(entry -> vm.wants(service, entry.getKey()))
         .filter(entry -> !vm.findsSlow(service, entry.getKey()) || !tally.readsAt(entry.getKey()))
-        .min(leastDoubted.thenComparing(Map.Entry.comparingByValue(Comparator.reverseOrder())))
+        .max(Map.Entry.comparingByValue())
         .map(Map.Entry::getKey);
   }
 
--- a/core/src/main/java/org/teaseltrail/core/control/SlotVm.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotVm.java
@@ -95,9 +95,6 @@
     inFlight.forEach(tally::inUse);
     unread.keySet().forEach(tally::isReading);
     open.forEach(each -> tally.granted(each.grant(), service));
-    if (hasLine(service)) {
-      lines.get(service).doubted().forEach(tally::doubted);
-    }
     held.stream()
         .filter(each -> each.service().equals(service))
         .forEach(each -> tally.held(each.routeRank(), each.places()));
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
@@ -86,14 +86,6 @@
     return byService.getOrDefault(service, List.of());
   }
 
-  /** Returns the upstreams of a service that have lately failed requests of this VM. */
-  List<UpstreamId> doubted(ServiceId service, long nowNs) {
-    return of(service).stream()
-        .filter(view -> !view.isTrusted(nowNs))
-        .map(view -> view.registration().id())
-        .toList();
-  }
-
   /** Returns how many places of a service this VM may fill if it hears from no leader. */
   int ownPlaces(ServiceId service) {
     return of(service).stream().mapToInt(UpstreamView::ownPart).sum();
--- a/core/src/main/java/org/teaseltrail/core/forward/WaitingLines.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/WaitingLines.java
@@ -71,8 +71,7 @@
                     service,
                     waiting.byUrgency(nowNs),
                     slots.unwanted(service),
-                    placement.slow(upstreams.of(service), nowNs),
-                    upstreams.doubted(service, nowNs)));
+                    placement.slow(upstreams.of(service), nowNs)));
           }
         });
     return states;
--- a/core/src/main/java/org/teaseltrail/core/serving/LineState.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/LineState.java
@@ -11,21 +11,15 @@
  * @param waiting what waits, by urgency, the most urgent first
  * @param unwanted upstreams that none of them can use at present
  * @param slow upstreams where one prompt after the other is to be read
- * @param doubted upstreams that have lately failed requests of the VM, so that it sends none there
  */
 public record LineState(
-    ServiceId service,
-    List<Waiting> waiting,
-    List<UpstreamId> unwanted,
-    List<UpstreamId> slow,
-    List<UpstreamId> doubted) {
+    ServiceId service, List<Waiting> waiting, List<UpstreamId> unwanted, List<UpstreamId> slow) {
 
   /** Copies the lists. */
   public LineState {
     waiting = List.copyOf(waiting);
     unwanted = List.copyOf(unwanted);
     slow = List.copyOf(slow);
-    doubted = List.copyOf(doubted);
   }
 
   /**
