--- a/core/src/main/java/org/teaseltrail/core/control/PlaceTally.java
+++ b/core/src/main/java/org/teaseltrail/core/control/PlaceTally.java
@@ -34,14 +34,14 @@
   /** Counts a place that was handed out and not heard of yet. */
   void granted(SlotDesk.Grant grant, ServiceId service) {
     inUse(grant.upstream(), 1);
-    isReading(grant.upstream());
+    noteUnread(grant.upstream());
     if (grant.service().equals(service)) {
       held(grant.urgency().routeRank(), 1);
     }
   }
 
   /** Notes that an upstream may have a prompt before it that it has not read. */
-  void isReading(UpstreamId upstream) {
+  void noteUnread(UpstreamId upstream) {
     reading.add(upstream);
   }
 
--- a/core/src/main/java/org/teaseltrail/core/control/SlotVm.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotVm.java
@@ -93,7 +93,7 @@
   /** Adds what the VM has in use and was granted; by kinds of requests only for one service. */
   void addTo(PlaceTally tally, ServiceId service) {
     inFlight.forEach(tally::inUse);
-    unread.keySet().forEach(tally::isReading);
+    unread.keySet().forEach(tally::noteUnread);
     open.forEach(each -> tally.granted(each.grant(), service));
     held.stream()
         .filter(each -> each.service().equals(service))
