--- /dev/null
+++ b/bench/src/main/java/org/teaseltrail/bench/process/RunLine.java
@@ -0,0 +1,51 @@
+package org.teaseltrail.bench.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Is the command by which a deployment starts one role, read from the deploy file, so that what is
+ * measured is what runs.
+ *
+ * @param words the program and its arguments
+ */
+record RunLine(List<String> words) {
+
+  /**
+   * Reads the command of a role.
+   *
+   * @param deployFile the deploy file
+   * @param role the role's name
+   * @throws IOException if the file has no such role
+   */
+  static RunLine of(Path deployFile, String role) throws IOException {
+    Pattern pattern =
+        Pattern.compile(
+            "\\[roles\\." + Pattern.quote(role) + "\\].*?^run = \"([^\"]+)\"",
+            Pattern.DOTALL | Pattern.MULTILINE);
+    Matcher matcher = pattern.matcher(Files.readString(deployFile));
+    if (!matcher.find()) {
+      throw new IOException(deployFile + " has no role " + role);
+    }
+    return new RunLine(List.of(matcher.group(1).split(" ")));
+  }
+
+  /** Returns the command with options for the JVM behind the program's own. */
+  RunLine withOptions(List<String> options) {
+    List<String> all = new ArrayList<>(words);
+    all.addAll(1, options);
+    return new RunLine(all);
+  }
+
+  /** Returns the command with arguments for the program. */
+  RunLine withArguments(String... arguments) {
+    List<String> all = new ArrayList<>(words);
+    all.addAll(List.of(arguments));
+    return new RunLine(all);
+  }
+}
