Carry all connections of an entry VM by one event loop

Cause: three loops and a timer thread (own selector, Reactor Netty's for links and for side servers, its parallel scheduler) woke each other for each message of the leader and each tick; two kinds of transport were loaded. Now callers, upstreams, links and side servers share one loop of the system's native transport, the JDK's selector where there is none. Probes for silent connections are set by whichever transport carries them.

--- a/forward/src/main/java/org/teaseltrail/forward/CallerListener.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerListener.java
@@ -6,8 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -40,11 +39,11 @@
    *
    * @throws InterruptedException if the thread is interrupted while it waits for the port
    */
-  static Channel bind(ForwardServer server, EventLoopGroup loop, InetSocketAddress address)
+  static Channel bind(ForwardServer server, EventLoops loops, InetSocketAddress address)
       throws InterruptedException {
     return new ServerBootstrap()
-        .group(loop)
-        .channel(NioServerSocketChannel.class)
+        .group(loops.loop())
+        .channelFactory(() -> loops.channel(ServerSocketChannel.class))
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
--- a/forward/src/main/java/org/teaseltrail/forward/ControlLinks.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ControlLinks.java
@@ -20,6 +20,7 @@
 import org.teaseltrail.wire.MessageCodec;
 import org.teaseltrail.wire.ReconnectBackoff;
 import org.teaseltrail.wire.SpeakerKind;
+import reactor.netty.resources.LoopResources;
 
 /** Holds connections to the control members, whose VMs are named by their addresses. */
 final class ControlLinks implements AutoCloseable, FrameListener<ServingReply, ServingMessage> {
@@ -46,12 +47,15 @@
 
   private final Map<VmId, FrameClient<ServingReply, ServingMessage>> clients =
       new ConcurrentHashMap<>();
+  private final LoopResources loops;
   private final VmId self;
   private final MessageCodec codec = new MessageCodec();
   private final RandomGenerator random;
   private final Consumer<ServingReply> replies;
 
-  ControlLinks(VmId self, RandomGenerator random, Consumer<ServingReply> replies) {
+  ControlLinks(
+      LoopResources loops, VmId self, RandomGenerator random, Consumer<ServingReply> replies) {
+    this.loops = loops;
     this.self = self;
     this.random = random;
     this.replies = replies;
@@ -93,6 +97,7 @@
 
   private FrameClient<ServingReply, ServingMessage> client(VmId vm) {
     return FrameClient.connect(
+        loops,
         SocketAddress.parse(vm.value()),
         self.value(),
         new FrameEndpoint<>(SpeakerKind.SERVING_VM, ServingReply.class, ServingMessage.class, this),
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -4,9 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -16,6 +14,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -76,7 +75,8 @@
   private final HeaderDialect dialect;
   private final EventLog log;
   private final SuspendAwareClock clock = new SuspendAwareClock();
-  private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoops loops = new EventLoops();
+  private final EventLoop loop = loops.loop();
   private final ForwardNode node;
   private final UpstreamPool pool;
   private final ControlLinks links;
@@ -102,22 +102,25 @@
     this.dialect = dialect;
     this.log = log;
     node = new ForwardNode(options.node());
-    pool = new UpstreamPool(loop, dialect);
+    pool = new UpstreamPool(loops, dialect);
     links =
         new ControlLinks(
+            loops.resources(),
             options.node().vm(),
             new SplittableRandom(options.node().seed()),
             reply -> loop.execute(() -> fromControl(reply)));
     metrics = new ForwardMetrics(this, log);
     readiness =
-        SideServer.readiness(options.listenReady(), options.readyPath(), this::acceptsCallers);
+        SideServer.readiness(
+            loops.resources(), options.listenReady(), options.readyPath(), this::acceptsCallers);
     metricsServer =
-        options.listenMetrics().map(address -> SideServer.metrics(address, metrics::scrape));
-    listener = CallerListener.bind(this, loop, options.listen());
+        options
+            .listenMetrics()
+            .map(address -> SideServer.metrics(loops.resources(), address, metrics::scrape));
+    listener = CallerListener.bind(this, loops, options.listen());
     loop.execute(() -> run(node.begin()));
-    loop.next()
-        .scheduleWithFixedDelay(
-            this::checkIdle, IDLE_CHECK_MS, IDLE_CHECK_MS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(
+        this::checkIdle, IDLE_CHECK_MS, IDLE_CHECK_MS, TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -175,7 +178,7 @@
     readiness.close();
     metricsServer.ifPresent(SideServer::close);
     metrics.close();
-    loop.shutdownGracefully(0, DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
+    loops.end(Duration.ofMillis(DRAIN_POLL_MS));
   }
 
   UpstreamPool pool() {
@@ -361,7 +364,7 @@
     }
     wakeupNs = nextNs;
     long delayNs = Math.max(0, nextNs - clock.nowNs());
-    wakeup = loop.next().schedule(this::tick, delayNs, TimeUnit.NANOSECONDS);
+    wakeup = loop.schedule(this::tick, delayNs, TimeUnit.NANOSECONDS);
   }
 
   private void tick() {
--- a/forward/src/main/java/org/teaseltrail/forward/SideServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/SideServer.java
@@ -7,6 +7,7 @@
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
+import reactor.netty.resources.LoopResources;
 
 /** Answers one question about the process beside its callers' requests. */
 final class SideServer implements AutoCloseable {
@@ -21,9 +22,11 @@
   }
 
   /** Tells whether callers may be sent here. */
-  static SideServer readiness(InetSocketAddress address, String path, BooleanSupplier ready) {
+  static SideServer readiness(
+      LoopResources loops, InetSocketAddress address, String path, BooleanSupplier ready) {
     return new SideServer(
         HttpServer.create()
+            .runOn(loops)
             .bindAddress(() -> address)
             .route(
                 routes ->
@@ -35,9 +38,11 @@
   }
 
   /** Hands metrics out. */
-  static SideServer metrics(InetSocketAddress address, Supplier<String> metrics) {
+  static SideServer metrics(
+      LoopResources loops, InetSocketAddress address, Supplier<String> metrics) {
     return new SideServer(
         HttpServer.create()
+            .runOn(loops)
             .bindAddress(() -> address)
             .route(
                 routes ->
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamPool.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamPool.java
@@ -5,9 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.util.ArrayDeque;
@@ -15,7 +13,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
-import jdk.net.ExtendedSocketOptions;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.registry.UpstreamLife;
 
@@ -31,31 +28,15 @@
   /** Idle connections kept for an upstream; as many requests as one VM has there at its busiest. */
   private static final int MAX_IDLE = 12;
 
-  /**
-   * Probes by which a connection that has fallen silent without a reset is found within 3 s. It
-   * shows as a request that hangs until its deadline, while new connections to the same upstream
-   * work; the probes end it, and the request fails or goes on elsewhere.
-   */
-  private static final ChannelOption<Integer> KEEP_IDLE =
-      NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE);
-
-  private static final ChannelOption<Integer> KEEP_INTERVAL =
-      NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL);
-  private static final ChannelOption<Integer> KEEP_COUNT =
-      NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT);
-  private static final int PROBE_AFTER_S = 1;
-  private static final int PROBE_EVERY_S = 1;
-  private static final int PROBES = 2;
-
   private static final int MAX_HEADER_BYTES = 32 * 1024;
 
   private final Map<UpstreamLife, Deque<UpstreamConnection>> idle = new HashMap<>();
   private final Map<UpstreamConnection, UpstreamLife> owners = new HashMap<>();
-  private final EventLoopGroup loop;
+  private final EventLoops loops;
   private final HeaderDialect dialect;
 
-  UpstreamPool(EventLoopGroup loop, HeaderDialect dialect) {
-    this.loop = loop;
+  UpstreamPool(EventLoops loops, HeaderDialect dialect) {
+    this.loops = loops;
     this.dialect = dialect;
   }
 
@@ -107,18 +88,16 @@
   private void open(
       Registration upstream, Consumer<UpstreamConnection> connected, Runnable failed) {
     UpstreamConnection connection = new UpstreamConnection(this, dialect);
-    ChannelFuture connecting =
+    Bootstrap bootstrap =
         new Bootstrap()
-            .group(loop)
-            .channel(NioSocketChannel.class)
+            .group(loops.loop())
+            .channelFactory(() -> loops.channel(SocketChannel.class))
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.SO_KEEPALIVE, true)
-            .option(KEEP_IDLE, PROBE_AFTER_S)
-            .option(KEEP_INTERVAL, PROBE_EVERY_S)
-            .option(KEEP_COUNT, PROBES)
-            .handler(initializer(connection))
-            .connect(upstream.address().host(), upstream.address().port());
+            .handler(initializer(connection));
+    SilenceProbes.addTo(bootstrap);
+    ChannelFuture connecting =
+        bootstrap.connect(upstream.address().host(), upstream.address().port());
     connecting.addListener(
         done -> {
           if (done.isSuccess()) {
--- a/wire/src/main/java/org/teaseltrail/wire/FrameClient.java
+++ b/wire/src/main/java/org/teaseltrail/wire/FrameClient.java
@@ -7,9 +7,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.teaseltrail.core.upstream.SocketAddress;
-import reactor.core.scheduler.Schedulers;
 import reactor.netty.Connection;
+import reactor.netty.resources.LoopResources;
 import reactor.netty.tcp.TcpClient;
+import reactor.netty.tcp.TcpResources;
 
 /**
  * Keeps one connection to one address, and makes it again with backoff whenever it ends, until the
@@ -22,6 +23,7 @@
 
   private static final Logger LOGGER = System.getLogger(FrameClient.class.getName());
 
+  private final LoopResources loops;
   private final SocketAddress address;
   private final ConnectionOpening opening;
   private final FrameEndpoint<I, O> endpoint;
@@ -32,12 +34,14 @@
   private volatile TypedConnection<I, O> current;
 
   private FrameClient(
+      LoopResources loops,
       SocketAddress address,
       String speakerId,
       FrameEndpoint<I, O> endpoint,
       FrameLimits limits,
       MessageCodec codec,
       ReconnectBackoff backoff) {
+    this.loops = loops;
     this.address = address;
     this.opening = ConnectionOpening.of(endpoint.speaker(), speakerId);
     this.endpoint = endpoint;
@@ -47,7 +51,7 @@
   }
 
   /**
-   * Starts to connect.
+   * Starts to connect, on the event loops that all clients of the process share.
    *
    * @param address where the server listens
    * @param speakerId id of this process, a VM id or member id as text
@@ -66,8 +70,33 @@
       FrameLimits limits,
       MessageCodec codec,
       ReconnectBackoff backoff) {
+    return connect(TcpResources.get(), address, speakerId, endpoint, limits, codec, backoff);
+  }
+
+  /**
+   * Starts to connect on given event loops.
+   *
+   * @param loops carry the connection and its timers
+   * @param address where the server listens
+   * @param speakerId id of this process, a VM id or member id as text
+   * @param endpoint what is spoken and who hears it
+   * @param limits what the connection may cost
+   * @param codec writes and reads the messages
+   * @param backoff spaces the attempts
+   * @param <I> the sealed interface of what comes in
+   * @param <O> the sealed interface of what goes out
+   * @return the client
+   */
+  public static <I, O> FrameClient<I, O> connect(
+      LoopResources loops,
+      SocketAddress address,
+      String speakerId,
+      FrameEndpoint<I, O> endpoint,
+      FrameLimits limits,
+      MessageCodec codec,
+      ReconnectBackoff backoff) {
     FrameClient<I, O> client =
-        new FrameClient<>(address, speakerId, endpoint, limits, codec, backoff);
+        new FrameClient<>(loops, address, speakerId, endpoint, limits, codec, backoff);
     client.attempt();
     return client;
   }
@@ -108,6 +137,7 @@
       return;
     }
     TcpClient.newConnection()
+        .runOn(loops)
         .host(address.host())
         .port(address.port())
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs())
@@ -149,7 +179,9 @@
 
   private void attemptLater() {
     if (!closing.get()) {
-      Schedulers.parallel().schedule(this::attempt, backoff.nextDelayMs(), TimeUnit.MILLISECONDS);
+      loops
+          .onClient(LoopResources.DEFAULT_NATIVE)
+          .schedule(this::attempt, backoff.nextDelayMs(), TimeUnit.MILLISECONDS);
     }
   }
 }
