Leave out of a start and of look-ups what is made at run time for nothing

Causes: a record's equals and hashCode are made as method handles when first called, at each start, and run as such in each map look-up; ids on a request's way write them out. The JVM's own meters brought its management in at each start; they begin with the first scrape. The log's thread woke five times a second to look for lines; it waits, and writes what has gathered at once.

--- a/core/src/main/java/org/teaseltrail/core/id/MemberId.java
+++ b/core/src/main/java/org/teaseltrail/core/id/MemberId.java
@@ -16,4 +16,14 @@
   public String toString() {
     return value;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof MemberId id && value.equals(id.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/core/src/main/java/org/teaseltrail/core/id/StringId.java
+++ b/core/src/main/java/org/teaseltrail/core/id/StringId.java
@@ -1,6 +1,12 @@
 package org.teaseltrail.core.id;
 
-/** Is an id whose whole content is one printable text. Codecs write it as that text. */
+/**
+ * Is an id whose whole content is one printable text. Codecs write it as that text.
+ *
+ * <p>Those that are keys of maps on the way of a request write {@code equals} and {@code hashCode}
+ * out. A record's own are made when they are first called, at each start of the process anew, and
+ * run as method handles, which a lightly compiled program pays for with each look-up.
+ */
 public interface StringId {
 
   /** Longest text of an id, in characters. */
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/EventLog.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/EventLog.java
@@ -3,9 +3,10 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -26,7 +27,12 @@
   /** Routine lines a second; several times what one entry VM of the users serves. */
   private static final int ROUTINE_PER_SECOND = 100;
 
-  private static final long POLL_MS = 200;
+  /** Lines that are written at once. */
+  private static final int WRITTEN_AT_ONCE = 64;
+
+  /** Wakes the writing thread at the end. */
+  private static final String NO_LINE = "";
+
   private static final long END_MS = 500;
   private static final long NS_PER_S = 1_000_000_000L;
 
@@ -79,6 +85,8 @@
   @Override
   public void close() {
     ending = true;
+    // A full queue has no room for this line, but then the thread is awake.
+    queue.offer(NO_LINE);
     try {
       thread.join(END_MS);
     } catch (InterruptedException e) {
@@ -88,12 +96,13 @@
 
   private void run() {
     try {
+      List<String> lines = new ArrayList<>();
       while (!ending || !queue.isEmpty()) {
-        String line = queue.poll(POLL_MS, TimeUnit.MILLISECONDS);
-        if (line != null) {
-          out.write(line.getBytes(StandardCharsets.UTF_8));
-          out.flush();
-        }
+        lines.add(queue.take());
+        queue.drainTo(lines, WRITTEN_AT_ONCE);
+        out.write(String.join("", lines).getBytes(StandardCharsets.UTF_8));
+        out.flush();
+        lines.clear();
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/runtime/src/main/java/org/teaseltrail/runtime/metrics/Metrics.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/metrics/Metrics.java
@@ -10,7 +10,10 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 
-/** Holds a program's meters and those of its JVM and process. */
+/**
+ * Holds a program's meters and those of its JVM and process. The latter begin with the first
+ * scrape: pauses of the collector before it are not counted.
+ */
 public final class Metrics implements AutoCloseable {
 
   /** The content type of {@link #scrape()}. */
@@ -18,7 +21,7 @@
 
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-  private final JvmGcMetrics gcMetrics = new JvmGcMetrics();
+  private JvmGcMetrics gcMetrics;
 
   /**
    * Makes the meters.
@@ -27,12 +30,6 @@
    */
   public Metrics(String program) {
     registry.config().commonTags("program", program);
-    new JvmMemoryMetrics().bindTo(registry);
-    new JvmThreadMetrics().bindTo(registry);
-    new ProcessorMetrics().bindTo(registry);
-    new FileDescriptorMetrics().bindTo(registry);
-    new UptimeMetrics().bindTo(registry);
-    gcMetrics.bindTo(registry);
   }
 
   /**
@@ -49,13 +46,29 @@
    *
    * @return Prometheus' text form
    */
-  public String scrape() {
+  public synchronized String scrape() {
+    if (gcMetrics == null) {
+      bindProcess();
+    }
     return registry.scrape();
   }
 
   @Override
-  public void close() {
-    gcMetrics.close();
+  public synchronized void close() {
+    if (gcMetrics != null) {
+      gcMetrics.close();
+    }
     registry.close();
   }
+
+  /** Keeps the JVM's management out of the start of processes that nobody asks. */
+  private void bindProcess() {
+    new JvmMemoryMetrics().bindTo(registry);
+    new JvmThreadMetrics().bindTo(registry);
+    new ProcessorMetrics().bindTo(registry);
+    new FileDescriptorMetrics().bindTo(registry);
+    new UptimeMetrics().bindTo(registry);
+    gcMetrics = new JvmGcMetrics();
+    gcMetrics.bindTo(registry);
+  }
 }
