Pass on whole events that came before damage, and linger after a refusal

Events that came in one read with a damaged chunk were dropped, though a stream that goes on elsewhere goes on after them: wholeEventBeforeDamageReachesTheCaller, red without the mend (the caller got the head only). A refused caller that was still sending got a reset instead of its answer, since the connection was closed with unread bytes: headerBeyondTheBoundIsRefused, red since the system's native transport carries callers (it reads less at once than the JDK's selector did, which hid the fault). The output ends first now, and what comes is read for half a second.

--- a/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -14,6 +15,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 
 /** Is one caller's connection. Its requests are answered one after the other, in their order. */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
@@ -21,6 +23,9 @@
   /** Requests that a caller may send ahead of its answers. */
   private static final int MAX_AHEAD = 16;
 
+  /** Time for a caller to take its refusal; some round trips. */
+  private static final long LINGER_MS = 500;
+
   private final ForwardServer server;
   private final Deque<FullHttpRequest> ahead = new ArrayDeque<>();
   private Channel channel;
@@ -178,6 +183,22 @@
     closing = true;
     var answer = server.ownAnswer(status, reason, "", 0);
     HttpUtil.setKeepAlive(answer, false);
-    channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+    channel.writeAndFlush(answer).addListener(done -> lingerThenClose());
+  }
+
+  /**
+   * Ends what goes out, and reads on for a moment before the connection is closed.
+   *
+   * <p>Guards against an answer that is lost on its way: to close a connection with unread bytes
+   * resets it, and the caller, still sending what was refused, sees the reset instead of the
+   * answer. What comes until the end is left out.
+   */
+  private void lingerThenClose() {
+    if (channel instanceof DuplexChannel duplex) {
+      duplex.shutdownOutput();
+      channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+    } else {
+      channel.close();
+    }
   }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -300,7 +300,8 @@
 
     private void gather(byte[] whole) {
       if (whole.length > 0) {
-        gathered = Unpooled.wrappedBuffer(gathered, Unpooled.wrappedBuffer(whole));
+        gathered = gathered.isReadable() ? gathered : server.allocate();
+        gathered.writeBytes(whole);
       }
     }
 
@@ -309,7 +310,7 @@
       if (!gathered.isReadable()) {
         return;
       }
-      ByteBuf whole = gathered;
+      final ByteBuf whole = gathered;
       gathered = Unpooled.EMPTY_BUFFER;
       boolean first = firstEventNs == 0;
       noteEvents();
@@ -381,6 +382,7 @@
       if (over) {
         return;
       }
+      relayGathered();
       over = true;
       attempt = Optional.empty();
       server.attemptEnded(Exchange.this, end);
