--- a/core/src/test/java/org/teaseltrail/core/control/FakeControlGroup.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeControlGroup.java
@@ -27,6 +27,8 @@
 import org.teaseltrail.core.replication.RecoveredState;
 import org.teaseltrail.core.replication.ReplicaSettings;
 import org.teaseltrail.core.replication.Vote;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
 
 /** Runs a few control members and entry VMs under virtual time, 1 ms from each to each. */
 final class FakeControlGroup {
@@ -49,7 +51,13 @@
     void received(FakeControl from, ControlMessage message);
   }
 
+  /** Is an entry VM that places requests itself and hears what members send it. */
+  interface ServingListener {
+    void received(ServingReply reply);
+  }
+
   private final Map<VmId, Listener> entryVms = new HashMap<>();
+  private final Map<VmId, ServingListener> servingVms = new HashMap<>();
   private final Map<Long, OperatorResult> replies = new HashMap<>();
   private final ReplicaSettings replicaSettings;
   private ControlSettings settings = ControlSettings.DEFAULT;
@@ -138,6 +146,10 @@
     entryVms.put(vm, listener);
   }
 
+  void listenServing(VmId vm, ServingListener listener) {
+    servingVms.put(vm, listener);
+  }
+
   void restart(FakeControl member) {
     member.start(replicaSettings);
   }
@@ -182,6 +194,15 @@
     after(LATENCY_NS, () -> member.handle(new ControlEvent.FromEntry(vm, message)));
   }
 
+  /** Carries a message of a VM that places requests itself to a member. */
+  void say(VmId member, ServingMessage message) {
+    for (FakeControl one : members) {
+      if (one.member().vm().equals(member)) {
+        after(LATENCY_NS, () -> one.handle(new ControlEvent.FromServingVm(message)));
+      }
+    }
+  }
+
   void acted(FakeControl from, ControlAction action) {
     if (action instanceof ControlAction.SendEntry send) {
       assertThat(from.control().leaseHolds(nowNs)).isTrue();
@@ -189,6 +210,11 @@
       if (entry != null) {
         after(LATENCY_NS, () -> entry.received(from, send.message()));
       }
+    } else if (action instanceof ControlAction.SendServing send) {
+      ServingListener entry = servingVms.get(send.vm());
+      if (entry != null) {
+        after(LATENCY_NS, () -> entry.received(send.reply()));
+      }
     } else if (action instanceof ControlAction.Reply reply && !repliesLost) {
       replies.put(reply.callId(), reply.result());
     }
