Look up the constructor and accessor of a value type once

Cause: each id in each message looked its constructor up anew, and a reflective one besides was made at run time; an answer to a sync has an id for each upstream, four times a second.

--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
@@ -52,7 +52,7 @@
 
   /** Takes what the leader tells of the places. */
   void placesTold(UpstreamPlaces places, long nowNs) {
-    if (places.equals(UpstreamPlaces.NONE)) {
+    if (places.isNone()) {
       return;
     }
     views.forEach(
--- a/core/src/main/java/org/teaseltrail/core/serving/UpstreamPlaces.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/UpstreamPlaces.java
@@ -20,4 +20,9 @@
     elsewhere = Map.copyOf(elsewhere);
     ownParts = Map.copyOf(ownParts);
   }
+
+  /** Tells whether the leader doesn't know yet. */
+  public boolean isNone() {
+    return elsewhere.isEmpty() && ownParts.isEmpty();
+  }
 }
--- a/wire/src/main/java/org/teaseltrail/wire/ValueType.java
+++ b/wire/src/main/java/org/teaseltrail/wire/ValueType.java
@@ -2,20 +2,29 @@
 
 import java.lang.reflect.Constructor;
 import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Method;
 import java.lang.reflect.RecordComponent;
 import java.util.Arrays;
 
-/**
- * Is a record that is written as its only component: an id, a revision, a rank.
- *
- * @param type the record
- * @param component its only component
- */
-record ValueType(Class<?> type, RecordComponent component) {
-
-  /** Makes the component readable, since records may be nested in types that aren't public. */
-  ValueType {
-    component.getAccessor().setAccessible(true);
+/** Is a record that is written as its only component: an id, a revision, a rank. */
+final class ValueType {
+
+  private final Class<?> type;
+  private final Class<?> componentType;
+
+  /** Looked up once: an answer to a sync holds an id for each upstream. */
+  private final Method accessor;
+
+  private final Constructor<?> constructor;
+
+  /** Makes the record readable, since records may be nested in types that aren't public. */
+  private ValueType(Class<?> type, RecordComponent component) {
+    this.type = type;
+    componentType = component.getType();
+    accessor = component.getAccessor();
+    accessor.setAccessible(true);
+    constructor = constructorOf(type, componentType);
+    constructor.setAccessible(true);
   }
 
   static boolean isValueType(Class<?> type) {
@@ -31,8 +40,12 @@
     return new ValueType(type, type.getRecordComponents()[0]);
   }
 
+  Class<?> type() {
+    return type;
+  }
+
   boolean isText() {
-    return component.getType() == String.class;
+    return componentType == String.class;
   }
 
   String textOf(Object value) {
@@ -49,7 +62,7 @@
   }
 
   Object fromNumber(long number) {
-    if (component.getType() == int.class) {
+    if (componentType == int.class) {
       return construct(Math.toIntExact(number));
     }
     return construct(number);
@@ -57,7 +70,7 @@
 
   private Object read(Object value) {
     try {
-      return component.getAccessor().invoke(value);
+      return accessor.invoke(value);
     } catch (ReflectiveOperationException failure) {
       throw new IllegalStateException("accessor of " + type.getName(), failure);
     }
@@ -65,8 +78,6 @@
 
   private Object construct(Object argument) {
     try {
-      Constructor<?> constructor = type.getDeclaredConstructor(component.getType());
-      constructor.setAccessible(true);
       return constructor.newInstance(argument);
     } catch (InvocationTargetException failure) {
       throw new IllegalArgumentException("not a " + type.getSimpleName(), failure.getCause());
@@ -74,4 +85,12 @@
       throw new IllegalStateException("constructor of " + type.getName(), failure);
     }
   }
+
+  private static Constructor<?> constructorOf(Class<?> type, Class<?> componentType) {
+    try {
+      return type.getDeclaredConstructor(componentType);
+    } catch (NoSuchMethodException failure) {
+      throw new IllegalStateException("constructor of " + type.getName(), failure);
+    }
+  }
 }
