--- a/bench/src/main/java/org/teaseltrail/bench/process/ColdProcess.java
+++ b/bench/src/main/java/org/teaseltrail/bench/process/ColdProcess.java
@@ -118,7 +118,7 @@
 
   private void live(LoopbackSite site, MeasuredProgram vm) throws Exception {
     site.awaitReady();
-    phases.add(new Phase("start to ready", 1, vm.reading()));
+    phases.add(new Phase("start to ready", 1, vm.reading().since(ProcessReading.START)));
     settle();
     int idleS = options.getInt("idle_s");
     phase("idle second", idleS, vm, () -> sleep(idleS * MS_PER_S));
--- a/bench/src/main/java/org/teaseltrail/bench/process/Phase.java
+++ b/bench/src/main/java/org/teaseltrail/bench/process/Phase.java
@@ -7,9 +7,9 @@
  * @param units what the cost is divided by: starts, seconds, requests, upstreams, plans
  * @param used what the process used in it
  */
-record Phase(String name, int units, ProcessReading used) {
+record Phase(String name, int units, ProcessUse used) {
 
   double perUnitMs() {
-    return used.totalMs() / units;
+    return used.processorMs() / units;
   }
 }
--- a/bench/src/main/java/org/teaseltrail/bench/process/ProcessReport.java
+++ b/bench/src/main/java/org/teaseltrail/bench/process/ProcessReport.java
@@ -41,7 +41,7 @@
   }
 
   private static void row(StringBuilder text, Phase phase) {
-    ProcessReading used = phase.used();
+    ProcessUse used = phase.used();
     text.append(
         String.format(
             Locale.ROOT,
@@ -49,10 +49,9 @@
             phase.name(),
             phase.units(),
             phase.perUnitMs(),
-            used.totalMs()));
+            used.processorMs()));
     for (ThreadKind kind : ThreadKind.values()) {
-      text.append(
-          String.format(Locale.ROOT, " %.0f |", used.processorMs().getOrDefault(kind, 0.0)));
+      text.append(String.format(Locale.ROOT, " %.0f |", used.byKind().getOrDefault(kind, 0.0)));
     }
     text.append(
         String.format(
--- a/bench/src/main/java/org/teaseltrail/bench/process/ThreadKind.java
+++ b/bench/src/main/java/org/teaseltrail/bench/process/ThreadKind.java
@@ -16,7 +16,9 @@
   /** Writes log lines. */
   LOG(List.of("event-log")),
   /** Whatever is none of these. */
-  OTHER(List.of());
+  OTHER(List.of()),
+  /** Have ended since the phase began; the JVM ends compilers that it doesn't need. */
+  ENDED(List.of());
 
   private final List<String> prefixes;
 
--- /dev/null
+++ b/bench/src/main/java/org/teaseltrail/bench/process/ThreadReading.java
@@ -0,0 +1,30 @@
+package org.teaseltrail.bench.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * Is what one thread had used at one moment.
+ *
+ * @param kind what the thread does
+ * @param processorMs processor time, in milliseconds
+ * @param wakeups times that it was put back to work after it had waited
+ */
+record ThreadReading(ThreadKind kind, double processorMs, long wakeups) {
+
+  private static final double NS_PER_MS = 1e6;
+
+  /** Reads the counts of a thread from its folder under {@code /proc}. */
+  static ThreadReading of(Path folder) throws IOException {
+    String name = Files.readString(folder.resolve("comm")).trim();
+    String[] times = Files.readString(folder.resolve("schedstat")).trim().split(" ");
+    long wakeups =
+        ProcFile.number(Files.readAllLines(folder.resolve("status")), "voluntary_ctxt_switches:");
+    return new ThreadReading(ThreadKind.of(name), Long.parseLong(times[0]) / NS_PER_MS, wakeups);
+  }
+
+  ThreadReading since(ThreadReading earlier) {
+    return new ThreadReading(kind, processorMs - earlier.processorMs, wakeups - earlier.wakeups);
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
@@ -33,8 +33,7 @@
 
   /**
    * Prompt tokens that hold up the streams of a slow upstream longer than callers accept: three of
-   * the users' chunks, each of which takes it as long as eight tokens of every stream. Measured: 3
-   * of 100 more of the worth owed on two days with few upstreams; 2,500 did no better.
+   * the users' chunks, each of which takes it as long as eight tokens of every stream.
    */
   private static final int LONG_PROMPT_TOKENS = 6_000;
 
--- a/core/src/test/java/org/teaseltrail/core/control/ServingRun.java
+++ b/core/src/test/java/org/teaseltrail/core/control/ServingRun.java
@@ -12,14 +12,13 @@
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardNode;
 import org.teaseltrail.core.forward.ForwardRequest;
+import org.teaseltrail.core.forward.ForwardSamples;
 import org.teaseltrail.core.forward.ForwardSettings;
 import org.teaseltrail.core.forward.Refusal;
-import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.InstalledPlan;
 import org.teaseltrail.core.plan.Plans;
-import org.teaseltrail.core.quota.QuotaBounds;
 import org.teaseltrail.core.replication.Member;
 
 /**
@@ -137,17 +136,7 @@
             });
     List<VmId> members = group.members().stream().map(FakeControl::member).map(Member::vm).toList();
     ForwardSettings settings =
-        new ForwardSettings(
-            name(vm),
-            new Incarnation(lives[vm]),
-            members,
-            3_000,
-            250,
-            0.2,
-            10_000,
-            50,
-            QuotaBounds.DEFAULT,
-            random.nextLong());
+        ForwardSamples.settings(name(vm), lives[vm], members, random.nextLong());
     nodes.set(vm, new ForwardNode(settings));
     long life = lives[vm];
     group.listenServing(
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardSamples.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardSamples.java
@@ -21,17 +21,22 @@
 
   /** Makes settings with the users' times; the seed follows from the VM's name. */
   public static ForwardSettings settings(VmId vm, long incarnation) {
+    return settings(vm, incarnation, List.of(MEMBER), vm.value().hashCode());
+  }
+
+  /** Makes settings with the users' times for given control members. */
+  public static ForwardSettings settings(VmId vm, long incarnation, List<VmId> members, long seed) {
     return new ForwardSettings(
         vm,
         new Incarnation(incarnation),
-        List.of(MEMBER),
+        members,
         3_000,
         250,
         0.2,
         10_000,
         50,
         QuotaBounds.DEFAULT,
-        vm.value().hashCode());
+        seed);
   }
 
   /** Makes the first heartbeat of an upstream that takes requests. */
