--- a/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
@@ -181,7 +181,7 @@
       return;
     }
     closing = true;
-    var answer = server.ownAnswer(status, reason, "", 0);
+    var answer = OwnAnswer.of(server.dialect(), status, reason, "", 0);
     HttpUtil.setKeepAlive(answer, false);
     channel.writeAndFlush(answer).addListener(done -> lingerThenClose());
   }
--- a/forward/src/main/java/org/teaseltrail/forward/CallerListener.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerListener.java
@@ -39,11 +39,11 @@
    *
    * @throws InterruptedException if the thread is interrupted while it waits for the port
    */
-  static Channel bind(ForwardServer server, EventLoops loops, InetSocketAddress address)
+  static Channel bind(ForwardServer server, SharedEventLoop sharedLoop, InetSocketAddress address)
       throws InterruptedException {
     return new ServerBootstrap()
-        .group(loops.loop())
-        .channelFactory(() -> loops.channel(ServerSocketChannel.class))
+        .group(sharedLoop.loop())
+        .channelFactory(() -> sharedLoop.channel(ServerSocketChannel.class))
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -134,7 +134,7 @@
       caller.breakOff();
       return;
     }
-    caller.write(server.ownAnswer(status, reason, request.id(), retryAfterMs));
+    caller.write(OwnAnswer.of(server.dialect(), status, reason, request.id(), retryAfterMs));
     caller.answered(this);
   }
 
@@ -184,7 +184,7 @@
     private long sentNs;
     private long firstEventNs;
     private long lastEventNs;
-    private long eventsBefore;
+    private long eventsInFirstRead;
     private ByteBuf gathered = Unpooled.EMPTY_BUFFER;
 
     Attempt(ForwardAction.Dispatch dispatch) {
@@ -330,7 +330,7 @@
       long nowNs = System.nanoTime();
       if (firstEventNs == 0) {
         firstEventNs = nowNs;
-        eventsBefore = events.passedOn();
+        eventsInFirstRead = events.passedOn();
       } else {
         longestPauseNs = Math.max(longestPauseNs, nowNs - lastEventNs);
       }
@@ -339,7 +339,7 @@
 
     /** Tells the time between events, or that of a plain answer. */
     private void tellPace() {
-      long laterEvents = events.passedOn() - eventsBefore;
+      long laterEvents = events.passedOn() - eventsInFirstRead;
       if (firstEventNs > 0 && laterEvents > 0) {
         double betweenMs = (lastEventNs - firstEventNs) / NS_PER_MS / laterEvents;
         server.pace(dispatch.upstream().id(), betweenMs);
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -1,19 +1,12 @@
 package org.teaseltrail.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -75,8 +68,8 @@
   private final HeaderDialect dialect;
   private final EventLog log;
   private final SuspendAwareClock clock = new SuspendAwareClock();
-  private final EventLoops loops = new EventLoops();
-  private final EventLoop loop = loops.loop();
+  private final SharedEventLoop sharedLoop = new SharedEventLoop();
+  private final EventLoop loop = sharedLoop.loop();
   private final ForwardNode node;
   private final UpstreamPool pool;
   private final EventHold eventHold;
@@ -103,23 +96,26 @@
     this.dialect = dialect;
     this.log = log;
     node = new ForwardNode(options.node());
-    pool = new UpstreamPool(loops, dialect);
+    pool = new UpstreamPool(sharedLoop, dialect);
     eventHold = new EventHold(loop, options.eventHoldMs());
     links =
         new ControlLinks(
-            loops.resources(),
+            sharedLoop.resources(),
             options.node().vm(),
             new SplittableRandom(options.node().seed()),
             reply -> loop.execute(() -> fromControl(reply)));
     metrics = new ForwardMetrics(this, log);
     readiness =
         SideServer.readiness(
-            loops.resources(), options.listenReady(), options.readyPath(), this::acceptsCallers);
+            sharedLoop.resources(),
+            options.listenReady(),
+            options.readyPath(),
+            this::acceptsCallers);
     metricsServer =
         options
             .listenMetrics()
-            .map(address -> SideServer.metrics(loops.resources(), address, metrics::scrape));
-    listener = CallerListener.bind(this, loops, options.listen());
+            .map(address -> SideServer.metrics(sharedLoop.resources(), address, metrics::scrape));
+    listener = CallerListener.bind(this, sharedLoop, options.listen());
     loop.execute(() -> run(node.begin()));
     loop.scheduleWithFixedDelay(
         this::checkIdle, IDLE_CHECK_MS, IDLE_CHECK_MS, TimeUnit.MILLISECONDS);
@@ -180,7 +176,7 @@
     readiness.close();
     metricsServer.ifPresent(SideServer::close);
     metrics.close();
-    loops.end(Duration.ofMillis(DRAIN_POLL_MS));
+    sharedLoop.end(Duration.ofMillis(DRAIN_POLL_MS));
   }
 
   UpstreamPool pool() {
@@ -278,18 +274,6 @@
     node.pace(upstream, elapsedMs, clock.nowNs());
   }
 
-  /** Makes an answer of this system's own. */
-  FullHttpResponse ownAnswer(
-      HttpResponseStatus status, String reason, String requestId, long retryAfterMs) {
-    byte[] body = ("{\"error\":\"" + reason + "\"}").getBytes(StandardCharsets.UTF_8);
-    FullHttpResponse answer =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
-    answer.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-    HttpUtil.setContentLength(answer, body.length);
-    dialect.writeRefusal(answer.headers(), requestId, retryAfterMs);
-    return answer;
-  }
-
   private boolean acceptsCallers() {
     return ready && !draining;
   }
--- a/forward/src/main/java/org/teaseltrail/forward/EventLoops.java
+++ b/forward/src/main/java/org/teaseltrail/forward/SharedEventLoop.java
@@ -10,7 +10,7 @@
  * Holds the one event loop of an entry VM. All of its connections share it, so that what one of
  * them brings reaches the others without a wake-up of another thread.
  */
-final class EventLoops {
+final class SharedEventLoop {
 
   /** Whether the loop waits by the system's own calls; elsewhere the JDK's selector does. */
   static final boolean NATIVE = Epoll.isAvailable();
--- a/forward/src/main/java/org/teaseltrail/forward/SilenceProbes.java
+++ b/forward/src/main/java/org/teaseltrail/forward/SilenceProbes.java
@@ -22,7 +22,7 @@
 
   /** Sets the probes for connections that are made on the VM's event loop. */
   static void addTo(Bootstrap bootstrap) {
-    List<ChannelOption<Integer>> options = EventLoops.NATIVE ? nativeOptions() : javaOptions();
+    List<ChannelOption<Integer>> options = SharedEventLoop.NATIVE ? nativeOptions() : javaOptions();
     bootstrap
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(options.get(0), PROBE_AFTER_S)
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamPool.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamPool.java
@@ -32,11 +32,11 @@
 
   private final Map<UpstreamLife, Deque<UpstreamConnection>> idle = new HashMap<>();
   private final Map<UpstreamConnection, UpstreamLife> owners = new HashMap<>();
-  private final EventLoops loops;
+  private final SharedEventLoop sharedLoop;
   private final HeaderDialect dialect;
 
-  UpstreamPool(EventLoops loops, HeaderDialect dialect) {
-    this.loops = loops;
+  UpstreamPool(SharedEventLoop sharedLoop, HeaderDialect dialect) {
+    this.sharedLoop = sharedLoop;
     this.dialect = dialect;
   }
 
@@ -90,8 +90,8 @@
     UpstreamConnection connection = new UpstreamConnection(this, dialect);
     Bootstrap bootstrap =
         new Bootstrap()
-            .group(loops.loop())
-            .channelFactory(() -> loops.channel(SocketChannel.class))
+            .group(sharedLoop.loop())
+            .channelFactory(() -> sharedLoop.channel(SocketChannel.class))
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(initializer(connection));
