--- a/forward/src/main/java/org/teaseltrail/forward/EventBlocks.java
+++ b/forward/src/main/java/org/teaseltrail/forward/EventBlocks.java
@@ -17,9 +17,6 @@
   /** Bytes of an event at most; an upstream that sends more sends no events. */
   private static final int MAX_EVENT_BYTES = 1024 * 1024;
 
-  /** Digits of which every number is a long; longer ids are texts. */
-  private static final int MAX_DIGITS = 18;
-
   private static final byte[] NOTHING = {};
 
   private byte[] pending = NOTHING;
@@ -115,17 +112,13 @@
         && Arrays.equals(all, begin, begin + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length);
   }
 
-  /** Reads a number; ids need not be numbers, and then nothing can be said about their order. */
   private static OptionalLong number(String id) {
-    if (id.isEmpty() || id.length() > MAX_DIGITS) {
+    try {
+      return OptionalLong.of(Long.parseLong(id));
+    } catch (NumberFormatException e) {
+      // Ids need not be numbers; then nothing can be said about their order.
       return OptionalLong.empty();
     }
-    for (int i = 0; i < id.length(); i++) {
-      if (id.charAt(i) < '0' || id.charAt(i) > '9') {
-        return OptionalLong.empty();
-      }
-    }
-    return OptionalLong.of(Long.parseLong(id));
   }
 
   private static byte[] joined(byte[] first, byte[] second) {
--- a/forward/src/test/java/org/teaseltrail/forward/EventBlocksTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/EventBlocksTest.java
@@ -60,4 +60,16 @@
         .isEqualTo("id: b\n\nid: a\n\nid: 99999999999999999999\n\n");
     assertThat(blocks.lastId()).contains("99999999999999999999");
   }
+
+  /**
+   * A stream goes on elsewhere, its ids being nanoseconds since 1970. The caller must not get an
+   * event twice because its id has as many digits as a number can have.
+   */
+  @Test
+  void longNumbersAreToldFromTexts() throws Exception {
+    String first = "id: 1764745200000000001\n\n";
+    String second = "id: 1764745200000000002\n\n";
+    assertThat(take(first)).isEqualTo(first);
+    assertThat(take(first + second)).isEqualTo(second);
+  }
 }
