Name in the log what a broken attempt asked for

Cause: two requests with the same content can't be told from others in the logs: each carries its own id. Whether one request ends upstream after upstream, or upstreams end by themselves under whatever they run, looked the same.

Now the line of an attempt whose connection broke carries a fingerprint of customer, path and body. It is made only for such attempts, from the body that the VM holds anyway; an attempt that goes well costs nothing more.

Ruled out: the body's digest in each request's line (costs a digest for each request on a VM whose processor time is short).

--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/digest/package-info.java
@@ -0,0 +1,2 @@
+/** Digests of the JDK that every Java platform has. */
+package org.teaseltrail.core.digest;
--- a/core/src/main/java/org/teaseltrail/core/request/PrefixBlocks.java
+++ b/core/src/main/java/org/teaseltrail/core/request/PrefixBlocks.java
@@ -3,10 +3,10 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.List;
 import org.teaseltrail.core.configuration.RouteTarget.ModelTarget;
+import org.teaseltrail.core.digest.Sha256;
 import org.teaseltrail.core.id.AdapterId;
 
 /**
@@ -28,7 +28,7 @@
    * @return one hash a block, first block first
    */
   public static List<Long> of(ModelTarget target, byte[] promptUtf8) {
-    MessageDigest digest = sha256();
+    MessageDigest digest = Sha256.create();
     byte[] origin = origin(target).getBytes(StandardCharsets.UTF_8);
     long previous = link(digest, 0, origin, 0, origin.length);
     List<Long> hashes = new ArrayList<>(promptUtf8.length / BLOCK_BYTES);
@@ -49,12 +49,4 @@
     digest.update(data, from, length);
     return ByteBuffer.wrap(digest.digest()).getLong();
   }
-
-  private static MessageDigest sha256() {
-    try {
-      return MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every Java platform has SHA-256", e);
-    }
-  }
 }
--- a/core/src/test/java/org/teaseltrail/core/control/PlacesWithoutLeaderTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/PlacesWithoutLeaderTest.java
@@ -22,6 +22,7 @@
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.Plans;
+import org.teaseltrail.core.quarantine.RequestContent;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.registry.RegistryBook;
 import org.teaseltrail.core.serving.ServingMessage;
@@ -159,7 +160,8 @@
         OptionalLong.of(4_000),
         OptionalInt.of(1_000),
         OptionalInt.of(100),
-        List.of());
+        List.of(),
+        RequestContent.EMPTY);
   }
 
   /**
--- a/core/src/test/java/org/teaseltrail/core/control/QuotaSamples.java
+++ b/core/src/test/java/org/teaseltrail/core/control/QuotaSamples.java
@@ -12,6 +12,7 @@
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.Plans;
+import org.teaseltrail.core.quarantine.RequestContent;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.serving.UpstreamPlaces;
@@ -54,6 +55,7 @@
         OptionalLong.empty(),
         OptionalInt.of(tokens),
         OptionalInt.of(0),
-        List.of());
+        List.of(),
+        RequestContent.EMPTY);
   }
 }
--- a/core/src/test/java/org/teaseltrail/core/control/ServingRun.java
+++ b/core/src/test/java/org/teaseltrail/core/control/ServingRun.java
@@ -19,6 +19,7 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.InstalledPlan;
 import org.teaseltrail.core.plan.Plans;
+import org.teaseltrail.core.quarantine.RequestContent;
 import org.teaseltrail.core.replication.Member;
 
 /**
@@ -207,7 +208,8 @@
             OptionalLong.of(4_000),
             OptionalInt.of(500 + random.nextInt(9_000)),
             OptionalInt.of(100),
-            List.of());
+            List.of(),
+            RequestContent.EMPTY);
     carryOut(vm, nodes.get(vm).arrived(request, group.nowNs()));
   }
 
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeCase.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeCase.java
@@ -19,6 +19,7 @@
 import org.teaseltrail.core.plan.PlanCustomer;
 import org.teaseltrail.core.plan.Plans;
 import org.teaseltrail.core.plan.ServingPlan;
+import org.teaseltrail.core.quarantine.RequestContent;
 import org.teaseltrail.core.quota.QuotaGrant;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.serving.ServingMessage;
@@ -90,7 +91,8 @@
                 OptionalLong.of(4_000),
                 OptionalInt.of(promptTokens),
                 OptionalInt.of(100),
-                List.of(new PromptPart("abc", promptTokens))),
+                List.of(new PromptPart("abc", promptTokens)),
+                RequestContent.EMPTY),
             nowNs);
     return lastNumber;
   }
--- a/entry/src/main/java/org/teaseltrail/entry/CallerHeaders.java
+++ b/entry/src/main/java/org/teaseltrail/entry/CallerHeaders.java
@@ -33,7 +33,7 @@
         .filter(value -> value.regionMatches(true, 0, BEARER, 0, BEARER.length()))
         .map(value -> value.substring(BEARER.length()).trim())
         .filter(key -> !key.isEmpty())
-        .map(Sha256::ofText);
+        .map(Sha256Text::ofText);
   }
 
   static Optional<IdempotencyKey> idempotencyKey(HttpHeaders headers) {
--- a/entry/src/main/java/org/teaseltrail/entry/GenerateBody.java
+++ b/entry/src/main/java/org/teaseltrail/entry/GenerateBody.java
@@ -88,7 +88,7 @@
             adapter.map(AdapterId::value).orElse(""),
             Integer.toString(maxTokens),
             Boolean.toString(idempotent));
-    return Sha256.ofParts(head, prompt.getBytes(StandardCharsets.UTF_8));
+    return Sha256Text.ofParts(head, prompt.getBytes(StandardCharsets.UTF_8));
   }
 
   /** Returns the body that the engine gets. */
--- a/entry/src/main/java/org/teaseltrail/entry/ServiceRequest.java
+++ b/entry/src/main/java/org/teaseltrail/entry/ServiceRequest.java
@@ -18,6 +18,6 @@
 
   /** Returns the digest of what is asked for. */
   String digest() {
-    return Sha256.ofParts(method + "\n" + service + "\n" + pathAndQuery, body);
+    return Sha256Text.ofParts(method + "\n" + service + "\n" + pathAndQuery, body);
   }
 }
--- a/entry/src/main/java/org/teaseltrail/entry/UpstreamHandler.java
+++ b/entry/src/main/java/org/teaseltrail/entry/UpstreamHandler.java
@@ -58,7 +58,7 @@
 
   private static String secretHash(HttpServerRequest request) {
     return Optional.ofNullable(request.requestHeaders().get(HttpNames.UPSTREAM_SECRET))
-        .map(Sha256::ofText)
+        .map(Sha256Text::ofText)
         .orElse("");
   }
 
--- a/entry/src/test/java/org/teaseltrail/entry/EntryWorld.java
+++ b/entry/src/test/java/org/teaseltrail/entry/EntryWorld.java
@@ -89,7 +89,7 @@
     return new Configuration(
         new Revision(5),
         Map.of(tier, new TierDefinition(tier, "first")),
-        Map.of(customer, new Customer(customer, tier, List.of(Sha256.ofText(KEY)), 0, 0, 1)),
+        Map.of(customer, new Customer(customer, tier, List.of(Sha256Text.ofText(KEY)), 0, 0, 1)),
         Map.of(pool, new Pool(pool, 1_000, 0)),
         Map.of(
             new RouteId("tutor"),
@@ -102,7 +102,8 @@
                 new RouteId("portal"),
                 new ServiceTarget(new ServiceId("portal-app"), Set.of("POST")),
                 pool)),
-        Map.of(UPSTREAM, new AllowedUpstream(UPSTREAM, pool, Sha256.ofText(SECRET), false, true)));
+        Map.of(
+            UPSTREAM, new AllowedUpstream(UPSTREAM, pool, Sha256Text.ofText(SECRET), false, true)));
   }
 
   /** Waits for the session; each ask takes a whole exchange, so no time is slept away. */
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -24,6 +24,7 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.ClientLimits;
 import org.teaseltrail.core.plan.ServingPlan;
+import org.teaseltrail.core.quarantine.RequestContent;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.runtime.clock.SuspendAwareClock;
 import org.teaseltrail.runtime.log.EventLog;
@@ -222,7 +223,8 @@
   Exchange exchange(CallerConnection caller, FullHttpRequest received)
       throws MalformedRequestException {
     lastNumber++;
-    return new Exchange(this, caller, dialect.readRequest(lastNumber, received), received);
+    RequestContent content = new ReceivedContent(received);
+    return new Exchange(this, caller, dialect.readRequest(lastNumber, received, content), received);
   }
 
   void arrived(Exchange exchange) {
--- a/forward/src/main/java/org/teaseltrail/forward/HeaderDialect.java
+++ b/forward/src/main/java/org/teaseltrail/forward/HeaderDialect.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.teaseltrail.core.forward.ForwardRequest;
+import org.teaseltrail.core.quarantine.RequestContent;
 
 /** Translates between the headers of an outside platform and the types of this program. */
 public interface HeaderDialect {
@@ -13,10 +14,12 @@
    *
    * @param number the number it gets within this process
    * @param head its head
+   * @param content what it asks for
    * @return what decides about it
    * @throws MalformedRequestException if a header can't be read
    */
-  ForwardRequest readRequest(long number, HttpRequest head) throws MalformedRequestException;
+  ForwardRequest readRequest(long number, HttpRequest head, RequestContent content)
+      throws MalformedRequestException;
 
   /**
    * Takes out of a request's headers what callers may not set, and adds what upstreams are told.
--- a/forward/src/main/java/org/teaseltrail/forward/RequestStory.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RequestStory.java
@@ -6,6 +6,7 @@
 import org.teaseltrail.core.forward.ForwardRequest;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.plan.PlanRoute;
+import org.teaseltrail.core.quarantine.Fingerprint;
 import org.teaseltrail.runtime.log.EventLog;
 import org.teaseltrail.runtime.log.LogEvent;
 import org.teaseltrail.runtime.log.LogField;
@@ -46,11 +47,16 @@
   }
 
   void attemptEnded(EventLog log, AttemptEnd end, int status, long nowNs) {
-    line(log, LogEvent.ATTEMPT_FAILED, nowNs)
-        .with(LogField.END, end.name())
-        .with(LogField.STATUS, status)
-        .with(LogField.AT_UPSTREAM_MS, (nowNs - dispatchedNs) / NS_PER_MS)
-        .write();
+    EventLog.Line line =
+        line(log, LogEvent.ATTEMPT_FAILED, nowNs)
+            .with(LogField.END, end.name())
+            .with(LogField.STATUS, status)
+            .with(LogField.AT_UPSTREAM_MS, (nowNs - dispatchedNs) / NS_PER_MS);
+    if (end == AttemptEnd.BROKEN) {
+      // The same content in the breaks of several upstreams tells a request that ends them.
+      line.with(LogField.FINGERPRINT, fingerprint().text());
+    }
+    line.write();
   }
 
   void delivered(EventLog log, int status, long longestPauseMs, long nowNs) {
@@ -76,6 +82,10 @@
     line(log, LogEvent.CALLER_LEFT, nowNs).with(LogField.BEGUN, begun).write();
   }
 
+  private Fingerprint fingerprint() {
+    return request.fingerprint(last.flatMap(ForwardAction.Dispatch::customer));
+  }
+
   private EventLog.Line line(EventLog log, LogEvent event, long nowNs) {
     EventLog.Line line =
         log.line(event)
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -25,7 +25,12 @@
   /** A whole answer was delivered. */
   REQUEST_SERVED(Shared.OF_REQUEST, LogField.LONGEST_PAUSE_MS, LogField.STATUS),
   /** An attempt ended without a good answer. */
-  ATTEMPT_FAILED(Shared.OF_REQUEST, LogField.END, LogField.STATUS, LogField.AT_UPSTREAM_MS),
+  ATTEMPT_FAILED(
+      Shared.OF_REQUEST,
+      LogField.END,
+      LogField.STATUS,
+      LogField.AT_UPSTREAM_MS,
+      LogField.FINGERPRINT),
   /** A caller got an answer of this system's own. */
   REQUEST_REFUSED(
       Shared.OF_REQUEST,
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -35,6 +35,8 @@
   STEP("the kind of event that was handled"),
   /** Time that an upstream had a request. */
   AT_UPSTREAM_MS("time that the upstream had the request"),
+  /** What the request asked for. */
+  FINGERPRINT("names the request's content and customer, whatever its id"),
   /** The status that the caller or this VM got. */
   STATUS("the HTTP status, 0 for none"),
   /** Why something was refused. */
