--- a/core/src/test/java/org/teaseltrail/core/control/ServingRun.java
+++ b/core/src/test/java/org/teaseltrail/core/control/ServingRun.java
@@ -12,15 +12,11 @@
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardNode;
 import org.teaseltrail.core.forward.ForwardRequest;
-import org.teaseltrail.core.forward.ForwardSamples;
-import org.teaseltrail.core.forward.ForwardSettings;
 import org.teaseltrail.core.forward.Refusal;
 import org.teaseltrail.core.id.UpstreamId;
-import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.InstalledPlan;
 import org.teaseltrail.core.plan.Plans;
 import org.teaseltrail.core.quarantine.RequestContent;
-import org.teaseltrail.core.replication.Member;
 
 /**
  * Runs the parts that serve, under virtual time: three control members, some entry VMs and engines
@@ -44,8 +40,7 @@
 
   private final FakeControlGroup group = new FakeControlGroup(3);
   private final SplittableRandom random;
-  private final List<ForwardNode> nodes = new ArrayList<>();
-  private final long[] lives = new long[VMS];
+  private final FakeEntryVms vms;
   private final List<FakeEngine> engines = new ArrayList<>();
   private final Map<Long, Attempt> attempts = new HashMap<>();
   private final Map<Refusal, Integer> refused = new HashMap<>();
@@ -62,10 +57,8 @@
     for (int i = 0; i < SLOWNESS.length; i++) {
       engines.add(new FakeEngine("e" + i, SLOWNESS[i]));
     }
-    for (int i = 0; i < VMS; i++) {
-      nodes.add(null);
-      restartVm(i);
-    }
+    vms = new FakeEntryVms(group, VMS, random, this::carryOut);
+    vms.start();
     heartbeats();
   }
 
@@ -111,11 +104,7 @@
       if (engines.stream().allMatch(FakeEngine::isFull)) {
         lastFullNs = group.nowNs();
       }
-      for (int vm = 0; vm < VMS; vm++) {
-        if (group.nowNs() >= nodes.get(vm).nextWakeupNs()) {
-          carryOut(vm, nodes.get(vm).tick(group.nowNs()));
-        }
-      }
+      vms.tick();
       if (random.nextDouble() < perSecond / 1_000) {
         call(true);
       }
@@ -124,7 +113,6 @@
 
   /** Starts a VM with nothing remembered; what it had at engines is broken off. */
   void restartVm(int vm) {
-    lives[vm]++;
     attempts
         .entrySet()
         .removeIf(
@@ -135,19 +123,7 @@
               }
               return lost;
             });
-    List<VmId> members = group.members().stream().map(FakeControl::member).map(Member::vm).toList();
-    ForwardSettings settings =
-        ForwardSamples.settings(name(vm), lives[vm], members, random.nextLong());
-    nodes.set(vm, new ForwardNode(settings));
-    long life = lives[vm];
-    group.listenServing(
-        name(vm),
-        reply -> {
-          if (life == lives[vm]) {
-            carryOut(vm, nodes.get(vm).fromControl(reply, group.nowNs()));
-          }
-        });
-    carryOut(vm, nodes.get(vm).begin());
+    vms.restart(vm);
   }
 
   /** Takes an engine away for good, if a member that leads can be told. */
@@ -179,10 +155,6 @@
     engines.forEach(engine -> engine.become(FakeEngine.State.SOUND));
   }
 
-  private static VmId name(int vm) {
-    return new VmId("entry-" + vm);
-  }
-
   private void heartbeats() {
     for (FakeControl member : group.members()) {
       if (member.isServing()) {
@@ -210,23 +182,19 @@
             OptionalInt.of(100),
             List.of(),
             RequestContent.EMPTY);
-    carryOut(vm, nodes.get(vm).arrived(request, group.nowNs()));
+    vms.carryOut(vm, vms.node(vm).arrived(request, group.nowNs()));
   }
 
-  private void carryOut(int vm, List<ForwardAction> actions) {
-    for (ForwardAction action : actions) {
-      if (action instanceof ForwardAction.SendControl send) {
-        group.say(send.member(), send.message());
-      } else if (action instanceof ForwardAction.Dispatch dispatch) {
-        dispatch(vm, dispatch);
-      } else if (action instanceof ForwardAction.Cancel cancel) {
-        forget(cancel.request());
-      } else if (action instanceof ForwardAction.Refuse refuse) {
-        note(refuse);
-        boolean firstTry = refuse.request() % 2 == 0;
-        if (firstTry) {
-          group.after(refuse.retryAfterMs() * NS_PER_MS, () -> call(false));
-        }
+  private void carryOut(int vm, ForwardAction action) {
+    if (action instanceof ForwardAction.Dispatch dispatch) {
+      dispatch(vm, dispatch);
+    } else if (action instanceof ForwardAction.Cancel cancel) {
+      forget(cancel.request());
+    } else if (action instanceof ForwardAction.Refuse refuse) {
+      note(refuse);
+      boolean firstTry = refuse.request() % 2 == 0;
+      if (firstTry) {
+        group.after(refuse.retryAfterMs() * NS_PER_MS, () -> call(false));
       }
     }
   }
@@ -246,11 +214,11 @@
     FakeEngine engine =
         engines.stream().filter(one -> one.id().equals(id)).findFirst().orElse(null);
     if (engine == null) {
-      end(vm, lives[vm], dispatch.request(), AttemptEnd.NOT_CONNECTED, SOON_MS);
+      end(vm, vms.life(vm), dispatch.request(), AttemptEnd.NOT_CONNECTED, SOON_MS);
       return;
     }
     long tookMs = engine.begin();
-    Attempt attempt = new Attempt(vm, lives[vm], dispatch.request(), engine);
+    Attempt attempt = new Attempt(vm, vms.life(vm), dispatch.request(), engine);
     attempts.put(dispatch.request(), attempt);
     switch (engine.state()) {
       case GONE -> endLater(attempt, AttemptEnd.NOT_CONNECTED, SOON_MS);
@@ -267,15 +235,15 @@
 
   private void begun(Attempt attempt) {
     if (attempts.get(attempt.request()) == attempt) {
-      ForwardNode node = nodes.get(attempt.vm());
+      ForwardNode node = vms.node(attempt.vm());
       node.loadTold(attempt.engine().id(), attempt.engine().running(), group.nowNs());
-      carryOut(attempt.vm(), node.begun(attempt.request(), group.nowNs()));
+      vms.carryOut(attempt.vm(), node.begun(attempt.request(), group.nowNs()));
     }
   }
 
   private void pace(Attempt attempt, long tookMs) {
     if (attempts.get(attempt.request()) == attempt) {
-      nodes.get(attempt.vm()).pace(attempt.engine().id(), tookMs / 10.0, group.nowNs());
+      vms.node(attempt.vm()).pace(attempt.engine().id(), tookMs / 10.0, group.nowNs());
     }
   }
 
@@ -294,8 +262,8 @@
     later(
         afterMs,
         () -> {
-          if (life == lives[vm]) {
-            carryOut(vm, nodes.get(vm).attemptEnded(request, end, group.nowNs()));
+          if (life == vms.life(vm)) {
+            vms.carryOut(vm, vms.node(vm).attemptEnded(request, end, group.nowNs()));
           }
         });
   }
