--- a/control/src/main/java/org/teaseltrail/control/ActionRunner.java
+++ b/control/src/main/java/org/teaseltrail/control/ActionRunner.java
@@ -1,11 +1,14 @@
 package org.teaseltrail.control;
 
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.teaseltrail.core.control.ControlAction;
 import org.teaseltrail.core.decision.Decision;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.quarantine.Fingerprint;
 import org.teaseltrail.runtime.log.DecisionLog;
 import org.teaseltrail.runtime.log.EventLog;
 import org.teaseltrail.runtime.log.LogEvent;
@@ -48,6 +51,10 @@
       targets.calls().reply(reply.callId(), reply.result());
     } else if (action instanceof ControlAction.LogDecision log) {
       log(log.decision());
+    } else if (action instanceof ControlAction.RequestHeld held) {
+      held(held);
+    } else if (action instanceof ControlAction.RequestReleased released) {
+      released(released);
     } else if (action instanceof ControlAction.LeadershipChanged changed) {
       leadershipChanged(changed);
     } else if (action instanceof ControlAction.HandOverRefused) {
@@ -113,6 +120,42 @@
     }
   }
 
+  private void held(ControlAction.RequestHeld held) {
+    targets.metrics().requestsHeld(held.heldInAll());
+    targets
+        .log()
+        .ifPresent(
+            log ->
+                quarantineLine(log, LogEvent.REQUEST_HELD, held.request(), held.customer())
+                    .with(LogField.LOSSES, held.losses())
+                    .write());
+    logger.info(
+        "No upstream gets request "
+            + held.request().text()
+            + " any longer: "
+            + held.losses()
+            + " were lost under it.");
+  }
+
+  private void released(ControlAction.RequestReleased released) {
+    targets.metrics().requestsHeld(released.heldInAll());
+    targets
+        .log()
+        .ifPresent(
+            log ->
+                quarantineLine(
+                        log, LogEvent.REQUEST_RELEASED, released.request(), released.customer())
+                    .write());
+    logger.info("Upstreams get request " + released.request().text() + " again.");
+  }
+
+  private static EventLog.Line quarantineLine(
+      EventLog log, LogEvent event, Fingerprint request, Optional<CustomerId> customer) {
+    EventLog.Line line = log.line(event).with(LogField.FINGERPRINT, request.text());
+    customer.ifPresent(known -> line.with(LogField.CUSTOMER, known.value()));
+    return line;
+  }
+
   private void log(Decision decision) {
     targets.metrics().decided(decision.kind());
     decisions
--- a/control/src/main/java/org/teaseltrail/control/ControlMetrics.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlMetrics.java
@@ -18,6 +18,7 @@
       new EnumMap<>(HeartbeatFailure.class);
   private final AtomicLong leading = new AtomicLong();
   private final AtomicLong term = new AtomicLong();
+  private final AtomicLong requestsHeld = new AtomicLong();
 
   ControlMetrics(VmConnections<?, ?> entryVms, ControlLoop loop) {
     MeterRegistry registry = metrics.registry();
@@ -30,6 +31,7 @@
     }
     registry.gauge("teaseltrail.leading", leading);
     registry.gauge("teaseltrail.term", term);
+    registry.gauge("teaseltrail.requests.held", requestsHeld);
     registry.gauge("teaseltrail.entry.connections", entryVms, VmConnections::count);
     registry.gauge("teaseltrail.control.events.queued", loop, ControlLoop::queued);
   }
@@ -47,6 +49,10 @@
     term.set(newTerm);
   }
 
+  void requestsHeld(int count) {
+    requestsHeld.set(count);
+  }
+
   boolean isLeading() {
     return leading.get() == 1;
   }
--- a/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
@@ -2,9 +2,11 @@
 
 import java.util.Optional;
 import org.teaseltrail.core.decision.Decision;
+import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.MemberId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.message.ControlMessage;
+import org.teaseltrail.core.quarantine.Fingerprint;
 import org.teaseltrail.core.replication.Membership;
 import org.teaseltrail.core.replication.PeerEnvelope;
 import org.teaseltrail.core.replication.ProposalRejection;
@@ -108,6 +110,27 @@
    */
   record LogDecision(Decision decision) implements ControlAction {}
 
+  /**
+   * The leader holds a request that no upstream may get any longer.
+   *
+   * @param request the request
+   * @param customer whose it is, if that is known
+   * @param losses upstreams that were lost under it, 0 if another leader held it
+   * @param heldInAll requests that are held now
+   */
+  record RequestHeld(Fingerprint request, Optional<CustomerId> customer, int losses, int heldInAll)
+      implements ControlAction {}
+
+  /**
+   * The leader lets a held request go to upstreams again.
+   *
+   * @param request the request
+   * @param customer whose it is, if that is known
+   * @param heldInAll requests that are held now
+   */
+  record RequestReleased(Fingerprint request, Optional<CustomerId> customer, int heldInAll)
+      implements ControlAction {}
+
   /**
    * The member has begun or ceased to serve as leader, or knows another leader.
    *
--- a/core/src/main/java/org/teaseltrail/core/control/Leadership.java
+++ b/core/src/main/java/org/teaseltrail/core/control/Leadership.java
@@ -167,6 +167,26 @@
     context.replicated().propose(command, new GuardedCallback(callback), atNs);
   }
 
+  /** Proposes a command that nobody waits for and that is tried again by itself. */
+  void proposeUnanswered(Command command) {
+    proposeThen(command, () -> {});
+  }
+
+  /** Proposes a command that is tried again by itself, and does a step once it is committed. */
+  void proposeThen(Command command, Runnable committed) {
+    ProposalCallback callback =
+        new ProposalCallback() {
+          @Override
+          public void committed(CommandResult result, long atNs) {
+            committed.run();
+          }
+
+          @Override
+          public void rejected(ProposalRejection reason, long atNs) {}
+        };
+    propose(command, callback, nowNs);
+  }
+
   /** Tries a step again a little later. */
   void retryLater(Runnable step) {
     retries.add(step);
--- a/core/src/main/java/org/teaseltrail/core/control/Outbox.java
+++ b/core/src/main/java/org/teaseltrail/core/control/Outbox.java
@@ -7,11 +7,13 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.teaseltrail.core.decision.Decision;
+import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.MemberId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.invariant.Invariant;
 import org.teaseltrail.core.invariant.InvariantName;
 import org.teaseltrail.core.message.ControlMessage;
+import org.teaseltrail.core.quarantine.Fingerprint;
 import org.teaseltrail.core.replication.Membership;
 import org.teaseltrail.core.replication.PeerEnvelope;
 import org.teaseltrail.core.replication.ProposalRejection;
@@ -89,6 +91,14 @@
     actions.add(new ControlAction.LogDecision(decision));
   }
 
+  void requestHeld(Fingerprint request, Optional<CustomerId> customer, int losses, int heldInAll) {
+    actions.add(new ControlAction.RequestHeld(request, customer, losses, heldInAll));
+  }
+
+  void requestReleased(Fingerprint request, Optional<CustomerId> customer, int heldInAll) {
+    actions.add(new ControlAction.RequestReleased(request, customer, heldInAll));
+  }
+
   void leadershipChanged(boolean serving, long term, Optional<MemberId> leader) {
     actions.add(new ControlAction.LeadershipChanged(serving, term, leader));
   }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/QuarantineDesk.java
@@ -0,0 +1,244 @@
+package org.teaseltrail.core.control;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.quarantine.Fingerprint;
+import org.teaseltrail.core.quarantine.HeldBook;
+import org.teaseltrail.core.quarantine.HeldRequest;
+import org.teaseltrail.core.quarantine.Loss;
+import org.teaseltrail.core.quarantine.LossBook;
+import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.registry.UpstreamLife;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.state.Command;
+
+/**
+ * Decides on the leader which requests no upstream may get, from what all entry VMs saw.
+ *
+ * <p>Guards against a request that ends each upstream which runs it: it shows as upstreams that end
+ * one after the other while callers of all kinds lose their streams. A request is held as soon as
+ * three upstreams were lost under it; each other request of their batches was there once or twice.
+ * A loss is believed at once, since each second costs an upstream, and taken back when the upstream
+ * is heard of again. A hold that has stood is in the log, so that no later leader begins anew.
+ */
+final class QuarantineDesk {
+
+  private static final long NS_PER_MS = 1_000_000L;
+
+  /** Upstreams lost under one request from which on it is held; all that the users allow. */
+  private static final int LOSSES_TO_HOLD = 3;
+
+  /**
+   * Time after its newest loss for which the VMs tell of whole answers to a suspect: enough for one
+   * that is asked for often, and so would be in many batches by chance.
+   */
+  private static final long WATCHED_NS = 30_000 * NS_PER_MS;
+
+  /** Time for which losses count; a request that ends upstreams may come seldom. */
+  private static final long MEMORY_MS = 600_000;
+
+  /**
+   * Time after a loss from which on a heartbeat shows that the upstream lives: one that was sent
+   * before has come, or was given up, by then.
+   */
+  private static final long BEAT_ON_ITS_WAY_NS = 1_000 * NS_PER_MS;
+
+  /**
+   * Time after the newest loss from which on a hold goes into the log: two heartbeats of an
+   * upstream that lives.
+   */
+  private static final long SETTLED_NS = 3_000 * NS_PER_MS;
+
+  /** Time for which a request is held. */
+  private static final long HELD_MS = 3_600_000;
+
+  /** Time for which it is held before each trial; the first ends a hold that is wrong. */
+  private static final List<Long> TRIALS_AFTER_MS = List.of(120_000L, 1_200_000L);
+
+  /** Time that a VM has for a trial; the request may come seldom there. */
+  private static final long TRIAL_FOR_MS = 60_000;
+
+  /**
+   * Time after the beginning of a leadership in which all VMs tell their losses: two syncs of each.
+   * Until then what the leader before said holds on.
+   */
+  private static final long VMS_TELL_NS = 500 * NS_PER_MS;
+
+  private final Leadership leadership;
+  private final LossBook losses = new LossBook(MEMORY_MS);
+  private final Map<UpstreamLife, Long> beatsNs = new LinkedHashMap<>();
+  private final long allToldNs;
+  private Map<Fingerprint, Optional<CustomerId>> held = Map.of();
+  private Set<Fingerprint> watched = Set.of();
+  private long revision = 1;
+  private boolean whole;
+
+  QuarantineDesk(Leadership leadership) {
+    this.leadership = leadership;
+    allToldNs = leadership.nowNs() + VMS_TELL_NS;
+    decide();
+  }
+
+  /**
+   * Takes what a VM saw.
+   *
+   * @return whether what the VMs are told has changed
+   */
+  boolean message(ServingMessage.Losses message) {
+    for (Loss loss : message.losses()) {
+      long atNs = leadership.nowNs() - loss.agoMs() * NS_PER_MS;
+      losses.lost(loss.request(), loss.customer(), loss.upstream(), atNs);
+      Long beatNs = beatsNs.get(loss.upstream());
+      if (beatNs != null) {
+        losses.alive(loss.upstream(), beatNs - BEAT_ON_ITS_WAY_NS);
+      }
+    }
+    message.served().forEach(this::servedWhole);
+    releaseCleared();
+    return decide();
+  }
+
+  /**
+   * Takes an upstream's heartbeat.
+   *
+   * @return whether what the VMs are told has changed
+   */
+  boolean heartbeat(Registration heard) {
+    beatsNs.put(heard.life(), leadership.nowNs());
+    boolean known = losses.alive(heard.life(), leadership.nowNs() - BEAT_ON_ITS_WAY_NS);
+    return known && decide();
+  }
+
+  /** Does what is due each second; returns whether what the VMs are told has changed. */
+  boolean tick() {
+    long nowNs = leadership.nowNs();
+    losses.forgetOld(nowNs);
+    beatsNs.values().removeIf(atNs -> nowNs - atNs > MEMORY_MS * NS_PER_MS);
+    for (Map.Entry<Fingerprint, Optional<CustomerId>> one : suspectsToHold().entrySet()) {
+      boolean settled = nowNs - losses.newestLossNs(one.getKey()) >= SETTLED_NS;
+      if (settled && !heldBook().contains(one.getKey())) {
+        long logTimeMs = leadership.logTimeMs(nowNs);
+        HeldRequest request = new HeldRequest(one.getKey(), one.getValue(), logTimeMs, 0);
+        leadership.proposeUnanswered(new Command.HoldRequest(request, logTimeMs));
+      }
+    }
+    releaseCleared();
+    heldBook().all().forEach(this::tryIfDue);
+    return decide();
+  }
+
+  /**
+   * Looks again at what is held after a commit.
+   *
+   * @return whether what the VMs are told has changed
+   */
+  boolean decide() {
+    Map<Fingerprint, Optional<CustomerId>> nowHeld = new LinkedHashMap<>();
+    heldBook().all().forEach(one -> nowHeld.put(one.request(), one.customer()));
+    nowHeld.putAll(suspectsToHold());
+    long watchedFromNs = leadership.nowNs() - WATCHED_NS;
+    Set<Fingerprint> nowWatched = new HashSet<>(losses.lostSince(watchedFromNs));
+    nowWatched.removeAll(nowHeld.keySet());
+    if (nowHeld.equals(held) && nowWatched.equals(watched)) {
+      return false;
+    }
+    log(held, nowHeld);
+    held = nowHeld;
+    watched = nowWatched;
+    revision++;
+    return true;
+  }
+
+  /** Returns the revision that VMs should hold. */
+  long revision() {
+    if (!whole && leadership.nowNs() >= allToldNs) {
+      whole = true;
+      revision++;
+    }
+    return revision;
+  }
+
+  ServingReply.QuarantineUpdate update() {
+    return new ServingReply.QuarantineUpdate(
+        leadership.fencing(), revision, whole, List.copyOf(held.keySet()), List.copyOf(watched));
+  }
+
+  /** A request that ends upstreams is never answered whole, so one that is harms nobody. */
+  private void servedWhole(Fingerprint request) {
+    losses.servedWhole(request);
+    if (heldBook().contains(request)) {
+      release(request);
+    }
+  }
+
+  /**
+   * Lets a held request go to one upstream, by one VM. Guards against a hold that is wrong and
+   * stands for its whole time: what is held is never answered, so nothing else could clear it. Each
+   * trial is counted in the log first, so that no leader repeats it.
+   */
+  private void tryIfDue(HeldRequest one) {
+    long heldForMs = leadership.logTimeMs(leadership.nowNs()) - one.heldAtMs();
+    boolean due =
+        one.trials() < TRIALS_AFTER_MS.size() && heldForMs >= TRIALS_AFTER_MS.get(one.trials());
+    Optional<VmId> vm = due ? leadership.servingDesk().anyVm() : Optional.empty();
+    vm.ifPresent(
+        chosen ->
+            leadership.proposeThen(
+                new Command.TryRequest(one.request(), one.heldAtMs() + heldForMs),
+                () -> allow(chosen, one.request())));
+  }
+
+  private void allow(VmId vm, Fingerprint request) {
+    leadership.sendServing(vm, new ServingReply.Trial(leadership.fencing(), request, TRIAL_FOR_MS));
+  }
+
+  private Map<Fingerprint, Optional<CustomerId>> suspectsToHold() {
+    return losses.withAtLeast(LOSSES_TO_HOLD);
+  }
+
+  /** Lets go what was held long enough, and what was seen to harm nobody. */
+  private void releaseCleared() {
+    long logTimeMs = leadership.logTimeMs(leadership.nowNs());
+    for (HeldRequest one : heldBook().all()) {
+      boolean over = logTimeMs - one.heldAtMs() > HELD_MS;
+      if (over || losses.isCleared(one.request())) {
+        release(one.request());
+      }
+    }
+  }
+
+  private void release(Fingerprint request) {
+    long logTimeMs = leadership.logTimeMs(leadership.nowNs());
+    leadership.proposeUnanswered(new Command.ReleaseRequest(request, logTimeMs));
+  }
+
+  private HeldBook heldBook() {
+    return leadership.context().replicated().state().held();
+  }
+
+  private void log(
+      Map<Fingerprint, Optional<CustomerId>> before, Map<Fingerprint, Optional<CustomerId>> after) {
+    after.forEach(
+        (request, customer) -> {
+          if (!before.containsKey(request)) {
+            leadership
+                .context()
+                .out()
+                .requestHeld(request, customer, losses.losses(request), after.size());
+          }
+        });
+    before.forEach(
+        (request, customer) -> {
+          if (!after.containsKey(request)) {
+            leadership.context().out().requestReleased(request, customer, after.size());
+          }
+        });
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
@@ -4,9 +4,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.ServiceId;
@@ -16,13 +19,11 @@
 import org.teaseltrail.core.quota.QuotaBounds;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.replication.Member;
-import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.serving.UpstreamPlaces;
 import org.teaseltrail.core.state.ClusterState;
 import org.teaseltrail.core.state.Command;
-import org.teaseltrail.core.state.CommandResult;
 
 /**
  * Serves, on the leader, the entry VMs that place requests themselves: confirms their sessions,
@@ -66,6 +67,7 @@
     private long heardNs;
     private final Push plan = new Push();
     private final Push registry = new Push();
+    private final Push quarantine = new Push();
   }
 
   /** Remembers which version of something was pushed to a VM, and when. */
@@ -92,6 +94,8 @@
   private final QuotaLedger quotas;
   private final SlotDesk slots = new SlotDesk();
   private final PlaceShares shares = new PlaceShares();
+  private final QuarantineDesk quarantine;
+  private final RandomGenerator random;
   private final long placesSettledNs;
   private Set<ServiceId> toldContended = Set.of();
   private long nextCheckNs;
@@ -100,6 +104,8 @@
     this.leadership = leadership;
     quotaBounds = leadership.context().settings().quotas();
     quotas = new QuotaLedger(quotaBounds.windowMs(), VM_SILENT_NS, leadership.nowNs());
+    quarantine = new QuarantineDesk(leadership);
+    random = new SplittableRandom(leadership.context().settings().seed());
     placesSettledNs = leadership.nowNs() + PLACES_SETTLE_NS;
   }
 
@@ -110,6 +116,15 @@
       slots.lines(lines, leadership.nowNs());
       tellContention();
       handOutPlaces();
+    } else if (message instanceof ServingMessage.Losses losses) {
+      tellIf(quarantine.message(losses));
+    }
+  }
+
+  /** Pushes to all VMs if what they are told has changed. */
+  private void tellIf(boolean changed) {
+    if (changed) {
+      vms.forEach(this::pushWhatIsMissing);
     }
   }
 
@@ -178,12 +193,21 @@
 
   /** Pushes what was just committed to all VMs. */
   void changed() {
+    quarantine.decide();
     vms.forEach(this::pushWhatIsMissing);
   }
 
+  /** Returns any VM that was heard of lately, another each time. */
+  Optional<VmId> anyVm() {
+    return vms.isEmpty()
+        ? Optional.empty()
+        : vms.keySet().stream().skip(random.nextInt(vms.size())).findFirst();
+  }
+
   /** Notes an upstream's heartbeat. */
   void heartbeat(Registration heard) {
     heartbeatsNs.put(heard.id(), leadership.nowNs());
+    tellIf(quarantine.heartbeat(heard));
   }
 
   void tick() {
@@ -205,6 +229,7 @@
               return silent;
             });
     dropSilentUpstreams(nowNs);
+    tellIf(quarantine.tick());
   }
 
   OptionalLong nextWakeupNs() {
@@ -219,14 +244,17 @@
       if (nowNs - heardNs > UPSTREAM_SILENT_NS) {
         heartbeatsNs.remove(registration.id());
         long logTimeMs = leadership.logTimeMs(nowNs);
-        leadership.propose(
-            new Command.DropUpstream(registration.id(), logTimeMs), new Unanswered(), nowNs);
+        leadership.proposeUnanswered(new Command.DropUpstream(registration.id(), logTimeMs));
       }
     }
   }
 
   private void pushWhatIsMissing(VmId id, Vm vm) {
     long nowNs = leadership.nowNs();
+    // Before what lets a VM serve: one that starts anew must not send what is held.
+    if (vm.quarantine.isDue(vm.sync.quarantineRevision(), quarantine.revision(), nowNs)) {
+      leadership.sendServing(id, quarantine.update());
+    }
     if (vm.plan.isDue(vm.sync.planVersion(), planVersion(), nowNs)) {
       leadership.sendServing(
           id,
@@ -294,14 +322,4 @@
   private ClusterState state() {
     return leadership.context().replicated().state();
   }
-
-  /** Is for steps that nobody waits for and that are tried again by themselves. */
-  private static final class Unanswered implements ProposalCallback {
-
-    @Override
-    public void committed(CommandResult result, long nowNs) {}
-
-    @Override
-    public void rejected(ProposalRejection reason, long nowNs) {}
-  }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/ControlTies.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ControlTies.java
@@ -124,9 +124,14 @@
     return !session.isValid(nowNs) && members.addAll(seeds);
   }
 
-  /** Returns a message with what waits, to the leader if one is known. */
-  Optional<ForwardAction> lines(ServingMessage.Lines lines, long nowNs) {
-    return leader(nowNs).map(leader -> new ForwardAction.SendControl(leader, lines));
+  /** Returns a message to the leader if one is known. */
+  Optional<ForwardAction> tell(ServingMessage message, long nowNs) {
+    return leader(nowNs).map(leader -> new ForwardAction.SendControl(leader, message));
+  }
+
+  /** Tells whether a leader has answered lately. */
+  boolean hearsLeader(long nowNs) {
+    return leader(nowNs).isPresent();
   }
 
   private Optional<VmId> leader(long nowNs) {
@@ -140,6 +145,7 @@
         sequence,
         node.planVersion(),
         node.registryRevision(),
+        node.quarantineRevision(),
         node.inFlight(),
         node.quotaUses(sequence, nowNs));
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import java.util.stream.LongStream;
+import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
@@ -32,6 +33,7 @@
   private final ControlTies ties;
   private final UpstreamBook upstreams = new UpstreamBook();
   private final SlotTies slots = new SlotTies();
+  private final Quarantine quarantine;
   private final QuotaDesk quotas;
   private final RequestDesk requests;
   private final QuotaGate quotaGate;
@@ -47,15 +49,17 @@
    */
   public ForwardNode(ForwardSettings settings) {
     RandomGenerator random = new SplittableRandom(settings.seed());
+    ties = new ControlTies(settings);
+    quarantine = new Quarantine(settings.vm(), ties::hearsLeader);
     requests =
         new RequestDesk(
             settings,
             new PlacementRule(random),
             upstreams,
             slots,
+            quarantine,
             this::isEngine,
             action -> out.add(action));
-    ties = new ControlTies(settings);
     quotas = new QuotaDesk(settings.quotas(), settings.sessionLifetimeMs());
     quotaGate = new QuotaGate(quotas, requests, ties, action -> out.add(action));
     reception = new Reception(random, ties, quotaGate, action -> out.add(action));
@@ -198,6 +202,16 @@
         upstreams.update(update.revision(), update.present());
         requests.serveLines(nowNs);
       }
+    } else if (reply instanceof ServingReply.QuarantineUpdate update) {
+      if (ties.session().isNewest(update.fencing())) {
+        quarantine.told(update);
+        requests.giveUpHeld(nowNs);
+        requests.serveLines(nowNs);
+      }
+    } else if (reply instanceof ServingReply.Trial trial) {
+      if (ties.session().isNewest(trial.fencing())) {
+        quarantine.allowed(trial, nowNs);
+      }
     }
     return take(nowNs);
   }
@@ -209,7 +223,11 @@
    * @return what is to be done
    */
   public List<ForwardAction> tick(long nowNs) {
-    out.addAll(ties.due(this, nowNs));
+    List<ForwardAction> syncs = ties.due(this, nowNs);
+    out.addAll(syncs);
+    if (!syncs.isEmpty()) {
+      quarantine.tellAgain(false, nowNs);
+    }
     if (ties.fallBackToSeeds(nowNs)) {
       out.add(new ForwardAction.KeepConnected(ties.members()));
     }
@@ -270,6 +288,10 @@
     return upstreams.revision();
   }
 
+  long quarantineRevision() {
+    return quarantine.revision(ties.session().newestFencing());
+  }
+
   Map<UpstreamId, Integer> inFlight() {
     return upstreams.inFlight();
   }
@@ -279,9 +301,11 @@
   }
 
   private void confirmed(ServingReply.Confirmed confirmed, long nowNs) {
+    FencingNumber before = ties.session().newestFencing();
     if (!ties.session().confirmed(confirmed, nowNs)) {
       return;
     }
+    quarantine.tellAgain(!confirmed.fencing().equals(before), nowNs);
     learnMembers(confirmed);
     requests.vmCount(confirmed.vmCount());
     upstreams.placesTold(confirmed.places(), nowNs);
@@ -325,6 +349,9 @@
       ties.syncForPlaces();
     }
     tellLines(nowNs);
+    if (ties.hearsLeader(nowNs)) {
+      quarantine.report(nowNs).flatMap(losses -> ties.tell(losses, nowNs)).ifPresent(out::add);
+    }
     return drain();
   }
 
@@ -344,7 +371,7 @@
               upstreams.unread(),
               requests.held(),
               lines);
-      ties.lines(told, nowNs).ifPresent(out::add);
+      ties.tell(told, nowNs).ifPresent(out::add);
     }
   }
 
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/Quarantine.java
@@ -0,0 +1,160 @@
+package org.teaseltrail.core.forward;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongPredicate;
+import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.quarantine.Fingerprint;
+import org.teaseltrail.core.quarantine.LossBook;
+import org.teaseltrail.core.registry.UpstreamLife;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
+
+/**
+ * Knows at an entry VM which requests no upstream may get, and tells the leader what this VM sees.
+ *
+ * <p>Guards against a request that ends each upstream which runs it and comes again under another
+ * id, at any VM. The leader, which hears of all losses, says which are held; what it said last
+ * holds on without it, and then what this VM saw itself counts too.
+ */
+final class Quarantine {
+
+  private static final long NS_PER_MS = 1_000_000L;
+
+  /** Upstreams that may be lost under one request before it is held. */
+  static final int LOSSES_TO_HOLD = 3;
+
+  /** When a caller may ask again, in milliseconds; a hold that was wrong ends sooner. */
+  static final long RETRY_MS = 60_000;
+
+  /** How long this VM remembers what it saw, in milliseconds: for a leader that begins anew. */
+  private static final long MEMORY_MS = 60_000;
+
+  /** Time for which a report is told again: one that is lost with its connection comes again. */
+  private static final long TELL_AGAIN_NS = 2_000_000_000L;
+
+  /** Suspects seen served whole that are told at most. */
+  private static final int MOST_SERVED = 32;
+
+  private final VmId vm;
+  private final LongPredicate leaderHeard;
+  private final LossBook own = new LossBook(MEMORY_MS);
+  private final Map<Fingerprint, Long> servedNs = new LinkedHashMap<>();
+  private Set<Fingerprint> held = Set.of();
+  private Set<Fingerprint> watched = Set.of();
+  private Set<Integer> toldScopes = Set.of();
+  private final Map<Fingerprint, Long> trialsUntilNs = new HashMap<>();
+  private FencingNumber fencing = new FencingNumber(0);
+  private long revision;
+  private long changedNs;
+  private boolean untold;
+
+  Quarantine(VmId vm, LongPredicate leaderHeard) {
+    this.vm = vm;
+    this.leaderHeard = leaderHeard;
+  }
+
+  /** Tells whether a request must not be sent to any upstream. */
+  boolean stops(TrackedForward request, long nowNs) {
+    if (request.isTrial() || !isKnownScope(request.scope())) {
+      return false;
+    }
+    Fingerprint print = request.fingerprint();
+    return held.contains(print)
+        || (!leaderHeard.test(nowNs) && own.losses(print) >= LOSSES_TO_HOLD);
+  }
+
+  /** Uses the leader's leave to send a held request once; returns whether there is one. */
+  boolean takeTrial(TrackedForward request, long nowNs) {
+    Long untilNs = trialsUntilNs.remove(request.fingerprint());
+    boolean taken = untilNs != null && nowNs <= untilNs;
+    if (taken) {
+      request.markTrial();
+    }
+    return taken;
+  }
+
+  /** Takes the leader's leave to send a held request once. */
+  void allowed(ServingReply.Trial trial, long nowNs) {
+    trialsUntilNs.values().removeIf(untilNs -> nowNs > untilNs);
+    trialsUntilNs.put(trial.request(), nowNs + trial.forMs() * NS_PER_MS);
+  }
+
+  /** Notes that the connection to an upstream ended while it had a request. */
+  void lost(TrackedForward request, UpstreamLife upstream, long nowNs) {
+    own.forgetOld(nowNs);
+    own.lost(request.fingerprint(), request.customer(), upstream, nowNs);
+    servedNs.remove(request.fingerprint());
+    changed(nowNs);
+  }
+
+  /** Notes that an upstream has answered a request whole and lives on: it harms nobody. */
+  void servedWhole(TrackedForward request, long nowNs) {
+    if (!isKnownScope(request.scope())) {
+      return;
+    }
+    Fingerprint print = request.fingerprint();
+    if (watched.contains(print) || held.contains(print) || own.losses(print) > 0) {
+      own.servedWhole(print);
+      servedNs.put(print, nowNs);
+      if (servedNs.size() > MOST_SERVED) {
+        servedNs.remove(servedNs.keySet().iterator().next());
+      }
+      changed(nowNs);
+    }
+  }
+
+  /** Takes what the leader says is held. */
+  void told(ServingReply.QuarantineUpdate update) {
+    fencing = update.fencing();
+    revision = update.revision();
+    Set<Fingerprint> newlyHeld = new HashSet<>(update.held());
+    if (!update.whole()) {
+      newlyHeld.addAll(held);
+    }
+    held = newlyHeld;
+    watched = Set.copyOf(update.watched());
+    Set<Integer> scopes = new HashSet<>();
+    held.forEach(print -> scopes.add(print.scope()));
+    watched.forEach(print -> scopes.add(print.scope()));
+    toldScopes = scopes;
+  }
+
+  /** Returns the revision in force here if a leadership has told it, or else 0. */
+  long revision(FencingNumber leadership) {
+    return leadership.equals(fencing) ? revision : 0;
+  }
+
+  /** Tells all anew to a leader that may not have heard it. */
+  void tellAgain(boolean newLeader, long nowNs) {
+    boolean lately = nowNs - changedNs < TELL_AGAIN_NS;
+    untold |= changedNs > 0 && (newLeader || lately);
+  }
+
+  /** Returns a report for the leader if there is something to tell. */
+  Optional<ServingMessage.Losses> report(long nowNs) {
+    if (!untold) {
+      return Optional.empty();
+    }
+    untold = false;
+    own.forgetOld(nowNs);
+    servedNs.values().removeIf(atNs -> nowNs - atNs > TELL_AGAIN_NS);
+    return Optional.of(
+        new ServingMessage.Losses(vm, own.all(nowNs), List.copyOf(servedNs.keySet())));
+  }
+
+  private boolean isKnownScope(int scope) {
+    return toldScopes.contains(scope) || own.hasScope(scope);
+  }
+
+  private void changed(long nowNs) {
+    changedNs = nowNs;
+    untold = true;
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/forward/QuotaGate.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/QuotaGate.java
@@ -26,6 +26,9 @@
 
   /** Takes a request that the plan allows. */
   void arrived(TrackedForward request, long nowNs) {
+    if (requests.refuseHeld(request, nowNs)) {
+      return;
+    }
     if (request.payer().isEmpty()) {
       requests.admit(request, nowNs);
       return;
@@ -37,7 +40,11 @@
   /** Takes what the leader tells, and looks again at what waits for it. */
   void told(ServingReply.Confirmed confirmed, long nowNs) {
     quotas.told(confirmed, nowNs);
-    shortOfQuota.takeAll().forEach(request -> decide(request, nowNs));
+    for (TrackedForward waiting : shortOfQuota.takeAll()) {
+      if (!requests.refuseHeld(waiting, nowNs)) {
+        decide(waiting, nowNs);
+      }
+    }
   }
 
   void callerLeft(long number) {
--- a/core/src/main/java/org/teaseltrail/core/forward/Refusal.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/Refusal.java
@@ -16,6 +16,8 @@
   NO_UPSTREAM(false),
   /** It waited for as long as it could still be of use. */
   WAITED_TOO_LONG(false),
+  /** Upstreams ended under it, so none gets it any longer. */
+  QUARANTINED(false),
   /** Upstreams were asked and none ran it. */
   NOT_RUN(false),
   /** Its upstream's answer broke off or was no answer; it may have run. */
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -31,6 +31,7 @@
   private final ForwardSettings settings;
   private final PlacementRule placement;
   private final UpstreamBook upstreams;
+  private final Quarantine quarantine;
   private final Predicate<ServiceId> isEngine;
   private final Consumer<ForwardAction> out;
   private final Map<ServiceId, RetryBudget> budgets = new HashMap<>();
@@ -47,9 +48,11 @@
       PlacementRule placement,
       UpstreamBook upstreams,
       SlotTies slots,
+      Quarantine quarantine,
       Predicate<ServiceId> isEngine,
       Consumer<ForwardAction> out) {
     this.slots = slots;
+    this.quarantine = quarantine;
     lines = new WaitingLines(slots, placement, upstreams, isEngine);
     this.settings = settings;
     this.placement = placement;
@@ -71,6 +74,28 @@
     return dueNs.isEmpty() ? OptionalLong.empty() : OptionalLong.of(dueNs.firstKey());
   }
 
+  /** Refuses a request that upstreams must not get; returns whether it is one. */
+  boolean refuseHeld(TrackedForward request, long nowNs) {
+    boolean held = quarantine.stops(request, nowNs) && !quarantine.takeTrial(request, nowNs);
+    if (held) {
+      refuse(request, Refusal.QUARANTINED, Quarantine.RETRY_MS);
+    }
+    return held;
+  }
+
+  /**
+   * Gives up what upstreams must not get any longer, whether it waits here, for a grant or at an
+   * upstream that has not begun to answer. What already answers shows by its end whether the hold
+   * is right.
+   */
+  void giveUpHeld(long nowNs) {
+    for (TrackedForward request : List.copyOf(tracked.values())) {
+      if (!request.hasBegun() && quarantine.stops(request, nowNs)) {
+        giveUp(request, Refusal.QUARANTINED, Refusal.BROKEN, Quarantine.RETRY_MS);
+      }
+    }
+  }
+
   /** Takes a request that is owed a place. */
   void admit(TrackedForward request, long nowNs) {
     tracked.put(request.number(), request);
@@ -101,6 +126,7 @@
     if (request == null || request.at().isEmpty()) {
       return;
     }
+    noteForQuarantine(request, end, nowNs);
     request.at().get().ended(end, nowNs);
     places.freed(request);
     request.attemptEnded(end);
@@ -111,6 +137,16 @@
     serveLine(request.service(), nowNs);
   }
 
+  private void noteForQuarantine(TrackedForward request, AttemptEnd end, long nowNs) {
+    switch (end) {
+      case BROKEN -> quarantine.lost(request, request.at().get().registration().life(), nowNs);
+      case ANSWERED, FAILED_ANSWER -> quarantine.servedWhole(request, nowNs);
+      default -> {
+        // It didn't run there, so it tells nothing.
+      }
+    }
+  }
+
   /** Notes that the caller has got the first part of a stream. */
   void begun(long number, long nowNs) {
     TrackedForward request = tracked.get(number);
@@ -188,7 +224,8 @@
         request.sends() < request.route().maxAttempts() && request.attempts() < MAX_ATTEMPTS;
     boolean timeLeft = nowNs < request.patientUntilNs();
     boolean elsewhere = placement.hasUsable(request, upstreams.of(request.service()), nowNs);
-    if (!mayRepeat || !attemptsLeft || !timeLeft || !elsewhere) {
+    boolean held = request.isTrial() || quarantine.stops(request, nowNs);
+    if (!mayRepeat || !attemptsLeft || !timeLeft || !elsewhere || held) {
       return false;
     }
     boolean free = end == AttemptEnd.NOT_CONNECTED;
@@ -226,18 +263,24 @@
       schedule(request);
       return;
     }
-    forget(request);
-    lines.remove(request);
-    final boolean atUpstream = request.at().isPresent();
     if (!request.hasBegun()) {
       request.at().ifPresent(view -> view.avoid(nowNs));
     }
+    giveUp(request, Refusal.WAITED_TOO_LONG, Refusal.TIMED_OUT, LineBound.PLACE_RETRY_MS);
+  }
+
+  /** Ends a request wherever it is, by whether it may have run. */
+  private void giveUp(
+      TrackedForward request, Refusal notRun, Refusal maybeRan, long notRunRetryMs) {
+    forget(request);
+    lines.remove(request);
+    final boolean atUpstream = request.at().isPresent();
     cancel(request);
     changes++;
     if (atUpstream || request.maybeRan()) {
-      refuse(request, Refusal.TIMED_OUT, 0);
+      refuse(request, maybeRan, 0);
     } else {
-      refuse(request, Refusal.WAITED_TOO_LONG, LineBound.PLACE_RETRY_MS);
+      refuse(request, notRun, notRunRetryMs);
     }
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
@@ -8,6 +8,7 @@
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.plan.PlanCustomer;
 import org.teaseltrail.core.plan.PlanRoute;
+import org.teaseltrail.core.quarantine.Fingerprint;
 import org.teaseltrail.core.serving.Urgency;
 
 /** Is a request that this VM has admitted and not answered yet. */
@@ -45,7 +46,9 @@
   private boolean begun;
   private boolean unread;
   private boolean late;
+  private boolean trial;
   private QuotaHold quota = QuotaHold.NONE;
+  private Optional<Fingerprint> fingerprint = Optional.empty();
 
   TrackedForward(
       ForwardRequest request,
@@ -80,6 +83,27 @@
     return customer.map(PlanCustomer::id);
   }
 
+  /** Notes that it is held and may go to one upstream all the same. */
+  void markTrial() {
+    trial = true;
+  }
+
+  boolean isTrial() {
+    return trial;
+  }
+
+  int scope() {
+    return request.scope(customer());
+  }
+
+  /** Returns its fingerprint, made from its whole content at the first call. */
+  Fingerprint fingerprint() {
+    if (fingerprint.isEmpty()) {
+      fingerprint = Optional.of(request.fingerprint(customer()));
+    }
+    return fingerprint.get();
+  }
+
   /** Returns the customer whose quota it counts against. */
   Optional<PlanCustomer> payer() {
     return customer;
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingMessage.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingMessage.java
@@ -5,6 +5,8 @@
 import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.quarantine.Fingerprint;
+import org.teaseltrail.core.quarantine.Loss;
 import org.teaseltrail.core.quota.QuotaUse;
 
 /** Is a message from an entry VM that places requests itself to a control member. */
@@ -25,6 +27,8 @@
    * @param sequence grows with each; the answer carries it back
    * @param planVersion version of the plan in force there
    * @param registryRevision revision of the registrations in force there
+   * @param quarantineRevision revision of this leadership's held requests in force there, 0 for
+   *     none
    * @param inFlight requests that it has at each upstream, those without any left out
    * @param quotas what customers use of their quotas there
    */
@@ -34,6 +38,7 @@
       long sequence,
       long planVersion,
       long registryRevision,
+      long quarantineRevision,
       Map<UpstreamId, Integer> inFlight,
       List<QuotaUse> quotas)
       implements ServingMessage {
@@ -44,6 +49,22 @@
     }
   }
 
+  /**
+   * Tells under which requests the VM lately saw upstreams' connections end, and which of the
+   * suspects it lately saw served whole; the newest replaces those before.
+   *
+   * @param vm the VM
+   * @param losses the ended connections
+   * @param served suspects that got a whole answer
+   */
+  record Losses(VmId vm, List<Loss> losses, List<Fingerprint> served) implements ServingMessage {
+    /** Copies the lists. */
+    public Losses {
+      losses = List.copyOf(losses);
+      served = List.copyOf(served);
+    }
+  }
+
   /**
    * Tells what waits at the VM, and what it has at each upstream; the newest replaces those before.
    *
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
@@ -7,6 +7,7 @@
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.ServingPlan;
+import org.teaseltrail.core.quarantine.Fingerprint;
 import org.teaseltrail.core.quota.QuotaGrant;
 import org.teaseltrail.core.registry.Registration;
 
@@ -96,6 +97,39 @@
    */
   record PlanUpdate(FencingNumber fencing, ServingPlan plan) implements ServingReply {}
 
+  /**
+   * Carries the requests that no upstream may get, and those that are suspected.
+   *
+   * @param fencing the leadership that holds them
+   * @param revision grows with each change under this leadership, from 1
+   * @param whole false for as long as the leader may not have heard all VMs: what a VM was told
+   *     before holds on beside it
+   * @param held requests under which too many upstreams were lost
+   * @param watched suspects of which a whole answer is to be told
+   */
+  record QuarantineUpdate(
+      FencingNumber fencing,
+      long revision,
+      boolean whole,
+      List<Fingerprint> held,
+      List<Fingerprint> watched)
+      implements ServingReply {
+    /** Copies the lists. */
+    public QuarantineUpdate {
+      held = List.copyOf(held);
+      watched = List.copyOf(watched);
+    }
+  }
+
+  /**
+   * Lets the VM send a held request to one upstream once.
+   *
+   * @param fencing the leadership that allows it
+   * @param request the request
+   * @param forMs how long the VM may wait for it to come, in milliseconds
+   */
+  record Trial(FencingNumber fencing, Fingerprint request, long forMs) implements ServingReply {}
+
   /**
    * Carries the registrations of all upstreams that haven't left.
    *
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingSession.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingSession.java
@@ -107,6 +107,15 @@
     return fencing.compareTo(newestFencing) >= 0;
   }
 
+  /**
+   * Returns the newest leadership that has confirmed.
+   *
+   * @return its number, 0 for none
+   */
+  public FencingNumber newestFencing() {
+    return newestFencing;
+  }
+
   /**
    * Tells whether requests may be admitted.
    *
--- a/core/src/main/java/org/teaseltrail/core/state/ClusterState.java
+++ b/core/src/main/java/org/teaseltrail/core/state/ClusterState.java
@@ -12,16 +12,20 @@
 import org.teaseltrail.core.invariant.InvariantName;
 import org.teaseltrail.core.message.ClaimState;
 import org.teaseltrail.core.plan.InstalledPlan;
+import org.teaseltrail.core.quarantine.HeldBook;
 import org.teaseltrail.core.registry.RegistryBook;
 import org.teaseltrail.core.state.Command.AdoptClaim;
 import org.teaseltrail.core.state.Command.ChangeConfiguration;
 import org.teaseltrail.core.state.Command.CompleteClaim;
 import org.teaseltrail.core.state.Command.DropUpstream;
 import org.teaseltrail.core.state.Command.ExpireClaims;
+import org.teaseltrail.core.state.Command.HoldRequest;
 import org.teaseltrail.core.state.Command.InstallPlan;
 import org.teaseltrail.core.state.Command.OpenClaim;
 import org.teaseltrail.core.state.Command.RegisterUpstream;
 import org.teaseltrail.core.state.Command.ReleaseClaim;
+import org.teaseltrail.core.state.Command.ReleaseRequest;
+import org.teaseltrail.core.state.Command.TryRequest;
 import org.teaseltrail.core.state.Command.UpstreamLeaves;
 
 /**
@@ -37,6 +41,7 @@
   private final ClaimBook claims;
   private Configuration configuration;
   private final RegistryBook registry;
+  private final HeldBook held;
   private Optional<InstalledPlan> plan;
   private long logTimeMs;
 
@@ -53,6 +58,7 @@
     ServingState serving = snapshot.serving().orElse(ServingState.empty());
     plan = serving.plan();
     registry = new RegistryBook(serving.registryRevision(), serving.registrations());
+    held = new HeldBook(serving.held().orElse(List.of()));
   }
 
   /**
@@ -94,6 +100,12 @@
       registry.leave(leaves.leaving());
     } else if (command instanceof DropUpstream drop) {
       registry.drop(drop.upstream());
+    } else if (command instanceof HoldRequest hold) {
+      held.hold(hold.held());
+    } else if (command instanceof TryRequest trial) {
+      held.tried(trial.request());
+    } else if (command instanceof ReleaseRequest release) {
+      held.release(release.request());
     }
     return new CommandResult.OfServing(planVersion(), registry.revision());
   }
@@ -113,7 +125,8 @@
   }
 
   private ServingState serving() {
-    return new ServingState(plan, registry.revision(), List.copyOf(registry.all()));
+    return new ServingState(
+        plan, registry.revision(), List.copyOf(registry.all()), Optional.of(held.all()));
   }
 
   /** Returns the accepted plan of an outside platform, if there is one. */
@@ -126,6 +139,11 @@
     return registry;
   }
 
+  /** Returns the requests that no upstream gets, to look up only. */
+  public HeldBook held() {
+    return held;
+  }
+
   /** Returns the whole state as one value. */
   public ClusterSnapshot snapshot() {
     return new ClusterSnapshot(
--- a/core/src/main/java/org/teaseltrail/core/state/Command.java
+++ b/core/src/main/java/org/teaseltrail/core/state/Command.java
@@ -12,6 +12,8 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.message.EndKind;
 import org.teaseltrail.core.plan.InstalledPlan;
+import org.teaseltrail.core.quarantine.Fingerprint;
+import org.teaseltrail.core.quarantine.HeldRequest;
 import org.teaseltrail.core.registry.Registration;
 
 /**
@@ -131,4 +133,28 @@
    * @param logTimeMs log time
    */
   record DropUpstream(UpstreamId upstream, long logTimeMs) implements ServingCommand {}
+
+  /**
+   * Holds a request under which too many upstreams ended.
+   *
+   * @param held the request
+   * @param logTimeMs log time
+   */
+  record HoldRequest(HeldRequest held, long logTimeMs) implements ServingCommand {}
+
+  /**
+   * Counts that a held request may go to one upstream, to see whether that is lost too.
+   *
+   * @param request the request
+   * @param logTimeMs log time
+   */
+  record TryRequest(Fingerprint request, long logTimeMs) implements ServingCommand {}
+
+  /**
+   * Lets a held request go to upstreams again.
+   *
+   * @param request the request
+   * @param logTimeMs log time
+   */
+  record ReleaseRequest(Fingerprint request, long logTimeMs) implements ServingCommand {}
 }
--- a/core/src/main/java/org/teaseltrail/core/state/ServingState.java
+++ b/core/src/main/java/org/teaseltrail/core/state/ServingState.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.teaseltrail.core.plan.InstalledPlan;
+import org.teaseltrail.core.quarantine.HeldRequest;
 import org.teaseltrail.core.registry.Registration;
 
 /**
@@ -11,17 +12,22 @@
  * @param plan the accepted plan, if there is one
  * @param registryRevision number of changes of the registrations so far
  * @param registrations the registrations, oldest first
+ * @param held requests that no upstream gets, oldest first; empty in snapshots of older versions
  */
 public record ServingState(
-    Optional<InstalledPlan> plan, long registryRevision, List<Registration> registrations) {
+    Optional<InstalledPlan> plan,
+    long registryRevision,
+    List<Registration> registrations,
+    Optional<List<HeldRequest>> held) {
 
-  /** Copies the list. */
+  /** Copies the lists. */
   public ServingState {
     registrations = List.copyOf(registrations);
+    held = held.map(List::copyOf);
   }
 
   /** Returns the state before the first plan. */
   public static ServingState empty() {
-    return new ServingState(Optional.empty(), 0, List.of());
+    return new ServingState(Optional.empty(), 0, List.of(), Optional.empty());
   }
 }
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/control/QuarantineInnocentsTest.java
@@ -0,0 +1,95 @@
+package org.teaseltrail.core.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.forward.Refusal;
+
+/**
+ * Requests that harm nobody are there when upstreams end or connections break, and must not be held
+ * for it. Figures: eight engines of four places each; one ends every 0.7 s, as many as are back
+ * meanwhile.
+ */
+class QuarantineInnocentsTest {
+
+  private static final int VMS = 6;
+  private static final int ENGINES = 8;
+  private static final double LOAD_PER_SECOND = 30;
+
+  private static DeadlyRequestRun run(long seed) {
+    DeadlyRequestRun run = new DeadlyRequestRun(new SplittableRandom(seed), VMS, ENGINES);
+    run.play(1_000, LOAD_PER_SECOND);
+    run.countAnew();
+    return run;
+  }
+
+  /** A content that is asked for ten times a second is in many batches that end. */
+  @Test
+  void popularContentIsNotHeldWhenEnginesEndByThemselves() {
+    DeadlyRequestRun run = run(1);
+    run.askForPopular(100);
+    run.endAtRandom(700);
+    run.play(30_000, LOAD_PER_SECOND);
+    assertThat(run.innocentRefused()).doesNotContainKey(Refusal.QUARANTINED);
+  }
+
+  /** The batches of a deadly request end with it, among them a content that is asked for often. */
+  @Test
+  void batchesOfDeadlyRequestsAreNotHeldWithThem() {
+    DeadlyRequestRun run = run(2);
+    run.askForPopular(100);
+    run.askForDeadly(DeadlyRequestRun.Kind.STREAM, 3);
+    run.play(20_000, LOAD_PER_SECOND);
+    assertThat(run.innocentRefused()).doesNotContainKey(Refusal.QUARANTINED);
+    assertThat(run.harm()).hasSize(3);
+  }
+
+  /** Whole batches end so fast that a content asked for often is held with the deadly ones. */
+  @Test
+  void whatIsHeldByMistakeIsTriedAndLetGo() {
+    DeadlyRequestRun run = run(5);
+    run.askForPopular(100);
+    run.play(500, LOAD_PER_SECOND);
+    run.askForDeadlyPopular(true);
+    run.play(10_000, LOAD_PER_SECOND);
+    assertThat(run.popularRefused()).containsKey(Refusal.QUARANTINED);
+    run.askForDeadlyPopular(false);
+    run.play(200_000, LOAD_PER_SECOND);
+    run.countAnew();
+    run.play(5_000, LOAD_PER_SECOND);
+    assertThat(run.innocentRefused()).isEmpty();
+  }
+
+  /** Links lose answers: nothing ends, though half of all that runs breaks over and over. */
+  @Test
+  void brokenConnectionsAloneHoldNothingForLong() {
+    DeadlyRequestRun run = run(3);
+    run.askForPopular(100);
+    for (int i = 0; i < 20; i++) {
+      run.breakOff(0.5);
+      run.play(200, LOAD_PER_SECOND);
+    }
+    run.play(3_000, LOAD_PER_SECOND);
+    run.countAnew();
+    run.play(3_000, LOAD_PER_SECOND);
+    assertThat(run.innocentRefused()).isEmpty();
+  }
+
+  /** Nothing is heard of the engines, as in a cut, while what runs breaks over and over. */
+  @Test
+  void cutFromTheEnginesHoldsNothingOnceItIsOver() {
+    DeadlyRequestRun run = run(4);
+    run.askForPopular(100);
+    run.loseHeartbeats(true);
+    for (int i = 0; i < 20; i++) {
+      run.breakOff(1);
+      run.play(200, LOAD_PER_SECOND);
+    }
+    run.loseHeartbeats(false);
+    run.play(3_000, LOAD_PER_SECOND);
+    run.countAnew();
+    run.play(3_000, LOAD_PER_SECOND);
+    assertThat(run.innocentRefused()).isEmpty();
+  }
+}
--- a/forward/src/main/java/org/teaseltrail/forward/RequestStory.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RequestStory.java
@@ -4,6 +4,7 @@
 import org.teaseltrail.core.forward.AttemptEnd;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardRequest;
+import org.teaseltrail.core.forward.Refusal;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.plan.PlanRoute;
 import org.teaseltrail.core.quarantine.Fingerprint;
@@ -74,8 +75,11 @@
     line.with(LogField.REASON, refuse.refusal().name())
         .with(LogField.MAYBE_RAN, refuse.refusal().maybeRan())
         .with(LogField.STATUS, status)
-        .with(LogField.RETRY_AFTER_MS, refuse.retryAfterMs())
-        .write();
+        .with(LogField.RETRY_AFTER_MS, refuse.retryAfterMs());
+    if (refuse.refusal() == Refusal.QUARANTINED) {
+      line.with(LogField.FINGERPRINT, request.fingerprint(refuse.customer()).text());
+    }
+    line.write();
   }
 
   void callerLeft(EventLog log, boolean begun, long nowNs) {
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -37,7 +37,12 @@
       LogField.REASON,
       LogField.MAYBE_RAN,
       LogField.STATUS,
-      LogField.RETRY_AFTER_MS),
+      LogField.RETRY_AFTER_MS,
+      LogField.FINGERPRINT),
+  /** The leader holds a request: upstreams were lost under it, so none gets it any longer. */
+  REQUEST_HELD(LogField.FINGERPRINT, LogField.CUSTOMER, LogField.LOSSES),
+  /** The leader lets a held request go to upstreams again. */
+  REQUEST_RELEASED(LogField.FINGERPRINT, LogField.CUSTOMER),
   /** A caller closed its connection before the answer's end. */
   CALLER_LEFT(Shared.OF_REQUEST, LogField.BEGUN),
   /** A control member has read an operator's plan. */
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -37,6 +37,8 @@
   AT_UPSTREAM_MS("time that the upstream had the request"),
   /** What the request asked for. */
   FINGERPRINT("names the request's content and customer, whatever its id"),
+  /** What speaks against a request. */
+  LOSSES("upstreams that were lost under the request, 0 if another leader held it"),
   /** The status that the caller or this VM got. */
   STATUS("the HTTP status, 0 for none"),
   /** Why something was refused. */
