Look nothing up in the quarantine while it is empty

Cause: each request had its scope hashed and each event asked for the leader, also where no request was ever suspected.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -349,8 +349,8 @@
       ties.syncForPlaces();
     }
     tellLines(nowNs);
-    if (ties.hearsLeader(nowNs)) {
-      quarantine.report(nowNs).flatMap(losses -> ties.tell(losses, nowNs)).ifPresent(out::add);
+    if (quarantine.hasReport() && ties.hearsLeader(nowNs)) {
+      ties.tell(quarantine.report(nowNs), nowNs).ifPresent(out::add);
     }
     return drain();
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/Quarantine.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/Quarantine.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongPredicate;
 import org.teaseltrail.core.id.FencingNumber;
@@ -62,7 +61,7 @@
 
   /** Tells whether a request must not be sent to any upstream. */
   boolean stops(TrackedForward request, long nowNs) {
-    if (request.isTrial() || !isKnownScope(request.scope())) {
+    if (knowsNone() || request.isTrial() || !isKnownScope(request.scope())) {
       return false;
     }
     Fingerprint print = request.fingerprint();
@@ -96,7 +95,7 @@
 
   /** Notes that an upstream has answered a request whole and lives on: it harms nobody. */
   void servedWhole(TrackedForward request, long nowNs) {
-    if (!isKnownScope(request.scope())) {
+    if (knowsNone() || !isKnownScope(request.scope())) {
       return;
     }
     Fingerprint print = request.fingerprint();
@@ -137,16 +136,24 @@
     untold |= changedNs > 0 && (newLeader || lately);
   }
 
-  /** Returns a report for the leader if there is something to tell. */
-  Optional<ServingMessage.Losses> report(long nowNs) {
-    if (!untold) {
-      return Optional.empty();
-    }
+  /** Tells whether there is something that the leader hasn't been told. */
+  boolean hasReport() {
+    return untold;
+  }
+
+  /** Returns what the leader is to be told. */
+  ServingMessage.Losses report(long nowNs) {
     untold = false;
     own.forgetOld(nowNs);
     servedNs.values().removeIf(atNs -> nowNs - atNs > TELL_AGAIN_NS);
-    return Optional.of(
-        new ServingMessage.Losses(vm, own.all(nowNs), List.copyOf(servedNs.keySet())));
+    return new ServingMessage.Losses(vm, own.all(nowNs), List.copyOf(servedNs.keySet()));
+  }
+
+  /**
+   * Tells whether there is neither a suspect nor a held request, so that nothing need be looked up.
+   */
+  private boolean knowsNone() {
+    return toldScopes.isEmpty() && own.isEmpty();
   }
 
   private boolean isKnownScope(int scope) {
--- a/core/src/main/java/org/teaseltrail/core/quarantine/LossBook.java
+++ b/core/src/main/java/org/teaseltrail/core/quarantine/LossBook.java
@@ -114,6 +114,15 @@
     return suspect == null ? 0 : suspect.losses();
   }
 
+  /**
+   * Tells whether there is no suspect.
+   *
+   * @return true if there is none
+   */
+  public boolean isEmpty() {
+    return suspects.isEmpty();
+  }
+
   /**
    * Tells whether any suspect has a scope, so that the content of most requests needn't be looked
    * at.
