--- a/core/src/test/java/org/teaseltrail/core/control/QuarantineInnocentsTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/QuarantineInnocentsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.SplittableRandom;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.teaseltrail.core.forward.Refusal;
 
@@ -45,6 +46,22 @@
     assertThat(run.harm()).hasSize(3);
   }
 
+  /**
+   * Three deadly requests at once end nearly all engines within a second, and with them all copies
+   * of a content that is asked for often: it is held too, until its trial.
+   */
+  @Test
+  @Tag("known-red")
+  void batchesThatAllEndWithinSecondsAreNotHeld() {
+    for (long seed = 1; seed <= 10; seed++) {
+      DeadlyRequestRun run = run(seed);
+      run.askForPopular(100);
+      run.askForDeadly(DeadlyRequestRun.Kind.RESUMABLE, 3);
+      run.play(20_000, LOAD_PER_SECOND);
+      assertThat(run.innocentRefused()).as("seed " + seed).doesNotContainKey(Refusal.QUARANTINED);
+    }
+  }
+
   /** Whole batches end so fast that a content asked for often is held with the deadly ones. */
   @Test
   void whatIsHeldByMistakeIsTriedAndLetGo() {
