--- a/cli/src/main/java/org/teaseltrail/cli/explain/Cause.java
+++ b/cli/src/main/java/org/teaseltrail/cli/explain/Cause.java
@@ -29,6 +29,10 @@
       "No upstream had a place for it in time.",
       "the same refusals at other VMs: everywhere means too few upstreams, one VM alone means that"
           + " its view is wrong"),
+  HELD(
+      refusedFor("QUARANTINED"),
+      "Upstreams ended under requests with the same content, so no upstream gets it any longer.",
+      "the leader's `request_held` with the same `fingerprint`, and each `attempt_failed` with it"),
   VM_ENDING(
       refusedFor("ENDING"),
       "Its VM was about to end and takes no more requests.",
--- a/cli/src/test/java/org/teaseltrail/cli/explain/ExplanationTest.java
+++ b/cli/src/test/java/org/teaseltrail/cli/explain/ExplanationTest.java
@@ -25,6 +25,9 @@
       "maybe_ran":false,"status":503,"retry_after_ms":500}
       {"time":"2026-03-23T23:43:41.400Z","program":"teaseltrail-entry","vm":"entry-1",\
       "event":"plan_in_force","version":8}
+      {"time":"2026-03-23T23:43:41.450Z","program":"teaseltrail-entry","vm":"entry-1",\
+      "event":"request_refused","request":"held1","elapsed_ms":0,"reason":"QUARANTINED",\
+      "maybe_ran":false,"status":503,"retry_after_ms":60000,"fingerprint":"0a0b"}
       {"time":"2026-03-23T23:43:41.500Z","program":"teaseltrail-entry","vm":"en
       2026-03-23T23:43:41Z WARN words of a library
       """;
@@ -59,6 +62,13 @@
     assertThat(story).contains("others refused for PLAN_UNCERTAIN at that time: 0 at this VM");
   }
 
+  /** A request that ends upstreams is held, and its caller asks why. */
+  @Test
+  void tellsOfHeldRequest() throws IOException {
+    String story = logs().tell("held1");
+    assertThat(story).contains("fingerprint=0a0b", "Upstreams ended", "request_held");
+  }
+
   /**
    * The VM's clock is two seconds behind: by the times as written, the upstream left long after the
    * request. The plan that both told of shows the difference.
