--- a/core/src/main/java/org/teaseltrail/core/quarantine/Fingerprint.java
+++ b/core/src/main/java/org/teaseltrail/core/quarantine/Fingerprint.java
@@ -18,7 +18,7 @@
  * so that the content of others is never digested.
  *
  * @param scope hash of customer, host and path
- * @param digest first eight bytes of SHA-256 over the scope and the content
+ * @param digest first eight bytes of SHA-256 over customer, host and content
  */
 public record Fingerprint(int scope, long digest) {
 
