--- a/control/src/main/java/org/teaseltrail/control/ActionRunner.java
+++ b/control/src/main/java/org/teaseltrail/control/ActionRunner.java
@@ -9,6 +9,8 @@
 import org.teaseltrail.core.decision.Decision;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.quarantine.Fingerprint;
+import org.teaseltrail.core.rollout.Rollout;
+import org.teaseltrail.core.rollout.Verdict;
 import org.teaseltrail.runtime.log.DecisionLog;
 import org.teaseltrail.runtime.log.EventLog;
 import org.teaseltrail.runtime.log.LogEvent;
@@ -55,6 +57,8 @@
       held(held);
     } else if (action instanceof ControlAction.RequestReleased released) {
       released(released);
+    } else if (action instanceof ControlAction.RolloutTurned turned) {
+      turned(turned);
     } else if (action instanceof ControlAction.LeadershipChanged changed) {
       leadershipChanged(changed);
     } else if (action instanceof ControlAction.HandOverRefused) {
@@ -149,6 +153,44 @@
     logger.info("Upstreams get request " + released.request().text() + " again.");
   }
 
+  private void turned(ControlAction.RolloutTurned turned) {
+    Rollout rollout = turned.rollout();
+    targets.metrics().rolloutTurned(rollout.phase());
+    targets.log().ifPresent(log -> writeTurned(log, turned));
+    logger.info(
+        "Rollout of "
+            + rollout.order().service()
+            + " to "
+            + rollout.order().to()
+            + ": "
+            + rollout.phase()
+            + ", "
+            + rollout.reason()
+            + ".");
+  }
+
+  private static void writeTurned(EventLog log, ControlAction.RolloutTurned turned) {
+    Rollout rollout = turned.rollout();
+    EventLog.Line line =
+        log.line(LogEvent.ROLLOUT_TURNED)
+            .with(LogField.SERVICE, rollout.order().service().value())
+            .with(LogField.UPSTREAM_VERSION, rollout.order().to().value())
+            .with(LogField.PHASE, rollout.phase().name())
+            .with(LogField.REASON, rollout.reason().name())
+            .with(LogField.LENT, rollout.account().lent())
+            .with(LogField.REACHED, rollout.account().reached());
+    turned.verdict().ifPresent(verdict -> decidedBy(line, verdict));
+    line.write();
+  }
+
+  private static void decidedBy(EventLog.Line line, Verdict verdict) {
+    verdict.route().ifPresent(route -> line.with(LogField.ROUTE, route.value()));
+    line.with(LogField.ANSWERS, verdict.ordered().answers())
+        .with(LogField.BAD_ANSWERS, verdict.ordered().bad())
+        .with(LogField.ANSWERS_BEFORE, verdict.before().answers())
+        .with(LogField.BAD_ANSWERS_BEFORE, verdict.before().bad());
+  }
+
   private static EventLog.Line quarantineLine(
       EventLog log, LogEvent event, Fingerprint request, Optional<CustomerId> customer) {
     EventLog.Line line = log.line(event).with(LogField.FINGERPRINT, request.text());
--- a/control/src/main/java/org/teaseltrail/control/ControlMetrics.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlMetrics.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.teaseltrail.core.decision.DecisionKind;
 import org.teaseltrail.core.registry.HeartbeatFailure;
+import org.teaseltrail.core.rollout.RolloutPhase;
 import org.teaseltrail.runtime.metrics.Metrics;
 
 /** Counts what the member does. */
@@ -16,6 +17,7 @@
   private final Map<DecisionKind, Counter> decisions = new EnumMap<>(DecisionKind.class);
   private final Map<HeartbeatFailure, Counter> heartbeatsRefused =
       new EnumMap<>(HeartbeatFailure.class);
+  private final Map<RolloutPhase, Counter> rollouts = new EnumMap<>(RolloutPhase.class);
   private final AtomicLong leading = new AtomicLong();
   private final AtomicLong term = new AtomicLong();
   private final AtomicLong requestsHeld = new AtomicLong();
@@ -29,6 +31,9 @@
       heartbeatsRefused.put(
           failure, registry.counter("teaseltrail.heartbeats.refused", "reason", failure.name()));
     }
+    for (RolloutPhase phase : RolloutPhase.values()) {
+      rollouts.put(phase, registry.counter("teaseltrail.rollouts.turned", "phase", phase.name()));
+    }
     registry.gauge("teaseltrail.leading", leading);
     registry.gauge("teaseltrail.term", term);
     registry.gauge("teaseltrail.requests.held", requestsHeld);
@@ -53,6 +58,10 @@
     requestsHeld.set(count);
   }
 
+  void rolloutTurned(RolloutPhase phase) {
+    rollouts.get(phase).increment();
+  }
+
   boolean isLeading() {
     return leading.get() == 1;
   }
--- a/control/src/main/java/org/teaseltrail/control/ControlOptions.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlOptions.java
@@ -11,6 +11,7 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.quota.QuotaBounds;
 import org.teaseltrail.core.replication.GroupId;
+import org.teaseltrail.core.rollout.RolloutSettings;
 import org.teaseltrail.core.session.SessionSettings;
 import org.teaseltrail.runtime.log.EventLog;
 import org.teaseltrail.runtime.settings.Settings;
@@ -80,6 +81,7 @@
         placement,
         System.nanoTime(),
         QuotaBounds.DEFAULT,
+        RolloutSettings.DEFAULT,
         Optional.empty());
   }
 }
--- a/control/src/test/java/org/teaseltrail/control/EventQueueTest.java
+++ b/control/src/test/java/org/teaseltrail/control/EventQueueTest.java
@@ -27,7 +27,15 @@
   private static ControlEvent sync(int vm, long sequence) {
     return new ControlEvent.FromServingVm(
         new ServingMessage.Sync(
-            new VmId("entry-" + vm), new Incarnation(1), sequence, 1, 1, 0, Map.of(), List.of()));
+            new VmId("entry-" + vm),
+            new Incarnation(1),
+            sequence,
+            1,
+            1,
+            0,
+            0,
+            Map.of(),
+            List.of()));
   }
 
   private static ControlEvent lines(int vm, long grantsSeen) {
--- a/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
@@ -11,6 +11,8 @@
 import org.teaseltrail.core.replication.PeerEnvelope;
 import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.replication.ReplicaAction;
+import org.teaseltrail.core.rollout.Rollout;
+import org.teaseltrail.core.rollout.Verdict;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.state.ClusterSnapshot;
 
@@ -131,6 +133,14 @@
   record RequestReleased(Fingerprint request, Optional<CustomerId> customer, int heldInAll)
       implements ControlAction {}
 
+  /**
+   * A rollout was ordered, or has turned to a later phase.
+   *
+   * @param rollout the rollout in its new phase
+   * @param verdict what decided it, if its version was found bad
+   */
+  record RolloutTurned(Rollout rollout, Optional<Verdict> verdict) implements ControlAction {}
+
   /**
    * The member has begun or ceased to serve as leader, or knows another leader.
    *
--- a/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
@@ -203,7 +203,9 @@
       if (accepted) {
         leadership.ifPresent(Leadership::configurationAccepted);
       }
-      if (result instanceof CommandResult.OfServing) {
+      boolean told =
+          result instanceof CommandResult.OfServing || result instanceof CommandResult.OfRollout;
+      if (told) {
         leadership.ifPresent(Leadership::servingChanged);
       }
     }
--- a/core/src/main/java/org/teaseltrail/core/control/ControlSettings.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlSettings.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.teaseltrail.core.claim.ClaimLimits;
 import org.teaseltrail.core.quota.QuotaBounds;
+import org.teaseltrail.core.rollout.RolloutSettings;
 import org.teaseltrail.core.session.SessionSettings;
 
 /**
@@ -14,6 +15,7 @@
  * @param placement pace of the loads it orders
  * @param seed seeds what schedulers draw by chance
  * @param quotas how quotas are counted
+ * @param rollouts how rollouts are carried out
  * @param repair how the group repairs itself; empty if operators change its members
  */
 public record ControlSettings(
@@ -23,6 +25,7 @@
     PlacementSettings placement,
     long seed,
     QuotaBounds quotas,
+    RolloutSettings rollouts,
     Optional<RepairSettings> repair) {
 
   /** The settings in use unless an operator says otherwise. */
@@ -34,5 +37,6 @@
           PlacementSettings.DEFAULT,
           1,
           QuotaBounds.DEFAULT,
+          RolloutSettings.DEFAULT,
           Optional.empty());
 }
--- a/core/src/main/java/org/teaseltrail/core/control/Leadership.java
+++ b/core/src/main/java/org/teaseltrail/core/control/Leadership.java
@@ -174,6 +174,11 @@
 
   /** Proposes a command that is tried again by itself, and does a step once it is committed. */
   void proposeThen(Command command, Runnable committed) {
+    proposeThen(command, committed, () -> {});
+  }
+
+  /** Proposes a command, and does a step once it is committed, or another one if it can't be. */
+  void proposeThen(Command command, Runnable committed, Runnable rejected) {
     ProposalCallback callback =
         new ProposalCallback() {
           @Override
@@ -182,7 +187,9 @@
           }
 
           @Override
-          public void rejected(ProposalRejection reason, long atNs) {}
+          public void rejected(ProposalRejection reason, long atNs) {
+            rejected.run();
+          }
         };
     propose(command, callback, nowNs);
   }
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorDesk.java
@@ -8,6 +8,10 @@
 import org.teaseltrail.core.registry.RegistrationPhase;
 import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.replication.ReplicaEvent;
+import org.teaseltrail.core.rollout.Rollout;
+import org.teaseltrail.core.rollout.RolloutAnswer;
+import org.teaseltrail.core.rollout.RolloutPhase;
+import org.teaseltrail.core.rollout.RolloutReason;
 import org.teaseltrail.core.state.Command;
 import org.teaseltrail.core.state.CommandResult;
 import org.teaseltrail.core.upstream.SocketAddress;
@@ -66,9 +70,35 @@
     } else if (request instanceof OperatorRequest.Leave leave) {
       Registration leaving = knownOrBlank(leave);
       propose(callId, new Command.UpstreamLeaves(leaving, logTimeMs), nowNs);
+    } else if (request instanceof OperatorRequest.StartRollout start) {
+      rollout(callId, new Command.OrderRollout(start.order(), logTimeMs), nowNs);
+    } else if (request instanceof OperatorRequest.AbortRollout abort) {
+      abort(callId, abort.service(), logTimeMs, nowNs);
+    } else if (request instanceof OperatorRequest.ReadRollout read) {
+      replicated.read(new RolloutReader(callId, read.service()), nowNs);
     }
   }
 
+  private void rollout(long callId, Command command, long nowNs) {
+    replicated.propose(command, new RolloutCallback(callId), nowNs);
+  }
+
+  private void abort(long callId, ServiceId service, long logTimeMs, long nowNs) {
+    Optional<Rollout> newest = replicated.state().rollouts().find(service);
+    if (newest.isEmpty()) {
+      out.reply(callId, new OperatorResult.RolloutAnswered(RolloutAnswer.NONE_RUNNING));
+      return;
+    }
+    Command.TurnRollout turn =
+        new Command.TurnRollout(
+            service,
+            newest.get().orderedMs(),
+            RolloutPhase.ROLLED_BACK,
+            RolloutReason.ABORTED,
+            logTimeMs);
+    rollout(callId, turn, nowNs);
+  }
+
   /** Commits a heartbeat that changes something; the others only show that the upstream lives. */
   private void heartbeat(long callId, Registration heard, Leadership leadership) {
     leadership.servingDesk().heartbeat(heard);
@@ -99,7 +129,9 @@
                     new DataCenterId(UNKNOWN),
                     0,
                     RegistrationPhase.GONE,
-                    Long.MAX_VALUE));
+                    Long.MAX_VALUE,
+                    Optional.empty(),
+                    0));
   }
 
   private void propose(long callId, Command command, long nowNs) {
@@ -198,6 +230,39 @@
     }
   }
 
+  private final class RolloutCallback extends ReplyingCallback {
+    RolloutCallback(long callId) {
+      super(callId);
+    }
+
+    @Override
+    public void committed(CommandResult result, long nowNs) {
+      RolloutAnswer answer = ((CommandResult.OfRollout) result).answer();
+      out.reply(callId, new OperatorResult.RolloutAnswered(answer));
+    }
+  }
+
+  private final class RolloutReader implements ReplicatedState.ReadCallback {
+    private final long callId;
+    private final ServiceId service;
+
+    RolloutReader(long callId, ServiceId service) {
+      this.callId = callId;
+      this.service = service;
+    }
+
+    @Override
+    public void ready() {
+      out.reply(
+          callId, new OperatorResult.RolloutRead(replicated.state().rollouts().find(service)));
+    }
+
+    @Override
+    public void refused() {
+      notLeading(callId);
+    }
+  }
+
   private final class PlanReader implements ReplicatedState.ReadCallback {
     private final long callId;
 
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorRequest.java
@@ -7,10 +7,12 @@
 import org.teaseltrail.core.id.ChangeId;
 import org.teaseltrail.core.id.MemberId;
 import org.teaseltrail.core.id.Revision;
+import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.plan.InstalledPlan;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.replication.MembershipChange;
+import org.teaseltrail.core.rollout.RolloutOrder;
 
 /** Is what an operator asks a control member for. */
 public sealed interface OperatorRequest {
@@ -92,6 +94,27 @@
    */
   record Heartbeat(Registration heard) implements PlatformRequest {}
 
+  /**
+   * Move a service to another version of its upstreams.
+   *
+   * @param order the order
+   */
+  record StartRollout(RolloutOrder order) implements PlatformRequest {}
+
+  /**
+   * Roll a service's running rollout back.
+   *
+   * @param service the service
+   */
+  record AbortRollout(ServiceId service) implements PlatformRequest {}
+
+  /**
+   * Read a service's newest rollout, confirmed by a quorum after the request came.
+   *
+   * @param service the service
+   */
+  record ReadRollout(ServiceId service) implements PlatformRequest {}
+
   /**
    * Take an upstream's leave in.
    *
--- a/core/src/main/java/org/teaseltrail/core/control/OperatorResult.java
+++ b/core/src/main/java/org/teaseltrail/core/control/OperatorResult.java
@@ -11,6 +11,8 @@
 import org.teaseltrail.core.plan.InstalledPlan;
 import org.teaseltrail.core.replication.Membership;
 import org.teaseltrail.core.replication.ProposalRejection;
+import org.teaseltrail.core.rollout.Rollout;
+import org.teaseltrail.core.rollout.RolloutAnswer;
 import org.teaseltrail.core.state.ChangeResult;
 
 /** Is what an operator's request came to. */
@@ -114,6 +116,20 @@
    */
   record ServingChanged(OptionalLong commitMs) implements OperatorResult {}
 
+  /**
+   * What became of an order of a rollout.
+   *
+   * @param answer taken, or why not
+   */
+  record RolloutAnswered(RolloutAnswer answer) implements OperatorResult {}
+
+  /**
+   * A service's newest rollout.
+   *
+   * @param rollout the rollout, or empty if there was none
+   */
+  record RolloutRead(Optional<Rollout> rollout) implements OperatorResult {}
+
   /**
    * The newest plan.
    *
--- a/core/src/main/java/org/teaseltrail/core/control/Outbox.java
+++ b/core/src/main/java/org/teaseltrail/core/control/Outbox.java
@@ -18,6 +18,8 @@
 import org.teaseltrail.core.replication.PeerEnvelope;
 import org.teaseltrail.core.replication.ProposalRejection;
 import org.teaseltrail.core.replication.ReplicaAction;
+import org.teaseltrail.core.rollout.Rollout;
+import org.teaseltrail.core.rollout.Verdict;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.state.ClusterSnapshot;
 
@@ -99,6 +101,10 @@
     actions.add(new ControlAction.RequestReleased(request, customer, heldInAll));
   }
 
+  void rolloutTurned(Rollout rollout, Optional<Verdict> verdict) {
+    actions.add(new ControlAction.RolloutTurned(rollout, verdict));
+  }
+
   void leadershipChanged(boolean serving, long term, Optional<MemberId> leader) {
     actions.add(new ControlAction.LeadershipChanged(serving, term, leader));
   }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/RolloutDesk.java
@@ -0,0 +1,222 @@
+package org.teaseltrail.core.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.rollout.CanaryLoan;
+import org.teaseltrail.core.rollout.ExposureAccount;
+import org.teaseltrail.core.rollout.Rollout;
+import org.teaseltrail.core.rollout.RolloutPhase;
+import org.teaseltrail.core.rollout.RolloutUse;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.state.ClusterState;
+import org.teaseltrail.core.state.Command;
+
+/**
+ * Carries rollouts out on the leader: lends the canary's requests to the entry VMs, gathers what
+ * they saw, and turns each rollout to its next phase through the log.
+ */
+final class RolloutDesk {
+
+  /** Is what the leader knows of the entry VMs. */
+  interface EntryVmsView {
+
+    /** Says how far they are with turning to an ordered version. */
+    RolloutWatch.HandOverState handOver(ServiceId service);
+
+    /** Returns how many requests they have at an upstream. */
+    int inFlight(UpstreamId upstream);
+  }
+
+  private static final long NS_PER_MS = 1_000_000L;
+
+  /** Time between two looks at the rollouts that run. */
+  private static final long CHECK_EVERY_NS = 100 * NS_PER_MS;
+
+  /**
+   * Time for which requests are lent. Guards against a VM that is cut off and goes on sending to a
+   * version that was rolled back: it stops by itself.
+   */
+  private static final long LENT_FOR_MS = 1_000;
+
+  private final Leadership leadership;
+  private final EntryVmsView vms;
+  private final WarmUpstreams warm = new WarmUpstreams();
+  private final Map<ServiceId, RolloutWatch> open = new HashMap<>();
+  private final Map<ServiceId, RolloutPhase> logged = new HashMap<>();
+  private long nextCheckNs;
+
+  RolloutDesk(Leadership leadership, EntryVmsView vms) {
+    this.leadership = leadership;
+    this.vms = vms;
+    state().rollouts().all().forEach(one -> logged.put(one.order().service(), one.phase()));
+    follow();
+  }
+
+  /** Takes what a VM has done, and lends it more. */
+  void message(ServingMessage.Rollouts told) {
+    List<CanaryLoan> loans = new ArrayList<>();
+    for (RolloutUse use : told.uses()) {
+      watchOf(use).ifPresent(watch -> loans.add(answer(told, use, watch)));
+    }
+    leadership.sendServing(
+        told.vm(),
+        new ServingReply.CanaryLoans(leadership.fencing(), told.sequence(), LENT_FOR_MS, loans));
+  }
+
+  /** Takes what was just committed. */
+  void changed() {
+    follow();
+    for (Rollout rollout : state().rollouts().all()) {
+      ServiceId service = rollout.order().service();
+      RolloutWatch watch = open.get(service);
+      if (rollout.phase() != logged.put(service, rollout.phase())) {
+        leadership
+            .context()
+            .out()
+            .rolloutTurned(rollout, watch == null ? Optional.empty() : watch.judge().verdict());
+      }
+    }
+    open.values().removeIf(watch -> !current(watch).phase().isOpen());
+  }
+
+  void heartbeat(Registration heard) {
+    warm.heard(heard, leadership.nowNs());
+  }
+
+  void forget(VmId vm) {
+    open.values().forEach(watch -> watch.ledger().forget(vm));
+  }
+
+  void tick() {
+    long nowNs = leadership.nowNs();
+    if (open.isEmpty() || nowNs < nextCheckNs) {
+      return;
+    }
+    nextCheckNs = nowNs + CHECK_EVERY_NS;
+    warm.retain(state().registry().present());
+    open.values().forEach(watch -> decide(watch, nowNs));
+  }
+
+  /** Returns when a look at what runs is due. */
+  OptionalLong nextDueNs() {
+    return open.isEmpty() ? OptionalLong.empty() : OptionalLong.of(nextCheckNs);
+  }
+
+  ServingReply.RolloutUpdate update() {
+    return new ServingReply.RolloutUpdate(
+        leadership.fencing(), state().rollouts().revision(), state().rollouts().all());
+  }
+
+  /** Takes over what the log says of rollouts that run. */
+  private void follow() {
+    for (Rollout rollout : state().rollouts().all()) {
+      ServiceId service = rollout.order().service();
+      RolloutWatch watch = open.get(service);
+      boolean isNew = watch == null || watch.rollout().orderedMs() != rollout.orderedMs();
+      if (!isNew) {
+        watch.logged(rollout);
+      } else if (rollout.phase().isOpen()) {
+        open.put(
+            service,
+            new RolloutWatch(
+                leadership.context().settings().rollouts(), rollout, leadership.nowNs()));
+      }
+    }
+  }
+
+  private Rollout current(RolloutWatch watch) {
+    return state().rollouts().find(watch.rollout().order().service()).orElseThrow();
+  }
+
+  private Optional<RolloutWatch> watchOf(RolloutUse use) {
+    return Optional.ofNullable(open.get(use.service()))
+        .filter(watch -> watch.rollout().orderedMs() == use.orderedMs());
+  }
+
+  private CanaryLoan answer(ServingMessage.Rollouts told, RolloutUse use, RolloutWatch watch) {
+    watch.ledger().told(told.vm(), told.incarnation(), use);
+    long heard =
+        watch.judge().told(told.vm(), told.incarnation(), use.firstNumber(), use.observations());
+    Rollout rollout = watch.rollout();
+    boolean lends = rollout.phase() == RolloutPhase.RUNNING && watch.verdict().isEmpty();
+    List<UpstreamId> targets =
+        lends ? watch.targets(upstreams(rollout), warm, leadership.nowNs()) : List.of();
+    long ceiling = use.ceiling();
+    if (!targets.isEmpty()) {
+      writeAhead(watch);
+      ceiling = watch.ledger().lend(told.vm(), freePlaces(targets));
+    }
+    return new CanaryLoan(rollout.order().service(), rollout.orderedMs(), ceiling, targets, heard);
+  }
+
+  /** Guards against a canary that is slow because its few upstreams were given too much at once. */
+  private long freePlaces(List<UpstreamId> targets) {
+    long free = 0;
+    for (UpstreamId target : targets) {
+      int slots = state().registry().find(target).map(Registration::slots).orElse(0);
+      free += slots - vms.inFlight(target);
+    }
+    return free;
+  }
+
+  /** Lets the log allow more before it is lent, once for some requests. */
+  private void writeAhead(RolloutWatch watch) {
+    ExposureAccount wanted = watch.ledger().wanted();
+    if (!watch.mayWrite(wanted)) {
+      return;
+    }
+    Rollout rollout = watch.rollout();
+    Command.AccountExposure command =
+        new Command.AccountExposure(
+            rollout.order().service(),
+            rollout.orderedMs(),
+            wanted,
+            leadership.logTimeMs(leadership.nowNs()));
+    watch.writing();
+    leadership.proposeThen(
+        command,
+        () -> {
+          watch.written();
+          follow();
+        },
+        watch::written);
+  }
+
+  private void decide(RolloutWatch watch, long nowNs) {
+    watch.judge().tick(nowNs);
+    Rollout rollout = watch.rollout();
+    ServiceId service = rollout.order().service();
+    watch
+        .turn(leadership.logTimeMs(nowNs), upstreams(rollout), warm, vms.handOver(service), nowNs)
+        .ifPresent(turn -> propose(rollout, turn));
+  }
+
+  private void propose(Rollout rollout, RolloutWatch.Turn turn) {
+    leadership.proposeUnanswered(
+        new Command.TurnRollout(
+            rollout.order().service(),
+            rollout.orderedMs(),
+            turn.phase(),
+            turn.reason(),
+            leadership.logTimeMs(leadership.nowNs())));
+  }
+
+  private List<Registration> upstreams(Rollout rollout) {
+    return state().registry().present().stream()
+        .filter(upstream -> upstream.service().equals(rollout.order().service()))
+        .toList();
+  }
+
+  private ClusterState state() {
+    return leadership.context().replicated().state();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/control/RolloutWatch.java
@@ -0,0 +1,202 @@
+package org.teaseltrail.core.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.registry.RegistrationPhase;
+import org.teaseltrail.core.rollout.ExposureAccount;
+import org.teaseltrail.core.rollout.ExposureLedger;
+import org.teaseltrail.core.rollout.Rollout;
+import org.teaseltrail.core.rollout.RolloutPhase;
+import org.teaseltrail.core.rollout.RolloutReason;
+import org.teaseltrail.core.rollout.RolloutSettings;
+import org.teaseltrail.core.rollout.Verdict;
+import org.teaseltrail.core.rollout.VersionJudge;
+
+/** Watches, on the leader, one rollout that has not ended: whom to lend to, and when it turns. */
+final class RolloutWatch {
+
+  private static final long NS_PER_MS = 1_000_000L;
+
+  /** Part of its time after which the ordered version gets all new requests. */
+  private static final double SHIFT_FROM = 0.7;
+
+  /** Part of its time after which it is too late for that: the old ones couldn't finish. */
+  private static final double SHIFT_UNTIL = 0.9;
+
+  /** Part of its time after which it is completed if nothing runs on the old upstreams. */
+  private static final double COMPLETE_FROM = 0.85;
+
+  /** Part of its time after which it is completed with what still runs there. */
+  private static final double COMPLETE_AT_LAST = 0.92;
+
+  /**
+   * Places that the ordered version needs, in relation to those of the old ones. Fewer would lose
+   * more requests than a rollout that isn't completed.
+   */
+  private static final double LEAST_PLACES = 0.6;
+
+  /** Answers without which nothing is known of a version, unless there are hardly any requests. */
+  private static final int LEAST_LOOKS = 20;
+
+  /** Part of all requests that is enough to look at where there are few. */
+  private static final double LEAST_LOOKS_PART = 0.03;
+
+  /** Time after which the canary goes on to other upstreams of the version. */
+  private static final long TARGETS_FOR_NS = 2_000 * NS_PER_MS;
+
+  /** What a rollout is to turn to. */
+  record Turn(RolloutPhase phase, RolloutReason reason) {}
+
+  private final RolloutSettings settings;
+  private final VersionJudge judge;
+  private final ExposureLedger ledger;
+  private final long beganNs;
+  private Rollout rollout;
+  private boolean writes;
+
+  RolloutWatch(RolloutSettings settings, Rollout rollout, long nowNs) {
+    this.settings = settings;
+    this.rollout = rollout;
+    beganNs = nowNs;
+    judge = new VersionJudge(settings.test(), nowNs);
+    ledger = new ExposureLedger(settings.limit(), rollout.account());
+  }
+
+  Rollout rollout() {
+    return rollout;
+  }
+
+  VersionJudge judge() {
+    return judge;
+  }
+
+  ExposureLedger ledger() {
+    return ledger;
+  }
+
+  /** Takes over what is in the log by now. */
+  void logged(Rollout newer) {
+    rollout = newer;
+    ledger.logged(newer.account());
+  }
+
+  /** Tells whether an account is to be written down, and nothing is being written yet. */
+  boolean mayWrite(ExposureAccount wanted) {
+    return !writes && !wanted.equals(rollout.account());
+  }
+
+  void writing() {
+    writes = true;
+  }
+
+  void written() {
+    writes = false;
+  }
+
+  Optional<Verdict> verdict() {
+    return judge.verdict();
+  }
+
+  /**
+   * Returns the upstreams that get the canary's requests now: so few that they run as full as the
+   * old ones, since some faults show under load only.
+   */
+  List<UpstreamId> targets(List<Registration> upstreams, WarmUpstreams warm, long nowNs) {
+    List<UpstreamId> ready = new ArrayList<>();
+    for (Registration upstream : upstreams) {
+      if (rollout.isOrdered(upstream.version()) && warm.isWarm(upstream, nowNs)) {
+        ready.add(upstream.id());
+      }
+    }
+    long old = upstreams.stream().filter(this::isOldAndReady).count();
+    int wanted = (int) Math.max(1, Math.ceil(settings.limit().usedShare() * old));
+    int turn = (int) ((nowNs - beganNs) / TARGETS_FOR_NS);
+    List<UpstreamId> targets = new ArrayList<>();
+    for (int i = 0; i < Math.min(wanted, ready.size()); i++) {
+      targets.add(ready.get((turn * wanted + i) % ready.size()));
+    }
+    return targets;
+  }
+
+  /**
+   * Returns what the rollout should turn to.
+   *
+   * @param logTimeMs log time
+   * @param upstreams the service's upstreams
+   * @param warm which of them are warm
+   * @param handedOver whether all VMs have the record, and nothing runs on the old upstreams
+   * @param nowNs time
+   */
+  Optional<Turn> turn(
+      long logTimeMs,
+      List<Registration> upstreams,
+      WarmUpstreams warm,
+      HandOverState handedOver,
+      long nowNs) {
+    if (verdict().isPresent()) {
+      return Optional.of(new Turn(RolloutPhase.ROLLED_BACK, verdict().get().reason()));
+    }
+    double passed = rollout.passedPart(logTimeMs);
+    boolean roomy = hasPlaces(upstreams, warm, nowNs);
+    if (rollout.phase() == RolloutPhase.SHIFTING) {
+      return whileShifting(passed, roomy, handedOver);
+    }
+    boolean known = isLookedAtEnough();
+    if (passed >= SHIFT_FROM && passed < SHIFT_UNTIL && roomy && known) {
+      return Optional.of(new Turn(RolloutPhase.SHIFTING, RolloutReason.PROVEN));
+    }
+    if (passed >= 1) {
+      RolloutReason why = roomy ? RolloutReason.UNPROVEN : RolloutReason.TOO_FEW_UPSTREAMS;
+      return Optional.of(new Turn(RolloutPhase.ROLLED_BACK, why));
+    }
+    return Optional.empty();
+  }
+
+  /** Says how far all VMs are with what the record asks of them. */
+  enum HandOverState {
+    /** Some VM in touch doesn't have the record yet. */
+    UNTOLD,
+    /** All have it; some requests still run on old upstreams. */
+    FINISHING,
+    /** Nothing runs on old upstreams any longer. */
+    FINISHED
+  }
+
+  private static Optional<Turn> whileShifting(
+      double passed, boolean roomy, HandOverState handedOver) {
+    boolean finished = passed >= COMPLETE_FROM && handedOver == HandOverState.FINISHED;
+    boolean atLast = passed >= COMPLETE_AT_LAST && handedOver != HandOverState.UNTOLD;
+    if (finished || atLast || passed >= 1) {
+      return Optional.of(
+          roomy
+              ? new Turn(RolloutPhase.COMPLETED, RolloutReason.IN_FORCE)
+              : new Turn(RolloutPhase.ROLLED_BACK, RolloutReason.TOO_FEW_UPSTREAMS));
+    }
+    return Optional.empty();
+  }
+
+  private boolean isLookedAtEnough() {
+    double wanted = Math.min(LEAST_LOOKS, LEAST_LOOKS_PART * ledger.reached());
+    return judge.looks() >= wanted && !judge.isSuspicious();
+  }
+
+  private boolean hasPlaces(List<Registration> upstreams, WarmUpstreams warm, long nowNs) {
+    int ordered = 0;
+    int old = 0;
+    for (Registration upstream : upstreams) {
+      if (rollout.isOrdered(upstream.version())) {
+        ordered += warm.isWarm(upstream, nowNs) ? upstream.slots() : 0;
+      } else if (isOldAndReady(upstream)) {
+        old += upstream.slots();
+      }
+    }
+    return ordered > 0 && ordered >= LEAST_PLACES * old;
+  }
+
+  private boolean isOldAndReady(Registration upstream) {
+    return upstream.phase() == RegistrationPhase.READY && rollout.isOfBefore(upstream.version());
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
@@ -19,6 +19,7 @@
 import org.teaseltrail.core.quota.QuotaBounds;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.replication.Member;
+import org.teaseltrail.core.rollout.VersionUse;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.serving.UpstreamPlaces;
@@ -68,6 +69,7 @@
     private final Push plan = new Push();
     private final Push registry = new Push();
     private final Push quarantine = new Push();
+    private final Push rollouts = new Push();
   }
 
   /** Remembers which version of something was pushed to a VM, and when. */
@@ -95,6 +97,7 @@
   private final SlotDesk slots = new SlotDesk();
   private final PlaceShares shares = new PlaceShares();
   private final QuarantineDesk quarantine;
+  private final RolloutDesk rollouts;
   private final RandomGenerator random;
   private final long placesSettledNs;
   private Set<ServiceId> toldContended = Set.of();
@@ -105,6 +108,7 @@
     quotaBounds = leadership.context().settings().quotas();
     quotas = new QuotaLedger(quotaBounds.windowMs(), VM_SILENT_NS, leadership.nowNs());
     quarantine = new QuarantineDesk(leadership);
+    rollouts = new RolloutDesk(leadership, new VmsView());
     random = new SplittableRandom(leadership.context().settings().seed());
     placesSettledNs = leadership.nowNs() + PLACES_SETTLE_NS;
   }
@@ -118,6 +122,8 @@
       handOutPlaces();
     } else if (message instanceof ServingMessage.Losses losses) {
       tellIf(quarantine.message(losses));
+    } else if (message instanceof ServingMessage.Rollouts told) {
+      rollouts.message(told);
     }
   }
 
@@ -177,6 +183,7 @@
       List<Registration> upstreams =
           state().registry().present().stream()
               .filter(registration -> registration.service().equals(service))
+              .filter(this::isFree)
               .toList();
       for (SlotDesk.Grant grant : slots.distribute(service, upstreams, leadership.nowNs())) {
         leadership.sendServing(
@@ -191,9 +198,22 @@
     }
   }
 
+  private boolean isFree(Registration upstream) {
+    return useOf(upstream) == VersionUse.FREE;
+  }
+
+  private VersionUse useOf(Registration upstream) {
+    return state()
+        .rollouts()
+        .find(upstream.service())
+        .map(rollout -> rollout.use(upstream.version()))
+        .orElse(VersionUse.FREE);
+  }
+
   /** Pushes what was just committed to all VMs. */
   void changed() {
     quarantine.decide();
+    rollouts.changed();
     vms.forEach(this::pushWhatIsMissing);
   }
 
@@ -207,11 +227,13 @@
   /** Notes an upstream's heartbeat. */
   void heartbeat(Registration heard) {
     heartbeatsNs.put(heard.id(), leadership.nowNs());
+    rollouts.heartbeat(heard);
     tellIf(quarantine.heartbeat(heard));
   }
 
   void tick() {
     tellContention();
+    rollouts.tick();
     long nowNs = leadership.nowNs();
     if (nowNs < nextCheckNs) {
       return;
@@ -225,6 +247,7 @@
                 quotas.forget(entry.getKey(), nowNs);
                 slots.forget(entry.getKey());
                 shares.forget(entry.getKey());
+                rollouts.forget(entry.getKey());
               }
               return silent;
             });
@@ -233,7 +256,7 @@
   }
 
   OptionalLong nextWakeupNs() {
-    return OptionalLong.of(nextCheckNs);
+    return OptionalLong.of(Math.min(nextCheckNs, rollouts.nextDueNs().orElse(Long.MAX_VALUE)));
   }
 
   private void dropSilentUpstreams(long nowNs) {
@@ -255,6 +278,10 @@
     if (vm.quarantine.isDue(vm.sync.quarantineRevision(), quarantine.revision(), nowNs)) {
       leadership.sendServing(id, quarantine.update());
     }
+    long rolloutRevision = state().rollouts().revision();
+    if (vm.rollouts.isDue(vm.sync.rolloutRevision(), rolloutRevision, nowNs)) {
+      leadership.sendServing(id, rollouts.update());
+    }
     if (vm.plan.isDue(vm.sync.planVersion(), planVersion(), nowNs)) {
       leadership.sendServing(
           id,
@@ -322,4 +349,29 @@
   private ClusterState state() {
     return leadership.context().replicated().state();
   }
+
+  /** Tells those who carry rollouts out of the VMs. */
+  private final class VmsView implements RolloutDesk.EntryVmsView {
+
+    @Override
+    public RolloutWatch.HandOverState handOver(ServiceId service) {
+      long revision = state().rollouts().revision();
+      if (vms.values().stream().anyMatch(vm -> vm.sync.rolloutRevision() < revision)) {
+        return RolloutWatch.HandOverState.UNTOLD;
+      }
+      boolean finishing =
+          state().registry().present().stream()
+              .filter(upstream -> upstream.service().equals(service))
+              .filter(upstream -> useOf(upstream) == VersionUse.BARRED)
+              .anyMatch(upstream -> inFlight(upstream.id()) > 0);
+      return finishing ? RolloutWatch.HandOverState.FINISHING : RolloutWatch.HandOverState.FINISHED;
+    }
+
+    @Override
+    public int inFlight(UpstreamId upstream) {
+      return vms.values().stream()
+          .mapToInt(vm -> vm.sync.inFlight().getOrDefault(upstream, 0))
+          .sum();
+    }
+  }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/ControlTies.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ControlTies.java
@@ -146,6 +146,7 @@
         node.planVersion(),
         node.registryRevision(),
         node.quarantineRevision(),
+        node.rolloutRevision(),
         node.inFlight(),
         node.quotaUses(sequence, nowNs));
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardAction.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardAction.java
@@ -19,6 +19,7 @@
    * @param route its route
    * @param customer whose key it carries
    * @param leftMs time that the upstream may take, in milliseconds
+   * @param canary whether it goes to an ordered version that is still a canary
    */
   record Dispatch(
       long request,
@@ -26,7 +27,8 @@
       Registration upstream,
       PlanRoute route,
       Optional<CustomerId> customer,
-      long leftMs)
+      long leftMs,
+      boolean canary)
       implements ForwardAction {}
 
   /**
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -34,6 +34,7 @@
   private final UpstreamBook upstreams = new UpstreamBook();
   private final SlotTies slots = new SlotTies();
   private final Quarantine quarantine;
+  private final VersionGate gate;
   private final QuotaDesk quotas;
   private final RequestDesk requests;
   private final QuotaGate quotaGate;
@@ -48,9 +49,10 @@
    * @param settings its settings
    */
   public ForwardNode(ForwardSettings settings) {
-    RandomGenerator random = new SplittableRandom(settings.seed());
+    final RandomGenerator random = new SplittableRandom(settings.seed());
     ties = new ControlTies(settings);
     quarantine = new Quarantine(settings.vm(), ties::hearsLeader);
+    gate = new VersionGate(settings.vm(), settings.incarnation(), upstreams);
     requests =
         new RequestDesk(
             settings,
@@ -58,6 +60,7 @@
             upstreams,
             slots,
             quarantine,
+            gate,
             this::isEngine,
             action -> out.add(action));
     quotas = new QuotaDesk(settings.quotas(), settings.sessionLifetimeMs());
@@ -156,6 +159,16 @@
     upstreams.pace(upstream, elapsedMs, nowNs);
   }
 
+  /**
+   * Takes the mean time between the events of a stream that is about to end.
+   *
+   * @param number the request's number
+   * @param elapsedMs the time, in milliseconds
+   */
+  public void streamPace(long number, double elapsedMs) {
+    requests.streamPace(number, elapsedMs);
+  }
+
   /**
    * Takes a caller's leaving: nothing more is done for its request.
    *
@@ -202,6 +215,15 @@
         upstreams.update(update.revision(), update.present());
         requests.serveLines(nowNs);
       }
+    } else if (reply instanceof ServingReply.RolloutUpdate update) {
+      if (ties.session().isNewest(update.fencing())) {
+        gate.told(update);
+        requests.serveLines(nowNs);
+      }
+    } else if (reply instanceof ServingReply.CanaryLoans loans) {
+      if (ties.session().isNewest(loans.fencing())) {
+        gate.lent(loans);
+      }
     } else if (reply instanceof ServingReply.QuarantineUpdate update) {
       if (ties.session().isNewest(update.fencing())) {
         quarantine.told(update, nowNs);
@@ -227,6 +249,9 @@
     out.addAll(syncs);
     if (!syncs.isEmpty()) {
       quarantine.tellAgain(false, nowNs);
+      gate.report(ties.session().newestFencing(), nowNs)
+          .flatMap(report -> ties.tell(report, nowNs))
+          .ifPresent(out::add);
     }
     if (ties.fallBackToSeeds(nowNs)) {
       out.add(new ForwardAction.KeepConnected(ties.members()));
@@ -292,6 +317,10 @@
     return quarantine.revision(ties.session().newestFencing());
   }
 
+  long rolloutRevision() {
+    return gate.revision();
+  }
+
   Map<UpstreamId, Integer> inFlight() {
     return upstreams.inFlight();
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/Quarantine.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/Quarantine.java
@@ -71,6 +71,15 @@
     return held.contains(print) || (!leaderHeard.test(nowNs) && own.isToHold(print));
   }
 
+  /** Tells whether upstreams' connections lately ended under a request. */
+  boolean suspects(TrackedForward request) {
+    if (knowsNone() || !isKnownScope(request.scope())) {
+      return false;
+    }
+    Fingerprint print = request.fingerprint();
+    return watched.contains(print) || held.contains(print) || own.losses(print) > 0;
+  }
+
   /** Uses the leader's leave to send a held request once; returns whether there is one. */
   boolean takeTrial(TrackedForward request, long nowNs) {
     Long untilNs = trialsUntilNs.remove(request.fingerprint());
@@ -96,11 +105,8 @@
 
   /** Notes that an upstream has answered a request whole and lives on: it harms nobody. */
   void servedWhole(TrackedForward request, long nowNs) {
-    if (knowsNone() || !isKnownScope(request.scope())) {
-      return;
-    }
-    Fingerprint print = request.fingerprint();
-    if (watched.contains(print) || held.contains(print) || own.losses(print) > 0) {
+    if (suspects(request)) {
+      Fingerprint print = request.fingerprint();
       own.servedWhole(print);
       servedNs.put(print, nowNs);
       if (servedNs.size() > MOST_SERVED) {
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -19,6 +19,8 @@
  */
 final class RequestDesk {
 
+  private static final double NS_PER_MS = 1e6;
+
   /** Attempts at most, those that reached nobody among them. */
   private static final int MAX_ATTEMPTS = 5;
 
@@ -32,6 +34,7 @@
   private final PlacementRule placement;
   private final UpstreamBook upstreams;
   private final Quarantine quarantine;
+  private final VersionGate gate;
   private final Predicate<ServiceId> isEngine;
   private final Consumer<ForwardAction> out;
   private final Map<ServiceId, RetryBudget> budgets = new HashMap<>();
@@ -49,11 +52,13 @@
       UpstreamBook upstreams,
       SlotTies slots,
       Quarantine quarantine,
+      VersionGate gate,
       Predicate<ServiceId> isEngine,
       Consumer<ForwardAction> out) {
     this.slots = slots;
     this.quarantine = quarantine;
-    lines = new WaitingLines(slots, placement, upstreams, isEngine);
+    this.gate = gate;
+    lines = new WaitingLines(slots, placement, gate, isEngine);
     this.settings = settings;
     this.placement = placement;
     this.upstreams = upstreams;
@@ -126,6 +131,7 @@
     if (request == null || request.at().isEmpty()) {
       return;
     }
+    noteForRollout(request, end, nowNs);
     noteForQuarantine(request, end, nowNs);
     request.at().get().ended(end, nowNs);
     places.freed(request);
@@ -137,6 +143,18 @@
     serveLine(request.service(), nowNs);
   }
 
+  private void noteForRollout(TrackedForward request, AttemptEnd end, long nowNs) {
+    boolean plainAnswer = end == AttemptEnd.ANSWERED && !request.hasReached();
+    if (plainAnswer) {
+      gate.first(request, elapsedMs(request, nowNs));
+    }
+    gate.ended(request, end, end == AttemptEnd.BROKEN && quarantine.suspects(request));
+  }
+
+  private static double elapsedMs(TrackedForward request, long nowNs) {
+    return (nowNs - request.sentNs()) / NS_PER_MS;
+  }
+
   private void noteForQuarantine(TrackedForward request, AttemptEnd end, long nowNs) {
     switch (end) {
       case BROKEN -> quarantine.lost(request, request.at().get().registration().life(), nowNs);
@@ -151,6 +169,8 @@
   void begun(long number, long nowNs) {
     TrackedForward request = tracked.get(number);
     if (request != null) {
+      gate.first(request, elapsedMs(request, nowNs));
+      gate.reached(request);
       request.begin();
       changes++;
       schedule(request);
@@ -158,9 +178,21 @@
     }
   }
 
+  /** Notes a stream's mean time between events. */
+  void streamPace(long number, double elapsedMs) {
+    TrackedForward request = tracked.get(number);
+    if (request != null) {
+      gate.pause(request, elapsedMs);
+    }
+  }
+
   void callerLeft(long number, long nowNs) {
     TrackedForward request = tracked.get(number);
     if (request != null) {
+      if (!request.hasReached()) {
+        // It has taken so long at least: a caller that gives up on a slow version counts.
+        gate.first(request, elapsedMs(request, nowNs));
+      }
       forget(request);
       lines.remove(request);
       cancel(request);
@@ -178,6 +210,9 @@
   }
 
   private void placeOrWait(TrackedForward request, long nowNs) {
+    if (placeAsCanary(request, nowNs)) {
+      return;
+    }
     boolean othersFirst = lines.hasOthersFirst(request.service(), nowNs);
     if (!othersFirst && place(request, nowNs)) {
       lines.of(request.service()).served(nowNs);
@@ -189,6 +224,28 @@
     serveLine(request.service(), nowNs);
   }
 
+  /**
+   * Sends a request to the ordered version of a rollout if the leader has lent that. A repeat never
+   * goes there: its caller has waited once already.
+   */
+  private boolean placeAsCanary(TrackedForward request, long nowNs) {
+    if (request.attempts() > 0) {
+      return false;
+    }
+    List<UpstreamView> targets = gate.canaries(request.service(), nowNs);
+    if (targets.isEmpty()) {
+      return false;
+    }
+    boolean engine = isEngine.test(request.service());
+    Optional<UpstreamView> chosen = placement.choose(request, targets, engine, ENGINE_FILL, nowNs);
+    chosen.ifPresent(
+        view -> {
+          request.markCanary();
+          dispatch(request, view, nowNs);
+        });
+    return chosen.isPresent();
+  }
+
   private boolean place(TrackedForward request, long nowNs) {
     return place(request, ENGINE_FILL, nowNs);
   }
@@ -196,13 +253,14 @@
   private boolean place(TrackedForward request, double fill, long nowNs) {
     boolean engine = isEngine.test(request.service());
     Optional<UpstreamView> chosen =
-        placement.choose(request, upstreams.of(request.service()), engine, fill, nowNs);
+        placement.choose(request, gate.open(request.service()), engine, fill, nowNs);
     chosen.ifPresent(view -> dispatch(request, view, nowNs));
     return chosen.isPresent();
   }
 
   private void dispatch(TrackedForward request, UpstreamView view, long nowNs) {
     view.sent();
+    gate.sent(request, view);
     places.taken(request);
     changes++;
     request.sentTo(view, nowNs);
@@ -214,7 +272,8 @@
             view.registration(),
             request.route(),
             request.customer(),
-            request.leftMs(nowNs)));
+            request.leftMs(nowNs),
+            request.isCanary()));
   }
 
   /** Tries again where that is allowed. */
@@ -223,7 +282,7 @@
     boolean attemptsLeft =
         request.sends() < request.route().maxAttempts() && request.attempts() < MAX_ATTEMPTS;
     boolean timeLeft = nowNs < request.patientUntilNs();
-    boolean elsewhere = placement.hasUsable(request, upstreams.of(request.service()), nowNs);
+    boolean elsewhere = placement.hasUsable(request, gate.open(request.service()), nowNs);
     boolean held = request.isTrial() || quarantine.stops(request, nowNs);
     if (!mayRepeat || !attemptsLeft || !timeLeft || !elsewhere || held) {
       return false;
@@ -265,6 +324,7 @@
     }
     if (!request.hasBegun()) {
       request.at().ifPresent(view -> view.avoid(nowNs));
+      gate.answered(request, true);
     }
     giveUp(request, Refusal.WAITED_TOO_LONG, Refusal.TIMED_OUT, LineBound.PLACE_RETRY_MS);
   }
@@ -323,7 +383,7 @@
 
   /** Gives up what the line is too long for. */
   private void shed(ServiceId service, WaitingLine waiting, long nowNs) {
-    LineBound bound = new LineBound(waiting, () -> upstreams.ownPlaces(service));
+    LineBound bound = new LineBound(waiting, () -> gate.ownPlaces(service));
     Optional<TrackedForward> excess = bound.excess(nowNs);
     while (excess.isPresent()) {
       waiting.remove(excess.get());
@@ -362,7 +422,7 @@
   }
 
   private boolean placeAt(TrackedForward request, UpstreamView view, long nowNs) {
-    boolean accepted = placement.accepts(request, upstreams.of(request.service()), view, nowNs);
+    boolean accepted = placement.accepts(request, gate.open(request.service()), view, nowNs);
     if (accepted) {
       dispatch(request, view, nowNs);
     }
--- a/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
@@ -47,6 +47,8 @@
   private boolean unread;
   private boolean late;
   private boolean trial;
+  private boolean canary;
+  private boolean reached;
   private QuotaHold quota = QuotaHold.NONE;
   private Optional<Fingerprint> fingerprint = Optional.empty();
 
@@ -160,6 +162,7 @@
   void sentTo(UpstreamView view, long nowNs) {
     at = Optional.of(view);
     unread = true;
+    reached = false;
     attempts++;
     sends++;
     sentNs = nowNs;
@@ -167,6 +170,27 @@
     quota.sent(nowNs);
   }
 
+  /** Notes that it goes to an ordered version that is still a canary. */
+  void markCanary() {
+    canary = true;
+  }
+
+  /** Tells whether its attempt was sent to an ordered version that was still a canary. */
+  boolean isCanary() {
+    return canary;
+  }
+
+  /** Notes that its attempt has reached an upstream; returns whether that is news. */
+  boolean noteReached() {
+    boolean news = !reached;
+    reached = true;
+    return news;
+  }
+
+  boolean hasReached() {
+    return reached;
+  }
+
   Optional<UpstreamView> at() {
     return at;
   }
@@ -179,6 +203,7 @@
   void attemptEnded(AttemptEnd end) {
     promptRead();
     at = Optional.empty();
+    canary = false;
     maybeRan |= end.maybeRan();
     if (!maybeRan) {
       quota.notRun();
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
@@ -86,11 +86,6 @@
     return byService.getOrDefault(service, List.of());
   }
 
-  /** Returns how many places of a service this VM may fill if it hears from no leader. */
-  int ownPlaces(ServiceId service) {
-    return of(service).stream().mapToInt(UpstreamView::ownPart).sum();
-  }
-
   Map<UpstreamId, Integer> inFlight() {
     return positive(UpstreamView::own);
   }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/VersionGate.java
@@ -0,0 +1,206 @@
+package org.teaseltrail.core.forward;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.Incarnation;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.rollout.CanaryLoan;
+import org.teaseltrail.core.rollout.Observation;
+import org.teaseltrail.core.rollout.Rollout;
+import org.teaseltrail.core.rollout.RolloutUse;
+import org.teaseltrail.core.rollout.Symptom;
+import org.teaseltrail.core.rollout.TimeBuckets;
+import org.teaseltrail.core.rollout.VersionUse;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
+
+/**
+ * Knows, at this VM, which upstreams requests may go to by their version, and takes part in the
+ * rollouts that run. Without any rollout it costs a look into an empty map.
+ */
+final class VersionGate {
+
+  private static final long NS_PER_MS = 1_000_000L;
+
+  private record Open(long registryRevision, List<UpstreamView> views) {}
+
+  private final VmId vm;
+  private final Incarnation incarnation;
+  private final UpstreamBook upstreams;
+  private final Map<ServiceId, Rollout> rollouts = new HashMap<>();
+  private final Map<ServiceId, CanaryPart> parts = new HashMap<>();
+  private final Map<ServiceId, Open> open = new HashMap<>();
+  private long revision;
+  private long askedSequence;
+  private long askedNs;
+
+  VersionGate(VmId vm, Incarnation incarnation, UpstreamBook upstreams) {
+    this.vm = vm;
+    this.incarnation = incarnation;
+    this.upstreams = upstreams;
+  }
+
+  long revision() {
+    return revision;
+  }
+
+  /** Takes the newest rollouts over. */
+  void told(ServingReply.RolloutUpdate update) {
+    if (update.revision() <= revision) {
+      return;
+    }
+    revision = update.revision();
+    open.clear();
+    rollouts.clear();
+    for (Rollout rollout : update.rollouts()) {
+      ServiceId service = rollout.order().service();
+      rollouts.put(service, rollout);
+      CanaryPart part = parts.get(service);
+      if (!rollout.phase().isOpen()) {
+        parts.remove(service);
+      } else if (part == null || !part.isOf(rollout)) {
+        parts.put(service, new CanaryPart(rollout));
+      }
+    }
+  }
+
+  /** Takes what the leader lends, unless this VM has asked again since. */
+  void lent(ServingReply.CanaryLoans loans) {
+    if (loans.sequence() != askedSequence) {
+      return;
+    }
+    long untilNs = askedNs + loans.forMs() * NS_PER_MS;
+    for (CanaryLoan loan : loans.loans()) {
+      Optional.ofNullable(parts.get(loan.service()))
+          .ifPresent(part -> part.lent(loan, loans.fencing(), untilNs));
+    }
+  }
+
+  /** Returns what the leader is to be told with a sync, if a rollout runs. */
+  Optional<ServingMessage> report(FencingNumber leadership, long nowNs) {
+    if (parts.isEmpty()) {
+      return Optional.empty();
+    }
+    askedSequence++;
+    askedNs = nowNs;
+    List<RolloutUse> uses =
+        parts.values().stream().map(part -> part.use(leadership, nowNs)).toList();
+    return Optional.of(new ServingMessage.Rollouts(vm, incarnation, askedSequence, uses));
+  }
+
+  /** Returns a service's upstreams whose version all requests may go to. */
+  Collection<UpstreamView> open(ServiceId service) {
+    Rollout rollout = rollouts.get(service);
+    if (rollout == null) {
+      return upstreams.of(service);
+    }
+    Open known = open.get(service);
+    if (known == null || known.registryRevision() != upstreams.revision()) {
+      known = new Open(upstreams.revision(), free(service, rollout));
+      open.put(service, known);
+    }
+    return known.views();
+  }
+
+  /** Returns how many places of a service this VM may fill if it hears from no leader. */
+  int ownPlaces(ServiceId service) {
+    return open(service).stream().mapToInt(UpstreamView::ownPart).sum();
+  }
+
+  /** Tells whether all requests may go to an upstream. */
+  boolean isOpen(UpstreamView view) {
+    Rollout rollout = rollouts.get(view.registration().service());
+    return rollout == null || rollout.use(view.registration().version()) == VersionUse.FREE;
+  }
+
+  /** Returns the upstreams that a request may go to as a canary now. */
+  List<UpstreamView> canaries(ServiceId service, long nowNs) {
+    CanaryPart part = parts.get(service);
+    if (part == null) {
+      return List.of();
+    }
+    return part.targets(nowNs).stream()
+        .flatMap(id -> upstreams.find(id).stream())
+        .filter(view -> view.registration().service().equals(service))
+        .filter(view -> useOf(view) == VersionUse.CANARY)
+        .toList();
+  }
+
+  void sent(TrackedForward request, UpstreamView view) {
+    CanaryPart part = parts.get(request.service());
+    if (part != null) {
+      part.sent(view);
+    }
+  }
+
+  /** Notes a stream's first event, or that a plain answer has come, after a time. */
+  void first(TrackedForward request, double elapsedMs) {
+    saw(request, Symptom.LATE_START, TimeBuckets.of(elapsedMs));
+  }
+
+  /** Notes a stream's mean time between events. */
+  void pause(TrackedForward request, double elapsedMs) {
+    saw(request, Symptom.SLOW_STREAM, TimeBuckets.of(elapsedMs));
+  }
+
+  /** Notes that a request has reached its upstream, once for each attempt. */
+  void reached(TrackedForward request) {
+    CanaryPart part = parts.get(request.service());
+    if (part != null && request.noteReached()) {
+      part.reached();
+    }
+  }
+
+  /**
+   * Notes how an answer ended.
+   *
+   * @param end the end
+   * @param suspected whether the request itself is suspected of ending upstreams
+   */
+  void ended(TrackedForward request, AttemptEnd end, boolean suspected) {
+    if (parts.isEmpty()) {
+      return;
+    }
+    if (end != AttemptEnd.NOT_CONNECTED) {
+      reached(request);
+    }
+    switch (end) {
+      case ANSWERED, FAILED_ANSWER -> answered(request, end.isFailure());
+      case BROKEN -> {
+        if (!suspected) {
+          saw(request, Symptom.FAILURE, Observation.BROKEN);
+        }
+      }
+      default -> {
+        // It didn't run there, so it tells nothing of the version.
+      }
+    }
+  }
+
+  /** Notes that an answer was whole, or failed, or did not begin in its time. */
+  void answered(TrackedForward request, boolean failed) {
+    saw(request, Symptom.FAILURE, failed ? Observation.FAILED : Observation.GOOD);
+  }
+
+  private void saw(TrackedForward request, Symptom symptom, int value) {
+    CanaryPart part = parts.get(request.service());
+    if (part != null && request.at().isPresent()) {
+      part.saw(request, request.at().get(), symptom, value);
+    }
+  }
+
+  private List<UpstreamView> free(ServiceId service, Rollout rollout) {
+    return upstreams.of(service).stream()
+        .filter(view -> rollout.use(view.registration().version()) == VersionUse.FREE)
+        .toList();
+  }
+
+  private VersionUse useOf(UpstreamView view) {
+    return rollouts.get(view.registration().service()).use(view.registration().version());
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/forward/WaitingLines.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/WaitingLines.java
@@ -13,18 +13,15 @@
 
   private final SlotTies slots;
   private final PlacementRule placement;
-  private final UpstreamBook upstreams;
+  private final VersionGate gate;
   private final Predicate<ServiceId> isEngine;
   private final Map<ServiceId, WaitingLine> lines = new HashMap<>();
 
   WaitingLines(
-      SlotTies slots,
-      PlacementRule placement,
-      UpstreamBook upstreams,
-      Predicate<ServiceId> isEngine) {
+      SlotTies slots, PlacementRule placement, VersionGate gate, Predicate<ServiceId> isEngine) {
     this.slots = slots;
     this.placement = placement;
-    this.upstreams = upstreams;
+    this.gate = gate;
     this.isEngine = isEngine;
   }
 
@@ -71,7 +68,7 @@
                     service,
                     waiting.byUrgency(nowNs),
                     slots.unwanted(service),
-                    placement.slow(upstreams.of(service), nowNs)));
+                    placement.slow(gate.open(service), nowNs)));
           }
         });
     return states;
--- a/core/src/main/java/org/teaseltrail/core/plan/ServingPlan.java
+++ b/core/src/main/java/org/teaseltrail/core/plan/ServingPlan.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.core.plan;
 
 import java.util.List;
+import org.teaseltrail.core.id.ServiceId;
 
 /**
  * Is a whole configuration with the version that its sender gave it. The highest version counts.
@@ -24,4 +25,14 @@
     services = List.copyOf(services);
     customers = List.copyOf(customers);
   }
+
+  /**
+   * Tells whether it has a service.
+   *
+   * @param service the service
+   * @return true if it has
+   */
+  public boolean names(ServiceId service) {
+    return services.stream().anyMatch(each -> each.id().equals(service));
+  }
 }
--- a/core/src/main/java/org/teaseltrail/core/registry/Registration.java
+++ b/core/src/main/java/org/teaseltrail/core/registry/Registration.java
@@ -1,8 +1,10 @@
 package org.teaseltrail.core.registry;
 
+import java.util.Optional;
 import org.teaseltrail.core.id.DataCenterId;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.UpstreamVersion;
 import org.teaseltrail.core.upstream.SocketAddress;
 
 /**
@@ -17,6 +19,8 @@
  * @param slots requests that it works on at once
  * @param phase how far its registration has come
  * @param sequence grows with each heartbeat of one life
+ * @param version the version of its software, if it tells one
+ * @param coldMs how much longer it says that it is slow after its start, in milliseconds
  */
 public record Registration(
     UpstreamId id,
@@ -26,7 +30,9 @@
     DataCenterId dataCenter,
     int slots,
     RegistrationPhase phase,
-    long sequence) {
+    long sequence,
+    Optional<UpstreamVersion> version,
+    long coldMs) {
 
   /**
    * Returns which life of the upstream this is.
@@ -44,20 +50,22 @@
    * @return the changed registration
    */
   public Registration in(RegistrationPhase later) {
-    return new Registration(id, bornMs, service, address, dataCenter, slots, later, sequence);
+    return new Registration(
+        id, bornMs, service, address, dataCenter, slots, later, sequence, version, coldMs);
   }
 
   /**
-   * Tells whether two heartbeats say the same but for their number.
+   * Tells whether two heartbeats say the same but for their number and how cold it is.
    *
    * @param other the other
    * @return true if nothing that decides has changed
    */
   public boolean saysSameAs(Registration other) {
-    return withSequence(0).equals(other.withSequence(0));
+    return lasting().equals(other.lasting());
   }
 
-  private Registration withSequence(long number) {
-    return new Registration(id, bornMs, service, address, dataCenter, slots, phase, number);
+  /** Leaves out what each heartbeat tells anew. */
+  private Registration lasting() {
+    return new Registration(id, bornMs, service, address, dataCenter, slots, phase, 0, version, 0);
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/rollout/VersionTest.java
@@ -0,0 +1,124 @@
+package org.teaseltrail.core.rollout;
+
+import java.util.List;
+
+/** Says how it is told from a version's answers that it is bad. */
+public enum VersionTest {
+  /**
+   * Counts: bad when a fixed number of the newest answers showed the symptom, and far more than the
+   * old version's.
+   */
+  FIXED_COUNT {
+    @Override
+    Detector detector() {
+      return new FixedCount();
+    }
+  },
+  /**
+   * Weighs the evidence of each answer, and begins anew at each moment, so that it may be looked at
+   * at any time and finds what begins late as soon as what was there at once (Shiryaev-Roberts
+   * statistic over likelihood ratios; Shin, Ramdas and Rinaldo, E-detectors, 2022).
+   */
+  MARTINGALE {
+    @Override
+    Detector detector() {
+      return new Martingale();
+    }
+  };
+
+  /** Begins to watch for one symptom. */
+  abstract Detector detector();
+
+  /** Watches one symptom of one route. */
+  interface Detector {
+
+    /**
+     * Takes some answers of the ordered version in.
+     *
+     * @param trials the answers
+     * @param tolerated share that would be no sign against the version
+     */
+    void take(Trials trials, double tolerated);
+
+    /** Tells whether the version is bad. */
+    boolean isAlarmed();
+
+    /** Tells whether so much speaks against the version that it shouldn't get all requests yet. */
+    boolean isSuspicious();
+  }
+
+  private static final class FixedCount implements Detector {
+
+    private static final int ANSWERS = 20;
+    private static final int BAD = 8;
+
+    private Trials newest = Trials.NONE;
+    private double tolerated;
+
+    @Override
+    public void take(Trials trials, double share) {
+      newest = newest.answers() >= ANSWERS ? trials : newest.plus(trials);
+      tolerated = share;
+    }
+
+    @Override
+    public boolean isAlarmed() {
+      return newest.bad() >= BAD && newest.share() > 2 * tolerated;
+    }
+
+    @Override
+    public boolean isSuspicious() {
+      return newest.bad() >= BAD / 2 && newest.share() > 2 * tolerated;
+    }
+  }
+
+  private static final class Martingale implements Detector {
+
+    /** Parts of the way from the tolerated share to all that a bad version is thought to be at. */
+    private static final List<Double> BAD_PARTS = List.of(0.15, 0.35, 0.6, 0.9);
+
+    /**
+     * Evidence at which it is alarmed. A good version of which a thousand answers are looked at
+     * comes to it in one case of a thousand at most.
+     */
+    private static final double ALARM = 1e6;
+
+    /** Evidence that a good version comes to now and then. */
+    private static final double SUSPICION = 1e2;
+
+    /** Keeps the evidence within the range of a number once it is overwhelming. */
+    private static final double MOST = 1e100;
+
+    private final double[] evidence = new double[BAD_PARTS.size()];
+
+    @Override
+    public void take(Trials trials, double tolerated) {
+      int good = trials.answers() - trials.bad();
+      for (int i = 0; i < evidence.length; i++) {
+        double assumed = tolerated + (1 - tolerated) * BAD_PARTS.get(i);
+        double ratio =
+            Math.pow(assumed / tolerated, trials.bad())
+                * Math.pow((1 - assumed) / (1 - tolerated), good);
+        evidence[i] = Math.min(MOST, (1 + evidence[i]) * Math.min(MOST, ratio));
+      }
+    }
+
+    @Override
+    public boolean isAlarmed() {
+      return mean() >= ALARM;
+    }
+
+    @Override
+    public boolean isSuspicious() {
+      return mean() >= SUSPICION;
+    }
+
+    private double mean() {
+      double sum = 0;
+      for (double each : evidence) {
+        sum += each;
+      }
+      return sum / evidence.length;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/rollout/VersionUse.java
@@ -0,0 +1,11 @@
+package org.teaseltrail.core.rollout;
+
+/** Says what requests an upstream may get, by its version. */
+public enum VersionUse {
+  /** All. */
+  FREE,
+  /** Only those that the leader has lent out for it. */
+  CANARY,
+  /** None. */
+  BARRED
+}
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/rollout/package-info.java
@@ -0,0 +1,2 @@
+/** Moves a service from one version of its upstreams to another: order, evidence, verdict. */
+package org.teaseltrail.core.rollout;
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingMessage.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingMessage.java
@@ -8,6 +8,7 @@
 import org.teaseltrail.core.quarantine.Fingerprint;
 import org.teaseltrail.core.quarantine.Loss;
 import org.teaseltrail.core.quota.QuotaUse;
+import org.teaseltrail.core.rollout.RolloutUse;
 
 /** Is a message from an entry VM that places requests itself to a control member. */
 public sealed interface ServingMessage {
@@ -29,6 +30,7 @@
    * @param registryRevision revision of the registrations in force there
    * @param quarantineRevision revision of this leadership's held requests in force there, 0 for
    *     none
+   * @param rolloutRevision revision of the rollouts in force there
    * @param inFlight requests that it has at each upstream, those without any left out
    * @param quotas what customers use of their quotas there
    */
@@ -39,6 +41,7 @@
       long planVersion,
       long registryRevision,
       long quarantineRevision,
+      long rolloutRevision,
       Map<UpstreamId, Integer> inFlight,
       List<QuotaUse> quotas)
       implements ServingMessage {
@@ -65,6 +68,23 @@
     }
   }
 
+  /**
+   * Tells what the VM has done since the orders of the rollouts that run, and asks for requests
+   * that it may send to the ordered versions.
+   *
+   * @param vm the VM
+   * @param incarnation which life of its process
+   * @param sequence grows with each; the answer carries it back
+   * @param uses what it has done, for each rollout
+   */
+  record Rollouts(VmId vm, Incarnation incarnation, long sequence, List<RolloutUse> uses)
+      implements ServingMessage {
+    /** Copies the list. */
+    public Rollouts {
+      uses = List.copyOf(uses);
+    }
+  }
+
   /**
    * Tells what waits at the VM, and what it has at each upstream; the newest replaces those before.
    *
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
@@ -10,6 +10,8 @@
 import org.teaseltrail.core.quarantine.Fingerprint;
 import org.teaseltrail.core.quota.QuotaGrant;
 import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.rollout.CanaryLoan;
+import org.teaseltrail.core.rollout.Rollout;
 
 /** Is a message from a control member to an entry VM that places requests itself. */
 public sealed interface ServingReply {
@@ -130,6 +132,37 @@
    */
   record Trial(FencingNumber fencing, Fingerprint request, long forMs) implements ServingReply {}
 
+  /**
+   * Carries the newest rollout of each service.
+   *
+   * @param fencing the leadership that confirms them
+   * @param revision their revision
+   * @param rollouts the rollouts
+   */
+  record RolloutUpdate(FencingNumber fencing, long revision, List<Rollout> rollouts)
+      implements ServingReply {
+    /** Copies the list. */
+    public RolloutUpdate {
+      rollouts = List.copyOf(rollouts);
+    }
+  }
+
+  /**
+   * Lends the VM requests that it may send to ordered versions.
+   *
+   * @param fencing the leadership that lends them
+   * @param sequence that of the message that asked; a VM that has asked again takes no earlier loan
+   * @param forMs how long they are good for from when the VM asked, in milliseconds
+   * @param loans what is lent
+   */
+  record CanaryLoans(FencingNumber fencing, long sequence, long forMs, List<CanaryLoan> loans)
+      implements ServingReply {
+    /** Copies the list. */
+    public CanaryLoans {
+      loans = List.copyOf(loans);
+    }
+  }
+
   /**
    * Carries the registrations of all upstreams that haven't left.
    *
--- a/core/src/main/java/org/teaseltrail/core/state/ClusterState.java
+++ b/core/src/main/java/org/teaseltrail/core/state/ClusterState.java
@@ -8,12 +8,19 @@
 import org.teaseltrail.core.configuration.ConfigurationEditor;
 import org.teaseltrail.core.configuration.ConfigurationResult;
 import org.teaseltrail.core.id.Revision;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamVersion;
 import org.teaseltrail.core.invariant.Invariant;
 import org.teaseltrail.core.invariant.InvariantName;
 import org.teaseltrail.core.message.ClaimState;
 import org.teaseltrail.core.plan.InstalledPlan;
 import org.teaseltrail.core.quarantine.HeldBook;
+import org.teaseltrail.core.registry.RegistrationPhase;
 import org.teaseltrail.core.registry.RegistryBook;
+import org.teaseltrail.core.rollout.RolloutAnswer;
+import org.teaseltrail.core.rollout.RolloutBook;
+import org.teaseltrail.core.rollout.RolloutOrder;
+import org.teaseltrail.core.state.Command.AccountExposure;
 import org.teaseltrail.core.state.Command.AdoptClaim;
 import org.teaseltrail.core.state.Command.ChangeConfiguration;
 import org.teaseltrail.core.state.Command.CompleteClaim;
@@ -22,10 +29,12 @@
 import org.teaseltrail.core.state.Command.HoldRequest;
 import org.teaseltrail.core.state.Command.InstallPlan;
 import org.teaseltrail.core.state.Command.OpenClaim;
+import org.teaseltrail.core.state.Command.OrderRollout;
 import org.teaseltrail.core.state.Command.RegisterUpstream;
 import org.teaseltrail.core.state.Command.ReleaseClaim;
 import org.teaseltrail.core.state.Command.ReleaseRequest;
 import org.teaseltrail.core.state.Command.TryRequest;
+import org.teaseltrail.core.state.Command.TurnRollout;
 import org.teaseltrail.core.state.Command.UpstreamLeaves;
 
 /**
@@ -42,6 +51,7 @@
   private Configuration configuration;
   private final RegistryBook registry;
   private final HeldBook held;
+  private final RolloutBook rollouts;
   private Optional<InstalledPlan> plan;
   private long logTimeMs;
 
@@ -59,6 +69,7 @@
     plan = serving.plan();
     registry = new RegistryBook(serving.registryRevision(), serving.registrations());
     held = new HeldBook(serving.held().orElse(List.of()));
+    rollouts = new RolloutBook(serving.rolloutRevision(), serving.rollouts().orElse(List.of()));
   }
 
   /**
@@ -88,6 +99,16 @@
     if (command instanceof ExpireClaims expire) {
       return new CommandResult.OfExpiry(claims.expire(expire.limits(), logTimeMs));
     }
+    if (command instanceof OrderRollout ordered) {
+      return new CommandResult.OfRollout(order(ordered.order()));
+    }
+    if (command instanceof TurnRollout turn) {
+      return new CommandResult.OfRollout(turn(turn));
+    }
+    if (command instanceof AccountExposure exposure) {
+      rollouts.account(exposure.service(), exposure.orderedMs(), exposure.account());
+      return new CommandResult.OfExposure();
+    }
     return applyServing((Command.ServingCommand) command);
   }
 
@@ -110,6 +131,27 @@
     return new CommandResult.OfServing(planVersion(), registry.revision());
   }
 
+  private RolloutAnswer order(RolloutOrder order) {
+    boolean known = plan.filter(held -> held.plan().names(order.service())).isPresent();
+    return known
+        ? rollouts.order(order, versionsInForce(order.service()), logTimeMs)
+        : RolloutAnswer.UNKNOWN_SERVICE;
+  }
+
+  private List<UpstreamVersion> versionsInForce(ServiceId service) {
+    return registry.present().stream()
+        .filter(upstream -> upstream.service().equals(service))
+        .filter(upstream -> upstream.phase() == RegistrationPhase.READY)
+        .flatMap(upstream -> upstream.version().stream())
+        .distinct()
+        .toList();
+  }
+
+  private RolloutAnswer turn(TurnRollout turn) {
+    boolean turned = rollouts.turn(turn.service(), turn.orderedMs(), turn.phase(), turn.reason());
+    return turned ? RolloutAnswer.ACCEPTED : RolloutAnswer.NONE_RUNNING;
+  }
+
   /**
    * Guards against a change that was overtaken or comes again: an older version, or other content
    * under the version held, would take back what was acknowledged since.
@@ -126,7 +168,12 @@
 
   private ServingState serving() {
     return new ServingState(
-        plan, registry.revision(), List.copyOf(registry.all()), Optional.of(held.all()));
+        plan,
+        registry.revision(),
+        List.copyOf(registry.all()),
+        Optional.of(held.all()),
+        rollouts.revision(),
+        Optional.of(rollouts.all()));
   }
 
   /** Returns the accepted plan of an outside platform, if there is one. */
@@ -144,6 +191,11 @@
     return held;
   }
 
+  /** Returns the rollouts, to look up only. */
+  public RolloutBook rollouts() {
+    return rollouts;
+  }
+
   /** Returns the whole state as one value. */
   public ClusterSnapshot snapshot() {
     return new ClusterSnapshot(
--- a/core/src/main/java/org/teaseltrail/core/state/Command.java
+++ b/core/src/main/java/org/teaseltrail/core/state/Command.java
@@ -8,6 +8,7 @@
 import org.teaseltrail.core.id.ChangeId;
 import org.teaseltrail.core.id.RequestId;
 import org.teaseltrail.core.id.Revision;
+import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.message.EndKind;
@@ -15,6 +16,10 @@
 import org.teaseltrail.core.quarantine.Fingerprint;
 import org.teaseltrail.core.quarantine.HeldRequest;
 import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.rollout.ExposureAccount;
+import org.teaseltrail.core.rollout.RolloutOrder;
+import org.teaseltrail.core.rollout.RolloutPhase;
+import org.teaseltrail.core.rollout.RolloutReason;
 
 /**
  * Is a command of the log. It carries all that its result depends on, the time too: log time counts
@@ -150,6 +155,38 @@
    */
   record TryRequest(Fingerprint request, long logTimeMs) implements ServingCommand {}
 
+  /**
+   * Takes an operator's order of a rollout.
+   *
+   * @param order the order
+   * @param logTimeMs log time
+   */
+  record OrderRollout(RolloutOrder order, long logTimeMs) implements ServingCommand {}
+
+  /**
+   * Turns a rollout to a later phase.
+   *
+   * @param service its service
+   * @param orderedMs log time of its order, which names it
+   * @param phase the phase
+   * @param reason why
+   * @param logTimeMs log time
+   */
+  record TurnRollout(
+      ServiceId service, long orderedMs, RolloutPhase phase, RolloutReason reason, long logTimeMs)
+      implements ServingCommand {}
+
+  /**
+   * Writes down what the ordered version of a rollout may have got.
+   *
+   * @param service its service
+   * @param orderedMs log time of its order, which names it
+   * @param account the account
+   * @param logTimeMs log time
+   */
+  record AccountExposure(ServiceId service, long orderedMs, ExposureAccount account, long logTimeMs)
+      implements ServingCommand {}
+
   /**
    * Lets a held request go to upstreams again.
    *
--- a/core/src/main/java/org/teaseltrail/core/state/CommandResult.java
+++ b/core/src/main/java/org/teaseltrail/core/state/CommandResult.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.teaseltrail.core.claim.ClaimRecord;
 import org.teaseltrail.core.claim.OpenResult;
+import org.teaseltrail.core.rollout.RolloutAnswer;
 
 /** Is what a command came to. */
 public sealed interface CommandResult {
@@ -49,4 +50,14 @@
    * @param registryRevision revision of the registrations afterwards
    */
   record OfServing(long planVersion, long registryRevision) implements CommandResult {}
+
+  /**
+   * An operator's order of a rollout, or the end of one.
+   *
+   * @param answer what became of it
+   */
+  record OfRollout(RolloutAnswer answer) implements CommandResult {}
+
+  /** Requests were written down that an ordered version may get; no VM need know. */
+  record OfExposure() implements CommandResult {}
 }
--- a/core/src/main/java/org/teaseltrail/core/state/ServingState.java
+++ b/core/src/main/java/org/teaseltrail/core/state/ServingState.java
@@ -5,6 +5,7 @@
 import org.teaseltrail.core.plan.InstalledPlan;
 import org.teaseltrail.core.quarantine.HeldRequest;
 import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.rollout.Rollout;
 
 /**
  * Is the part of the replicated state that an outside platform decides.
@@ -13,21 +14,26 @@
  * @param registryRevision number of changes of the registrations so far
  * @param registrations the registrations, oldest first
  * @param held requests that no upstream gets, oldest first; empty in snapshots of older versions
+ * @param rolloutRevision number of changes of rollouts so far
+ * @param rollouts the newest rollout of each service; empty in snapshots of older versions
  */
 public record ServingState(
     Optional<InstalledPlan> plan,
     long registryRevision,
     List<Registration> registrations,
-    Optional<List<HeldRequest>> held) {
+    Optional<List<HeldRequest>> held,
+    long rolloutRevision,
+    Optional<List<Rollout>> rollouts) {
 
   /** Copies the lists. */
   public ServingState {
     registrations = List.copyOf(registrations);
     held = held.map(List::copyOf);
+    rollouts = rollouts.map(List::copyOf);
   }
 
   /** Returns the state before the first plan. */
   public static ServingState empty() {
-    return new ServingState(Optional.empty(), 0, List.of(), Optional.empty());
+    return new ServingState(Optional.empty(), 0, List.of(), Optional.empty(), 0, Optional.empty());
   }
 }
--- a/core/src/test/java/org/teaseltrail/core/control/MembershipKeeperTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/MembershipKeeperTest.java
@@ -30,6 +30,7 @@
             standard.placement(),
             standard.seed(),
             standard.quotas(),
+            standard.rollouts(),
             Optional.of(RepairSettings.tolerating(2))));
     group.start();
   }
--- a/core/src/test/java/org/teaseltrail/core/control/NewLeaderPlacesTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/NewLeaderPlacesTest.java
@@ -46,7 +46,7 @@
     leader.handle(
         new ControlEvent.FromServingVm(
             new ServingMessage.Sync(
-                ONE, new Incarnation(1), sequence, 1, 1, 0, Map.of(), List.of())));
+                ONE, new Incarnation(1), sequence, 1, 1, 0, 0, Map.of(), List.of())));
     return replies().stream()
         .filter(ServingReply.Confirmed.class::isInstance)
         .map(ServingReply.Confirmed.class::cast)
--- a/core/src/test/java/org/teaseltrail/core/control/PlanAnswerTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/PlanAnswerTest.java
@@ -31,7 +31,15 @@
       leader.handle(
           new ControlEvent.FromServingVm(
               new ServingMessage.Sync(
-                  new VmId("entry-" + i), new Incarnation(1), 1, -1, 0, 0, Map.of(), List.of())));
+                  new VmId("entry-" + i),
+                  new Incarnation(1),
+                  1,
+                  -1,
+                  0,
+                  0,
+                  0,
+                  Map.of(),
+                  List.of())));
     }
     leader.actions().clear();
     group.ask(leader, new OperatorRequest.InstallPlan(new InstalledPlan(Plans.plan(1), "{}")));
--- a/core/src/test/java/org/teaseltrail/core/control/QuarantineDeskTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/QuarantineDeskTest.java
@@ -68,7 +68,8 @@
     sequence++;
     leader.actions().clear();
     VmId vm = new VmId("entry-new-" + sequence);
-    tell(new ServingMessage.Sync(vm, new Incarnation(1), sequence, 1, 1, 0, Map.of(), List.of()));
+    tell(
+        new ServingMessage.Sync(vm, new Incarnation(1), sequence, 1, 1, 0, 0, Map.of(), List.of()));
     return leader.actions().stream()
         .filter(ControlAction.SendServing.class::isInstance)
         .map(action -> ((ControlAction.SendServing) action).reply())
@@ -146,7 +147,9 @@
               ended.dataCenter(),
               ended.slots(),
               ended.phase(),
-              1);
+              1,
+              ended.version(),
+              0);
       group.ask(leader, new OperatorRequest.Heartbeat(next), 0);
     }
     assertThat(held()).containsExactly(DEADLY);
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/control/RolloutStudyTest.java
@@ -0,0 +1,123 @@
+package org.teaseltrail.core.control;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Assumptions;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.teaseltrail.core.rollout.CanaryLimit;
+import org.teaseltrail.core.rollout.Rollout;
+import org.teaseltrail.core.rollout.RolloutPhase;
+import org.teaseltrail.core.rollout.RolloutSettings;
+import org.teaseltrail.core.rollout.VersionTest;
+
+/** Prints how rollouts of good and bad versions go over many seeds, for both ways of telling. */
+@Tag("long-run")
+class RolloutStudyTest {
+
+  private static final int SEEDS = Integer.getInteger("rolloutSeeds", 200);
+  private static final int DURATION_MS = Integer.getInteger("rolloutMs", 12_000);
+  private static final double RATE = Integer.getInteger("rolloutRate", 90);
+  private static final int VMS = Integer.getInteger("rolloutVms", 12);
+  private static final int ENGINES = Integer.getInteger("rolloutEngines", 14);
+  private static final String ONLY = System.getProperty("rolloutBad", "");
+  private static final int AFTERWARDS_MS = 3_000;
+  private static final int BEFORE_MS = 2_000;
+  private static final VersionTest TEST =
+      VersionTest.valueOf(System.getProperty("rolloutTest", VersionTest.MARTINGALE.name()));
+  private static final boolean FAULTS = Boolean.getBoolean("rolloutFaults");
+
+  private final Map<RolloutPhase, Integer> ends = new EnumMap<>(RolloutPhase.class);
+  private final List<Long> sentAfterMs = new ArrayList<>();
+  private final List<Long> lastSentMs = new ArrayList<>();
+  private int overExposed;
+  private int mistaken;
+  private double servedShare;
+
+  @ParameterizedTest
+  @EnumSource(BadVersion.class)
+  void study(BadVersion bad) {
+    Assumptions.assumeTrue(ONLY.isEmpty() || ONLY.contains(bad.name()));
+    for (int seed = 0; seed < SEEDS; seed++) {
+      play(bad, seed);
+    }
+    Collections.sort(sentAfterMs);
+    Collections.sort(lastSentMs);
+    System.out.printf(
+        "%s %s %s faults %s: %s, judged wrongly %d, over the limit %d,"
+            + " last sent after the 50th bad answer p50 %d p99 %d max %d ms,"
+            + " after the order p50 %d max %d ms, served %.4f%n",
+        TEST,
+        bad,
+        SEEDS,
+        FAULTS,
+        ends,
+        mistaken,
+        overExposed,
+        at(sentAfterMs, 0.5),
+        at(sentAfterMs, 0.99),
+        at(sentAfterMs, 1),
+        at(lastSentMs, 0.5),
+        at(lastSentMs, 1),
+        servedShare / SEEDS);
+  }
+
+  private void play(BadVersion bad, int seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    RolloutRun run = new RolloutRun(random.split(), bad, VMS, ENGINES, DURATION_MS, settings());
+    run.play(BEFORE_MS, RATE);
+    run.order();
+    if (FAULTS) {
+      new RolloutFaults(run, random).play(DURATION_MS, RATE);
+    } else {
+      run.play(DURATION_MS, RATE);
+    }
+    run.play(AFTERWARDS_MS, RATE);
+    Rollout rollout = run.rollout();
+    ends.merge(rollout.phase(), 1, Integer::sum);
+    boolean over = bad.isBad() && run.exposed() > run.allowed();
+    overExposed += over ? 1 : 0;
+    boolean wrong = bad.isBad() != (rollout.phase() == RolloutPhase.ROLLED_BACK);
+    mistaken += wrong ? 1 : 0;
+    if (wrong || over) {
+      System.out.println(
+          "  seed "
+              + seed
+              + ": "
+              + rollout.phase()
+              + ", "
+              + rollout.reason()
+              + ", "
+              + run.exposed()
+              + " of "
+              + run.reached()
+              + ", bad "
+              + run.badAnswers());
+    }
+    sentAfterMs.add(run.sentAfterCountedMs());
+    lastSentMs.add(run.lastExposedMs());
+    servedShare += run.servedShare();
+  }
+
+  private static ControlSettings settings() {
+    ControlSettings standard = ControlSettings.DEFAULT;
+    return new ControlSettings(
+        standard.sessions(),
+        standard.claims(),
+        standard.claimExpiryEveryMs(),
+        standard.placement(),
+        standard.seed(),
+        standard.quotas(),
+        new RolloutSettings(CanaryLimit.DEFAULT, TEST),
+        standard.repair());
+  }
+
+  private static long at(List<Long> sorted, double part) {
+    return sorted.get((int) Math.min(sorted.size() - 1, part * sorted.size()));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/control/RolloutTest.java
@@ -0,0 +1,169 @@
+package org.teaseltrail.core.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamVersion;
+import org.teaseltrail.core.plan.Plans;
+import org.teaseltrail.core.rollout.Rollout;
+import org.teaseltrail.core.rollout.RolloutAnswer;
+import org.teaseltrail.core.rollout.RolloutOrder;
+import org.teaseltrail.core.rollout.RolloutPhase;
+import org.teaseltrail.core.rollout.RolloutReason;
+
+/** Rollouts through the parts that serve, under virtual time, at a grown deployment's size. */
+class RolloutTest {
+
+  private static final int DURATION_MS = 12_000;
+  private static final int VMS = 24;
+  private static final int ENGINES = 42;
+  private static final double PER_SECOND = 270;
+  private static final int BEFORE_MS = 2_000;
+  private static final int AFTERWARDS_MS = 2_000;
+  private static final int LEFT_WITHIN_MS = 2_000;
+  private static final int FEW_VMS = 6;
+  private static final int FEW_ENGINES = 8;
+  private static final double FEW_PER_SECOND = 50;
+
+  private static RolloutRun grown(BadVersion bad) {
+    return new RolloutRun(new SplittableRandom(32), bad, VMS, ENGINES, DURATION_MS);
+  }
+
+  private static RolloutRun small(BadVersion bad) {
+    RolloutRun run =
+        new RolloutRun(new SplittableRandom(33), bad, FEW_VMS, FEW_ENGINES, DURATION_MS);
+    run.play(BEFORE_MS, FEW_PER_SECOND);
+    return run;
+  }
+
+  /** A bad version gets more than its part of the requests, or goes on long after it is known. */
+  @ParameterizedTest
+  @EnumSource(value = BadVersion.class, mode = EnumSource.Mode.EXCLUDE, names = "GOOD")
+  void badVersionIsRolledBackWithinItsBounds(BadVersion bad) {
+    RolloutRun run = grown(bad);
+    run.play(BEFORE_MS, PER_SECOND);
+    run.order();
+    run.play(DURATION_MS + AFTERWARDS_MS, PER_SECOND);
+    assertThat(run.rollout().phase()).isEqualTo(RolloutPhase.ROLLED_BACK);
+    assertThat((double) run.exposed()).isLessThanOrEqualTo(run.allowed());
+    assertThat(run.sentAfterCountedMs()).isLessThanOrEqualTo(LEFT_WITHIN_MS);
+  }
+
+  /** Old engines end without draining when the state says completed. */
+  @Test
+  void goodVersionIsCompletedInTimeAndNothingIsLost() {
+    RolloutRun run = grown(BadVersion.GOOD);
+    run.play(BEFORE_MS, PER_SECOND);
+    run.order();
+    while (run.rollout().phase() != RolloutPhase.COMPLETED) {
+      run.play(100, PER_SECOND);
+      assertThat(run.sinceOrderMs()).isLessThanOrEqualTo(DURATION_MS);
+    }
+    run.endAll(RolloutRun.OLD);
+    assertThat(run.lost()).isZero();
+    run.play(AFTERWARDS_MS, PER_SECOND);
+    assertThat(run.servedShare()).isGreaterThan(0.98);
+  }
+
+  /** The leader that acknowledged the order is gone, then all lose power. */
+  @Test
+  void orderOutlivesLeaderAndLossOfPower() {
+    RolloutRun run = small(BadVersion.GOOD);
+    assertThat(run.order()).isEqualTo(new OperatorResult.RolloutAnswered(RolloutAnswer.ACCEPTED));
+    run.group().leader().kill();
+    run.play(1_000, FEW_PER_SECOND);
+    assertThat(run.rollout().phase()).isEqualTo(RolloutPhase.RUNNING);
+    run.losePower();
+    run.play(2_000, FEW_PER_SECOND);
+    assertThat(run.rollout().order().to()).isEqualTo(RolloutRun.ORDERED);
+    run.play(DURATION_MS, FEW_PER_SECOND);
+    assertThat(run.rollout().phase()).isEqualTo(RolloutPhase.COMPLETED);
+  }
+
+  /** After a roll-back all lose power, and the bad version's engines are still there. */
+  @Test
+  void rollBackOutlivesLossOfPower() {
+    RolloutRun run = small(BadVersion.FAILS);
+    run.order();
+    run.play(6_000, FEW_PER_SECOND);
+    assertThat(run.rollout().reason()).isEqualTo(RolloutReason.FAILURES);
+    final long lastMs = run.lastExposedMs();
+    run.losePower();
+    run.play(6_000, FEW_PER_SECOND);
+    assertThat(run.rollout().phase()).isEqualTo(RolloutPhase.ROLLED_BACK);
+    assertThat(run.lastExposedMs()).isEqualTo(lastMs);
+  }
+
+  /** A VM that is cut off while the version is rolled back goes on sending to it. */
+  @Test
+  void cutVmStopsSendingToTheOrderedVersionByItself() {
+    RolloutRun run = small(BadVersion.FAILS);
+    run.order();
+    run.play(1_500, FEW_PER_SECOND);
+    for (int vm = 0; vm < run.vms().count(); vm++) {
+      run.vms().cut(vm, true);
+    }
+    run.play(1_500, FEW_PER_SECOND);
+    assertThat(run.sinceOrderMs() - run.lastExposedMs()).isGreaterThan(400);
+  }
+
+  @Test
+  void operatorBreaksRolloutOff() {
+    RolloutRun run = small(BadVersion.GOOD);
+    run.order();
+    run.play(2_000, FEW_PER_SECOND);
+    OperatorResult answer =
+        run.group().ask(run.group().leader(), new OperatorRequest.AbortRollout(Plans.ENGINES));
+    assertThat(answer).isEqualTo(new OperatorResult.RolloutAnswered(RolloutAnswer.ACCEPTED));
+    assertThat(run.rollout().reason()).isEqualTo(RolloutReason.ABORTED);
+    run.play(50, FEW_PER_SECOND);
+    long lastMs = run.lastExposedMs();
+    run.play(2_000, FEW_PER_SECOND);
+    assertThat(run.lastExposedMs()).isEqualTo(lastMs);
+  }
+
+  /** The ordered version's engines never start; the old ones must not be ended. */
+  @Test
+  void versionWithoutEnginesIsRolledBackAtTheDeadline() {
+    RolloutRun run = small(BadVersion.GOOD);
+    run.orderAgain();
+    run.play(DURATION_MS + 500, FEW_PER_SECOND);
+    Rollout rollout = run.rollout();
+    assertThat(rollout.phase()).isEqualTo(RolloutPhase.ROLLED_BACK);
+    assertThat(rollout.reason()).isEqualTo(RolloutReason.TOO_FEW_UPSTREAMS);
+  }
+
+  @Test
+  void ordersThatCannotBeTakenAreRefusedAndChangeNothing() {
+    RolloutRun run = small(BadVersion.GOOD);
+    assertThat(answer(run, new ServiceId("unknown"), RolloutRun.ORDERED, 1_000))
+        .isEqualTo(RolloutAnswer.UNKNOWN_SERVICE);
+    assertThat(answer(run, Plans.ENGINES, RolloutRun.ORDERED, 0))
+        .isEqualTo(RolloutAnswer.BAD_DURATION);
+    assertThat(answer(run, Plans.ENGINES, RolloutRun.OLD, 1_000))
+        .isEqualTo(RolloutAnswer.ALREADY_IN_FORCE);
+    assertThat(read(run)).isEmpty();
+    run.order();
+    assertThat(run.orderAgain())
+        .isEqualTo(new OperatorResult.RolloutAnswered(RolloutAnswer.ALREADY_RUNNING));
+  }
+
+  private static RolloutAnswer answer(
+      RolloutRun run, ServiceId service, UpstreamVersion to, long durationMs) {
+    RolloutOrder order = new RolloutOrder(service, to, durationMs);
+    OperatorResult result =
+        run.group().ask(run.group().leader(), new OperatorRequest.StartRollout(order));
+    return ((OperatorResult.RolloutAnswered) result).answer();
+  }
+
+  private static Optional<Rollout> read(RolloutRun run) {
+    OperatorResult result =
+        run.group().ask(run.group().leader(), new OperatorRequest.ReadRollout(Plans.ENGINES));
+    return ((OperatorResult.RolloutRead) result).rollout();
+  }
+}
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardPlacementTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardPlacementTest.java
@@ -197,7 +197,9 @@
             first.dataCenter(),
             first.slots(),
             first.phase(),
-            1);
+            1,
+            first.version(),
+            0);
     actions = node.fromControl(new ServingReply.RegistryUpdate(TERM, 2, List.of(later)), nowNs);
     assertThat(dispatches()).containsExactly("e1");
   }
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardSamples.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardSamples.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.core.forward;
 
 import java.util.List;
+import java.util.Optional;
 import org.teaseltrail.core.id.DataCenterId;
 import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.ServiceId;
@@ -49,6 +50,8 @@
         new DataCenterId("a"),
         places,
         RegistrationPhase.READY,
-        1);
+        1,
+        Optional.empty(),
+        0);
   }
 }
--- a/core/src/test/java/org/teaseltrail/core/registry/RegistryBookTest.java
+++ b/core/src/test/java/org/teaseltrail/core/registry/RegistryBookTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.teaseltrail.core.id.DataCenterId;
 import org.teaseltrail.core.id.ServiceId;
@@ -23,7 +24,9 @@
         new DataCenterId("a"),
         7,
         phase,
-        sequence);
+        sequence,
+        Optional.empty(),
+        0);
   }
 
   /**
@@ -104,7 +107,9 @@
         beat.dataCenter(),
         beat.slots(),
         phase,
-        sequence);
+        sequence,
+        Optional.empty(),
+        0);
   }
 
   /**
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -342,7 +342,7 @@
       long laterEvents = events.passedOn() - eventsInFirstRead;
       if (firstEventNs > 0 && laterEvents > 0) {
         double betweenMs = (lastEventNs - firstEventNs) / NS_PER_MS / laterEvents;
-        server.pace(dispatch.upstream().id(), betweenMs);
+        server.streamPace(Exchange.this, dispatch.upstream().id(), betweenMs);
       } else if (!relays) {
         server.pace(dispatch.upstream().id(), (System.nanoTime() - sentNs) / NS_PER_MS);
       }
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -276,6 +276,12 @@
     node.pace(upstream, elapsedMs, clock.nowNs());
   }
 
+  /** Takes the mean time between the events of a stream. */
+  void streamPace(Exchange exchange, UpstreamId upstream, double elapsedMs) {
+    node.streamPace(exchange.request().number(), elapsedMs);
+    pace(upstream, elapsedMs);
+  }
+
   private boolean acceptsCallers() {
     return ready && !draining;
   }
--- a/forward/src/main/java/org/teaseltrail/forward/RequestStory.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RequestStory.java
@@ -100,17 +100,26 @@
         line,
         last.map(ForwardAction.Dispatch::route),
         last.flatMap(ForwardAction.Dispatch::customer));
-    last.ifPresent(
-        dispatch ->
-            line.with(LogField.UPSTREAM, dispatch.upstream().id().value())
-                .with(LogField.ATTEMPT, dispatch.attempt())
-                .with(LogField.WAITED_MS, (dispatchedNs - arrivedNs) / NS_PER_MS));
+    last.ifPresent(dispatch -> attempt(line, dispatch));
     if (begunNs > 0) {
       line.with(LogField.FIRST_EVENT_MS, (begunNs - arrivedNs) / NS_PER_MS);
     }
     return line;
   }
 
+  private void attempt(EventLog.Line line, ForwardAction.Dispatch dispatch) {
+    line.with(LogField.UPSTREAM, dispatch.upstream().id().value())
+        .with(LogField.ATTEMPT, dispatch.attempt())
+        .with(LogField.WAITED_MS, (dispatchedNs - arrivedNs) / NS_PER_MS);
+    if (dispatch.canary()) {
+      line.with(LogField.CANARY, true);
+      dispatch
+          .upstream()
+          .version()
+          .ifPresent(version -> line.with(LogField.UPSTREAM_VERSION, version.value()));
+    }
+  }
+
   /** Says what was asked for, and by whom. */
   private static void subject(
       EventLog.Line line, Optional<PlanRoute> route, Optional<CustomerId> customer) {
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -49,10 +49,26 @@
   PLAN_RECEIVED(LogField.VERSION),
   /** An operator's plan isn't valid. */
   PLAN_REFUSED(LogField.REASON),
+  /** An operator's order of a rollout isn't taken. */
+  ROLLOUT_REFUSED(LogField.REASON),
+  /** A rollout was ordered, or has turned to another phase. */
+  ROLLOUT_TURNED(
+      LogField.SERVICE,
+      LogField.UPSTREAM_VERSION,
+      LogField.PHASE,
+      LogField.REASON,
+      LogField.LENT,
+      LogField.REACHED,
+      LogField.ROUTE,
+      LogField.ANSWERS,
+      LogField.BAD_ANSWERS,
+      LogField.ANSWERS_BEFORE,
+      LogField.BAD_ANSWERS_BEFORE),
   /** A call of the operator or of an upstream is answered; of heartbeats those that matter. */
   CALL_ENDED(
       LogField.CALL,
       LogField.VERSION,
+      LogField.SERVICE,
       LogField.UPSTREAM,
       LogField.END,
       LogField.ELAPSED_MS,
@@ -110,6 +126,8 @@
             LogField.OBJECTIVE_MS,
             LogField.DEADLINE_MS,
             LogField.UPSTREAM,
+            LogField.UPSTREAM_VERSION,
+            LogField.CANARY,
             LogField.ATTEMPT,
             LogField.WAITED_MS,
             LogField.FIRST_EVENT_MS);
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -14,9 +14,30 @@
   ROUTE("the route's name"),
   /** Time in which an answer is on time. */
   OBJECTIVE_MS("the route's objective"),
-  /** Where a request was sent, or who leaves. */
+  /** When the caller gives up. */
   DEADLINE_MS("time that the caller waits from then on"),
+  /** Where a request was sent, or who leaves. */
   UPSTREAM("an upstream's life"),
+  /** Which software an upstream runs. */
+  UPSTREAM_VERSION("the upstream's version, or the version that was ordered"),
+  /** Whether a rollout's leader lent the request. */
+  CANARY("true if the request went to an ordered version that was still a canary"),
+  /** Whose upstreams. */
+  SERVICE("the service"),
+  /** How far a rollout has come. */
+  PHASE("the rollout's phase"),
+  /** What an ordered version may have got. */
+  LENT("requests that the ordered version may have got, at most"),
+  /** What a service got. */
+  REACHED("requests that have reached the service since the order, at least"),
+  /** What a verdict rests on. */
+  ANSWERS("answers of the ordered version that decided"),
+  /** What speaks against an ordered version. */
+  BAD_ANSWERS("those of them that failed or were slow"),
+  /** What an ordered version is compared with. */
+  ANSWERS_BEFORE("answers of the versions before in the same seconds"),
+  /** What is tolerated. */
+  BAD_ANSWERS_BEFORE("those of them that failed or were slow"),
   /** Which of the request's attempts. */
   ATTEMPT("which of the request's attempts, from 1"),
   /** Time before the attempt. */
@@ -42,7 +63,7 @@
   /** The status that the caller or this VM got. */
   STATUS("the HTTP status, 0 for none"),
   /** Why something was refused. */
-  REASON("why it was refused"),
+  REASON("why it was refused, or why a rollout turned"),
   /** Whether an upstream may have begun to work. */
   MAYBE_RAN("whether an upstream may have run the request"),
   /** When the caller may come back. */
--- a/wire/src/main/java/org/teaseltrail/wire/MessageCodec.java
+++ b/wire/src/main/java/org/teaseltrail/wire/MessageCodec.java
@@ -17,6 +17,7 @@
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.teaseltrail.core.quota.QuotaGrant;
 import org.teaseltrail.core.quota.QuotaUse;
+import org.teaseltrail.core.rollout.Observation;
 
 /**
  * Writes records and sealed interfaces of records as MessagePack, and reads them back.
@@ -35,10 +36,11 @@
 public final class MessageCodec {
 
   /**
-   * Records of numbers that each sync carries dozens of; they are written without the names of
-   * their components, and grow at their end only.
+   * Records that each sync carries dozens of; they are written without the names of their
+   * components, and grow at their end only.
    */
-  private static final List<Class<?>> COUNTED = List.of(QuotaUse.class, QuotaGrant.class);
+  private static final List<Class<?>> COUNTED =
+      List.of(QuotaUse.class, QuotaGrant.class, Observation.class);
 
   private final ObjectMapper mapper;
   private final Map<Class<?>, ObjectWriter> writers = new ConcurrentHashMap<>();
--- a/wire/src/test/java/org/teaseltrail/wire/ServingPushTest.java
+++ b/wire/src/test/java/org/teaseltrail/wire/ServingPushTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.teaseltrail.core.id.DataCenterId;
@@ -72,7 +73,9 @@
         new DataCenterId("regina-a"),
         7,
         RegistrationPhase.READY,
-        1);
+        1,
+        Optional.empty(),
+        0);
   }
 
   private int push(ServingReply update) {
