Compare with what the old version showed last while it gets no requests

What the old version showed last is compared with, and twice as much is tolerated while there is nothing newer.

--- a/core/src/main/java/org/teaseltrail/core/rollout/Symptom.java
+++ b/core/src/main/java/org/teaseltrail/core/rollout/Symptom.java
@@ -7,7 +7,7 @@
   /** It began late. */
   LATE_START(RolloutReason.SLOW_START, 0.15),
   /** Its events came slowly. */
-  SLOW_STREAM(RolloutReason.SLOW_STREAM, 0.1);
+  SLOW_STREAM(RolloutReason.SLOW_STREAM, 0.05);
 
   private final RolloutReason reason;
   private final double toleratedShare;
--- a/core/src/main/java/org/teaseltrail/core/rollout/SymptomWatch.java
+++ b/core/src/main/java/org/teaseltrail/core/rollout/SymptomWatch.java
@@ -25,6 +25,12 @@
   /** How many times the versions before's share of bad answers is tolerated. */
   private static final double TOLERATED_TIMES = 1.5;
 
+  /**
+   * How many times as much is tolerated while the versions before get no requests to compare with.
+   * Guards against a burst in that time, which slows a good version down.
+   */
+  private static final double TIMES_WITHOUT_COMPARISON = 2;
+
   /** Tolerated share beyond which nothing could be told any longer. */
   private static final double MOST_TOLERATED = 0.6;
 
@@ -46,6 +52,7 @@
   private final Symptom symptom;
   private final VersionTest test;
   private final Deque<Slice> slices = new ArrayDeque<>();
+  private final Map<RouteId, Trials> lastBefore = new HashMap<>();
   private final Map<Optional<RouteId>, VersionTest.Detector> detectors = new HashMap<>();
   private final Set<UpstreamId> seenAt = new HashSet<>();
   private final Set<UpstreamId> badAt = new HashSet<>();
@@ -97,19 +104,31 @@
 
   private Optional<Verdict> weighed(Optional<RouteId> route, Trials ordered, Trials before) {
     VersionTest.Detector detector = detectors.computeIfAbsent(route, key -> test.detector());
-    double tolerated = TOLERATED_TIMES * before.share() + symptom.toleratedShare();
+    double times = isCompared() ? 1 : TIMES_WITHOUT_COMPARISON;
+    double tolerated = times * (TOLERATED_TIMES * before.share() + symptom.toleratedShare());
     detector.take(ordered, Math.min(MOST_TOLERATED, tolerated));
     return detector.isAlarmed()
         ? Optional.of(new Verdict(symptom.reason(), route, ordered, before))
         : Optional.empty();
   }
 
+  private boolean isCompared() {
+    return slices.stream().anyMatch(slice -> !slice.before.isEmpty());
+  }
+
+  /**
+   * Returns what the versions before showed lately; once they get no requests any longer, what they
+   * showed last.
+   */
   private Trials before(RouteId route) {
     Trials sum = Trials.NONE;
     for (Slice slice : slices) {
       sum = sum.plus(slice.before.getOrDefault(route, Trials.NONE));
     }
-    return sum;
+    if (sum.answers() > 0) {
+      lastBefore.put(route, sum);
+    }
+    return lastBefore.getOrDefault(route, Trials.NONE);
   }
 
   private boolean isOfVersion() {
