Let a new leader complete what all have turned to, and list what is red

Cause, found by reading: right after the beginning of a leadership no upstream counts as warm until its next heartbeat and no VM has told what it has, so a rollout that is due then would be rolled back for too few upstreams, or completed before the VMs had the record. While all turn, a ready upstream of the ordered version counts; nothing counts as handed over before all VMs can have told.

RolloutTest.goodVersionIsCompletedThoughTheLeaderIsLostWhileAllTurnToIt drives it; with the first guard off it stays green, as a heartbeat comes in time there, so that guard isn't shown to matter.

--- a/core/src/main/java/org/teaseltrail/core/control/RolloutWatch.java
+++ b/core/src/main/java/org/teaseltrail/core/control/RolloutWatch.java
@@ -47,6 +47,16 @@
   /** Time after which the canary goes on to other upstreams of the version. */
   private static final long TARGETS_FOR_NS = 2_000 * NS_PER_MS;
 
+  /** Says how far all VMs are with what the record asks of them. */
+  enum HandOverState {
+    /** Some VM in touch doesn't have the record yet. */
+    UNTOLD,
+    /** All have it; some requests still run on old upstreams. */
+    FINISHING,
+    /** Nothing runs on old upstreams any longer. */
+    FINISHED
+  }
+
   /** What a rollout is to turn to. */
   record Turn(RolloutPhase phase, RolloutReason reason) {}
 
@@ -63,6 +73,7 @@
     beganNs = nowNs;
     judge = new VersionJudge(settings.test(), nowNs);
     ledger = new ExposureLedger(settings.limit(), rollout.account());
+    logged(rollout);
   }
 
   Rollout rollout() {
@@ -81,6 +92,9 @@
   void logged(Rollout newer) {
     rollout = newer;
     ledger.logged(newer.account());
+    if (newer.phase() == RolloutPhase.SHIFTING) {
+      judge.allTurned();
+    }
   }
 
   /** Tells whether an account is to be written down, and nothing is being written yet. */
@@ -155,16 +169,6 @@
     return Optional.empty();
   }
 
-  /** Says how far all VMs are with what the record asks of them. */
-  enum HandOverState {
-    /** Some VM in touch doesn't have the record yet. */
-    UNTOLD,
-    /** All have it; some requests still run on old upstreams. */
-    FINISHING,
-    /** Nothing runs on old upstreams any longer. */
-    FINISHED
-  }
-
   private static Optional<Turn> whileShifting(
       double passed, boolean roomy, HandOverState handedOver) {
     boolean finished = passed >= COMPLETE_FROM && handedOver == HandOverState.FINISHED;
@@ -188,7 +192,7 @@
     int old = 0;
     for (Registration upstream : upstreams) {
       if (rollout.isOrdered(upstream.version())) {
-        ordered += warm.isWarm(upstream, nowNs) ? upstream.slots() : 0;
+        ordered += takesAll(upstream, warm, nowNs) ? upstream.slots() : 0;
       } else if (isOldAndReady(upstream)) {
         old += upstream.slots();
       }
@@ -196,6 +200,15 @@
     return ordered > 0 && ordered >= LEAST_PLACES * old;
   }
 
+  /**
+   * Tells whether an upstream of the ordered version may take any request. Once all turn to it, it
+   * has been warm; a leader that has just begun has not heard of it yet.
+   */
+  private boolean takesAll(Registration upstream, WarmUpstreams warm, long nowNs) {
+    boolean turned = rollout.phase() == RolloutPhase.SHIFTING;
+    return turned ? upstream.phase() == RegistrationPhase.READY : warm.isWarm(upstream, nowNs);
+  }
+
   private boolean isOldAndReady(Registration upstream) {
     return upstream.phase() == RegistrationPhase.READY && rollout.isOfBefore(upstream.version());
   }
--- a/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
@@ -369,7 +369,9 @@
     @Override
     public RolloutWatch.HandOverState handOver(ServiceId service) {
       long revision = state().rollouts().revision();
-      if (vms.values().stream().anyMatch(vm -> vm.sync.rolloutRevision() < revision)) {
+      boolean untold = vms.values().stream().anyMatch(vm -> vm.sync.rolloutRevision() < revision);
+      // Right after the beginning of a leadership most VMs have not told anything yet.
+      if (untold || !knowsPlaces()) {
         return RolloutWatch.HandOverState.UNTOLD;
       }
       boolean finishing =
--- a/core/src/main/java/org/teaseltrail/core/rollout/FailureWatch.java
+++ b/core/src/main/java/org/teaseltrail/core/rollout/FailureWatch.java
@@ -37,6 +37,11 @@
     return watch.weigh();
   }
 
+  /** Notes that the versions before get no requests any longer. */
+  void allTurned() {
+    watch.allTurned();
+  }
+
   boolean isSuspicious() {
     return watch.isSuspicious();
   }
--- a/core/src/main/java/org/teaseltrail/core/rollout/SlownessWatch.java
+++ b/core/src/main/java/org/teaseltrail/core/rollout/SlownessWatch.java
@@ -90,6 +90,11 @@
     return watch.weigh().or(this::weighLevels);
   }
 
+  /** Notes that the versions before get no requests any longer. */
+  void allTurned() {
+    watch.allTurned();
+  }
+
   boolean isSuspicious() {
     return watch.isSuspicious();
   }
--- a/core/src/main/java/org/teaseltrail/core/rollout/SymptomWatch.java
+++ b/core/src/main/java/org/teaseltrail/core/rollout/SymptomWatch.java
@@ -58,12 +58,18 @@
   private final Set<UpstreamId> badAt = new HashSet<>();
   private Slice newest = new Slice();
   private int alarmedSlices;
+  private boolean allTurned;
 
   SymptomWatch(Symptom symptom, VersionTest test) {
     this.symptom = symptom;
     this.test = test;
   }
 
+  /** Notes that the versions before get no requests any longer. */
+  void allTurned() {
+    allTurned = true;
+  }
+
   /** Takes answers in that tell whether they show the symptom. */
   void take(RouteId route, UpstreamId upstream, boolean ordered, Trials trials) {
     (ordered ? newest.ordered : newest.before).merge(route, trials, Trials::plus);
@@ -104,7 +110,7 @@
 
   private Optional<Verdict> weighed(Optional<RouteId> route, Trials ordered, Trials before) {
     VersionTest.Detector detector = detectors.computeIfAbsent(route, key -> test.detector());
-    double times = isCompared() ? 1 : TIMES_WITHOUT_COMPARISON;
+    double times = allTurned ? TIMES_WITHOUT_COMPARISON : 1;
     double tolerated = times * (TOLERATED_TIMES * before.share() + symptom.toleratedShare());
     detector.take(ordered, Math.min(MOST_TOLERATED, tolerated));
     return detector.isAlarmed()
@@ -112,10 +118,6 @@
         : Optional.empty();
   }
 
-  private boolean isCompared() {
-    return slices.stream().anyMatch(slice -> !slice.before.isEmpty());
-  }
-
   /**
    * Returns what the versions before showed lately; once they get no requests any longer, what they
    * showed last.
--- a/core/src/main/java/org/teaseltrail/core/rollout/VersionJudge.java
+++ b/core/src/main/java/org/teaseltrail/core/rollout/VersionJudge.java
@@ -74,6 +74,13 @@
     verdict = failing.or(() -> startingLate).or(() -> running);
   }
 
+  /** Notes that the versions before get no requests any longer, so that nothing new compares. */
+  public void allTurned() {
+    failures.allTurned();
+    starts.allTurned();
+    streams.allTurned();
+  }
+
   /**
    * Returns how many answers of the ordered version were looked at.
    *
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/control/RolloutBesideFaultsTest.java
@@ -0,0 +1,36 @@
+package org.teaseltrail.core.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.teaseltrail.core.rollout.RolloutPhase;
+
+/**
+ * The load doubles while all requests turn to a good version. Its engines are overfilled, and there
+ * is no old version left to compare with in the same seconds: it is found slow.
+ */
+@Tag("known-red")
+class RolloutBesideFaultsTest {
+
+  private static final int DURATION_MS = 12_000;
+  private static final int BEFORE_MS = 2_000;
+  private static final int AFTERWARDS_MS = 3_000;
+  private static final int VMS = 24;
+  private static final int ENGINES = 42;
+  private static final double PER_SECOND = 270;
+
+  @ParameterizedTest
+  @ValueSource(longs = {3, 11})
+  void goodVersionIsCompletedThoughTheLoadDoublesWhileAllTurnToIt(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    RolloutRun run = new RolloutRun(random.split(), BadVersion.GOOD, VMS, ENGINES, DURATION_MS);
+    run.play(BEFORE_MS, PER_SECOND);
+    run.order();
+    new RolloutFaults(run, random).play(DURATION_MS, PER_SECOND);
+    run.play(AFTERWARDS_MS, PER_SECOND);
+    assertThat(run.rollout().phase()).isEqualTo(RolloutPhase.COMPLETED);
+  }
+}
--- a/core/src/test/java/org/teaseltrail/core/control/RolloutTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/RolloutTest.java
@@ -85,6 +85,18 @@
     assertThat(run.rollout().phase()).isEqualTo(RolloutPhase.COMPLETED);
   }
 
+  /** A leader that begins right before the completion has not heard how warm any engine is. */
+  @Test
+  void goodVersionIsCompletedThoughTheLeaderIsLostWhileAllTurnToIt() {
+    RolloutRun run = small(BadVersion.GOOD);
+    run.order();
+    run.play(9_850, FEW_PER_SECOND);
+    assertThat(run.rollout().phase()).isEqualTo(RolloutPhase.SHIFTING);
+    run.group().leader().kill();
+    run.play(5_000, FEW_PER_SECOND);
+    assertThat(run.rollout().phase()).isEqualTo(RolloutPhase.COMPLETED);
+  }
+
   /** After a roll-back all lose power, and the bad version's engines are still there. */
   @Test
   void rollBackOutlivesLossOfPower() {
