--- a/core/src/main/java/org/teaseltrail/core/control/RolloutWatch.java
+++ b/core/src/main/java/org/teaseltrail/core/control/RolloutWatch.java
@@ -71,9 +71,8 @@
     this.settings = settings;
     this.rollout = rollout;
     beganNs = nowNs;
-    judge = new VersionJudge(settings.test(), nowNs);
+    judge = new VersionJudge(nowNs);
     ledger = new ExposureLedger(settings.limit(), rollout.account());
-    logged(rollout);
   }
 
   Rollout rollout() {
@@ -92,9 +91,6 @@
   void logged(Rollout newer) {
     rollout = newer;
     ledger.logged(newer.account());
-    if (newer.phase() == RolloutPhase.SHIFTING) {
-      judge.allTurned();
-    }
   }
 
   /** Tells whether an account is to be written down, and nothing is being written yet. */
--- a/core/src/main/java/org/teaseltrail/core/rollout/FailureWatch.java
+++ b/core/src/main/java/org/teaseltrail/core/rollout/FailureWatch.java
@@ -19,8 +19,8 @@
   private final SymptomWatch watch;
   private final Set<End> ended = new HashSet<>();
 
-  FailureWatch(VersionTest test) {
-    watch = new SymptomWatch(Symptom.FAILURE, test);
+  FailureWatch() {
+    watch = new SymptomWatch(Symptom.FAILURE);
   }
 
   void take(Observation seen) {
@@ -37,11 +37,6 @@
     return watch.weigh();
   }
 
-  /** Notes that the versions before get no requests any longer. */
-  void allTurned() {
-    watch.allTurned();
-  }
-
   boolean isSuspicious() {
     return watch.isSuspicious();
   }
--- a/core/src/main/java/org/teaseltrail/core/rollout/SlownessWatch.java
+++ b/core/src/main/java/org/teaseltrail/core/rollout/SlownessWatch.java
@@ -61,9 +61,9 @@
   private final Map<UpstreamId, Integer> levelsOrdered = new HashMap<>();
   private final Map<UpstreamId, Integer> levelsBefore = new HashMap<>();
 
-  SlownessWatch(Symptom symptom, VersionTest test) {
+  SlownessWatch(Symptom symptom) {
     this.symptom = symptom;
-    watch = new SymptomWatch(symptom, test);
+    watch = new SymptomWatch(symptom);
   }
 
   void take(Observation seen) {
@@ -90,11 +90,6 @@
     return watch.weigh().or(this::weighLevels);
   }
 
-  /** Notes that the versions before get no requests any longer. */
-  void allTurned() {
-    watch.allTurned();
-  }
-
   boolean isSuspicious() {
     return watch.isSuspicious();
   }
--- a/core/src/main/java/org/teaseltrail/core/rollout/SymptomWatch.java
+++ b/core/src/main/java/org/teaseltrail/core/rollout/SymptomWatch.java
@@ -25,12 +25,6 @@
   /** How many times the versions before's share of bad answers is tolerated. */
   private static final double TOLERATED_TIMES = 1.5;
 
-  /**
-   * How many times as much is tolerated while the versions before get no requests to compare with.
-   * Guards against a burst in that time, which slows a good version down.
-   */
-  private static final double TIMES_WITHOUT_COMPARISON = 2;
-
   /** Tolerated share beyond which nothing could be told any longer. */
   private static final double MOST_TOLERATED = 0.6;
 
@@ -50,24 +44,16 @@
   }
 
   private final Symptom symptom;
-  private final VersionTest test;
   private final Deque<Slice> slices = new ArrayDeque<>();
   private final Map<RouteId, Trials> lastBefore = new HashMap<>();
-  private final Map<Optional<RouteId>, VersionTest.Detector> detectors = new HashMap<>();
+  private final Map<Optional<RouteId>, EvidenceMeter> meters = new HashMap<>();
   private final Set<UpstreamId> seenAt = new HashSet<>();
   private final Set<UpstreamId> badAt = new HashSet<>();
   private Slice newest = new Slice();
   private int alarmedSlices;
-  private boolean allTurned;
 
-  SymptomWatch(Symptom symptom, VersionTest test) {
+  SymptomWatch(Symptom symptom) {
     this.symptom = symptom;
-    this.test = test;
-  }
-
-  /** Notes that the versions before get no requests any longer. */
-  void allTurned() {
-    allTurned = true;
   }
 
   /** Takes answers in that tell whether they show the symptom. */
@@ -105,15 +91,14 @@
 
   /** Tells whether so much speaks against the version that it shouldn't get all requests yet. */
   boolean isSuspicious() {
-    return detectors.values().stream().anyMatch(VersionTest.Detector::isSuspicious);
+    return meters.values().stream().anyMatch(EvidenceMeter::isSuspicious);
   }
 
   private Optional<Verdict> weighed(Optional<RouteId> route, Trials ordered, Trials before) {
-    VersionTest.Detector detector = detectors.computeIfAbsent(route, key -> test.detector());
-    double times = allTurned ? TIMES_WITHOUT_COMPARISON : 1;
-    double tolerated = times * (TOLERATED_TIMES * before.share() + symptom.toleratedShare());
-    detector.take(ordered, Math.min(MOST_TOLERATED, tolerated));
-    return detector.isAlarmed()
+    EvidenceMeter meter = meters.computeIfAbsent(route, key -> new EvidenceMeter());
+    double tolerated = TOLERATED_TIMES * before.share() + symptom.toleratedShare();
+    meter.take(ordered, Math.min(MOST_TOLERATED, tolerated));
+    return meter.isAlarmed()
         ? Optional.of(new Verdict(symptom.reason(), route, ordered, before))
         : Optional.empty();
   }
--- a/core/src/main/java/org/teaseltrail/core/rollout/VersionJudge.java
+++ b/core/src/main/java/org/teaseltrail/core/rollout/VersionJudge.java
@@ -28,13 +28,12 @@
   /**
    * Begins without evidence.
    *
-   * @param test how a bad version is told
    * @param nowNs time
    */
-  public VersionJudge(VersionTest test, long nowNs) {
-    failures = new FailureWatch(test);
-    starts = new SlownessWatch(Symptom.LATE_START, test);
-    streams = new SlownessWatch(Symptom.SLOW_STREAM, test);
+  public VersionJudge(long nowNs) {
+    failures = new FailureWatch();
+    starts = new SlownessWatch(Symptom.LATE_START);
+    streams = new SlownessWatch(Symptom.SLOW_STREAM);
     sliceEndNs = nowNs + SLICE_NS;
   }
 
@@ -74,13 +73,6 @@
     verdict = failing.or(() -> startingLate).or(() -> running);
   }
 
-  /** Notes that the versions before get no requests any longer, so that nothing new compares. */
-  public void allTurned() {
-    failures.allTurned();
-    starts.allTurned();
-    streams.allTurned();
-  }
-
   /**
    * Returns how many answers of the ordered version were looked at.
    *
--- a/core/src/test/java/org/teaseltrail/core/control/RolloutRun.java
+++ b/core/src/test/java/org/teaseltrail/core/control/RolloutRun.java
@@ -73,17 +73,6 @@
 
   RolloutRun(
       SplittableRandom random, BadVersion bad, int vmCount, int engineCount, int durationMs) {
-    this(random, bad, vmCount, engineCount, durationMs, ControlSettings.DEFAULT);
-  }
-
-  RolloutRun(
-      SplittableRandom random,
-      BadVersion bad,
-      int vmCount,
-      int engineCount,
-      int durationMs,
-      ControlSettings settings) {
-    group.use(settings);
     this.random = random;
     this.bad = bad;
     this.durationMs = durationMs;
--- a/core/src/test/java/org/teaseltrail/core/control/RolloutStudyTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/RolloutStudyTest.java
@@ -10,13 +10,10 @@
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.teaseltrail.core.rollout.CanaryLimit;
 import org.teaseltrail.core.rollout.Rollout;
 import org.teaseltrail.core.rollout.RolloutPhase;
-import org.teaseltrail.core.rollout.RolloutSettings;
-import org.teaseltrail.core.rollout.VersionTest;
 
-/** Prints how rollouts of good and bad versions go over many seeds, for both ways of telling. */
+/** Prints how rollouts of good and bad versions go over many seeds. */
 @Tag("long-run")
 class RolloutStudyTest {
 
@@ -28,8 +25,6 @@
   private static final String ONLY = System.getProperty("rolloutBad", "");
   private static final int AFTERWARDS_MS = 3_000;
   private static final int BEFORE_MS = 2_000;
-  private static final VersionTest TEST =
-      VersionTest.valueOf(System.getProperty("rolloutTest", VersionTest.MARTINGALE.name()));
   private static final boolean FAULTS = Boolean.getBoolean("rolloutFaults");
 
   private final Map<RolloutPhase, Integer> ends = new EnumMap<>(RolloutPhase.class);
@@ -49,10 +44,9 @@
     Collections.sort(sentAfterMs);
     Collections.sort(lastSentMs);
     System.out.printf(
-        "%s %s %s faults %s: %s, judged wrongly %d, over the limit %d,"
+        "%s %s faults %s: %s, judged wrongly %d, over the limit %d,"
             + " last sent after the 50th bad answer p50 %d p99 %d max %d ms,"
             + " after the order p50 %d max %d ms, served %.4f%n",
-        TEST,
         bad,
         SEEDS,
         FAULTS,
@@ -69,7 +63,7 @@
 
   private void play(BadVersion bad, int seed) {
     SplittableRandom random = new SplittableRandom(seed);
-    RolloutRun run = new RolloutRun(random.split(), bad, VMS, ENGINES, DURATION_MS, settings());
+    RolloutRun run = new RolloutRun(random.split(), bad, VMS, ENGINES, DURATION_MS);
     run.play(BEFORE_MS, RATE);
     run.order();
     if (FAULTS) {
@@ -104,19 +98,6 @@
     servedShare += run.servedShare();
   }
 
-  private static ControlSettings settings() {
-    ControlSettings standard = ControlSettings.DEFAULT;
-    return new ControlSettings(
-        standard.sessions(),
-        standard.claims(),
-        standard.claimExpiryEveryMs(),
-        standard.placement(),
-        standard.seed(),
-        standard.quotas(),
-        new RolloutSettings(CanaryLimit.DEFAULT, TEST),
-        standard.repair());
-  }
-
   private static long at(List<Long> sorted, double part) {
     return sorted.get((int) Math.min(sorted.size() - 1, part * sorted.size()));
   }
--- a/core/src/test/java/org/teaseltrail/core/rollout/VersionJudgeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/rollout/VersionJudgeTest.java
@@ -21,7 +21,7 @@
   private static final int PAUSE_BUCKET = 10;
   private static final int FOUR_TIMES_BUCKETS = 6;
 
-  private final VersionJudge judge = new VersionJudge(VersionTest.MARTINGALE, 0);
+  private final VersionJudge judge = new VersionJudge(0);
   private final SplittableRandom random = new SplittableRandom(5);
   private final List<Observation> seen = new ArrayList<>();
   private long told;
