Read the limit that an upstream names, and log it

The head of an answer is decoded into a typed limit and an entry VM logs each change of it (limit_told); no decision takes it in yet. The logs could not tell a limit that nobody reads from one that is known and lost again.

--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/backpressure/package-info.java
@@ -0,0 +1,2 @@
+/** Remembers how much work upstreams ask for, as they tell in their answers. */
+package org.teaseltrail.core.backpressure;
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -7,6 +7,8 @@
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import java.util.stream.LongStream;
+import org.teaseltrail.core.backpressure.LimitBook;
+import org.teaseltrail.core.backpressure.RateLimit;
 import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
@@ -15,6 +17,7 @@
 import org.teaseltrail.core.plan.PlanService;
 import org.teaseltrail.core.plan.ServingPlan;
 import org.teaseltrail.core.quota.QuotaUse;
+import org.teaseltrail.core.registry.UpstreamLife;
 import org.teaseltrail.core.serving.ServingReply;
 
 /**
@@ -31,6 +34,7 @@
   private final ControlTies ties;
   private final UpstreamBook upstreams = new UpstreamBook();
   private final SlotTies slots = new SlotTies();
+  private final LimitBook limits = new LimitBook();
   private final Quarantine quarantine;
   private final VersionGate gate;
   private final QuotaDesk quotas;
@@ -148,6 +152,18 @@
     upstreams.loadTold(upstream, requests, nowNs);
   }
 
+  /**
+   * Takes what an answer says of its upstream's limit.
+   *
+   * @param upstream the upstream's life
+   * @param limit the limit, {@link RateLimit#UNLIMITED} if it names none
+   * @param nowNs time
+   * @return whether it is another one than this VM knew
+   */
+  public boolean limitTold(UpstreamLife upstream, RateLimit limit, long nowNs) {
+    return limits.note(upstream, limit, nowNs, nowNs);
+  }
+
   /**
    * Takes what an upstream needed for a part of an answer: a stream's event, or the whole answer of
    * a plain service.
--- a/forward/src/main/java/org/teaseltrail/forward/AnswerHead.java
+++ b/forward/src/main/java/org/teaseltrail/forward/AnswerHead.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.forward;
 
 import java.util.Optional;
+import org.teaseltrail.core.backpressure.RateLimit;
 
 /**
  * Is what the head of an upstream's answer says.
@@ -10,13 +11,16 @@
  * @param notRun whether it says that the request did not run
  * @param eventStream whether events follow
  * @param load the upstream's load, if it is told
+ * @param limit what the upstream takes from all VMs, {@link RateLimit#UNLIMITED} if it names no
+ *     limit; empty if it names one that can't be read
  */
 public record AnswerHead(
     Optional<String> requestId,
     boolean signed,
     boolean notRun,
     boolean eventStream,
-    Optional<ToldLoad> load) {
+    Optional<ToldLoad> load,
+    Optional<RateLimit> limit) {
 
   /**
    * Is the load that an upstream tells.
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -230,6 +230,9 @@
       boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
       relays = success && read.signed() && read.eventStream();
       read.load().ifPresent(load -> server.told(dispatch.upstream().id(), load));
+      if (status != MISDIRECTED_REQUEST) {
+        read.limit().ifPresent(limit -> server.limitTold(dispatch.upstream(), limit));
+      }
       if (!headSent) {
         answerHead = response;
       }
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -17,6 +17,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.teaseltrail.core.backpressure.RateLimit;
 import org.teaseltrail.core.forward.AttemptEnd;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardNode;
@@ -25,6 +26,7 @@
 import org.teaseltrail.core.plan.ClientLimits;
 import org.teaseltrail.core.plan.ServingPlan;
 import org.teaseltrail.core.quarantine.RequestContent;
+import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.runtime.clock.SuspendAwareClock;
 import org.teaseltrail.runtime.log.EventLog;
@@ -272,6 +274,18 @@
     node.loadTold(upstream, load.running() + load.waiting(), clock.nowNs());
   }
 
+  /** Takes what an answer says of its upstream's limit. */
+  void limitTold(Registration upstream, RateLimit limit) {
+    boolean changed = node.limitTold(upstream.life(), limit, clock.nowNs());
+    if (changed) {
+      log.line(LogEvent.LIMIT_TOLD)
+          .with(LogField.UPSTREAM, upstream.id().value())
+          .with(LogField.LIMITED, limit.isLimited())
+          .with(LogField.LIMIT_PER_S, limit.isLimited() ? limit.perSecond() : 0)
+          .write();
+    }
+  }
+
   void pace(UpstreamId upstream, double elapsedMs) {
     node.pace(upstream, elapsedMs, clock.nowNs());
   }
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/EventLog.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/EventLog.java
@@ -168,6 +168,18 @@
       return this;
     }
 
+    /**
+     * Adds a number with decimals.
+     *
+     * @param field what is told
+     * @param value its value, finite
+     * @return this line
+     */
+    public Line with(LogField field, double value) {
+      name(field).append(value);
+      return this;
+    }
+
     /**
      * Adds a truth value.
      *
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -43,6 +43,8 @@
   REQUEST_HELD(LogField.FINGERPRINT, LogField.CUSTOMER, LogField.LOSSES),
   /** The leader lets a held request go to upstreams again. */
   REQUEST_RELEASED(LogField.FINGERPRINT, LogField.CUSTOMER),
+  /** An upstream names a limit in an answer, another one than before, or none any longer. */
+  LIMIT_TOLD(LogField.UPSTREAM, LogField.LIMITED, LogField.LIMIT_PER_S),
   /** A caller closed its connection before the answer's end. */
   CALLER_LEFT(Shared.OF_REQUEST, LogField.BEGUN),
   /** A control member has read an operator's plan. */
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -60,6 +60,11 @@
   FINGERPRINT("names the request's content and customer, whatever its id"),
   /** What speaks against a request. */
   LOSSES("upstreams that were lost under the request, 0 if another leader held it"),
+  /** Whether an upstream names a limit. */
+  LIMITED("whether the upstream names a limit"),
+  /** What an upstream takes. */
+  LIMIT_PER_S(
+      "requests a second that the upstream takes from all VMs together, if it names a limit"),
   /** The status that the caller or this VM got. */
   STATUS("the HTTP status, 0 for none"),
   /** Why something was refused. */
