--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/control/AskingEngine.java
@@ -0,0 +1,108 @@
+package org.teaseltrail.core.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.teaseltrail.core.backpressure.RateLimit;
+import org.teaseltrail.core.plan.Plans;
+import org.teaseltrail.core.registry.Registration;
+
+/**
+ * Is an engine that may ask in its answers for less work, and that counts what it gets all the same
+ * from VMs which know.
+ */
+final class AskingEngine {
+
+  private static final long NS_PER_MS = 1_000_000L;
+
+  /** Time after its first naming from which on a limit binds. */
+  private static final long CONTACT_NS = 3_000 * NS_PER_MS;
+
+  /** Time after a VM was told from which on its requests count. */
+  private static final long KNOWN_AFTER_NS = 500 * NS_PER_MS;
+
+  /** Any span of this length counts. */
+  private static final long WINDOW_NS = 4_000 * NS_PER_MS;
+
+  private static final double WINDOW_S = 4;
+  private static final double LIMIT_TIMES = 1.5;
+  private static final int LIMIT_SLACK = 5;
+
+  private final BatchEngine places;
+  private final Map<Integer, Long> toldNs = new HashMap<>();
+  private final List<Long> arrivalsNs = new ArrayList<>();
+  private final List<Long> countedNs = new ArrayList<>();
+  private RateLimit limit = RateLimit.UNLIMITED;
+  private long namedNs = Long.MAX_VALUE;
+
+  AskingEngine(int site) {
+    places = new BatchEngine(site, 1, Plans.ENGINES);
+  }
+
+  BatchEngine places() {
+    return places;
+  }
+
+  Registration registration() {
+    return places.registration();
+  }
+
+  RateLimit limit() {
+    return limit;
+  }
+
+  /** Names a limit in all answers from now on, or none any longer. */
+  void name(RateLimit named) {
+    limit = named;
+    namedNs = Long.MAX_VALUE;
+    toldNs.clear();
+    countedNs.clear();
+  }
+
+  /** Notes that a VM has got an answer. */
+  void told(int vm, long nowNs) {
+    if (limit.isLimited()) {
+      namedNs = Math.min(namedNs, nowNs);
+      toldNs.putIfAbsent(vm, nowNs);
+    }
+  }
+
+  /** Takes a VM as one that knows nothing. */
+  void excuse(int vm) {
+    toldNs.remove(vm);
+  }
+
+  void arrived(int vm, long nowNs) {
+    arrivalsNs.add(nowNs);
+    boolean binds = namedNs != Long.MAX_VALUE && nowNs - namedNs >= CONTACT_NS;
+    boolean knows = toldNs.containsKey(vm) && nowNs - toldNs.get(vm) >= KNOWN_AFTER_NS;
+    if (binds && knows) {
+      countedNs.add(nowNs);
+    }
+  }
+
+  /** Returns the most requests that it got in any span from VMs that knew of its limit. */
+  int mostInWindow() {
+    int most = 0;
+    int from = 0;
+    for (int to = 0; to < countedNs.size(); to++) {
+      while (countedNs.get(to) - countedNs.get(from) > WINDOW_NS) {
+        from++;
+      }
+      most = Math.max(most, to - from + 1);
+    }
+    return most;
+  }
+
+  /** Returns how many that may be. */
+  double allowedInWindow() {
+    return LIMIT_TIMES * limit.perSecond() * WINDOW_S + LIMIT_SLACK;
+  }
+
+  /** Returns what it got in the time before now, a second. */
+  double perSecond(long lengthMs, long nowNs) {
+    long count = arrivalsNs.stream().filter(atNs -> nowNs - atNs <= lengthMs * NS_PER_MS).count();
+    return count * 1_000.0 / lengthMs;
+  }
+}
