Read the rest that an upstream asks for, and that it is about to leave, and log both

The head of an answer is decoded into typed fields; an entry VM logs rest_told and leaving_told. No decision takes them in yet. The logs could not tell a rest that nobody reads from one that is known and has a way round it.

--- a/core/src/main/java/org/teaseltrail/core/forward/Backpressure.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/Backpressure.java
@@ -9,8 +9,15 @@
  */
 final class Backpressure {
 
+  private static final long NS_PER_MS = 1_000_000L;
+
+  /** Longest rest that is believed; then a request asks again. */
+  private static final long MOST_REST_MS = 600_000;
+
   private final Deque<Long> permitsUntilNs = new ArrayDeque<>();
   private boolean limited;
+  private long restUntilNs = Long.MIN_VALUE;
+  private boolean leaving;
 
   /** Takes whether the upstream names a limit. */
   void limited(boolean isLimited) {
@@ -37,6 +44,21 @@
     return permitsUntilNs.size();
   }
 
+  /** Takes that it wants nothing from this VM for a while; returns whether it wasn't so already. */
+  boolean rest(long restMs, long nowNs) {
+    boolean news = nowNs >= restUntilNs;
+    long believedMs = Math.min(MOST_REST_MS, restMs);
+    restUntilNs = Math.max(restUntilNs, nowNs + believedMs * NS_PER_MS);
+    return news;
+  }
+
+  /** Takes that it is about to leave; returns whether that is news. */
+  boolean leave() {
+    boolean news = !leaving;
+    leaving = true;
+    return news;
+  }
+
   /** Tells whether a request may be sent now, whichever way has led it here. */
   boolean allows(long nowNs) {
     return !limited || permits(nowNs) > 0;
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -164,6 +164,28 @@
     return limits.saw(upstream, limit, nowNs);
   }
 
+  /**
+   * Takes that an upstream turned a request away and wants none from this VM for a while.
+   *
+   * @param upstream the upstream's life
+   * @param restMs for how long, in milliseconds
+   * @param nowNs time
+   * @return whether it was not resting already
+   */
+  public boolean restTold(UpstreamLife upstream, long restMs, long nowNs) {
+    return upstreams.backpressure(upstream).rest(restMs, nowNs);
+  }
+
+  /**
+   * Takes that an upstream says that it is about to leave.
+   *
+   * @param upstream the upstream's life
+   * @return whether that is news
+   */
+  public boolean leavingTold(UpstreamLife upstream) {
+    return upstreams.backpressure(upstream).leave();
+  }
+
   /**
    * Takes what an upstream needed for a part of an answer: a stream's event, or the whole answer of
    * a plain service.
--- a/forward/src/main/java/org/teaseltrail/forward/AnswerHead.java
+++ b/forward/src/main/java/org/teaseltrail/forward/AnswerHead.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.forward;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.teaseltrail.core.backpressure.RateLimit;
 
 /**
@@ -13,6 +14,9 @@
  * @param load the upstream's load, if it is told
  * @param limit what the upstream takes from all VMs, {@link RateLimit#UNLIMITED} if it names no
  *     limit; empty if it names one that can't be read
+ * @param restMs for how long the upstream that turns this request away wants none from this VM, in
+ *     milliseconds, if it says so
+ * @param leaving whether the upstream says that it is about to leave
  */
 public record AnswerHead(
     Optional<String> requestId,
@@ -20,7 +24,9 @@
     boolean notRun,
     boolean eventStream,
     Optional<ToldLoad> load,
-    Optional<RateLimit> limit) {
+    Optional<RateLimit> limit,
+    OptionalLong restMs,
+    boolean leaving) {
 
   /**
    * Is the load that an upstream tells.
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -231,13 +231,22 @@
       relays = success && read.signed() && read.eventStream();
       read.load().ifPresent(load -> server.told(dispatch.upstream().id(), load));
       if (status != MISDIRECTED_REQUEST) {
-        read.limit().ifPresent(limit -> server.limitTold(dispatch.upstream(), limit));
+        tellWishes(read);
       }
       if (!headSent) {
         answerHead = response;
       }
     }
 
+    /** Tells what the upstream says of itself; an answer of another one says nothing of it. */
+    private void tellWishes(AnswerHead read) {
+      read.limit().ifPresent(limit -> server.limitTold(dispatch.upstream(), limit));
+      read.restMs().ifPresent(restMs -> server.restTold(dispatch.upstream(), restMs));
+      if (read.leaving()) {
+        server.leavingTold(dispatch.upstream());
+      }
+    }
+
     @Override
     public void body(ByteBuf part) {
       if (!relays) {
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -286,6 +286,25 @@
     }
   }
 
+  /** Takes that an upstream turned a request away and wants none from this VM for a while. */
+  void restTold(Registration upstream, long restMs) {
+    boolean news = node.restTold(upstream.life(), restMs, clock.nowNs());
+    if (news) {
+      log.line(LogEvent.REST_TOLD)
+          .with(LogField.UPSTREAM, upstream.id().value())
+          .with(LogField.REST_MS, restMs)
+          .write();
+    }
+  }
+
+  /** Takes that an upstream says in an answer that it is about to leave. */
+  void leavingTold(Registration upstream) {
+    boolean news = node.leavingTold(upstream.life());
+    if (news) {
+      log.line(LogEvent.LEAVING_TOLD).with(LogField.UPSTREAM, upstream.id().value()).write();
+    }
+  }
+
   void pace(UpstreamId upstream, double elapsedMs) {
     node.pace(upstream, elapsedMs, clock.nowNs());
   }
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -45,6 +45,10 @@
   REQUEST_RELEASED(LogField.FINGERPRINT, LogField.CUSTOMER),
   /** An upstream names a limit in an answer, another one than before, or none any longer. */
   LIMIT_TOLD(LogField.UPSTREAM, LogField.LIMITED, LogField.LIMIT_PER_S),
+  /** An upstream turned a request away and wants none from this VM for a while. */
+  REST_TOLD(LogField.UPSTREAM, LogField.REST_MS),
+  /** An upstream says in an answer that it is about to leave. */
+  LEAVING_TOLD(LogField.UPSTREAM),
   /** A caller closed its connection before the answer's end. */
   CALLER_LEFT(Shared.OF_REQUEST, LogField.BEGUN),
   /** A control member has read an operator's plan. */
