--- a/core/src/main/java/org/teaseltrail/core/control/LimitDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/LimitDesk.java
@@ -6,11 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.teaseltrail.core.backpressure.LimitBook;
 import org.teaseltrail.core.backpressure.LimitSighting;
 import org.teaseltrail.core.backpressure.PermitBucket;
 import org.teaseltrail.core.backpressure.SendPermit;
-import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.registry.Registration;
@@ -40,54 +41,77 @@
 
   private record Want(PermitsWanted wanted, long untilNs) {}
 
+  /** Is which state of the limits a life of a VM was told. */
+  private record Told(Incarnation incarnation, long revision) {}
+
+  private final Leadership leadership;
+
   private final LimitBook book = new LimitBook();
   private final Map<UpstreamLife, PermitBucket> buckets = new HashMap<>();
   private final Map<VmId, Map<ServiceId, Want>> wants = new HashMap<>();
+  private final Map<VmId, Told> told = new HashMap<>();
   private long revision;
 
-  /** Grows whenever another set of upstreams has limits, from 0. */
-  long revision() {
-    return revision;
+  LimitDesk(Leadership leadership) {
+    this.leadership = leadership;
   }
 
   boolean isLimited(Registration upstream) {
     return book.limit(upstream.life()).isLimited();
   }
 
+  /** Tells a VM which upstreams have limits, unless this life of it was told. */
+  void synced(ServingMessage.Sync sync) {
+    Told before = told.get(sync.vm());
+    boolean sameLife = before != null && before.incarnation().equals(sync.incarnation());
+    told.put(sync.vm(), new Told(sync.incarnation(), sameLife ? before.revision() : 0));
+    tell(sync.vm());
+  }
+
   /**
-   * Takes what a VM heard of upstreams.
+   * Takes what a VM heard, tells all VMs if another set of upstreams has limits now, and gives out
+   * permits.
    *
-   * @return whether another set of upstreams has limits now
+   * @param message what the VM heard and wants
+   * @param upstreams all upstreams that may get requests
    */
-  boolean heard(List<LimitSighting> sightings, long nowNs) {
+  void message(ServingMessage.Limits message, Collection<Registration> upstreams) {
+    heard(message.sightings());
+    told.keySet().forEach(this::tell);
+    List<SendPermit> permits = permits(message, upstreams);
+    if (!permits.isEmpty()) {
+      leadership.sendServing(
+          message.vm(),
+          new ServingReply.SendPermits(
+              leadership.fencing(), message.sequence(), PERMIT_FOR_MS, permits));
+    }
+  }
+
+  private void tell(VmId vm) {
+    Told before = told.get(vm);
+    if (before.revision() != revision) {
+      told.put(vm, new Told(before.incarnation(), revision));
+      leadership.sendServing(
+          vm,
+          new ServingReply.LimitUpdate(
+              leadership.fencing(), book.sightings(upstream -> true, leadership.nowNs())));
+    }
+  }
+
+  private void heard(List<LimitSighting> sightings) {
     boolean changed = false;
     for (LimitSighting sighting : sightings) {
       UpstreamLife upstream = sighting.upstream();
       final boolean wasLimited = book.limit(upstream).isLimited();
-      book.note(upstream, sighting.limit(), nowNs - sighting.agoMs() * NS_PER_MS);
+      book.note(upstream, sighting.limit(), leadership.nowNs() - sighting.agoMs() * NS_PER_MS);
       changed |= wasLimited != book.limit(upstream).isLimited();
     }
     revision += changed ? 1 : 0;
-    return changed;
-  }
-
-  /** Returns what VMs are told. */
-  ServingReply.LimitUpdate update(FencingNumber leadership, long nowNs) {
-    return new ServingReply.LimitUpdate(leadership, book.sightings(upstream -> true, nowNs));
   }
 
-  /**
-   * Gives permits out to a VM that asks.
-   *
-   * @param asking what it wants
-   * @param upstreams all upstreams that may get requests
-   * @param nowNs time
-   */
-  ServingReply.SendPermits permits(
-      FencingNumber leadership,
-      ServingMessage.Limits asking,
-      Collection<Registration> upstreams,
-      long nowNs) {
+  private List<SendPermit> permits(
+      ServingMessage.Limits asking, Collection<Registration> upstreams) {
+    long nowNs = leadership.nowNs();
     Map<ServiceId, Want> latest = new HashMap<>();
     wants.put(asking.vm(), latest);
     List<SendPermit> given = new ArrayList<>();
@@ -100,17 +124,19 @@
         }
       }
     }
-    return new ServingReply.SendPermits(leadership, asking.sequence(), PERMIT_FOR_MS, given);
+    return given;
   }
 
   /** Forgets a VM that has fallen silent. */
   void forget(VmId vm) {
     wants.remove(vm);
+    told.remove(vm);
   }
 
   /** Forgets limits of upstreams that are gone. */
-  void retain(Set<UpstreamLife> present, long nowNs) {
-    book.forget(present, nowNs);
+  void retain(Collection<Registration> present) {
+    Set<UpstreamLife> lives = present.stream().map(Registration::life).collect(Collectors.toSet());
+    book.forget(lives, leadership.nowNs());
     buckets.keySet().removeIf(upstream -> !book.limit(upstream).isLimited());
   }
 
--- a/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingDesk.java
@@ -66,7 +66,6 @@
   private static final class Vm {
     private ServingMessage.Sync sync;
     private long heardNs;
-    private long limitsTold;
     private final Push plan = new Push();
     private final Push registry = new Push();
     private final Push quarantine = new Push();
@@ -100,7 +99,7 @@
   private final PlaceShares shares = new PlaceShares();
   private final QuarantineDesk quarantine;
   private final RolloutDesk rollouts;
-  private final LimitDesk limits = new LimitDesk();
+  private final LimitDesk limits;
   private final RandomGenerator random;
   private final long placesSettledNs;
   private Set<ServiceId> toldContended = Set.of();
@@ -112,6 +111,7 @@
     quotas = new QuotaLedger(quotaBounds.windowMs(), VM_SILENT_NS, leadership.nowNs());
     quarantine = new QuarantineDesk(leadership);
     rollouts = new RolloutDesk(leadership, new VmsView());
+    limits = new LimitDesk(leadership);
     random = new SplittableRandom(leadership.context().settings().seed());
     placesSettledNs = leadership.nowNs() + PLACES_SETTLE_NS;
   }
@@ -128,28 +128,7 @@
     } else if (message instanceof ServingMessage.Rollouts told) {
       rollouts.message(told);
     } else if (message instanceof ServingMessage.Limits told) {
-      limits(told);
-    }
-  }
-
-  private void limits(ServingMessage.Limits told) {
-    limits.heard(told.sightings(), leadership.nowNs());
-    vms.forEach(this::pushLimits);
-    List<Registration> open =
-        state().registry().present().stream()
-            .filter(upstream -> useOf(upstream) != VersionUse.BARRED)
-            .toList();
-    ServingReply.SendPermits permits =
-        limits.permits(leadership.fencing(), told, open, leadership.nowNs());
-    if (!permits.permits().isEmpty()) {
-      leadership.sendServing(told.vm(), permits);
-    }
-  }
-
-  private void pushLimits(VmId id, Vm vm) {
-    if (vm.limitsTold != limits.revision()) {
-      vm.limitsTold = limits.revision();
-      leadership.sendServing(id, limits.update(leadership.fencing(), leadership.nowNs()));
+      limits.message(told, notBarred());
     }
   }
 
@@ -164,8 +143,6 @@
     Vm vm = vms.computeIfAbsent(sync.vm(), id -> new Vm());
     if (vm.sync != null) {
       countInFlight(vm.sync, -1);
-      boolean startedAnew = !vm.sync.incarnation().equals(sync.incarnation());
-      vm.limitsTold = startedAnew ? 0 : vm.limitsTold;
     }
     countInFlight(sync, 1);
     vm.sync = sync;
@@ -173,7 +150,7 @@
     slots.heard(sync.vm(), sync.inFlight(), leadership.nowNs());
     shares.heard(sync.vm(), wanted(sync));
     quotas.told(sync.vm(), sync.incarnation(), sync.quotas(), vm.heardNs);
-    pushLimits(sync.vm(), vm);
+    limits.synced(sync);
     pushWhatIsMissing(sync.vm(), vm);
     leadership.sendServing(sync.vm(), confirmation(sync));
     handOutPlaces();
@@ -238,6 +215,12 @@
     }
   }
 
+  private List<Registration> notBarred() {
+    return state().registry().present().stream()
+        .filter(upstream -> useOf(upstream) != VersionUse.BARRED)
+        .toList();
+  }
+
   private boolean isFree(Registration upstream) {
     return useOf(upstream) == VersionUse.FREE;
   }
@@ -294,9 +277,7 @@
               return silent;
             });
     dropSilentUpstreams(nowNs);
-    limits.retain(
-        state().registry().present().stream().map(Registration::life).collect(Collectors.toSet()),
-        nowNs);
+    limits.retain(state().registry().present());
     tellIf(quarantine.tick());
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -7,7 +7,6 @@
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import java.util.stream.LongStream;
-import org.teaseltrail.core.backpressure.RateLimit;
 import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
@@ -16,7 +15,6 @@
 import org.teaseltrail.core.plan.PlanService;
 import org.teaseltrail.core.plan.ServingPlan;
 import org.teaseltrail.core.quota.QuotaUse;
-import org.teaseltrail.core.registry.UpstreamLife;
 import org.teaseltrail.core.serving.ServingReply;
 
 /**
@@ -34,6 +32,7 @@
   private final UpstreamBook upstreams = new UpstreamBook();
   private final SlotTies slots = new SlotTies();
   private final LimitTies limits;
+  private final UpstreamWishes wishes;
   private final Quarantine quarantine;
   private final VersionGate gate;
   private final QuotaDesk quotas;
@@ -54,6 +53,7 @@
     ties = new ControlTies(settings);
     quarantine = new Quarantine(settings.vm(), ties::hearsLeader);
     limits = new LimitTies(settings.vm(), upstreams);
+    wishes = new UpstreamWishes(upstreams, limits);
     gate = new VersionGate(settings.vm(), settings.incarnation(), upstreams);
     requests =
         new RequestDesk(
@@ -153,48 +153,12 @@
   }
 
   /**
-   * Takes what an answer says of its upstream's limit.
+   * Returns what takes in how much work upstreams ask for.
    *
-   * @param upstream the upstream's life
-   * @param limit the limit, {@link RateLimit#UNLIMITED} if it names none
-   * @param nowNs time
-   * @return whether it is another one than this VM knew
-   */
-  public boolean limitTold(UpstreamLife upstream, RateLimit limit, long nowNs) {
-    return limits.saw(upstream, limit, nowNs);
-  }
-
-  /**
-   * Takes that an upstream turned a request away and wants none from this VM for a while.
-   *
-   * @param upstream the upstream's life
-   * @param restMs for how long, in milliseconds
-   * @param nowNs time
-   * @return whether it was not resting already
-   */
-  public boolean restTold(UpstreamLife upstream, long restMs, long nowNs) {
-    return upstreams.backpressure(upstream).rest(restMs, nowNs);
-  }
-
-  /**
-   * Tells whether a request that was dispatched may be sent now that there is a connection.
-   *
-   * @param upstream the upstream's life
-   * @param nowNs time
-   * @return false if the upstream has asked for rest meanwhile, or is about to leave
-   */
-  public boolean maySend(UpstreamLife upstream, long nowNs) {
-    return !upstreams.backpressure(upstream).takesNone(nowNs);
-  }
-
-  /**
-   * Takes that an upstream says that it is about to leave.
-   *
-   * @param upstream the upstream's life
-   * @return whether that is news
+   * @return the upstreams' wishes
    */
-  public boolean leavingTold(UpstreamLife upstream) {
-    return upstreams.backpressure(upstream).leave();
+  public UpstreamWishes wishes() {
+    return wishes;
   }
 
   /**
--- a/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
@@ -167,6 +167,7 @@
   /** Returns when the first of some upstreams takes requests at all: now, or after its rest. */
   static long takenFromNs(Collection<UpstreamView> views, long nowNs) {
     return views.stream()
+        .filter(view -> !view.backpressure().isLeaving())
         .mapToLong(view -> view.backpressure().restUntilNs())
         .map(untilNs -> Math.max(nowNs, untilNs))
         .min()
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -1,13 +1,11 @@
 package org.teaseltrail.core.forward;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.teaseltrail.core.id.ServiceId;
@@ -20,8 +18,6 @@
  */
 final class RequestDesk {
 
-  private static final long NS_PER_MS = 1_000_000L;
-
   /** Requests at an engine, in relation to its places, beyond which others wait here. */
   private static final double ENGINE_FILL = 1.0;
 
@@ -36,12 +32,12 @@
   private final Consumer<ForwardAction> out;
   private final Repeats repeats;
   private final Map<Long, TrackedForward> tracked = new HashMap<>();
-  private final TreeMap<Long, List<TrackedForward>> dueNs = new TreeMap<>();
+  private final DueRequests due = new DueRequests();
+  private final RestWatch rests;
   private final SlotTies slots;
   private final WaitingLines lines;
   private final PlaceCount places = new PlaceCount();
   private long changes;
-  private long restEndNs = Long.MAX_VALUE;
 
   RequestDesk(
       ForwardSettings settings,
@@ -59,6 +55,7 @@
     repeats = new Repeats(settings, placement, gate, quarantine);
     this.placement = placement;
     this.upstreams = upstreams;
+    rests = new RestWatch(gate);
     this.isEngine = isEngine;
     this.out = out;
   }
@@ -73,7 +70,7 @@
   }
 
   OptionalLong nextDueNs() {
-    long nextNs = dueNs.isEmpty() ? restEndNs : Math.min(dueNs.firstKey(), restEndNs);
+    long nextNs = Math.min(due.nextNs(), rests.nextEndNs());
     return nextNs == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(nextNs);
   }
 
@@ -162,7 +159,7 @@
       request.at().ifPresent(view -> view.backpressure().took(nowNs));
       request.begin();
       changes++;
-      schedule(request);
+      due.schedule(request);
       serveLine(request.service(), nowNs);
     }
   }
@@ -189,13 +186,8 @@
 
   /** Ends what is out of time. */
   void tick(long nowNs) {
-    while (!dueNs.isEmpty() && dueNs.firstKey() <= nowNs) {
-      dueNs.pollFirstEntry().getValue().forEach(request -> due(request, nowNs));
-    }
-    if (nowNs >= restEndNs) {
-      restEndNs = Long.MAX_VALUE;
-      changes++;
-    }
+    due.takeUntil(nowNs).forEach(request -> due(request, nowNs));
+    changes += rests.takeEnd(nowNs) ? 1 : 0;
     serveLines(nowNs);
   }
 
@@ -208,14 +200,14 @@
       lines.of(request.service()).served(nowNs);
       return;
     }
-    if (endsBeforeRest(request, nowNs)) {
+    if (rests.outlast(request, nowNs)) {
       forget(request);
-      endWithout(request, retryAfterMs(request, nowNs));
+      endWithout(request, rests.retryAfterMs(request, nowNs));
       return;
     }
     lines.add(request);
     changes++;
-    schedule(request);
+    due.schedule(request);
     serveLine(request.service(), nowNs);
   }
 
@@ -259,7 +251,7 @@
     places.taken(request);
     changes++;
     request.sentTo(view, nowNs);
-    schedule(request);
+    due.schedule(request);
     out.accept(
         new ForwardAction.Dispatch(
             request.number(),
@@ -283,7 +275,7 @@
     } else if (request.maybeRan()) {
       refuse(request, Refusal.BROKEN, 0);
     } else {
-      refuse(request, Refusal.NOT_RUN, retryAfterMs(request, nowNs));
+      refuse(request, Refusal.NOT_RUN, rests.retryAfterMs(request, nowNs));
     }
   }
 
@@ -293,8 +285,8 @@
     if (over) {
       return;
     }
-    if (nowNs < wakeNs(request)) {
-      schedule(request);
+    if (nowNs < request.wakeNs()) {
+      due.schedule(request);
       return;
     }
     if (!request.hasBegun()) {
@@ -328,17 +320,6 @@
     }
   }
 
-  private void schedule(TrackedForward request) {
-    dueNs.computeIfAbsent(wakeNs(request), key -> new ArrayList<>()).add(request);
-  }
-
-  private static long wakeNs(TrackedForward request) {
-    if (request.at().isPresent() || request.hasBegun()) {
-      return request.dueNs();
-    }
-    return request.waitsUntilNs();
-  }
-
   /** Places what waits, as far as there is room. */
   void serveLines(long nowNs) {
     lines.services().forEach(service -> serveLine(service, nowNs));
@@ -355,9 +336,7 @@
       }
       giveUpBeforeRestEnds(waiting, nowNs);
       shed(service, waiting, nowNs);
-      upstreams
-          .nextRestEndNs(service, nowNs)
-          .ifPresent(endNs -> restEndNs = Math.min(restEndNs, endNs));
+      rests.watch(service, nowNs);
     }
   }
 
@@ -366,27 +345,14 @@
    */
   private void giveUpBeforeRestEnds(WaitingLine waiting, long nowNs) {
     for (TrackedForward request : waiting.all()) {
-      if (endsBeforeRest(request, nowNs)) {
+      if (rests.outlast(request, nowNs)) {
         waiting.remove(request);
         forget(request);
-        endWithout(request, retryAfterMs(request, nowNs));
+        endWithout(request, rests.retryAfterMs(request, nowNs));
       }
     }
   }
 
-  private boolean endsBeforeRest(TrackedForward request, long nowNs) {
-    Collection<UpstreamView> views = gate.open(request.service());
-    long takenFromNs = PlacementRule.takenFromNs(request, views, nowNs);
-    return takenFromNs > Math.max(nowNs, request.waitsUntilNs());
-  }
-
-  /** Returns when a caller may come back that got no place: not before some upstream takes any. */
-  private long retryAfterMs(TrackedForward request, long nowNs) {
-    Collection<UpstreamView> views = gate.open(request.service());
-    long restMs = (PlacementRule.takenFromNs(views, nowNs) - nowNs) / NS_PER_MS;
-    return Math.max(LineBound.PLACE_RETRY_MS, restMs);
-  }
-
   /** Places what waits at upstreams with limits: the leader gives permits for them, not places. */
   private void servePermitted(ServiceId service, WaitingLine waiting, long nowNs) {
     List<UpstreamView> permitted = gate.permitted(service, nowNs);
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/RestWatch.java
@@ -0,0 +1,55 @@
+package org.teaseltrail.core.forward;
+
+import java.util.Collection;
+import org.teaseltrail.core.id.ServiceId;
+
+/** Knows which requests the rests that upstreams asked for leave no time, and when a rest ends. */
+final class RestWatch {
+
+  private static final long NS_PER_MS = 1_000_000L;
+
+  private final VersionGate gate;
+  private long nextEndNs = Long.MAX_VALUE;
+
+  RestWatch(VersionGate gate) {
+    this.gate = gate;
+  }
+
+  /**
+   * Tells whether a request would wait in vain: all upstreams that it may go to want nothing for
+   * longer than it can wait.
+   */
+  boolean outlast(TrackedForward request, long nowNs) {
+    Collection<UpstreamView> views = gate.open(request.service());
+    long takenFromNs = PlacementRule.takenFromNs(request, views, nowNs);
+    return takenFromNs > Math.max(nowNs, request.waitsUntilNs());
+  }
+
+  /** Returns when a caller may come back that got no place: not before some upstream takes any. */
+  long retryAfterMs(TrackedForward request, long nowNs) {
+    Collection<UpstreamView> views = gate.open(request.service());
+    long restMs = (PlacementRule.takenFromNs(views, nowNs) - nowNs) / NS_PER_MS;
+    return Math.max(LineBound.PLACE_RETRY_MS, restMs);
+  }
+
+  /** Sees to it that a service's line is looked at when the next rest of its upstreams ends. */
+  void watch(ServiceId service, long nowNs) {
+    gate.open(service).stream()
+        .map(UpstreamView::backpressure)
+        .filter(asked -> asked.isResting(nowNs))
+        .mapToLong(Backpressure::restUntilNs)
+        .forEach(endNs -> nextEndNs = Math.min(nextEndNs, endNs));
+  }
+
+  /** Returns when the next rest ends that is watched, {@link Long#MAX_VALUE} if there is none. */
+  long nextEndNs() {
+    return nextEndNs;
+  }
+
+  /** Takes the end of a rest out; returns whether one has ended. */
+  boolean takeEnd(long nowNs) {
+    boolean ended = nowNs >= nextEndNs;
+    nextEndNs = ended ? Long.MAX_VALUE : nextEndNs;
+    return ended;
+  }
+}
--- a/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/TrackedForward.java
@@ -150,6 +150,11 @@
     return arrivedNs + (long) ((patientUntilNs() - arrivedNs) * WAIT_PART);
   }
 
+  /** Returns when its time is over as things stand: that for a place, or that for the answer. */
+  long wakeNs() {
+    return at.isPresent() || begun ? dueNs() : waitsUntilNs();
+  }
+
   /** Returns how long it waits for a place at most, in seconds. */
   double longestWaitS() {
     return (waitsUntilNs() - arrivedNs) / NS_PER_S;
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
@@ -83,15 +82,6 @@
     return inOrder.stream().map(view -> view.registration().life()).collect(Collectors.toSet());
   }
 
-  /** Returns when the next rest of a service's upstreams ends, if any rests. */
-  OptionalLong nextRestEndNs(ServiceId service, long nowNs) {
-    return of(service).stream()
-        .map(UpstreamView::backpressure)
-        .filter(asked -> asked.isResting(nowNs))
-        .mapToLong(Backpressure::restUntilNs)
-        .min();
-  }
-
   /** Returns the registered upstreams that have named limits. */
   List<UpstreamView> limited() {
     return inOrder.stream().filter(view -> view.backpressure().isLimited()).toList();
--- /dev/null
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamWishes.java
@@ -0,0 +1,61 @@
+package org.teaseltrail.core.forward;
+
+import org.teaseltrail.core.backpressure.RateLimit;
+import org.teaseltrail.core.registry.UpstreamLife;
+
+/** Takes in how much work upstreams ask for in their answers. */
+public final class UpstreamWishes {
+
+  private final UpstreamBook upstreams;
+  private final LimitTies limits;
+
+  UpstreamWishes(UpstreamBook upstreams, LimitTies limits) {
+    this.upstreams = upstreams;
+    this.limits = limits;
+  }
+
+  /**
+   * Takes what an answer says of its upstream's limit.
+   *
+   * @param upstream the upstream's life
+   * @param limit the limit, {@link RateLimit#UNLIMITED} if it names none
+   * @param nowNs time
+   * @return whether it is another one than this VM knew
+   */
+  public boolean limit(UpstreamLife upstream, RateLimit limit, long nowNs) {
+    return limits.saw(upstream, limit, nowNs);
+  }
+
+  /**
+   * Takes that an upstream turned a request away and wants none from this VM for a while.
+   *
+   * @param upstream the upstream's life
+   * @param restMs for how long, in milliseconds
+   * @param nowNs time
+   * @return whether it was not resting already
+   */
+  public boolean rest(UpstreamLife upstream, long restMs, long nowNs) {
+    return upstreams.backpressure(upstream).rest(restMs, nowNs);
+  }
+
+  /**
+   * Takes that an upstream says that it is about to leave.
+   *
+   * @param upstream the upstream's life
+   * @return whether that is news
+   */
+  public boolean leaving(UpstreamLife upstream) {
+    return upstreams.backpressure(upstream).leave();
+  }
+
+  /**
+   * Tells whether a request that was dispatched may be sent now that there is a connection.
+   *
+   * @param upstream the upstream's life
+   * @param nowNs time
+   * @return false if the upstream has asked for rest meanwhile, or is about to leave
+   */
+  public boolean allowSending(UpstreamLife upstream, long nowNs) {
+    return !upstreams.backpressure(upstream).takesNone(nowNs);
+  }
+}
--- a/core/src/test/java/org/teaseltrail/core/control/AskingEngine.java
+++ b/core/src/test/java/org/teaseltrail/core/control/AskingEngine.java
@@ -39,6 +39,7 @@
   private final Map<Integer, List<Long>> arrivalsOfVmNs = new HashMap<>();
   private final Map<Integer, List<Rest>> rests = new HashMap<>();
   private RateLimit limit = RateLimit.UNLIMITED;
+  private double excessBefore;
   private int restMs;
   private boolean leaving;
   private final Map<Integer, Long> toldLeavingNs = new HashMap<>();
@@ -66,6 +67,7 @@
 
   /** Names a limit in all answers from now on, or none any longer. */
   void name(RateLimit named) {
+    excessBefore = excess();
     limit = named;
     namedNs = Long.MAX_VALUE;
     toldNs.clear();
@@ -158,6 +160,12 @@
     return most;
   }
 
+  /** Returns by how many it got more than may be, over all limits that it has named; 0 or less. */
+  double excess() {
+    double now = limit.isLimited() ? mostInWindow() - allowedInWindow() : 0;
+    return Math.max(excessBefore, now);
+  }
+
   /** Returns how many that may be. */
   double allowedInWindow() {
     return LIMIT_TIMES * limit.perSecond() * WINDOW_S + LIMIT_SLACK;
--- a/core/src/test/java/org/teaseltrail/core/control/BackpressureRun.java
+++ b/core/src/test/java/org/teaseltrail/core/control/BackpressureRun.java
@@ -210,7 +210,9 @@
     if (isUnderWay(attempt)) {
       AskingEngine engine = attempt.engine();
       engine.turnedAway(attempt.vm(), group.nowNs());
-      vms.node(attempt.vm()).restTold(engine.registration().life(), engine.restMs(), group.nowNs());
+      vms.node(attempt.vm())
+          .wishes()
+          .rest(engine.registration().life(), engine.restMs(), group.nowNs());
       end(attempt, AttemptEnd.REFUSED);
     }
   }
@@ -219,9 +221,9 @@
   private void tell(Attempt attempt) {
     AskingEngine engine = attempt.engine();
     ForwardNode node = vms.node(attempt.vm());
-    node.limitTold(engine.registration().life(), engine.limit(), group.nowNs());
+    node.wishes().limit(engine.registration().life(), engine.limit(), group.nowNs());
     if (engine.isLeaving()) {
-      node.leavingTold(engine.registration().life());
+      node.wishes().leaving(engine.registration().life());
     }
     engine.told(attempt.vm(), group.nowNs());
   }
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -196,7 +196,7 @@
         server.pool().idle(made);
         return;
       }
-      if (!server.maySend(dispatch.upstream())) {
+      if (!server.wishes().allowSending(dispatch.upstream().life())) {
         server.pool().idle(made);
         end(AttemptEnd.WITHHELD);
         return;
@@ -236,22 +236,13 @@
       relays = success && read.signed() && read.eventStream();
       read.load().ifPresent(load -> server.told(dispatch.upstream().id(), load));
       if (status != MISDIRECTED_REQUEST) {
-        tellWishes(read);
+        server.wishes().heard(dispatch.upstream(), read);
       }
       if (!headSent) {
         answerHead = response;
       }
     }
 
-    /** Tells what the upstream says of itself; an answer of another one says nothing of it. */
-    private void tellWishes(AnswerHead read) {
-      read.limit().ifPresent(limit -> server.limitTold(dispatch.upstream(), limit));
-      read.restMs().ifPresent(restMs -> server.restTold(dispatch.upstream(), restMs));
-      if (read.leaving()) {
-        server.leavingTold(dispatch.upstream());
-      }
-    }
-
     @Override
     public void body(ByteBuf part) {
       if (!relays) {
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -17,7 +17,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.teaseltrail.core.backpressure.RateLimit;
 import org.teaseltrail.core.forward.AttemptEnd;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardNode;
@@ -26,7 +25,6 @@
 import org.teaseltrail.core.plan.ClientLimits;
 import org.teaseltrail.core.plan.ServingPlan;
 import org.teaseltrail.core.quarantine.RequestContent;
-import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.runtime.clock.SuspendAwareClock;
 import org.teaseltrail.runtime.log.EventLog;
@@ -75,6 +73,7 @@
   private final EventLoop loop = sharedLoop.loop();
   private final ForwardNode node;
   private final UpstreamPool pool;
+  private final WishListener wishes;
   private final EventHold eventHold;
   private final ControlLinks links;
   private final ForwardMetrics metrics;
@@ -100,6 +99,7 @@
     this.log = log;
     node = new ForwardNode(options.node());
     pool = new UpstreamPool(sharedLoop, dialect);
+    wishes = new WishListener(node.wishes(), clock, log);
     eventHold = new EventHold(loop, options.eventHoldMs());
     links =
         new ControlLinks(
@@ -182,6 +182,10 @@
     sharedLoop.end(Duration.ofMillis(DRAIN_POLL_MS));
   }
 
+  WishListener wishes() {
+    return wishes;
+  }
+
   UpstreamPool pool() {
     return pool;
   }
@@ -274,42 +278,6 @@
     node.loadTold(upstream, load.running() + load.waiting(), clock.nowNs());
   }
 
-  /** Takes what an answer says of its upstream's limit. */
-  void limitTold(Registration upstream, RateLimit limit) {
-    boolean changed = node.limitTold(upstream.life(), limit, clock.nowNs());
-    if (changed) {
-      log.line(LogEvent.LIMIT_TOLD)
-          .with(LogField.UPSTREAM, upstream.id().value())
-          .with(LogField.LIMITED, limit.isLimited())
-          .with(LogField.LIMIT_PER_S, limit.isLimited() ? limit.perSecond() : 0)
-          .write();
-    }
-  }
-
-  /** Takes that an upstream turned a request away and wants none from this VM for a while. */
-  void restTold(Registration upstream, long restMs) {
-    boolean news = node.restTold(upstream.life(), restMs, clock.nowNs());
-    if (news) {
-      log.line(LogEvent.REST_TOLD)
-          .with(LogField.UPSTREAM, upstream.id().value())
-          .with(LogField.REST_MS, restMs)
-          .write();
-    }
-  }
-
-  /** Tells whether a request may be sent now that there is a connection. */
-  boolean maySend(Registration upstream) {
-    return node.maySend(upstream.life(), clock.nowNs());
-  }
-
-  /** Takes that an upstream says in an answer that it is about to leave. */
-  void leavingTold(Registration upstream) {
-    boolean news = node.leavingTold(upstream.life());
-    if (news) {
-      log.line(LogEvent.LEAVING_TOLD).with(LogField.UPSTREAM, upstream.id().value()).write();
-    }
-  }
-
   void pace(UpstreamId upstream, double elapsedMs) {
     node.pace(upstream, elapsedMs, clock.nowNs());
   }
--- /dev/null
+++ b/forward/src/main/java/org/teaseltrail/forward/WishListener.java
@@ -0,0 +1,63 @@
+package org.teaseltrail.forward;
+
+import org.teaseltrail.core.backpressure.RateLimit;
+import org.teaseltrail.core.forward.UpstreamWishes;
+import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.registry.UpstreamLife;
+import org.teaseltrail.runtime.clock.SuspendAwareClock;
+import org.teaseltrail.runtime.log.EventLog;
+import org.teaseltrail.runtime.log.LogEvent;
+import org.teaseltrail.runtime.log.LogField;
+
+/** Passes on what upstreams say of themselves in answers, and logs what is news. */
+final class WishListener {
+
+  private final UpstreamWishes wishes;
+  private final SuspendAwareClock clock;
+  private final EventLog log;
+
+  WishListener(UpstreamWishes wishes, SuspendAwareClock clock, EventLog log) {
+    this.wishes = wishes;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  /** Takes the head of an upstream's own answer. */
+  void heard(Registration upstream, AnswerHead head) {
+    head.limit().ifPresent(limit -> limit(upstream, limit));
+    head.restMs().ifPresent(restMs -> rest(upstream, restMs));
+    if (head.leaving()) {
+      leaving(upstream);
+    }
+  }
+
+  /** Tells whether a request may be sent now that there is a connection. */
+  boolean allowSending(UpstreamLife upstream) {
+    return wishes.allowSending(upstream, clock.nowNs());
+  }
+
+  private void limit(Registration upstream, RateLimit limit) {
+    if (wishes.limit(upstream.life(), limit, clock.nowNs())) {
+      line(LogEvent.LIMIT_TOLD, upstream)
+          .with(LogField.LIMITED, limit.isLimited())
+          .with(LogField.LIMIT_PER_S, limit.isLimited() ? limit.perSecond() : 0)
+          .write();
+    }
+  }
+
+  private void rest(Registration upstream, long restMs) {
+    if (wishes.rest(upstream.life(), restMs, clock.nowNs())) {
+      line(LogEvent.REST_TOLD, upstream).with(LogField.REST_MS, restMs).write();
+    }
+  }
+
+  private void leaving(Registration upstream) {
+    if (wishes.leaving(upstream.life())) {
+      line(LogEvent.LEAVING_TOLD, upstream).write();
+    }
+  }
+
+  private EventLog.Line line(LogEvent event, Registration upstream) {
+    return log.line(event).with(LogField.UPSTREAM, upstream.id().value());
+  }
+}
