Let only an answer to a later request lift a limit

An answer from before the need, read after one that names the limit (connections pass each other; after a freeze what came meanwhile is read in any order), would lift it at that VM and, by the leader, at all of them.

--- a/core/src/main/java/org/teaseltrail/core/backpressure/LimitBook.java
+++ b/core/src/main/java/org/teaseltrail/core/backpressure/LimitBook.java
@@ -57,6 +57,17 @@
     return known == null ? RateLimit.UNLIMITED : known.limit();
   }
 
+  /**
+   * Returns when an upstream last said something of a limit.
+   *
+   * @param upstream the upstream
+   * @return the time, {@link Long#MIN_VALUE} if nothing is known
+   */
+  public long seenNs(UpstreamLife upstream) {
+    Entry known = entries.get(upstream);
+    return known == null ? Long.MIN_VALUE : known.seenNs();
+  }
+
   /**
    * Tells whether nothing is known of any limit, as on most days.
    *
--- a/core/src/main/java/org/teaseltrail/core/forward/LimitTies.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/LimitTies.java
@@ -50,8 +50,17 @@
     this.upstreams = upstreams;
   }
 
-  /** Takes what an answer to this VM says; returns whether the limit is another one now. */
-  boolean saw(UpstreamLife upstream, RateLimit limit, long nowNs) {
+  /**
+   * Takes what an answer to this VM says; returns whether the limit is another one now.
+   *
+   * <p>Only an answer to what was sent after the limit was last named lifts it. Guards against
+   * answers that pass each other, or are read late and in any order after a freeze: one from before
+   * the need would let all VMs send freely.
+   */
+  boolean saw(UpstreamLife upstream, RateLimit limit, long dispatchedNs, long nowNs) {
+    if (!limit.isLimited() && dispatchedNs <= book.seenNs(upstream)) {
+      return false;
+    }
     boolean changed = note(upstream, limit, nowNs);
     if (changed) {
       newsUntilNs.put(upstream, nowNs + TELL_AGAIN_NS);
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamWishes.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamWishes.java
@@ -19,11 +19,12 @@
    *
    * @param upstream the upstream's life
    * @param limit the limit, {@link RateLimit#UNLIMITED} if it names none
+   * @param dispatchedNs when the answered request was dispatched
    * @param nowNs time
    * @return whether it is another one than this VM knew
    */
-  public boolean limit(UpstreamLife upstream, RateLimit limit, long nowNs) {
-    return limits.saw(upstream, limit, nowNs);
+  public boolean limit(UpstreamLife upstream, RateLimit limit, long dispatchedNs, long nowNs) {
+    return limits.saw(upstream, limit, dispatchedNs, nowNs);
   }
 
   /**
--- a/core/src/test/java/org/teaseltrail/core/control/AskingEngine.java
+++ b/core/src/test/java/org/teaseltrail/core/control/AskingEngine.java
@@ -149,10 +149,19 @@
 
   /** Returns the most requests that it got in any span from VMs that knew of its limit. */
   int mostInWindow() {
+    return most(countedNs);
+  }
+
+  /** Returns the same for the last seconds and for all VMs, whether they knew or not. */
+  int mostOfAllInWindow(long lengthMs, long nowNs) {
+    return most(arrivalsNs.stream().filter(atNs -> nowNs - atNs <= lengthMs * NS_PER_MS).toList());
+  }
+
+  private static int most(List<Long> timesNs) {
     int most = 0;
     int from = 0;
-    for (int to = 0; to < countedNs.size(); to++) {
-      while (countedNs.get(to) - countedNs.get(from) > WINDOW_NS) {
+    for (int to = 0; to < timesNs.size(); to++) {
+      while (timesNs.get(to) - timesNs.get(from) > WINDOW_NS) {
         from++;
       }
       most = Math.max(most, to - from + 1);
--- a/core/src/test/java/org/teaseltrail/core/control/BackpressureRun.java
+++ b/core/src/test/java/org/teaseltrail/core/control/BackpressureRun.java
@@ -35,7 +35,7 @@
   private static final int BUSY_VM_WEIGHT = 3;
 
   /** Is one attempt of a VM's life at an engine. */
-  private record Attempt(int vm, long life, long request, AskingEngine engine) {}
+  private record Attempt(int vm, long life, long request, AskingEngine engine, long dispatchedNs) {}
 
   /** Is a refusal that a caller got, and how long after it had come. */
   record Refused(Refusal refusal, long afterMs, long retryAfterMs) {}
@@ -179,7 +179,7 @@
             .filter(one -> one.registration().id().equals(dispatch.upstream().id()))
             .findFirst()
             .orElseThrow();
-    Attempt attempt = new Attempt(vm, vms.life(vm), dispatch.request(), engine);
+    Attempt attempt = new Attempt(vm, vms.life(vm), dispatch.request(), engine, group.nowNs());
     attempts.put(dispatch.request(), attempt);
     engine.arrived(vm, calledNs.get(dispatch.request()), group.nowNs());
     if (engine.restMs() > 0) {
@@ -221,7 +221,8 @@
   private void tell(Attempt attempt) {
     AskingEngine engine = attempt.engine();
     ForwardNode node = vms.node(attempt.vm());
-    node.wishes().limit(engine.registration().life(), engine.limit(), group.nowNs());
+    node.wishes()
+        .limit(engine.registration().life(), engine.limit(), attempt.dispatchedNs(), group.nowNs());
     if (engine.isLeaving()) {
       node.wishes().leaving(engine.registration().life());
     }
--- a/core/src/test/java/org/teaseltrail/core/control/LimitedUpstreamTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/LimitedUpstreamTest.java
@@ -97,6 +97,19 @@
     assertThat(engine.perSecond(2_000, run.group().nowNs())).isGreaterThan(0.5 * equalShare);
   }
 
+  /** Many VMs with few callers get permits that they don't use, and use all of them in a burst. */
+  @Test
+  void permitsFromCalmTimesAreNotAllSentInBurst() {
+    int vms = 62;
+    BackpressureRun run = run(9, vms, 12, 20);
+    AskingEngine engine = run.engine(0);
+    engine.name(new RateLimit(6));
+    run.play(20_000, 20);
+    run.play(1_500, 500);
+    assertThat((double) engine.mostOfAllInWindow(10_000, run.group().nowNs()))
+        .isLessThanOrEqualTo(engine.allowedInWindow());
+  }
+
   /** An engine that takes nothing is never asked again and stays out for good. */
   @Test
   void engineThatTookNothingIsBackAfterItsNeed() {
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/forward/UpstreamWishesTest.java
@@ -0,0 +1,48 @@
+package org.teaseltrail.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.backpressure.RateLimit;
+import org.teaseltrail.core.plan.Plans;
+import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.registry.UpstreamLife;
+
+/** What upstreams ask for in their answers, as one VM takes it in. */
+class UpstreamWishesTest extends ForwardNodeCase {
+
+  private static final RateLimit LIMIT = new RateLimit(1.6);
+  private static final int PLACES = 4;
+
+  private final Registration upstream = upstream("e1", Plans.ENGINES, PLACES);
+  private final UpstreamLife life = upstream.life();
+
+  @BeforeEach
+  void serve() {
+    serveWith(Plans.plan(1), upstream);
+  }
+
+  /** An answer to a request from before the need is read after one that names the limit. */
+  @Test
+  void olderAnswerLiftsNoLimit() {
+    long beforeNs = nowNs;
+    waitMs(100);
+    assertThat(node.wishes().limit(life, LIMIT, beforeNs, nowNs)).isTrue();
+    waitMs(1);
+    assertThat(node.wishes().limit(life, RateLimit.UNLIMITED, beforeNs, nowNs)).isFalse();
+    arrive("/stream/x");
+    assertThat(dispatches()).isEmpty();
+  }
+
+  @Test
+  void answerToLaterRequestLiftsTheLimit() {
+    node.wishes().limit(life, LIMIT, nowNs, nowNs);
+    waitMs(1);
+    long dispatchedNs = nowNs;
+    waitMs(50);
+    assertThat(node.wishes().limit(life, RateLimit.UNLIMITED, dispatchedNs, nowNs)).isTrue();
+    arrive("/stream/x");
+    assertThat(dispatches()).containsExactly("e1");
+  }
+}
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -176,6 +176,7 @@
   private final class Attempt implements UpstreamCall {
 
     private final ForwardAction.Dispatch dispatch;
+    private final long dispatchedNs = server.wishes().nowNs();
     private UpstreamConnection connection;
     private AnswerHead head;
     private int status;
@@ -236,7 +237,7 @@
       relays = success && read.signed() && read.eventStream();
       read.load().ifPresent(load -> server.told(dispatch.upstream().id(), load));
       if (status != MISDIRECTED_REQUEST) {
-        server.wishes().heard(dispatch.upstream(), read);
+        server.wishes().heard(dispatch.upstream(), read, dispatchedNs);
       }
       if (!headSent) {
         answerHead = response;
--- a/forward/src/main/java/org/teaseltrail/forward/WishListener.java
+++ b/forward/src/main/java/org/teaseltrail/forward/WishListener.java
@@ -22,9 +22,14 @@
     this.log = log;
   }
 
-  /** Takes the head of an upstream's own answer. */
-  void heard(Registration upstream, AnswerHead head) {
-    head.limit().ifPresent(limit -> limit(upstream, limit));
+  /** Returns the time by which requests are dispatched. */
+  long nowNs() {
+    return clock.nowNs();
+  }
+
+  /** Takes the head of an upstream's own answer to what was dispatched at a time. */
+  void heard(Registration upstream, AnswerHead head, long dispatchedNs) {
+    head.limit().ifPresent(limit -> limit(upstream, limit, dispatchedNs));
     head.restMs().ifPresent(restMs -> rest(upstream, restMs));
     if (head.leaving()) {
       leaving(upstream);
@@ -36,8 +41,8 @@
     return wishes.allowSending(upstream, clock.nowNs());
   }
 
-  private void limit(Registration upstream, RateLimit limit) {
-    if (wishes.limit(upstream.life(), limit, clock.nowNs())) {
+  private void limit(Registration upstream, RateLimit limit, long dispatchedNs) {
+    if (wishes.limit(upstream.life(), limit, dispatchedNs, clock.nowNs())) {
       line(LogEvent.LIMIT_TOLD, upstream)
           .with(LogField.LIMITED, limit.isLimited())
           .with(LogField.LIMIT_PER_S, limit.isLimited() ? limit.perSecond() : 0)
