Let only an answer to what was sent after a rest show that it is over

A stream from before a rest that ended after it counted as proof that the upstream takes requests again, and its end as that of the one request that asks; so all that waited was sent at once to an upstream that might still turn everything away. The asking request's own 503 must clear it, or nothing ever asks again: RestingUpstreamTest and BackpressureProperties showed that on the way.

UpstreamWishesTest.oldAnswerDoesNotShowThatTheRestIsOver failed before.

--- a/core/src/main/java/org/teaseltrail/core/forward/AttemptEnd.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/AttemptEnd.java
@@ -43,6 +43,15 @@
     return this != NOT_CONNECTED && this != WITHHELD && this != MISDIRECTED;
   }
 
+  /**
+   * Tells whether the upstream has answered the request whole, well or not.
+   *
+   * @return true if there is an answer to deliver
+   */
+  public boolean isAnswer() {
+    return this == ANSWERED || this == FAILED_ANSWER;
+  }
+
   /**
    * Tells whether the end speaks against the upstream.
    *
--- a/core/src/main/java/org/teaseltrail/core/forward/Backpressure.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/Backpressure.java
@@ -67,6 +67,7 @@
     long longerMs = Math.min(LONGEST_OWN_REST_MS, askedMs * restsInRow);
     restUntilNs = Math.max(restUntilNs, nowNs + Math.max(askedMs, longerMs) * NS_PER_MS);
     uncertain = true;
+    asking = false;
     return news;
   }
 
@@ -127,14 +128,18 @@
     asking = uncertain;
   }
 
-  /** Takes in that the upstream works on a request or has answered it. */
-  void took(long nowNs) {
-    uncertain = isResting(nowNs);
-    restsInRow = uncertain ? restsInRow : 0;
+  /** Takes in that the upstream works on a request, or has answered it, that was sent at a time. */
+  void took(long sentNs) {
+    if (sentNs >= restUntilNs) {
+      uncertain = false;
+      restsInRow = 0;
+    }
   }
 
-  /** Takes in that a request there is over, however it ended. */
-  void over() {
-    asking = false;
+  /** Takes in that a request there is over that was sent at a time, however it ended. */
+  void over(long sentNs) {
+    if (sentNs >= restUntilNs) {
+      asking = false;
+    }
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -129,6 +129,11 @@
     }
     gate.ended(request, end, end == AttemptEnd.BROKEN && quarantine.suspects(request), nowNs);
     noteForQuarantine(request, end, nowNs);
+    Backpressure asked = request.at().get().backpressure();
+    if (end.isAnswer()) {
+      asked.took(request.sentNs());
+    }
+    asked.over(request.sentNs());
     request.at().get().ended(end, nowNs);
     places.freed(request);
     request.attemptEnded(end);
@@ -156,7 +161,7 @@
     TrackedForward request = tracked.get(number);
     if (request != null) {
       gate.begun(request, nowNs);
-      request.at().ifPresent(view -> view.backpressure().took(nowNs));
+      request.at().ifPresent(view -> view.backpressure().took(request.sentNs()));
       request.begin();
       changes++;
       due.schedule(request);
@@ -270,7 +275,7 @@
 
   private void finish(TrackedForward request, AttemptEnd end, long nowNs) {
     forget(request);
-    if (end == AttemptEnd.ANSWERED || end == AttemptEnd.FAILED_ANSWER) {
+    if (end.isAnswer()) {
       out.accept(new ForwardAction.Deliver(request.number()));
     } else if (request.maybeRan()) {
       refuse(request, Refusal.BROKEN, 0);
@@ -314,6 +319,7 @@
   private void cancel(TrackedForward request) {
     if (request.at().isPresent()) {
       request.promptRead();
+      request.at().get().backpressure().over(request.sentNs());
       request.at().get().cancelled();
       places.freed(request);
       out.accept(new ForwardAction.Cancel(request.number()));
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamView.java
@@ -148,7 +148,6 @@
   /** Takes an attempt's end in. */
   void ended(AttemptEnd end, long nowNs) {
     own--;
-    backpressure.over();
     if (end == AttemptEnd.WITHHELD) {
       return;
     }
@@ -156,9 +155,6 @@
       misdirected = true;
       return;
     }
-    if (end == AttemptEnd.ANSWERED || end == AttemptEnd.FAILED_ANSWER) {
-      backpressure.took(nowNs);
-    }
     double before = goodShare(nowNs);
     goodShare = before + OUTCOME_WEIGHT * ((end.isFailure() ? 0 : 1) - before);
     goodShare = Math.max(LEAST_GOOD_SHARE, goodShare);
@@ -183,7 +179,6 @@
 
   /** Takes the end of an attempt that the caller or this VM broke off. */
   void cancelled() {
-    backpressure.over();
     own--;
   }
 
--- a/core/src/test/java/org/teaseltrail/core/forward/UpstreamWishesTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/UpstreamWishesTest.java
@@ -14,6 +14,7 @@
 
   private static final RateLimit LIMIT = new RateLimit(1.6);
   private static final int PLACES = 4;
+  private static final int REST_MS = 1_000;
 
   private final Registration upstream = upstream("e1", Plans.ENGINES, PLACES);
   private final UpstreamLife life = upstream.life();
@@ -45,4 +46,32 @@
     arrive("/stream/x");
     assertThat(dispatches()).containsExactly("e1");
   }
+
+  /** A stream from before the rest ends after it, and all that waits is sent to be turned away. */
+  @Test
+  void oldAnswerDoesNotShowThatTheRestIsOver() {
+    final long old = arrive("/stream/x");
+    node.wishes().rest(life, REST_MS, nowNs);
+    waitMs(REST_MS);
+    final long asking = arrive("/resumable/x");
+    assertThat(dispatches()).containsExactly("e1");
+    end(old, AttemptEnd.ANSWERED);
+    arrive("/resumable/x");
+    assertThat(dispatches()).isEmpty();
+    end(asking, AttemptEnd.ANSWERED);
+    assertThat(dispatches()).hasSize(1);
+    arrive("/resumable/x");
+    assertThat(dispatches()).hasSize(1);
+  }
+
+  /** A request that was dispatched gets its connection after the upstream asked for rest. */
+  @Test
+  void dispatchedRequestIsWithheldAndTriesElsewhereForFree() {
+    long number = arrive("/stream/x");
+    node.wishes().rest(life, REST_MS, nowNs);
+    assertThat(node.wishes().allowSending(life, nowNs)).isFalse();
+    end(number, AttemptEnd.WITHHELD);
+    assertThat(refusals()).containsExactly(Refusal.NOT_RUN);
+    assertThat(retriesAfterMs()).containsExactly((long) REST_MS);
+  }
 }
