Tell a caller that was turned away to come back at once where others have room

Hypothesis: a request of a route with one try that an upstream turns away is told to come back in 0.4 s, which is most of its objective, though other upstreams have room all the while; its next try goes to another VM and is placed there. Change: 20 ms if some upstream that takes requests, is trusted and has room is there, else as before.

--- a/core/src/main/java/org/teaseltrail/core/forward/RestWatch.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RestWatch.java
@@ -2,12 +2,16 @@
 
 import java.util.Collection;
 import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.registry.RegistrationPhase;
 
 /** Knows which requests the rests that upstreams asked for leave no time, and when a rest ends. */
 final class RestWatch {
 
   private static final long NS_PER_MS = 1_000_000L;
 
+  /** When a caller may come back if there is room: its next try goes to another VM. */
+  private static final long ROOM_RETRY_MS = 20;
+
   private final VersionGate gate;
   private long nextEndNs = Long.MAX_VALUE;
 
@@ -25,13 +29,26 @@
     return takenFromNs > Math.max(nowNs, request.waitsUntilNs());
   }
 
-  /** Returns when a caller may come back that got no place: not before some upstream takes any. */
+  /**
+   * Returns when a caller may come back that got no place: at once if some upstream has room, as
+   * for one that was turned away by another, and not before some upstream takes any.
+   */
   long retryAfterMs(TrackedForward request, long nowNs) {
     Collection<UpstreamView> views = gate.open(request.service());
+    if (views.stream().anyMatch(view -> hasRoom(view, nowNs))) {
+      return ROOM_RETRY_MS;
+    }
     long restMs = (PlacementRule.takenFromNs(views, nowNs) - nowNs) / NS_PER_MS;
     return Math.max(LineBound.PLACE_RETRY_MS, restMs);
   }
 
+  private static boolean hasRoom(UpstreamView view, long nowNs) {
+    return view.registration().phase() == RegistrationPhase.READY
+        && view.backpressure().allows(true, nowNs)
+        && view.isTrusted(nowNs)
+        && view.hasRoom(1, nowNs);
+  }
+
   /** Sees to it that a service's line is looked at when the next rest of its upstreams ends. */
   void watch(ServiceId service, long nowNs) {
     gate.open(service).stream()
--- a/core/src/test/java/org/teaseltrail/core/control/BackpressureRun.java
+++ b/core/src/test/java/org/teaseltrail/core/control/BackpressureRun.java
@@ -33,10 +33,14 @@
   private static final int TURN_AWAY_AFTER_MS = 3;
   private static final int DEADLINE_MS = 4_000;
   private static final int BUSY_VM_WEIGHT = 3;
+  private static final int OBJECTIVE_MS = 500;
 
   /** Is one attempt of a VM's life at an engine. */
   private record Attempt(int vm, long life, long request, AskingEngine engine, long dispatchedNs) {}
 
+  /** Says when a caller came first, and whether it comes back if it is refused. */
+  private record FirstCall(long atNs, boolean mayComeBack) {}
+
   /** Is a refusal that a caller got, and how long after it had come. */
   record Refused(Refusal refusal, long afterMs, long retryAfterMs) {}
 
@@ -45,12 +49,15 @@
   private final FakeEntryVms vms;
   private final List<AskingEngine> engines = new ArrayList<>();
   private final Map<Long, Attempt> attempts = new HashMap<>();
+  private final Map<Long, FirstCall> firstCalls = new HashMap<>();
   private final Set<AskingEngine> unheard = new HashSet<>();
   private final Map<Long, Long> calledNs = new HashMap<>();
   private final List<Refused> refused = new ArrayList<>();
   private long lastRequest;
   private int asked;
   private int served;
+  private int onTime;
+  private boolean comeBack;
 
   BackpressureRun(SplittableRandom random, int vmCount, int engineCount) {
     this.random = random;
@@ -92,10 +99,21 @@
     }
   }
 
+  /** Lets callers come back once, when they are told to, if they were refused. */
+  void comeBackOnce() {
+    comeBack = true;
+  }
+
+  /** Returns the part of the callers whose answer began within the objective of their first try. */
+  double onTimeShare() {
+    return asked == 0 ? 1 : (double) onTime / asked;
+  }
+
   /** Counts from now on what becomes of callers. */
   void countAnew() {
     asked = 0;
     served = 0;
+    onTime = 0;
     refused.clear();
   }
 
@@ -141,8 +159,13 @@
 
   private void send() {
     asked++;
+    send(group.nowNs(), comeBack);
+  }
+
+  private void send(long firstCalledNs, boolean mayComeBack) {
     long number = ++lastRequest;
     calledNs.put(number, group.nowNs());
+    firstCalls.put(number, new FirstCall(firstCalledNs, mayComeBack));
     ForwardRequest request =
         new ForwardRequest(
             number,
@@ -170,6 +193,10 @@
     } else if (action instanceof ForwardAction.Refuse refuse) {
       long afterMs = (group.nowNs() - calledNs.get(refuse.request())) / NS_PER_MS;
       refused.add(new Refused(refuse.refusal(), afterMs, refuse.retryAfterMs()));
+      FirstCall first = firstCalls.get(refuse.request());
+      if (first.mayComeBack()) {
+        later((int) refuse.retryAfterMs(), () -> send(first.atNs(), false));
+      }
     }
   }
 
@@ -202,6 +229,8 @@
     if (isUnderWay(attempt)) {
       ForwardNode node = vms.node(attempt.vm());
       tell(attempt);
+      long beganMs = (group.nowNs() - firstCalls.get(attempt.request()).atNs()) / NS_PER_MS;
+      onTime += beganMs <= OBJECTIVE_MS ? 1 : 0;
       vms.carryOut(attempt.vm(), node.begun(attempt.request(), group.nowNs()));
     }
   }
--- a/core/src/test/java/org/teaseltrail/core/control/RestingUpstreamTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/RestingUpstreamTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Seen: two of eight engines turned all requests away for nine seconds and asked for 3 s of rest
@@ -26,6 +27,9 @@
   private static final int BEFORE_MS = 3_000;
   private static final int NEED_MS = 9_000;
 
+  /** A tenth of the objective: time that a caller may lose who is served elsewhere. */
+  private static final long SOON_MS = 50;
+
   /** Time in which each VM has asked each engine once. */
   private static final int ALL_TOLD_MS = 3_500;
 
@@ -99,6 +103,26 @@
     assertThat(engine.perSecond(2_000, run.group().nowNs())).isGreaterThan(0.5 * equalShare);
   }
 
+  /** A caller that was turned away waits for long, though others had room all the while. */
+  @ParameterizedTest
+  @ValueSource(longs = {21, 22, 23})
+  void turnedAwayCallersAreServedOnTimeByOthers(long seed) {
+    BackpressureRun run = run(seed);
+    run.comeBackOnce();
+    for (int need = 0; need < 3; need++) {
+      run.engine(2 * need).turnAway(REST_MS);
+      run.engine(2 * need + 1).turnAway(REST_MS);
+      run.play(4_000, LOAD_PER_SECOND);
+      run.engine(2 * need).turnAway(0);
+      run.engine(2 * need + 1).turnAway(0);
+      run.play(4_000, LOAD_PER_SECOND);
+    }
+    assertThat(run.onTimeShare()).isGreaterThan(0.97);
+    assertThat(run.refused())
+        .isNotEmpty()
+        .allSatisfy(refused -> assertThat(refused.retryAfterMs()).isLessThan(SOON_MS));
+  }
+
   /** All rest for longer than a caller can wait, who is held and then told to come too soon. */
   @Test
   void callersHearAtOnceWhenAllRest() {
