Look at upstreams' wishes only while there are any

Change: the book of upstreams knows whether any rests, leaves or names a limit, and all that is skipped otherwise; a placement filters once.

--- a/core/src/main/java/org/teaseltrail/core/forward/LimitTies.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/LimitTies.java
@@ -91,8 +91,7 @@
     if (book.isEmpty()) {
       return Optional.empty();
     }
-    book.forget(upstreams.lives(), nowNs)
-        .forEach(gone -> upstreams.backpressure(gone).limited(false));
+    book.forget(upstreams.lives(), nowNs).forEach(gone -> upstreams.markLimited(gone, false));
     newsUntilNs.values().removeIf(untilNs -> nowNs > untilNs);
     boolean newLeader = !leadership.equals(toldTo);
     toldTo = leadership;
@@ -110,7 +109,7 @@
   private boolean note(UpstreamLife upstream, RateLimit limit, long seenNs) {
     boolean changed = book.note(upstream, limit, seenNs);
     if (changed) {
-      upstreams.backpressure(upstream).limited(limit.isLimited());
+      upstreams.markLimited(upstream, limit.isLimited());
     }
     return changed;
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
@@ -145,17 +145,21 @@
 
   private static List<UpstreamView> usable(
       TrackedForward tracked, Collection<UpstreamView> views, long nowNs) {
-    List<UpstreamView> untried = untried(tracked, views);
-    List<UpstreamView> careful = allowing(untried, tracked.mayGoElsewhere(), nowNs);
-    List<UpstreamView> allowing = careful.isEmpty() ? allowing(untried, true, nowNs) : careful;
+    List<UpstreamView> careful =
+        views.stream()
+            .filter(view -> isUntried(tracked, view))
+            .filter(view -> view.backpressure().allows(tracked.mayGoElsewhere(), nowNs))
+            .toList();
+    List<UpstreamView> allowing = careful.isEmpty() ? allowing(tracked, views, nowNs) : careful;
     List<UpstreamView> trusted = allowing.stream().filter(view -> view.isTrusted(nowNs)).toList();
     return trusted.isEmpty() ? allowing : trusted;
   }
 
+  /** Returns those that may be asked, though the request can go nowhere else if it is refused. */
   private static List<UpstreamView> allowing(
-      List<UpstreamView> views, boolean mayGoElsewhere, long nowNs) {
-    return views.stream()
-        .filter(view -> view.backpressure().allows(mayGoElsewhere, nowNs))
+      TrackedForward tracked, Collection<UpstreamView> views, long nowNs) {
+    return untried(tracked, views).stream()
+        .filter(view -> view.backpressure().allows(true, nowNs))
         .toList();
   }
 
@@ -176,12 +180,15 @@
 
   private static List<UpstreamView> untried(
       TrackedForward tracked, Collection<UpstreamView> views) {
-    return views.stream()
-        .filter(view -> view.registration().phase() == RegistrationPhase.READY)
-        .filter(view -> !view.isMisdirected())
-        .filter(view -> !view.backpressure().isLeaving())
-        .filter(view -> !tracked.hasTried(view.registration().id()))
-        .toList();
+    return views.stream().filter(view -> isUntried(tracked, view)).toList();
+  }
+
+  /** Tells whether an upstream takes requests, as far as is known, and has not had this one. */
+  private static boolean isUntried(TrackedForward tracked, UpstreamView view) {
+    return view.registration().phase() == RegistrationPhase.READY
+        && !view.isMisdirected()
+        && !view.backpressure().isLeaving()
+        && !tracked.hasTried(view.registration().id());
   }
 
   private static Optional<String> lastPart(TrackedForward tracked) {
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -55,7 +55,7 @@
     repeats = new Repeats(settings, placement, gate, quarantine);
     this.placement = placement;
     this.upstreams = upstreams;
-    rests = new RestWatch(gate);
+    rests = new RestWatch(gate, upstreams);
     this.isEngine = isEngine;
     this.out = out;
   }
@@ -340,7 +340,9 @@
       } else {
         waiting.serve(request -> place(request, nowNs), nowNs);
       }
-      giveUpBeforeRestEnds(waiting, nowNs);
+      if (upstreams.mayRest(nowNs)) {
+        giveUpBeforeRestEnds(waiting, nowNs);
+      }
       shed(service, waiting, nowNs);
       rests.watch(service, nowNs);
     }
--- a/core/src/main/java/org/teaseltrail/core/forward/RestWatch.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RestWatch.java
@@ -13,10 +13,12 @@
   private static final long ROOM_RETRY_MS = 20;
 
   private final VersionGate gate;
+  private final UpstreamBook upstreams;
   private long nextEndNs = Long.MAX_VALUE;
 
-  RestWatch(VersionGate gate) {
+  RestWatch(VersionGate gate, UpstreamBook upstreams) {
     this.gate = gate;
+    this.upstreams = upstreams;
   }
 
   /**
@@ -24,6 +26,9 @@
    * longer than it can wait.
    */
   boolean outlast(TrackedForward request, long nowNs) {
+    if (!upstreams.mayRest(nowNs)) {
+      return false;
+    }
     Collection<UpstreamView> views = gate.open(request.service());
     long takenFromNs = PlacementRule.takenFromNs(request, views, nowNs);
     return takenFromNs > Math.max(nowNs, request.waitsUntilNs());
@@ -51,6 +56,9 @@
 
   /** Sees to it that a service's line is looked at when the next rest of its upstreams ends. */
   void watch(ServiceId service, long nowNs) {
+    if (!upstreams.mayRest(nowNs)) {
+      return;
+    }
     gate.open(service).stream()
         .map(UpstreamView::backpressure)
         .filter(asked -> asked.isResting(nowNs))
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
@@ -28,6 +28,9 @@
   private Map<ServiceId, List<UpstreamView>> byService = Map.of();
   private List<UpstreamView> inOrder = List.of();
   private long revision = -1;
+  private long latestRestEndNs = Long.MIN_VALUE;
+  private int limitedLives;
+  private boolean anyLeaves;
 
   long revision() {
     return revision;
@@ -66,12 +69,52 @@
     int most = present.size() + MOST_LAPSED;
     Iterator<UpstreamLife> eldestFirst = asked.keySet().iterator();
     while (asked.size() > most && eldestFirst.hasNext()) {
-      if (!present.contains(eldestFirst.next())) {
+      UpstreamLife eldest = eldestFirst.next();
+      if (!present.contains(eldest)) {
+        limitedLives -= asked.get(eldest).isLimited() ? 1 : 0;
         eldestFirst.remove();
       }
     }
   }
 
+  /** Takes that an upstream wants nothing for a while; returns whether it wasn't so already. */
+  boolean rest(UpstreamLife upstream, long restMs, long nowNs) {
+    Backpressure asking = backpressure(upstream);
+    boolean news = asking.rest(restMs, nowNs);
+    latestRestEndNs = Math.max(latestRestEndNs, asking.restUntilNs());
+    return news;
+  }
+
+  /** Takes that an upstream is about to leave; returns whether that is news. */
+  boolean leave(UpstreamLife upstream) {
+    anyLeaves = true;
+    return backpressure(upstream).leave();
+  }
+
+  /** Tells whether any upstream may take nothing now, so that each must be looked at. */
+  boolean mayTakeNone(long nowNs) {
+    return anyLeaves || mayRest(nowNs);
+  }
+
+  /** Tells whether any upstream may rest now, so that each must be looked at. */
+  boolean mayRest(long nowNs) {
+    return nowNs < latestRestEndNs;
+  }
+
+  /** Takes whether an upstream names a limit. */
+  void markLimited(UpstreamLife upstream, boolean isLimited) {
+    Backpressure asking = backpressure(upstream);
+    if (asking.isLimited() != isLimited) {
+      limitedLives += isLimited ? 1 : -1;
+      asking.limited(isLimited);
+    }
+  }
+
+  /** Tells whether any upstream names a limit, so that each must be looked at. */
+  boolean anyLimited() {
+    return limitedLives > 0;
+  }
+
   /** Returns what a life of an upstream has asked for. */
   Backpressure backpressure(UpstreamLife upstream) {
     return asked.computeIfAbsent(upstream, key -> new Backpressure());
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamWishes.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamWishes.java
@@ -36,7 +36,7 @@
    * @return whether it was not resting already
    */
   public boolean rest(UpstreamLife upstream, long restMs, long nowNs) {
-    return upstreams.backpressure(upstream).rest(restMs, nowNs);
+    return upstreams.rest(upstream, restMs, nowNs);
   }
 
   /**
@@ -46,7 +46,7 @@
    * @return whether that is news
    */
   public boolean leaving(UpstreamLife upstream) {
-    return upstreams.backpressure(upstream).leave();
+    return upstreams.leave(upstream);
   }
 
   /**
--- a/core/src/main/java/org/teaseltrail/core/forward/VersionGate.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/VersionGate.java
@@ -8,6 +8,7 @@
 import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.rollout.CanaryLoan;
 import org.teaseltrail.core.rollout.Observation;
@@ -115,8 +116,22 @@
         .sum();
   }
 
+  /** Returns those of the open upstreams that take nothing now, as they rest or leave. */
+  List<UpstreamId> takingNone(ServiceId service, long nowNs) {
+    if (!upstreams.mayTakeNone(nowNs)) {
+      return List.of();
+    }
+    return open(service).stream()
+        .filter(view -> view.backpressure().takesNone(nowNs))
+        .map(view -> view.registration().id())
+        .toList();
+  }
+
   /** Returns those of the open upstreams with limits for which this VM has a permit now. */
   List<UpstreamView> permitted(ServiceId service, long nowNs) {
+    if (!upstreams.anyLimited()) {
+      return List.of();
+    }
     return open(service).stream()
         .filter(view -> view.backpressure().isLimited() && view.backpressure().permits(nowNs) > 0)
         .toList();
--- a/core/src/main/java/org/teaseltrail/core/forward/WaitingLines.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/WaitingLines.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
-import java.util.stream.Stream;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.serving.LineState;
@@ -80,10 +79,8 @@
    * Returns the upstreams that nothing here may or can go to, so that no place there is granted.
    */
   private List<UpstreamId> unwanted(ServiceId service, long nowNs) {
-    Stream<UpstreamId> takingNone =
-        gate.open(service).stream()
-            .filter(view -> view.backpressure().takesNone(nowNs))
-            .map(view -> view.registration().id());
-    return Stream.concat(slots.unwanted(service).stream(), takingNone).distinct().toList();
+    List<UpstreamId> unwanted = new ArrayList<>(slots.unwanted(service));
+    unwanted.addAll(gate.takingNone(service, nowNs));
+    return unwanted;
   }
 }
