--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -1,6 +1,5 @@
 package org.teaseltrail.core.forward;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,17 +17,10 @@
  */
 final class RequestDesk {
 
-  /** Requests at an engine, in relation to its places, beyond which others wait here. */
-  private static final double ENGINE_FILL = 1.0;
-
-  /** The same for requests that nobody is owed a place for. */
-  private static final double FREE_ROOM_FILL = 0.6;
-
-  private final PlacementRule placement;
+  private final Placer placer;
   private final UpstreamBook upstreams;
   private final Quarantine quarantine;
   private final VersionGate gate;
-  private final Predicate<ServiceId> isEngine;
   private final Consumer<ForwardAction> out;
   private final Repeats repeats;
   private final Map<Long, TrackedForward> tracked = new HashMap<>();
@@ -36,7 +28,6 @@
   private final RestWatch rests;
   private final SlotTies slots;
   private final WaitingLines lines;
-  private final PlaceCount places = new PlaceCount();
   private long changes;
 
   RequestDesk(
@@ -53,10 +44,9 @@
     this.gate = gate;
     lines = new WaitingLines(slots, placement, gate, isEngine);
     repeats = new Repeats(settings, placement, gate, quarantine);
-    this.placement = placement;
+    placer = new Placer(placement, gate, isEngine, due, out);
     this.upstreams = upstreams;
     rests = new RestWatch(gate, upstreams);
-    this.isEngine = isEngine;
     this.out = out;
   }
 
@@ -111,8 +101,7 @@
   boolean admitToFreeRoom(TrackedForward request, long nowNs) {
     tracked.put(request.number(), request);
     boolean taken =
-        !lines.hasOthersFirst(request.service(), nowNs)
-            && place(request, gate.open(request.service()), FREE_ROOM_FILL, nowNs);
+        !lines.hasOthersFirst(request.service(), nowNs) && placer.placeInFreeRoom(request, nowNs);
     if (taken) {
       repeats.requested(request.service(), nowNs);
     } else {
@@ -135,7 +124,7 @@
     }
     asked.over(request.sentNs());
     request.at().get().ended(end, nowNs);
-    places.freed(request);
+    placer.freed(request);
     request.attemptEnded(end);
     changes++;
     if (end != AttemptEnd.ANSWERED && repeats.take(request, end, nowNs)) {
@@ -197,11 +186,11 @@
   }
 
   private void placeOrWait(TrackedForward request, long nowNs) {
-    if (placeAsCanary(request, nowNs)) {
+    if (placer.placeAsCanary(request, nowNs)) {
       return;
     }
     boolean othersFirst = lines.hasOthersFirst(request.service(), nowNs);
-    if (!othersFirst && place(request, nowNs)) {
+    if (!othersFirst && placer.place(request, nowNs)) {
       lines.of(request.service()).served(nowNs);
       return;
     }
@@ -216,58 +205,6 @@
     serveLine(request.service(), nowNs);
   }
 
-  /**
-   * Sends a request to the ordered version of a rollout if the leader has lent that. A repeat never
-   * goes there: its caller has waited once already.
-   */
-  private boolean placeAsCanary(TrackedForward request, long nowNs) {
-    if (request.attempts() > 0) {
-      return false;
-    }
-    List<UpstreamView> targets = gate.canaries(request.service(), nowNs);
-    if (targets.isEmpty()) {
-      return false;
-    }
-    boolean engine = isEngine.test(request.service());
-    Optional<UpstreamView> chosen = placement.choose(request, targets, engine, ENGINE_FILL, nowNs);
-    chosen.ifPresent(
-        view -> {
-          request.markCanary();
-          dispatch(request, view, nowNs);
-        });
-    return chosen.isPresent();
-  }
-
-  private boolean place(TrackedForward request, long nowNs) {
-    return place(request, gate.open(request.service()), ENGINE_FILL, nowNs);
-  }
-
-  private boolean place(
-      TrackedForward request, Collection<UpstreamView> views, double fill, long nowNs) {
-    boolean engine = isEngine.test(request.service());
-    Optional<UpstreamView> chosen = placement.choose(request, views, engine, fill, nowNs);
-    chosen.ifPresent(view -> dispatch(request, view, nowNs));
-    return chosen.isPresent();
-  }
-
-  private void dispatch(TrackedForward request, UpstreamView view, long nowNs) {
-    view.sent();
-    gate.sent(request, view);
-    places.taken(request);
-    changes++;
-    request.sentTo(view, nowNs);
-    due.schedule(request);
-    out.accept(
-        new ForwardAction.Dispatch(
-            request.number(),
-            request.attempts(),
-            view.registration(),
-            request.route(),
-            request.customer(),
-            request.leftMs(nowNs),
-            request.isCanary()));
-  }
-
   private void forget(TrackedForward request) {
     tracked.remove(request.number());
     request.over();
@@ -321,7 +258,7 @@
       request.promptRead();
       request.at().get().backpressure().over(request.sentNs());
       request.at().get().cancelled();
-      places.freed(request);
+      placer.freed(request);
       out.accept(new ForwardAction.Cancel(request.number()));
     }
   }
@@ -338,7 +275,7 @@
         waiting.moveLate(nowNs);
         servePermitted(service, waiting, nowNs);
       } else {
-        waiting.serve(request -> place(request, nowNs), nowNs);
+        waiting.serve(request -> placer.place(request, nowNs), nowNs);
       }
       if (upstreams.mayRest(nowNs)) {
         giveUpBeforeRestEnds(waiting, nowNs);
@@ -365,7 +302,7 @@
   private void servePermitted(ServiceId service, WaitingLine waiting, long nowNs) {
     List<UpstreamView> permitted = gate.permitted(service, nowNs);
     if (!permitted.isEmpty()) {
-      waiting.serve(request -> place(request, permitted, ENGINE_FILL, nowNs), nowNs);
+      waiting.serve(request -> placer.placeAmong(request, permitted, nowNs), nowNs);
     }
   }
 
@@ -406,25 +343,17 @@
   private boolean use(ServingReply.SlotGrant grant, UpstreamView view, long nowNs) {
     return lines
         .of(grant.service())
-        .serveOne(grant.urgency(), request -> placeAt(request, view, nowNs), nowNs);
-  }
-
-  private boolean placeAt(TrackedForward request, UpstreamView view, long nowNs) {
-    boolean accepted = placement.accepts(request, gate.open(request.service()), view, nowNs);
-    if (accepted) {
-      dispatch(request, view, nowNs);
-    }
-    return accepted;
+        .serveOne(grant.urgency(), request -> placer.placeAt(request, view, nowNs), nowNs);
   }
 
   /** Returns a number that grows with each change of the lines or of what is at upstreams. */
   long changes() {
-    return changes;
+    return changes + placer.dispatches();
   }
 
   /** Tells which kinds of requests hold the places that are in use. */
   List<HeldPlaces> held() {
-    return places.all();
+    return placer.held();
   }
 
   WaitingLines lines() {
