Tell a limit that stands over and over

A VM told the leader of a limit for two seconds after a change, and a new leader once. A message lost with its connection left a leader that knows of no limit: it gave out no permits, while the VMs that know send only on permits, so that the upstream got nothing for good. All that is known is told every two seconds now.

UpstreamWishesTest.limitThatStandsIsToldOverAndOver failed before (told at 0 to 2 s only).

--- a/core/src/main/java/org/teaseltrail/core/forward/LimitTies.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/LimitTies.java
@@ -28,7 +28,10 @@
 
   private static final long NS_PER_MS = 1_000_000L;
 
-  /** Time for which news is told with each sync: what is lost with a connection comes again. */
+  /**
+   * Time for which news is told with each sync, and after which all is told again. Guards against a
+   * leader that missed a limit, as the connection broke: it would give out no permits for it.
+   */
   private static final long TELL_AGAIN_NS = 2_000 * NS_PER_MS;
 
   /** Time after which an answer to a question is no longer waited for. */
@@ -43,6 +46,7 @@
   private final Map<UpstreamLife, Long> newsUntilNs = new HashMap<>();
   private final TreeMap<Long, Long> askedNs = new TreeMap<>();
   private FencingNumber toldTo = new FencingNumber(0);
+  private long allToldNs;
   private long sequence;
 
   LimitTies(VmId vm, UpstreamBook upstreams) {
@@ -93,10 +97,10 @@
     }
     book.forget(upstreams.lives(), nowNs).forEach(gone -> upstreams.markLimited(gone, false));
     newsUntilNs.values().removeIf(untilNs -> nowNs > untilNs);
-    boolean newLeader = !leadership.equals(toldTo);
+    boolean all = !leadership.equals(toldTo) || nowNs - allToldNs > TELL_AGAIN_NS;
+    allToldNs = all ? nowNs : allToldNs;
     toldTo = leadership;
-    List<LimitSighting> told =
-        book.sightings(life -> newLeader || newsUntilNs.containsKey(life), nowNs);
+    List<LimitSighting> told = book.sightings(life -> all || newsUntilNs.containsKey(life), nowNs);
     List<PermitsWanted> wanted = wanted(lines, nowNs);
     if (told.isEmpty() && wanted.isEmpty()) {
       return Optional.empty();
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingMessage.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingMessage.java
@@ -92,7 +92,7 @@
    *
    * @param vm the VM
    * @param sequence grows with each; the answer carries it back
-   * @param sightings what the upstreams said; all that is known if the leader is new to the VM
+   * @param sightings what the upstreams said; now and then all that is known
    * @param wanted what the VM could send, for each service
    */
   record Limits(VmId vm, long sequence, List<LimitSighting> sightings, List<PermitsWanted> wanted)
--- a/core/src/test/java/org/teaseltrail/core/forward/UpstreamWishesTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/UpstreamWishesTest.java
@@ -2,12 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.teaseltrail.core.backpressure.RateLimit;
 import org.teaseltrail.core.plan.Plans;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.registry.UpstreamLife;
+import org.teaseltrail.core.serving.ServingMessage;
 
 /** What upstreams ask for in their answers, as one VM takes it in. */
 class UpstreamWishesTest extends ForwardNodeCase {
@@ -36,6 +39,29 @@
     assertThat(dispatches()).isEmpty();
   }
 
+  /**
+   * A leader that missed the limit gives out no permits, and the upstream gets nothing for good.
+   */
+  @Test
+  void limitThatStandsIsToldOverAndOver() {
+    node.wishes().limit(life, LIMIT, nowNs, nowNs);
+    List<Long> toldMs = new ArrayList<>();
+    for (int ms = 0; ms < 10_000; ms += 50) {
+      waitMs(50);
+      boolean told =
+          actions.stream()
+              .filter(ForwardAction.SendControl.class::isInstance)
+              .map(action -> ((ForwardAction.SendControl) action).message())
+              .filter(ServingMessage.Limits.class::isInstance)
+              .anyMatch(message -> !((ServingMessage.Limits) message).sightings().isEmpty());
+      if (told) {
+        toldMs.add((long) ms);
+      }
+      confirm(1);
+    }
+    assertThat(toldMs).anyMatch(ms -> ms > 5_000).anyMatch(ms -> ms > 8_000);
+  }
+
   @Test
   void answerToLaterRequestLiftsTheLimit() {
     node.wishes().limit(life, LIMIT, nowNs, nowNs);
