--- a/core/src/main/java/org/teaseltrail/core/forward/Backpressure.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/Backpressure.java
@@ -61,6 +61,9 @@
 
   /** Takes that it wants nothing from this VM for a while; returns whether it wasn't so already. */
   boolean rest(long restMs, long nowNs) {
+    if (restMs <= 0) {
+      return false;
+    }
     boolean news = !isResting(nowNs);
     restsInRow += news ? 1 : 0;
     long askedMs = Math.min(MOST_REST_MS, restMs);
--- a/core/src/test/java/org/teaseltrail/core/forward/UpstreamWishesTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/UpstreamWishesTest.java
@@ -90,6 +90,16 @@
     assertThat(dispatches()).hasSize(1);
   }
 
+  /** An upstream that is full for a moment asks for no time, and is given one request at a time. */
+  @Test
+  void restOfNoTimeIsNone() {
+    assertThat(node.wishes().rest(life, 0, nowNs)).isFalse();
+    arrive("/stream/x");
+    assertThat(dispatches()).hasSize(1);
+    arrive("/stream/x");
+    assertThat(dispatches()).hasSize(1);
+  }
+
   /** A request that was dispatched gets its connection after the upstream asked for rest. */
   @Test
   void dispatchedRequestIsWithheldAndTriesElsewhereForFree() {
