--- a/core/src/main/java/org/teaseltrail/core/forward/RestWatch.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/BackoffWatch.java
@@ -4,8 +4,11 @@
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.registry.RegistrationPhase;
 
-/** Knows which requests the rests that upstreams asked for leave no time, and when a rest ends. */
-final class RestWatch {
+/**
+ * Knows which requests the backoffs that upstreams asked for leave no time, and when a backoff
+ * ends.
+ */
+final class BackoffWatch {
 
   private static final long NS_PER_MS = 1_000_000L;
 
@@ -16,7 +19,7 @@
   private final UpstreamBook upstreams;
   private long nextEndNs = Long.MAX_VALUE;
 
-  RestWatch(VersionGate gate, UpstreamBook upstreams) {
+  BackoffWatch(VersionGate gate, UpstreamBook upstreams) {
     this.gate = gate;
     this.upstreams = upstreams;
   }
@@ -26,7 +29,7 @@
    * longer than it can wait.
    */
   boolean outlast(TrackedForward request, long nowNs) {
-    if (!upstreams.mayRest(nowNs)) {
+    if (!upstreams.mayBeBackedOff(nowNs)) {
       return false;
     }
     Collection<UpstreamView> views = gate.open(request.service());
@@ -43,8 +46,8 @@
     if (views.stream().anyMatch(view -> hasRoom(view, nowNs))) {
       return ROOM_RETRY_MS;
     }
-    long restMs = (PlacementRule.takenFromNs(views, nowNs) - nowNs) / NS_PER_MS;
-    return Math.max(LineBound.PLACE_RETRY_MS, restMs);
+    long backoffMs = (PlacementRule.takenFromNs(views, nowNs) - nowNs) / NS_PER_MS;
+    return Math.max(LineBound.PLACE_RETRY_MS, backoffMs);
   }
 
   private static boolean hasRoom(UpstreamView view, long nowNs) {
@@ -54,24 +57,26 @@
         && view.hasRoom(1, nowNs);
   }
 
-  /** Sees to it that a service's line is looked at when the next rest of its upstreams ends. */
+  /** Sees to it that a service's line is looked at when the next backoff of its upstreams ends. */
   void watch(ServiceId service, long nowNs) {
-    if (!upstreams.mayRest(nowNs)) {
+    if (!upstreams.mayBeBackedOff(nowNs)) {
       return;
     }
     gate.open(service).stream()
         .map(UpstreamView::backpressure)
-        .filter(asked -> asked.isResting(nowNs))
-        .mapToLong(Backpressure::restUntilNs)
+        .filter(asked -> asked.isBackedOff(nowNs))
+        .mapToLong(Backpressure::backoffUntilNs)
         .forEach(endNs -> nextEndNs = Math.min(nextEndNs, endNs));
   }
 
-  /** Returns when the next rest ends that is watched, {@link Long#MAX_VALUE} if there is none. */
+  /**
+   * Returns when the next backoff ends that is watched, {@link Long#MAX_VALUE} if there is none.
+   */
   long nextEndNs() {
     return nextEndNs;
   }
 
-  /** Takes the end of a rest out; returns whether one has ended. */
+  /** Takes the end of a backoff out; returns whether one has ended. */
   boolean takeEnd(long nowNs) {
     boolean ended = nowNs >= nextEndNs;
     nextEndNs = ended ? Long.MAX_VALUE : nextEndNs;
--- a/core/src/main/java/org/teaseltrail/core/forward/Backpressure.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/Backpressure.java
@@ -11,25 +11,25 @@
 
   private static final long NS_PER_MS = 1_000_000L;
 
-  /** Longest rest that is believed; then a request asks again. */
-  private static final long MOST_REST_MS = 600_000;
+  /** Longest backoff that is believed; then a request asks again. */
+  private static final long MOST_BACKOFF_MS = 600_000;
 
   /**
-   * Time up to which short rests in a row grow. Guards against asking an upstream that stays in
+   * Time up to which short backoffs in a row grow. Guards against asking an upstream that stays in
    * need every moment: each time one request goes astray, and a repeat is used up.
    */
-  private static final long LONGEST_OWN_REST_MS = 3_000;
+  private static final long LONGEST_OWN_BACKOFF_MS = 3_000;
 
   /**
-   * Time after a rest in which only a request that may go elsewhere too asks whether it is over:
+   * Time after a backoff in which only a request that may go elsewhere too asks whether it is over:
    * any other would be lost to its caller if it is not.
    */
   private static final long CAREFUL_NS = 1_000 * NS_PER_MS;
 
   private final Deque<Long> permitsUntilNs = new ArrayDeque<>();
   private boolean limited;
-  private long restUntilNs = Long.MIN_VALUE;
-  private int restsInRow;
+  private long backoffUntilNs = Long.MIN_VALUE;
+  private int backoffsInRow;
   private boolean uncertain;
   private boolean asking;
   private boolean leaving;
@@ -60,27 +60,27 @@
   }
 
   /** Takes that it wants nothing from this VM for a while; returns whether it wasn't so already. */
-  boolean rest(long restMs, long nowNs) {
-    if (restMs <= 0) {
+  boolean backOff(long backoffMs, long nowNs) {
+    if (backoffMs <= 0) {
       return false;
     }
-    boolean news = !isResting(nowNs);
-    restsInRow += news ? 1 : 0;
-    long askedMs = Math.min(MOST_REST_MS, restMs);
-    long longerMs = Math.min(LONGEST_OWN_REST_MS, askedMs * restsInRow);
-    restUntilNs = Math.max(restUntilNs, nowNs + Math.max(askedMs, longerMs) * NS_PER_MS);
+    boolean news = !isBackedOff(nowNs);
+    backoffsInRow += news ? 1 : 0;
+    long askedMs = Math.min(MOST_BACKOFF_MS, backoffMs);
+    long longerMs = Math.min(LONGEST_OWN_BACKOFF_MS, askedMs * backoffsInRow);
+    backoffUntilNs = Math.max(backoffUntilNs, nowNs + Math.max(askedMs, longerMs) * NS_PER_MS);
     uncertain = true;
     asking = false;
     return news;
   }
 
-  boolean isResting(long nowNs) {
-    return nowNs < restUntilNs;
+  boolean isBackedOff(long nowNs) {
+    return nowNs < backoffUntilNs;
   }
 
-  /** Returns until when it wants nothing; a time that is over if it doesn't rest. */
-  long restUntilNs() {
-    return restUntilNs;
+  /** Returns until when it wants nothing; a time that is over if it doesn't ask for it. */
+  long backoffUntilNs() {
+    return backoffUntilNs;
   }
 
   /** Takes that it is about to leave; returns whether that is news. */
@@ -96,11 +96,11 @@
 
   /** Tells whether it takes nothing from this VM at present. */
   boolean takesNone(long nowNs) {
-    return leaving || isResting(nowNs);
+    return leaving || isBackedOff(nowNs);
   }
 
   /** Tells whether it takes fewer requests than others of its size, or none. */
-  boolean isInNeed(long nowNs) {
+  boolean isThrottled(long nowNs) {
     return limited || takesNone(nowNs);
   }
 
@@ -118,11 +118,11 @@
   }
 
   /**
-   * Tells whether a request may ask if the rest is over. Guards against all that waits being sent
-   * at once to an upstream that still turns everything away: one request asks.
+   * Tells whether a request may ask if the backoff is over. Guards against all that waits being
+   * sent at once to an upstream that still turns everything away: one request asks.
    */
   private boolean mayAsk(boolean mayGoElsewhere, long nowNs) {
-    return !asking && (mayGoElsewhere || nowNs >= restUntilNs + CAREFUL_NS);
+    return !asking && (mayGoElsewhere || nowNs >= backoffUntilNs + CAREFUL_NS);
   }
 
   /** Takes in that a request is sent. */
@@ -133,15 +133,15 @@
 
   /** Takes in that the upstream works on a request, or has answered it, that was sent at a time. */
   void took(long sentNs) {
-    if (sentNs >= restUntilNs) {
+    if (sentNs >= backoffUntilNs) {
       uncertain = false;
-      restsInRow = 0;
+      backoffsInRow = 0;
     }
   }
 
   /** Takes in that a request there is over that was sent at a time, however it ended. */
   void over(long sentNs) {
-    if (sentNs >= restUntilNs) {
+    if (sentNs >= backoffUntilNs) {
       asking = false;
     }
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamWishes.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/BackpressureSignals.java
@@ -4,12 +4,12 @@
 import org.teaseltrail.core.registry.UpstreamLife;
 
 /** Takes in how much work upstreams ask for in their answers. */
-public final class UpstreamWishes {
+public final class BackpressureSignals {
 
   private final UpstreamBook upstreams;
   private final LimitTies limits;
 
-  UpstreamWishes(UpstreamBook upstreams, LimitTies limits) {
+  BackpressureSignals(UpstreamBook upstreams, LimitTies limits) {
     this.upstreams = upstreams;
     this.limits = limits;
   }
@@ -31,12 +31,12 @@
    * Takes that an upstream turned a request away and wants none from this VM for a while.
    *
    * @param upstream the upstream's life
-   * @param restMs for how long, in milliseconds
+   * @param backoffMs for how long, in milliseconds
    * @param nowNs time
-   * @return whether it was not resting already
+   * @return whether it was not backed off already
    */
-  public boolean rest(UpstreamLife upstream, long restMs, long nowNs) {
-    return upstreams.rest(upstream, restMs, nowNs);
+  public boolean backOff(UpstreamLife upstream, long backoffMs, long nowNs) {
+    return upstreams.backOff(upstream, backoffMs, nowNs);
   }
 
   /**
@@ -54,7 +54,7 @@
    *
    * @param upstream the upstream's life
    * @param nowNs time
-   * @return false if the upstream has asked for rest meanwhile, or is about to leave
+   * @return false if the upstream has asked to back off meanwhile, or is about to leave
    */
   public boolean allowSending(UpstreamLife upstream, long nowNs) {
     return !upstreams.backpressure(upstream).takesNone(nowNs);
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -32,7 +32,7 @@
   private final UpstreamBook upstreams = new UpstreamBook();
   private final SlotTies slots = new SlotTies();
   private final LimitTies limits;
-  private final UpstreamWishes wishes;
+  private final BackpressureSignals signals;
   private final Quarantine quarantine;
   private final VersionGate gate;
   private final QuotaDesk quotas;
@@ -53,7 +53,7 @@
     ties = new ControlTies(settings);
     quarantine = new Quarantine(settings.vm(), ties::hearsLeader);
     limits = new LimitTies(settings.vm(), upstreams);
-    wishes = new UpstreamWishes(upstreams, limits);
+    signals = new BackpressureSignals(upstreams, limits);
     gate = new VersionGate(settings.vm(), settings.incarnation(), upstreams);
     requests =
         new RequestDesk(
@@ -155,10 +155,10 @@
   /**
    * Returns what takes in how much work upstreams ask for.
    *
-   * @return the upstreams' wishes
+   * @return the upstreams' signals
    */
-  public UpstreamWishes wishes() {
-    return wishes;
+  public BackpressureSignals signals() {
+    return signals;
   }
 
   /**
--- a/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
@@ -168,11 +168,11 @@
     return takenFromNs(untried(tracked, views), nowNs);
   }
 
-  /** Returns when the first of some upstreams takes requests at all: now, or after its rest. */
+  /** Returns when the first of some upstreams takes requests at all: now, or after its backoff. */
   static long takenFromNs(Collection<UpstreamView> views, long nowNs) {
     return views.stream()
         .filter(view -> !view.backpressure().isLeaving())
-        .mapToLong(view -> view.backpressure().restUntilNs())
+        .mapToLong(view -> view.backpressure().backoffUntilNs())
         .map(untilNs -> Math.max(nowNs, untilNs))
         .min()
         .orElse(nowNs);
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDesk.java
@@ -25,7 +25,7 @@
   private final Repeats repeats;
   private final Map<Long, TrackedForward> tracked = new HashMap<>();
   private final DueRequests due = new DueRequests();
-  private final RestWatch rests;
+  private final BackoffWatch backoffs;
   private final SlotTies slots;
   private final WaitingLines lines;
   private long changes;
@@ -46,7 +46,7 @@
     repeats = new Repeats(settings, placement, gate, quarantine);
     placer = new Placer(placement, gate, isEngine, due, out);
     this.upstreams = upstreams;
-    rests = new RestWatch(gate, upstreams);
+    backoffs = new BackoffWatch(gate, upstreams);
     this.out = out;
   }
 
@@ -60,7 +60,7 @@
   }
 
   OptionalLong nextDueNs() {
-    long nextNs = Math.min(due.nextNs(), rests.nextEndNs());
+    long nextNs = Math.min(due.nextNs(), backoffs.nextEndNs());
     return nextNs == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(nextNs);
   }
 
@@ -181,7 +181,7 @@
   /** Ends what is out of time. */
   void tick(long nowNs) {
     due.takeUntil(nowNs).forEach(request -> due(request, nowNs));
-    changes += rests.takeEnd(nowNs) ? 1 : 0;
+    changes += backoffs.takeEnd(nowNs) ? 1 : 0;
     serveLines(nowNs);
   }
 
@@ -194,9 +194,9 @@
       lines.of(request.service()).served(nowNs);
       return;
     }
-    if (rests.outlast(request, nowNs)) {
+    if (backoffs.outlast(request, nowNs)) {
       forget(request);
-      endWithout(request, rests.retryAfterMs(request, nowNs));
+      endWithout(request, backoffs.retryAfterMs(request, nowNs));
       return;
     }
     lines.add(request);
@@ -217,7 +217,7 @@
     } else if (request.maybeRan()) {
       refuse(request, Refusal.BROKEN, 0);
     } else {
-      refuse(request, Refusal.NOT_RUN, rests.retryAfterMs(request, nowNs));
+      refuse(request, Refusal.NOT_RUN, backoffs.retryAfterMs(request, nowNs));
     }
   }
 
@@ -277,23 +277,23 @@
       } else {
         waiting.serve(request -> placer.place(request, nowNs), nowNs);
       }
-      if (upstreams.mayRest(nowNs)) {
-        giveUpBeforeRestEnds(waiting, nowNs);
+      if (upstreams.mayBeBackedOff(nowNs)) {
+        giveUpBeforeBackoffEnds(waiting, nowNs);
       }
       shed(service, waiting, nowNs);
-      rests.watch(service, nowNs);
+      backoffs.watch(service, nowNs);
     }
   }
 
   /**
    * Gives up what would wait in vain, as all upstreams that it may go to want nothing for longer.
    */
-  private void giveUpBeforeRestEnds(WaitingLine waiting, long nowNs) {
+  private void giveUpBeforeBackoffEnds(WaitingLine waiting, long nowNs) {
     for (TrackedForward request : waiting.all()) {
-      if (rests.outlast(request, nowNs)) {
+      if (backoffs.outlast(request, nowNs)) {
         waiting.remove(request);
         forget(request);
-        endWithout(request, rests.retryAfterMs(request, nowNs));
+        endWithout(request, backoffs.retryAfterMs(request, nowNs));
       }
     }
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamBook.java
@@ -28,7 +28,7 @@
   private Map<ServiceId, List<UpstreamView>> byService = Map.of();
   private List<UpstreamView> inOrder = List.of();
   private long revision = -1;
-  private long latestRestEndNs = Long.MIN_VALUE;
+  private long latestBackoffEndNs = Long.MIN_VALUE;
   private int limitedLives;
   private boolean anyLeaves;
 
@@ -78,10 +78,10 @@
   }
 
   /** Takes that an upstream wants nothing for a while; returns whether it wasn't so already. */
-  boolean rest(UpstreamLife upstream, long restMs, long nowNs) {
+  boolean backOff(UpstreamLife upstream, long backoffMs, long nowNs) {
     Backpressure asking = backpressure(upstream);
-    boolean news = asking.rest(restMs, nowNs);
-    latestRestEndNs = Math.max(latestRestEndNs, asking.restUntilNs());
+    boolean news = asking.backOff(backoffMs, nowNs);
+    latestBackoffEndNs = Math.max(latestBackoffEndNs, asking.backoffUntilNs());
     return news;
   }
 
@@ -93,12 +93,12 @@
 
   /** Tells whether any upstream may take nothing now, so that each must be looked at. */
   boolean mayTakeNone(long nowNs) {
-    return anyLeaves || mayRest(nowNs);
+    return anyLeaves || mayBeBackedOff(nowNs);
   }
 
-  /** Tells whether any upstream may rest now, so that each must be looked at. */
-  boolean mayRest(long nowNs) {
-    return nowNs < latestRestEndNs;
+  /** Tells whether any upstream may be backed off now, so that each must be looked at. */
+  boolean mayBeBackedOff(long nowNs) {
+    return nowNs < latestBackoffEndNs;
   }
 
   /** Takes whether an upstream names a limit. */
--- a/core/src/main/java/org/teaseltrail/core/forward/VersionGate.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/VersionGate.java
@@ -111,12 +111,12 @@
   /** Returns how many places of a service this VM may fill if it hears from no leader. */
   int ownPlaces(ServiceId service, long nowNs) {
     return open(service).stream()
-        .filter(view -> !view.backpressure().isInNeed(nowNs))
+        .filter(view -> !view.backpressure().isThrottled(nowNs))
         .mapToInt(UpstreamView::ownPart)
         .sum();
   }
 
-  /** Returns those of the open upstreams that take nothing now, as they rest or leave. */
+  /** Returns those of the open upstreams that take nothing now, as they are backed off or leave. */
   List<UpstreamId> takingNone(ServiceId service, long nowNs) {
     if (!upstreams.mayTakeNone(nowNs)) {
       return List.of();
--- a/core/src/test/java/org/teaseltrail/core/control/AskingEngine.java
+++ b/core/src/test/java/org/teaseltrail/core/control/AskingEngine.java
@@ -37,17 +37,17 @@
   private final List<Long> arrivalsNs = new ArrayList<>();
   private final List<Long> countedNs = new ArrayList<>();
   private final Map<Integer, List<Long>> arrivalsOfVmNs = new HashMap<>();
-  private final Map<Integer, List<Rest>> rests = new HashMap<>();
+  private final Map<Integer, List<Backoff>> backoffs = new HashMap<>();
   private RateLimit limit = RateLimit.UNLIMITED;
   private double excessBefore;
-  private int restMs;
+  private int backoffMs;
   private boolean leaving;
   private final Map<Integer, Long> toldLeavingNs = new HashMap<>();
   private int takenAfterLeaving;
   private long namedNs = Long.MAX_VALUE;
 
   /** Is a time for which the engine has asked a VM to send nothing. */
-  private record Rest(long fromNs, long untilNs) {}
+  private record Backoff(long fromNs, long untilNs) {}
 
   AskingEngine(int site) {
     places = new BatchEngine(site, 1, Plans.ENGINES);
@@ -85,29 +85,29 @@
     }
   }
 
-  /** Turns all requests away from now on and asks each time for a rest, or for none if 0. */
-  void turnAway(int askedRestMs) {
-    restMs = askedRestMs;
+  /** Turns all requests away from now on and asks each time for a backoff, or for none if 0. */
+  void turnAway(int askedBackoffMs) {
+    backoffMs = askedBackoffMs;
   }
 
-  int restMs() {
-    return restMs;
+  int backoffMs() {
+    return backoffMs;
   }
 
   /** Notes that it has turned a VM away. */
   void turnedAway(int vm, long nowNs) {
-    Rest rest = new Rest(nowNs + KNOWN_AFTER_NS, nowNs + restMs * NS_PER_MS);
-    rests.computeIfAbsent(vm, key -> new ArrayList<>()).add(rest);
+    Backoff backoff = new Backoff(nowNs + KNOWN_AFTER_NS, nowNs + backoffMs * NS_PER_MS);
+    backoffs.computeIfAbsent(vm, key -> new ArrayList<>()).add(backoff);
   }
 
-  /** Returns the most requests that it got from one VM in one rest. */
-  long mostInRest() {
+  /** Returns the most requests that it got from one VM in one backoff. */
+  long mostInBackoff() {
     long most = 0;
-    for (Map.Entry<Integer, List<Rest>> ofVm : rests.entrySet()) {
+    for (Map.Entry<Integer, List<Backoff>> ofVm : backoffs.entrySet()) {
       List<Long> arrivals = arrivalsOfVmNs.getOrDefault(ofVm.getKey(), List.of());
-      for (Rest rest : ofVm.getValue()) {
+      for (Backoff backoff : ofVm.getValue()) {
         long count =
-            arrivals.stream().filter(at -> at > rest.fromNs() && at < rest.untilNs()).count();
+            arrivals.stream().filter(at -> at > backoff.fromNs() && at < backoff.untilNs()).count();
         most = Math.max(most, count);
       }
     }
@@ -132,7 +132,7 @@
   void excuse(int vm) {
     toldNs.remove(vm);
     toldLeavingNs.remove(vm);
-    rests.remove(vm);
+    backoffs.remove(vm);
   }
 
   void arrived(int vm, long calledNs, long nowNs) {
--- a/core/src/test/java/org/teaseltrail/core/control/BackpressureProperties.java
+++ b/core/src/test/java/org/teaseltrail/core/control/BackpressureProperties.java
@@ -10,9 +10,9 @@
 import org.teaseltrail.core.backpressure.RateLimit;
 
 /**
- * Engines ask for less work, for rest, or say that they leave, while leaders and VMs fail at random
- * and load swings. The promises: what they ask for is kept by all who know, and once it is over
- * they have their part again.
+ * Engines ask for less work, to back off, or say that they leave, while leaders and VMs fail at
+ * random and load swings. The promises: what they ask for is kept by all who know, and once it is
+ * over they have their part again.
  */
 class BackpressureProperties {
 
@@ -20,18 +20,18 @@
   private static final int STEPS = 40;
   private static final int STEP_MS = 600;
   private static final int SETTLE_MS = 8_000;
-  private static final int ALLOWED_IN_REST = 2;
+  private static final int ALLOWED_IN_BACKOFF = 2;
   private static final double PER_SECOND = 55;
 
   /** Is something that an engine may begin to ask for, or cease to. */
-  private enum Wish {
+  private enum Signal {
     LIMIT {
       @Override
       void come(AskingEngine engine, SplittableRandom random) {
         engine.name(new RateLimit(random.nextDouble(6)));
       }
     },
-    REST {
+    BACKOFF {
       @Override
       void come(AskingEngine engine, SplittableRandom random) {
         engine.turnAway(500 + random.nextInt(4_000));
@@ -121,7 +121,7 @@
     for (int step = 0; step < STEPS; step++) {
       if (random.nextInt(3) == 0) {
         AskingEngine engine = run.engine(random.nextInt(ENGINES));
-        Wish.values()[random.nextInt(Wish.values().length)].come(engine, random);
+        Signal.values()[random.nextInt(Signal.values().length)].come(engine, random);
       }
       if (random.nextInt(8) == 0) {
         Fault.values()[random.nextInt(Fault.values().length)].strike(run, random);
@@ -133,14 +133,14 @@
     }
     for (AskingEngine engine : run.engines()) {
       assertThat(engine.excess()).isLessThanOrEqualTo(0);
-      assertThat(engine.mostInRest()).isLessThanOrEqualTo(ALLOWED_IN_REST);
+      assertThat(engine.mostInBackoff()).isLessThanOrEqualTo(ALLOWED_IN_BACKOFF);
       assertThat(engine.takenAfterLeaving()).isZero();
     }
     assertThatAllAreBack(run, random);
   }
 
   private static void assertThatAllAreBack(BackpressureRun run, SplittableRandom random) {
-    run.engines().forEach(engine -> Wish.NOTHING.come(engine, random));
+    run.engines().forEach(engine -> Signal.NOTHING.come(engine, random));
     run.play(20_000, PER_SECOND);
     double equalShare = PER_SECOND / (ENGINES - 1);
     for (int i = 1; i < ENGINES; i++) {
--- a/core/src/test/java/org/teaseltrail/core/control/BackpressureRun.java
+++ b/core/src/test/java/org/teaseltrail/core/control/BackpressureRun.java
@@ -209,7 +209,7 @@
     Attempt attempt = new Attempt(vm, vms.life(vm), dispatch.request(), engine, group.nowNs());
     attempts.put(dispatch.request(), attempt);
     engine.arrived(vm, calledNs.get(dispatch.request()), group.nowNs());
-    if (engine.restMs() > 0) {
+    if (engine.backoffMs() > 0) {
       later(TURN_AWAY_AFTER_MS, () -> turnAway(attempt));
       return;
     }
@@ -240,8 +240,8 @@
       AskingEngine engine = attempt.engine();
       engine.turnedAway(attempt.vm(), group.nowNs());
       vms.node(attempt.vm())
-          .wishes()
-          .rest(engine.registration().life(), engine.restMs(), group.nowNs());
+          .signals()
+          .backOff(engine.registration().life(), engine.backoffMs(), group.nowNs());
       end(attempt, AttemptEnd.REFUSED);
     }
   }
@@ -250,10 +250,10 @@
   private void tell(Attempt attempt) {
     AskingEngine engine = attempt.engine();
     ForwardNode node = vms.node(attempt.vm());
-    node.wishes()
+    node.signals()
         .limit(engine.registration().life(), engine.limit(), attempt.dispatchedNs(), group.nowNs());
     if (engine.isLeaving()) {
-      node.wishes().leaving(engine.registration().life());
+      node.signals().leaving(engine.registration().life());
     }
     engine.told(attempt.vm(), group.nowNs());
   }
--- a/core/src/test/java/org/teaseltrail/core/forward/UpstreamWishesTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/BackpressureSignalsTest.java
@@ -13,11 +13,11 @@
 import org.teaseltrail.core.serving.ServingMessage;
 
 /** What upstreams ask for in their answers, as one VM takes it in. */
-class UpstreamWishesTest extends ForwardNodeCase {
+class BackpressureSignalsTest extends ForwardNodeCase {
 
   private static final RateLimit LIMIT = new RateLimit(1.6);
   private static final int PLACES = 4;
-  private static final int REST_MS = 1_000;
+  private static final int BACKOFF_MS = 1_000;
 
   private final Registration upstream = upstream("e1", Plans.ENGINES, PLACES);
   private final UpstreamLife life = upstream.life();
@@ -32,9 +32,9 @@
   void olderAnswerLiftsNoLimit() {
     long beforeNs = nowNs;
     waitMs(100);
-    assertThat(node.wishes().limit(life, LIMIT, beforeNs, nowNs)).isTrue();
+    assertThat(node.signals().limit(life, LIMIT, beforeNs, nowNs)).isTrue();
     waitMs(1);
-    assertThat(node.wishes().limit(life, RateLimit.UNLIMITED, beforeNs, nowNs)).isFalse();
+    assertThat(node.signals().limit(life, RateLimit.UNLIMITED, beforeNs, nowNs)).isFalse();
     arrive("/stream/x");
     assertThat(dispatches()).isEmpty();
   }
@@ -44,7 +44,7 @@
    */
   @Test
   void limitThatStandsIsToldOverAndOver() {
-    node.wishes().limit(life, LIMIT, nowNs, nowNs);
+    node.signals().limit(life, LIMIT, nowNs, nowNs);
     List<Long> toldMs = new ArrayList<>();
     for (int ms = 0; ms < 10_000; ms += 50) {
       waitMs(50);
@@ -64,21 +64,23 @@
 
   @Test
   void answerToLaterRequestLiftsTheLimit() {
-    node.wishes().limit(life, LIMIT, nowNs, nowNs);
+    node.signals().limit(life, LIMIT, nowNs, nowNs);
     waitMs(1);
     long dispatchedNs = nowNs;
     waitMs(50);
-    assertThat(node.wishes().limit(life, RateLimit.UNLIMITED, dispatchedNs, nowNs)).isTrue();
+    assertThat(node.signals().limit(life, RateLimit.UNLIMITED, dispatchedNs, nowNs)).isTrue();
     arrive("/stream/x");
     assertThat(dispatches()).containsExactly("e1");
   }
 
-  /** A stream from before the rest ends after it, and all that waits is sent to be turned away. */
+  /**
+   * A stream from before the backoff ends after it, and all that waits is sent to be turned away.
+   */
   @Test
-  void oldAnswerDoesNotShowThatTheRestIsOver() {
+  void oldAnswerDoesNotShowThatTheBackoffIsOver() {
     final long old = arrive("/stream/x");
-    node.wishes().rest(life, REST_MS, nowNs);
-    waitMs(REST_MS);
+    node.signals().backOff(life, BACKOFF_MS, nowNs);
+    waitMs(BACKOFF_MS);
     final long asking = arrive("/resumable/x");
     assertThat(dispatches()).containsExactly("e1");
     end(old, AttemptEnd.ANSWERED);
@@ -92,22 +94,22 @@
 
   /** An upstream that is full for a moment asks for no time, and is given one request at a time. */
   @Test
-  void restOfNoTimeIsNone() {
-    assertThat(node.wishes().rest(life, 0, nowNs)).isFalse();
+  void backoffOfNoTimeIsNone() {
+    assertThat(node.signals().backOff(life, 0, nowNs)).isFalse();
     arrive("/stream/x");
     assertThat(dispatches()).hasSize(1);
     arrive("/stream/x");
     assertThat(dispatches()).hasSize(1);
   }
 
-  /** A request that was dispatched gets its connection after the upstream asked for rest. */
+  /** A request that was dispatched gets its connection after the upstream asked to back off. */
   @Test
   void dispatchedRequestIsWithheldAndTriesElsewhereForFree() {
     long number = arrive("/stream/x");
-    node.wishes().rest(life, REST_MS, nowNs);
-    assertThat(node.wishes().allowSending(life, nowNs)).isFalse();
+    node.signals().backOff(life, BACKOFF_MS, nowNs);
+    assertThat(node.signals().allowSending(life, nowNs)).isFalse();
     end(number, AttemptEnd.WITHHELD);
     assertThat(refusals()).containsExactly(Refusal.NOT_RUN);
-    assertThat(retriesAfterMs()).containsExactly((long) REST_MS);
+    assertThat(retriesAfterMs()).containsExactly((long) BACKOFF_MS);
   }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/AnswerHead.java
+++ b/forward/src/main/java/org/teaseltrail/forward/AnswerHead.java
@@ -14,8 +14,8 @@
  * @param load the upstream's load, if it is told
  * @param limit what the upstream takes from all VMs, {@link RateLimit#UNLIMITED} if it names no
  *     limit; empty if it names one that can't be read, or if nothing follows from its silence
- * @param restMs for how long the upstream that turns this request away wants none from this VM, in
- *     milliseconds, if it says so
+ * @param backoffMs for how long the upstream that turns this request away wants none from this VM,
+ *     in milliseconds, if it says so
  * @param leaving whether the upstream says that it is about to leave
  */
 public record AnswerHead(
@@ -25,7 +25,7 @@
     boolean eventStream,
     Optional<ToldLoad> load,
     Optional<RateLimit> limit,
-    OptionalLong restMs,
+    OptionalLong backoffMs,
     boolean leaving) {
 
   /**
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -176,7 +176,7 @@
   private final class Attempt implements UpstreamCall {
 
     private final ForwardAction.Dispatch dispatch;
-    private final long dispatchedNs = server.wishes().nowNs();
+    private final long dispatchedNs = server.signals().nowNs();
     private UpstreamConnection connection;
     private AnswerHead head;
     private int status;
@@ -197,7 +197,7 @@
         server.pool().idle(made);
         return;
       }
-      if (!server.wishes().allowSending(dispatch.upstream().life())) {
+      if (!server.signals().allowSending(dispatch.upstream().life())) {
         server.pool().idle(made);
         end(AttemptEnd.WITHHELD);
         return;
@@ -237,7 +237,7 @@
       relays = success && read.signed() && read.eventStream();
       read.load().ifPresent(load -> server.told(dispatch.upstream().id(), load));
       if (status != MISDIRECTED_REQUEST) {
-        server.wishes().heard(dispatch.upstream(), read, dispatchedNs);
+        server.signals().heard(dispatch.upstream(), read, dispatchedNs);
       }
       if (!headSent) {
         answerHead = response;
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -73,7 +73,7 @@
   private final EventLoop loop = sharedLoop.loop();
   private final ForwardNode node;
   private final UpstreamPool pool;
-  private final WishListener wishes;
+  private final SignalListener signals;
   private final EventHold eventHold;
   private final ControlLinks links;
   private final ForwardMetrics metrics;
@@ -99,7 +99,7 @@
     this.log = log;
     node = new ForwardNode(options.node());
     pool = new UpstreamPool(sharedLoop, dialect);
-    wishes = new WishListener(node.wishes(), clock, log);
+    signals = new SignalListener(node.signals(), clock, log);
     eventHold = new EventHold(loop, options.eventHoldMs());
     links =
         new ControlLinks(
@@ -182,8 +182,8 @@
     sharedLoop.end(Duration.ofMillis(DRAIN_POLL_MS));
   }
 
-  WishListener wishes() {
-    return wishes;
+  SignalListener signals() {
+    return signals;
   }
 
   UpstreamPool pool() {
--- a/forward/src/main/java/org/teaseltrail/forward/WishListener.java
+++ b/forward/src/main/java/org/teaseltrail/forward/SignalListener.java
@@ -1,7 +1,7 @@
 package org.teaseltrail.forward;
 
 import org.teaseltrail.core.backpressure.RateLimit;
-import org.teaseltrail.core.forward.UpstreamWishes;
+import org.teaseltrail.core.forward.BackpressureSignals;
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.registry.UpstreamLife;
 import org.teaseltrail.runtime.clock.SuspendAwareClock;
@@ -10,14 +10,14 @@
 import org.teaseltrail.runtime.log.LogField;
 
 /** Passes on what upstreams say of themselves in answers, and logs what is news. */
-final class WishListener {
+final class SignalListener {
 
-  private final UpstreamWishes wishes;
+  private final BackpressureSignals signals;
   private final SuspendAwareClock clock;
   private final EventLog log;
 
-  WishListener(UpstreamWishes wishes, SuspendAwareClock clock, EventLog log) {
-    this.wishes = wishes;
+  SignalListener(BackpressureSignals signals, SuspendAwareClock clock, EventLog log) {
+    this.signals = signals;
     this.clock = clock;
     this.log = log;
   }
@@ -30,7 +30,7 @@
   /** Takes the head of an upstream's own answer to what was dispatched at a time. */
   void heard(Registration upstream, AnswerHead head, long dispatchedNs) {
     head.limit().ifPresent(limit -> limit(upstream, limit, dispatchedNs));
-    head.restMs().ifPresent(restMs -> rest(upstream, restMs));
+    head.backoffMs().ifPresent(backoffMs -> backOff(upstream, backoffMs));
     if (head.leaving()) {
       leaving(upstream);
     }
@@ -38,11 +38,11 @@
 
   /** Tells whether a request may be sent now that there is a connection. */
   boolean allowSending(UpstreamLife upstream) {
-    return wishes.allowSending(upstream, clock.nowNs());
+    return signals.allowSending(upstream, clock.nowNs());
   }
 
   private void limit(Registration upstream, RateLimit limit, long dispatchedNs) {
-    if (wishes.limit(upstream.life(), limit, dispatchedNs, clock.nowNs())) {
+    if (signals.limit(upstream.life(), limit, dispatchedNs, clock.nowNs())) {
       line(LogEvent.LIMIT_TOLD, upstream)
           .with(LogField.LIMITED, limit.isLimited())
           .with(LogField.LIMIT_PER_S, limit.isLimited() ? limit.perSecond() : 0)
@@ -50,14 +50,14 @@
     }
   }
 
-  private void rest(Registration upstream, long restMs) {
-    if (wishes.rest(upstream.life(), restMs, clock.nowNs())) {
-      line(LogEvent.REST_TOLD, upstream).with(LogField.REST_MS, restMs).write();
+  private void backOff(Registration upstream, long backoffMs) {
+    if (signals.backOff(upstream.life(), backoffMs, clock.nowNs())) {
+      line(LogEvent.BACKOFF_TOLD, upstream).with(LogField.BACKOFF_MS, backoffMs).write();
     }
   }
 
   private void leaving(Registration upstream) {
-    if (wishes.leaving(upstream.life())) {
+    if (signals.leaving(upstream.life())) {
       line(LogEvent.LEAVING_TOLD, upstream).write();
     }
   }
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -46,7 +46,7 @@
   /** An upstream names a limit in an answer, another one than before, or none any longer. */
   LIMIT_TOLD(LogField.UPSTREAM, LogField.LIMITED, LogField.LIMIT_PER_S),
   /** An upstream turned a request away and wants none from this VM for a while. */
-  REST_TOLD(LogField.UPSTREAM, LogField.REST_MS),
+  BACKOFF_TOLD(LogField.UPSTREAM, LogField.BACKOFF_MS),
   /** An upstream says in an answer that it is about to leave. */
   LEAVING_TOLD(LogField.UPSTREAM),
   /** A caller closed its connection before the answer's end. */
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -66,7 +66,7 @@
   LIMIT_PER_S(
       "requests a second that the upstream takes from all VMs together, if it names a limit"),
   /** How long an upstream wants nothing. */
-  REST_MS("time for which the upstream wants no request from this VM"),
+  BACKOFF_MS("time for which the upstream wants no request from this VM"),
   /** The status that the caller or this VM got. */
   STATUS("the HTTP status, 0 for none"),
   /** Why something was refused. */
