--- a/core/src/test/java/org/teaseltrail/core/control/BackpressureRun.java
+++ b/core/src/test/java/org/teaseltrail/core/control/BackpressureRun.java
@@ -34,6 +34,7 @@
   private static final int DEADLINE_MS = 4_000;
   private static final int BUSY_VM_WEIGHT = 3;
   private static final int OBJECTIVE_MS = 500;
+  private static final int CALM_MS = 3_000;
 
   /** Is one attempt of a VM's life at an engine. */
   private record Attempt(int vm, long life, long request, AskingEngine engine, long dispatchedNs) {}
@@ -72,6 +73,14 @@
     heartbeats();
   }
 
+  /** Makes a run that has been going for a while in calm, and counts from now on. */
+  static BackpressureRun inCalm(long seed, int vms, int engines, double perSecond) {
+    BackpressureRun run = new BackpressureRun(new SplittableRandom(seed), vms, engines);
+    run.play(CALM_MS, perSecond);
+    run.countAnew();
+    return run;
+  }
+
   FakeControlGroup group() {
     return group;
   }
--- a/core/src/test/java/org/teaseltrail/core/control/LeavingUpstreamTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/LeavingUpstreamTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -13,16 +12,8 @@
  */
 class LeavingUpstreamTest {
 
-  private static final int BEFORE_MS = 3_000;
   private static final int LEAVING_MS = 8_000;
 
-  private static BackpressureRun run(long seed, int vms, int engines, double perSecond) {
-    BackpressureRun run = new BackpressureRun(new SplittableRandom(seed), vms, engines);
-    run.play(BEFORE_MS, perSecond);
-    run.countAnew();
-    return run;
-  }
-
   private static int takenAfterLeaving(BackpressureRun run) {
     return run.engines().stream().mapToInt(AskingEngine::takenAfterLeaving).sum();
   }
@@ -31,7 +22,7 @@
   @ParameterizedTest
   @CsvSource({"1, 9, 8, 50", "2, 62, 98, 500"})
   void othersServeOnceVmKnows(long seed, int vms, int engines, double perSecond) {
-    BackpressureRun run = run(seed, vms, engines, perSecond);
+    BackpressureRun run = BackpressureRun.inCalm(seed, vms, engines, perSecond);
     run.engine(0).leave();
     run.engine(1).leave();
     run.play(LEAVING_MS, perSecond);
@@ -43,7 +34,7 @@
   @Test
   void grantsOfLeavingUpstreamAreNotUsed() {
     double moreThanFits = 1.3 * 8 * BatchEngine.PLACES / 0.3;
-    BackpressureRun run = run(3, 9, 8, moreThanFits);
+    BackpressureRun run = BackpressureRun.inCalm(3, 9, 8, moreThanFits);
     run.engine(0).leave();
     run.engine(1).leave();
     run.play(LEAVING_MS, moreThanFits);
@@ -53,7 +44,7 @@
   /** The registration lapses and comes back, and what was known with it. */
   @Test
   void leavingOutlivesTheRegistration() {
-    BackpressureRun run = run(4, 9, 8, 50);
+    BackpressureRun run = BackpressureRun.inCalm(4, 9, 8, 50);
     run.engine(0).leave();
     run.play(2_000, 50);
     run.loseHeartbeatsOf(run.engine(0), true);
--- a/core/src/test/java/org/teaseltrail/core/control/LimitedUpstreamTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/LimitedUpstreamTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -20,19 +19,11 @@
   private static final int VMS = 9;
   private static final int ENGINES = 8;
   private static final double LOAD_PER_SECOND = 50;
-  private static final int BEFORE_MS = 3_000;
   private static final int NEED_MS = 16_000;
   private static final RateLimit LIMIT = new RateLimit(1.6);
 
-  private static BackpressureRun run(long seed, int vms, int engines, double perSecond) {
-    BackpressureRun run = new BackpressureRun(new SplittableRandom(seed), vms, engines);
-    run.play(BEFORE_MS, perSecond);
-    run.countAnew();
-    return run;
-  }
-
   private static BackpressureRun run(long seed) {
-    return run(seed, VMS, ENGINES, LOAD_PER_SECOND);
+    return BackpressureRun.inCalm(seed, VMS, ENGINES, LOAD_PER_SECOND);
   }
 
   private static void assertWithinLimits(BackpressureRun run) {
@@ -51,7 +42,7 @@
     "5, 1.6, 62, 98, 500"
   })
   void limitHoldsOverAllVms(long seed, double limit, int vms, int engines, double perSecond) {
-    BackpressureRun run = run(seed, vms, engines, perSecond);
+    BackpressureRun run = BackpressureRun.inCalm(seed, vms, engines, perSecond);
     run.engine(0).name(new RateLimit(limit));
     run.engine(1).name(new RateLimit(limit));
     run.play(NEED_MS, perSecond);
@@ -101,7 +92,7 @@
   @Test
   void permitsFromCalmTimesAreNotAllSentInBurst() {
     int vms = 62;
-    BackpressureRun run = run(9, vms, 12, 20);
+    BackpressureRun run = BackpressureRun.inCalm(9, vms, 12, 20);
     AskingEngine engine = run.engine(0);
     engine.name(new RateLimit(6));
     run.play(20_000, 20);
--- a/core/src/test/java/org/teaseltrail/core/control/UpstreamBackoffTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/UpstreamBackoffTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -24,7 +23,6 @@
   private static final int VMS = 9;
   private static final int ENGINES = 8;
   private static final double LOAD_PER_SECOND = 50;
-  private static final int BEFORE_MS = 3_000;
   private static final int NEED_MS = 9_000;
 
   /** A tenth of the objective: time that a caller may lose who is served elsewhere. */
@@ -33,15 +31,8 @@
   /** Time in which each VM has asked each engine once. */
   private static final int ALL_TOLD_MS = 3_500;
 
-  private static BackpressureRun run(long seed, int vms, int engines, double perSecond) {
-    BackpressureRun run = new BackpressureRun(new SplittableRandom(seed), vms, engines);
-    run.play(BEFORE_MS, perSecond);
-    run.countAnew();
-    return run;
-  }
-
   private static BackpressureRun run(long seed) {
-    return run(seed, VMS, ENGINES, LOAD_PER_SECOND);
+    return BackpressureRun.inCalm(seed, VMS, ENGINES, LOAD_PER_SECOND);
   }
 
   private static void assertThatBackoffsAreKept(BackpressureRun run) {
@@ -55,7 +46,7 @@
   @CsvSource({"1, 9, 8, 50, 3000", "2, 9, 8, 50, 1000", "3, 62, 98, 500, 3000"})
   void othersServeWhileSomeBackOff(
       long seed, int vms, int engines, double perSecond, int backoffMs) {
-    BackpressureRun run = run(seed, vms, engines, perSecond);
+    BackpressureRun run = BackpressureRun.inCalm(seed, vms, engines, perSecond);
     run.engine(0).turnAway(backoffMs);
     run.engine(1).turnAway(backoffMs);
     run.play(NEED_MS, perSecond);
@@ -70,7 +61,7 @@
   @Test
   void backoffIsKeptWhileLeaderHandsOutPlaces() {
     double moreThanFits = 1.3 * ENGINES * BatchEngine.PLACES / 0.3;
-    BackpressureRun run = run(4, VMS, ENGINES, moreThanFits);
+    BackpressureRun run = BackpressureRun.inCalm(4, VMS, ENGINES, moreThanFits);
     run.engine(0).turnAway(BACKOFF_MS);
     run.engine(1).turnAway(BACKOFF_MS);
     run.play(NEED_MS, moreThanFits);
