Filter upstreams in one place, and ask an attempt's end whether it was sent

PlacementRule chose upstreams by the same two filters twice, once as a copy with a fixed flag; Repeats and VersionGate each spelled out which ends mean that nothing was sent, beside the enum that knows it.

--- a/core/src/main/java/org/teaseltrail/core/forward/AttemptEnd.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/AttemptEnd.java
@@ -34,13 +34,22 @@
     return maybeRan;
   }
 
+  /**
+   * Tells whether the request was sent to anybody.
+   *
+   * @return false if there was no connection, or it was not used
+   */
+  public boolean wasSent() {
+    return this != NOT_CONNECTED && this != WITHHELD;
+  }
+
   /**
    * Tells whether the upstream that was meant has got the request.
    *
    * @return false if nothing was sent, or another upstream got it
    */
   public boolean reachedUpstream() {
-    return this != NOT_CONNECTED && this != WITHHELD && this != MISDIRECTED;
+    return wasSent() && this != MISDIRECTED;
   }
 
   /**
--- a/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/PlacementRule.java
@@ -145,21 +145,19 @@
 
   private static List<UpstreamView> usable(
       TrackedForward tracked, Collection<UpstreamView> views, long nowNs) {
-    List<UpstreamView> careful =
-        views.stream()
-            .filter(view -> isUntried(tracked, view))
-            .filter(view -> view.backpressure().allows(tracked.mayGoElsewhere(), nowNs))
-            .toList();
-    List<UpstreamView> allowing = careful.isEmpty() ? allowing(tracked, views, nowNs) : careful;
+    List<UpstreamView> careful = allowing(tracked, views, tracked.mayGoElsewhere(), nowNs);
+    List<UpstreamView> allowing =
+        careful.isEmpty() ? allowing(tracked, views, true, nowNs) : careful;
     List<UpstreamView> trusted = allowing.stream().filter(view -> view.isTrusted(nowNs)).toList();
     return trusted.isEmpty() ? allowing : trusted;
   }
 
-  /** Returns those that may be asked, though the request can go nowhere else if it is refused. */
+  /** Returns those that a request may be sent to now, as one that may go elsewhere or not. */
   private static List<UpstreamView> allowing(
-      TrackedForward tracked, Collection<UpstreamView> views, long nowNs) {
-    return untried(tracked, views).stream()
-        .filter(view -> view.backpressure().allows(true, nowNs))
+      TrackedForward tracked, Collection<UpstreamView> views, boolean mayGoElsewhere, long nowNs) {
+    return views.stream()
+        .filter(view -> isUntried(tracked, view))
+        .filter(view -> view.backpressure().allows(mayGoElsewhere, nowNs))
         .toList();
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/Repeats.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/Repeats.java
@@ -49,9 +49,8 @@
     if (!mayRepeat || !attemptsLeft || !timeLeft || !elsewhere || held) {
       return false;
     }
-    boolean free = end == AttemptEnd.NOT_CONNECTED || end == AttemptEnd.WITHHELD;
     double ownSlack = settings.retrySlack() / vmCount;
-    return free || budget(request.service()).take(ownSlack, nowNs);
+    return !end.wasSent() || budget(request.service()).take(ownSlack, nowNs);
   }
 
   private RetryBudget budget(ServiceId service) {
--- a/core/src/main/java/org/teaseltrail/core/forward/VersionGate.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/VersionGate.java
@@ -187,7 +187,7 @@
    * @param suspected whether the request itself is suspected of ending upstreams
    */
   void ended(TrackedForward request, AttemptEnd end, boolean suspected, long nowNs) {
-    if (parts.isEmpty() || end == AttemptEnd.NOT_CONNECTED || end == AttemptEnd.WITHHELD) {
+    if (parts.isEmpty() || !end.wasSent()) {
       return;
     }
     boolean plainAnswer = end == AttemptEnd.ANSWERED && !request.hasReached();
