Monitor paths only where requests can be relayed

Its stand-in of a VM carries out no probes, so that the paths counted as lost after 2 s and the VM sent one more sync. Without a relay nothing can be done about a lost path, so a VM that takes part in none neither probes nor keeps that state.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -74,6 +74,7 @@
     conditions = new ConditionEstimator(settings.contention().upstreamConditions(), upstreams);
     paths =
         new UpstreamPaths(
+            settings.relay().address().isPresent(),
             upstreams,
             this::healthPath,
             new SplittableRandom(settings.seed()).split(),
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamPaths.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamPaths.java
@@ -24,18 +24,22 @@
   private final Function<ServiceId, Optional<String>> healthPaths;
   private final Consumer<ForwardAction> actions;
   private final PathMonitor monitor;
+  private final boolean isEnabled;
   private final List<PathListener> listeners = new ArrayList<>();
 
   /**
    * Creates the paths to the registered upstreams.
    *
+   * @param isEnabled whether the paths are monitored; otherwise they always count as intact
    * @param healthPaths returns the path of a service's health check, if it is known
    */
   UpstreamPaths(
+      boolean isEnabled,
       UpstreamTracker upstreams,
       Function<ServiceId, Optional<String>> healthPaths,
       RandomGenerator random,
       Consumer<ForwardAction> actions) {
+    this.isEnabled = isEnabled;
     this.upstreams = upstreams;
     this.healthPaths = healthPaths;
     this.actions = actions;
@@ -67,34 +71,29 @@
   }
 
   void onHeard(UpstreamId upstream) {
-    upstreams.find(upstream).map(UpstreamPaths::service).ifPresent(monitor::onHeard);
+    serviceOf(upstream).ifPresent(monitor::onHeard);
   }
 
   void onConnected(UpstreamId upstream, long nowNs) {
-    upstreams
-        .find(upstream)
-        .map(UpstreamPaths::service)
-        .ifPresent(service -> monitor.onConnected(service, nowNs));
+    serviceOf(upstream).ifPresent(service -> monitor.onConnected(service, nowNs));
   }
 
   void onConnectionFailure(UpstreamId upstream, long nowNs) {
-    upstreams
-        .find(upstream)
-        .map(UpstreamPaths::service)
-        .ifPresent(service -> monitor.onConnectionFailure(service, nowNs));
+    serviceOf(upstream).ifPresent(service -> monitor.onConnectionFailure(service, nowNs));
   }
 
   /** Records that a request is about to be sent to an upstream. */
   void onDispatch(UpstreamState upstream, long nowNs) {
-    ServiceId service = service(upstream);
+    if (!isEnabled) {
+      return;
+    }
+    ServiceId service = upstream.registration().service();
     boolean isFirst = upstream.ownInFlight() == 0 && !isWaiting(service);
     monitor.onDispatch(service, isFirst, nowNs);
   }
 
   void onProbeEnded(UpstreamId upstream, ProbeResult result, long nowNs) {
-    upstreams
-        .find(upstream)
-        .map(UpstreamPaths::service)
+    serviceOf(upstream)
         .ifPresent(service -> monitor.onProbeEnded(service, upstream, result, nowNs));
   }
 
@@ -156,7 +155,10 @@
             .toList());
   }
 
-  private static ServiceId service(UpstreamState upstream) {
-    return upstream.registration().service();
+  /** Returns the service of an upstream whose paths are monitored. */
+  private Optional<ServiceId> serviceOf(UpstreamId upstream) {
+    return isEnabled
+        ? upstreams.find(upstream).map(state -> state.registration().service())
+        : Optional.empty();
   }
 }
