Keep upstreams that tolerate few rejections standing while leaders change

With 62 VMs before 12 slots six upstreams crashed within 100 ms of the moment at which VMs took a killed leader for lost (upstreamsStandWhileLeadersChange, third case; traced: all rejections between 0.2 and 0.4 s after the kill). Three causes: each VM without a slot of its own was given one that it shared with others; a rejected VM sent its next waiting request to the same upstream 2 ms later; and a new leader divided the slots before it knew that the service was sensitive.

Slots of such a service now have one owner even if some VMs get none; a rejected slot counts as used for a second, here and by the next report at the leader; and a VM that searches for a leader sends what it knows before its sync. The limit is lifted 1 s after the newest report in place of 1.5 s, and reports come twice a second.

BrittleUpstreamTest (16), SlotDealerTest, SlotsWithoutLeaderTest are green.

--- a/core/src/main/java/org/teaseltrail/core/control/RejectionLimitCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/RejectionLimitCoordinator.java
@@ -23,7 +23,7 @@
    * Time after the newest report of a limit in which a report that it is lifted counts for nothing:
    * VMs hear different upstreams at different times.
    */
-  private static final long HOLD_NS = 1_500_000_000L;
+  private static final long HOLD_NS = 1_000_000_000L;
 
   private final Leadership leadership;
   private final Map<ServiceId, Long> reportedNs = new HashMap<>();
--- a/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
@@ -125,7 +125,9 @@
     quotas = new QuotaAllocator(policy.windowMs(), VM_TIMEOUT_NS, leadership.nowNs());
     dealtSlots = new LeaderFeature(features.dealtSlots(), leadership);
     rejectionLimits = new RejectionLimitCoordinator(leadership);
-    slotShares = new SlotShareAllocator(this::areSlotsOwned, this::areAllSlotsGranted);
+    slotShares =
+        new SlotShareAllocator(
+            this::areSlotsOwned, this::areAllSlotsGranted, rejectionLimits::isSensitive);
     quarantine = new QuarantineCoordinator(leadership);
     rollouts = new RolloutCoordinator(leadership, new VmsView());
     limits = new RateLimitCoordinator(leadership);
--- a/core/src/main/java/org/teaseltrail/core/control/SlotShareAllocator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotShareAllocator.java
@@ -64,6 +64,7 @@
   private final Map<ServiceId, SlotDealer> dealers = new HashMap<>();
   private final Predicate<ServiceId> isDealt;
   private final Predicate<ServiceId> isContended;
+  private final Predicate<ServiceId> isExclusive;
   private Map<VmId, Map<UpstreamId, Integer>> parts = Map.of();
   private long dividedNs;
   private long dealtByUseNs;
@@ -72,7 +73,7 @@
 
   /** Creates an allocator that deals no slots. */
   SlotShareAllocator() {
-    this(service -> false, service -> false);
+    this(service -> false, service -> false, service -> false);
   }
 
   /**
@@ -80,10 +81,16 @@
    *
    * @param isDealt whether slots of a service are dealt
    * @param isContended whether the leader allocates all slots of such a service at present
+   * @param isExclusive whether no two VMs may have the same slot of a service, even if there are
+   *     fewer slots than VMs
    */
-  SlotShareAllocator(Predicate<ServiceId> isDealt, Predicate<ServiceId> isContended) {
+  SlotShareAllocator(
+      Predicate<ServiceId> isDealt,
+      Predicate<ServiceId> isContended,
+      Predicate<ServiceId> isExclusive) {
     this.isDealt = isDealt;
     this.isContended = isContended;
+    this.isExclusive = isExclusive;
   }
 
   /** Records a VM's requests at upstreams. */
@@ -159,7 +166,8 @@
             (service, upstreams) -> {
               int slots =
                   upstreams.stream().filter(acceptsTraffic).mapToInt(Registration::slots).sum();
-              if (isDealt.test(service) && slots >= demands.size()) {
+              boolean isEnough = slots >= demands.size() || isExclusive.test(service);
+              if (isDealt.test(service) && isEnough) {
                 deal(service, upstreams.stream().filter(acceptsTraffic).toList(), assigned, nowNs);
               } else {
                 divideInTurns(service, upstreams, assigned);
@@ -205,7 +213,9 @@
             ? dealer.dealByUse(upstreams, targets, inFlight)
             : dealer.deal(upstreams, targets, inFlight);
     dealt.forEach((vm, held) -> assigned.computeIfAbsent(vm, key -> new HashMap<>()).putAll(held));
-    shareWithThoseWithoutSlots(upstreams, dealt, assigned);
+    if (!isExclusive.test(service)) {
+      shareWithThoseWithoutSlots(upstreams, dealt, assigned);
+    }
   }
 
   /**
@@ -225,10 +235,14 @@
     }
   }
 
-  /** Returns how many slots each VM is to have: one, and its part of the others by its demand. */
+  /**
+   * Returns how many slots each VM is to have: one if possible, and its part of the others by its
+   * demand.
+   */
   private Map<VmId, Double> targets(ServiceId service, List<VmId> present, int slots) {
     Map<VmId, Double> targets = new TreeMap<>(Comparator.comparing(VmId::value));
     double total = present.stream().mapToDouble(vm -> demand(vm, service)).sum();
+    double least = Math.min(1, (double) slots / Math.max(1, present.size()));
     double shared = Math.max(0, slots - present.size());
     for (VmId vm : present) {
       double evenShare = 1.0 / present.size();
@@ -236,7 +250,7 @@
           total > 0
               ? EVEN_RATIO * evenShare + (1 - EVEN_RATIO) * demand(vm, service) / total
               : evenShare;
-      targets.put(vm, 1 + share * shared);
+      targets.put(vm, least + share * shared);
     }
     return targets;
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -21,6 +21,7 @@
 import org.teaseltrail.core.relay.ProbeResult;
 import org.teaseltrail.core.relay.RelayHop;
 import org.teaseltrail.core.relay.RelayOutcome;
+import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
 
 /**
@@ -97,6 +98,7 @@
             versionRouter,
             paths,
             peers,
+            rejectionLimits,
             service -> isEngine(service) || rejectionLimits.isSensitive(service),
             action -> actions.add(action));
     quotas = new LocalQuotaTracker(settings.quotas(), settings.sessionLifetimeMs());
@@ -445,7 +447,11 @@
    * @return the actions to carry out, in this order
    */
   public List<ForwardAction> tick(long nowNs) {
+    boolean searchesLeader = !controlClient.hasLeader(nowNs);
     List<ForwardAction> syncs = controlClient.dueSyncs(this, nowNs);
+    if (searchesLeader) {
+      reportRejectionLimitsBefore(syncs);
+    }
     actions.addAll(syncs);
     if (!syncs.isEmpty()) {
       reports.reportWithSync(nowNs);
@@ -543,6 +549,15 @@
     return quotas.uses(sequence, controlClient.session().isValid(nowNs), nowNs);
   }
 
+  private void reportRejectionLimitsBefore(List<ForwardAction> syncs) {
+    Optional<ServingMessage> report = rejectionLimits.createFullReport();
+    for (ForwardAction action : syncs) {
+      if (report.isPresent() && action instanceof ForwardAction.SendControl sync) {
+        actions.add(new ForwardAction.SendControl(sync.member(), report.get()));
+      }
+    }
+  }
+
   private void onConfirmed(ServingReply.Confirmed confirmed, long nowNs) {
     FencingNumber before = controlClient.session().newestFencing();
     if (!controlClient.session().confirmed(confirmed, nowNs)) {
--- a/core/src/main/java/org/teaseltrail/core/forward/LeaderReporter.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/LeaderReporter.java
@@ -68,7 +68,7 @@
         .ifPresent(actions);
     if (controlClient.hasLeader(nowNs)) {
       rejectionLimits
-          .createReport(controlClient.session().newestFencing(), nowNs)
+          .createReport(nowNs)
           .flatMap(report -> controlClient.messageToLeader(report, nowNs))
           .ifPresent(actions);
       announcer
--- a/core/src/main/java/org/teaseltrail/core/forward/QueueLengthLimiter.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/QueueLengthLimiter.java
@@ -39,8 +39,18 @@
 
   private static final double MS_PER_S = 1e3;
 
+  /**
+   * Number of requests that may be queued for upstreams that tolerate few rejections: all their
+   * slots are granted by the leader, so that the queues of many VMs add up.
+   */
+  private static final int MIN_GRANTED_QUEUE_LENGTH = 1;
+
+  /** Minimum assumed rate of such a queue. */
+  private static final double MIN_GRANTED_RATE_PER_S = 1;
+
   private final RequestQueue waiting;
   private final IntSupplier ownSlots;
+  private final boolean isGrantedOnly;
 
   /**
    * Creates the limit of a queue.
@@ -48,15 +58,19 @@
    * @param waiting the queue
    * @param ownSlots returns the number of the service's slots that this VM may use without a
    *     leader; called only for a queue that may be too long
+   * @param isGrantedOnly whether requests are sent to granted slots only, so that the measured rate
+   *     applies
    */
-  QueueLengthLimiter(RequestQueue waiting, IntSupplier ownSlots) {
+  QueueLengthLimiter(RequestQueue waiting, IntSupplier ownSlots, boolean isGrantedOnly) {
     this.waiting = waiting;
     this.ownSlots = ownSlots;
+    this.isGrantedOnly = isGrantedOnly;
   }
 
   /** Returns the least urgent request if the queue is too long. */
   Optional<ActiveRequest> findExcess(long nowNs) {
-    if (waiting.size() <= MIN_QUEUE_LENGTH) {
+    int minLength = isGrantedOnly ? MIN_GRANTED_QUEUE_LENGTH : MIN_QUEUE_LENGTH;
+    if (waiting.size() <= minLength) {
       return Optional.empty();
     }
     return waiting
@@ -71,6 +85,9 @@
   }
 
   private double ratePerSecond(long nowNs) {
+    if (isGrantedOnly) {
+      return Math.max(MIN_GRANTED_RATE_PER_S, waiting.dispatchesPerSecond(nowNs));
+    }
     double expected = Math.max(MIN_RATE_PER_S, RATE_OF_SLOT_PER_S * ownSlots.getAsInt());
     return Math.max(expected, waiting.dispatchesPerSecond(nowNs));
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/RejectionLimitTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RejectionLimitTracker.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.teaseltrail.core.backpressure.RejectionLimit;
-import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.serving.ServingMessage;
@@ -20,14 +19,13 @@
 final class RejectionLimitTracker {
 
   /** Time after which a limit that is still heard is reported to the leader again. */
-  private static final long REPEAT_NS = 1_000_000_000L;
+  private static final long REPEAT_NS = 500_000_000L;
 
   private final VmId vm;
   private final Map<ServiceId, Long> heardNs = new HashMap<>();
   private final Set<ServiceId> news = new HashSet<>();
   private final Set<ServiceId> lifted = new HashSet<>();
   private Set<ServiceId> told = Set.of();
-  private FencingNumber reportedTo = new FencingNumber(0);
   private long reportedNs;
 
   RejectionLimitTracker(VmId vm) {
@@ -69,13 +67,21 @@
     return heardNs.containsKey(service) || told.contains(service);
   }
 
+  /**
+   * Returns a report of all that is known, for members of which one may be a new leader; empty if
+   * nothing is. A new leader that didn't know it before it divides the slots would give each VM
+   * some, even if there are fewer slots than VMs.
+   */
+  Optional<ServingMessage> createFullReport() {
+    Set<ServiceId> known = new HashSet<>(heardNs.keySet());
+    known.addAll(told);
+    return known.isEmpty()
+        ? Optional.empty()
+        : Optional.of(new ServingMessage.RejectionLimits(vm, List.copyOf(known), List.of()));
+  }
+
   /** Returns the report for the leader that goes with a sync, if there is anything to report. */
-  Optional<ServingMessage> createReport(FencingNumber leadership, long nowNs) {
-    if (!leadership.equals(reportedTo)) {
-      news.addAll(heardNs.keySet());
-      news.addAll(told);
-      reportedTo = leadership;
-    }
+  Optional<ServingMessage> createReport(long nowNs) {
     boolean isDue = nowNs - reportedNs >= REPEAT_NS || !told.containsAll(news);
     if ((news.isEmpty() && lifted.isEmpty()) || !isDue) {
       return Optional.empty();
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
@@ -40,6 +40,7 @@
   private final ForecastAdmission forecasts;
   private final UpstreamPaths paths;
   private final RelayCoordinator relays;
+  private final RejectionLimitTracker rejectionLimits;
   private long changes;
 
   RequestCoordinator(
@@ -52,6 +53,7 @@
       VersionRouter versionRouter,
       UpstreamPaths paths,
       PeerDirectory peers,
+      RejectionLimitTracker rejectionLimits,
       Predicate<ServiceId> isEngine,
       Consumer<ForwardAction> actions) {
     this.conditions = conditions;
@@ -59,6 +61,7 @@
     this.quarantine = quarantine;
     this.versionRouter = versionRouter;
     this.paths = paths;
+    this.rejectionLimits = rejectionLimits;
     SlotUsageCounter places =
         new SlotUsageCounter(
             new ServiceFeature(settings.contention().slotShares(), upstreams)::appliesTo);
@@ -173,6 +176,9 @@
         .currentUpstream()
         .get()
         .recordOutcome(isPathFault ? AttemptOutcome.WITHHELD : end, nowNs);
+    if (end == AttemptOutcome.REFUSED && rejectionLimits.isSensitive(request.service())) {
+      request.currentUpstream().get().recordRejection(nowNs);
+    }
     dispatcher.releaseSlot(request);
     recordPath(request, end, nowNs);
     request.endAttempt(end);
@@ -339,6 +345,7 @@
   void tick(long nowNs) {
     deadlines.pollUntil(nowNs).forEach(request -> onDeadline(request, nowNs));
     changes += backoffMonitor.pollBackoffEnd(nowNs) ? 1 : 0;
+    upstreams.releaseRejectedSlots(nowNs);
     if (paths.hasLost()) {
       moveUnanswered(nowNs);
     }
@@ -531,7 +538,10 @@
       return;
     }
     QueueLengthLimiter limiter =
-        new QueueLengthLimiter(waiting, () -> versionRouter.ownSlots(service, nowNs));
+        new QueueLengthLimiter(
+            waiting,
+            () -> versionRouter.ownSlots(service, nowNs),
+            rejectionLimits.isSensitive(service));
     Optional<ActiveRequest> excess = limiter.findExcess(nowNs);
     while (excess.isPresent()) {
       waiting.remove(excess.get());
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamState.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamState.java
@@ -1,5 +1,7 @@
 package org.teaseltrail.core.forward;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.OptionalInt;
 import org.teaseltrail.core.registry.Registration;
 
@@ -37,6 +39,9 @@
    */
   private static final long MAX_EJECTION_MS = 3_000;
 
+  /** Time for which a slot counts as used after a rejection: a few short responses. */
+  private static final long REJECTED_SLOT_NS = 1_000 * NS_PER_MS;
+
   /** Weight of the newest outcome in the success rate: about ten outcomes dominate it. */
   private static final double OUTCOME_WEIGHT = 0.1;
 
@@ -53,6 +58,7 @@
 
   private final BackpressureState backpressure;
   private Registration registration;
+  private final Deque<Long> rejectedSlotExpiriesNs = new ArrayDeque<>();
   private int ownInFlight;
   private int unread;
   private int elsewhere;
@@ -168,6 +174,24 @@
     return unread;
   }
 
+  /**
+   * Records that the upstream rejected a request although it seemed to have a free slot. The slot
+   * counts as used for a while, here and at the leader: there is less room than is known, and the
+   * next request would be rejected, too.
+   */
+  void recordRejection(long nowNs) {
+    rejectedSlotExpiriesNs.addLast(nowNs + REJECTED_SLOT_NS);
+    ownInFlight++;
+  }
+
+  /** Frees the slots that counted as used after a rejection for long enough. */
+  void releaseRejectedSlots(long nowNs) {
+    while (!rejectedSlotExpiriesNs.isEmpty() && nowNs >= rejectedSlotExpiriesNs.peekFirst()) {
+      rejectedSlotExpiriesNs.removeFirst();
+      ownInFlight--;
+    }
+  }
+
   /** Records the outcome of an attempt. */
   void recordOutcome(AttemptOutcome end, long nowNs) {
     ownInFlight--;
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamTracker.java
@@ -182,6 +182,11 @@
     return byService.getOrDefault(service, List.of());
   }
 
+  /** Frees the slots that counted as used after a rejection for long enough. */
+  void releaseRejectedSlots(long nowNs) {
+    inOrder.forEach(state -> state.releaseRejectedSlots(nowNs));
+  }
+
   /** Returns the sum of a number of each registered upstream. */
   int sum(ToIntFunction<UpstreamState> number) {
     return inOrder.stream().mapToInt(number).sum();
--- a/core/src/test/java/org/teaseltrail/core/control/BrittleUpstreamTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/BrittleUpstreamTest.java
@@ -69,6 +69,30 @@
         .isGreaterThan(MIN_RECOVERED * servedAfterwards(calm, perSecond));
   }
 
+  /** Guards against VMs that, without a leader, send beyond the slots that are their own. */
+  @ParameterizedTest
+  @CsvSource({
+    "1.6, 3, plain, 21",
+    "1.6, 12, plain, 22",
+    "3.0, 62, plain, 23",
+    "1.6, 12, engines, 24"
+  })
+  void upstreamsStandWhileLeadersChange(double load, int vms, String service, long seed) {
+    BrittleSimulation run =
+        new BrittleSimulation(seed, vms, new ServiceId(service), ContentionSettings.OFF);
+    double perSecond = load * BrittleSimulation.ROOM_PER_SECOND;
+    run.simulate(WARM_UP_MS, perSecond);
+    run.startBrittle();
+    for (int round = 0; round < 3; round++) {
+      run.simulate(BRITTLE_MS / 3, perSecond);
+      FakeControlMember leader = run.group().leader();
+      leader.kill();
+      run.group().after(1_000_000_000L, () -> run.group().restart(leader));
+    }
+    run.simulate(BRITTLE_MS / 3, perSecond);
+    assertThat((double) run.falls()).isLessThanOrEqualTo(ALLOWED_FALLS);
+  }
+
   private static double servedAfterwards(BrittleSimulation run, double perSecond) {
     run.simulate(RECOVERED_AFTER_MS, perSecond);
     long fromNs = run.group().nowNs();
