--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardRelayTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardRelayTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.teaseltrail.core.contention.ContentionSettings;
@@ -23,6 +25,8 @@
 
   private static final VmId OTHER = new VmId("entry-9");
 
+  private List<ForwardAction.Relay> relaysAtLoss = List.of();
+
   @Override
   ForwardSettings settings() {
     return ForwardSamples.settings(
@@ -73,8 +77,9 @@
     long number = arrive("/safe/x");
     end(number, AttemptOutcome.NOT_CONNECTED);
     for (String id : List.of("p1", "p2", "p3")) {
-      node.onProbeEnded(upstream(id, TestPlans.PLAIN, 4).id(), ProbeResult.FAILED, nowNs);
+      actions = node.onProbeEnded(upstream(id, TestPlans.PLAIN, 4).id(), ProbeResult.FAILED, nowNs);
     }
+    relaysAtLoss = relays();
     end(number, AttemptOutcome.ANSWERED);
     assertThat(node.servicesWithoutPath()).containsExactly(TestPlans.PLAIN);
   }
@@ -232,4 +237,34 @@
                     && send.message() instanceof ServingMessage.Paths paths
                     && paths.lost().equals(List.of(TestPlans.PLAIN)));
   }
+
+  /** Guards against callers that wait for a connection of their VM's to time out. */
+  @Test
+  void unansweredIdempotentRequestIsMovedWhenPathsAreLost() {
+    final long idempotent = arrive("/safe/x");
+    final long other = arrive("/unsafe/x");
+    advanceMs(1_000);
+    losePaths();
+    assertThat(relaysAtLoss).hasSize(1);
+    assertThat(relaysAtLoss.get(0).request()).isEqualTo(idempotent).isNotEqualTo(other);
+    assertThat(relaysAtLoss.get(0).hop().maybeRan()).isTrue();
+  }
+
+  /** Guards against upstreams that are avoided for what was no fault of theirs. */
+  @Test
+  void upstreamsAreUsedAtOnceWhenPathsAreBack() {
+    long number = arrive("/unsafe/x");
+    losePaths();
+    end(number, AttemptOutcome.BROKEN);
+    advanceMs(300);
+    for (String id : List.of("p1", "p2", "p3")) {
+      node.onProbeEnded(upstream(id, TestPlans.PLAIN, 4).id(), ProbeResult.CONNECTED, nowNs);
+    }
+    Set<String> used = new HashSet<>();
+    for (int i = 0; i < 9; i++) {
+      arrive("/unsafe/x");
+      used.addAll(dispatches());
+    }
+    assertThat(used).containsExactlyInAnyOrder("p1", "p2", "p3");
+  }
 }
