Tell a connection that is accepted and reset from a path, and verify losses

Cause, first part: a connect counted as proof of a path twice over. A break was not looked into for 500 ms after any connect, and the probe itself was a connect that nobody waited on. Now a break always starts a round of probes, a probed connection has to stay open for 50 ms, and if breaks go on although probes connect and nothing is heard, health checks are sent.

Cause, second part: a broken connection was reported to the leader as the loss of an upstream at once, while the VM could not know whether it was the upstream, its path or the connection. Now a loss is kept back until a round of probes that began after it finds a path; then that upstream itself is probed, and the loss is passed on only if it does not answer.

Ruled out: dropping all losses of a VM without a path.

FakeEntryVms reports a probed connection after the 50 ms that sockets take.

Where paths are not monitored, losses are passed on at once as before. Not mended: a VM that loses its paths to some upstreams only still reports those.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -283,7 +283,7 @@
    * @return the actions to carry out, in this order
    */
   public List<ForwardAction> onUpstreamConnectionLost(UpstreamId upstream, long nowNs) {
-    paths.onConnectionFailure(upstream, nowNs);
+    paths.onConnectionBroken(upstream, nowNs);
     return collectActions(nowNs);
   }
 
@@ -296,6 +296,7 @@
    * @return the actions to carry out, in this order
    */
   public List<ForwardAction> onProbeEnded(UpstreamId upstream, ProbeResult result, long nowNs) {
+    requests.onProbeEnded(upstream, result, nowNs);
     paths.onProbeEnded(upstream, result, nowNs);
     return collectActions(nowNs);
   }
@@ -639,5 +640,10 @@
       controlClient.syncSoon();
       requests.onPathRegained(service);
     }
+
+    @Override
+    public void onPathVerified(ServiceId service, long startedNs, long nowNs) {
+      requests.onPathVerified(service, startedNs, nowNs);
+    }
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/QuarantineTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/QuarantineTracker.java
@@ -5,8 +5,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongPredicate;
+import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.quarantine.Fingerprint;
@@ -108,10 +110,15 @@
     trialPermitExpiriesNs.put(trial.request(), nowNs + trial.forMs() * NS_PER_MS);
   }
 
-  /** Records that the connection to an upstream ended while it processed a request. */
-  void recordLoss(ActiveRequest request, UpstreamIncarnation upstream, long nowNs) {
-    ownLosses.recordLoss(request.fingerprint(), request.customer(), upstream, nowNs);
-    completedAtNs.remove(request.fingerprint());
+  /** Records that an upstream was lost while it processed a request. */
+  void recordLoss(
+      Fingerprint request,
+      Optional<CustomerId> customer,
+      UpstreamIncarnation upstream,
+      long atNs,
+      long nowNs) {
+    ownLosses.recordLoss(request, customer, upstream, atNs);
+    completedAtNs.remove(request);
     markChanged(nowNs);
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
@@ -10,6 +10,7 @@
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.relay.PeerDirectory;
+import org.teaseltrail.core.relay.ProbeResult;
 import org.teaseltrail.core.serving.ServingReply;
 import org.teaseltrail.core.serving.SlotUsage;
 
@@ -29,6 +30,7 @@
   private final ConditionEstimator conditions;
   private final UpstreamTracker upstreams;
   private final QuarantineTracker quarantine;
+  private final LossVerifier losses;
   private final VersionRouter versionRouter;
   private final Consumer<ForwardAction> actions;
   private final RetryPolicy retryPolicy;
@@ -61,6 +63,7 @@
     this.quarantine = quarantine;
     this.versionRouter = versionRouter;
     this.paths = paths;
+    losses = new LossVerifier(quarantine, upstreams, paths);
     this.rejectionLimits = rejectionLimits;
     SlotUsageCounter places =
         new SlotUsageCounter(
@@ -164,9 +167,7 @@
     boolean isPathFault = isPathFault(request, end);
     boolean isSuspect = end == AttemptOutcome.BROKEN && quarantine.isSuspect(request);
     versionRouter.recordOutcome(request, end, isSuspect || isPathFault, nowNs);
-    if (!isPathFault) {
-      updateQuarantine(request, end, nowNs);
-    }
+    updateQuarantine(request, end, nowNs);
     BackpressureState asked = request.currentUpstream().get().backpressure();
     if (end.isAnswer()) {
       asked.recordAccepted(request.sentNs());
@@ -259,6 +260,16 @@
     upstreams.of(service).forEach(UpstreamState::forgetFailures);
   }
 
+  /** Handles a round of probes that has found a path to a service. */
+  void onPathVerified(ServiceId service, long startedNs, long nowNs) {
+    losses.onPathVerified(service, startedNs, nowNs);
+  }
+
+  /** Handles the result of a probe. */
+  void onProbeEnded(UpstreamId upstream, ProbeResult result, long nowNs) {
+    losses.onProbeEnded(upstream, result, nowNs);
+  }
+
   /**
    * Relays requests that may run again and are at upstreams from which nothing is heard any more;
    * without that they would wait for their connections to time out.
@@ -287,18 +298,20 @@
   }
 
   private void recordPath(ActiveRequest request, AttemptOutcome end, long nowNs) {
-    if (end == AttemptOutcome.NOT_CONNECTED || end == AttemptOutcome.BROKEN) {
-      UpstreamId upstream = request.currentUpstream().get().registration().id();
+    UpstreamId upstream = request.currentUpstream().get().registration().id();
+    if (end == AttemptOutcome.NOT_CONNECTED) {
       paths.onConnectionFailure(upstream, nowNs);
+    } else if (end == AttemptOutcome.BROKEN) {
+      paths.onConnectionBroken(upstream, nowNs);
     }
   }
 
   private void updateQuarantine(ActiveRequest request, AttemptOutcome end, long nowNs) {
     switch (end) {
       case BROKEN ->
-          quarantine.recordLoss(
+          losses.recordLoss(
               request, request.currentUpstream().get().registration().upstreamIncarnation(), nowNs);
-      case ANSWERED, FAILED_ANSWER -> quarantine.recordCompleted(request, nowNs);
+      case ANSWERED, FAILED_ANSWER -> losses.recordCompleted(request, nowNs);
       default -> {
         // The request didn't run there, so the outcome shows nothing about it.
       }
@@ -346,6 +359,7 @@
     deadlines.pollUntil(nowNs).forEach(request -> onDeadline(request, nowNs));
     changes += backoffMonitor.pollBackoffEnd(nowNs) ? 1 : 0;
     upstreams.releaseRejectedSlots(nowNs);
+    losses.tick(nowNs);
     if (paths.hasLost()) {
       moveUnanswered(nowNs);
     }
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamPaths.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamPaths.java
@@ -51,6 +51,11 @@
     listeners.add(listener);
   }
 
+  /** Returns whether the paths are monitored. */
+  boolean isEnabled() {
+    return isEnabled;
+  }
+
   boolean isLost(ServiceId service) {
     return monitor.isLost(service);
   }
@@ -82,6 +87,10 @@
     serviceOf(upstream).ifPresent(service -> monitor.onConnectionFailure(service, nowNs));
   }
 
+  void onConnectionBroken(UpstreamId upstream, long nowNs) {
+    serviceOf(upstream).ifPresent(service -> monitor.onConnectionBroken(service, nowNs));
+  }
+
   /** Records that a request is about to be sent to an upstream. */
   void onDispatch(UpstreamState upstream, long nowNs) {
     if (!isEnabled) {
@@ -146,6 +155,11 @@
     listeners.forEach(listener -> listener.onPathRegained(service, nowNs));
   }
 
+  @Override
+  public void onPathVerified(ServiceId service, long startedNs, long nowNs) {
+    listeners.forEach(listener -> listener.onPathVerified(service, startedNs, nowNs));
+  }
+
   private ForwardAction.PathChanged pathChanged(ServiceId service, boolean isLost) {
     return new ForwardAction.PathChanged(
         service,
--- a/core/src/main/java/org/teaseltrail/core/relay/PathListener.java
+++ b/core/src/main/java/org/teaseltrail/core/relay/PathListener.java
@@ -20,4 +20,13 @@
    * @param nowNs current time, in nanoseconds
    */
   void onPathRegained(ServiceId service, long nowNs);
+
+  /**
+   * Notifies that a round of probes has found a path to a service.
+   *
+   * @param service the service
+   * @param startedNs time at which the round started, in nanoseconds
+   * @param nowNs current time, in nanoseconds
+   */
+  default void onPathVerified(ServiceId service, long startedNs, long nowNs) {}
 }
--- a/core/src/main/java/org/teaseltrail/core/relay/PathMonitor.java
+++ b/core/src/main/java/org/teaseltrail/core/relay/PathMonitor.java
@@ -151,8 +151,7 @@
   }
 
   /**
-   * Records that a connection to an upstream of a service could not be established, or ended
-   * without an orderly close.
+   * Records that a connection to an upstream of a service could not be established.
    *
    * @param service the service
    * @param nowNs current time, in nanoseconds
@@ -162,6 +161,18 @@
     probeIfDue(service, nowNs);
   }
 
+  /**
+   * Records that an established connection to an upstream of a service ended without an orderly
+   * close.
+   *
+   * @param service the service
+   * @param nowNs current time, in nanoseconds
+   */
+  public void onConnectionBroken(ServiceId service, long nowNs) {
+    path(service).recordConnectionBroken(upstreams.hasHealthCheck(service), nowNs);
+    probeIfDue(service, nowNs);
+  }
+
   /**
    * Handles the result of a probe.
    *
@@ -171,9 +182,17 @@
    * @param nowNs current time, in nanoseconds
    */
   public void onProbeEnded(ServiceId service, UpstreamId upstream, ProbeResult result, long nowNs) {
-    if (path(service).recordResult(upstream, result, nowNs)) {
+    ServicePath path = path(service);
+    boolean wasInRound = path.isInRound();
+    if (path.recordResult(upstream, result, nowNs)) {
       notifyChanged(service, nowNs);
     }
+    if (wasInRound && !path.isInRound()) {
+      if (!path.isLost()) {
+        listener.onPathVerified(service, path.roundStartedNs(), nowNs);
+      }
+      probeIfDue(service, nowNs);
+    }
   }
 
   /**
@@ -225,6 +244,7 @@
       return;
     }
     List<UpstreamId> candidates = new ArrayList<>(upstreams.candidates(service));
+    candidates.removeAll(path(service).outstanding());
     if (candidates.isEmpty()) {
       return;
     }
--- a/core/src/main/java/org/teaseltrail/core/relay/ServicePath.java
+++ b/core/src/main/java/org/teaseltrail/core/relay/ServicePath.java
@@ -23,7 +23,15 @@
   /** Time for which an established connection shows that there is a path. */
   private static final long CONNECTION_PROOF_NS = 500 * NS_PER_MS;
 
-  /** Minimum time between the starts of two rounds of probes. */
+  /**
+   * Time after a round that passed in which a further break shows that connecting proves little.
+   */
+  private static final long REPEATED_BREAK_NS = 1_000 * NS_PER_MS;
+
+  /**
+   * Minimum time between the starts of two rounds of probes. A broken connection is followed by a
+   * round at once, since it decides whom the break is held against.
+   */
   private static final long ROUND_INTERVAL_NS = 250 * NS_PER_MS;
 
   /** Time after which the missing results of a round count as failed. */
@@ -32,15 +40,19 @@
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final Set<UpstreamId> pending = new HashSet<>();
+  private final Set<UpstreamId> outstanding = new HashSet<>();
   private Optional<ProbeKind> suspicion = Optional.empty();
   private ProbeKind roundKind = ProbeKind.CONNECT;
   private boolean lost;
   private boolean needsAnswer;
   private boolean heard;
+  private boolean heardSincePass = true;
   private long lastHeardNs = NEVER;
   private long lastConnectedNs = NEVER;
   private long firstDispatchNs = NEVER;
   private long roundStartedNs = NEVER;
+  private long lastPassNs = NEVER;
+  private long lastBreakNs = NEVER;
 
   boolean isLost() {
     return lost;
@@ -52,6 +64,7 @@
 
   void recordHeard() {
     heard = true;
+    heardSincePass = true;
   }
 
   void recordConnected(long nowNs) {
@@ -65,7 +78,7 @@
     }
   }
 
-  /** Records that a connection could not be established, or ended without an orderly close. */
+  /** Records that a connection could not be established. */
   void recordConnectionFailure(long nowNs) {
     boolean isProved = nowNs - lastConnectedNs < CONNECTION_PROOF_NS;
     if (!isProved && suspicion.isEmpty()) {
@@ -73,6 +86,23 @@
     }
   }
 
+  /**
+   * Records that an established connection ended without an orderly close. Such a break is always
+   * followed by a round: something between may accept connections and reset them, so that others
+   * that were established prove nothing.
+   *
+   * @param canAsk whether upstreams of the service can be sent a health check
+   */
+  void recordConnectionBroken(boolean canAsk, long nowNs) {
+    lastBreakNs = nowNs;
+    boolean isRepeated = nowNs - lastPassNs < REPEATED_BREAK_NS && !heardSincePass;
+    if (isRepeated && canAsk) {
+      suspicion = Optional.of(ProbeKind.ANSWER);
+    } else if (suspicion.isEmpty()) {
+      suspicion = Optional.of(ProbeKind.CONNECT);
+    }
+  }
+
   /** Records that this VM has lost the paths to another service. */
   void recordLossElsewhere() {
     if (suspicion.isEmpty()) {
@@ -100,7 +130,8 @@
   /** Returns the kind of the probes that are due, if any. */
   Optional<ProbeKind> dueProbes(long nowNs) {
     boolean inRound = !pending.isEmpty() && nowNs - roundStartedNs < ROUND_TIMEOUT_NS;
-    if (inRound || nowNs - roundStartedNs < ROUND_INTERVAL_NS) {
+    boolean isAfterBreak = !lost && lastBreakNs > roundStartedNs;
+    if (inRound || (!isAfterBreak && nowNs - roundStartedNs < ROUND_INTERVAL_NS)) {
       return Optional.empty();
     }
     if (lost) {
@@ -109,15 +140,31 @@
     return suspicion;
   }
 
+  boolean isInRound() {
+    return !pending.isEmpty();
+  }
+
+  /** Returns when the newest round of probes started. */
+  long roundStartedNs() {
+    return roundStartedNs;
+  }
+
   void startRound(ProbeKind kind, List<UpstreamId> probed, long nowNs) {
     roundKind = kind;
     roundStartedNs = nowNs;
     pending.clear();
     pending.addAll(probed);
+    outstanding.addAll(probed);
+  }
+
+  /** Returns the upstreams whose results of earlier rounds may still arrive. */
+  Set<UpstreamId> outstanding() {
+    return outstanding;
   }
 
   /** Records the result of a probe; returns whether it changes whether the paths are lost. */
   boolean recordResult(UpstreamId upstream, ProbeResult result, long nowNs) {
+    outstanding.remove(upstream);
     if (!pending.remove(upstream)) {
       return false;
     }
@@ -131,18 +178,24 @@
   /** Ends a round whose results are missing for too long; returns whether that changes anything. */
   boolean expireRound(long nowNs) {
     boolean expired = !pending.isEmpty() && nowNs - roundStartedNs >= ROUND_TIMEOUT_NS;
+    if (nowNs - roundStartedNs >= ROUND_TIMEOUT_NS) {
+      outstanding.clear();
+    }
     return expired && endRound(true, nowNs);
   }
 
   private boolean endRound(boolean isLostNow, long nowNs) {
     pending.clear();
-    suspicion = Optional.empty();
+    boolean isBrokenSince = !isLostNow && lastBreakNs > roundStartedNs;
+    suspicion = isBrokenSince ? Optional.of(ProbeKind.CONNECT) : Optional.empty();
     boolean changed = lost != isLostNow;
     lost = isLostNow;
     if (!isLostNow) {
       needsAnswer = false;
       lastHeardNs = nowNs;
       lastConnectedNs = nowNs;
+      lastPassNs = nowNs;
+      heardSincePass = false;
     }
     return changed;
   }
--- a/core/src/test/java/org/teaseltrail/core/control/Cut.java
+++ b/core/src/test/java/org/teaseltrail/core/control/Cut.java
@@ -1,5 +1,7 @@
 package org.teaseltrail.core.control;
 
+import java.util.List;
+
 /** How an entry VM's connections to all upstreams fail while it is partitioned from them. */
 enum Cut {
   /** Open connections are reset, and new ones are rejected. */
@@ -11,14 +13,30 @@
   /** Open connections work, and new ones are rejected. */
   NEW_REFUSED(Effect.NONE, Effect.RESET),
   /** Connections are established, by something in between, and nothing is ever answered. */
-  ACCEPTED_SILENT(Effect.HANG, Effect.UNANSWERED);
+  ACCEPTED_SILENT(Effect.HANG, Effect.UNANSWERED),
+  /** Open connections are reset, and new ones are established and reset at once. */
+  ACCEPTED_RESET(Effect.RESET, Effect.ACCEPTED_RESET),
+  /** Open connections hang, and new ones are established and reset at once. */
+  OPEN_SILENT_ACCEPTED_RESET(Effect.HANG, Effect.ACCEPTED_RESET),
+  /** Open connections work, and new ones are established and reset at once. */
+  NEW_ACCEPTED_RESET(Effect.NONE, Effect.ACCEPTED_RESET),
+  /** New connections are rejected by some upstreams, reset by others, and hang at the rest. */
+  MIXED(Effect.RESET, Effect.MIXED);
 
   /** What happens to a connection. */
   enum Effect {
     NONE,
     RESET,
     HANG,
-    UNANSWERED
+    UNANSWERED,
+    ACCEPTED_RESET,
+    MIXED;
+
+    /** Returns what happens to a connection to one of the upstreams. */
+    Effect at(int upstreamIndex) {
+      List<Effect> mixed = List.of(RESET, ACCEPTED_RESET, HANG);
+      return this == MIXED ? mixed.get(upstreamIndex % mixed.size()) : this;
+    }
   }
 
   private final Effect onOpen;
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/control/EntryVmWithResetConnectionsTest.java
@@ -0,0 +1,111 @@
+package org.teaseltrail.core.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.teaseltrail.core.contention.ContentionSettings;
+import org.teaseltrail.core.forward.RefusalReason;
+
+/**
+ * New connections of some entry VMs to all upstreams are accepted and reset at once, for twelve
+ * seconds, while callers, control members and the other VMs reach them. Four contents are requested
+ * all the time.
+ */
+class EntryVmWithResetConnectionsTest {
+
+  /** Time from the start of the resets from which on the VMs have to serve again. */
+  private static final int DETECTED_AFTER_MS = 3_000;
+
+  /** Time from the end of the resets from which on nothing of them may be left. */
+  private static final int RECOVERED_AFTER_MS = 3_000;
+
+  private static final int CUT_MS = 12_000;
+  private static final int AFTERWARDS_MS = 5_000;
+
+  /** Time after which every request has its final answer. */
+  private static final int SETTLE_MS = 4_500;
+
+  private static final double PER_SECOND = 60;
+  private static final double MIN_SERVED = 0.95;
+
+  /** Guards against VMs that take an accepted connection for a path. */
+  @ParameterizedTest
+  @CsvSource({
+    "ACCEPTED_RESET, 1, 3, 1",
+    "ACCEPTED_RESET, 4, 9, 2",
+    "ACCEPTED_RESET, 5, 6, 3",
+    "OPEN_SILENT_ACCEPTED_RESET, 1, 3, 4",
+    "OPEN_SILENT_ACCEPTED_RESET, 4, 9, 5",
+    "NEW_ACCEPTED_RESET, 1, 3, 6",
+    "MIXED, 1, 3, 7",
+    "MIXED, 4, 9, 8",
+  })
+  void callersOfVmsAreServed(Cut cut, int cutVms, int vmCount, long seed) {
+    PathLossSimulation run = new PathLossSimulation(seed, vmCount, ContentionSettings.OFF);
+    run.simulate(4_000, PER_SECOND);
+    final Set<Integer> affected = firstVms(cutVms);
+    final long startNs = run.group().nowNs();
+    affected.forEach(vm -> run.cut(vm, cut));
+    run.simulate(CUT_MS, PER_SECOND);
+    final long endNs = run.group().nowNs();
+    affected.forEach(run::heal);
+    run.simulate(RECOVERED_AFTER_MS + AFTERWARDS_MS, PER_SECOND);
+    final long stopNs = run.group().nowNs();
+    run.simulate(SETTLE_MS, 0);
+
+    long detectedNs = startNs + DETECTED_AFTER_MS * 1_000_000L;
+    long recoveredNs = endNs + RECOVERED_AFTER_MS * 1_000_000L;
+    assertThat(run.tally(affected, true, detectedNs, endNs).share()).isGreaterThan(MIN_SERVED);
+    assertThat(run.tally(affected, false, startNs, endNs).share()).isGreaterThan(MIN_SERVED);
+    assertThat(run.tally(affected, true, recoveredNs, stopNs).share()).isGreaterThan(0.98);
+    assertThat(run.tally(affected, false, recoveredNs, stopNs).share()).isGreaterThan(0.98);
+    assertThat(run.ranTwice()).isEmpty();
+    assertThat(run.ranThoughRefused()).isEmpty();
+  }
+
+  /** Guards against quarantines, at any VM, of contents that broke with one VM's connections. */
+  @ParameterizedTest
+  @CsvSource({
+    "ACCEPTED_RESET, false, 60, 1",
+    "ACCEPTED_RESET, true, 60, 2",
+    "ACCEPTED_RESET, true, 200, 3",
+    "RESET, false, 60, 4",
+    "RESET, true, 200, 5",
+    "SILENT, true, 200, 6",
+    "OPEN_SILENT_ACCEPTED_RESET, false, 60, 7",
+    "OPEN_SILENT_ACCEPTED_RESET, true, 200, 8",
+    "NEW_ACCEPTED_RESET, false, 60, 9",
+    "NEW_ACCEPTED_RESET, true, 200, 10",
+    "MIXED, true, 60, 11",
+  })
+  void lostPathsQuarantineNoContent(Cut cut, boolean areHeartbeatsLost, int perSecond, long seed) {
+    PathLossSimulation run = new PathLossSimulation(seed, 3, ContentionSettings.OFF);
+    run.simulate(4_000, perSecond);
+    run.cut(0, cut);
+    run.dropHeartbeats(areHeartbeatsLost);
+    run.simulate(2_500, perSecond);
+    run.dropHeartbeats(false);
+    run.simulate(CUT_MS - 2_500, perSecond);
+    run.heal(0);
+    run.simulate(SETTLE_MS, perSecond);
+    for (int vm = 0; vm < 3; vm++) {
+      assertThat(run.refusalsAt(vm)).doesNotContainKey(RefusalReason.QUARANTINED);
+    }
+    for (int vm = 1; vm < 3; vm++) {
+      Map<RefusalReason, Integer> atOthers = run.refusalsAt(vm);
+      assertThat(atOthers).as("502 at a VM with a path").doesNotContainKey(RefusalReason.BROKEN);
+    }
+  }
+
+  private static Set<Integer> firstVms(int count) {
+    Set<Integer> vms = new HashSet<>();
+    for (int vm = 0; vm < count; vm++) {
+      vms.add(vm);
+    }
+    return vms;
+  }
+}
--- a/core/src/test/java/org/teaseltrail/core/control/FakeEntryVms.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeEntryVms.java
@@ -10,6 +10,7 @@
 import org.teaseltrail.core.forward.ForwardSamples;
 import org.teaseltrail.core.forward.ForwardSettings;
 import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.relay.ProbeKind;
 import org.teaseltrail.core.relay.ProbeResult;
 import org.teaseltrail.core.relay.RelaySettings;
 import org.teaseltrail.core.replication.Member;
@@ -22,12 +23,15 @@
 
   private static final long PROBE_NS = 1_000_000L;
 
+  /** Time for which a connection has to stay open for its probe to pass. */
+  private static final long STAY_OPEN_NS = 50_000_000L;
+
   /** Executes a VM's actions towards upstreams and callers. */
   interface ActionExecutor {
     void execute(int vm, ForwardAction action);
   }
 
-  /** Determines the result of a probe, which the VM learns 1 ms later. */
+  /** Determines the result of a probe, which the VM learns as late as from sockets. */
   interface ProbeHandler {
     ProbeResult probe(int vm, ForwardAction.Probe probe);
   }
@@ -147,8 +151,9 @@
 
   private void endProbe(int vm, long incarnation, ForwardAction.Probe probe) {
     ProbeResult result = prober.probe(vm, probe);
+    boolean isWatched = probe.kind() == ProbeKind.CONNECT && result != ProbeResult.FAILED;
     group.after(
-        PROBE_NS,
+        isWatched ? STAY_OPEN_NS : PROBE_NS,
         () -> {
           if (incarnation == incarnations[vm]) {
             execute(vm, nodes.get(vm).onProbeEnded(probe.upstream().id(), result, group.nowNs()));
--- a/core/src/test/java/org/teaseltrail/core/control/PathLossSimulation.java
+++ b/core/src/test/java/org/teaseltrail/core/control/PathLossSimulation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -25,6 +26,7 @@
 import org.teaseltrail.core.plan.TestPlans;
 import org.teaseltrail.core.quarantine.RequestContent;
 import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.relay.ProbeKind;
 import org.teaseltrail.core.relay.ProbeResult;
 import org.teaseltrail.core.relay.RelayOutcome;
 import org.teaseltrail.core.relay.RelaySettings;
@@ -89,6 +91,8 @@
   private final Map<Hop, Long> hopNumbers = new HashMap<>();
   private final Map<Long, Long> peerNumbers = new HashMap<>();
   private final Map<Long, RefusalReason> refusals = new HashMap<>();
+  private final Map<Integer, Map<RefusalReason, Integer>> refusalsByVm = new HashMap<>();
+  private boolean heartbeatsLost;
   private int relayed;
   private long lastNumber;
 
@@ -208,6 +212,16 @@
         RequestContent.EMPTY);
   }
 
+  /** Returns how often a VM refused requests of its own callers, by reason. */
+  Map<RefusalReason, Integer> refusalsAt(int vm) {
+    return refusalsByVm.getOrDefault(vm, Map.of());
+  }
+
+  /** Drops all heartbeats of the upstreams, or lets them through again. */
+  void dropHeartbeats(boolean areLost) {
+    heartbeatsLost = areLost;
+  }
+
   private void execute(int vm, ForwardAction action) {
     if (action instanceof ForwardAction.Dispatch dispatch) {
       dispatch(vm, dispatch);
@@ -216,7 +230,7 @@
     } else if (action instanceof ForwardAction.Deliver deliver) {
       deliver(deliver.request());
     } else if (action instanceof ForwardAction.Refuse refuse) {
-      refuse(refuse);
+      refuse(vm, refuse);
     } else if (action instanceof ForwardAction.PathChanged change) {
       change.upstreams().forEach(upstream -> idleSinceNs.remove(vm + "/" + upstream.id().value()));
     } else if (action instanceof ForwardAction.Relay relay) {
@@ -264,7 +278,10 @@
     return peerNumbers.getOrDefault(number, -1L);
   }
 
-  private void refuse(ForwardAction.Refuse refuse) {
+  private void refuse(int vm, ForwardAction.Refuse refuse) {
+    refusalsByVm
+        .computeIfAbsent(vm, key -> new EnumMap<>(RefusalReason.class))
+        .merge(refuse.refusalReason(), 1, Integer::sum);
     boolean isFromPeer = hops.containsKey(refuse.request());
     if (isFromPeer) {
       RelayOutcome outcome = refuse.refusalReason().relayOutcome();
@@ -324,6 +341,10 @@
     throw new IllegalArgumentException("no VM " + vm);
   }
 
+  private int indexOf(UpstreamId upstream) {
+    return List.copyOf(upstreams.keySet()).indexOf(upstream);
+  }
+
   /** Kills a VM's process and starts it again: its requests and connections are lost. */
   void restart(int vm) {
     for (Attempt attempt : List.copyOf(attempts.values())) {
@@ -348,10 +369,13 @@
 
   private ProbeResult probe(int vm, ForwardAction.Probe probe) {
     Cut cut = cuts.get(vm);
-    Cut.Effect effect = cut == null ? Cut.Effect.NONE : cut.onNewConnection();
+    Cut.Effect effect =
+        cut == null ? Cut.Effect.NONE : cut.onNewConnection().at(indexOf(probe.upstream().id()));
     return switch (effect) {
       case NONE -> ProbeResult.ANSWERED;
       case UNANSWERED -> ProbeResult.CONNECTED;
+      case ACCEPTED_RESET ->
+          probe.kind() == ProbeKind.ANSWER ? ProbeResult.CONNECTED : ProbeResult.FAILED;
       default -> ProbeResult.FAILED;
     };
   }
@@ -367,7 +391,8 @@
     attempts.put(attempt.request(), attempt);
     boolean isOpen = takeIdleConnection(attempt);
     Cut cut = cuts.get(vm);
-    Cut.Effect effect = cut == null ? Cut.Effect.NONE : effect(cut, isOpen);
+    Cut.Effect effect =
+        cut == null ? Cut.Effect.NONE : effect(cut, isOpen).at(indexOf(attempt.upstream()));
     if (effect == Cut.Effect.NONE) {
       if (!isOpen) {
         vms.node(vm).onUpstreamConnected(attempt.upstream(), group.nowNs());
@@ -388,6 +413,10 @@
     switch (effect) {
       case RESET -> endLater(attempt, AttemptOutcome.NOT_CONNECTED, RESET_MS);
       case HANG -> endLater(attempt, AttemptOutcome.NOT_CONNECTED, CONNECT_TIMEOUT_MS);
+      case ACCEPTED_RESET -> {
+        vms.node(attempt.vm()).onUpstreamConnected(attempt.upstream(), group.nowNs());
+        endLater(attempt, AttemptOutcome.BROKEN, RESET_MS);
+      }
       default -> {
         // The request was sent; nothing ever answers, and no probe of TCP fails.
       }
@@ -498,7 +527,7 @@
 
   private void sendHeartbeats() {
     for (FakeControlMember member : group.members()) {
-      if (member.isServing()) {
+      if (member.isServing() && !heartbeatsLost) {
         for (Registration upstream : upstreams.values()) {
           group.call(member, new OperatorRequest.Heartbeat(upstream), 0);
         }
--- a/core/src/test/java/org/teaseltrail/core/control/PoisonRequestSimulation.java
+++ b/core/src/test/java/org/teaseltrail/core/control/PoisonRequestSimulation.java
@@ -16,6 +16,10 @@
 import org.teaseltrail.core.plan.InstalledPlan;
 import org.teaseltrail.core.plan.TestPlans;
 import org.teaseltrail.core.quarantine.RequestContent;
+import org.teaseltrail.core.relay.ProbeResult;
+import org.teaseltrail.core.relay.RelayOutcome;
+import org.teaseltrail.core.relay.RelaySettings;
+import org.teaseltrail.core.upstream.SocketAddress;
 
 /**
  * Simulates the serving components, in virtual time, with engines that crash when they run a poison
@@ -119,6 +123,12 @@
   private int served;
 
   PoisonRequestSimulation(SplittableRandom random, int vmCount, int engineCount) {
+    this(random, vmCount, engineCount, false);
+  }
+
+  /** Creates a simulation whose VMs monitor their paths to the engines if that is asked for. */
+  PoisonRequestSimulation(
+      SplittableRandom random, int vmCount, int engineCount, boolean arePathsMonitored) {
     this.random = random;
     group.start();
     group.call(
@@ -129,6 +139,13 @@
       engines.add(new BatchEngine(engineCount + site, 1, TestPlans.PLAIN));
     }
     vms = new FakeEntryVms(group, vmCount, random, this::execute);
+    if (arePathsMonitored) {
+      vms.useRelays(
+          vm ->
+              new RelaySettings(
+                  Optional.of(new SocketAddress("10.0.1." + vm, 7601)), Optional.empty()));
+      vms.useProber(this::probe);
+    }
     vms.start();
     sendHeartbeats();
   }
@@ -320,9 +337,23 @@
       served += call.poisonous() ? 0 : 1;
     } else if (action instanceof ForwardAction.Refuse refuse) {
       onRefused(refuse);
+    } else if (action instanceof ForwardAction.Relay relay) {
+      // Engines are lost for all VMs alike, so that a peer has no path either.
+      later(FAILURE_DELAY_MS, () -> declineRelay(vm, vms.incarnation(vm), relay.request()));
+    }
+  }
+
+  private void declineRelay(int vm, long incarnation, long request) {
+    if (incarnation == vms.incarnation(vm)) {
+      vms.execute(vm, vms.node(vm).onRelayEnded(request, RelayOutcome.DECLINED, group.nowNs()));
     }
   }
 
+  private ProbeResult probe(int vm, ForwardAction.Probe probe) {
+    boolean isRunning = engines.stream().anyMatch(one -> one.id().equals(probe.upstream().id()));
+    return isRunning ? ProbeResult.ANSWERED : ProbeResult.FAILED;
+  }
+
   private void cancel(long request) {
     Attempt attempt = attempts.remove(request);
     if (attempt != null) {
--- a/core/src/test/java/org/teaseltrail/core/control/PoisonRequestTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/PoisonRequestTest.java
@@ -53,6 +53,27 @@
     assertThat(run.sendsAfterDetection()).isLessThanOrEqualTo(ALLOWED_SENDS);
   }
 
+  /** Guards against verified losses that are verified too late to stop the request. */
+  @ParameterizedTest
+  @CsvSource({
+    "STREAM, 6, 8, 11",
+    "RESUMABLE, 6, 8, 12",
+    "SAFE, 6, 8, 13",
+    "SAFE, 20, 8, 14",
+    "STREAM, 6, 2, 15",
+    "RESUMABLE, 6, 1, 16",
+    "SAFE, 6, 1, 17"
+  })
+  void requestIsQuarantinedWherePathsAreMonitored(
+      PoisonRequestSimulation.Kind kind, int vms, int engines, long seed) {
+    PoisonRequestSimulation run =
+        new PoisonRequestSimulation(new SplittableRandom(seed), vms, engines, true);
+    run.simulate(2_000, LOAD_PER_SECOND);
+    run.startPoisonRequests(kind, 1);
+    run.simulate(30_000, LOAD_PER_SECOND);
+    assertThat(run.sendsAfterDetection()).isLessThanOrEqualTo(ALLOWED_SENDS);
+  }
+
   /**
    * The leader that recorded the crashes is killed, and VMs that observed them are restarted
    * without their state.
--- a/core/src/test/java/org/teaseltrail/core/relay/PathMonitorTest.java
+++ b/core/src/test/java/org/teaseltrail/core/relay/PathMonitorTest.java
@@ -20,6 +20,7 @@
   private final List<UpstreamId> probed = new ArrayList<>();
   private final List<ServiceId> lost = new ArrayList<>();
   private final List<ServiceId> regained = new ArrayList<>();
+  private final List<Long> verifiedSinceNs = new ArrayList<>();
   private ProbeKind kind;
   private boolean waiting;
   private long nowNs = 10_000 * MS;
@@ -61,6 +62,11 @@
               lost.add(service);
             }
 
+            @Override
+            public void onPathVerified(ServiceId service, long startedNs, long atNs) {
+              verifiedSinceNs.add(startedNs);
+            }
+
             @Override
             public void onPathRegained(ServiceId service, long atNs) {
               regained.add(service);
@@ -173,6 +179,56 @@
     assertThat(probed).isEmpty();
   }
 
+  /** Guards against VMs that take an accepted connection, which is reset next, for a path. */
+  @Test
+  void brokenConnectionLeadsToProbesThoughOthersWereEstablished() {
+    monitor.onConnected(SERVICE, nowNs);
+    monitor.onConnectionBroken(SERVICE, nowNs);
+    assertThat(kind).isEqualTo(ProbeKind.CONNECT);
+    endProbes(SERVICE, ProbeResult.FAILED);
+    assertThat(lost).containsExactly(SERVICE);
+  }
+
+  /** Guards against connections that are reset only once a request is sent. */
+  @Test
+  void breaksAfterEstablishedProbesLeadToHealthChecks() {
+    monitor.onConnectionBroken(SERVICE, nowNs);
+    endProbes(SERVICE, ProbeResult.CONNECTED);
+    nowNs += 100 * MS;
+    monitor.onConnectionBroken(SERVICE, nowNs);
+    assertThat(kind).isEqualTo(ProbeKind.ANSWER);
+    endProbes(SERVICE, ProbeResult.CONNECTED);
+    assertThat(lost).containsExactly(SERVICE);
+  }
+
+  @Test
+  void breaksWhileAnswersArriveLeadToNoHealthChecks() {
+    monitor.onConnectionBroken(SERVICE, nowNs);
+    endProbes(SERVICE, ProbeResult.CONNECTED);
+    monitor.onHeard(SERVICE);
+    nowNs += 100 * MS;
+    monitor.onConnectionBroken(SERVICE, nowNs);
+    assertThat(kind).isEqualTo(ProbeKind.CONNECT);
+  }
+
+  /** Guards against a break that is held against an upstream by a round from before it. */
+  @Test
+  void breakDuringRoundLeadsToAnotherRound() {
+    monitor.onConnectionBroken(SERVICE, nowNs);
+    nowNs += 10 * MS;
+    monitor.onConnectionBroken(SERVICE, nowNs);
+    nowNs += 40 * MS;
+    List<UpstreamId> first = List.copyOf(probed);
+    monitor.onProbeEnded(SERVICE, first.get(0), ProbeResult.CONNECTED, nowNs);
+    assertThat(probed)
+        .as("upstreams without a probe of the first round")
+        .containsOnly(first.get(0));
+    monitor.onProbeEnded(SERVICE, first.get(1), ProbeResult.CONNECTED, nowNs);
+    assertThat(verifiedSinceNs).containsExactly(nowNs - 50 * MS);
+    endProbes(SERVICE, ProbeResult.CONNECTED);
+    assertThat(verifiedSinceNs).containsExactly(nowNs - 50 * MS, nowNs);
+  }
+
   /** Guards against a round that never ends because the result of a probe got lost. */
   @Test
   void missingResultsCountAsFailed() {
--- a/forward/src/main/java/org/teaseltrail/forward/PathProber.java
+++ b/forward/src/main/java/org/teaseltrail/forward/PathProber.java
@@ -24,6 +24,13 @@
   /** Time for the answer to a health check; upstreams that have a free slot need milliseconds. */
   private static final long ANSWER_TIMEOUT_MS = 600;
 
+  /**
+   * Time for which a new connection has to stay open: something between may accept connections to
+   * upstreams that it can't reach, and reset them at once. Data centres are a few milliseconds
+   * apart.
+   */
+  private static final long STAY_OPEN_MS = 50;
+
   private final EventLoop loop;
   private final UpstreamConnectionPool<UpstreamIncarnation> pool;
   private final BiConsumer<UpstreamId, ProbeResult> results;
@@ -40,8 +47,7 @@
   /** Starts a probe; its result is passed on exactly once. */
   void probe(ForwardAction.Probe probe) {
     Registration upstream = probe.upstream();
-    pool.open(
-        upstream.upstreamIncarnation(),
+    pool.openUnregistered(
         upstream.address(),
         connection -> onConnected(probe, connection),
         () -> results.accept(upstream.id(), ProbeResult.FAILED));
@@ -49,8 +55,7 @@
 
   private void onConnected(ForwardAction.Probe probe, UpstreamConnection connection) {
     if (probe.kind() == ProbeKind.CONNECT || probe.healthPath().isEmpty()) {
-      pool.release(connection);
-      results.accept(probe.upstream().id(), ProbeResult.CONNECTED);
+      loop.schedule(() -> onStayedOpen(probe, connection), STAY_OPEN_MS, TimeUnit.MILLISECONDS);
       return;
     }
     HealthCheck check = new HealthCheck(probe.upstream().id(), connection);
@@ -58,6 +63,16 @@
     loop.schedule(check::onTimeout, ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
   }
 
+  private void onStayedOpen(ForwardAction.Probe probe, UpstreamConnection connection) {
+    Registration upstream = probe.upstream();
+    if (connection.isOpen()) {
+      pool.adopt(upstream.upstreamIncarnation(), connection);
+      results.accept(upstream.id(), ProbeResult.CONNECTED);
+    } else {
+      results.accept(upstream.id(), ProbeResult.FAILED);
+    }
+  }
+
   private static FullHttpRequest request(ForwardAction.Probe probe) {
     FullHttpRequest request =
         new DefaultFullHttpRequest(
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -63,6 +63,11 @@
     channel = context.channel();
   }
 
+  /** Starts the time for which the connection may be idle. */
+  void markIdle() {
+    idleSinceNs = System.nanoTime();
+  }
+
   /** Sends a request and passes its response to the listener. */
   void send(FullHttpRequest request, UpstreamResponseListener listener) {
     responseListener = listener;
@@ -81,6 +86,10 @@
     return channel.isActive() && nowNs - idleSinceNs < keepAliveNs;
   }
 
+  boolean isOpen() {
+    return channel.isActive();
+  }
+
   void close() {
     channel.close();
   }
@@ -188,7 +197,7 @@
     if (notReusable || closeAfterResponse || !bodyRead || !channel.isActive()) {
       channel.close();
     } else {
-      idleSinceNs = System.nanoTime();
+      markIdle();
       pool.release(this);
     }
     ended.completed();
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
@@ -81,6 +81,13 @@
     open(target, address, connected, failed);
   }
 
+  /** Takes an idle connection into the pool that was opened outside of it. */
+  void adopt(K target, UpstreamConnection connection) {
+    connection.markIdle();
+    owners.put(connection, target);
+    release(connection);
+  }
+
   void release(UpstreamConnection connection) {
     K owner = owners.get(connection);
     if (owner == null) {
@@ -119,8 +126,24 @@
   }
 
   /** Opens a new connection, even if there is an idle one. */
-  void open(
+  private void open(
       K target, SocketAddress address, Consumer<UpstreamConnection> connected, Runnable failed) {
+    openUnregistered(
+        address,
+        connection -> {
+          owners.put(connection, target);
+          onOpened.accept(target);
+          connected.accept(connection);
+        },
+        failed);
+  }
+
+  /**
+   * Opens a connection of which the pool knows nothing, unless it is adopted: neither its start nor
+   * its end is notified.
+   */
+  void openUnregistered(
+      SocketAddress address, Consumer<UpstreamConnection> connected, Runnable failed) {
     UpstreamConnection connection = new UpstreamConnection(this, dialect);
     Bootstrap bootstrap =
         new Bootstrap()
@@ -134,8 +157,6 @@
     connecting.addListener(
         done -> {
           if (done.isSuccess()) {
-            owners.put(connection, target);
-            onOpened.accept(target);
             connected.accept(connection);
           } else {
             failed.run();
