--- a/runtime/src/main/java/org/teaseltrail/runtime/settings/DeclarationValidator.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/settings/DeclarationValidator.java
@@ -5,6 +5,21 @@
 
   private DeclarationValidator() {}
 
+  /**
+   * Checks that a default is accepted as the value of a setting. A blank one isn't, whatever the
+   * kind: the program would not start with settings that leave it out.
+   *
+   * @param kind the kind of the setting
+   * @param defaultText the default
+   * @throws IllegalArgumentException if the default is not a valid value
+   */
+  static void checkDefault(ValueKind<?> kind, String defaultText) {
+    if (defaultText.isBlank()) {
+      throw new IllegalArgumentException("blank default in a declaration; declare it optional");
+    }
+    check(() -> kind.parse(defaultText));
+  }
+
   /**
    * Checks that a declared text can be parsed.
    *
--- a/runtime/src/main/java/org/teaseltrail/runtime/settings/Setting.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/settings/Setting.java
@@ -60,7 +60,7 @@
    */
   public static <T> Setting<T> withDefault(
       String section, String key, ValueKind<T> kind, String defaultText, String doc) {
-    DeclarationValidator.check(() -> kind.parse(defaultText));
+    DeclarationValidator.checkDefault(kind, defaultText);
     return new Setting<>(
         new SettingName(section, key), kind, Optional.of(defaultText), false, defaultText, doc);
   }
--- a/runtime/src/test/java/org/teaseltrail/runtime/settings/SettingsReaderTest.java
+++ b/runtime/src/test/java/org/teaseltrail/runtime/settings/SettingsReaderTest.java
@@ -96,4 +96,14 @@
   private InvalidSettingsException readInvalid(Path file) {
     return catchThrowableOfType(InvalidSettingsException.class, () -> reader.read(file));
   }
+
+  /** Guards against a program that doesn't start with settings that leave out a blank default. */
+  @Test
+  void blankDefaultIsRefusedInDeclaration() {
+    assertThatIllegalArgumentException()
+        .isThrownBy(
+            () ->
+                Setting.withDefault(
+                    "vm", "name", ValueKinds.text(String::valueOf, "a name"), "", "Name."));
+  }
 }
