Grant a slot that its owner left once the owner knows, or the engine can queue

Cause: a slot had two owners. A VM goes on without a leader with the slots that it was sent with its last sync; the leader grants a slot as soon as its owner's request has ended, to anybody, and deals by what is in use. Where three such slots met at one engine, its queue of two overflowed.

Mend: for each engine the leader adds up the larger of what each VM occupies and what it was sent last, which is what all would use if it fell silent at once. A slot is granted to a VM that doesn't own it only while that sum is within the engine's slots and one request, which the engine queues. The owner itself may always be granted it again.

Hypothesis: with hundreds of VMs in line the owner or another engine takes the slot, so that nothing stays idle.

Open: the same overlap at upstreams that tolerate few rejections; the sum costs the leader VMs times slots for each allocation.

--- a/core/src/main/java/org/teaseltrail/core/control/DealtSlotOrder.java
+++ b/core/src/main/java/org/teaseltrail/core/control/DealtSlotOrder.java
@@ -4,10 +4,10 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.BiFunction;
 import java.util.function.Predicate;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.registry.Registration;
 
 /**
  * The order in which the leader grants a VM slots of upstreams whose slots are dealt: first one
@@ -22,24 +22,32 @@
   /** Number of requests that an upstream is expected to queue beyond its slots at any time. */
   private static final int MAX_BEYOND = 1;
 
-  private final BiFunction<VmId, UpstreamId, Integer> dealt;
+  private final SlotAllocator.DealtSlots dealt;
   private final Map<VmId, Map<UpstreamId, Integer>> occupied = new HashMap<>();
   private final Map<UpstreamId, Integer> beyond = new HashMap<>();
+  private final Map<UpstreamId, Integer> reserveWithoutLeader = new HashMap<>();
 
   /**
    * Creates the order of one allocation.
    *
-   * @param dealt returns the number of a VM's dealt slots at an upstream
+   * @param dealt the slots that were dealt to VMs
    * @param vms the state of all VMs
+   * @param upstreams the upstreams of the service
    */
-  DealtSlotOrder(BiFunction<VmId, UpstreamId, Integer> dealt, Collection<EntryVmSlotState> vms) {
+  DealtSlotOrder(
+      SlotAllocator.DealtSlots dealt,
+      Collection<EntryVmSlotState> vms,
+      Collection<Registration> upstreams) {
     this.dealt = dealt;
+    upstreams.forEach(
+        upstream -> reserveWithoutLeader.put(upstream.id(), upstream.slots() + MAX_BEYOND));
     for (EntryVmSlotState vm : vms) {
       Map<UpstreamId, Integer> counts = vm.occupied();
       occupied.put(vm.id(), counts);
       counts.forEach(
           (upstream, count) ->
-              addBeyond(upstream, Math.max(0, count - dealt.apply(vm.id(), upstream))));
+              addBeyond(upstream, Math.max(0, count - dealt.count(vm.id(), upstream))));
+      countWithoutLeader(vm.id(), counts);
     }
   }
 
@@ -51,6 +59,31 @@
     return hasDealtSlot(vm, upstream) || beyondWith(vm, upstream) <= MAX_BEYOND;
   }
 
+  /** Counts what a VM may have at each upstream if the leader falls silent now. */
+  private void countWithoutLeader(VmId vm, Map<UpstreamId, Integer> counts) {
+    Map<UpstreamId, Integer> most = new HashMap<>(dealt.sentTo(vm));
+    counts.forEach((upstream, count) -> most.merge(upstream, count, Math::max));
+    most.forEach(this::useReserve);
+  }
+
+  private void useReserve(UpstreamId upstream, int count) {
+    reserveWithoutLeader.computeIfPresent(upstream, (id, left) -> left - count);
+  }
+
+  /**
+   * Returns whether an upstream can take a request of a VM even if the leader falls silent at once
+   * and all VMs use the slots that they were sent last: a slot that a VM has given up is granted to
+   * another one only once the former owner knows, except for what an upstream can queue.
+   */
+  boolean hasRoomWithoutLeader(VmId vm, UpstreamId upstream) {
+    return isOwnWithoutLeader(vm, upstream) || reserveWithoutLeader.getOrDefault(upstream, 0) > 0;
+  }
+
+  private boolean isOwnWithoutLeader(VmId vm, UpstreamId upstream) {
+    int count = occupied.get(vm).getOrDefault(upstream, 0);
+    return count < dealt.sentTo(vm).getOrDefault(upstream, 0);
+  }
+
   /** Returns a comparator of upstreams with free slots that has the best one for a VM last. */
   Comparator<Map.Entry<UpstreamId, Integer>> worstFirst(VmId vm) {
     return Comparator.<Map.Entry<UpstreamId, Integer>>comparingInt(
@@ -61,6 +94,7 @@
   /** Records that a VM was granted a slot. */
   void granted(VmId vm, UpstreamId upstream) {
     addBeyond(upstream, hasDealtSlot(vm, upstream) ? 0 : 1);
+    useReserve(upstream, isOwnWithoutLeader(vm, upstream) ? 0 : 1);
     occupied.get(vm).merge(upstream, 1, Integer::sum);
   }
 
@@ -79,7 +113,7 @@
   }
 
   private boolean hasDealtSlot(VmId vm, UpstreamId upstream) {
-    return occupied.get(vm).getOrDefault(upstream, 0) < dealt.apply(vm, upstream);
+    return occupied.get(vm).getOrDefault(upstream, 0) < dealt.count(vm, upstream);
   }
 
   private void addBeyond(UpstreamId upstream, int count) {
--- a/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
@@ -526,6 +526,11 @@
     public int count(VmId vm, UpstreamId upstream) {
       return slotShares.dealtAt(vm, upstream);
     }
+
+    @Override
+    public Map<UpstreamId, Integer> sentTo(VmId vm) {
+      return slotShares.sentTo(vm);
+    }
   }
 
   /** Provides rollouts with the state of the entry VMs. */
--- a/core/src/main/java/org/teaseltrail/core/control/SlotAllocator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotAllocator.java
@@ -89,6 +89,11 @@
           public int count(VmId vm, UpstreamId upstream) {
             return 0;
           }
+
+          @Override
+          public Map<UpstreamId, Integer> sentTo(VmId vm) {
+            return Map.of();
+          }
         };
 
     /** Returns whether the slots of a service are dealt. */
@@ -102,6 +107,9 @@
 
     /** Returns the number of slots of an upstream that were dealt to a VM. */
     int count(VmId vm, UpstreamId upstream);
+
+    /** Returns the slots that a VM was told last to be dealt to it. */
+    Map<UpstreamId, Integer> sentTo(VmId vm);
   }
 
   /** Creates an allocator that grants slots in the given order. */
@@ -221,7 +229,7 @@
     }
     Optional<DealtSlotOrder> dealt =
         dealtSlots.isDealt(service)
-            ? Optional.of(new DealtSlotOrder(dealtSlots::count, vms.values()))
+            ? Optional.of(new DealtSlotOrder(dealtSlots, vms.values(), upstreams))
             : Optional.empty();
     List<Grant> grants = new ArrayList<>();
     Optional<GrantUpstreamSelector> selector = selectorFactory.get();
@@ -331,8 +339,12 @@
 
   private boolean hasRoom(
       ServiceId service, EntryVmSlotState vm, UpstreamId upstream, Optional<DealtSlotOrder> dealt) {
-    return !dealtSlots.areUsedByVms(service)
-        || dealt.map(each -> each.hasRoom(vm.id(), upstream)).orElse(true);
+    if (dealt.isEmpty()) {
+      return true;
+    }
+    return dealtSlots.areUsedByVms(service)
+        ? dealt.get().hasRoom(vm.id(), upstream)
+        : dealt.get().hasRoomWithoutLeader(vm.id(), upstream);
   }
 
   private Grant grant(
--- a/core/src/main/java/org/teaseltrail/core/control/SlotShareAllocator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotShareAllocator.java
@@ -61,6 +61,7 @@
       new TreeMap<>(Comparator.comparing(VmId::value));
   private final Map<VmId, Map<UpstreamId, Integer>> inFlight = new HashMap<>();
   private final Map<VmId, Long> heardNs = new HashMap<>();
+  private final Map<VmId, Map<UpstreamId, Integer>> sent = new HashMap<>();
   private final Map<ServiceId, SlotDealer> dealers = new HashMap<>();
   private final Predicate<ServiceId> isDealt;
   private final Predicate<ServiceId> isContended;
@@ -110,6 +111,7 @@
     demands.remove(vm);
     inFlight.remove(vm);
     heardNs.remove(vm);
+    sent.remove(vm);
   }
 
   /**
@@ -147,7 +149,17 @@
     } else if (nowNs - dealtByUseNs >= CONTENDED_INTERVAL_NS) {
       dealByUse(registry.present(), acceptsTraffic, nowNs);
     }
-    return parts.getOrDefault(vm, Map.of());
+    Map<UpstreamId, Integer> own = parts.getOrDefault(vm, Map.of());
+    sent.put(vm, Map.copyOf(own));
+    return own;
+  }
+
+  /**
+   * Returns the slots that a VM goes on using if the leader falls silent: those that it was sent
+   * last, which may be older than those that were dealt last.
+   */
+  Map<UpstreamId, Integer> sentTo(VmId vm) {
+    return sent.getOrDefault(vm, Map.of());
   }
 
   /** Returns the number of slots of an upstream that were dealt to a VM last. */
--- a/core/src/test/java/org/teaseltrail/core/control/DealtSlotsSimulation.java
+++ b/core/src/test/java/org/teaseltrail/core/control/DealtSlotsSimulation.java
@@ -32,6 +32,7 @@
   static final int VMS = 96;
   static final int ENGINES = 98;
 
+  private static final long USUAL_SEED = 5;
   private static final long NS_PER_MS = 1_000_000L;
   private static final long HEARTBEAT_INTERVAL_MS = 1_200;
   private static final int MIN_SERVICE_MS = 300;
@@ -40,7 +41,7 @@
   private record Attempt(int vm, QueueingEngine engine, long bornMs) {}
 
   private final FakeControlGroup group = new FakeControlGroup(3);
-  private final SplittableRandom random = new SplittableRandom(5);
+  private final SplittableRandom random;
   private final List<QueueingEngine> engines = new ArrayList<>();
   private final List<ForwardNode> nodes = new ArrayList<>();
   private final boolean[] dead = new boolean[VMS];
@@ -68,6 +69,12 @@
    * @param bornMs the start time that the engines report, 0 for none
    */
   DealtSlotsSimulation(FeatureMode mode, long bornMs) {
+    this(mode, bornMs, USUAL_SEED);
+  }
+
+  /** Starts the simulation with a seed of its own. */
+  DealtSlotsSimulation(FeatureMode mode, long bornMs, long seed) {
+    random = new SplittableRandom(seed);
     ContentionSettings contention =
         new ContentionSettings(FeatureMode.OFF, FeatureMode.OFF, FeatureMode.OFF, mode);
     ControlSettings usual = ControlSettings.DEFAULT;
--- a/core/src/test/java/org/teaseltrail/core/control/DealtSlotsTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/DealtSlotsTest.java
@@ -3,8 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.teaseltrail.core.contention.FeatureMode;
 
 /**
@@ -71,7 +72,6 @@
   }
 
   /** The leader freezes during a burst, while VMs use slots that were dealt to others. */
-  @Tag("known-red")
   @Test
   void noEngineRejectsWhenTheLeaderFreezesDuringBurst() {
     DealtSlotsSimulation load = new DealtSlotsSimulation(FeatureMode.AUTO);
@@ -86,6 +86,27 @@
     assertThat(load.rejected()).isZero();
   }
 
+  /**
+   * The leader freezes after it has allocated all slots for four seconds, so that most slots have
+   * changed hands; until then it must have kept the engines full.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {6, 7, 8})
+  void noEngineRejectsWhenTheLeaderFreezesLateInBurst(long seed) {
+    DealtSlotsSimulation load = new DealtSlotsSimulation(FeatureMode.AUTO, 1, seed);
+    load.simulate(1_000, 0.75);
+    load.resetCounters();
+    load.simulate(4_000, 1.7 * 0.75);
+    assertThat(load.usedRatio()).isGreaterThan(MIN_USED_RATIO);
+    load.resetCounters();
+    load.group().leader().pause();
+    load.simulate(500, 1.7 * 0.75);
+    while (!load.hasLeader()) {
+      load.simulate(50, 1.7 * 0.75);
+    }
+    assertThat(load.rejected()).isZero();
+  }
+
   /** A quarter of the engines is lost and comes back empty, which all VMs see at once. */
   @Test
   void enginesThatComeBackAreNotFilledByAllVmsAtOnce() {
