Answer each report of rejection limits, so that a lost list leaves none behind

An entry VM that missed the leader's list without a service would have gone on waiting for grants for it after the limit had ended; a VM whose report was lost would have kept a limit alone.

Cause: the list was sent once for each change, without an answer, and a report's news were forgotten when they were sent.

What a new leader doesn't list is reported to it once before it is lifted, so that a leader which missed the report before its start lifts nothing. Nothing is sent where no upstream names a limit.

--- a/core/src/main/java/org/teaseltrail/core/control/RejectionLimitCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/RejectionLimitCoordinator.java
@@ -33,7 +33,7 @@
     this.leadership = leadership;
   }
 
-  /** Records what a VM heard. */
+  /** Records what a VM heard, and answers it with the list, as an earlier one may be lost. */
   void message(ServingMessage.RejectionLimits message, Collection<VmId> vms) {
     long nowNs = leadership.nowNs();
     message.limited().forEach(service -> reportedNs.put(service, nowNs));
@@ -43,7 +43,11 @@
         reportedNs.remove(service);
       }
     }
+    sent.remove(message.vm());
     vms.forEach(this::sendIfChanged);
+    if (!sent.containsKey(message.vm())) {
+      send(message.vm(), services());
+    }
   }
 
   /** Sends a VM the services, if it has not been sent them by this leader. */
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -434,7 +434,7 @@
       }
     } else if (reply instanceof ServingReply.RejectionLimits update) {
       if (controlClient.session().isCurrentLeadership(update.fencing())) {
-        rejectionLimits.applyUpdate(update.services());
+        rejectionLimits.applyUpdate(update.fencing(), update.services(), nowNs);
         requests.dispatchQueued(nowNs);
       }
     } else if (reply instanceof ServingReply.Peers named) {
--- a/core/src/main/java/org/teaseltrail/core/forward/RejectionLimitTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RejectionLimitTracker.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.teaseltrail.core.backpressure.RejectionLimit;
+import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.serving.ServingMessage;
@@ -25,6 +26,7 @@
   private final Map<ServiceId, Long> heardNs = new HashMap<>();
   private final Set<ServiceId> news = new HashSet<>();
   private final Set<ServiceId> lifted = new HashSet<>();
+  private FencingNumber fencing = new FencingNumber(0);
   private Set<ServiceId> told = Set.of();
   private long reportedNs;
 
@@ -53,12 +55,20 @@
 
   /**
    * Applies the leader's list of the services whose upstreams tolerate few rejections. What it no
-   * longer lists is lifted here, too: VMs that disagreed would take slots from each other.
+   * longer lists is lifted here, too: VMs that disagreed would take slots from each other. What a
+   * new leader doesn't list is reported to it first, since it may not have learnt of it.
    */
-  void applyUpdate(List<ServiceId> services) {
+  void applyUpdate(FencingNumber leadership, List<ServiceId> services, long nowNs) {
     Set<ServiceId> now = Set.copyOf(services);
-    heardNs.keySet().removeIf(service -> told.contains(service) && !now.contains(service));
+    if (leadership.equals(fencing)) {
+      heardNs.keySet().removeIf(service -> told.contains(service) && !now.contains(service));
+    } else {
+      told.forEach(service -> heardNs.putIfAbsent(service, nowNs));
+      news.addAll(heardNs.keySet());
+    }
+    fencing = leadership;
     told = now;
+    news.removeAll(told);
     lifted.retainAll(told);
   }
 
@@ -80,16 +90,22 @@
         : Optional.of(new ServingMessage.RejectionLimits(vm, List.copyOf(known), List.of()));
   }
 
-  /** Returns the report for the leader that goes with a sync, if there is anything to report. */
+  /**
+   * Returns the report for the leader that goes with a sync. While this VM knows of any limit there
+   * is one again and again, with or without news: the leader answers each with its list, so that a
+   * list that was lost leaves no limit behind.
+   */
   Optional<ServingMessage> createReport(long nowNs) {
-    boolean isDue = nowNs - reportedNs >= REPEAT_NS || !told.containsAll(news);
-    if ((news.isEmpty() && lifted.isEmpty()) || !isDue) {
+    boolean isUnknownToLeader = !told.containsAll(news);
+    boolean knowsAny = !heardNs.isEmpty() || !told.isEmpty();
+    if (!isUnknownToLeader && (!knowsAny || nowNs - reportedNs < REPEAT_NS)) {
       return Optional.empty();
     }
     reportedNs = nowNs;
     ServingMessage report =
         new ServingMessage.RejectionLimits(vm, List.copyOf(news), List.copyOf(lifted));
-    news.clear();
+    news.retainAll(heardNs.keySet());
+    news.removeAll(told);
     return Optional.of(report);
   }
 }
