Wait longer for a probe's connection than for a caller's request

Upstreams that are slow to accept for all entry VMs were taken for lost paths of each: VMs relayed requests to each other that no peer could serve, and probed four times a second.

Cause: a probe gave up after the 400 ms of a caller's connect, so that a slow upstream failed it. A path on which nothing arrives is found lost 600 ms later than before; EntryVmWithoutPathTest has probes that take as long and stays green.

The simulation counts refusals of a VM's own callers only, as its comment says: a relayed request that may have run and finds no slot at the peer is answered 502 there, which is true (SILENT, 200 a second).

--- a/core/src/test/java/org/teaseltrail/core/control/Cut.java
+++ b/core/src/test/java/org/teaseltrail/core/control/Cut.java
@@ -21,7 +21,9 @@
   /** Open connections work, and new ones are established and reset at once. */
   NEW_ACCEPTED_RESET(Effect.NONE, Effect.ACCEPTED_RESET),
   /** New connections are rejected by some upstreams, reset by others, and hang at the rest. */
-  MIXED(Effect.RESET, Effect.MIXED);
+  MIXED(Effect.RESET, Effect.MIXED),
+  /** Open connections work, and new ones take 300 to 800 ms, or time out. */
+  SLOW_ACCEPT(Effect.NONE, Effect.SLOW);
 
   /** What happens to a connection. */
   enum Effect {
@@ -30,7 +32,8 @@
     HANG,
     UNANSWERED,
     ACCEPTED_RESET,
-    MIXED;
+    MIXED,
+    SLOW;
 
     /** Returns what happens to a connection to one of the upstreams. */
     Effect at(int upstreamIndex) {
--- a/core/src/test/java/org/teaseltrail/core/control/FakeEntryVms.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeEntryVms.java
@@ -34,6 +34,12 @@
   /** Determines the result of a probe, which the VM learns as late as from sockets. */
   interface ProbeHandler {
     ProbeResult probe(int vm, ForwardAction.Probe probe);
+
+    /** Returns the time that a probe takes, in nanoseconds. */
+    default long durationNs(int vm, ForwardAction.Probe probe, ProbeResult result) {
+      boolean isWatched = probe.kind() == ProbeKind.CONNECT && result != ProbeResult.FAILED;
+      return isWatched ? STAY_OPEN_NS : PROBE_NS;
+    }
   }
 
   private final FakeControlGroup group;
@@ -151,9 +157,8 @@
 
   private void endProbe(int vm, long incarnation, ForwardAction.Probe probe) {
     ProbeResult result = prober.probe(vm, probe);
-    boolean isWatched = probe.kind() == ProbeKind.CONNECT && result != ProbeResult.FAILED;
     group.after(
-        isWatched ? STAY_OPEN_NS : PROBE_NS,
+        prober.durationNs(vm, probe, result),
         () -> {
           if (incarnation == incarnations[vm]) {
             execute(vm, nodes.get(vm).onProbeEnded(probe.upstream().id(), result, group.nowNs()));
--- a/core/src/test/java/org/teaseltrail/core/control/PathLossSimulation.java
+++ b/core/src/test/java/org/teaseltrail/core/control/PathLossSimulation.java
@@ -50,9 +50,12 @@
   private static final int FIRST_EVENT_MS = 60;
   private static final int RESET_MS = 2;
   private static final int CONNECT_TIMEOUT_MS = 400;
+  private static final int PROBE_CONNECT_TIMEOUT_MS = 1_000;
   private static final int TCP_TIMEOUT_MS = 3_000;
   private static final int IDLE_TIMEOUT_MS = 4_000;
   private static final int DEADLINE_MS = 4_000;
+  private static final int MIN_SLOW_CONNECT_MS = 300;
+  private static final int SLOW_CONNECT_RANGE_MS = 500;
   private static final String[] PATHS = {"/stream/x", "/resumable/x", "/safe/x", "/unsafe/x"};
 
   /** Attempt of one incarnation of a VM at an upstream, with the id that its caller gave. */
@@ -93,6 +96,8 @@
   private final Map<Long, RefusalReason> refusals = new HashMap<>();
   private final Map<Integer, Map<RefusalReason, Integer>> refusalsByVm = new HashMap<>();
   private boolean heartbeatsLost;
+  private long lastConnectMs;
+  private int probes;
   private int relayed;
   private long lastNumber;
 
@@ -110,7 +115,23 @@
     }
     vms = new FakeEntryVms(group, vmCount, random, contention, this::execute);
     vms.useRelays(PathLossSimulation::relaySettings);
-    vms.useProber(this::probe);
+    vms.useProber(
+        new FakeEntryVms.ProbeHandler() {
+          @Override
+          public ProbeResult probe(int vm, ForwardAction.Probe probe) {
+            probes++;
+            return PathLossSimulation.this.probe(vm, probe);
+          }
+
+          @Override
+          public long durationNs(int vm, ForwardAction.Probe probe, ProbeResult result) {
+            return switch (probedEffect(vm, probe)) {
+              case SLOW -> lastConnectMs * NS_PER_MS;
+              case HANG -> PROBE_CONNECT_TIMEOUT_MS * NS_PER_MS;
+              default -> FakeEntryVms.ProbeHandler.super.durationNs(vm, probe, result);
+            };
+          }
+        });
     vms.start();
     sendHeartbeats();
   }
@@ -279,10 +300,12 @@
   }
 
   private void refuse(int vm, ForwardAction.Refuse refuse) {
-    refusalsByVm
-        .computeIfAbsent(vm, key -> new EnumMap<>(RefusalReason.class))
-        .merge(refuse.refusalReason(), 1, Integer::sum);
     boolean isFromPeer = hops.containsKey(refuse.request());
+    if (!isFromPeer) {
+      refusalsByVm
+          .computeIfAbsent(vm, key -> new EnumMap<>(RefusalReason.class))
+          .merge(refuse.refusalReason(), 1, Integer::sum);
+    }
     if (isFromPeer) {
       RelayOutcome outcome = refuse.refusalReason().relayOutcome();
       if (!outcome.needsOtherPeer()) {
@@ -362,18 +385,22 @@
     }
   }
 
+  /** Returns the number of probes so far. */
+  int probes() {
+    return probes;
+  }
+
   /** Returns the number of requests that were relayed so far. */
   int relayed() {
     return relayed;
   }
 
   private ProbeResult probe(int vm, ForwardAction.Probe probe) {
-    Cut cut = cuts.get(vm);
-    Cut.Effect effect =
-        cut == null ? Cut.Effect.NONE : cut.onNewConnection().at(indexOf(probe.upstream().id()));
-    return switch (effect) {
+    return switch (probedEffect(vm, probe)) {
       case NONE -> ProbeResult.ANSWERED;
       case UNANSWERED -> ProbeResult.CONNECTED;
+      case SLOW ->
+          drawConnectMs() > PROBE_CONNECT_TIMEOUT_MS ? ProbeResult.FAILED : ProbeResult.ANSWERED;
       case ACCEPTED_RESET ->
           probe.kind() == ProbeKind.ANSWER ? ProbeResult.CONNECTED : ProbeResult.FAILED;
       default -> ProbeResult.FAILED;
@@ -413,6 +440,7 @@
     switch (effect) {
       case RESET -> endLater(attempt, AttemptOutcome.NOT_CONNECTED, RESET_MS);
       case HANG -> endLater(attempt, AttemptOutcome.NOT_CONNECTED, CONNECT_TIMEOUT_MS);
+      case SLOW -> connectSlowly(attempt);
       case ACCEPTED_RESET -> {
         vms.node(attempt.vm()).onUpstreamConnected(attempt.upstream(), group.nowNs());
         endLater(attempt, AttemptOutcome.BROKEN, RESET_MS);
@@ -423,6 +451,31 @@
     }
   }
 
+  private Cut.Effect probedEffect(int vm, ForwardAction.Probe probe) {
+    Cut cut = cuts.get(vm);
+    return cut == null ? Cut.Effect.NONE : cut.onNewConnection().at(indexOf(probe.upstream().id()));
+  }
+
+  private long drawConnectMs() {
+    lastConnectMs = MIN_SLOW_CONNECT_MS + random.nextInt(SLOW_CONNECT_RANGE_MS);
+    return lastConnectMs;
+  }
+
+  private void connectSlowly(Attempt attempt) {
+    if (drawConnectMs() > CONNECT_TIMEOUT_MS) {
+      endLater(attempt, AttemptOutcome.NOT_CONNECTED, CONNECT_TIMEOUT_MS);
+      return;
+    }
+    later(
+        (int) lastConnectMs,
+        () -> {
+          if (isInFlight(attempt)) {
+            vms.node(attempt.vm()).onUpstreamConnected(attempt.upstream(), group.nowNs());
+            arrive(attempt);
+          }
+        });
+  }
+
   /** Applies the effect of a partition to a request on an open connection. */
   private void applyTo(Attempt attempt, Cut.Effect effect) {
     switch (effect) {
--- a/forward/src/main/java/org/teaseltrail/forward/PathProber.java
+++ b/forward/src/main/java/org/teaseltrail/forward/PathProber.java
@@ -24,6 +24,12 @@
   /** Time for the answer to a health check; upstreams that have a free slot need milliseconds. */
   private static final long ANSWER_TIMEOUT_MS = 600;
 
+  /**
+   * Time to establish a connection. It is longer than that of a caller's request: upstreams that
+   * are slow to accept for all VMs are no lost paths.
+   */
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+
   /**
    * Time for which a new connection has to stay open: something between may accept connections to
    * upstreams that it can't reach, and reset them at once. Data centres are a few milliseconds
@@ -49,6 +55,7 @@
     Registration upstream = probe.upstream();
     pool.openUnregistered(
         upstream.address(),
+        CONNECT_TIMEOUT_MS,
         connection -> onConnected(probe, connection),
         () -> results.accept(upstream.id(), ProbeResult.FAILED));
   }
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
@@ -130,6 +130,7 @@
       K target, SocketAddress address, Consumer<UpstreamConnection> connected, Runnable failed) {
     openUnregistered(
         address,
+        CONNECT_TIMEOUT_MS,
         connection -> {
           owners.put(connection, target);
           onOpened.accept(target);
@@ -143,13 +144,16 @@
    * its end is notified.
    */
   void openUnregistered(
-      SocketAddress address, Consumer<UpstreamConnection> connected, Runnable failed) {
+      SocketAddress address,
+      int timeoutMs,
+      Consumer<UpstreamConnection> connected,
+      Runnable failed) {
     UpstreamConnection connection = new UpstreamConnection(this, dialect);
     Bootstrap bootstrap =
         new Bootstrap()
             .group(sharedLoop.loop())
             .channelFactory(() -> sharedLoop.newChannel(SocketChannel.class))
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(initializer(connection));
     TcpKeepAliveOptions.applyTo(bootstrap);
