--- a/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
@@ -154,7 +154,17 @@
     if (quarantine.hasUndecided()) {
       recallRetries(nowNs);
     }
-    paused.takeDecided().forEach(request -> dispatchOrQueue(request, nowNs));
+    for (ActiveRequest request : paused.takeDecided()) {
+      if (quarantine.isQuarantined(request, nowNs)) {
+        abort(
+            request,
+            RefusalReason.QUARANTINED,
+            RefusalReason.BROKEN,
+            QuarantineTracker.RETRY_AFTER_MS);
+      } else {
+        dispatchOrQueue(request, nowNs);
+      }
+    }
     updateSuspectCopies();
   }
 
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardQuarantineTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardQuarantineTest.java
@@ -216,6 +216,24 @@
     assertThat(refused(copy)).containsExactly(RefusalReason.QUARANTINED);
   }
 
+  /** Guards against a stream that has begun, waits to be resumed, and is sent though it is held. */
+  @Test
+  void pausedStreamThatHasBegunIsNotResumedOnceItIsHeld() {
+    serveWith(
+        TestPlans.plan(1),
+        upstream("e1", TestPlans.ENGINES, SLOTS),
+        upstream("e2", TestPlans.ENGINES, SLOTS));
+    final long copy = arrive("/resumable/x");
+    node.onResponseStarted(copy, nowNs);
+    leaveUndecided("/resumable/x");
+    end(copy, AttemptOutcome.BROKEN);
+    assertThat(isDispatched(copy)).isFalse();
+    assertThat(refused(copy)).isEmpty();
+    hold("/resumable/x");
+    assertThat(isDispatched(copy)).isFalse();
+    assertThat(refused(copy)).containsExactly(RefusalReason.BROKEN);
+  }
+
   /** Guards against several copies that are sent while it is unknown whether they are harmless. */
   @Test
   void trialSendsOneWaitingCopyOfUndecidedRequest() {
