--- a/core/src/main/java/org/teaseltrail/core/forward/PausedRequests.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/PausedRequests.java
@@ -1,10 +1,12 @@
 package org.teaseltrail.core.forward;
 
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.teaseltrail.core.quarantine.Fingerprint;
+import org.teaseltrail.core.quarantine.SuspectCopies;
 import org.teaseltrail.core.suspect.QuarantineTracker;
 
 /**
@@ -33,14 +35,25 @@
     return isPaused;
   }
 
-  boolean contains(ActiveRequest request) {
-    return paused.containsKey(request.number());
-  }
-
   void remove(ActiveRequest request) {
     paused.remove(request.number());
   }
 
+  /** Counts the copies of undecided requests, which tell the leader how frequent each is. */
+  void reportCopies(Collection<ActiveRequest> admitted) {
+    Map<Fingerprint, SuspectCopies> copies = new LinkedHashMap<>();
+    if (quarantine.hasUndecided()) {
+      for (ActiveRequest request : admitted) {
+        if (quarantine.isUndecided(request)) {
+          int waiting = paused.containsKey(request.number()) ? 1 : 0;
+          SuspectCopies copy = new SuspectCopies(request.fingerprint(), waiting, 1 - waiting);
+          copies.merge(request.fingerprint(), copy, SuspectCopies::plus);
+        }
+      }
+    }
+    quarantine.setCopies(List.copyOf(copies.values()));
+  }
+
   /** Removes and returns the requests that need not wait any longer, the oldest first. */
   List<ActiveRequest> takeDecided() {
     List<ActiveRequest> decided =
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
@@ -1,7 +1,6 @@
 package org.teaseltrail.core.forward;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,7 +10,6 @@
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.quarantine.Fingerprint;
-import org.teaseltrail.core.quarantine.SuspectCopies;
 import org.teaseltrail.core.relay.PeerDirectory;
 import org.teaseltrail.core.relay.ProbeResult;
 import org.teaseltrail.core.serving.ServingReply;
@@ -165,7 +163,7 @@
         dispatchOrQueue(request, nowNs);
       }
     }
-    updateSuspectCopies();
+    paused.reportCopies(activeRequests.values());
   }
 
   /**
@@ -192,23 +190,6 @@
     }
   }
 
-  /** Counts the copies of undecided requests, which tell the leader how frequent each is. */
-  private void updateSuspectCopies() {
-    Map<Fingerprint, SuspectCopies> copies = new LinkedHashMap<>();
-    if (quarantine.hasUndecided()) {
-      for (ActiveRequest request : activeRequests.values()) {
-        if (quarantine.isUndecided(request)) {
-          int waiting = paused.contains(request) ? 1 : 0;
-          copies.merge(
-              request.fingerprint(),
-              new SuspectCopies(request.fingerprint(), waiting, 1 - waiting),
-              SuspectCopies::plus);
-        }
-      }
-    }
-    quarantine.setCopies(List.copyOf(copies.values()));
-  }
-
   /** Sends a paused request as a trial, for which the leader has just given a permit. */
   void startTrial(Fingerprint content, long nowNs) {
     paused.takeOldest(content).ifPresent(request -> dispatchOrQueue(request, nowNs));
@@ -457,7 +438,7 @@
     }
     if (paused.pauseIfUndecided(request, nowNs)) {
       deadlines.schedule(request);
-      updateSuspectCopies();
+      paused.reportCopies(activeRequests.values());
       return;
     }
     if (dispatcher.tryDispatchAsCanary(request, nowNs)) {
