--- a/core/src/test/java/org/teaseltrail/core/control/Cut.java
+++ b/core/src/test/java/org/teaseltrail/core/control/Cut.java
@@ -22,6 +22,8 @@
   NEW_ACCEPTED_RESET(Effect.NONE, Effect.ACCEPTED_RESET),
   /** New connections are rejected by some upstreams, reset by others, and hang at the rest. */
   MIXED(Effect.RESET, Effect.MIXED),
+  /** Every second upstream resets open connections and accepted ones; the others work. */
+  HALF_ACCEPTED_RESET(Effect.HALF_RESET, Effect.HALF_ACCEPTED_RESET),
   /** Open connections work, and new ones take 300 to 800 ms, or time out. */
   SLOW_ACCEPT(Effect.NONE, Effect.SLOW);
 
@@ -33,12 +35,19 @@
     UNANSWERED,
     ACCEPTED_RESET,
     MIXED,
-    SLOW;
+    SLOW,
+    HALF_RESET,
+    HALF_ACCEPTED_RESET;
 
     /** Returns what happens to a connection to one of the upstreams. */
     Effect at(int upstreamIndex) {
       List<Effect> mixed = List.of(RESET, ACCEPTED_RESET, HANG);
-      return this == MIXED ? mixed.get(upstreamIndex % mixed.size()) : this;
+      return switch (this) {
+        case MIXED -> mixed.get(upstreamIndex % mixed.size());
+        case HALF_RESET -> upstreamIndex % 2 == 0 ? RESET : NONE;
+        case HALF_ACCEPTED_RESET -> upstreamIndex % 2 == 0 ? ACCEPTED_RESET : NONE;
+        default -> this;
+      };
     }
   }
 
--- a/core/src/test/java/org/teaseltrail/core/control/EntryVmWithResetConnectionsTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/EntryVmWithResetConnectionsTest.java
@@ -5,6 +5,8 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.teaseltrail.core.contention.ContentionSettings;
@@ -43,8 +45,23 @@
     "NEW_ACCEPTED_RESET, 1, 3, 6",
     "MIXED, 1, 3, 7",
     "MIXED, 4, 9, 8",
+    "HALF_ACCEPTED_RESET, 1, 3, 9",
   })
   void callersOfVmsAreServed(Cut cut, int cutVms, int vmCount, long seed) {
+    runAndCheck(cut, cutVms, vmCount, seed);
+  }
+
+  /**
+   * Guards against VMs that send callers' requests to find out whether they reach an upstream
+   * again.
+   */
+  @Tag("known-red")
+  @Test
+  void callersOfVmsThatReachHalfOfTheUpstreamsAreServed() {
+    runAndCheck(Cut.HALF_ACCEPTED_RESET, 4, 9, 10);
+  }
+
+  private static void runAndCheck(Cut cut, int cutVms, int vmCount, long seed) {
     PathLossSimulation run = new PathLossSimulation(seed, vmCount, ContentionSettings.OFF);
     run.simulate(4_000, PER_SECOND);
     final Set<Integer> affected = firstVms(cutVms);
@@ -81,6 +98,11 @@
     "NEW_ACCEPTED_RESET, false, 60, 9",
     "NEW_ACCEPTED_RESET, true, 200, 10",
     "MIXED, true, 60, 11",
+    "HALF_ACCEPTED_RESET, false, 60, 12",
+    "HALF_ACCEPTED_RESET, true, 60, 13",
+    "HALF_ACCEPTED_RESET, true, 200, 14",
+    "HALF_ACCEPTED_RESET, true, 120, 15",
+    "HALF_ACCEPTED_RESET, true, 120, 16",
   })
   void lostPathsQuarantineNoContent(Cut cut, boolean areHeartbeatsLost, int perSecond, long seed) {
     PathLossSimulation run = new PathLossSimulation(seed, 3, ContentionSettings.OFF);
--- a/core/src/test/java/org/teaseltrail/core/control/PathLossSimulation.java
+++ b/core/src/test/java/org/teaseltrail/core/control/PathLossSimulation.java
@@ -171,7 +171,7 @@
     cuts.put(vm, cut);
     for (Attempt attempt : List.copyOf(attempts.values())) {
       if (attempt.vm() == vm) {
-        applyTo(attempt, cut.onOpenConnection());
+        applyTo(attempt, cut.onOpenConnection().at(indexOf(attempt.upstream())));
       }
     }
   }
@@ -536,7 +536,7 @@
   /** Returns whether answers on an open connection reach the VM. */
   private boolean isHeard(Attempt attempt) {
     Cut cut = cuts.get(attempt.vm());
-    return cut == null || cut.onOpenConnection() == Cut.Effect.NONE;
+    return cut == null || cut.onOpenConnection().at(indexOf(attempt.upstream())) == Cut.Effect.NONE;
   }
 
   /** Handles a request that its VM gave up: the upstream doesn't start it any more. */
