--- a/core/src/main/java/org/teaseltrail/core/control/RejectionLimitCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/RejectionLimitCoordinator.java
@@ -43,11 +43,8 @@
         reportedNs.remove(service);
       }
     }
-    sent.remove(message.vm());
-    vms.forEach(this::sendIfChanged);
-    if (!sent.containsKey(message.vm())) {
-      send(message.vm(), services());
-    }
+    vms.stream().filter(vm -> !vm.equals(message.vm())).forEach(this::sendIfChanged);
+    send(message.vm(), services());
   }
 
   /** Sends a VM the services, if it has not been sent them by this leader. */
