Count only dealt slots as owned when a leader's silence is provided for

Where a service has fewer slots than entry VMs, its slots are not dealt: each VM gets a share that overlaps with others'. The sum of what VMs would use without a leader counted these shares too, which exceeds the slots, so that under contention a VM was granted slots only at the upstream of its share, and others could stay idle. Only slots that a dealer gave to one owner count now; without any, nothing is copied at a sync.

SentSlotsTest, red before in the case of too few slots (1 of 2), green now; DealtSlotsTest (12) and the slot tests stay green.

--- a/core/src/main/java/org/teaseltrail/core/control/SlotShareAllocator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotShareAllocator.java
@@ -4,8 +4,10 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -62,6 +64,7 @@
   private final Map<VmId, Map<UpstreamId, Integer>> inFlight = new HashMap<>();
   private final Map<VmId, Long> heardNs = new HashMap<>();
   private final Map<VmId, Map<UpstreamId, Integer>> sent = new HashMap<>();
+  private final Set<UpstreamId> owned = new HashSet<>();
   private final Map<ServiceId, SlotDealer> dealers = new HashMap<>();
   private final Predicate<ServiceId> isDealt;
   private final Predicate<ServiceId> isContended;
@@ -150,13 +153,24 @@
       dealByUse(registry.present(), acceptsTraffic, nowNs);
     }
     Map<UpstreamId, Integer> own = parts.getOrDefault(vm, Map.of());
-    sent.put(vm, Map.copyOf(own));
+    recordSent(vm, own);
     return own;
   }
 
+  /** Records the slots that a VM owns alone; shares of too few slots overlap anyway. */
+  private void recordSent(VmId vm, Map<UpstreamId, Integer> own) {
+    if (owned.isEmpty()) {
+      sent.remove(vm);
+      return;
+    }
+    Map<UpstreamId, Integer> ownedByVm = new HashMap<>(own);
+    ownedByVm.keySet().retainAll(owned);
+    sent.put(vm, ownedByVm);
+  }
+
   /**
-   * Returns the slots that a VM goes on using if the leader falls silent: those that it was sent
-   * last, which may be older than those that were dealt last.
+   * Returns the dealt slots that a VM goes on using if the leader falls silent: those that it was
+   * sent last, which may be older than those that were dealt last.
    */
   Map<UpstreamId, Integer> sentTo(VmId vm) {
     return sent.getOrDefault(vm, Map.of());
@@ -169,6 +183,7 @@
 
   private void divide(
       Collection<Registration> present, Predicate<Registration> acceptsTraffic, long nowNs) {
+    owned.clear();
     Map<VmId, Map<UpstreamId, Integer>> assigned = new HashMap<>();
     demands.keySet().forEach(vm -> assigned.put(vm, new HashMap<>()));
     present.stream()
@@ -217,6 +232,7 @@
         demands.keySet().stream()
             .filter(vm -> nowNs - heardNs.getOrDefault(vm, nowNs) <= VM_TIMEOUT_NS)
             .toList();
+    upstreams.forEach(upstream -> owned.add(upstream.id()));
     int slots = upstreams.stream().mapToInt(Registration::slots).sum();
     SlotDealer dealer = dealers.computeIfAbsent(service, key -> new SlotDealer());
     Map<VmId, Double> targets = targets(service, present, slots);
