Iterate in the same order in every process

Cause: copies by Map.copyOf and Set.copyOf iterate in an order that the JDK draws once for each process. A sync's counts of requests in flight were such a copy, and SlotDealer gives slots away in their order.

Why it holds: copies keep the order of what they copy, and SansIoTest now refuses both methods in core.

--- a/core/src/main/java/org/teaseltrail/core/configuration/Configuration.java
+++ b/core/src/main/java/org/teaseltrail/core/configuration/Configuration.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.core.configuration;
 
 import java.util.Map;
+import org.teaseltrail.core.collection.OrderedCopies;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.PoolId;
 import org.teaseltrail.core.id.Revision;
@@ -27,11 +28,11 @@
     Map<UpstreamId, AllowedUpstream> upstreams) {
   /** Copies the maps, so that the configuration is immutable. */
   public Configuration {
-    tiers = Map.copyOf(tiers);
-    customers = Map.copyOf(customers);
-    pools = Map.copyOf(pools);
-    routes = Map.copyOf(routes);
-    upstreams = Map.copyOf(upstreams);
+    tiers = OrderedCopies.mapOf(tiers);
+    customers = OrderedCopies.mapOf(customers);
+    pools = OrderedCopies.mapOf(pools);
+    routes = OrderedCopies.mapOf(routes);
+    upstreams = OrderedCopies.mapOf(upstreams);
   }
 
   /** Returns the empty configuration at revision zero, with which a new group starts. */
--- a/core/src/main/java/org/teaseltrail/core/control/EntryMessageHandler.java
+++ b/core/src/main/java/org/teaseltrail/core/control/EntryMessageHandler.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.teaseltrail.core.collection.OrderedCopies;
 import org.teaseltrail.core.configuration.AllowedUpstream;
 import org.teaseltrail.core.id.PoolId;
 import org.teaseltrail.core.id.RequestId;
@@ -218,7 +219,7 @@
   }
 
   private void announceAwaited() {
-    broadcast(new SchedulerEvent.ReportsAwaited(Set.copyOf(awaitedVms)));
+    broadcast(new SchedulerEvent.ReportsAwaited(OrderedCopies.setOf(awaitedVms)));
   }
 
   private Optional<PoolId> poolOf(UpstreamId upstream) {
--- a/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import java.util.stream.LongStream;
+import org.teaseltrail.core.collection.OrderedCopies;
 import org.teaseltrail.core.contention.ContentionSettings;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
@@ -252,7 +253,7 @@
         .filter(service -> !dealtSlots.appliesTo(service))
         .forEach(contended::add);
     contended.addAll(rejectionLimits.services());
-    return Set.copyOf(contended);
+    return OrderedCopies.setOf(contended);
   }
 
   /** Returns the services with waiting requests that get slots from the leader. */
--- a/core/src/main/java/org/teaseltrail/core/control/SlotAllocator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotAllocator.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import org.teaseltrail.core.collection.OrderedCopies;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
@@ -193,7 +194,7 @@
   /** Returns the services whose slots the leader allocates. */
   Set<ServiceId> contended(long nowNs) {
     contendedUntilByServiceNs.values().removeIf(untilNs -> nowNs >= untilNs);
-    return Set.copyOf(contendedUntilByServiceNs.keySet());
+    return OrderedCopies.setOf(contendedUntilByServiceNs.keySet());
   }
 
   /**
--- a/core/src/main/java/org/teaseltrail/core/control/SlotUsageTotals.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotUsageTotals.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.teaseltrail.core.collection.OrderedCopies;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.serving.SlotUsage;
@@ -81,7 +82,7 @@
 
   /** Returns how many slots are in use by, or granted to, the requests of each customer. */
   Map<Optional<CustomerId>, Long> usedByCustomer() {
-    return Map.copyOf(slotsByCustomer);
+    return OrderedCopies.mapOf(slotsByCustomer);
   }
 
   /** Returns how many slots are in use by, or granted to, a customer's requests. */
--- a/core/src/main/java/org/teaseltrail/core/forward/RejectionLimitTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RejectionLimitTracker.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.teaseltrail.core.backpressure.RejectionLimit;
+import org.teaseltrail.core.collection.OrderedCopies;
 import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.VmId;
@@ -59,7 +60,7 @@
    * new leader doesn't list is reported to it first, since it may not have learnt of it.
    */
   void applyUpdate(FencingNumber leadership, List<ServiceId> services, long nowNs) {
-    Set<ServiceId> now = Set.copyOf(services);
+    Set<ServiceId> now = OrderedCopies.setOf(services);
     if (leadership.equals(fencing)) {
       heardNs.keySet().removeIf(service -> told.contains(service) && !now.contains(service));
     } else {
--- a/core/src/main/java/org/teaseltrail/core/forward/SlotGrantTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/SlotGrantTracker.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.teaseltrail.core.collection.OrderedCopies;
 import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
@@ -35,7 +36,7 @@
   /** Sets the services whose slots the leader allocates. */
   void contended(FencingNumber leadership, List<ServiceId> services, long nowNs) {
     resetOnNewLeadership(leadership);
-    contended = Set.copyOf(services);
+    contended = OrderedCopies.setOf(services);
     heardNs = nowNs;
   }
 
--- a/core/src/main/java/org/teaseltrail/core/schedule/SchedulerSettings.java
+++ b/core/src/main/java/org/teaseltrail/core/schedule/SchedulerSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumSet;
 import java.util.Set;
+import org.teaseltrail.core.collection.OrderedCopies;
 
 /**
  * The settings of a scheduler.
@@ -41,7 +42,7 @@
 
   /** Creates the settings with an immutable copy of the set. */
   public SchedulerSettings {
-    parts = Set.copyOf(parts);
+    parts = OrderedCopies.setOf(parts);
   }
 
   /** Returns the default settings, with every part of the policy enabled. */
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingMessage.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingMessage.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.teaseltrail.core.backpressure.RateLimitObservation;
+import org.teaseltrail.core.collection.OrderedCopies;
 import org.teaseltrail.core.id.DataCenterId;
 import org.teaseltrail.core.id.Incarnation;
 import org.teaseltrail.core.id.ServiceId;
@@ -54,7 +55,7 @@
       implements ServingMessage {
     /** Copies the map and the list. */
     public Sync {
-      inFlight = Map.copyOf(inFlight);
+      inFlight = OrderedCopies.mapOf(inFlight);
       quotas = List.copyOf(quotas);
     }
   }
@@ -217,8 +218,8 @@
       implements ServingMessage {
     /** Copies the maps and the lists. */
     public Lines {
-      inFlight = Map.copyOf(inFlight);
-      unread = Map.copyOf(unread);
+      inFlight = OrderedCopies.mapOf(inFlight);
+      unread = OrderedCopies.mapOf(unread);
       held = List.copyOf(held);
       lines = List.copyOf(lines);
     }
--- a/core/src/main/java/org/teaseltrail/core/suspect/QuarantineTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/suspect/QuarantineTracker.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongPredicate;
+import org.teaseltrail.core.collection.OrderedCopies;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.VmId;
@@ -222,7 +223,7 @@
     }
     held = newlyHeld;
     undecided = newlyUndecided;
-    watched = Set.copyOf(update.watched());
+    watched = OrderedCopies.setOf(update.watched());
     if (update.whole()) {
       discardCleared(nowNs);
     }
--- a/core/src/test/java/org/teaseltrail/core/SansIoTest.java
+++ b/core/src/test/java/org/teaseltrail/core/SansIoTest.java
@@ -9,13 +9,17 @@
 import com.tngtech.archunit.lang.ArchRule;
 import java.security.SecureRandom;
 import java.time.Clock;
+import java.util.Collection;
+import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Checks that the core module performs no file or network I/O, reads no clock, starts no thread and
- * uses no unseeded random numbers, and that it depends on the JDK only.
+ * uses no unseeded random numbers or iteration orders that differ between processes, and that it
+ * depends on the JDK only.
  */
 @AnalyzeClasses(
     packages = "org.teaseltrail.core",
@@ -83,4 +87,12 @@
           .callMethod(Math.class, "random")
           .orShould()
           .callMethod(UUID.class, "randomUUID");
+
+  @ArchTest
+  static final ArchRule ITERATES_IN_THE_SAME_ORDER_IN_EVERY_PROCESS =
+      noClasses()
+          .should()
+          .callMethod(Map.class, "copyOf", Map.class)
+          .orShould()
+          .callMethod(Set.class, "copyOf", Collection.class);
 }
