List slots with two owners as a known fault

Found while the failure of DealtSlotsTest was traced: a slot that changes hands is owned twice until the former owner's next sync.

Tried and not taken: syncs that name the VM's own slots, a new leader that begins with these, and a slot sent to its new owner only once the former one confirmed. The hand-over would have to leave out dealing by use, which has a limit of its own (hasRoomWithoutLeader).

--- a/core/src/test/java/org/teaseltrail/core/control/DealtSlotsTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/DealtSlotsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -159,6 +160,20 @@
     assertThat(load.rejectedRatio()).isLessThanOrEqualTo(MAX_REJECTED_RATIO);
   }
 
+  /** Guards against slots that two VMs use without asking after a change of leader. */
+  @Test
+  @Tag("known-red")
+  void slotsThatChangeHandsHaveOneOwner() {
+    DealtSlotsSimulation load = new DealtSlotsSimulation(FeatureMode.AUTO);
+    load.simulate(1_500, 0.75);
+    load.group().leader().kill();
+    int allSlots = DealtSlotsSimulation.ENGINES * QueueingEngine.SLOTS;
+    for (int i = 0; i < 300; i++) {
+      load.simulate(10, 0.75);
+      assertThat(load.dealtSlots()).isLessThanOrEqualTo(allSlots);
+    }
+  }
+
   /** Where the feature doesn't apply, every VM must act as without it. */
   @Test
   void actionsAreEqualWhereSlotsAreNotDealt() {
