Probe upstreams before they get requests again after a failed connection

Cause: an ejection ended by time alone, after 3 s at most, and the next caller's request found out whether the upstream was back. With many upstreams out of reach that is many requests. Ruled out: relays (nothing was refused by peers) and detection (the other upstreams kept the paths from being lost, rightly).

Mend: where paths are monitored, the end of an ejection after a failed or broken connection needs a probe that passes (ReadmissionProber). Timeouts of requests eject as before: a connect says nothing about a hung upstream.

Why it holds: no request is sent to an upstream whose last connection failed unless a connection has stayed open since, or nothing else is left. Not covered as before: connections that break only once a request is there.

--- a/core/src/main/java/org/teaseltrail/core/forward/AttemptOutcome.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/AttemptOutcome.java
@@ -63,6 +63,15 @@
     return this == ANSWERED || this == FAILED_ANSWER;
   }
 
+  /**
+   * Returns whether the connection failed, before or while it was used.
+   *
+   * @return true if there was no connection, or it ended without a complete response
+   */
+  public boolean isConnectionFailure() {
+    return this == NOT_CONNECTED || this == BROKEN;
+  }
+
   /**
    * Returns whether the outcome counts as a failure of the upstream.
    *
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
@@ -33,6 +33,7 @@
   private final UpstreamTracker upstreams;
   private final QuarantineTracker quarantine;
   private final LossVerifier losses;
+  private final ReadmissionProber readmissions;
   private final PausedRequests paused;
   private final VersionRouter versionRouter;
   private final Consumer<ForwardAction> actions;
@@ -67,6 +68,7 @@
     this.versionRouter = versionRouter;
     this.paths = paths;
     losses = new LossVerifier(quarantine, upstreams, paths);
+    readmissions = new ReadmissionProber(upstreams, paths);
     paused = new PausedRequests(quarantine);
     this.rejectionLimits = rejectionLimits;
     SlotUsageCounter places =
@@ -233,17 +235,17 @@
     boolean isSuspect = end == AttemptOutcome.BROKEN && quarantine.isSuspect(request);
     versionRouter.recordOutcome(request, end, isSuspect || isPathFault, nowNs);
     updateQuarantine(request, end, nowNs);
-    BackpressureState asked = request.currentUpstream().get().backpressure();
+    UpstreamState upstream = request.currentUpstream().get();
+    BackpressureState asked = upstream.backpressure();
     if (end.isAnswer()) {
       asked.recordAccepted(request.sentNs());
     }
     asked.recordEnded(request.sentNs());
-    request
-        .currentUpstream()
-        .get()
-        .recordOutcome(isPathFault ? AttemptOutcome.WITHHELD : end, nowNs);
+    AttemptOutcome shown = isPathFault ? AttemptOutcome.WITHHELD : end;
+    upstream.recordOutcome(shown, nowNs);
+    readmissions.recordOutcome(upstream, shown);
     if (end == AttemptOutcome.REFUSED && rejectionLimits.isSensitive(request.service())) {
-      request.currentUpstream().get().recordRejection(nowNs);
+      upstream.recordRejection(nowNs);
     }
     dispatcher.releaseSlot(request);
     recordPath(request, end, nowNs);
@@ -266,9 +268,7 @@
    * nothing about the upstream.
    */
   private boolean isPathFault(ActiveRequest request, AttemptOutcome end) {
-    boolean isConnectionFailure =
-        end == AttemptOutcome.NOT_CONNECTED || end == AttemptOutcome.BROKEN;
-    return isConnectionFailure && paths.isLost(request.service());
+    return end.isConnectionFailure() && paths.isLost(request.service());
   }
 
   /**
@@ -333,6 +333,7 @@
   /** Handles the result of a probe. */
   void onProbeEnded(UpstreamId upstream, ProbeResult result, long nowNs) {
     losses.onProbeEnded(upstream, result, nowNs);
+    readmissions.onProbeEnded(upstream, result, nowNs);
   }
 
   /**
@@ -426,6 +427,7 @@
     changes += backoffMonitor.pollBackoffEnd(nowNs) ? 1 : 0;
     upstreams.releaseRejectedSlots(nowNs);
     losses.tick(nowNs);
+    readmissions.tick(nowNs);
     if (paths.hasLost()) {
       moveUnanswered(nowNs);
     }
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamState.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamState.java
@@ -39,6 +39,9 @@
    */
   private static final long MAX_EJECTION_MS = 3_000;
 
+  /** Time after which a probe without a result is repeated. */
+  private static final long PROBE_TIMEOUT_NS = 2_000 * NS_PER_MS;
+
   /** Time for which a slot counts as used after a rejection: a few short responses. */
   private static final long REJECTED_SLOT_NS = 1_000 * NS_PER_MS;
 
@@ -69,6 +72,8 @@
   private int consecutiveFailures;
   private long ejectedUntilNs;
   private boolean avoided;
+  private boolean awaitsProbe;
+  private long probedUntilNs;
   private boolean misdirected;
   private double eventLatencyMs;
   private long latencyUpdatedNs;
@@ -206,13 +211,38 @@
     successRate = before + OUTCOME_WEIGHT * ((end.isFailure() ? 0 : 1) - before);
     successRate = Math.max(MIN_SUCCESS_RATE, successRate);
     lastOutcomeNs = nowNs;
-    boolean noAnswer = end == AttemptOutcome.NOT_CONNECTED || end == AttemptOutcome.BROKEN;
-    if (!noAnswer) {
-      consecutiveFailures = 0;
-      avoided = false;
+    if (end.isConnectionFailure()) {
+      eject(nowNs);
       return;
     }
-    eject(nowNs);
+    consecutiveFailures = 0;
+    avoided = false;
+    awaitsProbe = false;
+  }
+
+  /** Keeps the upstream ejected until a probe has passed. */
+  void awaitProbe() {
+    awaitsProbe = true;
+    probedUntilNs = 0;
+  }
+
+  /** Returns whether a probe is to be sent now, which then counts as sent. */
+  boolean pollProbe(long nowNs) {
+    boolean isDue = awaitsProbe && nowNs >= ejectedUntilNs && nowNs >= probedUntilNs;
+    if (isDue) {
+      probedUntilNs = nowNs + PROBE_TIMEOUT_NS;
+    }
+    return isDue;
+  }
+
+  /** Records the result of a probe; one that fails extends an ejection that is over. */
+  void recordProbe(boolean hasPassed, long nowNs) {
+    if (hasPassed) {
+      awaitsProbe = false;
+    } else if (awaitsProbe && nowNs >= ejectedUntilNs) {
+      eject(nowNs);
+      probedUntilNs = 0;
+    }
   }
 
   /**
@@ -232,6 +262,7 @@
     successRate = 1;
     consecutiveFailures = 0;
     avoided = false;
+    awaitsProbe = false;
   }
 
   /** Records the end of an attempt that was cancelled by the caller or this VM. */
@@ -247,7 +278,7 @@
    * Returns whether the upstream isn't ejected; an ejected one is used only if there is no other.
    */
   boolean isEligible(long nowNs) {
-    return !avoided || nowNs >= ejectedUntilNs;
+    return !avoided || (nowNs >= ejectedUntilNs && !awaitsProbe);
   }
 
   /** Records the time that a part of a response took. */
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamTracker.java
@@ -187,6 +187,15 @@
     inOrder.forEach(state -> state.releaseRejectedSlots(nowNs));
   }
 
+  /** Returns some upstreams that are to be probed now, which then count as probed. */
+  List<Registration> pollProbes(int max, long nowNs) {
+    return inOrder.stream()
+        .filter(state -> state.pollProbe(nowNs))
+        .map(UpstreamState::registration)
+        .limit(max)
+        .toList();
+  }
+
   /** Returns the sum of a number of each registered upstream. */
   int sum(ToIntFunction<UpstreamState> number) {
     return inOrder.stream().mapToInt(number).sum();
