--- a/core/src/test/java/org/teaseltrail/core/control/Cut.java
+++ b/core/src/test/java/org/teaseltrail/core/control/Cut.java
@@ -24,6 +24,8 @@
   MIXED(Effect.RESET, Effect.MIXED),
   /** Every second upstream resets open connections and accepted ones; the others work. */
   HALF_ACCEPTED_RESET(Effect.HALF_RESET, Effect.HALF_ACCEPTED_RESET),
+  /** One upstream of each service resets open connections and accepted ones; the others work. */
+  FIRST_ACCEPTED_RESET(Effect.FIRST_RESET, Effect.FIRST_ACCEPTED_RESET),
   /** Open connections work, and new ones take 300 to 800 ms, or time out. */
   SLOW_ACCEPT(Effect.NONE, Effect.SLOW);
 
@@ -37,7 +39,9 @@
     MIXED,
     SLOW,
     HALF_RESET,
-    HALF_ACCEPTED_RESET;
+    HALF_ACCEPTED_RESET,
+    FIRST_RESET,
+    FIRST_ACCEPTED_RESET;
 
     /** Returns what happens to a connection to one of the upstreams. */
     Effect at(int upstreamIndex) {
@@ -46,6 +50,9 @@
         case MIXED -> mixed.get(upstreamIndex % mixed.size());
         case HALF_RESET -> upstreamIndex % 2 == 0 ? RESET : NONE;
         case HALF_ACCEPTED_RESET -> upstreamIndex % 2 == 0 ? ACCEPTED_RESET : NONE;
+        case FIRST_RESET -> upstreamIndex % PathLossSimulation.ENGINES == 0 ? RESET : NONE;
+        case FIRST_ACCEPTED_RESET ->
+            upstreamIndex % PathLossSimulation.ENGINES == 0 ? ACCEPTED_RESET : NONE;
         default -> this;
       };
     }
--- a/core/src/test/java/org/teaseltrail/core/control/PathLossSimulation.java
+++ b/core/src/test/java/org/teaseltrail/core/control/PathLossSimulation.java
@@ -40,7 +40,10 @@
 final class PathLossSimulation {
 
   private static final long NS_PER_MS = 1_000_000L;
-  private static final int ENGINES = 6;
+
+  /** Number of engines, which come before the plain upstreams. */
+  static final int ENGINES = 6;
+
   private static final int ENGINE_SLOTS = 8;
   private static final int ENGINE_MS = 400;
   private static final int PLAIN = 3;
@@ -195,6 +198,15 @@
     return new Tally(asked, answered);
   }
 
+  /** Returns the number of requests that have no final answer yet. */
+  int openRequests() {
+    int open = 0;
+    for (int vm = 0; vm < vms.count(); vm++) {
+      open += vms.node(vm).openRequests();
+    }
+    return open;
+  }
+
   /** Returns the ids of non-idempotent requests that ran more than once. */
   List<String> ranTwice() {
     return runs.entrySet().stream()
