Log requests that wait for a decision of the quarantine

A request under which upstreams were lost together with others waits some seconds for a decision, and no log line said so: an operator saw requests that took a second or two longer and nothing else. The leader now writes request_undecided, and request_released also when such a request is found harmless. A request that turns from held to undecided is no longer logged as released meanwhile. No decision changes.

--- a/control/src/main/java/org/teaseltrail/control/ActionExecutor.java
+++ b/control/src/main/java/org/teaseltrail/control/ActionExecutor.java
@@ -55,6 +55,8 @@
       targets.calls().reply(reply.callId(), reply.result());
     } else if (action instanceof ControlAction.LogDecision log) {
       log(log.decision());
+    } else if (action instanceof ControlAction.RequestUndecided undecided) {
+      undecided(undecided);
     } else if (action instanceof ControlAction.RequestQuarantined held) {
       held(held);
     } else if (action instanceof ControlAction.RequestReleased released) {
@@ -178,6 +180,17 @@
             + " upstream(s) lost while processing it.");
   }
 
+  private void undecided(ControlAction.RequestUndecided undecided) {
+    targets
+        .log()
+        .ifPresent(
+            log ->
+                quarantineLine(
+                        log, LogEvent.REQUEST_UNDECIDED, undecided.request(), undecided.customer())
+                    .with(LogField.LOSSES, undecided.losses())
+                    .write());
+  }
+
   private void released(ControlAction.RequestReleased released) {
     targets.metrics().setQuarantinedRequests(released.quarantinedCount());
     targets
--- a/core/src/main/java/org/teaseltrail/core/control/ActionBuffer.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ActionBuffer.java
@@ -99,6 +99,10 @@
     actions.add(new ControlAction.RequestQuarantined(request, customer, losses, quarantinedCount));
   }
 
+  void requestUndecided(Fingerprint request, Optional<CustomerId> customer, int losses) {
+    actions.add(new ControlAction.RequestUndecided(request, customer, losses));
+  }
+
   void requestReleased(Fingerprint request, Optional<CustomerId> customer, int quarantinedCount) {
     actions.add(new ControlAction.RequestReleased(request, customer, quarantinedCount));
   }
--- a/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
@@ -131,7 +131,19 @@
       implements ControlAction {}
 
   /**
-   * The leader has released a request from quarantine: it may be sent to upstreams again.
+   * Upstreams were lost under a request, and under others with it: it waits until the leader knows
+   * whether it caused the losses.
+   *
+   * @param request the request
+   * @param customer the customer that sent it, if known
+   * @param losses upstreams that were lost while processing it
+   */
+  record RequestUndecided(Fingerprint request, Optional<CustomerId> customer, int losses)
+      implements ControlAction {}
+
+  /**
+   * The leader has released a request that was quarantined or undecided: it may be sent to
+   * upstreams again.
    *
    * @param request the request
    * @param customer the customer that sent it, if known
--- a/core/src/main/java/org/teaseltrail/core/control/QuarantineCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/QuarantineCoordinator.java
@@ -183,7 +183,7 @@
     if (newHeld.equals(held) && newUndecided.equals(undecided) && newWatched.equals(watched)) {
       return false;
     }
-    log(held, newHeld);
+    log(newHeld, newUndecided);
     held = newHeld;
     undecided = newUndecided;
     watched = newWatched;
@@ -286,22 +286,28 @@
     return leadership.context().stateMachine().state().held();
   }
 
+  /** Logs the changes from the present quarantined and undecided requests to new ones. */
   private void log(
-      Map<Fingerprint, Optional<CustomerId>> before, Map<Fingerprint, Optional<CustomerId>> after) {
-    after.forEach(
+      Map<Fingerprint, Optional<CustomerId>> newHeld,
+      Map<Fingerprint, Optional<CustomerId>> newUndecided) {
+    ActionBuffer actions = leadership.context().actions();
+    newHeld.forEach(
         (request, customer) -> {
-          if (!before.containsKey(request)) {
-            leadership
-                .context()
-                .actions()
-                .requestQuarantined(request, customer, losses.losses(request), after.size());
+          if (!held.containsKey(request)) {
+            actions.requestQuarantined(request, customer, losses.losses(request), newHeld.size());
           }
         });
-    before.forEach(
+    newUndecided.forEach(
         (request, customer) -> {
-          if (!after.containsKey(request)) {
-            leadership.context().actions().requestReleased(request, customer, after.size());
+          if (!undecided.containsKey(request)) {
+            actions.requestUndecided(request, customer, losses.losses(request));
           }
         });
+    Map<Fingerprint, Optional<CustomerId>> released = new LinkedHashMap<>(held);
+    released.putAll(undecided);
+    released.keySet().removeAll(newHeld.keySet());
+    released.keySet().removeAll(newUndecided.keySet());
+    released.forEach(
+        (request, customer) -> actions.requestReleased(request, customer, newHeld.size()));
   }
 }
--- a/core/src/test/java/org/teaseltrail/core/control/QuarantineCoordinatorTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/QuarantineCoordinatorTest.java
@@ -56,17 +56,19 @@
   private void reportPastLosses(long agoMs, VmId vm, int... engineIndexes) {
     List<Loss> losses = new ArrayList<>();
     for (int engine : engineIndexes) {
-      long offsetMs = (long) LOSS_INTERVAL_MS * engine;
-      losses.add(
-          new Loss(
-              POISON,
-              Optional.empty(),
-              engines.get(engine).upstreamIncarnation(),
-              agoMs + offsetMs));
+      losses.add(loss(POISON, engine, agoMs));
     }
     deliver(new ServingMessage.Losses(vm, losses, List.of()));
   }
 
+  private Loss loss(Fingerprint request, int engine, long agoMs) {
+    return new Loss(
+        request,
+        Optional.empty(),
+        engines.get(engine).upstreamIncarnation(),
+        agoMs + (long) LOSS_INTERVAL_MS * engine);
+  }
+
   private void deliver(ServingMessage message) {
     leader.handle(new ControlEvent.FromServingVm(message));
   }
@@ -168,6 +170,27 @@
     assertThat(held()).containsExactly(POISON);
   }
 
+  /** Guards against callers who wait for a decision of which the log tells nothing. */
+  @Test
+  void undecidedRequestsAreLogged() {
+    leader.actions().clear();
+    Fingerprint other = new Fingerprint(2, 2);
+    reportLosses(VM_1, 0, 1);
+    for (int engine = 0; engine < 2; engine++) {
+      deliver(new ServingMessage.Losses(VM_2, List.of(loss(other, engine, 0)), List.of()));
+    }
+    deliver(new ServingMessage.Losses(VM_1, List.of(loss(POISON, 2, 0), loss(other, 2, 0)), List.of()));
+    assertThat(leader.actions())
+        .contains(
+            new ControlAction.RequestUndecided(POISON, Optional.empty(), 3),
+            new ControlAction.RequestUndecided(other, Optional.empty(), 3));
+    deliver(new ServingMessage.Losses(VM_1, List.of(), List.of(POISON, other)));
+    assertThat(leader.actions())
+        .contains(
+            new ControlAction.RequestReleased(POISON, Optional.empty(), 0),
+            new ControlAction.RequestReleased(other, Optional.empty(), 0));
+  }
+
   /** The leader and all VMs that knew of the losses are gone; the next leader has only the log. */
   @Test
   void nextLeaderRestoresQuarantine() {
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -45,7 +45,15 @@
    * sent to any.
    */
   REQUEST_HELD(LogField.FINGERPRINT, LogField.CUSTOMER, LogField.LOSSES),
-  /** The leader releases a quarantined request, so that it may be sent to upstreams again. */
+  /**
+   * Upstreams were lost while processing a request and others, so it waits until the leader knows
+   * whether it caused the losses.
+   */
+  REQUEST_UNDECIDED(LogField.FINGERPRINT, LogField.CUSTOMER, LogField.LOSSES),
+  /**
+   * The leader releases a quarantined or undecided request, so that it may be sent to upstreams
+   * again.
+   */
   REQUEST_RELEASED(LogField.FINGERPRINT, LogField.CUSTOMER),
   /**
    * An upstream reports a rate limit in a response that differs from the previous one, or no longer
