Compute a request's deadline and forget a VM's limits in one place each

RelayedRequest and ActiveRequest computed the same deadline, and RejectionLimitCoordinator had two methods that did the same.

--- a/core/src/main/java/org/teaseltrail/core/control/RejectionLimitCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/RejectionLimitCoordinator.java
@@ -55,12 +55,8 @@
     }
   }
 
-  /** Sends the services to a VM that has just started, and knows none. */
-  void onVmStarted(VmId vm) {
-    sent.remove(vm);
-  }
-
-  void removeVm(VmId vm) {
+  /** Forgets what a VM was sent: it is gone, or has been started anew and knows nothing. */
+  void forget(VmId vm) {
     sent.remove(vm);
   }
 
--- a/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
@@ -186,7 +186,7 @@
     if (vm.sync != null) {
       countInFlight(vm.sync, -1);
       if (!vm.sync.incarnation().equals(sync.incarnation())) {
-        rejectionLimits.onVmStarted(sync.vm());
+        rejectionLimits.forget(sync.vm());
         slots.removeVm(sync.vm());
       }
     }
@@ -404,7 +404,7 @@
                 rollouts.removeVm(entry.getKey());
                 limits.removeVm(entry.getKey());
                 peers.removeVm(entry.getKey());
-                rejectionLimits.removeVm(entry.getKey());
+                rejectionLimits.forget(entry.getKey());
               }
               return timedOut;
             });
--- a/core/src/main/java/org/teaseltrail/core/forward/ActiveRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ActiveRequest.java
@@ -175,13 +175,9 @@
     return arrivedNs;
   }
 
-  /**
-   * Returns when the final answer is due: at the route's timeout or the caller's deadline,
-   * whichever is earlier.
-   */
+  /** Returns when the final answer is due. */
   long dueNs() {
-    long maxMs = Math.min(route.timeoutMs(), request.deadlineMs().orElse(Long.MAX_VALUE));
-    return arrivedNs + maxMs * NS_PER_MS;
+    return request.dueNs(route, arrivedNs);
   }
 
   /** Returns until when the caller waits for a response, or for the first event of a stream. */
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardRequest.java
@@ -4,7 +4,9 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.plan.PlanRoute;
 import org.teaseltrail.core.quarantine.Fingerprint;
 import org.teaseltrail.core.quarantine.RequestContent;
 
@@ -61,6 +63,19 @@
     return Fingerprint.of(scope(customer), customer, host, content);
   }
 
+  /**
+   * Returns when the final answer is due: at the route's timeout or the caller's deadline,
+   * whichever is earlier.
+   *
+   * @param route the request's route
+   * @param arrivedNs when the request arrived
+   * @return the time, in nanoseconds
+   */
+  long dueNs(PlanRoute route, long arrivedNs) {
+    long maxMs = Math.min(route.timeoutMs(), deadlineMs.orElse(Long.MAX_VALUE));
+    return arrivedNs + TimeUnit.MILLISECONDS.toNanos(maxMs);
+  }
+
   /**
    * Returns the number of tokens that the request consumes of a quota that is counted in tokens.
    *
--- a/core/src/main/java/org/teaseltrail/core/forward/RelayedRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RelayedRequest.java
@@ -131,8 +131,7 @@
 
   /** Returns when the final answer is due. */
   private long dueNs() {
-    long maxMs = Math.min(route.timeoutMs(), request.deadlineMs().orElse(Long.MAX_VALUE));
-    return arrivedNs + maxMs * NS_PER_MS;
+    return request.dueNs(route, arrivedNs);
   }
 
   /** Returns when the peer's final answer must have arrived. */
--- a/core/src/test/java/org/teaseltrail/core/control/QuarantineCoordinatorTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/QuarantineCoordinatorTest.java
@@ -179,7 +179,8 @@
     for (int engine = 0; engine < 2; engine++) {
       deliver(new ServingMessage.Losses(VM_2, List.of(loss(other, engine, 0)), List.of()));
     }
-    deliver(new ServingMessage.Losses(VM_1, List.of(loss(POISON, 2, 0), loss(other, 2, 0)), List.of()));
+    deliver(
+        new ServingMessage.Losses(VM_1, List.of(loss(POISON, 2, 0), loss(other, 2, 0)), List.of()));
     assertThat(leader.actions())
         .contains(
             new ControlAction.RequestUndecided(POISON, Optional.empty(), 3),
