Send lists of rejection limits again while there are any

What callers may see: an entry VM that missed the leader's list, as its connection broke, takes upstreams that crash from rejections for ordinary ones and sends them requests without grants.

Cause: the leader sent the list once for each change. Reports are answered, but a VM that knows of no limit reports nothing.

Mend: with a VM's sync, a list that names services is sent again after a second. Nothing is sent where no upstream names such a limit, so no decision changes there.

The same sought elsewhere: LimitUpdate and ConditionUpdate are sent once for each change, too; listed as suspected, no test yet.

--- a/core/src/main/java/org/teaseltrail/core/control/RejectionLimitCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/RejectionLimitCoordinator.java
@@ -25,9 +25,26 @@
    */
   private static final long HOLD_NS = 1_000_000_000L;
 
+  /**
+   * Time after which a VM is sent a list that names limits again: one that missed it knows of none,
+   * and so reports nothing that would be answered.
+   */
+  private static final long REPEAT_NS = 1_000_000_000L;
+
+  private static final Sent NOTHING = new Sent(Set.of(), 0);
+
+  private record Sent(Set<ServiceId> services, long atNs) {
+
+    /** Returns whether a VM may not know the present services. */
+    private boolean isOutdated(Set<ServiceId> present, long nowNs) {
+      boolean isRepeatDue = !present.isEmpty() && nowNs - atNs >= REPEAT_NS;
+      return isRepeatDue || !services.equals(present);
+    }
+  }
+
   private final Leadership leadership;
   private final Map<ServiceId, Long> reportedNs = new HashMap<>();
-  private final Map<VmId, Set<ServiceId>> sent = new HashMap<>();
+  private final Map<VmId, Sent> sent = new HashMap<>();
 
   RejectionLimitCoordinator(Leadership leadership) {
     this.leadership = leadership;
@@ -43,14 +60,14 @@
         reportedNs.remove(service);
       }
     }
-    vms.stream().filter(vm -> !vm.equals(message.vm())).forEach(this::sendIfChanged);
+    vms.stream().filter(vm -> !vm.equals(message.vm())).forEach(this::sendIfDue);
     send(message.vm(), services());
   }
 
-  /** Sends a VM the services, if it has not been sent them by this leader. */
-  void sendIfChanged(VmId vm) {
+  /** Sends a VM the services, if it has not been sent them by this leader recently. */
+  void sendIfDue(VmId vm) {
     Set<ServiceId> services = services();
-    if (!sent.getOrDefault(vm, Set.of()).equals(services)) {
+    if (sent.getOrDefault(vm, NOTHING).isOutdated(services, leadership.nowNs())) {
       send(vm, services);
     }
   }
@@ -70,7 +87,7 @@
   }
 
   private void send(VmId vm, Set<ServiceId> services) {
-    sent.put(vm, services);
+    sent.put(vm, new Sent(services, leadership.nowNs()));
     List<ServiceId> sorted =
         services.stream().sorted(Comparator.comparing(ServiceId::value)).toList();
     leadership.sendServing(vm, new ServingReply.RejectionLimits(leadership.fencing(), sorted));
--- a/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
@@ -198,7 +198,7 @@
     slotShares.recordInFlight(sync.vm(), sync.inFlight());
     quotas.recordReport(sync.vm(), sync.incarnation(), sync.quotas(), vm.heardNs);
     limits.onSync(sync);
-    rejectionLimits.sendIfChanged(sync.vm());
+    rejectionLimits.sendIfDue(sync.vm());
     pushMissing(sync.vm(), vm);
     leadership.sendServing(sync.vm(), confirmation(sync));
     grantSlots();
--- a/core/src/test/java/org/teaseltrail/core/control/FakeEntryVms.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeEntryVms.java
@@ -31,6 +31,12 @@
     void execute(int vm, ForwardAction action);
   }
 
+  /** Decides which messages between a VM and the control members arrive. */
+  interface MessageFilter {
+    /** Returns whether a message arrives: a message to a member, or a member's reply. */
+    boolean arrives(int vm, Record message);
+  }
+
   /** Determines the result of a probe, which the VM learns as late as from sockets. */
   interface ProbeHandler {
     ProbeResult probe(int vm, ForwardAction.Probe probe);
@@ -50,6 +56,7 @@
   private final long[] incarnations;
   private final boolean[] partitioned;
   private Function<Integer, RelaySettings> relays = vm -> RelaySettings.OFF;
+  private MessageFilter filter = (vm, message) -> true;
   private ProbeHandler prober = (vm, probe) -> ProbeResult.ANSWERED;
 
   FakeEntryVms(
@@ -77,6 +84,11 @@
     relays = settings;
   }
 
+  /** Sets which messages arrive; without it all do. */
+  void useFilter(MessageFilter messageFilter) {
+    filter = messageFilter;
+  }
+
   /** Sets how probes end; without it all find a path. */
   void useProber(ProbeHandler handler) {
     prober = handler;
@@ -116,7 +128,9 @@
     group.listenServing(
         name(vm),
         reply -> {
-          if (incarnation == incarnations[vm] && !partitioned[vm]) {
+          if (incarnation == incarnations[vm]
+              && !partitioned[vm]
+              && filter.arrives(vm, (Record) reply)) {
             execute(vm, nodes.get(vm).onControlMessage(reply, group.nowNs()));
           }
         });
@@ -150,7 +164,7 @@
   }
 
   private void sendControl(int vm, ForwardAction.SendControl send) {
-    if (!partitioned[vm]) {
+    if (!partitioned[vm] && filter.arrives(vm, (Record) send.message())) {
       group.send(send.member(), send.message());
     }
   }
