Answer a VM whose rate limits are out of date

What callers see: an entry VM that missed the leader's list with the end of a rate limit, as its connection broke, sends nothing to that upstream: it waits for permits, and the leader issues none for an upstream without a limit. It can't hear of the end by itself, as it sends nothing.

Cause: the list is sent once for each change, as with rejection limits; found by looking for that fault elsewhere. RateLimitLossTest loses each list once, with and without a change of leader: red in both (the list of the end lost), green now.

Mend: a VM reports what it knows every two seconds; a report that contradicts newer observations is answered with the list. Nothing else changes: where no list is lost, a contradiction lasts as long as a message under way and costs one list more.

--- a/core/src/main/java/org/teaseltrail/core/control/RateLimitCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/RateLimitCoordinator.java
@@ -44,6 +44,9 @@
 
   private record Demand(PermitDemand wanted, long validUntilNs) {}
 
+  /** Revision of a VM that has to be sent the limits. */
+  private static final long NONE_SENT = -1;
+
   /** The revision of the limits that was sent to an incarnation of a VM. */
   private record SentRevision(Incarnation incarnation, long revision) {}
 
@@ -88,6 +91,10 @@
    */
   void message(ServingMessage.Limits message, Collection<Registration> upstreams) {
     heard(message.sightings());
+    if (isOutdated(message.sightings())) {
+      sent.computeIfPresent(
+          message.vm(), (vm, before) -> new SentRevision(before.incarnation(), NONE_SENT));
+    }
     sent.keySet().forEach(this::sendLimits);
     List<SendPermit> permits = permits(message, upstreams);
     if (!permits.isEmpty()) {
@@ -121,6 +128,18 @@
     revision += changed ? 1 : 0;
   }
 
+  /**
+   * Returns whether a VM's observations contradict newer ones, because it missed a list: it would
+   * wait for permits of a limit that has ended, and nobody issues any.
+   */
+  private boolean isOutdated(List<RateLimitObservation> sightings) {
+    return sightings.stream()
+        .anyMatch(
+            observation ->
+                observation.limit().isLimited()
+                    != rateLimits.limit(observation.upstream()).isLimited());
+  }
+
   private List<SendPermit> permits(
       ServingMessage.Limits message, Collection<Registration> upstreams) {
     long nowNs = leadership.nowNs();
