--- a/core/src/main/java/org/teaseltrail/core/control/RateLimitCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/RateLimitCoordinator.java
@@ -42,11 +42,11 @@
    */
   private static final long DEMAND_VALIDITY_NS = 300 * NS_PER_MS;
 
-  private record Demand(PermitDemand wanted, long validUntilNs) {}
-
   /** Revision of a VM that has to be sent the limits. */
   private static final long NONE_SENT = -1;
 
+  private record Demand(PermitDemand wanted, long validUntilNs) {}
+
   /** The revision of the limits that was sent to an incarnation of a VM. */
   private record SentRevision(Incarnation incarnation, long revision) {}
 
