Decide once for an allocation whether VMs use dealt slots

Found by reading the change again. Each candidate upstream asked anew whether the VMs use their dealt slots or the leader allocates all, and each allocation added up, with a copied map for each VM, what VMs would use without a leader, which only the second case looks at. DealtSlotOrder asks once when it is created and counts the sum only there; SlotAllocator no longer chooses between two checks. The answer can't change within an allocation, which is one step of the leader, so no decision changes.

--- a/core/src/main/java/org/teaseltrail/core/control/DealtSlotOrder.java
+++ b/core/src/main/java/org/teaseltrail/core/control/DealtSlotOrder.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Predicate;
+import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.registry.Registration;
@@ -23,6 +24,7 @@
   private static final int MAX_BEYOND = 1;
 
   private final SlotAllocator.DealtSlots dealt;
+  private final boolean areUsedByVms;
   private final Map<VmId, Map<UpstreamId, Integer>> occupied = new HashMap<>();
   private final Map<UpstreamId, Integer> beyond = new HashMap<>();
   private final Map<UpstreamId, Integer> reserveWithoutLeader = new HashMap<>();
@@ -30,33 +32,40 @@
   /**
    * Creates the order of one allocation.
    *
+   * @param service the service
    * @param dealt the slots that were dealt to VMs
    * @param vms the state of all VMs
    * @param upstreams the upstreams of the service
    */
   DealtSlotOrder(
+      ServiceId service,
       SlotAllocator.DealtSlots dealt,
       Collection<EntryVmSlotState> vms,
       Collection<Registration> upstreams) {
     this.dealt = dealt;
-    upstreams.forEach(
-        upstream -> reserveWithoutLeader.put(upstream.id(), upstream.slots() + MAX_BEYOND));
+    areUsedByVms = dealt.areUsedByVms(service);
     for (EntryVmSlotState vm : vms) {
       Map<UpstreamId, Integer> counts = vm.occupied();
       occupied.put(vm.id(), counts);
       counts.forEach(
           (upstream, count) ->
               addBeyond(upstream, Math.max(0, count - dealt.count(vm.id(), upstream))));
-      countWithoutLeader(vm.id(), counts);
+    }
+    if (!areUsedByVms) {
+      upstreams.forEach(
+          upstream -> reserveWithoutLeader.put(upstream.id(), upstream.slots() + MAX_BEYOND));
+      occupied.forEach(this::countWithoutLeader);
     }
   }
 
   /**
    * Returns whether an upstream can take a request of a VM even if all other VMs use the slots that
-   * were dealt to them.
+   * were dealt to them: at once, or if the leader falls silent while it allocates all slots.
    */
   boolean hasRoom(VmId vm, UpstreamId upstream) {
-    return hasDealtSlot(vm, upstream) || beyondWith(vm, upstream) <= MAX_BEYOND;
+    return areUsedByVms
+        ? hasDealtSlot(vm, upstream) || beyondWith(vm, upstream) <= MAX_BEYOND
+        : hasRoomWithoutLeader(vm, upstream);
   }
 
   /** Counts what a VM may have at each upstream if the leader falls silent now. */
@@ -75,7 +84,7 @@
    * and all VMs use the slots that they were sent last: a slot that a VM has given up is granted to
    * another one only once the former owner knows, except for what an upstream can queue.
    */
-  boolean hasRoomWithoutLeader(VmId vm, UpstreamId upstream) {
+  private boolean hasRoomWithoutLeader(VmId vm, UpstreamId upstream) {
     return isOwnWithoutLeader(vm, upstream) || reserveWithoutLeader.getOrDefault(upstream, 0) > 0;
   }
 
@@ -98,8 +107,14 @@
     occupied.get(vm).merge(upstream, 1, Integer::sum);
   }
 
-  /** Returns the fewest requests beyond the dealt slots if the VM sent another one to any. */
+  /**
+   * Returns the fewest requests beyond the dealt slots if the VM sent another one to any; no limit
+   * while the leader allocates all slots.
+   */
   int leastBeyond(VmId vm, Collection<UpstreamId> free, Predicate<UpstreamId> accepted) {
+    if (!areUsedByVms) {
+      return Integer.MAX_VALUE;
+    }
     return free.stream()
         .filter(accepted)
         .mapToInt(upstream -> beyondWith(vm, upstream))
--- a/core/src/main/java/org/teaseltrail/core/control/SlotAllocator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotAllocator.java
@@ -230,7 +230,7 @@
     }
     Optional<DealtSlotOrder> dealt =
         dealtSlots.isDealt(service)
-            ? Optional.of(new DealtSlotOrder(dealtSlots, vms.values(), upstreams))
+            ? Optional.of(new DealtSlotOrder(service, dealtSlots, vms.values(), upstreams))
             : Optional.empty();
     List<Grant> grants = new ArrayList<>();
     Optional<GrantUpstreamSelector> selector = selectorFactory.get();
@@ -303,11 +303,11 @@
       GrantUpstreamSelector selector,
       Optional<DealtSlotOrder> dealt) {
     Predicate<UpstreamId> accepted =
-        id -> vm.accepts(service, id) && hasRoom(service, vm, id, dealt);
+        id -> vm.accepts(service, id) && hasRoom(vm, id, dealt);
     int leastBeyond =
-        dealtSlots.areUsedByVms(service)
-            ? dealt.map(each -> each.leastBeyond(vm.id(), free.keySet(), accepted)).orElse(0)
-            : Integer.MAX_VALUE;
+        dealt
+            .map(each -> each.leastBeyond(vm.id(), free.keySet(), accepted))
+            .orElse(Integer.MAX_VALUE);
     return selector.select(
         free.entrySet().stream()
             .filter(entry -> accepted.test(entry.getKey()))
@@ -331,21 +331,16 @@
         dealt.map(each -> each.worstFirst(vm.id())).orElse(Map.Entry.comparingByValue());
     return free.entrySet().stream()
         .filter(entry -> vm.accepts(service, entry.getKey()))
-        .filter(entry -> hasRoom(service, vm, entry.getKey(), dealt))
+        .filter(entry -> hasRoom(vm, entry.getKey(), dealt))
         .filter(
             entry -> !vm.isSlow(service, entry.getKey()) || !totals.hasUnreadPrompt(entry.getKey()))
         .max(worstFirst)
         .map(Map.Entry::getKey);
   }
 
-  private boolean hasRoom(
-      ServiceId service, EntryVmSlotState vm, UpstreamId upstream, Optional<DealtSlotOrder> dealt) {
-    if (dealt.isEmpty()) {
-      return true;
-    }
-    return dealtSlots.areUsedByVms(service)
-        ? dealt.get().hasRoom(vm.id(), upstream)
-        : dealt.get().hasRoomWithoutLeader(vm.id(), upstream);
+  private static boolean hasRoom(
+      EntryVmSlotState vm, UpstreamId upstream, Optional<DealtSlotOrder> dealt) {
+    return dealt.map(each -> each.hasRoom(vm.id(), upstream)).orElse(true);
   }
 
   private Grant grant(
