Drop a check for lost paths that never holds

While the paths to a service are lost, its upstreams await no probe: failures are forgotten with the loss and counted as withheld until its end. So ReadmissionProber needn't leave such upstreams out, nor hold registrations to do so. No behaviour changes.

--- a/core/src/main/java/org/teaseltrail/core/control/SlotAllocator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/SlotAllocator.java
@@ -302,8 +302,7 @@
       SlotUsageTotals totals,
       GrantUpstreamSelector selector,
       Optional<DealtSlotOrder> dealt) {
-    Predicate<UpstreamId> accepted =
-        id -> vm.accepts(service, id) && hasRoom(vm, id, dealt);
+    Predicate<UpstreamId> accepted = id -> vm.accepts(service, id) && hasRoom(vm, id, dealt);
     int leastBeyond =
         dealt
             .map(each -> each.leastBeyond(vm.id(), free.keySet(), accepted))
--- a/core/src/main/java/org/teaseltrail/core/forward/ReadmissionProber.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ReadmissionProber.java
@@ -1,8 +1,6 @@
 package org.teaseltrail.core.forward;
 
-import java.util.List;
 import org.teaseltrail.core.id.UpstreamId;
-import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.relay.ProbeKind;
 import org.teaseltrail.core.relay.ProbeResult;
 
@@ -10,7 +8,8 @@
  * Probes upstreams to which connections failed before callers' requests are sent there again.
  *
  * <p>Where paths aren't monitored, nothing is probed: the first request after the ejection shows
- * whether the upstream is back.
+ * whether the upstream is back. Nor is anything probed here while the paths to its service are
+ * lost, since failures are forgotten then.
  */
 final class ReadmissionProber {
 
@@ -41,13 +40,6 @@
 
   /** Starts the probes that are due. */
   void tick(long nowNs) {
-    List<UpstreamId> due =
-        upstreams.pollProbes(MAX_PROBES_AT_ONCE, nowNs).stream()
-            .filter(upstream -> !paths.isLost(upstream.service()))
-            .map(Registration::id)
-            .toList();
-    if (!due.isEmpty()) {
-      paths.probe(due, ProbeKind.CONNECT);
-    }
+    paths.probe(upstreams.pollProbes(MAX_PROBES_AT_ONCE, nowNs), ProbeKind.CONNECT);
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/UpstreamTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/UpstreamTracker.java
@@ -188,10 +188,10 @@
   }
 
   /** Returns some upstreams that are to be probed now, which then count as probed. */
-  List<Registration> pollProbes(int max, long nowNs) {
+  List<UpstreamId> pollProbes(int max, long nowNs) {
     return inOrder.stream()
         .filter(state -> state.pollProbe(nowNs))
-        .map(UpstreamState::registration)
+        .map(state -> state.registration().id())
         .limit(max)
         .toList();
   }
