Update suspects once a tick, and say once what nothing sent and no suspects mean

Found by reading the change again: QuarantineCoordinator.tick applied the losses twice, before and after it proposed holds, which take effect only once they are committed; RateLimitCoordinator had two values for a VM that has been sent nothing, 0 and -1; QuarantineTracker had a check and its negation.

--- a/core/src/main/java/org/teaseltrail/core/control/QuarantineCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/QuarantineCoordinator.java
@@ -149,7 +149,7 @@
     long nowNs = leadership.nowNs();
     losses.removeExpired(nowNs);
     heartbeatsNs.values().removeIf(atNs -> nowNs - atNs > LOSS_RETENTION_MS * NS_PER_MS);
-    candidates.update(nowNs);
+    final boolean isChanged = refresh();
     for (Map.Entry<Fingerprint, Optional<CustomerId>> one : candidates.decided().entrySet()) {
       boolean isSettled = nowNs - losses.newestLossNs(one.getKey()) >= COMMIT_DELAY_NS;
       if (isSettled && !heldRequests().contains(one.getKey())) {
@@ -160,7 +160,6 @@
     }
     releaseExpiredOrCleared();
     heldRequests().all().forEach(this::startTrialIfDue);
-    boolean isChanged = refresh();
     startUndecidedTrial();
     return isChanged;
   }
--- a/core/src/main/java/org/teaseltrail/core/control/RateLimitCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/RateLimitCoordinator.java
@@ -42,8 +42,8 @@
    */
   private static final long DEMAND_VALIDITY_NS = 300 * NS_PER_MS;
 
-  /** Revision of a VM that has to be sent the limits. */
-  private static final long NONE_SENT = -1;
+  /** Revision of a VM that has to be sent the limits, if there are any. */
+  private static final long NONE_SENT = 0;
 
   private record Demand(PermitDemand wanted, long validUntilNs) {}
 
@@ -78,7 +78,8 @@
     SentRevision before = sent.get(sync.vm());
     boolean sameIncarnation = before != null && before.incarnation().equals(sync.incarnation());
     sent.put(
-        sync.vm(), new SentRevision(sync.incarnation(), sameIncarnation ? before.revision() : 0));
+        sync.vm(),
+        new SentRevision(sync.incarnation(), sameIncarnation ? before.revision() : NONE_SENT));
     sendLimits(sync.vm());
   }
 
--- a/core/src/main/java/org/teaseltrail/core/suspect/QuarantineTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/suspect/QuarantineTracker.java
@@ -91,7 +91,7 @@
    * @return true if it is quarantined and no trial
    */
   public boolean isQuarantined(QuarantineSubject request, long nowNs) {
-    if (hasNoSuspects() || request.isTrial() || !isKnownScope(request.scope())) {
+    if (!hasSuspects() || request.isTrial() || !isKnownScope(request.scope())) {
       return false;
     }
     Fingerprint fingerprint = request.fingerprint();
@@ -128,7 +128,7 @@
    * @return true if so
    */
   public boolean isSuspect(QuarantineSubject request) {
-    if (hasNoSuspects() || !isKnownScope(request.scope())) {
+    if (!hasSuspects() || !isKnownScope(request.scope())) {
       return false;
     }
     Fingerprint fingerprint = request.fingerprint();
@@ -303,14 +303,6 @@
         vm, ownLosses.all(nowNs), List.copyOf(completedAtNs.keySet()), Optional.of(copies));
   }
 
-  /**
-   * Returns whether there is neither a suspect nor a quarantined request, so that no lookup is
-   * needed.
-   */
-  private boolean hasNoSuspects() {
-    return knownScopes.isEmpty() && ownLosses.isEmpty();
-  }
-
   /**
    * Excuses the losses of an upstream that gave a sign of life after them.
    *
@@ -324,10 +316,10 @@
   /**
    * Returns whether this VM knows of any suspect or quarantined request.
    *
-   * @return false if every request may be sent
+   * @return false if every request may be sent, so that no lookup is needed
    */
   public boolean hasSuspects() {
-    return !hasNoSuspects();
+    return !knownScopes.isEmpty() || !ownLosses.isEmpty();
   }
 
   private boolean isKnownScope(int scope) {
