Keep a quarantined request's fingerprint and trial in one place

CallContent and ActiveRequest each kept a fingerprint that is computed at the first call, and the mark of a trial, in the same lines. QuarantineSubject, the interface of both, is their base class now. No behaviour changes.

--- a/core/src/main/java/org/teaseltrail/core/entry/CallContent.java
+++ b/core/src/main/java/org/teaseltrail/core/entry/CallContent.java
@@ -8,15 +8,13 @@
 import org.teaseltrail.core.suspect.QuarantineSubject;
 
 /** Content of a call, which is the same for each retry of its caller. */
-final class CallContent implements QuarantineSubject {
+final class CallContent extends QuarantineSubject {
 
   private static final String NO_PATH = "";
 
   private final CustomerId customer;
   private final RouteId route;
   private final String bodyDigest;
-  private Optional<Fingerprint> fingerprint = Optional.empty();
-  private boolean trial;
 
   CallContent(CustomerId customer, RouteId route, String bodyDigest) {
     this.customer = customer;
@@ -34,26 +32,11 @@
   }
 
   @Override
-  public Fingerprint fingerprint() {
-    if (fingerprint.isEmpty()) {
-      fingerprint =
-          Optional.of(
-              Fingerprint.of(
-                  scope(),
-                  Optional.of(customer),
-                  route.value(),
-                  digest -> digest.update(bodyDigest.getBytes(StandardCharsets.UTF_8))));
-    }
-    return fingerprint.get();
-  }
-
-  @Override
-  public void markTrial() {
-    trial = true;
-  }
-
-  @Override
-  public boolean isTrial() {
-    return trial;
+  protected Fingerprint computeFingerprint() {
+    return Fingerprint.of(
+        scope(),
+        Optional.of(customer),
+        route.value(),
+        digest -> digest.update(bodyDigest.getBytes(StandardCharsets.UTF_8)));
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/ActiveRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ActiveRequest.java
@@ -15,7 +15,7 @@
 import org.teaseltrail.core.suspect.QuarantineSubject;
 
 /** A request that this VM has admitted and not answered yet. */
-final class ActiveRequest implements QuarantineSubject {
+final class ActiveRequest extends QuarantineSubject {
 
   private static final long NS_PER_MS = 1_000_000L;
 
@@ -54,11 +54,9 @@
   private boolean responseStarted;
   private boolean unread;
   private boolean late;
-  private boolean trial;
   private boolean canary;
   private boolean reached;
   private QuotaReservation quotaReservation = QuotaReservation.NONE;
-  private Optional<Fingerprint> fingerprint = Optional.empty();
   private OptionalDouble expectedFirstEventMs = OptionalDouble.empty();
 
   ActiveRequest(
@@ -108,27 +106,14 @@
     return customer.map(PlanCustomer::id);
   }
 
-  @Override
-  public void markTrial() {
-    trial = true;
-  }
-
-  @Override
-  public boolean isTrial() {
-    return trial;
-  }
-
   @Override
   public int scope() {
     return request.scope(customer());
   }
 
   @Override
-  public Fingerprint fingerprint() {
-    if (fingerprint.isEmpty()) {
-      fingerprint = Optional.of(request.fingerprint(customer()));
-    }
-    return fingerprint.get();
+  protected Fingerprint computeFingerprint() {
+    return request.fingerprint(customer());
   }
 
   /** Returns the customer whose quota the request is charged to. */
