--- a/core/src/test/java/org/teaseltrail/core/control/DealtSlotsTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/DealtSlotsTest.java
@@ -56,17 +56,22 @@
     }
   }
 
+  /** Freezes the leader, and simulates a burst until there is another one. */
+  private static void freezeLeaderDuringBurst(DealtSlotsSimulation load) {
+    load.group().leader().pause();
+    load.simulate(500, 1.7 * 0.75);
+    while (!load.hasLeader()) {
+      load.simulate(50, 1.7 * 0.75);
+    }
+  }
+
   /** The leader freezes as a burst starts: VMs must not send their queues to the same engines. */
   @Test
   void noEngineRejectsWhileNobodyLeads() {
     DealtSlotsSimulation load = new DealtSlotsSimulation(FeatureMode.AUTO);
     load.simulate(2_000, 0.75);
     load.resetCounters();
-    load.group().leader().pause();
-    load.simulate(500, 1.7 * 0.75);
-    while (!load.hasLeader()) {
-      load.simulate(50, 1.7 * 0.75);
-    }
+    freezeLeaderDuringBurst(load);
     assertThat(load.rejected()).isZero();
     load.simulate(2_000, 1.7 * 0.75);
     assertThat(load.rejectedRatio()).isLessThanOrEqualTo(MAX_REJECTED_RATIO);
@@ -79,11 +84,7 @@
     load.simulate(1_000, 0.75);
     load.simulate(2_000, 1.7 * 0.75);
     load.resetCounters();
-    load.group().leader().pause();
-    load.simulate(500, 1.7 * 0.75);
-    while (!load.hasLeader()) {
-      load.simulate(50, 1.7 * 0.75);
-    }
+    freezeLeaderDuringBurst(load);
     assertThat(load.rejected()).isZero();
   }
 
@@ -100,11 +101,7 @@
     load.simulate(4_000, 1.7 * 0.75);
     assertThat(load.usedRatio()).isGreaterThan(MIN_USED_RATIO);
     load.resetCounters();
-    load.group().leader().pause();
-    load.simulate(500, 1.7 * 0.75);
-    while (!load.hasLeader()) {
-      load.simulate(50, 1.7 * 0.75);
-    }
+    freezeLeaderDuringBurst(load);
     assertThat(load.rejected()).isZero();
   }
 
--- a/core/src/test/java/org/teaseltrail/core/control/EntryVmWithResetConnectionsTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/EntryVmWithResetConnectionsTest.java
@@ -2,9 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -30,7 +28,6 @@
   /** Time after which every request has its final answer. */
   private static final int SETTLE_MS = 4_500;
 
-  private static final double PER_SECOND = 60;
   private static final double MIN_SERVED = 0.95;
 
   /** Guards against VMs that take an accepted connection for a path. */
@@ -61,26 +58,17 @@
   }
 
   private static void runAndCheck(Cut cut, int cutVms, int vmCount, long seed) {
-    PathLossSimulation run = new PathLossSimulation(seed, vmCount, ContentionSettings.OFF);
-    run.simulate(4_000, PER_SECOND);
-    final Set<Integer> affected = firstVms(cutVms);
-    final long startNs = run.group().nowNs();
-    affected.forEach(vm -> run.cut(vm, cut));
-    run.simulate(CUT_MS, PER_SECOND);
-    final long endNs = run.group().nowNs();
-    affected.forEach(run::heal);
-    run.simulate(RECOVERED_AFTER_MS + AFTERWARDS_MS, PER_SECOND);
-    final long stopNs = run.group().nowNs();
-    run.simulate(SETTLE_MS, 0);
+    CutRun run =
+        CutRun.play(cut, cutVms, vmCount, seed, CUT_MS, RECOVERED_AFTER_MS + AFTERWARDS_MS);
 
-    long detectedNs = startNs + DETECTED_AFTER_MS * 1_000_000L;
-    long recoveredNs = endNs + RECOVERED_AFTER_MS * 1_000_000L;
-    assertThat(run.tally(affected, true, detectedNs, endNs).share()).isGreaterThan(MIN_SERVED);
-    assertThat(run.tally(affected, false, startNs, endNs).share()).isGreaterThan(MIN_SERVED);
-    assertThat(run.tally(affected, true, recoveredNs, stopNs).share()).isGreaterThan(0.98);
-    assertThat(run.tally(affected, false, recoveredNs, stopNs).share()).isGreaterThan(0.98);
-    assertThat(run.ranTwice()).isEmpty();
-    assertThat(run.ranThoughRefused()).isEmpty();
+    long detectedNs = run.startNs() + DETECTED_AFTER_MS * 1_000_000L;
+    long recoveredNs = run.endNs() + RECOVERED_AFTER_MS * 1_000_000L;
+    assertThat(run.affectedTally(detectedNs, run.endNs()).share()).isGreaterThan(MIN_SERVED);
+    assertThat(run.otherTally(run.startNs(), run.endNs()).share()).isGreaterThan(MIN_SERVED);
+    assertThat(run.affectedTally(recoveredNs, run.stopNs()).share()).isGreaterThan(0.98);
+    assertThat(run.otherTally(recoveredNs, run.stopNs()).share()).isGreaterThan(0.98);
+    assertThat(run.simulation().ranTwice()).isEmpty();
+    assertThat(run.simulation().ranThoughRefused()).isEmpty();
   }
 
   /** Guards against quarantines, at any VM, of contents that broke with one VM's connections. */
@@ -121,12 +109,4 @@
       assertThat(atOthers).as("502 at a VM with a path").doesNotContainKey(RefusalReason.BROKEN);
     }
   }
-
-  private static Set<Integer> firstVms(int count) {
-    Set<Integer> vms = new HashSet<>();
-    for (int vm = 0; vm < count; vm++) {
-      vms.add(vm);
-    }
-    return vms;
-  }
 }
--- a/core/src/test/java/org/teaseltrail/core/control/EntryVmWithoutPathTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/EntryVmWithoutPathTest.java
@@ -2,11 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.HashSet;
-import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.teaseltrail.core.contention.ContentionSettings;
 
 /**
  * Some entry VMs are partitioned from all upstreams for twelve seconds, while callers, control
@@ -25,11 +22,6 @@
   private static final int CUT_MS = 12_000;
   private static final int AFTERWARDS_MS = 5_000;
 
-  /** Time after which every request has its final answer. */
-  private static final int SETTLE_MS = 4_500;
-
-  private static final double PER_SECOND = 60;
-
   /** First tries at partitioned VMs, relative to the others, that have to be served at least. */
   private static final double MIN_RATIO = 2.0 / 3;
 
@@ -54,38 +46,21 @@
     "ACCEPTED_SILENT, 5, 6, 11",
   })
   void callersOfVmsWithoutPathAreServedLikeOthers(Cut cut, int cutVms, int vmCount, long seed) {
-    PathLossSimulation run = new PathLossSimulation(seed, vmCount, ContentionSettings.OFF);
-    run.simulate(4_000, PER_SECOND);
-    final Set<Integer> affected = firstVms(cutVms);
-    final long startNs = run.group().nowNs();
-    affected.forEach(vm -> run.cut(vm, cut));
-    run.simulate(CUT_MS, PER_SECOND);
-    final long endNs = run.group().nowNs();
-    affected.forEach(run::heal);
-    run.simulate(RECOVERED_AFTER_MS + AFTERWARDS_MS, PER_SECOND);
-    final long stopNs = run.group().nowNs();
-    run.simulate(SETTLE_MS, 0);
+    CutRun run =
+        CutRun.play(cut, cutVms, vmCount, seed, CUT_MS, RECOVERED_AFTER_MS + AFTERWARDS_MS);
 
-    long countedFromNs = startNs + DETECTED_AFTER_MS * 1_000_000L;
-    PathLossSimulation.Tally cutTally = run.tally(affected, true, countedFromNs, endNs);
-    PathLossSimulation.Tally others = run.tally(affected, false, startNs, endNs);
-    long recoveredNs = endNs + RECOVERED_AFTER_MS * 1_000_000L;
+    long countedFromNs = run.startNs() + DETECTED_AFTER_MS * 1_000_000L;
+    PathLossSimulation.Tally cutTally = run.affectedTally(countedFromNs, run.endNs());
+    PathLossSimulation.Tally others = run.otherTally(run.startNs(), run.endNs());
+    long recoveredNs = run.endNs() + RECOVERED_AFTER_MS * 1_000_000L;
     assertThat(others.share()).isGreaterThan(0.98);
     assertThat(cutTally.share()).isGreaterThan(MIN_RATIO * others.share());
-    int all = cutTally.asked() + run.tally(affected, false, countedFromNs, endNs).asked();
+    int all = cutTally.asked() + run.otherTally(countedFromNs, run.endNs()).asked();
     assertThat(cutTally.asked() - cutTally.served())
         .isLessThanOrEqualTo((int) (ALLOWED_FAILURES + ALLOWED_FAILED_SHARE * all));
-    assertThat(run.tally(affected, true, recoveredNs, stopNs).share()).isGreaterThan(0.98);
-    assertThat(run.tally(affected, false, recoveredNs, stopNs).share()).isGreaterThan(0.98);
-    assertThat(run.ranTwice()).isEmpty();
-    assertThat(run.ranThoughRefused()).isEmpty();
-  }
-
-  private static Set<Integer> firstVms(int count) {
-    Set<Integer> vms = new HashSet<>();
-    for (int vm = 0; vm < count; vm++) {
-      vms.add(vm);
-    }
-    return vms;
+    assertThat(run.affectedTally(recoveredNs, run.stopNs()).share()).isGreaterThan(0.98);
+    assertThat(run.otherTally(recoveredNs, run.stopNs()).share()).isGreaterThan(0.98);
+    assertThat(run.simulation().ranTwice()).isEmpty();
+    assertThat(run.simulation().ranThoughRefused()).isEmpty();
   }
 }
