--- a/core/src/test/java/org/teaseltrail/core/control/FakeEntryVms.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeEntryVms.java
@@ -34,7 +34,7 @@
   /** Decides which messages between a VM and the control members arrive. */
   interface MessageFilter {
     /** Returns whether a message arrives: a message to a member, or a member's reply. */
-    boolean arrives(int vm, Record message);
+    boolean arrives(int vm, Object message);
   }
 
   /** Determines the result of a probe, which the VM learns as late as from sockets. */
@@ -128,9 +128,7 @@
     group.listenServing(
         name(vm),
         reply -> {
-          if (incarnation == incarnations[vm]
-              && !partitioned[vm]
-              && filter.arrives(vm, (Record) reply)) {
+          if (incarnation == incarnations[vm] && !partitioned[vm] && filter.arrives(vm, reply)) {
             execute(vm, nodes.get(vm).onControlMessage(reply, group.nowNs()));
           }
         });
@@ -164,7 +162,7 @@
   }
 
   private void sendControl(int vm, ForwardAction.SendControl send) {
-    if (!partitioned[vm] && filter.arrives(vm, (Record) send.message())) {
+    if (!partitioned[vm] && filter.arrives(vm, send.message())) {
       group.send(send.member(), send.message());
     }
   }
--- a/core/src/test/java/org/teaseltrail/core/control/RejectionLimitLossTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/RejectionLimitLossTest.java
@@ -4,12 +4,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.SplittableRandom;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.teaseltrail.core.backpressure.RejectionLimit;
-import org.teaseltrail.core.contention.ContentionSettings;
-import org.teaseltrail.core.plan.InstalledPlan;
 import org.teaseltrail.core.plan.TestPlans;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
@@ -20,11 +17,6 @@
  */
 class RejectionLimitLossTest {
 
-  private static final int VMS = 3;
-  private static final int WARM_UP_MS = 1_000;
-  private static final int RESPONSE_INTERVAL_MS = 100;
-  private static final int LIMITED_MS = 3_000;
-
   /** Time from the end of the limit after which no VM knows of it. */
   private static final int FORGOTTEN_AFTER_MS = 3_000;
 
@@ -42,7 +34,7 @@
     }
 
     @Override
-    public boolean arrives(int vm, Record message) {
+    public boolean arrives(int vm, Object message) {
       boolean isReport = message instanceof ServingMessage.RejectionLimits;
       if (!isReport && !(message instanceof ServingReply.RejectionLimits)) {
         return true;
@@ -56,53 +48,26 @@
     }
   }
 
-  private final FakeControlGroup group = new FakeControlGroup(3).start();
-  private FakeEntryVms vms;
-
   /** Plays the three seconds and their end; returns the number of messages about the limit. */
   private static int play(int lost, boolean leaderIsKilled) {
-    return new RejectionLimitLossTest().playOnce(lost, leaderIsKilled);
-  }
-
-  private int playOnce(int lost, boolean leaderIsKilled) {
     Observer observer = new Observer(lost);
-    group.call(
-        group.leader(),
-        new OperatorRequest.InstallPlan(new InstalledPlan(TestPlans.plan(1), "{}")));
-    vms =
-        new FakeEntryVms(
-            group, VMS, new SplittableRandom(1), ContentionSettings.OFF, (vm, action) -> {});
-    vms.useFilter(observer);
-    vms.start();
-    simulate(WARM_UP_MS, RejectionLimit.NONE);
-    simulate(LIMITED_MS / 2, new RejectionLimit(3));
-    if (leaderIsKilled) {
-      group.leader().kill();
-    }
-    simulate(LIMITED_MS / 2, new RejectionLimit(3));
-    for (int vm = 0; vm < VMS; vm++) {
+    LimitedUpstreamRun run = new LimitedUpstreamRun(observer);
+    run.simulateLimit(hears(RejectionLimit.NONE), hears(new RejectionLimit(3)), leaderIsKilled);
+    for (int vm = 0; vm < LimitedUpstreamRun.VMS; vm++) {
       assertThat(observer.listedAt).as("lost message %d", lost).containsEntry(vm, true);
     }
-    simulate(FORGOTTEN_AFTER_MS, RejectionLimit.NONE);
-    for (int vm = 0; vm < VMS; vm++) {
+    run.simulate(FORGOTTEN_AFTER_MS, hears(RejectionLimit.NONE));
+    for (int vm = 0; vm < LimitedUpstreamRun.VMS; vm++) {
       assertThat(observer.listedAt).as("lost message %d", lost).containsEntry(vm, false);
     }
     int before = observer.reports;
-    simulate(QUIET_MS, RejectionLimit.NONE);
+    run.simulate(QUIET_MS, hears(RejectionLimit.NONE));
     assertThat(observer.reports).as("reports of a limit that has ended").isEqualTo(before);
     return observer.messages;
   }
 
-  private void simulate(int lengthMs, RejectionLimit limit) {
-    for (int ms = 0; ms < lengthMs; ms++) {
-      group.run(1);
-      vms.tick();
-      if (ms % RESPONSE_INTERVAL_MS == 0) {
-        vms.node(0)
-            .backpressure()
-            .rejectionLimit(TestPlans.PLAIN, limit, group.nowNs(), group.nowNs());
-      }
-    }
+  private static LimitedUpstreamRun.Response hears(RejectionLimit limit) {
+    return (vm, nowNs) -> vm.rejectionLimit(TestPlans.PLAIN, limit, nowNs, nowNs);
   }
 
   /** Guards against a limit that a VM misses, or keeps for good, because a message was lost. */
@@ -110,7 +75,7 @@
   @ValueSource(booleans = {false, true})
   void noLostMessageLeavesVmsOfDifferentOpinion(boolean leaderIsKilled) {
     int messages = play(-1, leaderIsKilled);
-    assertThat(messages).isGreaterThan(VMS);
+    assertThat(messages).isGreaterThan(LimitedUpstreamRun.VMS);
     for (int lost = 0; lost < messages; lost++) {
       play(lost, leaderIsKilled);
     }
