Log which stream a request resumes, and the version of its upstream

Streams held events from two software versions. Our lines could not tell a stream that the entry VM continued within one answer from one that the client took up at another VM, nor which versions met: resumes, after_event and upstream_version now stand in each line of a request (upstream_version stood there for canaries only). No decision changes.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardRequest.java
@@ -24,6 +24,7 @@
  * @param maxOutputTokens maximum length of the response, in tokens
  * @param prompt the parts of its prompt, used for prefix affinity
  * @param content its content, from which the fingerprint is computed
+ * @param resumption where it resumes a stream that an earlier attempt of the caller has begun
  */
 public record ForwardRequest(
     long number,
@@ -35,13 +36,53 @@
     OptionalInt promptTokens,
     OptionalInt maxOutputTokens,
     List<PromptPart> prompt,
-    RequestContent content) {
+    RequestContent content,
+    Optional<StreamResumption> resumption) {
 
   /** Copies the list. */
   public ForwardRequest {
     prompt = List.copyOf(prompt);
   }
 
+  /**
+   * Creates a request that resumes no stream.
+   *
+   * @param number identifies the request within this process
+   * @param id the caller's id of this attempt
+   * @param host the host that the request names
+   * @param path its path without the query
+   * @param key the customer's key, if it carries one
+   * @param deadlineMs how long the caller waits for the response, in milliseconds
+   * @param promptTokens length of its prompt, in tokens
+   * @param maxOutputTokens maximum length of the response, in tokens
+   * @param prompt the parts of its prompt, used for prefix affinity
+   * @param content its content, from which the fingerprint is computed
+   */
+  public ForwardRequest(
+      long number,
+      String id,
+      String host,
+      String path,
+      Optional<String> key,
+      OptionalLong deadlineMs,
+      OptionalInt promptTokens,
+      OptionalInt maxOutputTokens,
+      List<PromptPart> prompt,
+      RequestContent content) {
+    this(
+        number,
+        id,
+        host,
+        path,
+        key,
+        deadlineMs,
+        promptTokens,
+        maxOutputTokens,
+        prompt,
+        content,
+        Optional.empty());
+  }
+
   /**
    * Returns a hash that is cheap to compute and differs for nearly all requests other than a few
    * known ones. The fingerprint is computed only where this hash matches.
--- a/forward/src/main/java/org/teaseltrail/forward/RequestLogger.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RequestLogger.java
@@ -6,6 +6,7 @@
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardRequest;
 import org.teaseltrail.core.forward.RefusalReason;
+import org.teaseltrail.core.forward.StreamResumption;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.plan.PlanRoute;
 import org.teaseltrail.core.quarantine.Fingerprint;
@@ -127,6 +128,7 @@
             .with(LogField.REQUEST, request.id())
             .with(LogField.ELAPSED_MS, (nowNs - arrivedNs) / NS_PER_MS);
     request.deadlineMs().ifPresent(deadlineMs -> line.with(LogField.DEADLINE_MS, deadlineMs));
+    request.resumption().ifPresent(resumption -> addResumption(line, resumption));
     addSubject(
         line,
         lastDispatch
@@ -149,15 +151,20 @@
     dispatch
         .expectedFirstEventMs()
         .ifPresent(ms -> line.with(LogField.EXPECTED_FIRST_EVENT_MS, Math.round(ms)));
+    dispatch
+        .upstream()
+        .version()
+        .ifPresent(version -> line.with(LogField.UPSTREAM_VERSION, version.value()));
     if (dispatch.canary()) {
       line.with(LogField.CANARY, true);
-      dispatch
-          .upstream()
-          .version()
-          .ifPresent(version -> line.with(LogField.UPSTREAM_VERSION, version.value()));
     }
   }
 
+  private static void addResumption(EventLog.Line line, StreamResumption resumption) {
+    resumption.begunBy().ifPresent(id -> line.with(LogField.RESUMES, id));
+    resumption.lastEventId().ifPresent(id -> line.with(LogField.AFTER_EVENT, id));
+  }
+
   /** Adds the customer, the route and the route's objective. */
   private static void addSubject(
       EventLog.Line line, Optional<PlanRoute> route, Optional<CustomerId> customer) {
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -18,6 +18,10 @@
   DEADLINE_MS("time that the caller waits from then on"),
   /** Upstream incarnation that a request was sent to, or that leaves. */
   UPSTREAM("an upstream's life"),
+  /** Caller's attempt that brought the first event of a resumed stream. */
+  RESUMES("the caller's attempt that brought the first event, if the request resumes a stream"),
+  /** Last event of a resumed stream that the caller has received. */
+  AFTER_EVENT("the event after which a resumed stream is to go on"),
   /** Software version of an upstream. */
   UPSTREAM_VERSION("the upstream's version, or the version that was ordered"),
   /** Entry VM to which the request was relayed. */
