Show that streams go on at another version, in a failing test

Ten engines, five of each of two versions, four entry VMs and three control members in virtual time; callers take broken streams up once, at any VM.

--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/control/StreamVersionSimulation.java
@@ -0,0 +1,331 @@
+package org.teaseltrail.core.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import org.teaseltrail.core.forward.AttemptOutcome;
+import org.teaseltrail.core.forward.ForwardAction;
+import org.teaseltrail.core.forward.ForwardRequest;
+import org.teaseltrail.core.forward.StreamResumption;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.id.UpstreamVersion;
+import org.teaseltrail.core.plan.InstalledPlan;
+import org.teaseltrail.core.plan.TestPlans;
+import org.teaseltrail.core.quarantine.RequestContent;
+
+/**
+ * Runs entry VMs, three control members and engines of several versions in virtual time. Callers
+ * begin streams that may be resumed, and take up each broken one once, at any VM.
+ */
+final class StreamVersionSimulation {
+
+  private static final long NS_PER_MS = 1_000_000L;
+  private static final int HEARTBEAT_EVERY_MS = 1_200;
+  private static final int RESTART_DELAY_MS = 2_500;
+  private static final int FIRST_EVENT_MS = 60;
+  private static final int MIN_STREAM_MS = 300;
+  private static final int MAX_STREAM_MS = 1_500;
+  private static final int MAX_TAKE_UP_DELAY_MS = 300;
+  private static final int DEADLINE_MS = 4_000;
+
+  /** A caller's stream over all its tries. */
+  private static final class CallerStream {
+    private final String begunBy;
+    private Optional<UpstreamVersion> version = Optional.empty();
+    private boolean mixed;
+    private int tries;
+
+    private CallerStream(String begunBy) {
+      this.begunBy = begunBy;
+    }
+
+    private void receive(UpstreamVersion from) {
+      mixed |= version.isPresent() && !version.get().equals(from);
+      version = Optional.of(version.orElse(from));
+    }
+  }
+
+  /** One try of a caller at a VM, and the engine that runs it at present. */
+  private static final class Try {
+    private final CallerStream stream;
+    private final int vm;
+    private final boolean takeUp;
+    private Optional<VersionedEngine> engine = Optional.empty();
+    private int attempt;
+    private boolean begun;
+
+    private Try(CallerStream stream, int vm, boolean takeUp) {
+      this.stream = stream;
+      this.vm = vm;
+      this.takeUp = takeUp;
+    }
+  }
+
+  private final FakeControlGroup group = new FakeControlGroup(3);
+  private final SplittableRandom random;
+  private final FakeEntryVms vms;
+  private final List<VersionedEngine> engines = new ArrayList<>();
+  private final Map<Long, Try> tries = new HashMap<>();
+  private final List<CallerStream> streams = new ArrayList<>();
+  private int minTakeUpDelayMs;
+  private long lastNumber;
+  private int takeUps;
+  private int takeUpsBegun;
+  private int newStreams;
+  private int newStreamsBegun;
+
+  StreamVersionSimulation(long seed, int vmCount) {
+    random = new SplittableRandom(seed);
+    group.start();
+    group.call(
+        group.leader(),
+        new OperatorRequest.InstallPlan(new InstalledPlan(TestPlans.plan(1), "{}")));
+    vms = new FakeEntryVms(group, vmCount, random, this::execute);
+    vms.start();
+    sendHeartbeats();
+  }
+
+  FakeControlGroup group() {
+    return group;
+  }
+
+  FakeEntryVms vms() {
+    return vms;
+  }
+
+  void startEngines(String version, int count) {
+    for (int i = 0; i < count; i++) {
+      startEngine(new UpstreamVersion(version));
+    }
+  }
+
+  /** Makes callers wait before they take a stream up, in addition to a random delay. */
+  void delayTakeUps(int minDelayMs) {
+    minTakeUpDelayMs = minDelayMs;
+  }
+
+  /** Advances the time while callers begin streams at a rate. */
+  void simulate(int lengthMs, double perSecond) {
+    for (int ms = 0; ms < lengthMs; ms++) {
+      group.run(1);
+      vms.tick();
+      if (random.nextDouble() < perSecond / 1_000) {
+        CallerStream stream = new CallerStream("id-" + (lastNumber + 1));
+        streams.add(stream);
+        send(stream, false);
+      }
+    }
+  }
+
+  /** Ends a random engine without announcement; another one of its version follows. */
+  void crashRandomEngine() {
+    VersionedEngine engine = engines.get(random.nextInt(engines.size()));
+    end(engine);
+    later(RESTART_DELAY_MS, () -> startEngine(engine.version()));
+  }
+
+  /** Starts an engine of a version in place of one of another version, which deregisters. */
+  void replaceOne(String from, String to) {
+    startEngine(new UpstreamVersion(to));
+    engines.stream()
+        .filter(engine -> engine.version().value().equals(from))
+        .findFirst()
+        .ifPresent(this::deregister);
+  }
+
+  /** Kills a VM; its callers take their streams up elsewhere. */
+  void killVm(int vm) {
+    List<Long> lost =
+        tries.entrySet().stream()
+            .filter(entry -> entry.getValue().vm == vm)
+            .map(Map.Entry::getKey)
+            .sorted()
+            .toList();
+    for (long number : lost) {
+      Try current = tries.remove(number);
+      current.engine.ifPresent(engine -> engine.removeRequest(number));
+      takeUp(current);
+    }
+    vms.restart(vm);
+  }
+
+  /** Returns the number of streams that hold events of two versions. */
+  long mixedStreams() {
+    return streams.stream().filter(stream -> stream.mixed).count();
+  }
+
+  int takeUps() {
+    return takeUps;
+  }
+
+  /** Returns the share of streams taken up that go on. */
+  double takeUpShare() {
+    return (double) takeUpsBegun / takeUps;
+  }
+
+  /** Returns the share of new streams that begin at their first try. */
+  double newShare() {
+    return (double) newStreamsBegun / newStreams;
+  }
+
+  private void startEngine(UpstreamVersion version) {
+    VersionedEngine engine =
+        new VersionedEngine(
+            version + "-" + random.nextInt(Integer.MAX_VALUE), TestPlans.ENGINES, version, 1);
+    engines.add(engine);
+    sendHeartbeat(engine);
+  }
+
+  private void deregister(VersionedEngine engine) {
+    for (FakeControlMember member : group.members()) {
+      if (member.isServing()) {
+        UpstreamId id = engine.id();
+        group.call(member, new OperatorRequest.Leave(id, OptionalLong.empty()), 0);
+      }
+    }
+    later(MAX_STREAM_MS, () -> end(engine));
+  }
+
+  private void send(CallerStream stream, boolean takeUp) {
+    long number = ++lastNumber;
+    stream.tries++;
+    int vm = random.nextInt(vms.count());
+    tries.put(number, new Try(stream, vm, takeUp));
+    takeUps += takeUp ? 1 : 0;
+    newStreams += takeUp ? 0 : 1;
+    Optional<StreamResumption> resumption =
+        takeUp
+            ? Optional.of(
+                new StreamResumption(Optional.of(stream.begunBy), Optional.of("" + stream.tries)))
+            : Optional.empty();
+    ForwardRequest request =
+        new ForwardRequest(
+            number,
+            "id-" + number,
+            TestPlans.HOST,
+            "/resumable/x",
+            Optional.of(TestPlans.KEY),
+            OptionalLong.of(DEADLINE_MS),
+            OptionalInt.of(500),
+            OptionalInt.of(100),
+            List.of(),
+            RequestContent.EMPTY,
+            resumption);
+    vms.execute(vm, vms.node(vm).onRequest(request, group.nowNs()));
+  }
+
+  private void execute(int vm, ForwardAction action) {
+    if (action instanceof ForwardAction.Dispatch dispatch) {
+      dispatch(dispatch);
+    } else if (action instanceof ForwardAction.Cancel cancel) {
+      removeFromEngine(cancel.request());
+    } else if (action instanceof ForwardAction.Deliver deliver) {
+      tries.remove(deliver.request());
+    } else if (action instanceof ForwardAction.Refuse refuse) {
+      Try refused = tries.remove(refuse.request());
+      if (refused != null) {
+        takeUp(refused);
+      }
+    }
+  }
+
+  /** Takes a stream up once that has had an event. */
+  private void takeUp(Try broken) {
+    if (broken.stream.version.isPresent() && broken.stream.tries < 2) {
+      later(
+          minTakeUpDelayMs + random.nextInt(MAX_TAKE_UP_DELAY_MS), () -> send(broken.stream, true));
+    }
+  }
+
+  private void dispatch(ForwardAction.Dispatch dispatch) {
+    Try current = tries.get(dispatch.request());
+    int attempt = ++current.attempt;
+    current.engine =
+        engines.stream().filter(one -> one.id().equals(dispatch.upstream().id())).findFirst();
+    if (current.engine.isEmpty()) {
+      later(1, () -> end(dispatch.request(), attempt, AttemptOutcome.NOT_CONNECTED));
+      return;
+    }
+    VersionedEngine engine = current.engine.get();
+    engine.enqueue(dispatch.request());
+    startQueued(engine);
+  }
+
+  private void startQueued(VersionedEngine engine) {
+    for (long number : engine.startQueued()) {
+      int attempt = tries.get(number).attempt;
+      later(FIRST_EVENT_MS, () -> firstEvent(number, attempt));
+      later(
+          MIN_STREAM_MS + random.nextInt(MAX_STREAM_MS - MIN_STREAM_MS),
+          () -> end(number, attempt, AttemptOutcome.ANSWERED));
+    }
+  }
+
+  private void firstEvent(long number, int attempt) {
+    Try current = tries.get(number);
+    if (current == null || current.attempt != attempt || current.engine.isEmpty()) {
+      return;
+    }
+    current.stream.receive(current.engine.get().version());
+    if (!current.begun) {
+      current.begun = true;
+      takeUpsBegun += current.takeUp ? 1 : 0;
+      newStreamsBegun += current.takeUp ? 0 : 1;
+    }
+    int vm = current.vm;
+    vms.execute(vm, vms.node(vm).onResponseStarted(number, group.nowNs()));
+  }
+
+  private void end(VersionedEngine engine) {
+    engines.remove(engine);
+    for (long number : engine.end()) {
+      int attempt = tries.get(number).attempt;
+      later(1, () -> end(number, attempt, AttemptOutcome.BROKEN));
+    }
+  }
+
+  private void end(long number, int attempt, AttemptOutcome outcome) {
+    Try current = tries.get(number);
+    boolean isCurrent = current != null && current.attempt == attempt;
+    boolean stillRuns = isCurrent && current.engine.map(engines::contains).orElse(false);
+    if (!isCurrent || (outcome == AttemptOutcome.ANSWERED && !stillRuns)) {
+      return;
+    }
+    removeFromEngine(number);
+    int vm = current.vm;
+    vms.execute(vm, vms.node(vm).onAttemptEnded(number, outcome, group.nowNs()));
+  }
+
+  private void removeFromEngine(long number) {
+    Try current = tries.get(number);
+    Optional<VersionedEngine> left = current == null ? Optional.empty() : current.engine;
+    left.ifPresent(
+        engine -> {
+          current.engine = Optional.empty();
+          engine.removeRequest(number);
+          startQueued(engine);
+        });
+  }
+
+  private void sendHeartbeats() {
+    List.copyOf(engines).forEach(this::sendHeartbeat);
+    later(HEARTBEAT_EVERY_MS, this::sendHeartbeats);
+  }
+
+  private void sendHeartbeat(VersionedEngine engine) {
+    for (FakeControlMember member : group.members()) {
+      if (member.isServing()) {
+        group.call(member, new OperatorRequest.Heartbeat(engine.registration()), 0);
+      }
+    }
+  }
+
+  private void later(int ms, Runnable step) {
+    group.after(ms * NS_PER_MS, step);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/control/StreamVersionTest.java
@@ -0,0 +1,133 @@
+package org.teaseltrail.core.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Streams of a service whose upstreams run two versions at the same time.
+ *
+ * <p>The incident: two versions served side by side, upstreams ended and entry VMs were killed.
+ * Entry VMs continued broken streams at any upstream, and callers that took their streams up at
+ * other VMs were sent to any upstream, so that streams held events of both versions. Versions were
+ * regarded in rollouts only, and what a VM knew of a stream ended with its process.
+ */
+@Tag("known-red")
+class StreamVersionTest {
+
+  private static final int LENGTH_MS = 20_000;
+  private static final int STEP_MS = 1_000;
+  private static final double PER_SECOND = 20;
+
+  /** Share of new streams' success that streams taken up must reach. */
+  private static final double AIMED_SHARE = 0.9;
+
+  /** Guards against a stream that goes on at another version within one answer. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void streamKeepsItsVersionWhenUpstreamsEnd(long seed) {
+    StreamVersionSimulation simulation = start(seed, 4);
+    for (int ms = 0; ms < LENGTH_MS; ms += STEP_MS) {
+      simulation.simulate(STEP_MS, PER_SECOND);
+      simulation.crashRandomEngine();
+    }
+    assertThat(simulation.mixedStreams()).isZero();
+    assertThatTakeUpsGoOn(simulation);
+  }
+
+  /** Guards against a stream that a caller takes up at another version after its VM was killed. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void streamKeepsItsVersionWhenVmsAreKilled(long seed) {
+    StreamVersionSimulation simulation = start(seed, 4);
+    for (int ms = 0; ms < LENGTH_MS; ms += STEP_MS) {
+      simulation.simulate(STEP_MS, PER_SECOND);
+      simulation.killVm(ms / STEP_MS % 4);
+    }
+    assertThat(simulation.mixedStreams()).isZero();
+    assertThatTakeUpsGoOn(simulation);
+  }
+
+  /** Guards against a guess when nobody is left that knows which version began a stream. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void streamKeepsItsVersionWhenAllProcessesAreKilled(long seed) {
+    StreamVersionSimulation simulation = start(seed, 4);
+    simulation.simulate(LENGTH_MS / 2, PER_SECOND);
+    simulation.group().members().forEach(FakeControlMember::kill);
+    for (int vm = 0; vm < simulation.vms().count(); vm++) {
+      simulation.killVm(vm);
+    }
+    simulation.group().members().forEach(simulation.group()::restart);
+    simulation.simulate(LENGTH_MS / 2, PER_SECOND);
+    assertThat(simulation.takeUps()).isPositive();
+    assertThat(simulation.mixedStreams()).isZero();
+  }
+
+  /** Guards against a new leader that doesn't know which version began a stream. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void streamKeepsItsVersionWhenLeaderAndVmAreLost(long seed) {
+    StreamVersionSimulation simulation = start(seed, 4);
+    for (int i = 0; i < 5; i++) {
+      simulation.simulate(3 * STEP_MS, PER_SECOND);
+      FakeControlMember leader = simulation.group().leader();
+      leader.kill();
+      simulation.killVm(i % 4);
+      simulation.simulate(STEP_MS, PER_SECOND);
+      simulation.group().restart(leader);
+    }
+    assertThat(simulation.mixedStreams()).isZero();
+    assertThatTakeUpsGoOn(simulation);
+  }
+
+  /** Guards against a stream that changes its version while all upstreams are replaced. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void streamKeepsItsVersionDuringRelease(long seed) {
+    StreamVersionSimulation simulation = new StreamVersionSimulation(seed, 4);
+    simulation.startEngines("v1", 10);
+    simulation.simulate(2 * STEP_MS, 0);
+    for (int i = 0; i < 10; i++) {
+      simulation.simulate(STEP_MS, PER_SECOND);
+      simulation.replaceOne("v1", "v2");
+      simulation.killVm(i % 4);
+    }
+    assertThat(simulation.mixedStreams()).isZero();
+  }
+
+  /** Guards against streams that are refused although all upstreams run the same version. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void streamGoesOnWithoutRecordWhereOnlyOneVersionServed(long seed) {
+    StreamVersionSimulation simulation = new StreamVersionSimulation(seed, 4);
+    simulation.startEngines("v1", 10);
+    simulation.delayTakeUps(2 * STEP_MS);
+    simulation.simulate(2 * STEP_MS, 0);
+    simulation.simulate(LENGTH_MS / 2, PER_SECOND);
+    simulation.group().members().forEach(FakeControlMember::kill);
+    for (int vm = 0; vm < simulation.vms().count(); vm++) {
+      simulation.killVm(vm);
+    }
+    simulation.group().members().forEach(simulation.group()::restart);
+    simulation.simulate(LENGTH_MS / 2, PER_SECOND);
+    assertThat(simulation.takeUps()).isPositive();
+    assertThat(simulation.takeUpShare()).isGreaterThanOrEqualTo(AIMED_SHARE);
+  }
+
+  private static StreamVersionSimulation start(long seed, int vms) {
+    StreamVersionSimulation simulation = new StreamVersionSimulation(seed, vms);
+    simulation.startEngines("v1", 5);
+    simulation.startEngines("v2", 5);
+    simulation.simulate(2 * STEP_MS, 0);
+    return simulation;
+  }
+
+  private static void assertThatTakeUpsGoOn(StreamVersionSimulation simulation) {
+    assertThat(simulation.takeUps()).isPositive();
+    assertThat(simulation.takeUpShare())
+        .isGreaterThanOrEqualTo(AIMED_SHARE * simulation.newShare());
+  }
+}
