Continue a stream within one answer only at the version that began it

What callers saw: a stream whose upstream broke off went on, within the same answer, at an upstream of another version of the service.

Cause: after a break every upstream of the service that hadn't received the request could continue it; versions were looked at in rollouts only.

Why it holds: the origin (service and version registered by the upstream when the attempt was sent) is fixed with the first event, and the one check that all dispatches pass, by load, from the queue, by a leader's grant or as a canary, compares it. It goes along with a relayed request, and a peer's answer tells it, so that the next peer keeps to it. A stream without any upstream of its version ends at once; one that waits for a slot takes any free one of its version, since slots are allocated for requests that fit any upstream.

--- a/core/src/main/java/org/teaseltrail/core/forward/ActiveRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ActiveRequest.java
@@ -10,8 +10,10 @@
 import org.teaseltrail.core.plan.PlanCustomer;
 import org.teaseltrail.core.plan.PlanRoute;
 import org.teaseltrail.core.quarantine.Fingerprint;
+import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.relay.RelayHop;
 import org.teaseltrail.core.serving.Urgency;
+import org.teaseltrail.core.stream.StreamOrigin;
 import org.teaseltrail.core.suspect.QuarantineSubject;
 
 /** A request that this VM has admitted and not answered yet. */
@@ -45,6 +47,8 @@
   private final Optional<RelayHop> hop;
   private final Set<UpstreamId> tried = new HashSet<>();
   private Optional<UpstreamState> currentUpstream = Optional.empty();
+  private Optional<StreamOrigin> attemptOrigin = Optional.empty();
+  private Optional<StreamOrigin> origin;
   private int attempts;
   private int sends;
   private int failedConnections;
@@ -84,6 +88,7 @@
     this.hop = hop;
     sends = hop.map(RelayHop::sends).orElse(0);
     maybeRan = hop.map(RelayHop::maybeRan).orElse(false);
+    origin = hop.flatMap(RelayHop::origin);
   }
 
   ForwardRequest request() {
@@ -196,6 +201,7 @@
 
   void startAttempt(UpstreamState upstream, long nowNs) {
     currentUpstream = Optional.of(upstream);
+    attemptOrigin = Optional.of(StreamOrigin.of(upstream.registration()));
     unread = true;
     reached = false;
     attempts++;
@@ -333,9 +339,20 @@
   /** Records that the caller has received the first part of the response. */
   void markResponseStarted() {
     responseStarted = true;
+    origin = origin.or(() -> attemptOrigin);
     markPromptRead();
   }
 
+  /** Returns what began the stream, empty as long as the caller has no event of it. */
+  Optional<StreamOrigin> origin() {
+    return origin;
+  }
+
+  /** Returns whether an upstream can continue the stream, or begin it if it has not begun. */
+  boolean canContinueAt(Registration upstream) {
+    return origin.map(begun -> begun.matches(upstream)).orElse(true);
+  }
+
   /** Records that the upstream has processed the prompt, or no longer needs to. */
   void markPromptRead() {
     if (unread) {
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -24,6 +24,7 @@
 import org.teaseltrail.core.relay.RelayOutcome;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.stream.StreamOrigin;
 import org.teaseltrail.core.suspect.QuarantineTracker;
 
 /**
@@ -199,6 +200,16 @@
     return collectActions(nowNs);
   }
 
+  /**
+   * Records what began the stream of a relayed request, so that another peer can continue it.
+   *
+   * @param number the request's number
+   * @param origin what the peer has told
+   */
+  public void onRelayOrigin(long number, StreamOrigin origin) {
+    requests.relays().onOrigin(number, origin);
+  }
+
   /**
    * Handles the end of a relay to a peer.
    *
--- a/core/src/main/java/org/teaseltrail/core/forward/LoadBalancingPolicy.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/LoadBalancingPolicy.java
@@ -113,10 +113,11 @@
   }
 
   /**
-   * Selects an upstream for a canary request, whose number the leader limits by other means than
-   * slots.
+   * Selects an upstream whether or not this VM may use a slot there by the leader's allocation: for
+   * canary requests, whose number the leader limits by other means, and for streams that only few
+   * upstreams can continue.
    */
-  Optional<UpstreamState> selectForCanary(
+  Optional<UpstreamState> selectIgnoringAllocation(
       ActiveRequest request,
       Collection<UpstreamState> upstreams,
       boolean engine,
@@ -320,12 +321,16 @@
     return upstreams.stream().filter(upstream -> isUntried(request, upstream)).toList();
   }
 
-  /** Returns whether an upstream is known to accept requests and has not received this one yet. */
+  /**
+   * Returns whether an upstream is known to accept requests, has not received this one yet, and can
+   * continue its stream if that has begun.
+   */
   private static boolean isUntried(ActiveRequest request, UpstreamState upstream) {
     return upstream.registration().phase() == RegistrationPhase.READY
         && !upstream.isMisdirected()
         && !upstream.backpressure().isLeaving()
-        && !request.hasTried(upstream.registration().id());
+        && !request.hasTried(upstream.registration().id())
+        && request.canContinueAt(upstream.registration());
   }
 
   private static Optional<String> lastPromptPart(ActiveRequest request) {
--- a/core/src/main/java/org/teaseltrail/core/forward/RefusalReason.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RefusalReason.java
@@ -22,6 +22,8 @@
   QUARANTINED(false),
   /** A peer relayed it to this VM, which reaches no upstream of its service either. */
   NO_PATH(false),
+  /** It resumes a stream, and no upstream of the version that began it is registered. */
+  NO_MATCHING_VERSION(false),
   /** No upstream that was tried ran it. */
   NOT_RUN(false),
   /** Its upstream's response was cut off or malformed; it may have run. */
--- a/core/src/main/java/org/teaseltrail/core/forward/RelayCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RelayCoordinator.java
@@ -12,6 +12,7 @@
 import org.teaseltrail.core.relay.PeerDirectory;
 import org.teaseltrail.core.relay.RelayOutcome;
 import org.teaseltrail.core.serving.PeerVm;
+import org.teaseltrail.core.stream.StreamOrigin;
 
 /**
  * Relays requests that this VM can't send to any upstream to a peer, and ends each with exactly one
@@ -68,6 +69,11 @@
     return true;
   }
 
+  /** Records what began the stream of a relayed request, as its peer has told. */
+  void onOrigin(long number, StreamOrigin origin) {
+    Optional.ofNullable(active.get(number)).ifPresent(request -> request.setOrigin(origin));
+  }
+
   /** Handles the end of a relay; ignored if the request has already ended. */
   void onEnded(long number, RelayOutcome outcome, long nowNs) {
     RelayedRequest request = active.remove(number);
--- a/core/src/main/java/org/teaseltrail/core/forward/RelayedRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RelayedRequest.java
@@ -9,6 +9,7 @@
 import org.teaseltrail.core.plan.PlanRoute;
 import org.teaseltrail.core.relay.RelayHop;
 import org.teaseltrail.core.serving.PeerVm;
+import org.teaseltrail.core.stream.StreamOrigin;
 
 /** A caller's request that this VM relays to a peer, and what it did with it before. */
 final class RelayedRequest {
@@ -29,6 +30,7 @@
   private final boolean triedHere;
   private final Set<VmId> triedPeers = new HashSet<>();
   private Optional<PeerVm> currentPeer = Optional.empty();
+  private Optional<StreamOrigin> origin = Optional.empty();
   private int sends;
   private boolean maybeRan;
 
@@ -65,6 +67,7 @@
             true);
     relayed.sends = active.sends();
     relayed.maybeRan = active.maybeRan();
+    relayed.origin = active.origin();
     return relayed;
   }
 
@@ -124,6 +127,11 @@
     sends++;
   }
 
+  /** Records what began the request's stream at a peer. */
+  void setOrigin(StreamOrigin begunAt) {
+    origin = Optional.of(origin.orElse(begunAt));
+  }
+
   /** Returns whether a request that may have run can be sent to one more upstream. */
   boolean canRunAgain(long nowNs) {
     return route.canRetry() && sends < route.maxAttempts() && nowNs < dueNs();
@@ -140,6 +148,6 @@
   }
 
   RelayHop hop(VmId from, long nowNs) {
-    return new RelayHop(from, (nowNs - arrivedNs) / NS_PER_MS, sends, maybeRan);
+    return new RelayHop(from, (nowNs - arrivedNs) / NS_PER_MS, sends, maybeRan, origin);
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
@@ -443,7 +443,11 @@
       paused.reportCopies(activeRequests.values());
       return;
     }
-    if (dispatcher.tryDispatchAsCanary(request, nowNs)) {
+    if (endIfNoneCanContinue(request)) {
+      untrack(request);
+      return;
+    }
+    if (dispatcher.tryDispatchAsCanary(request, nowNs) || dispatchBegun(request, nowNs)) {
       return;
     }
     boolean queuedAhead = lines.hasQueuedAhead(request.service(), nowNs);
@@ -468,6 +472,29 @@
     dispatchQueue(request.service(), nowNs);
   }
 
+  /**
+   * Ends a request whose stream no upstream can continue, so that its caller can begin anew at
+   * once; returns whether it ended.
+   */
+  private boolean endIfNoneCanContinue(ActiveRequest request) {
+    boolean canContinue = request.origin().isEmpty() || retryPolicy.hasCandidate(request);
+    if (canContinue) {
+      return false;
+    }
+    if (request.maybeRan()) {
+      refuse(request, RefusalReason.BROKEN, 0);
+    } else {
+      refuse(request, RefusalReason.NO_MATCHING_VERSION, QueueLengthLimiter.NO_SLOT_RETRY_MS);
+    }
+    return true;
+  }
+
+  /** Dispatches a request whose stream has begun, unless rejections must be avoided. */
+  private boolean dispatchBegun(ActiveRequest request, long nowNs) {
+    return !rejectionLimits.isSensitive(request.service())
+        && dispatcher.tryDispatchBegun(request, nowNs);
+  }
+
   private void untrack(ActiveRequest request) {
     activeRequests.remove(request.number());
     request.close();
@@ -548,6 +575,7 @@
   private void dispatchQueue(ServiceId service, long nowNs) {
     RequestQueue waiting = lines.of(service);
     if (!waiting.isEmpty()) {
+      dispatchQueuedBegun(waiting, nowNs);
       if (lines.isLeaderAllocated(service, nowNs)) {
         waiting.demoteLate(nowNs);
         dispatchWithPermits(service, waiting, nowNs);
@@ -562,6 +590,20 @@
     }
   }
 
+  /** Dispatches the queued requests whose streams have begun, or ends them if none can go on. */
+  private void dispatchQueuedBegun(RequestQueue waiting, long nowNs) {
+    for (ActiveRequest request : waiting.begun()) {
+      boolean isEnded = endIfNoneCanContinue(request);
+      if (isEnded) {
+        untrack(request);
+      }
+      if (isEnded || dispatchBegun(request, nowNs)) {
+        waiting.remove(request);
+        changes++;
+      }
+    }
+  }
+
   /**
    * Ends queued requests that can't be dispatched in time, because all upstreams that may serve
    * them are backed off for longer than the requests can wait.
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestDispatcher.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestDispatcher.java
@@ -83,7 +83,7 @@
       return false;
     }
     Optional<UpstreamState> selected =
-        placement.selectForCanary(
+        placement.selectIgnoringAllocation(
             request, targets, isEngine.test(request.service()), ENGINE_MAX_UTILIZATION, nowNs);
     selected.ifPresent(
         upstream -> {
@@ -93,6 +93,26 @@
     return selected.isPresent();
   }
 
+  /**
+   * Dispatches a request whose stream has begun if any upstream that can continue it has capacity;
+   * returns whether it was dispatched. It isn't bound to the slots allocated to this VM: these are
+   * allocated for requests that any upstream can serve, and seldom where the stream can go on.
+   */
+  boolean tryDispatchBegun(ActiveRequest request, long nowNs) {
+    if (request.origin().isEmpty()) {
+      return false;
+    }
+    Optional<UpstreamState> selected =
+        placement.selectIgnoringAllocation(
+            request,
+            versionRouter.routableUpstreams(request.service()),
+            isEngine.test(request.service()),
+            ENGINE_MAX_UTILIZATION,
+            nowNs);
+    selected.ifPresent(upstream -> dispatch(request, upstream, nowNs));
+    return selected.isPresent();
+  }
+
   /**
    * Dispatches a request to the upstream for which the leader granted a slot, if the request may go
    * there.
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestQueue.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestQueue.java
@@ -72,6 +72,11 @@
     return List.copyOf(waiting);
   }
 
+  /** Returns the queued requests whose streams have begun. */
+  List<ActiveRequest> begun() {
+    return waiting.stream().filter(request -> request.origin().isPresent()).toList();
+  }
+
   /** Returns the urgency of the first request, if any is queued. */
   Optional<Urgency> mostUrgent() {
     return waiting.isEmpty() ? Optional.empty() : Optional.of(waiting.first().urgency());
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -21,6 +21,7 @@
 import org.teaseltrail.core.forward.RefusalReason;
 import org.teaseltrail.core.relay.RelayHop;
 import org.teaseltrail.core.relay.RelayOutcome;
+import org.teaseltrail.core.stream.StreamOrigin;
 
 /**
  * One request of a caller and its response. It forwards the request to one upstream after the other
@@ -227,14 +228,21 @@
     maxEventGapNs = Math.max(maxEventGapNs, gapNs);
   }
 
-  /** Starts the response to the caller with the head of the upstream's. */
-  void startStream() {
+  /**
+   * Starts the response to the caller with the head of the upstream's.
+   *
+   * @param origin what began the stream; the peer that relayed the request, if one did, is told it
+   */
+  void startStream(Optional<StreamOrigin> origin) {
     DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, responseHead.status());
     head.headers().set(responseHead.headers());
     HopByHopHeaders.remove(head.headers());
     head.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
     HttpUtil.setTransferEncodingChunked(head, true);
     writeOutcome(head.headers(), RelayOutcome.ANSWERED);
+    if (hop.isPresent()) {
+      origin.ifPresent(begun -> RelayHeaders.writeOrigin(head.headers(), begun));
+    }
     caller.write(head);
     headSent = true;
   }
--- a/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
@@ -11,7 +11,9 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
 import org.teaseltrail.core.forward.AttemptOutcome;
+import org.teaseltrail.core.stream.StreamOrigin;
 
 /**
  * One attempt to get a request answered over one connection. Event streams are forwarded event by
@@ -57,6 +59,9 @@
   /** Handles the end of a response that was received completely. */
   abstract void onCompleted();
 
+  /** Returns what a stream that the attempt forwards was begun by, if a peer has to be told. */
+  abstract Optional<StreamOrigin> origin();
+
   /** Reports the end of the attempt. */
   abstract void report(AttemptOutcome outcome);
 
@@ -227,7 +232,7 @@
     boolean first = firstEventNs == 0;
     recordEventTimes();
     if (!exchange.hasResponseStarted()) {
-      exchange.startStream();
+      exchange.startStream(origin());
     }
     if (first) {
       server.onResponseStarted(exchange);
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -32,6 +32,7 @@
 import org.teaseltrail.core.relay.RelayHop;
 import org.teaseltrail.core.relay.RelayOutcome;
 import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.stream.StreamOrigin;
 import org.teaseltrail.runtime.clock.SuspendAwareClock;
 import org.teaseltrail.runtime.log.EventLog;
 import org.teaseltrail.runtime.log.LogEvent;
@@ -312,6 +313,10 @@
     run(node.onAttemptEnded(number, end, clock.nowNs()));
   }
 
+  void onRelayOrigin(Exchange exchange, StreamOrigin origin) {
+    node.onRelayOrigin(exchange.request().number(), origin);
+  }
+
   void onRelayEnded(Exchange exchange, RelayOutcome outcome) {
     long number = exchange.request().number();
     metrics.relay(outcome);
--- a/forward/src/main/java/org/teaseltrail/forward/RefusalStatus.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RefusalStatus.java
@@ -39,6 +39,7 @@
           WAITED_TOO_LONG,
           QUARANTINED,
           NO_PATH,
+          NO_MATCHING_VERSION,
           NOT_RUN,
           FORECAST ->
           UNAVAILABLE;
--- a/forward/src/main/java/org/teaseltrail/forward/RelayAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RelayAttempt.java
@@ -1,12 +1,14 @@
 package org.teaseltrail.forward;
 
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.relay.RelayOutcome;
 import org.teaseltrail.core.serving.PeerVm;
+import org.teaseltrail.core.stream.StreamOrigin;
 
 /** An attempt at a peer, which returns the final answer in place of an upstream. */
 final class RelayAttempt extends ExchangeAttempt {
@@ -46,9 +48,25 @@
   @Override
   boolean onHead(HttpResponse response, ResponseHead read) {
     named = RelayHeaders.takeOutcome(response.headers());
+    takeOrigin(response.headers()).ifPresent(origin -> server().onRelayOrigin(exchange(), origin));
     return named.map(outcome -> !outcome.needsOtherPeer()).orElse(false);
   }
 
+  private static Optional<StreamOrigin> takeOrigin(HttpHeaders headers) {
+    try {
+      return RelayHeaders.takeOrigin(headers);
+    } catch (IllegalArgumentException e) {
+      // A stream of unknown origin goes on at no other peer; its answer is still valid.
+      return Optional.empty();
+    }
+  }
+
+  /** Empty: a request that a peer has relayed to this VM is not relayed again. */
+  @Override
+  Optional<StreamOrigin> origin() {
+    return Optional.empty();
+  }
+
   @Override
   void onCompleted() {
     end(isComplete() ? AttemptOutcome.ANSWERED : AttemptOutcome.BROKEN);
--- a/forward/src/main/java/org/teaseltrail/forward/RelayHeaders.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RelayHeaders.java
@@ -2,9 +2,12 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamVersion;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.relay.RelayHop;
 import org.teaseltrail.core.relay.RelayOutcome;
+import org.teaseltrail.core.stream.StreamOrigin;
 
 /**
  * Headers by which entry VMs tell each other about a relayed request and its answer. They are added
@@ -17,6 +20,8 @@
   private static final String SENDS = "Relay-Sends";
   private static final String MAYBE_RAN = "Relay-Maybe-Ran";
   private static final String OUTCOME = "Relay-Outcome";
+  private static final String ORIGIN_SERVICE = "Relay-Origin-Service";
+  private static final String ORIGIN_VERSION = "Relay-Origin-Version";
 
   /** Upper bound of the size that the headers add to a request. */
   static final int MAX_BYTES = 1_024;
@@ -28,6 +33,30 @@
     headers.set(ELAPSED_MS, hop.elapsedMs());
     headers.set(SENDS, hop.sends());
     headers.set(MAYBE_RAN, hop.maybeRan());
+    hop.origin().ifPresent(origin -> writeOrigin(headers, origin));
+  }
+
+  /** Writes what began the stream of a relayed request, for the peer or in the peer's answer. */
+  static void writeOrigin(HttpHeaders headers, StreamOrigin origin) {
+    headers.set(ORIGIN_SERVICE, origin.service().value());
+    origin.version().ifPresent(version -> headers.set(ORIGIN_VERSION, version.value()));
+  }
+
+  /**
+   * Reads what began the stream of a relayed request and removes it; empty if it is not named.
+   *
+   * @throws IllegalArgumentException if it is malformed
+   */
+  static Optional<StreamOrigin> takeOrigin(HttpHeaders headers) {
+    String service = headers.get(ORIGIN_SERVICE);
+    String version = headers.get(ORIGIN_VERSION);
+    headers.remove(ORIGIN_SERVICE);
+    headers.remove(ORIGIN_VERSION);
+    return Optional.ofNullable(service)
+        .map(
+            name ->
+                new StreamOrigin(
+                    new ServiceId(name), Optional.ofNullable(version).map(UpstreamVersion::new)));
   }
 
   /**
@@ -42,7 +71,8 @@
               new VmId(take(headers, FROM)),
               Math.max(0, Long.parseLong(take(headers, ELAPSED_MS))),
               Math.max(0, Integer.parseInt(take(headers, SENDS))),
-              Boolean.parseBoolean(take(headers, MAYBE_RAN)));
+              Boolean.parseBoolean(take(headers, MAYBE_RAN)),
+              takeOrigin(headers));
       return hop;
     } catch (IllegalArgumentException e) {
       throw new MalformedRequestException("the headers of the relay are malformed");
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamAttempt.java
@@ -3,10 +3,12 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Optional;
 import java.util.Set;
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.stream.StreamOrigin;
 
 /** An attempt at an upstream. */
 final class UpstreamAttempt extends ExchangeAttempt {
@@ -87,6 +89,11 @@
     end(outcomeOfCompleteResponse());
   }
 
+  @Override
+  Optional<StreamOrigin> origin() {
+    return Optional.of(StreamOrigin.of(upstream));
+  }
+
   @Override
   void report(AttemptOutcome outcome) {
     server().onAttemptEnded(exchange(), outcome);
