Take up a stream only at the version that began it

What callers saw: a stream that broke, and that its caller took up at any VM with Last-Event-Id and Resumes, went on at an upstream of another version of the service.

Cause: nothing read Resumes, and what a VM knew of a stream ended with its process, so a take-up was placed by load like any other request. Class: state that only its writer can continue, moved as if any replica could.

Why it holds: a VM tells all control members which service and version began each stream, within 10 ms of the first event, for the services that have several versions; whoever is asked looks it up at all members, so neither the VM nor the leader is needed. Where no record is, the leader under its lease may prove from the replicated registry, which now keeps the versions that have left within ten minutes, that there was one version only. Whatever stays unknown is refused at once (ORIGIN_UNKNOWN) and never sent at a guess; a name counts only with its customer.

--- a/control/src/main/java/org/teaseltrail/control/EventQueue.java
+++ b/control/src/main/java/org/teaseltrail/control/EventQueue.java
@@ -14,15 +14,15 @@
 
 /**
  * Two-level priority queue of the events for a control member's event loop. Messages from entry VMs
- * that schedule requests themselves (serving VMs) have the lower priority, and only the newest
- * message of each kind is kept per VM. Thread-safe.
+ * that schedule requests themselves (serving VMs) have the lower priority, and of the kinds that
+ * replace each other only the newest message is kept per VM. Thread-safe.
  *
  * <p>Keeps entry VMs from overloading the leader. Under load, sixty of them send more messages than
  * one thread can process; in a FIFO queue the events behind them, including the replies of other
  * members, waited 0.4 s, so that the lease expired repeatedly and operators' orders were not
  * answered in time. With this queue, replication, timers and operators wait for at most one message
- * of an entry VM, and a new message replaces the queued one of the same kind, so that at most two
- * messages per VM are queued.
+ * of an entry VM, and a new message replaces the queued one of the same kind, so that few messages
+ * per VM are queued.
  */
 final class EventQueue {
 
@@ -31,7 +31,7 @@
   private final Deque<ControlEvent> prioritized = new ArrayDeque<>();
   private final Map<VmId, List<ControlEvent>> servingVmEvents = new LinkedHashMap<>();
 
-  /** Adds an event; a message from a serving VM replaces the queued one of its kind. */
+  /** Adds an event; most messages from a serving VM replace the queued one of their kind. */
   void add(ControlEvent event) {
     lock.lock();
     try {
@@ -81,8 +81,11 @@
     ServingMessage message = from.message();
     List<ControlEvent> vmEvents =
         servingVmEvents.computeIfAbsent(message.vm(), vm -> new ArrayList<>());
-    vmEvents.removeIf(
-        queued -> ((ControlEvent.FromServingVm) queued).message().getClass() == message.getClass());
+    if (message.replacesEarlier()) {
+      vmEvents.removeIf(
+          queued ->
+              ((ControlEvent.FromServingVm) queued).message().getClass() == message.getClass());
+    }
     vmEvents.add(from);
   }
 
--- a/control/src/test/java/org/teaseltrail/control/EventQueueTest.java
+++ b/control/src/test/java/org/teaseltrail/control/EventQueueTest.java
@@ -53,6 +53,17 @@
     return taken;
   }
 
+  /** Guards against streams whose origins are lost because a VM tells of further ones at once. */
+  @Test
+  void messagesThatReplaceNoneAreAllKept() throws InterruptedException {
+    VmId vm = new VmId("entry-1");
+    queue.add(new ControlEvent.FromServingVm(new ServingMessage.StreamsBegun(vm, List.of())));
+    queue.add(new ControlEvent.FromServingVm(new ServingMessage.StreamsBegun(vm, List.of())));
+    queue.add(new ControlEvent.FromServingVm(new ServingMessage.OriginQuery(vm, List.of())));
+    queue.add(new ControlEvent.FromServingVm(new ServingMessage.OriginQuery(vm, List.of())));
+    assertThat(pollAll()).hasSize(4);
+  }
+
   @Test
   void operatorCallsAndDiskSyncsPrecedeEntryVmMessages() throws InterruptedException {
     for (int iteration = 0; iteration < MESSAGES_PER_VM; iteration++) {
--- a/core/src/main/java/org/teaseltrail/core/control/ActionBuffer.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ActionBuffer.java
@@ -70,12 +70,12 @@
   }
 
   void sendToServingVm(VmId vm, ServingReply reply) {
-    addLeaseBound(new ControlAction.SendToServingVm(vm, reply));
-  }
-
-  /** Informs an entry VM that this member is not the leader; needs no lease. */
-  void sendNotLeading(VmId vm, ServingReply.NotLeading reply) {
-    actions.add(new ControlAction.SendToServingVm(vm, reply));
+    ControlAction action = new ControlAction.SendToServingVm(vm, reply);
+    if (action.requiresLease()) {
+      addLeaseBound(action);
+    } else {
+      actions.add(action);
+    }
   }
 
   void sendOrder(EngineOrder order) {
--- a/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
@@ -86,7 +86,7 @@
   record SendToServingVm(VmId vm, ServingReply reply) implements ControlAction {
     @Override
     public boolean requiresLease() {
-      return !(reply instanceof ServingReply.NotLeading);
+      return reply.requiresLease();
     }
   }
 
--- a/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
@@ -1,5 +1,6 @@
 package org.teaseltrail.core.control;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -20,6 +21,10 @@
 import org.teaseltrail.core.state.Command;
 import org.teaseltrail.core.state.CommandResult;
 import org.teaseltrail.core.state.StateCodec;
+import org.teaseltrail.core.stream.OriginAnswer;
+import org.teaseltrail.core.stream.OriginQuestion;
+import org.teaseltrail.core.stream.StreamOrigin;
+import org.teaseltrail.core.stream.StreamOriginRegistry;
 
 /**
  * A member of the control group. It maintains its copy of the replicated log and state. While it is
@@ -33,6 +38,7 @@
   private final ReplicatedStateMachine stateMachine;
   private final OperatorRequestHandler operators;
   private final LeaderContext context;
+  private final StreamOriginRegistry origins = new StreamOriginRegistry();
   private Optional<Leadership> leadership = Optional.empty();
   private long nowNs;
 
@@ -146,6 +152,14 @@
 
   /** Answers a sync immediately or not at all, like a hello. */
   private void onServingMessage(ServingMessage message) {
+    if (message instanceof ServingMessage.StreamsBegun begun) {
+      begun.streams().forEach(stream -> origins.record(stream, nowNs));
+      return;
+    }
+    if (message instanceof ServingMessage.OriginQuery query) {
+      answer(query);
+      return;
+    }
     if (leadership.isPresent() && leadership.get().gate().isOpen()) {
       leadership.get().servingCoordinator().message(message);
       return;
@@ -155,6 +169,28 @@
     }
   }
 
+  /**
+   * Answers with the origins that this member was told. Where it was told none, the leader adds the
+   * only origin that is possible, if there is just one.
+   */
+  private void answer(ServingMessage.OriginQuery query) {
+    List<OriginAnswer> answers = new ArrayList<>();
+    boolean proven = false;
+    for (OriginQuestion question : query.questions()) {
+      Optional<StreamOrigin> told = question.key().flatMap(key -> origins.find(key, nowNs));
+      Optional<StreamOrigin> only = told.isPresent() ? Optional.empty() : findOnlyOrigin(question);
+      proven |= only.isPresent();
+      answers.add(new OriginAnswer(question.number(), told.or(() -> only)));
+    }
+    actions.sendToServingVm(query.vm(), new ServingReply.OriginAnswers(answers, proven));
+  }
+
+  private Optional<StreamOrigin> findOnlyOrigin(OriginQuestion question) {
+    return leadership
+        .filter(leader -> leader.gate().isOpen())
+        .flatMap(leader -> question.service().flatMap(leader.servingCoordinator()::findOnlyOrigin));
+  }
+
   private void redirectSync(ServingMessage.Sync sync) {
     Membership members = stateMachine.membership();
     Optional<VmId> leader =
@@ -165,7 +201,7 @@
             .flatMap(members::find)
             .map(Member::vm);
     List<VmId> vms = members.all().map(Member::vm).distinct().toList();
-    actions.sendNotLeading(sync.vm(), new ServingReply.NotLeading(sync.sequence(), leader, vms));
+    actions.sendToServingVm(sync.vm(), new ServingReply.NotLeading(sync.sequence(), leader, vms));
   }
 
   /**
--- a/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
@@ -30,6 +30,7 @@
 import org.teaseltrail.core.serving.UpstreamSlots;
 import org.teaseltrail.core.state.ClusterState;
 import org.teaseltrail.core.state.Command;
+import org.teaseltrail.core.stream.StreamOrigin;
 import org.teaseltrail.core.upstream.Announcement;
 
 /**
@@ -118,6 +119,9 @@
   private Membership memberVmsSource = Membership.empty();
   private List<VmId> memberVms = List.of();
   private long nextCheckNs;
+  private List<ServiceId> mixedServices = List.of();
+  private long mixedServicesRevision = -1;
+  private long mixedServicesExpiryNs;
 
   ServingCoordinator(Leadership leadership) {
     this.leadership = leadership;
@@ -475,7 +479,27 @@
         memberVms(),
         areSlotsSettled() ? places(sync) : UpstreamSlots.NONE,
         List.copyOf(contended()),
-        quotas.allocate(sync.vm(), quotaLimits.of(state().plan()), leadership.nowNs()));
+        quotas.allocate(sync.vm(), quotaLimits.of(state().plan()), leadership.nowNs()),
+        Optional.of(mixedServices()));
+  }
+
+  private List<ServiceId> mixedServices() {
+    long revision = state().registry().revision();
+    if (revision != mixedServicesRevision || leadership.nowNs() >= mixedServicesExpiryNs) {
+      mixedServicesRevision = revision;
+      mixedServicesExpiryNs = leadership.nowNs() + CHECK_INTERVAL_NS;
+      mixedServices = state().versions().mixedServices(state().registry().present(), logTimeMs());
+    }
+    return mixedServices;
+  }
+
+  /** Returns the only origin that a recent stream of a service can have. */
+  Optional<StreamOrigin> findOnlyOrigin(ServiceId service) {
+    return state().versions().onlyOrigin(service, state().registry().present(), logTimeMs());
+  }
+
+  private long logTimeMs() {
+    return leadership.logTimeMs(leadership.nowNs());
   }
 
   private UpstreamSlots places(ServingMessage.Sync sync) {
--- a/core/src/main/java/org/teaseltrail/core/forward/ActiveRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ActiveRequest.java
@@ -48,7 +48,7 @@
   private final Set<UpstreamId> tried = new HashSet<>();
   private Optional<UpstreamState> currentUpstream = Optional.empty();
   private Optional<StreamOrigin> attemptOrigin = Optional.empty();
-  private Optional<StreamOrigin> origin;
+  private Optional<StreamOrigin> origin = Optional.empty();
   private int attempts;
   private int sends;
   private int failedConnections;
@@ -88,7 +88,6 @@
     this.hop = hop;
     sends = hop.map(RelayHop::sends).orElse(0);
     maybeRan = hop.map(RelayHop::maybeRan).orElse(false);
-    origin = hop.flatMap(RelayHop::origin);
   }
 
   ForwardRequest request() {
@@ -343,6 +342,11 @@
     markPromptRead();
   }
 
+  /** Sets what began the stream that the request resumes. */
+  void resumeFrom(StreamOrigin begunAt) {
+    origin = Optional.of(begunAt);
+  }
+
   /** Returns what began the stream, empty as long as the caller has no event of it. */
   Optional<StreamOrigin> origin() {
     return origin;
--- a/core/src/main/java/org/teaseltrail/core/forward/AdmissionController.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/AdmissionController.java
@@ -12,8 +12,10 @@
 import org.teaseltrail.core.plan.PlanCustomer;
 import org.teaseltrail.core.plan.PlanIndex;
 import org.teaseltrail.core.plan.PlanRoute;
+import org.teaseltrail.core.plan.RouteKind;
 import org.teaseltrail.core.plan.WeightedService;
 import org.teaseltrail.core.relay.RelayHop;
+import org.teaseltrail.core.stream.StreamOrigin;
 
 /**
  * Matches requests with the plan's routes and customer keys, and refuses those that the plan
@@ -68,6 +70,12 @@
    */
   private static final long MIN_RETRY_AFTER_MS = 200;
 
+  /**
+   * Retry-after for a stream that can't be resumed, in milliseconds: the time within which a new
+   * leader is elected, who may be able to tell its origin.
+   */
+  private static final long UNKNOWN_ORIGIN_RETRY_MS = 1_000;
+
   private static final long NS_PER_MS = 1_000_000L;
 
   /**
@@ -77,9 +85,25 @@
    * @param hop what the peer that relayed it has told, if one did
    * @param mayRelay whether it may be relayed to a peer
    * @param arrivedNs when its first VM had read it
+   * @param origin what began the stream that it resumes, if it resumes one and that is known
    */
   private record Arrival(
-      ForwardRequest request, Optional<RelayHop> hop, boolean mayRelay, long arrivedNs) {}
+      ForwardRequest request,
+      Optional<RelayHop> hop,
+      boolean mayRelay,
+      long arrivedNs,
+      Optional<StreamOrigin> origin) {
+
+    private Arrival withOrigin(StreamOrigin known) {
+      return new Arrival(request, hop, mayRelay, arrivedNs, Optional.of(known));
+    }
+
+    private boolean needsOrigin(PlanRoute route) {
+      return origin.isEmpty()
+          && request.resumption().isPresent()
+          && route.kind() == RouteKind.STREAMING;
+    }
+  }
 
   private record Waiting(Arrival arrival, long expiryNs) {}
 
@@ -88,6 +112,7 @@
   private final QuotaAdmissionFilter quotaFilter;
   private final UpstreamPaths paths;
   private final RelayCoordinator relays;
+  private final StreamOriginClient origins;
   private final Consumer<ForwardAction> actions;
   private final Map<Long, Waiting> waiting = new LinkedHashMap<>();
   private Optional<PlanIndex> plan = Optional.empty();
@@ -100,6 +125,7 @@
       QuotaAdmissionFilter quotaFilter,
       UpstreamPaths paths,
       RelayCoordinator relays,
+      StreamOriginClient origins,
       Consumer<ForwardAction> actions) {
     this.random = random;
     this.controlClient = controlClient;
@@ -107,6 +133,7 @@
     this.paths = paths;
     this.relays = relays;
     relays.setFallback(this::serveHere);
+    this.origins = origins;
     this.actions = actions;
   }
 
@@ -122,13 +149,13 @@
 
   /** Handles a request that has been read completely. */
   void onRequest(ForwardRequest request, long nowNs) {
-    handle(new Arrival(request, Optional.empty(), true, nowNs), nowNs);
+    handle(new Arrival(request, Optional.empty(), true, nowNs, Optional.empty()), nowNs);
   }
 
   /** Handles a request that a peer has relayed to this VM. */
   void onRelayedRequest(ForwardRequest request, RelayHop hop, long nowNs) {
     long arrivedNs = nowNs - hop.elapsedMs() * NS_PER_MS;
-    handle(new Arrival(request, Optional.of(hop), false, arrivedNs), nowNs);
+    handle(new Arrival(request, Optional.of(hop), false, arrivedNs, hop.origin()), nowNs);
   }
 
   private void handle(Arrival arrival, long nowNs) {
@@ -230,7 +257,10 @@
 
   /** Serves a request at this VM after no peer could take it. */
   private void serveHere(RelayedRequest relayed, long nowNs) {
-    handle(new Arrival(relayed.request(), Optional.empty(), false, relayed.arrivedNs()), nowNs);
+    handle(
+        new Arrival(
+            relayed.request(), Optional.empty(), false, relayed.arrivedNs(), relayed.origin()),
+        nowNs);
   }
 
   private boolean isPlanConfirmed(long nowNs) {
@@ -243,14 +273,24 @@
 
   private void admit(
       Arrival arrival, PlanRoute route, Optional<PlanCustomer> customer, long nowNs) {
+    if (arrival.needsOrigin(route)) {
+      origins.resolve(
+          arrival.request(),
+          route,
+          customer.map(PlanCustomer::id),
+          (origin, atNs) -> onOrigin(arrival, origin, atNs),
+          nowNs);
+      return;
+    }
+    Optional<ServiceId> service = selectService(route, arrival.origin());
+    if (service.isEmpty()) {
+      refuse(arrival.request(), RefusalReason.NO_MATCHING_VERSION, UNKNOWN_ORIGIN_RETRY_MS);
+      return;
+    }
     ActiveRequest admitted =
         new ActiveRequest(
-            arrival.request(),
-            route,
-            drawService(route),
-            customer,
-            arrival.hop(),
-            arrival.arrivedNs());
+            arrival.request(), route, service.get(), customer, arrival.hop(), arrival.arrivedNs());
+    arrival.origin().ifPresent(admitted::resumeFrom);
     if (admitted.isRelayed() && !admitted.maybeRan() && paths.isLost(admitted.service())) {
       refuse(arrival.request(), RefusalReason.NO_PATH, 0);
       return;
@@ -259,6 +299,26 @@
     quotaFilter.onRequest(admitted, nowNs);
   }
 
+  /** Continues with a request that resumes a stream; it must not go on at a guess. */
+  private void onOrigin(Arrival arrival, Optional<StreamOrigin> origin, long nowNs) {
+    if (origin.isPresent()) {
+      handle(arrival.withOrigin(origin.get()), nowNs);
+    } else {
+      refuse(arrival.request(), RefusalReason.ORIGIN_UNKNOWN, UNKNOWN_ORIGIN_RETRY_MS);
+    }
+  }
+
+  /** Returns the service that began the stream if the route still leads there, or draws one. */
+  private Optional<ServiceId> selectService(PlanRoute route, Optional<StreamOrigin> origin) {
+    if (origin.isEmpty()) {
+      return Optional.of(drawService(route));
+    }
+    return route.targets().stream()
+        .map(WeightedService::service)
+        .filter(origin.get().service()::equals)
+        .findFirst();
+  }
+
   private ServiceId drawService(PlanRoute route) {
     int total = route.targets().stream().mapToInt(WeightedService::weight).sum();
     int drawn = random.nextInt(total);
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -59,6 +59,7 @@
   private final UpstreamPaths paths;
   private final PeerDirectory peers;
   private final PeerAnnouncer announcer;
+  private final StreamOriginClient origins;
   private final RejectionLimitTracker rejectionLimits;
   private boolean shuttingDown;
   private List<ForwardAction> actions = new ArrayList<>();
@@ -113,6 +114,7 @@
             controlClient,
             new ServiceFeature(settings.contention().waitForecasts(), upstreams),
             action -> actions.add(action));
+    origins = new StreamOriginClient(controlClient, upstreams, action -> actions.add(action));
     admission =
         new AdmissionController(
             random,
@@ -120,6 +122,7 @@
             quotaFilter,
             paths,
             requests.relays(),
+            origins,
             action -> actions.add(action));
     reports =
         new LeaderReporter(
@@ -244,7 +247,7 @@
    * @return the actions to carry out, in this order
    */
   public List<ForwardAction> onResponseStarted(long number, long nowNs) {
-    requests.onResponseStarted(number, nowNs);
+    requests.onResponseStarted(number, nowNs).ifPresent(begun -> origins.recordBegun(begun, nowNs));
     return collectActions(nowNs);
   }
 
@@ -366,6 +369,7 @@
    */
   public List<ForwardAction> onCallerDisconnected(long number, long nowNs) {
     admission.onCallerDisconnected(number);
+    origins.onCallerDisconnected(number);
     quotaFilter.onCallerDisconnected(number);
     requests.relays().onCallerDisconnected(number);
     requests.onCallerDisconnected(number, nowNs);
@@ -385,6 +389,8 @@
     } else if (reply instanceof ServingReply.NotLeading other) {
       controlClient.session().notLeading(other);
       updateMembers(other);
+    } else if (reply instanceof ServingReply.OriginAnswers answers) {
+      origins.onAnswers(answers, nowNs);
     } else if (reply instanceof ServingReply.Contention contention) {
       if (controlClient.session().isCurrentLeadership(contention.fencing())) {
         slots.contended(contention.fencing(), contention.services(), nowNs);
@@ -406,6 +412,7 @@
     } else if (reply instanceof ServingReply.RegistryUpdate update) {
       if (controlClient.session().isCurrentLeadership(update.fencing())) {
         upstreams.update(update.revision(), update.present());
+        origins.onRegistryUpdate(nowNs);
         requests.dispatchQueued(nowNs);
       }
     } else if (reply instanceof ServingReply.RolloutUpdate update) {
@@ -477,6 +484,7 @@
       actions.add(new ForwardAction.ConnectToMembers(controlClient.members()));
     }
     admission.tick(nowNs);
+    origins.tick(nowNs);
     quotaFilter.tick(nowNs);
     paths.tick(nowNs);
     requests.relays().tick(nowNs);
@@ -495,7 +503,8 @@
             requests.nextDueNs().orElse(Long.MAX_VALUE),
             requests.relays().nextDueNs().orElse(Long.MAX_VALUE),
             quotaFilter.nextDueNs().orElse(Long.MAX_VALUE),
-            admission.nextDueNs().orElse(Long.MAX_VALUE))
+            admission.nextDueNs().orElse(Long.MAX_VALUE),
+            origins.nextDueNs().orElse(Long.MAX_VALUE))
         .min()
         .getAsLong();
   }
@@ -528,7 +537,8 @@
     return requests.openRequests()
         + requests.relays().openRequests()
         + quotaFilter.waiting()
-        + admission.waiting();
+        + admission.waiting()
+        + origins.waiting();
   }
 
   /**
@@ -583,6 +593,7 @@
     if (!confirmed.fencing().equals(before)) {
       requests.onNewLeadership();
     }
+    origins.onConfirmed(confirmed, !confirmed.fencing().equals(before), nowNs);
     quarantine.scheduleResend(!confirmed.fencing().equals(before), nowNs);
     updateMembers(confirmed);
     requests.vmCount(confirmed.vmCount());
--- a/core/src/main/java/org/teaseltrail/core/forward/RefusalReason.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RefusalReason.java
@@ -24,6 +24,8 @@
   NO_PATH(false),
   /** It resumes a stream, and no upstream of the version that began it is registered. */
   NO_MATCHING_VERSION(false),
+  /** It resumes a stream, and nobody knows for certain which version began that. */
+  ORIGIN_UNKNOWN(false),
   /** No upstream that was tried ran it. */
   NOT_RUN(false),
   /** Its upstream's response was cut off or malformed; it may have run. */
--- a/core/src/main/java/org/teaseltrail/core/forward/RelayedRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RelayedRequest.java
@@ -127,6 +127,11 @@
     sends++;
   }
 
+  /** Returns what began its stream, if that is known. */
+  Optional<StreamOrigin> origin() {
+    return origin;
+  }
+
   /** Records what began the request's stream at a peer. */
   void setOrigin(StreamOrigin begunAt) {
     origin = Optional.of(origin.orElse(begunAt));
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
@@ -384,9 +384,14 @@
     }
   }
 
-  /** Records that the caller has received the first part of a streamed response. */
-  void onResponseStarted(long number, long nowNs) {
+  /**
+   * Records that the caller has received the first part of a streamed response.
+   *
+   * @return the request if its stream has begun with that
+   */
+  Optional<ActiveRequest> onResponseStarted(long number, long nowNs) {
     ActiveRequest request = activeRequests.get(number);
+    boolean hasBegun = request != null && request.origin().isEmpty();
     if (request != null) {
       versionRouter.recordResponseStarted(request, nowNs);
       conditions.recordFirstEvent(request, nowNs);
@@ -398,6 +403,7 @@
       deadlines.schedule(request);
       dispatchQueue(request.service(), nowNs);
     }
+    return hasBegun ? Optional.of(request) : Optional.empty();
   }
 
   /** Records the mean time between a stream's events. */
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingMessage.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingMessage.java
@@ -15,6 +15,8 @@
 import org.teaseltrail.core.quarantine.SuspectCopies;
 import org.teaseltrail.core.quota.QuotaReport;
 import org.teaseltrail.core.rollout.RolloutReport;
+import org.teaseltrail.core.stream.BegunStream;
+import org.teaseltrail.core.stream.OriginQuestion;
 import org.teaseltrail.core.upstream.SocketAddress;
 
 /** Message to a control member from an entry VM that selects upstreams locally. */
@@ -27,6 +29,15 @@
    */
   VmId vm();
 
+  /**
+   * Returns whether the message makes an earlier one of its kind from the same VM obsolete.
+   *
+   * @return false if each message must be handled
+   */
+  default boolean replacesEarlier() {
+    return true;
+  }
+
   /**
    * Renews the VM's session and reports the VM's state.
    *
@@ -194,6 +205,42 @@
     }
   }
 
+  /**
+   * Tells which version began streams, in case that their callers take them up at other VMs.
+   *
+   * @param vm the VM
+   * @param streams the streams
+   */
+  record StreamsBegun(VmId vm, List<BegunStream> streams) implements ServingMessage {
+    /** Copies the list. */
+    public StreamsBegun {
+      streams = List.copyOf(streams);
+    }
+
+    @Override
+    public boolean replacesEarlier() {
+      return false;
+    }
+  }
+
+  /**
+   * Asks which version began streams that callers take up.
+   *
+   * @param vm the VM
+   * @param questions the questions, to each of which the member answers
+   */
+  record OriginQuery(VmId vm, List<OriginQuestion> questions) implements ServingMessage {
+    /** Copies the list. */
+    public OriginQuery {
+      questions = List.copyOf(questions);
+    }
+
+    @Override
+    public boolean replacesEarlier() {
+      return false;
+    }
+  }
+
   /**
    * Reports the VM's queues and its requests in flight at each upstream. The newest report replaces
    * earlier ones.
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
@@ -15,10 +15,20 @@
 import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.rollout.CanaryAllowance;
 import org.teaseltrail.core.rollout.Rollout;
+import org.teaseltrail.core.stream.OriginAnswer;
 
 /** Message from a control member to an entry VM that selects upstreams locally. */
 public sealed interface ServingReply {
 
+  /**
+   * Returns whether the message may be sent only while the sender's lease is valid.
+   *
+   * @return false if any member may send it
+   */
+  default boolean requiresLease() {
+    return true;
+  }
+
   /**
    * Rejects a sync because this member is not the leader.
    *
@@ -32,6 +42,29 @@
     public NotLeading {
       members = List.copyOf(members);
     }
+
+    @Override
+    public boolean requiresLease() {
+      return false;
+    }
+  }
+
+  /**
+   * Answers questions for the origins of streams.
+   *
+   * @param answers one answer to each question
+   * @param proven whether an answer rests on the leader's knowledge that there was no other version
+   */
+  record OriginAnswers(List<OriginAnswer> answers, boolean proven) implements ServingReply {
+    /** Copies the list. */
+    public OriginAnswers {
+      answers = List.copyOf(answers);
+    }
+
+    @Override
+    public boolean requiresLease() {
+      return proven;
+    }
   }
 
   /**
@@ -48,6 +81,8 @@
    *     UpstreamSlots#NONE} while the leader doesn't know them
    * @param contended services whose slots the leader allocates
    * @param quotas the VM's allowances from customers' quotas
+   * @param mixedServices services that have had several versions recently, of which VMs tell the
+   *     members which version began each stream; empty from an older leader
    */
   record Confirmed(
       FencingNumber fencing,
@@ -58,13 +93,51 @@
       List<VmId> members,
       UpstreamSlots places,
       List<ServiceId> contended,
-      List<QuotaGrant> quotas)
+      List<QuotaGrant> quotas,
+      Optional<List<ServiceId>> mixedServices)
       implements ServingReply {
     /** Copies the lists. */
     public Confirmed {
       members = List.copyOf(members);
       contended = List.copyOf(contended);
       quotas = List.copyOf(quotas);
+      mixedServices = mixedServices.map(List::copyOf);
+    }
+
+    /**
+     * Creates a confirmation without services of several versions.
+     *
+     * @param fencing fencing number of the leadership
+     * @param sequence the sync's sequence
+     * @param planVersion version of the accepted plan
+     * @param registryRevision revision of the accepted registrations
+     * @param vmCount number of entry VMs with a session
+     * @param members VMs of all members
+     * @param places slots in use by other VMs, and the VM's own share of the slots
+     * @param contended services whose slots the leader allocates
+     * @param quotas the VM's allowances from customers' quotas
+     */
+    public Confirmed(
+        FencingNumber fencing,
+        long sequence,
+        long planVersion,
+        long registryRevision,
+        int vmCount,
+        List<VmId> members,
+        UpstreamSlots places,
+        List<ServiceId> contended,
+        List<QuotaGrant> quotas) {
+      this(
+          fencing,
+          sequence,
+          planVersion,
+          registryRevision,
+          vmCount,
+          members,
+          places,
+          contended,
+          quotas,
+          Optional.of(List.of()));
     }
   }
 
--- a/core/src/main/java/org/teaseltrail/core/state/ClusterState.java
+++ b/core/src/main/java/org/teaseltrail/core/state/ClusterState.java
@@ -9,14 +9,17 @@
 import org.teaseltrail.core.configuration.ConfigurationResult;
 import org.teaseltrail.core.id.Revision;
 import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.UpstreamVersion;
 import org.teaseltrail.core.invariant.Invariant;
 import org.teaseltrail.core.invariant.InvariantName;
 import org.teaseltrail.core.message.ClaimState;
 import org.teaseltrail.core.plan.InstalledPlan;
 import org.teaseltrail.core.quarantine.HeldRequestStore;
+import org.teaseltrail.core.registry.Registration;
 import org.teaseltrail.core.registry.RegistrationPhase;
 import org.teaseltrail.core.registry.UpstreamRegistry;
+import org.teaseltrail.core.registry.VersionHistory;
 import org.teaseltrail.core.rollout.RolloutOrder;
 import org.teaseltrail.core.rollout.RolloutOrderResult;
 import org.teaseltrail.core.rollout.RolloutStore;
@@ -50,6 +53,7 @@
   private final ClaimStore claims;
   private Configuration configuration;
   private final UpstreamRegistry registry;
+  private final VersionHistory versions;
   private final HeldRequestStore held;
   private final RolloutStore rollouts;
   private Optional<InstalledPlan> plan;
@@ -68,6 +72,11 @@
     ServingState serving = snapshot.serving().orElse(ServingState.empty());
     plan = serving.plan();
     registry = new UpstreamRegistry(serving.registryRevision(), serving.registrations());
+    versions =
+        serving
+            .retiredVersions()
+            .map(VersionHistory::new)
+            .orElseGet(() -> VersionHistory.unknown(serving.registrations(), logTimeMs));
     held = new HeldRequestStore(serving.held().orElse(List.of()));
     rollouts = new RolloutStore(serving.rolloutRevision(), serving.rollouts().orElse(List.of()));
   }
@@ -116,11 +125,11 @@
     if (command instanceof InstallPlan install) {
       install(install.installed());
     } else if (command instanceof RegisterUpstream register) {
-      registry.register(register.heard());
+      changeRegistry(register.heard().id(), () -> registry.register(register.heard()));
     } else if (command instanceof UpstreamLeaves leaves) {
-      registry.deregister(leaves.leaving());
+      changeRegistry(leaves.leaving().id(), () -> registry.deregister(leaves.leaving()));
     } else if (command instanceof DropUpstream drop) {
-      registry.removeSilent(drop.upstream());
+      changeRegistry(drop.upstream(), () -> registry.removeSilent(drop.upstream()));
     } else if (command instanceof HoldRequest hold) {
       held.hold(hold.held());
     } else if (command instanceof TryRequest trial) {
@@ -131,6 +140,12 @@
     return new CommandResult.ServingOutcome(planVersion(), registry.revision());
   }
 
+  private void changeRegistry(UpstreamId id, Runnable change) {
+    Optional<Registration> before = registry.find(id);
+    change.run();
+    versions.onChange(before, registry.find(id), logTimeMs);
+  }
+
   private RolloutOrderResult order(RolloutOrder order) {
     boolean known = plan.filter(held -> held.plan().hasService(order.service())).isPresent();
     return known
@@ -174,7 +189,8 @@
         List.copyOf(registry.all()),
         Optional.of(held.all()),
         rollouts.revision(),
-        Optional.of(rollouts.all()));
+        Optional.of(rollouts.all()),
+        Optional.of(versions.all()));
   }
 
   /** Returns the plan accepted from the external platform, if there is one. */
@@ -187,6 +203,11 @@
     return registry;
   }
 
+  /** Returns which versions the services have had recently, for lookup only. */
+  public VersionHistory versions() {
+    return versions;
+  }
+
   /** Returns the quarantined requests, which are sent to no upstream, for lookup only. */
   public HeldRequestStore held() {
     return held;
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
@@ -0,0 +1,288 @@
+package org.teaseltrail.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.teaseltrail.core.id.FencingNumber;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamVersion;
+import org.teaseltrail.core.plan.ServingPlan;
+import org.teaseltrail.core.plan.TestPlans;
+import org.teaseltrail.core.quarantine.RequestContent;
+import org.teaseltrail.core.registry.Registration;
+import org.teaseltrail.core.serving.ServingMessage;
+import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.stream.BegunStream;
+import org.teaseltrail.core.stream.OriginAnswer;
+import org.teaseltrail.core.stream.OriginQuestion;
+import org.teaseltrail.core.stream.StreamKey;
+import org.teaseltrail.core.stream.StreamOrigin;
+
+/** Streams that callers take up at an entry VM, where upstreams run two versions. */
+class StreamTakeUpTest extends ForwardNodeTestBase {
+
+  private static final String PATH = "/resumable/x";
+  private static final long MAX_WAIT_MS = 300;
+  private static final Registration OLD = upstream("a1", "v1");
+  private static final Registration NEW = upstream("b1", "v2");
+
+  /** Guards against a stream that goes on at another version at its caller's next try. */
+  @ParameterizedTest
+  @ValueSource(strings = {"v1", "v2"})
+  void goesOnAtVersionThatMemberTells(String version) {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    assertThat(dispatches()).isEmpty();
+    assertThat(questions())
+        .containsExactly(
+            new OriginQuestion(stream, Optional.of(key("id-before")), Optional.of(ENGINES)));
+    answer(stream, Optional.of(origin(ENGINES, version)));
+    assertThat(dispatches()).containsExactly(version.equals("v1") ? "a1" : "b1");
+  }
+
+  /** Guards against a stream that goes on at a guess because nobody knows its version. */
+  @Test
+  void isRefusedWhenNoMemberKnowsItsOrigin() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    answer(stream, Optional.empty());
+    assertThat(refusals()).containsExactly(RefusalReason.ORIGIN_UNKNOWN);
+    assertThat(retriesAfterMs()).allMatch(afterMs -> afterMs > 0);
+  }
+
+  /** Guards against a caller that waits for members which don't answer. */
+  @Test
+  void isRefusedWhenNoMemberAnswers() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    takeUp(Optional.of("id-before"), Optional.of("4"));
+    advanceMs(MAX_WAIT_MS - 1);
+    assertThat(refusals()).isEmpty();
+    advanceMs(1);
+    assertThat(refusals()).containsExactly(RefusalReason.ORIGIN_UNKNOWN);
+  }
+
+  /** Guards against names that are no names, by which a stream would pass for a known one. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", " ", "spoilt"})
+  void unusableNameIsAskedForWithoutName(String kind) {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    String name = kind.equals("spoilt") ? "x".repeat(10_000) : kind;
+    long stream = takeUp(Optional.of(name), Optional.of("4"));
+    assertThat(questions())
+        .containsExactly(new OriginQuestion(stream, Optional.empty(), Optional.of(ENGINES)));
+    answer(stream, Optional.empty());
+    assertThat(refusals()).containsExactly(RefusalReason.ORIGIN_UNKNOWN);
+  }
+
+  /** Guards against callers of before, who name no attempt, being sent to any version. */
+  @Test
+  void lastEventWithoutNameIsAskedForToo() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    long stream = takeUp(Optional.empty(), Optional.of("4"));
+    assertThat(dispatches()).isEmpty();
+    answer(stream, Optional.of(origin(ENGINES, "v2")));
+    assertThat(dispatches()).containsExactly("b1");
+  }
+
+  /** Guards against a name without a last event that counts as a new stream. */
+  @Test
+  void nameWithoutLastEventIsAskedForToo() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    takeUp(Optional.of("id-before"), Optional.empty());
+    assertThat(dispatches()).isEmpty();
+    assertThat(questions()).hasSize(1);
+  }
+
+  /** Guards against a stream that waits although no upstream of its version is left. */
+  @Test
+  void endsAtOnceWithoutUpstreamOfItsVersion() {
+    serveWith(TestPlans.plan(1), OLD);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    answer(stream, Optional.of(origin(ENGINES, "v2")));
+    assertThat(refusals()).containsExactly(RefusalReason.NO_MATCHING_VERSION);
+  }
+
+  /** Guards against a stream that goes on at another service after its route has moved. */
+  @Test
+  void endsWhenItsRouteLeadsElsewhere() {
+    serveWith(TestPlans.plan(1), OLD);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    answer(stream, Optional.of(origin(new ServiceId("former"), "v1")));
+    assertThat(refusals()).containsExactly(RefusalReason.NO_MATCHING_VERSION);
+  }
+
+  /** Guards against a question to the members where this VM knows the answer itself. */
+  @Test
+  void ownStreamNeedsNoQuestion() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    long first = arrive(PATH);
+    final String firstUpstream = dispatches().get(0);
+    node.onResponseStarted(first, nowNs);
+    end(first, AttemptOutcome.ANSWERED);
+    takeUp(Optional.of("id-" + first), Optional.of("4"));
+    assertThat(dispatches()).containsExactly(firstUpstream);
+  }
+
+  /** Guards against a stream whose origin is lost with the VM that began it. */
+  @Test
+  void tellsMembersWhichVersionBeganStream() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    long stream = arrive(PATH);
+    final String version = dispatches().get(0).equals("a1") ? "v1" : "v2";
+    node.onResponseStarted(stream, nowNs);
+    advanceMs(10);
+    assertThat(told())
+        .containsExactly(new BegunStream(key("id-" + stream), origin(ENGINES, version), 59_990));
+    advanceMs(100);
+    assertThat(told()).isEmpty();
+  }
+
+  /** Guards against messages for each stream where only one version serves. */
+  @Test
+  void tellsNothingWhereOneVersionServesUntilAnotherOneJoins() {
+    serveWith(TestPlans.plan(1), OLD);
+    long stream = arrive(PATH);
+    node.onResponseStarted(stream, nowNs);
+    advanceMs(100);
+    assertThat(told()).isEmpty();
+    node.onControlMessage(new ServingReply.RegistryUpdate(TERM, 2, List.of(OLD, NEW)), nowNs);
+    advanceMs(10);
+    assertThat(told()).extracting(BegunStream::key).containsExactly(key("id-" + stream));
+  }
+
+  /** Guards against members that have restarted all together and know of no stream. */
+  @Test
+  void tellsMembersOfNewLeaderAgain() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    long stream = arrive(PATH);
+    node.onResponseStarted(stream, nowNs);
+    advanceMs(10);
+    assertThat(told()).hasSize(1);
+    advanceMs(250);
+    node.onControlMessage(confirmed(new FencingNumber(2), Optional.of(List.of())), nowNs);
+    advanceMs(10);
+    assertThat(told()).extracting(BegunStream::key).containsExactly(key("id-" + stream));
+  }
+
+  /** Guards against messages that an older leader doesn't know, and a guess beside it. */
+  @Test
+  void olderLeaderIsNeitherToldNorAsked() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    advanceMs(250);
+    node.onControlMessage(confirmed(TERM, Optional.empty()), nowNs);
+    long stream = arrive(PATH);
+    node.onResponseStarted(stream, nowNs);
+    advanceMs(100);
+    assertThat(told()).isEmpty();
+    takeUp(Optional.of("id-before"), Optional.of("4"));
+    assertThat(questions()).isEmpty();
+    assertThat(refusals()).containsExactly(RefusalReason.ORIGIN_UNKNOWN);
+  }
+
+  /** Guards against a request without a stream that is asked for because of a stray header. */
+  @Test
+  void requestWithoutStreamIsNotAskedFor() {
+    Registration plain = upstream("p1", TestPlans.PLAIN, 2);
+    serveWith(TestPlans.plan(1), plain);
+    takeUp("/safe/x", Optional.of("id-before"), Optional.of("4"));
+    assertThat(dispatches()).containsExactly("p1");
+  }
+
+  /** Guards against an answer for a caller that has left. */
+  @Test
+  void answerForCallerThatLeftIsIgnored() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    node.onCallerDisconnected(stream, nowNs);
+    answer(stream, Optional.of(origin(ENGINES, "v1")));
+    assertThat(dispatches()).isEmpty();
+    assertThat(node.openRequests()).isZero();
+  }
+
+  private static final ServiceId ENGINES = TestPlans.ENGINES;
+
+  private long takeUp(Optional<String> begunBy, Optional<String> lastEventId) {
+    return takeUp(PATH, begunBy, lastEventId);
+  }
+
+  private long takeUp(String path, Optional<String> begunBy, Optional<String> lastEventId) {
+    lastNumber++;
+    ForwardRequest request =
+        new ForwardRequest(
+            lastNumber,
+            "id-" + lastNumber,
+            TestPlans.HOST,
+            path,
+            Optional.of(TestPlans.KEY),
+            OptionalLong.of(4_000),
+            OptionalInt.of(1_000),
+            OptionalInt.of(100),
+            List.of(),
+            RequestContent.EMPTY,
+            Optional.of(new StreamResumption(begunBy, lastEventId)));
+    actions = node.onRequest(request, nowNs);
+    return lastNumber;
+  }
+
+  private void answer(long number, Optional<StreamOrigin> origin) {
+    actions =
+        node.onControlMessage(
+            new ServingReply.OriginAnswers(List.of(new OriginAnswer(number, origin)), false),
+            nowNs);
+  }
+
+  private ServingReply.Confirmed confirmed(
+      FencingNumber fencing, Optional<List<ServiceId>> mixedServices) {
+    ServingPlan plan = node.plan().orElseThrow();
+    return new ServingReply.Confirmed(
+        fencing,
+        lastSequence,
+        plan.version(),
+        1,
+        1,
+        List.of(MEMBER),
+        places,
+        List.of(),
+        grants(),
+        mixedServices);
+  }
+
+  private List<OriginQuestion> questions() {
+    return sent(ServingMessage.OriginQuery.class).stream()
+        .flatMap(query -> query.questions().stream())
+        .toList();
+  }
+
+  private List<BegunStream> told() {
+    return sent(ServingMessage.StreamsBegun.class).stream()
+        .flatMap(message -> message.streams().stream())
+        .toList();
+  }
+
+  private <T extends ServingMessage> List<T> sent(Class<T> type) {
+    return actions.stream()
+        .filter(ForwardAction.SendControl.class::isInstance)
+        .map(action -> ((ForwardAction.SendControl) action).message())
+        .filter(type::isInstance)
+        .map(type::cast)
+        .toList();
+  }
+
+  private static StreamKey key(String attempt) {
+    return new StreamKey(Optional.of(TestPlans.CUSTOMER), attempt);
+  }
+
+  private static StreamOrigin origin(ServiceId service, String version) {
+    return new StreamOrigin(service, Optional.of(new UpstreamVersion(version)));
+  }
+
+  private static Registration upstream(String id, String version) {
+    return ForwardSamples.upstream(id, TestPlans.ENGINES, 2, version);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaseltrail/core/stream/StreamOriginRegistryTest.java
@@ -0,0 +1,58 @@
+package org.teaseltrail.core.stream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.id.CustomerId;
+import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.UpstreamVersion;
+
+class StreamOriginRegistryTest {
+
+  private static final long MS = 1_000_000L;
+  private static final StreamOrigin OLD = origin("v1");
+
+  private final StreamOriginRegistry store = new StreamOriginRegistry();
+
+  @Test
+  void findsOriginUntilItExpires() {
+    store.record(new BegunStream(key("c", "id-1"), OLD, 100), 0);
+    assertThat(store.find(key("c", "id-1"), 100 * MS - 1)).contains(OLD);
+    assertThat(store.find(key("c", "id-1"), 100 * MS)).isEmpty();
+  }
+
+  /** Guards against a customer that continues, or learns of, another customer's stream. */
+  @Test
+  void anotherCustomersStreamIsUnknown() {
+    store.record(new BegunStream(key("c", "id-1"), OLD, 100), 0);
+    assertThat(store.find(key("d", "id-1"), 1)).isEmpty();
+    assertThat(store.find(new StreamKey(Optional.empty(), "id-1"), 1)).isEmpty();
+  }
+
+  /** Guards against a name that stands for two streams, of which one would be guessed. */
+  @Test
+  void nameWithTwoOriginsIsUnknown() {
+    store.record(new BegunStream(key("c", "id-1"), OLD, 100), 0);
+    store.record(new BegunStream(key("c", "id-1"), origin("v2"), 100), 1);
+    assertThat(store.find(key("c", "id-1"), 2)).isEmpty();
+    store.record(new BegunStream(key("c", "id-1"), OLD, 100), 3);
+    assertThat(store.find(key("c", "id-1"), 4)).isEmpty();
+  }
+
+  /** Guards against an origin that is doubted because its VM tells it again. */
+  @Test
+  void sameOriginAgainIsKeptLonger() {
+    store.record(new BegunStream(key("c", "id-1"), OLD, 100), 0);
+    store.record(new BegunStream(key("c", "id-1"), OLD, 100), 90 * MS);
+    assertThat(store.find(key("c", "id-1"), 150 * MS)).contains(OLD);
+  }
+
+  private static StreamKey key(String customer, String attempt) {
+    return new StreamKey(Optional.of(new CustomerId(customer)), attempt);
+  }
+
+  private static StreamOrigin origin(String version) {
+    return new StreamOrigin(new ServiceId("engines"), Optional.of(new UpstreamVersion(version)));
+  }
+}
--- a/forward/src/main/java/org/teaseltrail/forward/RefusalStatus.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RefusalStatus.java
@@ -40,6 +40,7 @@
           QUARANTINED,
           NO_PATH,
           NO_MATCHING_VERSION,
+          ORIGIN_UNKNOWN,
           NOT_RUN,
           FORECAST ->
           UNAVAILABLE;
