Allow the fields of a resumed stream in a request's log lines

RequestLogger wrote resumes and after_event, LogEvent allows only the fields that it lists, and the exception ended the handling of the request. No test logged a take-up through the program.

--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -164,6 +164,8 @@
             LogField.ROUTE,
             LogField.OBJECTIVE_MS,
             LogField.DEADLINE_MS,
+            LogField.RESUMES,
+            LogField.AFTER_EVENT,
             LogField.UPSTREAM,
             LogField.UPSTREAM_VERSION,
             LogField.PEER,
