Tell the members of a stream's origin with its first event

A take-up that came within the 10 ms for which origins were collected was refused as unknown, and so was one whose VM was killed in that time. At the rates expected there is about one stream for each message anyway, so nothing is collected any more and a timer goes.

--- a/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
-import java.util.stream.LongStream;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.VmId;
@@ -37,9 +36,6 @@
 
   private static final long NS_PER_MS = 1_000_000L;
 
-  /** Maximum time for which streams are collected before the members are told of them. */
-  private static final long TELL_DELAY_NS = 10 * NS_PER_MS;
-
   /** Time after which a question counts as unanswered; a member answers within some ms. */
   private static final long MAX_WAIT_NS = 300 * NS_PER_MS;
 
@@ -93,7 +89,6 @@
   private long registeredRevision = Long.MIN_VALUE;
   private boolean isLeaderOld;
   private boolean wasLeaderLost;
-  private long tellDueNs = Long.MAX_VALUE;
 
   StreamOriginClient(
       ControlClient controlClient, UpstreamTracker upstreams, Consumer<ForwardAction> actions) {
@@ -109,7 +104,7 @@
     if (key.isPresent() && request.origin().isPresent()) {
       long expiryNs = nowNs + retentionMs(request) * NS_PER_MS;
       own.put(key.get(), new OwnStream(key.get(), request.origin().get(), expiryNs));
-      scheduleTelling(nowNs);
+      tellMembers(nowNs);
     }
   }
 
@@ -126,12 +121,12 @@
       own.values().forEach(stream -> stream.told = false);
     }
     wasLeaderLost = false;
-    scheduleTelling(nowNs);
+    tellMembers(nowNs);
   }
 
   /** Handles new registrations, by which a service may have got another version. */
   void onRegistryUpdate(long nowNs) {
-    scheduleTelling(nowNs);
+    tellMembers(nowNs);
   }
 
   /**
@@ -202,12 +197,9 @@
     return questions.size();
   }
 
-  /** Tells the members of new streams, and gives up questions that they have not answered. */
+  /** Gives up questions that the members have not answered. */
   void tick(long nowNs) {
     wasLeaderLost |= !controlClient.hasLeader(nowNs);
-    if (nowNs >= tellDueNs) {
-      tellMembers(nowNs);
-    }
     List<Long> overdue =
         questions.entrySet().stream()
             .filter(question -> nowNs >= question.getValue().expiryNs)
@@ -220,22 +212,7 @@
   }
 
   OptionalLong nextDueNs() {
-    long nextNs =
-        LongStream.concat(
-                LongStream.of(tellDueNs),
-                questions.values().stream().mapToLong(question -> question.expiryNs))
-            .min()
-            .getAsLong();
-    return nextNs == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(nextNs);
-  }
-
-  private void scheduleTelling(long nowNs) {
-    boolean isDue = own.values().stream().anyMatch(this::mustTell);
-    if (!isDue) {
-      tellDueNs = Long.MAX_VALUE;
-    } else if (tellDueNs == Long.MAX_VALUE) {
-      tellDueNs = nowNs + TELL_DELAY_NS;
-    }
+    return questions.values().stream().mapToLong(question -> question.expiryNs).min();
   }
 
   private boolean mustTell(OwnStream stream) {
@@ -259,8 +236,8 @@
                 .collect(Collectors.toSet()));
   }
 
+  /** Tells the members of the streams that they must know of and have not been told yet. */
   private void tellMembers(long nowNs) {
-    tellDueNs = Long.MAX_VALUE;
     removeExpired(nowNs);
     List<BegunStream> untold = new ArrayList<>();
     for (OwnStream stream : own.values()) {
--- a/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
@@ -135,10 +135,9 @@
     serveWith(TestPlans.plan(1), OLD, NEW);
     long stream = arrive(PATH);
     final String version = dispatches().get(0).equals("a1") ? "v1" : "v2";
-    node.onResponseStarted(stream, nowNs);
-    advanceMs(10);
+    actions = node.onResponseStarted(stream, nowNs);
     assertThat(told())
-        .containsExactly(new BegunStream(key("id-" + stream), origin(ENGINES, version), 59_990));
+        .containsExactly(new BegunStream(key("id-" + stream), origin(ENGINES, version), 60_000));
     advanceMs(100);
     assertThat(told()).isEmpty();
   }
@@ -151,8 +150,8 @@
     node.onResponseStarted(stream, nowNs);
     advanceMs(100);
     assertThat(told()).isEmpty();
-    node.onControlMessage(new ServingReply.RegistryUpdate(TERM, 2, List.of(OLD, NEW)), nowNs);
-    advanceMs(10);
+    actions =
+        node.onControlMessage(new ServingReply.RegistryUpdate(TERM, 2, List.of(OLD, NEW)), nowNs);
     assertThat(told()).extracting(BegunStream::key).containsExactly(key("id-" + stream));
   }
 
@@ -161,12 +160,10 @@
   void tellsMembersOfNewLeaderAgain() {
     serveWith(TestPlans.plan(1), OLD, NEW);
     long stream = arrive(PATH);
-    node.onResponseStarted(stream, nowNs);
-    advanceMs(10);
+    actions = node.onResponseStarted(stream, nowNs);
     assertThat(told()).hasSize(1);
     advanceMs(250);
-    node.onControlMessage(confirmed(new FencingNumber(2), Optional.of(List.of())), nowNs);
-    advanceMs(10);
+    actions = node.onControlMessage(confirmed(new FencingNumber(2), Optional.of(List.of())), nowNs);
     assertThat(told()).extracting(BegunStream::key).containsExactly(key("id-" + stream));
   }
 
