Show that a prompt part crashes one upstream after the other

PoisonRequestSimulation gives requests prompts: a first part that all have, one of six others, a last one of their own; deadly ones hold one part more, at any place but the last, and are no two alike.

--- a/core/src/test/java/org/teaseltrail/core/control/PoisonRequestSimulation.java
+++ b/core/src/test/java/org/teaseltrail/core/control/PoisonRequestSimulation.java
@@ -12,6 +12,7 @@
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardRequest;
+import org.teaseltrail.core.forward.PromptPart;
 import org.teaseltrail.core.forward.RefusalReason;
 import org.teaseltrail.core.plan.InstalledPlan;
 import org.teaseltrail.core.plan.TestPlans;
@@ -54,6 +55,9 @@
    */
   static final int CRASHES_UNTIL_KNOWN = 3;
 
+  /** The same number for a part that the prompts of different requests have in common. */
+  static final int CRASHES_UNTIL_PART_KNOWN = 5;
+
   private static final long NS_PER_MS = 1_000_000L;
   private static final int HEARTBEAT_EVERY_MS = 1_200;
   private static final int RESTART_DELAY_MS = 2_500;
@@ -65,9 +69,32 @@
   private static final int DEADLINE_MS = 4_000;
   private static final int MAX_RETRY_DELAY_MS = DEADLINE_MS / 3;
   private static final String POPULAR = "popular";
+  private static final String FIRST_PART = "first";
+  private static final int OTHER_PARTS = 6;
+  private static final int PART_TOKENS = 100;
 
-  /** One try of a caller. */
-  private record Call(String content, Kind kind, boolean poisonous, int triesLeft) {}
+  /**
+   * One try of a caller.
+   *
+   * @param culprit what its crashes are counted under, its content or the poison part of its prompt
+   * @param prompt the parts of its prompt
+   */
+  private record Call(
+      String content,
+      Kind kind,
+      boolean poisonous,
+      int triesLeft,
+      String culprit,
+      List<PromptPart> prompt) {
+
+    private Call(String content, Kind kind, boolean poisonous, int triesLeft) {
+      this(content, kind, poisonous, triesLeft, content, List.of());
+    }
+
+    private Call nextTry() {
+      return new Call(content, kind, poisonous, triesLeft - 1, culprit, prompt);
+    }
+  }
 
   /**
    * Attempt of one incarnation of a VM at an engine, or at an address where no engine runs any
@@ -82,21 +109,29 @@
   /** Counts the crashes that one poison content has caused. */
   static final class CrashStats {
     private final List<Long> crashTimesNs = new ArrayList<>();
+    private final int crashesUntilKnown;
     private int sendsAfterDetection;
 
+    private CrashStats(int crashesUntilKnown) {
+      this.crashesUntilKnown = crashesUntilKnown;
+    }
+
     int crashes() {
       return crashTimesNs.size();
     }
 
-    /** Returns the number of dispatches later than the propagation time after the third crash. */
+    /**
+     * Returns the number of dispatches later than the propagation time after the crash by which the
+     * culprit must be known.
+     */
     int sendsAfterDetection() {
       return sendsAfterDetection;
     }
 
     private void recordDispatch(long nowNs, long disturbedNs) {
       boolean isKnown =
-          crashTimesNs.size() >= CRASHES_UNTIL_KNOWN
-              && nowNs - crashTimesNs.get(CRASHES_UNTIL_KNOWN - 1) > PROPAGATION_MS * NS_PER_MS
+          crashTimesNs.size() >= crashesUntilKnown
+              && nowNs - crashTimesNs.get(crashesUntilKnown - 1) > PROPAGATION_MS * NS_PER_MS
               && nowNs - disturbedNs > PROPAGATION_MS * NS_PER_MS;
       sendsAfterDetection += isKnown ? 1 : 0;
     }
@@ -113,6 +148,9 @@
   private final Map<RefusalReason, Integer> popularRefused = new HashMap<>();
   private Optional<Kind> poisonKind = Optional.empty();
   private int poisonContents;
+  private boolean hasPrompts;
+  private int poisonParts;
+  private int poisonPartIntervalMs;
   private int popularIntervalMs;
   private boolean popularIsPoisonous;
   private int crashIntervalMs;
@@ -170,6 +208,35 @@
     poisonKind = Optional.empty();
   }
 
+  /**
+   * Gives requests prompts: a first part that all have in common, one of a few other parts, and a
+   * last part of their own.
+   */
+  void usePrompts() {
+    hasPrompts = true;
+  }
+
+  /**
+   * Makes callers send requests whose prompts hold one of some poison parts, at this interval; no
+   * two of them are alike.
+   */
+  void startPoisonParts(int parts, int intervalMs) {
+    poisonParts = parts;
+    poisonPartIntervalMs = intervalMs;
+  }
+
+  private Call poisonPartCall(long nowMs) {
+    String part = "deadly-part-" + nowMs / poisonPartIntervalMs % poisonParts;
+    return new Call("deadly-" + lastRequest, Kind.STREAM, true, 1, part, prompt(Optional.of(part)));
+  }
+
+  private List<PromptPart> prompt(Optional<String> poisonPart) {
+    List<String> ids = new ArrayList<>(List.of(FIRST_PART, "other-" + random.nextInt(OTHER_PARTS)));
+    poisonPart.ifPresent(part -> ids.add(random.nextInt(ids.size() + 1), part));
+    ids.add("last-" + lastRequest);
+    return ids.stream().map(id -> new PromptPart(id, PART_TOKENS)).toList();
+  }
+
   /** Makes callers request one harmless content at this interval; 0 for never. */
   void startPopularRequests(int intervalMs) {
     popularIntervalMs = intervalMs;
@@ -280,7 +347,11 @@
       long nowMs = group.nowNs() / NS_PER_MS;
       if (random.nextDouble() < perSecond / 1_000) {
         Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
-        submit(new Call("own-" + lastRequest, kind, false, 2));
+        String content = "own-" + lastRequest;
+        submit(
+            hasPrompts
+                ? new Call(content, kind, false, 2, content, prompt(Optional.empty()))
+                : new Call(content, kind, false, 2));
       }
       if (popularIntervalMs > 0 && nowMs % popularIntervalMs == 0) {
         submit(new Call(POPULAR, Kind.STREAM, popularIsPoisonous, 2));
@@ -288,6 +359,9 @@
       if (crashIntervalMs > 0 && nowMs % crashIntervalMs == 0) {
         crashEngine(engines.get(random.nextInt(engines.size())));
       }
+      if (poisonParts > 0 && nowMs % poisonPartIntervalMs == 0) {
+        submit(poisonPartCall(nowMs));
+      }
       poisonKind
           .filter(kind -> nowMs % POISON_INTERVAL_MS == 0)
           .ifPresent(
@@ -321,7 +395,7 @@
             OptionalLong.of(DEADLINE_MS),
             OptionalInt.of(500),
             OptionalInt.of(100),
-            List.of(),
+            call.prompt(),
             content);
     int vm = random.nextInt(vms.count());
     vms.execute(vm, vms.node(vm).onRequest(request, group.nowNs()));
@@ -371,7 +445,7 @@
     }
     boolean canRetry = !refuse.refusalReason().maybeRan() || call.kind() != Kind.STREAM;
     if (call.triesLeft() > 1 && (canRetry || call.poisonous())) {
-      Call next = new Call(call.content(), call.kind(), call.poisonous(), call.triesLeft() - 1);
+      Call next = call.nextTry();
       long delayMs = Math.min(MAX_RETRY_DELAY_MS, refuse.retryAfterMs());
       later((int) Math.max(50, delayMs), () -> send(next));
     }
@@ -458,7 +532,9 @@
   }
 
   private CrashStats crashStatsOf(Call call) {
-    return crashStats.computeIfAbsent(call.content(), content -> new CrashStats());
+    int crashesUntilKnown =
+        call.prompt().isEmpty() ? CRASHES_UNTIL_KNOWN : CRASHES_UNTIL_PART_KNOWN;
+    return crashStats.computeIfAbsent(call.culprit(), culprit -> new CrashStats(crashesUntilKnown));
   }
 
   private void sendHeartbeats() {
