Log which prompt parts a request has whose upstream was lost

Upstreams ended one after the other under requests of which no two were alike; our lines named the whole content only, by which they had nothing in common. The lines of a broken attempt and of a quarantined request now name the parts of the prompt but the last (PartFeature). No decision changes.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardRequest.java
@@ -8,6 +8,7 @@
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.plan.PlanRoute;
 import org.teaseltrail.core.quarantine.Fingerprint;
+import org.teaseltrail.core.quarantine.PartFeature;
 import org.teaseltrail.core.quarantine.RequestContent;
 
 /**
@@ -104,6 +105,22 @@
     return Fingerprint.of(scope(customer), customer, host, content);
   }
 
+  /**
+   * Returns the parts of its prompt other than the last, by which the quarantine finds out what
+   * different requests have in common.
+   *
+   * @param customer the customer that sent it, if known
+   * @return the parts, each once
+   */
+  public List<PartFeature> partFeatures(Optional<CustomerId> customer) {
+    return prompt.stream()
+        .limit(Math.max(0, prompt.size() - 1))
+        .map(PromptPart::id)
+        .distinct()
+        .map(id -> new PartFeature(customer, id))
+        .toList();
+  }
+
   /**
    * Returns when the final answer is due: at the route's timeout or the caller's deadline,
    * whichever is earlier.
--- a/forward/src/main/java/org/teaseltrail/forward/RequestLogger.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RequestLogger.java
@@ -1,7 +1,9 @@
 package org.teaseltrail.forward;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.stream.Collectors;
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardRequest;
@@ -9,7 +11,7 @@
 import org.teaseltrail.core.forward.StreamResumption;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.plan.PlanRoute;
-import org.teaseltrail.core.quarantine.Fingerprint;
+import org.teaseltrail.core.quarantine.PartFeature;
 import org.teaseltrail.core.relay.RelayHop;
 import org.teaseltrail.core.relay.RelayOutcome;
 import org.teaseltrail.runtime.log.EventLog;
@@ -84,9 +86,9 @@
             .with(LogField.STATUS, status)
             .with(LogField.AT_UPSTREAM_MS, (nowNs - dispatchedNs) / NS_PER_MS);
     if (end == AttemptOutcome.BROKEN) {
-      // The same fingerprint in the losses of several upstreams identifies a request that crashes
-      // them.
-      line.with(LogField.FINGERPRINT, fingerprint().text());
+      // The same fingerprint in the losses of several upstreams identifies a request, or a part of
+      // prompts, that crashes them.
+      addFingerprints(line, lastDispatch.flatMap(ForwardAction.Dispatch::customer));
     }
     line.write();
   }
@@ -109,7 +111,7 @@
         .with(LogField.RETRY_AFTER_MS, refuse.retryAfterMs());
     refuse.expectedWaitMs().ifPresent(waitMs -> line.with(LogField.EXPECTED_WAIT_MS, waitMs));
     if (refuse.refusalReason() == RefusalReason.QUARANTINED) {
-      line.with(LogField.FINGERPRINT, request.fingerprint(refuse.customer()).text());
+      addFingerprints(line, refuse.customer());
     }
     line.write();
   }
@@ -118,8 +120,14 @@
     line(log, LogEvent.CALLER_LEFT, nowNs).with(LogField.BEGUN, responseStarted).write();
   }
 
-  private Fingerprint fingerprint() {
-    return request.fingerprint(lastDispatch.flatMap(ForwardAction.Dispatch::customer));
+  private void addFingerprints(EventLog.Line line, Optional<CustomerId> customer) {
+    line.with(LogField.FINGERPRINT, request.fingerprint(customer).text());
+    List<PartFeature> parts = request.partFeatures(customer);
+    if (!parts.isEmpty()) {
+      line.with(
+          LogField.PARTS,
+          parts.stream().map(part -> part.fingerprint().text()).collect(Collectors.joining(",")));
+    }
   }
 
   private EventLog.Line line(EventLog log, LogEvent event, long nowNs) {
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -66,6 +66,8 @@
   AT_UPSTREAM_MS("time that the upstream had the request"),
   /** Fingerprint of the request's content and customer. */
   FINGERPRINT("names the request's content and customer, whatever its id"),
+  /** Fingerprints of the parts of the request's prompt. */
+  PARTS("names the parts of the prompt but the last, together with their customer"),
   /** Number of upstreams lost while processing the request. */
   LOSSES("upstreams that were lost under the request, 0 if another leader held it"),
   /** Whether the upstream reports a rate limit. */
