Take a stream that ends with its connection before any event for broken

What callers saw: a stream without length or chunks whose upstream ended after its head, without a reset, was delivered as a whole answer without any event; such an end also counted as an answer in favour of what ended the upstream.

Cause: a stream at an event's boundary was whole, and so it is before its first byte. Evidence: UnframedStreamProgramsTest.streamWithoutAnyEvent- IsNoAnswer, red before (200), through the real programs on loopback; its other four cases (ends after an event, inside one, reset, goes on where allowed) were green before and are the promise's test. An empty stream that has a length or a last chunk is whole as before.

--- a/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
@@ -29,6 +29,7 @@
   private ResponseHead head;
   private int status;
   private boolean forwardsEvents;
+  private boolean endsWithConnection;
   private boolean ended;
   private long sentNs;
   private long firstEventNs;
@@ -126,6 +127,8 @@
   public final void headReceived(HttpResponse response, ResponseHead read) {
     head = read;
     status = response.status().code();
+    endsWithConnection =
+        !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
     boolean forwardable = onHead(response, read);
     forwardsEvents = forwardable && success && read.signed() && read.eventStream();
@@ -182,6 +185,15 @@
     report(outcome);
   }
 
+  /**
+   * Returns whether a stream that has ended is whole. One that ended inside an event is not, nor
+   * one that ended with its connection before any event: its sender has probably crashed.
+   */
+  final boolean isStreamWhole() {
+    boolean hasEvents = firstEventNs > 0;
+    return exchange.events().isAtEventBoundary() && (hasEvents || !endsWithConnection);
+  }
+
   /** Returns the mean interval between events in milliseconds, 0 if there was at most one read. */
   final double meanEventIntervalMs() {
     long laterEvents = exchange.events().forwardedEvents() - eventsInFirstRead;
--- a/forward/src/main/java/org/teaseltrail/forward/RelayAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RelayAttempt.java
@@ -75,7 +75,7 @@
   /** Returns whether the answer can end the request; one to a resumed stream must be a stream. */
   private boolean isComplete() {
     if (forwardsEvents()) {
-      return exchange().events().isAtEventBoundary();
+      return isStreamWhole();
     }
     return named.isPresent() && !exchange().hasResponseStarted();
   }
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamAttempt.java
@@ -122,9 +122,7 @@
       return AttemptOutcome.REFUSED;
     }
     if (forwardsEvents()) {
-      return exchange().events().isAtEventBoundary()
-          ? AttemptOutcome.ANSWERED
-          : AttemptOutcome.BROKEN;
+      return isStreamWhole() ? AttemptOutcome.ANSWERED : AttemptOutcome.BROKEN;
     }
     boolean success = status() >= HttpResponseStatus.OK.code() && status() < 300;
     boolean isStreamResumed = exchange().hasResponseStarted();
