--- a/core/src/test/java/org/teaseltrail/core/control/ServingSimulation.java
+++ b/core/src/test/java/org/teaseltrail/core/control/ServingSimulation.java
@@ -8,6 +8,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
+import org.teaseltrail.core.contention.ContentionSettings;
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardNode;
@@ -15,6 +16,7 @@
 import org.teaseltrail.core.forward.RefusalReason;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.plan.InstalledPlan;
+import org.teaseltrail.core.plan.ServingPlan;
 import org.teaseltrail.core.plan.TestPlans;
 import org.teaseltrail.core.quarantine.RequestContent;
 
@@ -48,12 +50,33 @@
   private long lastFullNs;
   private long lastRequest;
   private long firstCounted;
+  private int busiestVm;
+  private double busiestVmShare;
+  private int firstTries;
+  private int firstTriesRefused;
 
   ServingSimulation(SplittableRandom random) {
+    this(random, TestPlans.plan(1), ControlSettings.DEFAULT.contention());
+  }
+
+  /** Starts the simulation with a plan and with the features that apply. */
+  ServingSimulation(SplittableRandom random, ServingPlan plan, ContentionSettings contention) {
     this.random = random;
+    ControlSettings usual = ControlSettings.DEFAULT;
+    group.useSettings(
+        new ControlSettings(
+            usual.sessions(),
+            usual.claims(),
+            usual.claimExpiryIntervalMs(),
+            usual.placement(),
+            usual.seed(),
+            usual.quotas(),
+            usual.rollouts(),
+            contention,
+            usual.repair()));
     group.start();
     FakeControlMember leader = group.leader();
-    group.call(leader, new OperatorRequest.InstallPlan(new InstalledPlan(TestPlans.plan(1), "{}")));
+    group.call(leader, new OperatorRequest.InstallPlan(new InstalledPlan(plan, "{}")));
     for (int i = 0; i < LATENCY_FACTORS.length; i++) {
       engines.add(new FakeEngine("e" + i, LATENCY_FACTORS[i]));
     }
@@ -83,10 +106,23 @@
   void resetCounters() {
     refused.clear();
     refusedWithSpareCapacity.clear();
+    firstTries = 0;
+    firstTriesRefused = 0;
     firstCounted = lastRequest + 1;
     engines.forEach(FakeEngine::resetDispatchCount);
   }
 
+  /** Makes a share of all requests arrive at one VM, and the others at any. */
+  void sendMostTo(int vm, double share) {
+    busiestVm = vm;
+    busiestVmShare = share;
+  }
+
+  /** Returns the share of counted requests that their first try's VM has not refused. */
+  double servedFirstTries() {
+    return 1 - (double) firstTriesRefused / firstTries;
+  }
+
   /** Returns the counted refusals by reason. */
   Map<RefusalReason, Integer> refused() {
     return refused;
@@ -171,7 +207,9 @@
 
   private void call(boolean canRetry) {
     lastRequest++;
-    int vm = random.nextInt(VMS);
+    boolean isAtBusiestVm = random.nextDouble() < busiestVmShare;
+    int vm = isAtBusiestVm ? busiestVm : random.nextInt(VMS);
+    firstTries += canRetry ? 1 : 0;
     long number = canRetry ? 2 * lastRequest : 2 * lastRequest + 1;
     ForwardRequest request =
         new ForwardRequest(
@@ -206,6 +244,7 @@
     if (refuse.request() / 2 < firstCounted) {
       return;
     }
+    firstTriesRefused += refuse.request() % 2 == 0 ? 1 : 0;
     refused.merge(refuse.refusalReason(), 1, Integer::sum);
     if (group.nowNs() - lastFullNs > ALLOCATION_DELAY_NS) {
       refusedWithSpareCapacity.merge(refuse.refusalReason(), 1, Integer::sum);
