--- a/core/src/test/java/org/teaseltrail/core/control/DealtSlotsSimulation.java
+++ b/core/src/test/java/org/teaseltrail/core/control/DealtSlotsSimulation.java
@@ -77,18 +77,7 @@
     random = new SplittableRandom(seed);
     ContentionSettings contention =
         new ContentionSettings(FeatureMode.OFF, FeatureMode.OFF, FeatureMode.OFF, mode);
-    ControlSettings usual = ControlSettings.DEFAULT;
-    group.useSettings(
-        new ControlSettings(
-            usual.sessions(),
-            usual.claims(),
-            usual.claimExpiryIntervalMs(),
-            usual.placement(),
-            usual.seed(),
-            usual.quotas(),
-            usual.rollouts(),
-            contention,
-            usual.repair()));
+    group.useContention(contention);
     group.start();
     group.call(
         group.leader(),
--- a/core/src/test/java/org/teaseltrail/core/control/FakeControlGroup.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeControlGroup.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import org.teaseltrail.core.configuration.ConfigurationChange;
+import org.teaseltrail.core.contention.ContentionSettings;
 import org.teaseltrail.core.id.ChangeId;
 import org.teaseltrail.core.id.MemberId;
 import org.teaseltrail.core.id.Revision;
@@ -123,6 +124,22 @@
     settings = newSettings;
   }
 
+  /** Uses the default settings with these features. */
+  void useContention(ContentionSettings contention) {
+    ControlSettings usual = ControlSettings.DEFAULT;
+    settings =
+        new ControlSettings(
+            usual.sessions(),
+            usual.claims(),
+            usual.claimExpiryIntervalMs(),
+            usual.placement(),
+            usual.seed(),
+            usual.quotas(),
+            usual.rollouts(),
+            contention,
+            usual.repair());
+  }
+
   ControlSettings settings() {
     return settings;
   }
--- a/core/src/test/java/org/teaseltrail/core/control/ServingSimulation.java
+++ b/core/src/test/java/org/teaseltrail/core/control/ServingSimulation.java
@@ -62,18 +62,7 @@
   /** Starts the simulation with a plan and with the features that apply. */
   ServingSimulation(SplittableRandom random, ServingPlan plan, ContentionSettings contention) {
     this.random = random;
-    ControlSettings usual = ControlSettings.DEFAULT;
-    group.useSettings(
-        new ControlSettings(
-            usual.sessions(),
-            usual.claims(),
-            usual.claimExpiryIntervalMs(),
-            usual.placement(),
-            usual.seed(),
-            usual.quotas(),
-            usual.rollouts(),
-            contention,
-            usual.repair()));
+    group.useContention(contention);
     group.start();
     FakeControlMember leader = group.leader();
     group.call(leader, new OperatorRequest.InstallPlan(new InstalledPlan(plan, "{}")));
--- a/core/src/test/java/org/teaseltrail/core/control/SharedMachineSimulation.java
+++ b/core/src/test/java/org/teaseltrail/core/control/SharedMachineSimulation.java
@@ -103,7 +103,7 @@
     engines.forEach(engine -> engineById.put(engine.registration().id(), engine));
     ContentionSettings contention =
         new ContentionSettings(FeatureMode.OFF, FeatureMode.OFF, conditions, FeatureMode.OFF);
-    group.useSettings(settings(contention));
+    group.useContention(contention);
     group.start();
     group.call(group.leader(), new OperatorRequest.InstallPlan(new InstalledPlan(plan(), "{}")));
     vms = new FakeEntryVms(group, VMS, random, contention, this::execute);
@@ -112,20 +112,6 @@
     run(1_000, 0);
   }
 
-  private static ControlSettings settings(ContentionSettings contention) {
-    ControlSettings usual = ControlSettings.DEFAULT;
-    return new ControlSettings(
-        usual.sessions(),
-        usual.claims(),
-        usual.claimExpiryIntervalMs(),
-        usual.placement(),
-        usual.seed(),
-        usual.quotas(),
-        usual.rollouts(),
-        contention,
-        usual.repair());
-  }
-
   private static ServingPlan plan() {
     return new ServingPlan(
         1,
