--- a/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
@@ -42,6 +42,7 @@
   /** Time for which an origin is kept if the caller's deadline is shorter. */
   private static final long MIN_RETENTION_MS = 60_000;
 
+  /** Maximum time for which an origin is kept, whatever the caller's deadline. */
   private static final long MAX_RETENTION_MS = 600_000;
 
   /** Bounds the memory of requests that wait for an origin. */
@@ -84,8 +85,8 @@
   private final Consumer<ForwardAction> actions;
   private final Map<StreamKey, OwnStream> own = new LinkedHashMap<>();
   private final Map<Long, OpenQuestion> questions = new HashMap<>();
-  private Set<ServiceId> mixedServices = Set.of();
   private final Map<ServiceId, Set<StreamOrigin>> registered = new HashMap<>();
+  private Set<ServiceId> mixedServices = Set.of();
   private long registeredRevision = Long.MIN_VALUE;
   private boolean isLeaderOld;
   private boolean wasLeaderLost;
--- a/core/src/main/java/org/teaseltrail/core/suspect/QuarantineTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/suspect/QuarantineTracker.java
@@ -99,24 +99,12 @@
    * @return true if it is quarantined and no trial
    */
   public boolean isQuarantined(QuarantineSubject request, long nowNs) {
-    return !request.isTrial() && heldFingerprint(request, nowNs).isPresent();
-  }
-
-  /**
-   * Returns what of a request is quarantined.
-   *
-   * @param request the request
-   * @param nowNs current time, in nanoseconds
-   * @return the fingerprint of its content or of a part of its prompt, empty if neither is
-   */
-  public Optional<Fingerprint> heldFingerprint(QuarantineSubject request, long nowNs) {
-    if (!hasSuspects()) {
-      return Optional.empty();
+    if (!hasSuspects() || request.isTrial()) {
+      return false;
     }
     boolean decidesAlone = !hasLeader.test(nowNs);
     return request.fingerprints(this::isKnownScope).stream()
-        .filter(one -> held.contains(one) || (decidesAlone && ownLosses.mustHold(one)))
-        .findFirst();
+        .anyMatch(one -> held.contains(one) || (decidesAlone && ownLosses.mustHold(one)));
   }
 
   /**
