Take no origin of a stream from a caller's own headers

A relayed request carries the caller's headers, and with them whatever the caller names as the origin of its stream, if this VM knows none. They are removed before the hop is written.

--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardRelayTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardRelayTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.teaseltrail.core.contention.ContentionSettings;
+import org.teaseltrail.core.id.UpstreamVersion;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.TestPlans;
 import org.teaseltrail.core.relay.ProbeResult;
@@ -18,6 +19,7 @@
 import org.teaseltrail.core.serving.PeerVm;
 import org.teaseltrail.core.serving.ServingMessage;
 import org.teaseltrail.core.serving.ServingReply;
+import org.teaseltrail.core.stream.StreamOrigin;
 import org.teaseltrail.core.upstream.SocketAddress;
 
 /** Tests what one entry VM does with requests that it can't send to any upstream. */
@@ -127,6 +129,20 @@
     assertThat(relays()).hasSize(1);
   }
 
+  /** Guards against a stream that the next peer continues at another version. */
+  @Test
+  void nextPeerIsToldWhatBeganTheStream() {
+    namePeers(4);
+    losePaths();
+    long number = arrive("/safe/x");
+    assertThat(relays().get(0).hop().origin()).isEmpty();
+    StreamOrigin origin = new StreamOrigin(TestPlans.PLAIN, Optional.of(new UpstreamVersion("v1")));
+    node.onRelayOrigin(number, origin);
+    endRelay(number, RelayOutcome.BROKEN);
+    assertThat(relays()).hasSize(1);
+    assertThat(relays().get(0).hop().origin()).contains(origin);
+  }
+
   /** Guards against callers that get no answer because no peer has a path either. */
   @Test
   void requestIsServedHereIfAllPeersDecline() {
--- a/forward/src/main/java/org/teaseltrail/forward/RelayHeaders.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RelayHeaders.java
@@ -33,6 +33,9 @@
     headers.set(ELAPSED_MS, hop.elapsedMs());
     headers.set(SENDS, hop.sends());
     headers.set(MAYBE_RAN, hop.maybeRan());
+    // A caller may have sent such headers itself.
+    headers.remove(ORIGIN_SERVICE);
+    headers.remove(ORIGIN_VERSION);
     hop.origin().ifPresent(origin -> writeOrigin(headers, origin));
   }
 
