--- a/forward/src/test/java/org/teaseltrail/forward/RelayHeadersTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/RelayHeadersTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.id.StringId;
 import org.teaseltrail.core.id.UpstreamVersion;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.relay.RelayHop;
@@ -53,7 +54,7 @@
   @Test
   void malformedOriginIsRefused() {
     RelayHeaders.writeHop(headers, new RelayHop(FROM, 12, 1, true));
-    headers.set("Relay-Origin-Service", " ");
+    headers.set("Relay-Origin-Service", "s".repeat(StringId.MAX_LENGTH + 1));
     assertThatThrownBy(() -> RelayHeaders.takeHop(headers))
         .isInstanceOf(MalformedRequestException.class);
   }
