--- a/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.teaseltrail.core.collection.OrderedCopies;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.VmId;
@@ -117,7 +118,7 @@
   /** Applies the leader's list of services with several versions. */
   void onConfirmed(ServingReply.Confirmed confirmed, boolean isNewLeadership, long nowNs) {
     isLeaderOld = confirmed.mixedServices().isEmpty();
-    mixedServices = Set.copyOf(confirmed.mixedServices().orElse(List.of()));
+    mixedServices = OrderedCopies.setOf(confirmed.mixedServices().orElse(List.of()));
     if (isNewLeadership || wasLeaderLost) {
       own.values().forEach(stream -> stream.told = false);
     }
