Refuse requests that are at no upstream in one place

What a request hears that ends because no upstream can continue its stream is decided as for one without an upstream: refuseUnsent, with the reason. endIfNoneCanContinue ends the request itself instead of leaving that to both callers; a local variable no longer hides a field. Behaviour as before; StreamContinuationTest, StreamTakeUpTest, StreamVersionTest and ForwardNodeTest are green.

--- a/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
@@ -450,7 +450,6 @@
       return;
     }
     if (endIfNoneCanContinue(request)) {
-      untrack(request);
       return;
     }
     if (dispatcher.tryDispatchAsCanary(request, nowNs) || dispatchBegun(request, nowNs)) {
@@ -487,11 +486,8 @@
     if (canContinue) {
       return false;
     }
-    if (request.maybeRan()) {
-      refuse(request, RefusalReason.BROKEN, 0);
-    } else {
-      refuse(request, RefusalReason.NO_MATCHING_VERSION, QueueLengthLimiter.NO_SLOT_RETRY_MS);
-    }
+    untrack(request);
+    refuseUnsent(request, RefusalReason.NO_MATCHING_VERSION, QueueLengthLimiter.NO_SLOT_RETRY_MS);
     return true;
   }
 
@@ -599,11 +595,7 @@
   /** Dispatches the queued requests whose streams have begun, or ends them if none can go on. */
   private void dispatchQueuedBegun(RequestQueue waiting, long nowNs) {
     for (ActiveRequest request : waiting.begun()) {
-      boolean isEnded = endIfNoneCanContinue(request);
-      if (isEnded) {
-        untrack(request);
-      }
-      if (isEnded || dispatchBegun(request, nowNs)) {
+      if (endIfNoneCanContinue(request) || dispatchBegun(request, nowNs)) {
         waiting.remove(request);
         changes++;
       }
@@ -688,10 +680,15 @@
   }
 
   private void refuseWithoutUpstream(ActiveRequest request, long retryAfterMs) {
+    refuseUnsent(request, RefusalReason.NO_UPSTREAM, retryAfterMs);
+  }
+
+  /** Refuses a request that is at no upstream; one that may have run can't be said not to have. */
+  private void refuseUnsent(ActiveRequest request, RefusalReason notRun, long retryAfterMs) {
     if (request.maybeRan()) {
       refuse(request, RefusalReason.BROKEN, 0);
     } else {
-      refuse(request, RefusalReason.NO_UPSTREAM, retryAfterMs);
+      refuse(request, notRun, retryAfterMs);
     }
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
@@ -172,8 +172,8 @@
 
   /** Returns the only origin that this VM's registrations allow. */
   private Optional<StreamOrigin> onlyRegistered(ServiceId service) {
-    Set<StreamOrigin> registered = registeredOrigins(service);
-    return registered.size() == 1 ? registered.stream().findFirst() : Optional.empty();
+    Set<StreamOrigin> origins = registeredOrigins(service);
+    return origins.size() == 1 ? origins.stream().findFirst() : Optional.empty();
   }
 
   /** Handles a member's answers; the last one to a question decides if none knows the origin. */
