Decide about parts beside requests, and find scopes by a lookup

QuarantineCandidates.decided names the parts to hold too, so that the coordinator merges nothing in two places. With parts, each request asks for some six scopes and suspects are more, and each question went through all suspects; a count by scope answers it. Behaviour as before; the tests of the quarantine and PoisonPartTest are green.

--- a/core/src/main/java/org/teaseltrail/core/control/QuarantineCandidates.java
+++ b/core/src/main/java/org/teaseltrail/core/control/QuarantineCandidates.java
@@ -121,9 +121,11 @@
     }
   }
 
-  /** Returns the requests that are to be held, with their customers. */
+  /** Returns the requests and the parts of prompts that are to be held, with their customers. */
   Map<Fingerprint, Optional<CustomerId>> decided() {
-    return customers(true);
+    Map<Fingerprint, Optional<CustomerId>> decided = customers(true);
+    decided.putAll(losses.findPartsToHold());
+    return decided;
   }
 
   /** Returns the requests that must not be sent for now, with their customers. */
--- a/core/src/main/java/org/teaseltrail/core/control/QuarantineCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/QuarantineCoordinator.java
@@ -164,9 +164,7 @@
     losses.removeExpired(nowNs);
     heartbeatsNs.values().removeIf(atNs -> nowNs - atNs > LOSS_RETENTION_MS * NS_PER_MS);
     final boolean isChanged = refresh();
-    Map<Fingerprint, Optional<CustomerId>> decided = new LinkedHashMap<>(candidates.decided());
-    decided.putAll(losses.findPartsToHold());
-    for (Map.Entry<Fingerprint, Optional<CustomerId>> one : decided.entrySet()) {
+    for (Map.Entry<Fingerprint, Optional<CustomerId>> one : candidates.decided().entrySet()) {
       boolean isSettled = nowNs - losses.newestLossNs(one.getKey()) >= COMMIT_DELAY_NS;
       if (isSettled && !heldRequests().contains(one.getKey())) {
         long logTimeMs = leadership.logTimeMs(nowNs);
@@ -190,7 +188,6 @@
     heldRequests().all().forEach(one -> newHeld.put(one.request(), one.customer()));
     candidates.update(leadership.nowNs());
     newHeld.putAll(candidates.decided());
-    newHeld.putAll(losses.findPartsToHold());
     Map<Fingerprint, Optional<CustomerId>> newUndecided = candidates.undecided();
     newUndecided.keySet().removeAll(newHeld.keySet());
     long watchStartNs = leadership.nowNs() - WATCH_NS;
--- a/core/src/main/java/org/teaseltrail/core/quarantine/LossTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/quarantine/LossTracker.java
@@ -50,6 +50,7 @@
   private final RepeatedLoss repeatedLoss;
   private final Map<Owner, LinkedHashMap<Fingerprint, SuspectRequest>> byOwner = new HashMap<>();
   private final Map<Fingerprint, SuspectRequest> suspects = new HashMap<>();
+  private final Map<Integer, Integer> suspectsByScope = new HashMap<>();
   private final Map<UpstreamIncarnation, Set<Fingerprint>> byUpstream = new HashMap<>();
 
   /**
@@ -112,6 +113,7 @@
     if (suspect == null) {
       suspect = new SuspectRequest(request, owner.customer(), owner.parts(), repeatedLoss);
       suspects.put(request, suspect);
+      suspectsByScope.merge(request.scope(), 1, Integer::sum);
     }
     ofOwner.put(request, suspect);
     suspect.recordLoss(upstream, atNs);
@@ -185,12 +187,7 @@
    * @return true if there is such a suspect
    */
   public boolean hasScope(int scope) {
-    for (Fingerprint request : suspects.keySet()) {
-      if (request.scope() == scope) {
-        return true;
-      }
-    }
-    return false;
+    return suspectsByScope.containsKey(scope);
   }
 
   /**
@@ -380,6 +377,8 @@
 
   private void remove(SuspectRequest suspect) {
     suspects.remove(suspect.request());
+    suspectsByScope.computeIfPresent(
+        suspect.request().scope(), (scope, count) -> count == 1 ? null : count - 1);
     byOwner.computeIfPresent(
         new Owner(suspect.customer(), suspect.isPart()),
         (owner, ofOwner) -> {
