--- a/review/src/PowerLossAfterSnapshot.java
+++ b/review/src/PowerLossAfterSnapshot.java
@@ -49,6 +49,8 @@
     Set<String> removed = new TreeSet<>();
     Set<String> namesAtRemoval = Set.of();
     FileTime voteAtRemoval;
+    FileTime voteBefore;
+    boolean isClear;
     long removedNs;
     long backNs = Long.MIN_VALUE;
     boolean down;
@@ -72,9 +74,12 @@
     /** Looks for new and for removed files; keeps a link to each file of the log. */
     void look() throws IOException {
       Set<String> names = names();
+      FileTime vote = Files.getLastModifiedTime(data.resolve("vote"));
+      boolean isFileMade = false;
       for (String name : names) {
         if (name.startsWith("log-") && seen.add(name)) {
           Files.createLink(kept.resolve(name), data.resolve(name));
+          isFileMade = true;
         }
       }
       Set<String> gone = new TreeSet<>(seen);
@@ -82,9 +87,12 @@
       if (gone.size() > removed.size()) {
         removed = gone;
         namesAtRemoval = names;
-        voteAtRemoval = Files.getLastModifiedTime(data.resolve("vote"));
+        voteAtRemoval = vote;
+        // What was made since the look before may have come after the removal.
+        isClear = !isFileMade && vote.equals(voteBefore);
         removedNs = System.nanoTime();
       }
+      voteBefore = vote;
     }
 
     /**
@@ -93,6 +101,7 @@
      */
     boolean isRemovalUnsynced() throws IOException {
       return removed.size() >= 2
+          && isClear
           && names().equals(namesAtRemoval)
           && Files.getLastModifiedTime(data.resolve("vote")).equals(voteAtRemoval);
     }
