--- a/review/src/Lab.java
+++ b/review/src/Lab.java
@@ -94,6 +94,7 @@
   private final long startNs = System.nanoTime();
   private final Map<String, Object> bounds = new LinkedHashMap<>();
   private final Thread keeper = new Thread(this::keep, "platform");
+  private final Object lifecycle = new Object();
   private volatile boolean closed;
   volatile List<String> seeds = List.of();
   int toleratedLosses = 2;
@@ -186,7 +187,12 @@
     builder.redirectErrorStream(true);
     builder.redirectOutput(
         ProcessBuilder.Redirect.appendTo(machine.folder.resolve("log").toFile()));
-    machine.process = builder.start();
+    synchronized (lifecycle) {
+      // After killAll nothing may start any more; it would be left behind.
+      if (!closed) {
+        machine.process = builder.start();
+      }
+    }
   }
 
   private String runOf(String role) throws IOException {
@@ -264,11 +270,13 @@
   }
 
   private void killAll() {
-    closed = true;
-    for (Machine machine : List.copyOf(machines)) {
-      machine.restarts = false;
-      if (machine.process != null) {
-        machine.process.destroyForcibly();
+    synchronized (lifecycle) {
+      closed = true;
+      for (Machine machine : List.copyOf(machines)) {
+        machine.restarts = false;
+        if (machine.process != null) {
+          machine.process.destroyForcibly();
+        }
       }
     }
   }
