--- a/control/src/main/java/org/teaseltrail/control/ActionExecutor.java
+++ b/control/src/main/java/org/teaseltrail/control/ActionExecutor.java
@@ -1,5 +1,6 @@
 package org.teaseltrail.control;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
@@ -11,6 +12,8 @@
 import org.teaseltrail.core.decision.Decision;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.quarantine.Fingerprint;
+import org.teaseltrail.core.replication.Member;
+import org.teaseltrail.core.replication.Membership;
 import org.teaseltrail.core.rollout.Rollout;
 import org.teaseltrail.core.rollout.Verdict;
 import org.teaseltrail.runtime.log.ComponentLogger;
@@ -43,6 +46,7 @@
       leaseGuarded.add(action);
     } else if (action instanceof ControlAction.Persist persist) {
       targets.writes().submit(persist.write());
+      targets.logSize().onWrite(persist.write());
     } else if (action instanceof ControlAction.EncodeSnapshot encode) {
       targets.snapshots().encode(encode);
     } else if (action instanceof ControlAction.SendToPeer send) {
@@ -71,6 +75,9 @@
       transferEnded.countDown();
     } else if (action instanceof ControlAction.MembershipChanged changed) {
       targets.group().members(changed.membership());
+      targets.log().ifPresent(log -> writeMembership(log, changed.membership()));
+    } else if (action instanceof ControlAction.LearnerPromoted promoted) {
+      promoted(promoted);
     }
   }
 
@@ -140,6 +147,29 @@
         .write();
   }
 
+  private static void writeMembership(EventLog log, Membership membership) {
+    log.line(LogEvent.MEMBERSHIP_CHANGED)
+        .with(LogField.VOTERS, ids(membership.voters()))
+        .with(LogField.LEARNERS, ids(membership.learners()))
+        .write();
+  }
+
+  private static String ids(List<Member> members) {
+    return members.stream().map(member -> member.id().value()).collect(Collectors.joining(", "));
+  }
+
+  private void promoted(ControlAction.LearnerPromoted promoted) {
+    targets.metrics().setRepairDuration(promoted.elapsedMs());
+    targets
+        .log()
+        .ifPresent(
+            log ->
+                log.line(LogEvent.LEARNER_PROMOTED)
+                    .with(LogField.MEMBER, promoted.member().value())
+                    .with(LogField.ELAPSED_MS, promoted.elapsedMs())
+                    .write());
+  }
+
   private void leadershipChanged(ControlAction.LeadershipChanged changed) {
     serving = changed.serving();
     leaderKnown = changed.serving() || changed.leader().isPresent();
--- a/control/src/main/java/org/teaseltrail/control/ActionTargets.java
+++ b/control/src/main/java/org/teaseltrail/control/ActionTargets.java
@@ -18,6 +18,7 @@
  * @param orderClient sends orders to engines
  * @param calls pending calls of operators
  * @param metrics the member's metrics
+ * @param logSize reports the size of the replicated log
  * @param group notifies components of changes of the membership and the leader
  * @param log event log, if enabled; records changes of leadership, quarantine and rollouts
  */
@@ -30,5 +31,6 @@
     EngineOrderClient orderClient,
     OperatorCallTracker calls,
     ControlMetrics metrics,
+    LogSizeReporter logSize,
     GroupChangeNotifier group,
     Optional<EventLog> log) {}
--- a/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
@@ -98,6 +98,8 @@
                     new GroupJoinClient(options.group(), member, bootstrap, codec, random));
     JoinRequestHandler joinHandler = new JoinRequestHandler(options.group(), loop::post);
     group = new GroupChangeNotifier(peers, notLeaderResponses, joinHandler, joinClient);
+    LogSizeReporter logSize = new LogSizeReporter(options.log(), clock);
+    metrics.publish(logSize);
     actionExecutor =
         new ActionExecutor(
             new ActionTargets(
@@ -109,6 +111,7 @@
                 new EngineOrderClient(loop::post),
                 calls,
                 metrics,
+                logSize,
                 group,
                 options.log()),
             () -> decisions.isLeaseValid(clock.nowNs()));
@@ -126,7 +129,14 @@
         new HealthServer(options.listenMetrics(), actionExecutor::knowsLeader, metrics::scrape);
     writes.start();
     options.members().forEach(peer -> peers.connect(peer.vm()));
-    loop.start(decisions, actionExecutor::run, actionExecutor::flush, this::loopFailed);
+    loop.start(
+        decisions,
+        actionExecutor::run,
+        () -> {
+          actionExecutor.flush();
+          logSize.update(decisions.logStatus());
+        },
+        this::loopFailed);
     loop.post(new ControlEvent.Tick());
     logger.info(
         "Member "
--- a/control/src/main/java/org/teaseltrail/control/ControlMetrics.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlMetrics.java
@@ -21,6 +21,7 @@
   private final AtomicLong leading = new AtomicLong();
   private final AtomicLong term = new AtomicLong();
   private final AtomicLong setQuarantinedRequests = new AtomicLong();
+  private final AtomicLong repairDurationMs = new AtomicLong();
 
   ControlMetrics(EntryVmConnections<?, ?> entryVms, ControlEventLoop loop) {
     MeterRegistry registry = metrics.registry();
@@ -37,6 +38,7 @@
     registry.gauge("teaseltrail.leading", leading);
     registry.gauge("teaseltrail.term", term);
     registry.gauge("teaseltrail.requests.held", setQuarantinedRequests);
+    registry.gauge("teaseltrail.control.repair.ms", repairDurationMs);
     registry.gauge("teaseltrail.entry.connections", entryVms, EntryVmConnections::count);
     registry.gauge("teaseltrail.control.events.queued", loop, ControlEventLoop::queuedEvents);
   }
@@ -58,6 +60,20 @@
     setQuarantinedRequests.set(count);
   }
 
+  void setRepairDuration(long durationMs) {
+    repairDurationMs.set(durationMs);
+  }
+
+  /** Publishes the size of the replicated log. */
+  void publish(LogSizeReporter size) {
+    MeterRegistry registry = metrics.registry();
+    registry.gauge("teaseltrail.log.entries", size, LogSizeReporter::entriesSinceSnapshot);
+    registry.gauge("teaseltrail.log.bytes", size, LogSizeReporter::bytesSinceSnapshot);
+    registry.gauge("teaseltrail.log.held.bytes", size, LogSizeReporter::heldBytes);
+    registry.gauge("teaseltrail.snapshot.bytes", size, LogSizeReporter::snapshotBytes);
+    registry.gauge("teaseltrail.snapshot.age.ms", size, LogSizeReporter::snapshotAgeMs);
+  }
+
   void countRolloutPhase(RolloutPhase phase) {
     rollouts.get(phase).increment();
   }
--- a/core/src/main/java/org/teaseltrail/core/control/ActionBuffer.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ActionBuffer.java
@@ -127,6 +127,10 @@
     actions.add(new ControlAction.MembershipChanged(membership));
   }
 
+  void learnerPromoted(MemberId member, long elapsedMs) {
+    actions.add(new ControlAction.LearnerPromoted(member, elapsedMs));
+  }
+
   /** Returns the most recent decisions, newest first. */
   List<RecentDecision> decisions(long nowNs) {
     return decisions.stream()
--- a/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlAction.java
@@ -198,4 +198,12 @@
    * @param membership the member set
    */
   record MembershipChanged(Membership membership) implements ControlAction {}
+
+  /**
+   * The leader has made a learner a voter.
+   *
+   * @param member the new voter
+   * @param elapsedMs time since this leader first saw it among the learners, in milliseconds
+   */
+  record LearnerPromoted(MemberId member, long elapsedMs) implements ControlAction {}
 }
--- a/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
@@ -11,6 +11,7 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.message.ControlMessage;
 import org.teaseltrail.core.message.EntryMessage;
+import org.teaseltrail.core.replication.LogStatus;
 import org.teaseltrail.core.replication.Member;
 import org.teaseltrail.core.replication.Membership;
 import org.teaseltrail.core.replication.Replica;
@@ -112,6 +113,11 @@
     return stateMachine.state().claims().size();
   }
 
+  /** Returns the size of this member's log. */
+  public LogStatus logStatus() {
+    return stateMachine.replica().logStatus();
+  }
+
   private void dispatch(ControlEvent event) {
     if (event instanceof ControlEvent.FromEntry from) {
       onEntryMessage(from.vm(), from.message());
--- a/core/src/main/java/org/teaseltrail/core/control/Leadership.java
+++ b/core/src/main/java/org/teaseltrail/core/control/Leadership.java
@@ -72,7 +72,7 @@
             .map(
                 repair ->
                     new MembershipReconciler(
-                        repair, context.stateMachine(), context.self(), nowNs));
+                        repair, context.stateMachine(), context.actions(), context.self(), nowNs));
   }
 
   /** Starts serving: passes the configuration to the schedulers, which must not shed load yet. */
--- a/core/src/main/java/org/teaseltrail/core/control/MembershipReconciler.java
+++ b/core/src/main/java/org/teaseltrail/core/control/MembershipReconciler.java
@@ -44,6 +44,7 @@
 
   private final RepairSettings settings;
   private final ReplicatedStateMachine stateMachine;
+  private final ActionBuffer actions;
   private final MemberId self;
   private final long startedNs;
   private final Map<MemberId, JoinCandidate> candidates = new LinkedHashMap<>();
@@ -52,9 +53,14 @@
   private boolean proposalPending;
 
   MembershipReconciler(
-      RepairSettings settings, ReplicatedStateMachine stateMachine, MemberId self, long nowNs) {
+      RepairSettings settings,
+      ReplicatedStateMachine stateMachine,
+      ActionBuffer actions,
+      MemberId self,
+      long nowNs) {
     this.settings = settings;
     this.stateMachine = stateMachine;
+    this.actions = actions;
     this.self = self;
     startedNs = nowNs;
     nextCheckNs = nowNs;
@@ -167,14 +173,28 @@
 
   private void propose(MembershipChange step, long nowNs) {
     proposalPending = true;
-    stateMachine.propose(step, new StepCallback(), nowNs);
+    stateMachine.propose(step, new StepCallback(step), nowNs);
+  }
+
+  private void reportIfPromoted(MembershipChange step, long nowNs) {
+    if (step instanceof MembershipChange.PromoteLearner promoted) {
+      long addedNs = learnersAddedNs.getOrDefault(promoted.id(), nowNs);
+      actions.learnerPromoted(promoted.id(), (nowNs - addedNs) / NS_PER_MS);
+    }
   }
 
   private final class StepCallback implements ProposalCallback {
 
+    private final MembershipChange step;
+
+    StepCallback(MembershipChange step) {
+      this.step = step;
+    }
+
     @Override
     public void committed(CommandResult result, long nowNs) {
       proposalPending = false;
+      reportIfPromoted(step, nowNs);
     }
 
     @Override
--- a/core/src/main/java/org/teaseltrail/core/replication/Replica.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/Replica.java
@@ -188,6 +188,15 @@
     return context.commitTracker.commitIndex();
   }
 
+  /**
+   * Returns the size of the log.
+   *
+   * @return the size now
+   */
+  public LogStatus logStatus() {
+    return context.log.status();
+  }
+
   /**
    * Handles a message. Messages to another receiver are dropped: after a disk loss the VM runs a
    * new member, which must not answer on behalf of the previous one.
--- a/core/src/main/java/org/teaseltrail/core/replication/ReplicatedLog.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/ReplicatedLog.java
@@ -14,40 +14,31 @@
 final class ReplicatedLog {
 
   private final Outbox outbox;
-  private final List<LogEntry> entries;
+  private final EntryBuffer entries;
   private final SyncedIndexTracker syncMarks;
   private Optional<Snapshot> snapshot;
-  private long baseIndex;
-  private long baseTerm;
+  private long bytesSinceSnapshot;
 
   ReplicatedLog(Outbox outbox, RecoveredState recovered) {
     this.outbox = outbox;
     this.snapshot = recovered.snapshot();
-    this.entries = new ArrayList<>(recovered.entries());
-    startAtSnapshot();
+    long snapshotTerm = snapshot.map(Snapshot::term).orElse(0L);
+    this.entries = new EntryBuffer(snapshotIndex(), snapshotTerm, recovered.entries());
+    this.bytesSinceSnapshot = entries.bytes();
     this.syncMarks = new SyncedIndexTracker(lastIndex());
   }
 
-  private void startAtSnapshot() {
-    if (snapshot.isEmpty()) {
-      return;
-    }
-
-    baseIndex = snapshot.get().index();
-    baseTerm = snapshot.get().term();
-  }
-
   long lastIndex() {
-    return baseIndex + entries.size();
+    return entries.lastIndex();
   }
 
   long lastTerm() {
-    return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).term();
+    return entries.lastTerm();
   }
 
   /** Returns the index that precedes the first entry in memory. */
   long baseIndex() {
-    return baseIndex;
+    return entries.baseIndex();
   }
 
   long syncedIndex() {
@@ -62,17 +53,20 @@
     return snapshot.map(Snapshot::index).orElse(0L);
   }
 
+  LogStatus status() {
+    return new LogStatus(
+        entries.bytes(),
+        lastIndex() - snapshotIndex(),
+        bytesSinceSnapshot,
+        snapshotIndex(),
+        snapshot.map(taken -> (long) taken.state().length).orElse(0L));
+  }
+
   /**
    * Returns the term of an entry, or empty if the entry is compacted or beyond the end of the log.
    */
   OptionalLong termAt(long index) {
-    if (index == baseIndex) {
-      return OptionalLong.of(baseTerm);
-    }
-    if (index < baseIndex || index > lastIndex()) {
-      return OptionalLong.empty();
-    }
-    return OptionalLong.of(entryAt(index).term());
+    return entries.covers(index) ? OptionalLong.of(entries.termAt(index)) : OptionalLong.empty();
   }
 
   boolean hasEntry(long index, long term) {
@@ -82,7 +76,15 @@
 
   /** Returns the entries of a range, both ends inclusive. */
   List<LogEntry> range(long firstIndex, long lastIndex) {
-    return List.copyOf(entries.subList(position(firstIndex), position(lastIndex) + 1));
+    return entries.range(firstIndex, lastIndex);
+  }
+
+  /**
+   * Returns the index after which lie the last entries up to an index, as many as both limits allow
+   * and as are in memory.
+   */
+  long startOfLast(long index, long maxEntries, long maxBytes) {
+    return entries.startOfLast(index, maxEntries, maxBytes);
   }
 
   /** Returns entries starting at an index, as many as the limits allow but at least one. */
@@ -90,7 +92,7 @@
     List<LogEntry> batch = new ArrayList<>();
     long bytes = 0;
     for (long index = firstIndex; index <= lastIndex() && batch.size() < maxEntries; index++) {
-      LogEntry entry = entryAt(index);
+      LogEntry entry = entries.entryAt(index);
       bytes += entry.payload().sizeBytes();
       if (!batch.isEmpty() && bytes > maxBytes) {
         break;
@@ -102,7 +104,9 @@
 
   void append(List<LogEntry> added) {
     Invariant.check(added.get(0).index() == lastIndex() + 1, InvariantName.LOG_WITHOUT_GAP);
-    entries.addAll(added);
+    long heldBefore = entries.bytes();
+    entries.append(added);
+    bytesSinceSnapshot += entries.bytes() - heldBefore;
     long write = outbox.write(number -> new ReplicaAction.AppendToLog(number, added));
     syncMarks.onWritten(write, lastIndex());
   }
@@ -111,7 +115,9 @@
    * Removes the entries from an index on. The caller must ensure that none of them is committed.
    */
   void truncateFrom(long index) {
-    entries.subList(position(index), entries.size()).clear();
+    long heldBefore = entries.bytes();
+    entries.truncateFrom(index);
+    bytesSinceSnapshot += entries.bytes() - heldBefore;
     syncMarks.onTruncatedTo(lastIndex());
     long write = outbox.write(number -> new ReplicaAction.TruncateLog(number, index));
     syncMarks.onWritten(write, lastIndex());
@@ -123,9 +129,10 @@
    */
   void compact(Snapshot taken, long retainAfterIndex) {
     snapshot = Optional.of(taken);
-    long keepAfterIndex = Math.max(baseIndex, retainAfterIndex);
+    bytesSinceSnapshot = entries.bytesAfter(taken.index());
+    long keepAfterIndex = Math.max(baseIndex(), retainAfterIndex);
     outbox.write(number -> new ReplicaAction.SaveSnapshot(number, taken, keepAfterIndex, false));
-    removeThrough(keepAfterIndex);
+    entries.removeThrough(keepAfterIndex);
   }
 
   /**
@@ -136,13 +143,12 @@
     boolean discardsLog = !hasEntry(received.index(), received.term());
     snapshot = Optional.of(received);
     if (discardsLog) {
-      entries.clear();
-      baseIndex = received.index();
-      baseTerm = received.term();
+      entries.restartAfter(received.index(), received.term());
       syncMarks.onTruncatedTo(0);
     } else {
-      removeThrough(received.index());
+      entries.removeThrough(received.index());
     }
+    bytesSinceSnapshot = entries.bytes();
     long write =
         outbox.write(
             number ->
@@ -153,22 +159,4 @@
   void onSynced(long writeNumber) {
     syncMarks.onSynced(writeNumber);
   }
-
-  private void removeThrough(long index) {
-    if (index <= baseIndex) {
-      return;
-    }
-    long term = termAt(index).getAsLong();
-    entries.subList(0, position(index) + 1).clear();
-    baseIndex = index;
-    baseTerm = term;
-  }
-
-  private LogEntry entryAt(long index) {
-    return entries.get(position(index));
-  }
-
-  private int position(long index) {
-    return Math.toIntExact(index - baseIndex - 1);
-  }
 }
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -120,6 +120,14 @@
   UPSTREAM_LEAVES(LogField.UPSTREAM),
   /** A control member became leader, follows another leader, or knows no leader. */
   LEADERSHIP_CHANGED(LogField.TERM, LogField.LEADER, LogField.LEADING),
+  /** The set of control members in this member's log has changed. */
+  MEMBERSHIP_CHANGED(LogField.VOTERS, LogField.LEARNERS),
+  /** The leader has made a learner a voter. */
+  LEARNER_PROMOTED(LogField.MEMBER, LogField.ELAPSED_MS),
+  /** A control member saves a snapshot, its own or one from the leader. */
+  SNAPSHOT_SAVED(LogField.INDEX, LogField.STATE_BYTES, LogField.LOG_ENTRIES, LogField.LOG_BYTES),
+  /** The log since the latest snapshot has become larger than snapshots should let it. */
+  LOG_LARGE(LogField.STATE_BYTES, LogField.LOG_ENTRIES, LogField.LOG_BYTES),
   /** The leader shares a service's slots between customers and kinds of requests. */
   SLOTS_SHARED(LogField.SERVICE, LogField.SLOTS, LogField.SHARES);
 
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -103,6 +103,20 @@
   LEADER("the member that leads, none if it is not known"),
   /** Whether this member is the leader. */
   LEADING("whether this member leads and serves"),
+  /** Voters of the control group. */
+  VOTERS("the members whose votes count"),
+  /** Learners of the control group. */
+  LEARNERS("the members that receive the log and have no vote yet"),
+  /** Control member that an event is about. */
+  MEMBER("the control member"),
+  /** Index of the last log entry that a snapshot covers. */
+  INDEX("the last log entry that the snapshot covers"),
+  /** Size of the state in the latest snapshot, in bytes. */
+  STATE_BYTES("size of the state in the snapshot"),
+  /** Number of log entries since the latest snapshot. */
+  LOG_ENTRIES("log entries since the latest snapshot"),
+  /** Size of the log since the latest snapshot, in bytes. */
+  LOG_BYTES("size of the commands in the log since the latest snapshot"),
   /** Number of lines dropped before this one. */
   LINES_DROPPED_BEFORE("lines before this one that found no room"),
   /** Number of slots of a service's ready upstreams. */
