Bound the replicated log by the size of its commands

A change holds the configuration parsed and as text, 175 KB here. Evidence: at the first end the heap of 127 MB held 124 MB of byte arrays, and the log on disk had 113 MB; no queue and no session was larger than a few MB.

--- a/bench/src/main/java/org/teaseltrail/bench/replica/ReplicaBench.java
+++ b/bench/src/main/java/org/teaseltrail/bench/replica/ReplicaBench.java
@@ -15,6 +15,7 @@
 import org.teaseltrail.core.replication.ReplicaAction;
 import org.teaseltrail.core.replication.ReplicaSettings;
 import org.teaseltrail.core.replication.Snapshot;
+import org.teaseltrail.core.replication.SnapshotSettings;
 import org.teaseltrail.storage.FolderIdentity;
 import org.teaseltrail.storage.NioFileSystem;
 import org.teaseltrail.storage.ReplicaStorage;
@@ -104,21 +105,15 @@
   }
 
   private static void catchUp(Path root) throws InterruptedException {
-    ReplicaSettings defaults = ReplicaSettings.defaults();
+    SnapshotSettings usual = SnapshotSettings.defaults();
     ReplicaSettings withoutSnapshots =
-        new ReplicaSettings(
-            defaults.heartbeatMs(),
-            defaults.leaseMs(),
-            defaults.leaseMarginPerMille(),
-            defaults.electionTimeoutMinMs(),
-            defaults.electionTimeoutMaxMs(),
-            defaults.maxBatchEntries(),
-            defaults.maxBatchBytes(),
-            defaults.maxInflightMessages(),
-            defaults.maxUncommittedBytes(),
-            defaults.snapshotChunkBytes(),
-            Integer.MAX_VALUE,
-            defaults.retainedEntries());
+        ReplicaSettings.defaults()
+            .withSnapshots(
+                new SnapshotSettings(
+                    usual.chunkBytes(),
+                    Integer.MAX_VALUE,
+                    Integer.MAX_VALUE,
+                    usual.retainedEntries()));
     for (int entries : ENTRIES) {
       Path path = root.resolve("catch-up-" + entries);
       try (BenchGroup group = new BenchGroup(path, withoutSnapshots, SMALL_STATE_BYTES)) {
--- a/core/src/main/java/org/teaseltrail/core/replication/CommitTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/CommitTracker.java
@@ -9,12 +9,13 @@
 
   private final Outbox outbox;
   private final ReplicatedLog log;
-  private final ReplicaSettings settings;
+  private final SnapshotSettings settings;
   private final SnapshotScheduler schedule;
   private long commitIndex;
+  private long committedBytesSinceSnapshot;
 
   CommitTracker(
-      Outbox outbox, ReplicatedLog log, SnapshotScheduler schedule, ReplicaSettings settings) {
+      Outbox outbox, ReplicatedLog log, SnapshotScheduler schedule, SnapshotSettings settings) {
     this.outbox = outbox;
     this.log = log;
     this.schedule = schedule;
@@ -33,8 +34,9 @@
     }
     List<LogEntry> committed = log.range(commitIndex + 1, index);
     commitIndex = index;
+    committedBytesSinceSnapshot += LogEntry.sizeBytes(committed);
     outbox.add(new ReplicaAction.Apply(committed));
-    if (schedule.isDue(committed, log.snapshot())) {
+    if (isSnapshotDue()) {
       outbox.add(new ReplicaAction.TakeSnapshot(index));
     }
   }
@@ -51,14 +53,29 @@
       return;
     }
     long term = log.termAt(index).getAsLong();
-    Snapshot taken = new Snapshot(index, term, members.at(index), event.state());
-    long wanted = Math.min(index - settings.retainedEntries(), retainAfterIndex);
-    log.compact(taken, Math.max(wanted, index - settings.maxRetainedEntries()));
+    log.compact(
+        new Snapshot(index, term, members.at(index), event.state()),
+        Math.max(
+            Math.min(slightLagStart(index), retainAfterIndex),
+            log.startOfLast(index, settings.maxRetainedEntries(), settings.maxRetainedBytes())));
+    committedBytesSinceSnapshot = LogEntry.sizeBytes(log.range(index + 1, commitIndex));
   }
 
   void installed(Snapshot snapshot) {
     Invariant.check(snapshot.index() > commitIndex, InvariantName.COMMIT_INDEX_GROWS);
     commitIndex = snapshot.index();
+    committedBytesSinceSnapshot = 0;
     outbox.add(new ReplicaAction.RestoreSnapshot(snapshot));
   }
+
+  private boolean isSnapshotDue() {
+    return schedule.isDue(
+        commitIndex - log.snapshotIndex(),
+        committedBytesSinceSnapshot,
+        log.snapshot().map(taken -> (long) taken.state().length).orElse(0L));
+  }
+
+  private long slightLagStart(long index) {
+    return log.startOfLast(index, settings.retainedEntries(), settings.intervalBytes());
+  }
 }
--- a/core/src/main/java/org/teaseltrail/core/replication/LogReplicator.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/LogReplicator.java
@@ -50,7 +50,7 @@
               context.settings.maxBatchEntries(),
               context.settings.maxBatchBytes());
       sendAppend(peer, peer.nextIndex() - 1, previousTerm.getAsLong(), batch);
-      peer.onEntriesSent(batch.get(batch.size() - 1).index());
+      peer.onEntriesSent(batch.get(batch.size() - 1).index(), LogEntry.sizeBytes(batch));
     }
   }
 
@@ -70,7 +70,8 @@
   private boolean canSendEntries(PeerProgress peer) {
     return peer.mode() == PeerProgress.Mode.REPLICATE
         && peer.nextIndex() <= context.log.lastIndex()
-        && peer.inflightMessages() < context.settings.maxInflightMessages();
+        && peer.inflightMessages() < context.settings.maxInflightMessages()
+        && peer.inflightBytes() < context.settings.maxInflightBytes();
   }
 
   private void sendAppend(
@@ -102,7 +103,7 @@
     Snapshot snapshot = peer.snapshot();
     byte[] state = snapshot.state();
     int from = peer.snapshotOffsetBytes();
-    int to = Math.min(state.length, from + context.settings.snapshotChunkBytes());
+    int to = Math.min(state.length, from + context.settings.snapshots().chunkBytes());
     context.outbox.send(
         peer.id(),
         new PeerMessage.InstallSnapshot(
--- a/core/src/main/java/org/teaseltrail/core/replication/PeerProgress.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/PeerProgress.java
@@ -17,8 +17,12 @@
     SNAPSHOT
   }
 
+  /** An unacknowledged message with entries. */
+  private record InflightMessage(long lastIndex, long bytes) {}
+
+  private final Deque<InflightMessage> inflight = new ArrayDeque<>();
   private final MemberId id;
-  private final Deque<Long> inflightLastIndexes = new ArrayDeque<>();
+  private long inflightBytes;
   private Mode mode = Mode.PROBE;
   private long nextIndex;
   private long matchIndex;
@@ -73,12 +77,18 @@
   }
 
   int inflightMessages() {
-    return inflightLastIndexes.size();
+    return inflight.size();
+  }
+
+  /** Returns the size of the commands in unacknowledged messages, in bytes. */
+  long inflightBytes() {
+    return inflightBytes;
   }
 
-  /** Records that entries up to an index are in flight. */
-  void onEntriesSent(long lastIndex) {
-    inflightLastIndexes.addLast(lastIndex);
+  /** Records that entries up to an index, with commands of the given size, are in flight. */
+  void onEntriesSent(long lastIndex, long bytes) {
+    inflight.addLast(new InflightMessage(lastIndex, bytes));
+    inflightBytes += bytes;
     nextIndex = lastIndex + 1;
   }
 
@@ -87,8 +97,8 @@
     matchIndex = Math.max(matchIndex, syncedIndex);
     catchUp = catchUp.onSynced(matchIndex);
     nextIndex = Math.max(nextIndex, matchIndex + 1);
-    while (!inflightLastIndexes.isEmpty() && inflightLastIndexes.getFirst() <= matchIndex) {
-      inflightLastIndexes.removeFirst();
+    while (!inflight.isEmpty() && inflight.getFirst().lastIndex() <= matchIndex) {
+      inflightBytes -= inflight.removeFirst().bytes();
     }
     boolean installed = mode == Mode.SNAPSHOT && matchIndex >= snapshot.index();
     if (installed || mode == Mode.PROBE) {
@@ -108,7 +118,7 @@
     }
     nextIndex = Math.max(matchIndex + 1, resumeIndex);
     mode = Mode.PROBE;
-    inflightLastIndexes.clear();
+    clearInflight();
     return true;
   }
 
@@ -117,7 +127,7 @@
     snapshot = started;
     snapshotOffsetBytes = 0;
     snapshotChunkSentNs = nowNs;
-    inflightLastIndexes.clear();
+    clearInflight();
   }
 
   Snapshot snapshot() {
@@ -144,6 +154,11 @@
     return snapshotChunkSentNs;
   }
 
+  private void clearInflight() {
+    inflight.clear();
+    inflightBytes = 0;
+  }
+
   private void startReplicating() {
     mode = Mode.REPLICATE;
     snapshot = null;
--- a/core/src/main/java/org/teaseltrail/core/replication/ReplicaContext.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/ReplicaContext.java
@@ -32,7 +32,8 @@
     this.members = new MembershipHistory(outbox, recovered);
     this.voteStore = new VoteStore(outbox, recovered);
     this.commitTracker =
-        new CommitTracker(outbox, log, new SnapshotScheduler(settings, random), settings);
+        new CommitTracker(
+            outbox, log, new SnapshotScheduler(settings.snapshots(), random), settings.snapshots());
   }
 
   Optional<MemberId> leader() {
--- a/core/src/main/java/org/teaseltrail/core/replication/ReplicaSettings.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/ReplicaSettings.java
@@ -15,13 +15,10 @@
  * @param maxBatchEntries max entries in one message
  * @param maxBatchBytes max bytes of commands in one message, unless a single command is larger
  * @param maxInflightMessages max unacknowledged messages with entries per member
+ * @param maxInflightBytes size of the commands in unacknowledged messages to one member from which
+ *     on no more are sent to it, in bytes
  * @param maxUncommittedBytes max bytes of commands that wait for a quorum
- * @param snapshotChunkBytes bytes of a snapshot in one message
- * @param snapshotIntervalEntries min entries applied since the last snapshot before the next one is
- *     taken; up to half as many are added at random, and the commands must be at least as large as
- *     the state in the last snapshot
- * @param retainedEntries min entries before the end of a snapshot that are retained for members
- *     that lag slightly
+ * @param snapshots when snapshots are taken and what is retained of the log
  */
 public record ReplicaSettings(
     int heartbeatMs,
@@ -32,12 +29,9 @@
     int maxBatchEntries,
     int maxBatchBytes,
     int maxInflightMessages,
+    int maxInflightBytes,
     int maxUncommittedBytes,
-    int snapshotChunkBytes,
-    int snapshotIntervalEntries,
-    int retainedEntries) {
-
-  private static final int MAX_RETAINED_SNAPSHOT_INTERVALS = 4;
+    SnapshotSettings snapshots) {
 
   /** Validates that the times are consistent. */
   public ReplicaSettings {
@@ -64,7 +58,38 @@
    */
   public static ReplicaSettings defaults() {
     return new ReplicaSettings(
-        50, 500, 50, 600, 900, 512, 512 * 1024, 16, 16 * 1024 * 1024, 256 * 1024, 10_000, 1_000);
+        50,
+        500,
+        50,
+        600,
+        900,
+        512,
+        512 * 1024,
+        16,
+        2 * 1024 * 1024,
+        16 * 1024 * 1024,
+        SnapshotSettings.defaults());
+  }
+
+  /**
+   * Returns these settings with others for snapshots.
+   *
+   * @param changed when snapshots are taken and what is retained of the log
+   * @return the changed settings
+   */
+  public ReplicaSettings withSnapshots(SnapshotSettings changed) {
+    return new ReplicaSettings(
+        heartbeatMs,
+        leaseMs,
+        leaseMarginPerMille,
+        electionTimeoutMinMs,
+        electionTimeoutMaxMs,
+        maxBatchEntries,
+        maxBatchBytes,
+        maxInflightMessages,
+        maxInflightBytes,
+        maxUncommittedBytes,
+        changed);
   }
 
   /**
@@ -81,14 +106,6 @@
     return electionTimeoutMinMs * 1_000_000L;
   }
 
-  /**
-   * Returns the max number of entries before the end of a snapshot that are retained for members
-   * that lag.
-   */
-  long maxRetainedEntries() {
-    return MAX_RETAINED_SNAPSHOT_INTERVALS * (long) snapshotIntervalEntries;
-  }
-
   long leaseNs() {
     return leaseMs * 1_000_000L;
   }
--- a/core/src/test/java/org/teaseltrail/core/control/ConfigurationServiceTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/ConfigurationServiceTest.java
@@ -15,6 +15,7 @@
 import org.teaseltrail.core.id.Tier;
 import org.teaseltrail.core.message.ControlMessage;
 import org.teaseltrail.core.replication.ReplicaSettings;
+import org.teaseltrail.core.replication.SnapshotSettings;
 import org.teaseltrail.core.state.ChangeResult;
 
 /**
@@ -27,8 +28,9 @@
   }
 
   private static ReplicaSettings snapshotEvery(int entries) {
-    return new ReplicaSettings(
-        50, 500, 50, 600, 900, 512, 512 * 1024, 16, 16 * 1024 * 1024, 256 * 1024, entries, 5);
+    SnapshotSettings usual = SnapshotSettings.defaults();
+    return ReplicaSettings.defaults()
+        .withSnapshots(new SnapshotSettings(usual.chunkBytes(), entries, usual.intervalBytes(), 5));
   }
 
   /**
--- a/core/src/test/java/org/teaseltrail/core/replication/FakeGroup.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/FakeGroup.java
@@ -22,7 +22,8 @@
 
   static final GroupId ID = new GroupId("group");
   static final ReplicaSettings SETTINGS =
-      new ReplicaSettings(50, 500, 50, 600, 900, 8, 64, 4, 100_000, 9, 20, 5);
+      new ReplicaSettings(
+          50, 500, 50, 600, 900, 8, 64, 4, 200, 100_000, new SnapshotSettings(9, 20, 500, 5));
   static final long MS = 1_000_000L;
 
   private record ScheduledTask(long atNs, long sequence, Runnable task) {}
@@ -30,6 +31,7 @@
   private record Link(MemberId from, MemberId to) {}
 
   private final SplittableRandom random;
+  private final ReplicaSettings settings;
   private final GroupHistoryChecker history = new GroupHistoryChecker();
   private final PriorityQueue<ScheduledTask> queue =
       new PriorityQueue<>(
@@ -49,7 +51,12 @@
   private int startedCount;
 
   FakeGroup(long seed, int voters) {
+    this(seed, voters, SETTINGS);
+  }
+
+  FakeGroup(long seed, int voters, ReplicaSettings settings) {
     this.random = new SplittableRandom(seed);
+    this.settings = settings;
     List<Member> founders = new ArrayList<>();
     for (int i = 0; i < voters; i++) {
       founders.add(newMember("c" + i));
@@ -78,6 +85,10 @@
     members.remove(member.id());
   }
 
+  ReplicaSettings settings() {
+    return settings;
+  }
+
   SplittableRandom random() {
     return random;
   }
@@ -190,7 +201,11 @@
   }
 
   void propose(FakeMember member) {
-    byte[] command = new byte[1 + random.nextInt(40)];
+    propose(member, 1 + random.nextInt(40));
+  }
+
+  void propose(FakeMember member, int sizeBytes) {
+    byte[] command = new byte[sizeBytes];
     command[0] = (byte) proposals;
     member.handle(new ReplicaEvent.Propose(proposals++, command));
   }
--- a/core/src/test/java/org/teaseltrail/core/replication/FakeMember.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/FakeMember.java
@@ -104,7 +104,7 @@
         new Replica(
             FakeGroup.ID,
             id(),
-            FakeGroup.SETTINGS,
+            group.settings(),
             disk.recovered(),
             group.random().split(),
             localNs());
--- a/session/src/test/java/org/teaseltrail/session/SimulatedCluster.java
+++ b/session/src/test/java/org/teaseltrail/session/SimulatedCluster.java
@@ -108,10 +108,9 @@
             base.maxBatchEntries(),
             base.maxBatchBytes(),
             base.maxInflightMessages(),
+            base.maxInflightBytes(),
             base.maxUncommittedBytes(),
-            base.snapshotChunkBytes(),
-            base.snapshotIntervalEntries(),
-            base.retainedEntries());
+            base.snapshots());
   }
 
   private static LogEntry firstEntry() {
