Open folders in which a power loss undid the removal of some log segments

A power loss keeps or loses each removal on its own; if the oldest segment comes back and a later one doesn't, recovery took the gap for damage.

And each removal is synced before the next one.

--- a/storage/src/main/java/org/teaseltrail/storage/SegmentedLog.java
+++ b/storage/src/main/java/org/teaseltrail/storage/SegmentedLog.java
@@ -19,25 +19,28 @@
   }
 
   /**
-   * Reads all segments and opens the log for appending.
+   * Reads the log from the end of the newest snapshot on and opens it for appending. Older segments
+   * are deleted unread, so that memory is needed for one segment and the entries since the snapshot
+   * only.
    *
    * @param snapshot the newest snapshot
-   * @return the log entries; empty if the snapshot supersedes the log
+   * @return the entries from the last one that the snapshot covers on; empty if the snapshot
+   *     supersedes the log
    * @throws CorruptFolderException if synced data is missing or can't be read
    */
   List<LogEntry> recover(Optional<Snapshot> snapshot) {
-    List<SegmentName> names =
-        folder.list().stream().filter(SegmentName::isSegmentName).map(SegmentName::parse).toList();
+    long coveredIndex = snapshot.map(Snapshot::index).orElse(0L);
+    List<SegmentName> names = deleteCoveredSegments(coveredIndex);
     List<LogEntry> entries = new ArrayList<>();
-    for (int i = 0; i < names.size(); i++) {
-      SegmentName name = names.get(i);
-      SegmentContent content = SegmentContent.read(folder, name, i == names.size() - 1);
-      checkContiguous(name, content, entries);
-      entries.addAll(content.entries());
+    for (SegmentName name : names) {
+      deleteRemnantsBefore(name, coveredIndex);
+      boolean isLast = name.equals(names.get(names.size() - 1));
+      SegmentContent content = SegmentContent.read(folder, name, isLast);
+      checkContiguous(name, content);
       segments.add(LogSegment.open(folder, name, content));
+      content.entries().stream().filter(e -> e.index() >= coveredIndex).forEach(entries::add);
     }
-    long coveredIndex = snapshot.map(Snapshot::index).orElse(0L);
-    checkNoGapBeforeLog(names, coveredIndex);
+    checkNoGapBeforeLog(coveredIndex);
     if (snapshot.isPresent() && isSupersededBy(snapshot.get(), entries)) {
       deleteAllSegments();
       return List.of();
@@ -70,9 +73,7 @@
    */
   void deleteSegmentsThrough(long index) {
     while (segments.size() > 1 && segments.get(0).lastIndex() <= index) {
-      LogSegment first = segments.remove(0);
-      first.close();
-      folder.delete(first.name().fileName());
+      delete(segments.remove(0));
     }
   }
 
@@ -103,18 +104,51 @@
   }
 
   private void deleteLastSegment() {
-    LogSegment removed = segments.remove(segments.size() - 1);
-    removed.close();
-    folder.delete(removed.name().fileName());
+    delete(segments.remove(segments.size() - 1));
+  }
+
+  /**
+   * Deletes a segment durably, so that of several deletions none becomes durable before an earlier
+   * one.
+   */
+  private void delete(LogSegment segment) {
+    segment.close();
+    folder.delete(segment.name().fileName());
     folder.sync();
   }
 
-  private void checkContiguous(
-      SegmentName name, SegmentContent content, List<LogEntry> previousEntries) {
-    long expectedIndex =
-        previousEntries.isEmpty()
-            ? name.firstIndex()
-            : previousEntries.get(previousEntries.size() - 1).index() + 1;
+  /**
+   * Deletes the segments before the one that holds the last entry that a snapshot covers.
+   *
+   * @return the remaining ones, oldest first
+   */
+  private List<SegmentName> deleteCoveredSegments(long coveredIndex) {
+    List<SegmentName> names =
+        new ArrayList<>(
+            folder.list().stream()
+                .filter(SegmentName::isSegmentName)
+                .map(SegmentName::parse)
+                .toList());
+    while (names.size() > 1 && names.get(1).firstIndex() <= coveredIndex) {
+      folder.delete(names.remove(0).fileName());
+      folder.sync();
+    }
+    return names;
+  }
+
+  /**
+   * Deletes the segments read so far if a gap separates them from the next one and a snapshot
+   * covers the gap: they had been deleted, and a power loss undid only some of the deletions.
+   */
+  private void deleteRemnantsBefore(SegmentName next, long coveredIndex) {
+    boolean isGap = !segments.isEmpty() && lastSegment().lastIndex() + 1 < next.firstIndex();
+    if (isGap && next.firstIndex() <= coveredIndex + 1) {
+      deleteAllSegments();
+    }
+  }
+
+  private void checkContiguous(SegmentName name, SegmentContent content) {
+    long expectedIndex = segments.isEmpty() ? name.firstIndex() : lastSegment().lastIndex() + 1;
     boolean contiguous = name.firstIndex() == expectedIndex;
     for (LogEntry entry : content.entries()) {
       contiguous &= entry.index() == expectedIndex;
@@ -126,18 +160,15 @@
     }
   }
 
-  private void checkNoGapBeforeLog(List<SegmentName> names, long coveredIndex) {
-    if (!names.isEmpty() && names.get(0).firstIndex() > coveredIndex + 1) {
+  private void checkNoGapBeforeLog(long coveredIndex) {
+    if (!segments.isEmpty() && segments.get(0).name().firstIndex() > coveredIndex + 1) {
       throw new CorruptFolderException(
           folder.path(), "log entries are missing before the first segment");
     }
   }
 
-  private static boolean isSupersededBy(Snapshot snapshot, List<LogEntry> entries) {
-    if (entries.isEmpty()) {
-      return false;
-    }
-    boolean endsBefore = entries.get(entries.size() - 1).index() < snapshot.index();
+  private boolean isSupersededBy(Snapshot snapshot, List<LogEntry> entries) {
+    boolean endsBefore = !segments.isEmpty() && lastSegment().lastIndex() < snapshot.index();
     return endsBefore
         || entries.stream()
             .anyMatch(
--- a/storage/src/test/java/org/teaseltrail/storage/FakeFileSystem.java
+++ b/storage/src/test/java/org/teaseltrail/storage/FakeFileSystem.java
@@ -4,13 +4,20 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
-/** In-memory file system with one folder; a simulated power loss drops or tears unsynced data. */
+/**
+ * In-memory file system with one folder. A simulated power loss drops or tears unsynced data, and
+ * keeps or loses each file's unsynced creation, renaming and removal independently of other files.
+ */
 final class FakeFileSystem implements FileSystemAccess {
 
   private static final class Content {
@@ -18,9 +25,13 @@
     private byte[] synced = new byte[0];
   }
 
+  /** A change of the folder that concerns one file. */
+  private record FolderChange(Content file, Consumer<Map<String, Content>> change) {}
+
   private final Map<String, Content> names = new TreeMap<>();
   private final Map<String, Content> syncedFiles = new TreeMap<>();
-  private final List<Consumer<Map<String, Content>>> unsyncedChanges = new ArrayList<>();
+  private final List<FolderChange> unsyncedChanges = new ArrayList<>();
+  private final Set<String> readNames = new HashSet<>();
   private int operationsUntilPowerLoss = Integer.MAX_VALUE;
   private int freeBytes = Integer.MAX_VALUE;
   private boolean ignoresSyncs;
@@ -38,6 +49,23 @@
     ignoresSyncs = true;
   }
 
+  /** Brings back a removed file. */
+  void restore(String name, byte[] bytes) {
+    Content restored = new Content();
+    restored.present = bytes.clone();
+    restored.synced = bytes.clone();
+    names.put(name, restored);
+    syncedFiles.put(name, restored);
+  }
+
+  void forgetReads() {
+    readNames.clear();
+  }
+
+  Set<String> readNames() {
+    return readNames;
+  }
+
   byte[] content(String name) {
     return names.get(name).present;
   }
@@ -48,9 +76,7 @@
 
   /** Simulates a power loss and a restart. */
   void losePower(SplittableRandom random) {
-    int kept = random.nextInt(unsyncedChanges.size() + 1);
-    unsyncedChanges.subList(0, kept).forEach(change -> change.accept(syncedFiles));
-    unsyncedChanges.clear();
+    keepSomeUnsyncedChanges(random);
     names.clear();
     names.putAll(syncedFiles);
     names.values().forEach(content -> tearUnsyncedPart(content, random));
@@ -58,6 +84,20 @@
     freeBytes = Integer.MAX_VALUE;
   }
 
+  /** Of the changes of one file a later one can't be kept without the earlier ones. */
+  private void keepSomeUnsyncedChanges(SplittableRandom random) {
+    Set<Content> cutOff = Collections.newSetFromMap(new IdentityHashMap<>());
+    for (FolderChange unsynced : unsyncedChanges) {
+      if (random.nextBoolean()) {
+        cutOff.add(unsynced.file());
+      }
+      if (!cutOff.contains(unsynced.file())) {
+        unsynced.change().accept(syncedFiles);
+      }
+    }
+    unsyncedChanges.clear();
+  }
+
   private static void tearUnsyncedPart(Content content, SplittableRandom random) {
     byte[] present = content.present;
     byte[] synced = content.synced;
@@ -84,6 +124,7 @@
 
   @Override
   public byte[] read(Path file) {
+    readNames.add(nameOf(file));
     return names.get(nameOf(file)).present.clone();
   }
 
@@ -93,7 +134,7 @@
     if (!names.containsKey(name)) {
       step();
       Content made = new Content();
-      change(map -> map.put(name, made));
+      change(made, map -> map.put(name, made));
     }
     return new FakeAppendFile(names.get(name));
   }
@@ -103,6 +144,7 @@
     step();
     Content moved = names.get(nameOf(from));
     change(
+        moved,
         map -> {
           map.remove(nameOf(from));
           map.put(nameOf(to), moved);
@@ -112,14 +154,15 @@
   @Override
   public void delete(Path file) throws IOException {
     step();
-    change(map -> map.remove(nameOf(file)));
+    String name = nameOf(file);
+    change(names.get(name), map -> map.remove(name));
   }
 
   @Override
   public void syncFolder(Path folder) throws IOException {
     step();
     if (!ignoresSyncs) {
-      unsyncedChanges.forEach(change -> change.accept(syncedFiles));
+      unsyncedChanges.forEach(unsynced -> unsynced.change().accept(syncedFiles));
       unsyncedChanges.clear();
     }
   }
@@ -129,9 +172,9 @@
     return () -> {};
   }
 
-  private void change(Consumer<Map<String, Content>> change) {
+  private void change(Content file, Consumer<Map<String, Content>> change) {
     change.accept(names);
-    unsyncedChanges.add(change);
+    unsyncedChanges.add(new FolderChange(file, change));
   }
 
   private void step() throws IOException {
--- a/storage/src/test/java/org/teaseltrail/storage/PowerLossProperties.java
+++ b/storage/src/test/java/org/teaseltrail/storage/PowerLossProperties.java
@@ -16,7 +16,8 @@
 /**
  * Guards against losing an accepted change, or a member that can't start, after a power loss at any
  * file operation of an append, vote, truncation or snapshot. Either happens if a write is reported
- * as synced too early or if files are replaced in the wrong order.
+ * as synced too early, if files are replaced in the wrong order, or if the removal of one file
+ * survives and that of another doesn't.
  */
 class PowerLossProperties {
 
--- a/storage/src/test/java/org/teaseltrail/storage/ReplicaStorageTest.java
+++ b/storage/src/test/java/org/teaseltrail/storage/ReplicaStorageTest.java
@@ -149,6 +149,58 @@
     }
   }
 
+  /**
+   * Guards against a member that can't start, because removals of segments that a snapshot covers
+   * were not durable and a power loss undid only the removal of the oldest.
+   */
+  @Test
+  void opensFolderInWhichOldestRemovedSegmentIsBack() {
+    FakeFileSystem files = new FakeFileSystem();
+    ReplicaStorage.createGroup(files, PATH, WriteSequence.IDENTITY);
+    WriteSequence script = new WriteSequence();
+    for (int i = 0; i < 8; i++) {
+      script.append(1, 4);
+    }
+    try (ReplicaStorage folder = open(files, PATH)) {
+      script.writes().forEach(folder::write);
+      folder.sync();
+    }
+    byte[] oldest = files.content(FIRST_SEGMENT);
+    int segments = files.list(PATH).size();
+    WriteSequence snapshot = new WriteSequence(script.stateAfter(8)).snapshot(30, 1, 30, false);
+    try (ReplicaStorage folder = open(files, PATH)) {
+      folder.write(snapshot.writes().get(0));
+      folder.sync();
+    }
+    assertThat(files.list(PATH)).hasSizeLessThan(segments - 1);
+    files.restore(FIRST_SEGMENT, oldest);
+    try (ReplicaStorage folder = open(files, PATH)) {
+      assertThat(folder.recoveredState()).isEqualTo(snapshot.stateAfter(1));
+    }
+    assertThat(files.list(PATH)).doesNotContain(FIRST_SEGMENT);
+  }
+
+  /** Guards against a start that reads the whole log into memory although a snapshot covers it. */
+  @Test
+  void readsNoSegmentThatSnapshotCovers() {
+    FakeFileSystem files = new FakeFileSystem();
+    ReplicaStorage.createGroup(files, PATH, WriteSequence.IDENTITY);
+    WriteSequence script = new WriteSequence();
+    for (int i = 0; i < 8; i++) {
+      script.append(1, 4);
+    }
+    script.snapshot(30, 1, 0, false);
+    try (ReplicaStorage folder = open(files, PATH)) {
+      script.writes().forEach(folder::write);
+      folder.sync();
+    }
+    files.forgetReads();
+    try (ReplicaStorage folder = open(files, PATH)) {
+      assertThat(folder.recoveredState()).isEqualTo(script.stateAfter(9));
+    }
+    assertThat(files.readNames()).filteredOn(SegmentName::isSegmentName).hasSizeLessThan(3);
+  }
+
   private static ReplicaStorage open(FileSystemAccess files, Path path) {
     return ReplicaStorage.open(files, path, WriteSequence.GROUP, 200);
   }
