--- a/core/src/test/java/org/teaseltrail/core/replication/FakeGroup.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/FakeGroup.java
@@ -46,6 +46,8 @@
   private long sequence;
   private long proposals;
   private int lossPercent;
+  private long bytesPerMs = Long.MAX_VALUE;
+  private final Map<MemberId, Long> busyUntilNs = new HashMap<>();
   private int stateBytes = 40;
   private final Map<MemberId, Long> extraDelaysNs = new HashMap<>();
   private int startedCount;
@@ -136,6 +138,11 @@
     lossPercent = percent;
   }
 
+  /** Limits how fast each member takes in log entries and snapshots. */
+  void setPace(long newBytesPerMs) {
+    bytesPerMs = newBytesPerMs;
+  }
+
   void setStateBytes(int bytes) {
     stateBytes = bytes;
   }
@@ -241,13 +248,31 @@
             + extraDelaysNs.getOrDefault(envelope.to(), 0L);
     long delayNs = extraNs + random.nextLong(slow ? 300 * MS : 4 * MS);
     runAfter(
-        delayNs,
+        delayNs + takeInNs(envelope, delayNs),
         () -> {
           ReplicaEvent received = new ReplicaEvent.PeerMessageReceived(envelope);
           memberOn(vmOf(envelope.to())).ifPresent(member -> member.handle(received));
         });
   }
 
+  /** Returns how long after its arrival a message is taken in, one after the other per receiver. */
+  private long takeInNs(PeerEnvelope envelope, long delayNs) {
+    long arrivalNs = nowNs + delayNs;
+    long startNs = Math.max(arrivalNs, busyUntilNs.getOrDefault(envelope.to(), 0L));
+    long endNs = startNs + sizeBytes(envelope.message()) * MS / bytesPerMs;
+    if (endNs > startNs) {
+      busyUntilNs.put(envelope.to(), endNs);
+    }
+    return Math.max(0, endNs - arrivalNs);
+  }
+
+  private static long sizeBytes(PeerMessage message) {
+    if (message instanceof PeerMessage.Append append) {
+      return LogEntry.sizeBytes(append.entries());
+    }
+    return message instanceof PeerMessage.InstallSnapshot snapshot ? snapshot.part().length : 0;
+  }
+
   private static String vmOf(MemberId id) {
     return id.value().substring(0, id.value().indexOf('-'));
   }
--- a/core/src/test/java/org/teaseltrail/core/replication/RepairTest.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/RepairTest.java
@@ -14,6 +14,12 @@
   private static final long STEP_NS = FakeGroup.MS;
   private static final int MAX_STEPS = 5_000;
 
+  /** Half of the time that deployments give a new member; its start takes the other half. */
+  private static final int MAX_REPAIR_MS = 2_000;
+
+  private static final int COMMAND_BYTES = 175_000;
+  private static final int CHANGE_INTERVAL_MS = 60;
+
   @Test
   void secondDiskLossAfterRepairLosesNoCommittedEntry() {
     for (int seed = 0; seed < 30; seed++) {
@@ -56,6 +62,33 @@
     assertThat(group.awaitLeader().membership().isVoter(learner.id())).isTrue();
   }
 
+  /**
+   * Guards against a new member that votes too late, as it is sent hundreds of commands that later
+   * ones have replaced: a further loss then leaves the group without a quorum for good.
+   */
+  @Test
+  void learnerVotesInTimeAfterManyLargeCommands() {
+    FakeGroup group = new FakeGroup(6, 5, ReplicaSettings.defaults());
+    group.setStateBytes(COMMAND_BYTES);
+    for (int i = 0; i < 450; i++) {
+      change(group);
+    }
+    group.setPace(20_000);
+    FakeMember learner = group.start(group.newMember("c9"), RecoveredState.empty());
+    MembershipChange add = new MembershipChange.AddLearner(learner.member());
+    group.awaitLeader().handle(new ReplicaEvent.ProposeMembership(0, add));
+    for (int elapsedMs = 0; elapsedMs < MAX_REPAIR_MS; elapsedMs += CHANGE_INTERVAL_MS) {
+      change(group);
+      group.awaitLeader().handle(promotion(learner));
+    }
+    assertThat(group.awaitLeader().membership().isVoter(learner.id())).isTrue();
+  }
+
+  private static void change(FakeGroup group) {
+    group.propose(group.awaitLeader(), COMMAND_BYTES);
+    group.run(CHANGE_INTERVAL_MS * FakeGroup.MS);
+  }
+
   private static ReplicaEvent promotion(FakeMember learner) {
     return new ReplicaEvent.ProposeMembership(0, new MembershipChange.PromoteLearner(learner.id()));
   }
