Let a learner that is gone no longer block the repair of the group

What callers would see: a VM of a control member loses its disk again while its new member is still a learner; the repair never goes on, so that the next losses, each of two VMs at most, leave the group without a quorum for good.

Cause: the reconciler proposed the promotion of any learner of the right VM before it looked at what else was to be done. The promotion of a learner that is gone is rejected each time (not caught up), so no learner was removed or added any more.

MembershipReconcilerTest.replacesLearnerThatLostItsDisk: red before (c8 is no voter after 4 s), green now.

--- a/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
@@ -113,6 +113,11 @@
     return stateMachine.state().claims().size();
   }
 
+  /** Returns the member set in effect on this member, whether committed or not. */
+  public Membership membership() {
+    return stateMachine.membership();
+  }
+
   /** Returns the size of this member's log. */
   public LogStatus logStatus() {
     return stateMachine.replica().logStatus();
--- a/core/src/main/java/org/teaseltrail/core/control/MembershipReconciler.java
+++ b/core/src/main/java/org/teaseltrail/core/control/MembershipReconciler.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 import org.teaseltrail.core.id.MemberId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.replication.Member;
@@ -37,6 +38,12 @@
    */
   private static final long JOIN_TIMEOUT_NS = 1_500 * NS_PER_MS;
 
+  /**
+   * Silence after which a voter whose VM runs another member is gone. A running voter replies to
+   * each heartbeat, so a late join request of an earlier member of its VM does not replace it.
+   */
+  private static final long REPLACED_SILENCE_NS = 600 * NS_PER_MS;
+
   /** Maximum number of learners, so that unknown members can't make the group's messages grow. */
   private static final int MAX_LEARNERS = 4;
 
@@ -93,10 +100,10 @@
     return voterToRemove(members, nowNs)
         .or(() -> learnerToPromote(members, nowNs))
         .or(() -> learnerToRemove(members, nowNs))
-        .or(() -> learnerToAdd(members));
+        .or(() -> learnerToAdd(members, nowNs));
   }
 
-  /** Removes a voter if there are more than the target, or if its VM runs a newer voter. */
+  /** Removes a voter if there are more than the target, or if its VM runs a newer member. */
   private Optional<MembershipChange> voterToRemove(Membership members, long nowNs) {
     boolean tooMany = members.voters().size() > settings.targetVoters();
     return members.voters().stream()
@@ -112,7 +119,39 @@
         .anyMatch(other -> sinceResponseNs(other.id(), nowNs) < sinceResponseNs(voter.id(), nowNs));
   }
 
-  /** Promotes a learner if the group has too few voters or the learner replaces one. */
+  /**
+   * Returns whether a member is silent while its VM runs a learner, or a member that asks to join,
+   * that was heard later.
+   */
+  private boolean isReplaced(Membership members, Member member, long nowNs) {
+    long silenceNs = sinceHeardNs(members, member.id(), nowNs);
+    boolean hasSuccessor =
+        Stream.concat(members.learners().stream(), joining(members))
+            .filter(other -> !other.id().equals(member.id()) && other.vm().equals(member.vm()))
+            .anyMatch(other -> sinceHeardNs(members, other.id(), nowNs) < silenceNs);
+    return silenceNs > REPLACED_SILENCE_NS && hasSuccessor;
+  }
+
+  /** Returns the members that ask to join and are not part of the group. */
+  private Stream<Member> joining(Membership members) {
+    return candidates.values().stream()
+        .map(JoinCandidate::member)
+        .filter(candidate -> !members.contains(candidate.id()));
+  }
+
+  private long sinceHeardNs(Membership members, MemberId id, long nowNs) {
+    if (members.isVoter(id)) {
+      return sinceResponseNs(id, nowNs);
+    }
+    return members.isLearner(id)
+        ? sinceLearnerResponseNs(id, nowNs)
+        : nowNs - candidates.get(id).heardNs();
+  }
+
+  /**
+   * Promotes a learner that has caught up if the group has too few voters or the learner replaces
+   * one.
+   */
   private Optional<MembershipChange> learnerToPromote(Membership members, long nowNs) {
     boolean wanted = members.voters().size() < settings.targetVoters();
     boolean anyVoterTimedOut =
@@ -121,6 +160,7 @@
                 voter ->
                     sinceResponseNs(voter.id(), nowNs) > settings.voterTimeoutMs() * NS_PER_MS);
     return members.learners().stream()
+        .filter(learner -> stateMachine.replica().hasCaughtUp(learner.id(), nowNs))
         .filter(learner -> wanted || anyVoterTimedOut || replaces(members, learner.vm()))
         .min(Comparator.comparingLong(learner -> sinceResponseNs(learner.id(), nowNs)))
         .map(learner -> new MembershipChange.PromoteLearner(learner.id()));
@@ -130,10 +170,14 @@
     return members.voters().stream().anyMatch(voter -> voter.vm().equals(vm));
   }
 
+  /** Removes a learner that is silent for long, or silent while its VM runs a newer member. */
   private Optional<MembershipChange> learnerToRemove(Membership members, long nowNs) {
     return members.learners().stream()
-        .filter(learner -> !candidates.containsKey(learner.id()))
-        .filter(learner -> sinceLearnerResponseNs(learner.id(), nowNs) > learnerTimeoutNs())
+        .filter(
+            learner ->
+                isReplaced(members, learner, nowNs)
+                    || (!candidates.containsKey(learner.id())
+                        && sinceLearnerResponseNs(learner.id(), nowNs) > learnerTimeoutNs()))
         .findFirst()
         .map(learner -> new MembershipChange.RemoveMember(learner.id()));
   }
@@ -142,14 +186,12 @@
     return settings.learnerTimeoutMs() * NS_PER_MS;
   }
 
-  private Optional<MembershipChange> learnerToAdd(Membership members) {
+  private Optional<MembershipChange> learnerToAdd(Membership members, long nowNs) {
     if (members.learners().size() >= MAX_LEARNERS) {
       return Optional.empty();
     }
-    return candidates.values().stream()
-        .map(JoinCandidate::member)
-        .filter(candidate -> !members.contains(candidate.id()))
-        .findFirst()
+    return joining(members)
+        .min(Comparator.comparingLong(member -> sinceHeardNs(members, member.id(), nowNs)))
         .map(MembershipChange.AddLearner::new);
   }
 
--- a/core/src/main/java/org/teaseltrail/core/replication/LeaderRole.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/LeaderRole.java
@@ -53,6 +53,12 @@
     return ready && lease.isValid(nowNs);
   }
 
+  /** Returns whether a member had recently synced all entries committed at the time. */
+  boolean hasCaughtUp(MemberId member, long nowNs) {
+    PeerProgress peer = peers.get(member);
+    return peer != null && peer.hasCaughtUpWithin(nowNs, context.settings.maxCatchUpAgeNs());
+  }
+
   OptionalLong repliedSendNs(MemberId member) {
     return lease.repliedSendNs(member);
   }
--- a/core/src/main/java/org/teaseltrail/core/replication/Replica.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/Replica.java
@@ -229,6 +229,17 @@
     return leaderRole.map(role -> role.repliedSendNs(member)).orElse(OptionalLong.empty());
   }
 
+  /**
+   * Returns, on a leader, whether a member has caught up, so that it may be promoted.
+   *
+   * @param member the member
+   * @param nowNs monotonic time in nanoseconds
+   * @return whether it had recently synced all entries committed at the time
+   */
+  public boolean hasCaughtUp(MemberId member, long nowNs) {
+    return leaderRole.map(role -> role.hasCaughtUp(member, nowNs)).orElse(false);
+  }
+
   private static boolean isInstallSnapshot(PeerMessage message) {
     return message instanceof PeerMessage.InstallSnapshot;
   }
--- a/core/src/test/java/org/teaseltrail/core/control/MembershipReconcilerTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/MembershipReconcilerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -110,6 +111,26 @@
     assertThat(readVersion()).isEqualTo(7);
   }
 
+  /**
+   * Guards against a repair that never goes on: a VM loses its disk again while its new member is
+   * still a learner, and the learner that is gone keeps the next one from being added.
+   */
+  @Test
+  void replacesLearnerThatLostItsDisk() {
+    startFiveMembers();
+    FakeControlMember wiped = anotherMember(group.leader());
+    wiped.kill();
+    FakeControlMember learner = group.join("c7", wiped.member().vm().value());
+    for (int i = 0; i < 100 && !isLearner("c7"); i++) {
+      group.run(10);
+    }
+    learner.kill();
+    group.run(1_000);
+    group.join("c8", wiped.member().vm().value());
+    group.run(CATCH_UP_MS);
+    assertThat(voters()).hasSize(5).contains("c8");
+  }
+
   /**
    * A member is down for a short time and no other member waits to replace it; it must remain a
    * voter.
@@ -148,9 +169,13 @@
     assertThat(stale instanceof OperatorResult.PlanRead).isFalse();
   }
 
-  private FakeControlMember anotherMember(FakeControlMember excluded) {
+  private boolean isLearner(String id) {
+    return group.leader().control().membership().isLearner(new MemberId(id));
+  }
+
+  private FakeControlMember anotherMember(FakeControlMember... excluded) {
     return group.members().stream()
-        .filter(member -> member != excluded && member.control() != null)
+        .filter(member -> !List.of(excluded).contains(member) && member.control() != null)
         .findFirst()
         .orElseThrow();
   }
