Remove a voter whose disk is gone before its successor votes

What callers would see: a VM of a control member loses its disk again just when its new member has become a voter, and the leader's VM with it: two VMs are lost, as deployments allow, and the group has no quorum for good.

Cause: the new member was promoted before its predecessor was removed. Of six voters, one gone, four are a quorum; without the new one and the leader three are left, and the disks of the three others are empty.

Mend: a voter that is silent (600 ms) while its VM runs a newer member is removed before that member is promoted, if the quorum stays as large (five to four voters: three of either). A quorum that became smaller (four to three) would let changes rest on two disks, so the second of two lost voters waits for a promotion. The removal is committed by the unchanged quorum of the others, which thereby hold all that was committed before; that was the reason for the old order. A voter that is only silent may come back and is replaced as before.

Weighed: one step that replaces a member (needs joint consensus: an election that counts a late vote of the old member could share no voter with the new quorum); checks more often than every 200 ms (shortens the window, doesn't close it).

MembershipReconcilerTest.bearsVmThatLosesItsDiskTwiceBesideLeader: red before (no leader), green now; quorumIsNeverSmallerThanLossesRequire holds the other side.

--- a/core/src/main/java/org/teaseltrail/core/control/MembershipReconciler.java
+++ b/core/src/main/java/org/teaseltrail/core/control/MembershipReconciler.java
@@ -21,9 +21,15 @@
  * learners, promotes learners that have caught up, and removes members that have stopped responding
  * or lost their disk.
  *
- * <p>A new voter is added before the old one is removed. While the lost voter still counts towards
- * the quorum, every committed entry is on each of the other voters, so two further losses right
- * after the repair lose no data.
+ * <p>A voter whose VM runs a new member has lost its disk for good and is removed before the new
+ * member votes, unless the quorum would become smaller. With the lost voter and the new one counted
+ * together the quorum would be larger by one, and the loss of the new member and of one more, which
+ * is the loss of two VMs, would end the group. A quorum that became smaller would let committed
+ * entries rest on fewer disks than the losses that the group must bear. The removal itself needs
+ * the unchanged quorum of the others, so they hold everything committed before it.
+ *
+ * <p>A voter that is only silent may come back with its data; it is removed after a learner has
+ * become a voter in its place.
  */
 final class MembershipReconciler {
 
@@ -108,7 +114,11 @@
     boolean tooMany = members.voters().size() > settings.targetVoters();
     return members.voters().stream()
         .filter(voter -> !voter.id().equals(self))
-        .filter(voter -> tooMany || hasReplacementOnSameVm(members.voters(), voter, nowNs))
+        .filter(
+            voter ->
+                tooMany
+                    || hasReplacementOnSameVm(members.voters(), voter, nowNs)
+                    || (isQuorumKeptWithoutOne(members) && isReplaced(members, voter, nowNs)))
         .max(Comparator.comparingLong(voter -> sinceResponseNs(voter.id(), nowNs)))
         .map(voter -> new MembershipChange.RemoveMember(voter.id()));
   }
@@ -148,9 +158,14 @@
         : nowNs - candidates.get(id).heardNs();
   }
 
+  /** Returns whether the quorum is the same number of voters if one of them is removed. */
+  private static boolean isQuorumKeptWithoutOne(Membership members) {
+    return members.voters().size() % 2 == 1;
+  }
+
   /**
    * Promotes a learner that has caught up if the group has too few voters or the learner replaces
-   * one.
+   * one; the voter of its own VM is removed first if the quorum allows it.
    */
   private Optional<MembershipChange> learnerToPromote(Membership members, long nowNs) {
     boolean wanted = members.voters().size() < settings.targetVoters();
@@ -162,6 +177,7 @@
     return members.learners().stream()
         .filter(learner -> stateMachine.replica().hasCaughtUp(learner.id(), nowNs))
         .filter(learner -> wanted || anyVoterTimedOut || replaces(members, learner.vm()))
+        .filter(learner -> !isQuorumKeptWithoutOne(members) || !replaces(members, learner.vm()))
         .min(Comparator.comparingLong(learner -> sinceResponseNs(learner.id(), nowNs)))
         .map(learner -> new MembershipChange.PromoteLearner(learner.id()));
   }
--- a/core/src/main/java/org/teaseltrail/core/replication/MembershipChangeValidator.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/MembershipChangeValidator.java
@@ -13,10 +13,9 @@
  * before. Otherwise every command would wait for it, and no leader could be elected if another
  * member fails.
  *
- * <p>The order of the steps also protects against the loss of a second member right after the
- * replacement of a first. As long as the lost voter is still in the member set, a quorum of four
- * needs the three other voters, so each of them holds everything that was committed before the lost
- * voter is removed.
+ * <p>The removal of a lost voter, before or after its successor is promoted, is committed by a
+ * quorum of the remaining voters, which thereby hold everything that was committed before it. So
+ * the loss of a second member right after the replacement of a first loses no committed entry.
  */
 final class MembershipChangeValidator {
 
--- a/core/src/test/java/org/teaseltrail/core/control/MembershipReconcilerTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/MembershipReconcilerTest.java
@@ -131,6 +131,49 @@
     assertThat(voters()).hasSize(5).contains("c8");
   }
 
+  /**
+   * Guards against a group without a quorum for good: a VM loses its disk again just when its new
+   * member has become a voter, and the leader's VM with it, so that two VMs are lost.
+   */
+  @Test
+  void bearsVmThatLosesItsDiskTwiceBesideLeader() {
+    startFiveMembers();
+    install(7);
+    FakeControlMember wiped = anotherMember(group.leader());
+    wiped.kill();
+    FakeControlMember successor = group.join("c7", wiped.member().vm().value());
+    awaitVoter("c7");
+    FakeControlMember leader = group.leader();
+    successor.kill();
+    leader.kill();
+    group.run(1_000);
+    group.join("c8", wiped.member().vm().value());
+    group.join("c9", leader.member().vm().value());
+    group.run(CATCH_UP_MS);
+    assertThat(voters()).hasSize(5).contains("c8", "c9");
+    assertThat(readVersion()).isEqualTo(7);
+  }
+
+  /**
+   * Guards against an accepted change that rests on two disks only: of five voters two are lost,
+   * and if both were removed before a new one votes, two of three would be a quorum.
+   */
+  @Test
+  void quorumIsNeverSmallerThanLossesRequire() {
+    startFiveMembers();
+    FakeControlMember first = anotherMember(group.leader());
+    FakeControlMember second = anotherMember(group.leader(), first);
+    first.kill();
+    second.kill();
+    group.join("c7", first.member().vm().value());
+    group.join("c8", second.member().vm().value());
+    for (int waitedMs = 0; waitedMs < CATCH_UP_MS; waitedMs += 10) {
+      assertThat(group.leader().control().membership().quorumCount()).isGreaterThanOrEqualTo(3);
+      group.run(10);
+    }
+    assertThat(voters()).hasSize(5).contains("c7", "c8");
+  }
+
   /**
    * A member is down for a short time and no other member waits to replace it; it must remain a
    * voter.
@@ -173,6 +216,16 @@
     return group.leader().control().membership().isLearner(new MemberId(id));
   }
 
+  private void awaitVoter(String id) {
+    for (int waitedMs = 0; waitedMs < CATCH_UP_MS; waitedMs += 10) {
+      if (group.leader().control().membership().isVoter(new MemberId(id))) {
+        return;
+      }
+      group.run(10);
+    }
+    throw new AssertionError(id + " is no voter after " + CATCH_UP_MS + " ms");
+  }
+
   private FakeControlMember anotherMember(FakeControlMember... excluded) {
     return group.members().stream()
         .filter(member -> !List.of(excluded).contains(member) && member.control() != null)
--- a/core/src/test/java/org/teaseltrail/core/replication/FaultRun.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/FaultRun.java
@@ -69,10 +69,16 @@
     }
   }
 
-  /** Proposes the next step of a member replacement and returns whether it is complete. */
+  /**
+   * Proposes the next step of a member replacement and returns whether it is complete. The lost
+   * voter is removed first if the quorum stays as large, otherwise last.
+   */
   static boolean repair(FakeMember leader, FakeMember lostMember, FakeMember added) {
     Membership membership = leader.membership();
-    if (!membership.contains(added.id())) {
+    boolean quorumStays = membership.voters().size() % 2 == 1;
+    if (quorumStays && membership.contains(lostMember.id()) && !leader.equals(lostMember)) {
+      propose(leader, new MembershipChange.RemoveMember(lostMember.id()));
+    } else if (!membership.contains(added.id())) {
       propose(leader, new MembershipChange.AddLearner(added.member()));
     } else if (membership.isLearner(added.id())) {
       propose(leader, new MembershipChange.PromoteLearner(added.id()));
