--- a/storage/src/main/java/org/teaseltrail/storage/ChecksummedFile.java
+++ b/storage/src/main/java/org/teaseltrail/storage/ChecksummedFile.java
@@ -18,10 +18,14 @@
   }
 
   void save(String name, T value) {
-    byte[] content = codec.encode(value);
-    ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + content.length);
-    buffer.putInt(MAGIC).putInt(checksum(content, 0, content.length)).put(content);
-    folder.replace(name, buffer.array());
+    byte[] head = codec.encodeHead(value);
+    byte[] tail = codec.tail(value);
+    CRC32C crc = new CRC32C();
+    crc.update(head);
+    crc.update(tail);
+    ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
+    header.putInt(MAGIC).putInt((int) crc.getValue());
+    folder.replace(name, header.array(), head, tail);
   }
 
   /** Reads the value. Files are only replaced atomically, so any invalid content is corruption. */
--- a/storage/src/main/java/org/teaseltrail/storage/Codec.java
+++ b/storage/src/main/java/org/teaseltrail/storage/Codec.java
@@ -6,14 +6,25 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 
-/** Base class of codecs that encode one type as MessagePack and decode it. */
+/**
+ * Base class of codecs that encode one type as MessagePack and decode it.
+ *
+ * <p>A value is encoded as a head and a tail, which follow each other. The tail is a large binary
+ * that the value holds already, so that it can be written without a copy.
+ */
 abstract class Codec<T> {
 
+  /** Packs the value without its tail. */
   abstract void pack(MessageBufferPacker packer, T value) throws IOException;
 
   abstract T unpack(MessageUnpacker unpacker) throws IOException;
 
-  byte[] encode(T value) {
+  /** Returns the bytes that follow the packed ones. */
+  byte[] tail(T value) {
+    return new byte[0];
+  }
+
+  byte[] encodeHead(T value) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       pack(packer, value);
       return packer.toByteArray();
--- a/storage/src/main/java/org/teaseltrail/storage/DataFolder.java
+++ b/storage/src/main/java/org/teaseltrail/storage/DataFolder.java
@@ -81,20 +81,22 @@
   }
 
   /**
-   * Atomically replaces a file and syncs it.
+   * Atomically replaces a file by the given parts, in their order, and syncs it.
    *
    * <p>A power loss during an in-place write would leave neither the old nor the new content.
    * Therefore the new content is written to a temporary file and synced, the temporary file is
    * renamed over the old one, and the folder is synced before this method returns.
    */
-  void replace(String name, byte[] content) {
+  void replace(String name, byte[]... parts) {
     String temporary = name + TEMPORARY_SUFFIX;
     step(
         path(name),
         () -> {
           try (AppendFile file = files.openAppend(path(temporary))) {
             file.truncate(0);
-            file.append(content);
+            for (byte[] part : parts) {
+              file.append(part);
+            }
             file.sync();
           }
           files.rename(path(temporary), path(name));
--- a/storage/src/main/java/org/teaseltrail/storage/LogEntryCodec.java
+++ b/storage/src/main/java/org/teaseltrail/storage/LogEntryCodec.java
@@ -22,7 +22,6 @@
     if (entry.payload() instanceof EntryPayload.CommandPayload command) {
       packer.packInt(COMMAND);
       packer.packBinaryHeader(command.bytes().length);
-      packer.writePayload(command.bytes());
     } else if (entry.payload() instanceof EntryPayload.MembershipPayload change) {
       packer.packInt(MEMBERSHIP);
       memberships.pack(packer, change.membership());
@@ -31,6 +30,13 @@
     }
   }
 
+  @Override
+  byte[] tail(LogEntry entry) {
+    return entry.payload() instanceof EntryPayload.CommandPayload command
+        ? command.bytes()
+        : super.tail(entry);
+  }
+
   @Override
   LogEntry unpack(MessageUnpacker unpacker) throws IOException {
     return new LogEntry(unpacker.unpackLong(), unpacker.unpackLong(), unpackPayload(unpacker));
--- a/storage/src/main/java/org/teaseltrail/storage/LogRecord.java
+++ b/storage/src/main/java/org/teaseltrail/storage/LogRecord.java
@@ -31,11 +31,19 @@
     return contentOffsetBytes() + contentLength;
   }
 
-  static byte[] encode(byte[] content, long syncedBytes) {
-    byte[] record = new byte[HEADER_BYTES + content.length];
+  /**
+   * Encodes a record up to the end of its content's head; the tail, which isn't copied, must be
+   * written after it.
+   */
+  static byte[] encodeHead(byte[] contentHead, byte[] contentTail, long syncedBytes) {
+    byte[] record = new byte[HEADER_BYTES + contentHead.length];
     ByteBuffer buffer = ByteBuffer.wrap(record);
-    buffer.putInt(MAGIC).putInt(content.length).putInt(0).putLong(syncedBytes).put(content);
-    buffer.putInt(2 * Integer.BYTES, checksum(record, 0, content.length));
+    buffer.putInt(MAGIC).putInt(contentHead.length + contentTail.length).putInt(0);
+    buffer.putLong(syncedBytes).put(contentHead);
+    CRC32C crc = new CRC32C();
+    crc.update(record, CHECKSUMMED_FROM_BYTES, Long.BYTES + contentHead.length);
+    crc.update(contentTail);
+    buffer.putInt(2 * Integer.BYTES, (int) crc.getValue());
     return record;
   }
 
--- a/storage/src/main/java/org/teaseltrail/storage/LogSegment.java
+++ b/storage/src/main/java/org/teaseltrail/storage/LogSegment.java
@@ -5,9 +5,14 @@
 import java.util.List;
 import org.teaseltrail.core.replication.LogEntry;
 
-/** One open segment file of the log. Appended entries are buffered until the next sync. */
+/**
+ * One open segment file of the log. Appended entries are buffered until the next sync, except large
+ * ones, which are written at once.
+ */
 final class LogSegment implements AutoCloseable {
 
+  private static final int MAX_BUFFERED_TAIL_BYTES = 64 * 1024;
+
   private final DataFolder folder;
   private final SegmentName name;
   private final AppendFile file;
@@ -54,8 +59,14 @@
 
   void append(LogEntry entry) {
     entryOffsetsBytes.add(sizeBytes());
-    byte[] record = LogRecord.encode(codec.encode(entry), syncedBytes);
-    writeBuffer.write(record, 0, record.length);
+    byte[] tail = codec.tail(entry);
+    writeBuffer.writeBytes(LogRecord.encodeHead(codec.encodeHead(entry), tail, syncedBytes));
+    if (tail.length <= MAX_BUFFERED_TAIL_BYTES) {
+      writeBuffer.writeBytes(tail);
+    } else {
+      flush();
+      write(tail);
+    }
   }
 
   void sync() {
@@ -98,6 +109,10 @@
     }
     byte[] bytes = writeBuffer.toByteArray();
     writeBuffer.reset();
+    write(bytes);
+  }
+
+  private void write(byte[] bytes) {
     DataFolder.step(
         folder.path(name.fileName()),
         () -> {
--- a/storage/src/main/java/org/teaseltrail/storage/NioFileSystem.java
+++ b/storage/src/main/java/org/teaseltrail/storage/NioFileSystem.java
@@ -79,10 +79,14 @@
 
   private record NioAppendFile(FileChannel channel) implements AppendFile {
 
+    /** The runtime copies each slice to native memory, which it then keeps for the thread. */
+    private static final int SLICE_BYTES = 256 * 1024;
+
     @Override
     public void append(byte[] bytes) throws IOException {
       ByteBuffer buffer = ByteBuffer.wrap(bytes);
-      while (buffer.hasRemaining()) {
+      while (buffer.position() < bytes.length) {
+        buffer.limit(Math.min(bytes.length, buffer.position() + SLICE_BYTES));
         channel.write(buffer);
       }
     }
--- a/storage/src/main/java/org/teaseltrail/storage/SnapshotCodec.java
+++ b/storage/src/main/java/org/teaseltrail/storage/SnapshotCodec.java
@@ -17,7 +17,11 @@
     packer.packLong(snapshot.term());
     memberships.pack(packer, snapshot.membership());
     packer.packBinaryHeader(snapshot.state().length);
-    packer.writePayload(snapshot.state());
+  }
+
+  @Override
+  byte[] tail(Snapshot snapshot) {
+    return snapshot.state();
   }
 
   @Override
--- a/storage/src/test/java/org/teaseltrail/storage/WriteSequence.java
+++ b/storage/src/test/java/org/teaseltrail/storage/WriteSequence.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.storage;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -39,7 +40,8 @@
     script.vote(1).append(1, 4).append(1, 2).append(1, 3).vote(2);
     script.truncate(6).append(2, 5).snapshot(8, 2, 5, false).append(2, 3);
     script.truncate(12).append(3, 1).append(3, 6).vote(4);
-    return script.snapshot(30, 4, 30, true).append(4, 2).append(4, 2);
+    script.snapshot(30, 4, 30, true).append(4, 2).append(4, 2);
+    return script.appendLarge(4).append(4, 1).appendLarge(5);
   }
 
   /** Generates random writes that a replica could request. */
@@ -49,10 +51,11 @@
       long first = script.firstIndex();
       long last = script.lastIndex();
       boolean empty = last < first;
-      switch (empty ? 0 : random.nextInt(6)) {
+      switch (empty ? 0 : random.nextInt(7)) {
         case 0, 1, 2 -> script.append(term, random.nextInt(1, 5));
         case 3 -> script.vote(term);
         case 4 -> script.truncate(random.nextLong(first, last + 1));
+        case 5 -> script.appendLarge(term);
         default -> script.appendSnapshotAtRandomIndex(random, first, last, term);
       }
     }
@@ -90,6 +93,10 @@
       byte[] command = new byte[3 + (int) next % 7];
       added.add(new LogEntry(next + i, term, new EntryPayload.CommandPayload(command)));
     }
+    return append(added);
+  }
+
+  private WriteSequence append(List<LogEntry> added) {
     List<LogEntry> entries = new ArrayList<>(lastState().entries());
     entries.addAll(added);
     return add(
@@ -97,6 +104,14 @@
         new RecoveredState(lastState().vote(), lastState().snapshot(), entries));
   }
 
+  /** Appends a command that is too large to be buffered. */
+  WriteSequence appendLarge(long term) {
+    byte[] command = new byte[70_000];
+    Arrays.fill(command, (byte) term);
+    long index = lastIndex() + 1;
+    return append(List.of(new LogEntry(index, term, new EntryPayload.CommandPayload(command))));
+  }
+
   WriteSequence truncate(long index) {
     List<LogEntry> entries =
         lastState().entries().stream().filter(entry -> entry.index() < index).toList();
