Let go of what a member read at its start

Mend: the folder gives the recovered state away once. ReplicaStorageTest.givesRecoveredStateAwayOnce; without it the second call returned the state again.

--- a/bench/src/main/java/org/teaseltrail/bench/control/BenchNode.java
+++ b/bench/src/main/java/org/teaseltrail/bench/control/BenchNode.java
@@ -70,7 +70,7 @@
     RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
     replica =
         new Replica(
-            GROUP, id(), ReplicaSettings.defaults(), folder.recoveredState(), random, now());
+            GROUP, id(), ReplicaSettings.defaults(), folder.takeRecoveredState(), random, now());
     peers.put(id(), this);
   }
 
--- a/bench/src/main/java/org/teaseltrail/bench/replica/BenchMember.java
+++ b/bench/src/main/java/org/teaseltrail/bench/replica/BenchMember.java
@@ -50,7 +50,7 @@
             folder.identity().group(),
             id(),
             settings,
-            folder.recoveredState(),
+            folder.takeRecoveredState(),
             RandomGenerator.getDefault(),
             System.nanoTime());
     this.thread = new Thread(this::run, "member-" + id());
--- a/bench/src/main/java/org/teaseltrail/bench/replica/ReplicaBench.java
+++ b/bench/src/main/java/org/teaseltrail/bench/replica/ReplicaBench.java
@@ -94,7 +94,7 @@
       }
       long savedNs = System.nanoTime();
       try (ReplicaStorage folder = ReplicaStorage.open(files, path, group)) {
-        Optional<Snapshot> loaded = folder.recoveredState().snapshot();
+        Optional<Snapshot> loaded = folder.takeRecoveredState().snapshot();
         System.out.printf(
             "snapshot state_bytes=%d save_ms=%.1f load_ms=%.1f%n",
             loaded.orElseThrow().state().length,
@@ -132,7 +132,7 @@
     long startNs = System.nanoTime();
     try (ReplicaStorage folder =
         ReplicaStorage.open(new NioFileSystem(), path, new GroupId("bench"))) {
-      RecoveredState recovered = folder.recoveredState();
+      RecoveredState recovered = folder.takeRecoveredState();
       System.out.printf(
           "reopen entries=%d read=%d ms=%.0f%n",
           entries, recovered.entries().size(), (System.nanoTime() - startNs) / 1e6);
--- a/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
@@ -240,7 +240,7 @@
             options.group(),
             member.id(),
             ReplicaSettings.defaults(),
-            folder.recoveredState(),
+            folder.takeRecoveredState(),
             random,
             clock.nowNs() - silentMs * NS_PER_MS,
             clock.nowNs());
--- a/storage/src/main/java/org/teaseltrail/storage/ReplicaStorage.java
+++ b/storage/src/main/java/org/teaseltrail/storage/ReplicaStorage.java
@@ -40,7 +40,7 @@
   private final DataFolder folder;
   private final AutoCloseable lock;
   private final FolderIdentity identity;
-  private final RecoveredState recoveredState;
+  private RecoveredState recoveredState;
   private final ChecksummedFile<Vote> voteFile;
   private final SnapshotStore snapshots;
   private final SegmentedLog log;
@@ -147,12 +147,19 @@
   }
 
   /**
-   * Returns the state that was read when the folder was opened.
+   * Returns the state that was read when the folder was opened, and no longer holds it: it may be a
+   * large part of the memory, and the caller drops entries as time goes on.
    *
    * @return vote, snapshot and log
+   * @throws IllegalStateException if it was taken before
    */
-  public RecoveredState recoveredState() {
-    return recoveredState;
+  public RecoveredState takeRecoveredState() {
+    if (recoveredState == null) {
+      throw new IllegalStateException("the recovered state was taken before");
+    }
+    RecoveredState taken = recoveredState;
+    recoveredState = null;
+    return taken;
   }
 
   /**
--- a/storage/src/test/java/org/teaseltrail/storage/PowerLossProperties.java
+++ b/storage/src/test/java/org/teaseltrail/storage/PowerLossProperties.java
@@ -74,7 +74,7 @@
       }
       files.losePowerAfterOperations(MAX_STEPS);
       try (ReplicaStorage folder = open(files)) {
-        assertThat(folder.recoveredState()).isEqualTo(new WriteSequence().stateAfter(0));
+        assertThat(folder.takeRecoveredState()).isEqualTo(new WriteSequence().stateAfter(0));
       }
     }
   }
@@ -112,11 +112,12 @@
   /** Asserts that the recovered state is the last one reported as synced or a later one. */
   private static void checkRecovery(FakeFileSystem files, WriteSequence script, int synced) {
     try (ReplicaStorage folder = open(files)) {
+      RecoveredState recovered = folder.takeRecoveredState();
       boolean found =
           IntStream.rangeClosed(synced, script.writes().size())
-              .anyMatch(count -> script.stateAfter(count).equals(folder.recoveredState()));
+              .anyMatch(count -> script.stateAfter(count).equals(recovered));
       if (!found) {
-        checkPartiallyAppliedWrite(folder.recoveredState(), script, synced);
+        checkPartiallyAppliedWrite(recovered, script, synced);
       }
     }
   }
@@ -153,13 +154,13 @@
   private static void checkWritesAfterRecovery(FakeFileSystem files, SplittableRandom random) {
     WriteSequence more;
     try (ReplicaStorage folder = open(files)) {
-      more = new WriteSequence(folder.recoveredState()).append(9, 2).vote(9).append(9, 1);
+      more = new WriteSequence(folder.takeRecoveredState()).append(9, 2).vote(9).append(9, 1);
       more.writes().forEach(folder::write);
       folder.sync();
     }
     files.losePower(random);
     try (ReplicaStorage folder = open(files)) {
-      assertThat(folder.recoveredState()).isEqualTo(more.stateAfter(3));
+      assertThat(folder.takeRecoveredState()).isEqualTo(more.stateAfter(3));
     }
   }
 }
--- a/storage/src/test/java/org/teaseltrail/storage/ReplicaStorageTest.java
+++ b/storage/src/test/java/org/teaseltrail/storage/ReplicaStorageTest.java
@@ -4,11 +4,16 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.nio.file.Path;
+import java.util.HexFormat;
+import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.teaseltrail.core.replication.EntryPayload;
 import org.teaseltrail.core.replication.GroupId;
+import org.teaseltrail.core.replication.LogEntry;
 import org.teaseltrail.core.replication.RecoveredState;
+import org.teaseltrail.core.replication.ReplicaAction;
 
 class ReplicaStorageTest {
 
@@ -28,7 +33,7 @@
     }
     try (ReplicaStorage folder = open(files, temporaryFolder)) {
       assertThat(folder.identity()).isEqualTo(WriteSequence.IDENTITY);
-      assertThat(folder.recoveredState()).isEqualTo(script.stateAfter(script.writes().size()));
+      assertThat(folder.takeRecoveredState()).isEqualTo(script.stateAfter(script.writes().size()));
     }
   }
 
@@ -46,10 +51,38 @@
     FakeFileSystem files = new FakeFileSystem();
     ReplicaStorage.createMember(files, PATH, WriteSequence.IDENTITY);
     try (ReplicaStorage folder = open(files, PATH)) {
-      assertThat(folder.recoveredState()).isEqualTo(RecoveredState.empty());
+      assertThat(folder.takeRecoveredState()).isEqualTo(RecoveredState.empty());
     }
   }
 
+  /** Guards against a member that holds for its whole life what it read when it started. */
+  @Test
+  void givesRecoveredStateAwayOnce() {
+    FakeFileSystem files = new FakeFileSystem();
+    ReplicaStorage.createGroup(files, PATH, WriteSequence.IDENTITY);
+    try (ReplicaStorage folder = open(files, PATH)) {
+      assertThat(folder.takeRecoveredState().entries()).hasSize(1);
+      assertThatThrownBy(folder::takeRecoveredState).isInstanceOf(IllegalStateException.class);
+    }
+  }
+
+  /**
+   * Guards against a change of the format of segments: members read folders of earlier versions.
+   */
+  @Test
+  void formatOfSegmentStays() {
+    FakeFileSystem files = new FakeFileSystem();
+    ReplicaStorage.createMember(files, PATH, WriteSequence.IDENTITY);
+    byte[] command = {7, 8, 9};
+    LogEntry entry = new LogEntry(1, 2, new EntryPayload.CommandPayload(command));
+    try (ReplicaStorage folder = open(files, PATH)) {
+      folder.write(new ReplicaAction.AppendToLog(1, List.of(entry)));
+      folder.sync();
+    }
+    assertThat(HexFormat.of().formatHex(files.content(FIRST_SEGMENT)))
+        .isEqualTo("54544c31000000087eb821220000000000000000010201c403070809");
+  }
+
   /**
    * Guards against overwriting or mixing member state: an operator creates a group on a VM that
    * already has a member, or configures the folder of another group.
@@ -73,7 +106,7 @@
     NioFileSystem files = new NioFileSystem();
     ReplicaStorage.createGroup(files, temporaryFolder, WriteSequence.IDENTITY);
     try (ReplicaStorage folder = open(files, temporaryFolder)) {
-      assertThat(folder.recoveredState().entries()).hasSize(1);
+      assertThat(folder.takeRecoveredState().entries()).hasSize(1);
       assertThatThrownBy(() -> open(files, temporaryFolder))
           .isInstanceOf(FolderInUseException.class);
     }
@@ -125,7 +158,7 @@
       assertThatThrownBy(folder::sync).isInstanceOf(StorageFailedException.class);
     }
     try (ReplicaStorage folder = open(files, PATH)) {
-      assertThat(folder.recoveredState()).isEqualTo(script.stateAfter(1));
+      assertThat(folder.takeRecoveredState()).isEqualTo(script.stateAfter(1));
     }
   }
 
@@ -145,7 +178,7 @@
     }
     files.losePower(new SplittableRandom(1));
     try (ReplicaStorage folder = open(files, PATH)) {
-      assertThat(folder.recoveredState()).isNotEqualTo(script.stateAfter(1));
+      assertThat(folder.takeRecoveredState()).isNotEqualTo(script.stateAfter(1));
     }
   }
 
@@ -175,7 +208,7 @@
     assertThat(files.list(PATH)).hasSizeLessThan(segments - 1);
     files.restore(FIRST_SEGMENT, oldest);
     try (ReplicaStorage folder = open(files, PATH)) {
-      assertThat(folder.recoveredState()).isEqualTo(snapshot.stateAfter(1));
+      assertThat(folder.takeRecoveredState()).isEqualTo(snapshot.stateAfter(1));
     }
     assertThat(files.list(PATH)).doesNotContain(FIRST_SEGMENT);
   }
@@ -196,7 +229,7 @@
     }
     files.forgetReads();
     try (ReplicaStorage folder = open(files, PATH)) {
-      assertThat(folder.recoveredState()).isEqualTo(script.stateAfter(9));
+      assertThat(folder.takeRecoveredState()).isEqualTo(script.stateAfter(9));
     }
     assertThat(files.readNames()).filteredOn(SegmentName::isSegmentName).hasSizeLessThan(3);
   }
