Bound what waits in memory for the disk of a leader that hangs

What would be seen: the disk of the leader hangs while the other members' disks work; changes are committed without it, each waits in the leader's queue of writes, and the leader ends for lack of memory.

Cause: the leader refused proposals by what waits for a quorum only.

Mend: it refuses them also when more commands wait for its own disk than may wait for a quorum (16 MiB), with the same reason.

LogSizeTest.whatWaitsForHangingDiskOfLeaderIsBounded: without the bound red (over 32 MiB after 200 changes of 170 KB), with it green. Left: a leader whose disk hangs doesn't hand over by itself; a follower's queue is bounded by what the leader has in flight to it.

--- a/core/src/main/java/org/teaseltrail/core/replication/LeaderRole.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/LeaderRole.java
@@ -71,7 +71,7 @@
 
   void propose(long proposalId, byte[] command, long nowNs) {
     Optional<ProposalRejection> refusal = refusal();
-    if (refusal.isEmpty() && uncommittedBytes > context.settings.maxUncommittedBytes()) {
+    if (refusal.isEmpty() && pendingBytes() > context.settings.maxUncommittedBytes()) {
       refusal = Optional.of(ProposalRejection.TOO_MUCH_UNCOMMITTED);
     }
     appendOrReject(proposalId, refusal, () -> new EntryPayload.CommandPayload(command), nowNs);
@@ -200,6 +200,14 @@
     return handOver.isInProgress() ? Optional.of(ProposalRejection.HANDING_OVER) : Optional.empty();
   }
 
+  /**
+   * Returns the size of the commands that wait for a quorum, or of what waits for this member's own
+   * disk if that is more: the other members may commit without it while its disk hangs.
+   */
+  private long pendingBytes() {
+    return Math.max(uncommittedBytes, context.log.unsyncedBytes());
+  }
+
   private Optional<PeerProgress> progressOf(MembershipChange change) {
     return change instanceof MembershipChange.PromoteLearner promote
         ? Optional.ofNullable(peers.get(promote.id()))
--- a/core/src/main/java/org/teaseltrail/core/replication/ReplicaSettings.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/ReplicaSettings.java
@@ -17,7 +17,8 @@
  * @param maxInflightMessages max unacknowledged messages with entries per member
  * @param maxInflightBytes size of the commands in unacknowledged messages to one member from which
  *     on no more are sent to it, in bytes
- * @param maxUncommittedBytes max bytes of commands that wait for a quorum
+ * @param maxUncommittedBytes max bytes of commands that wait for a quorum, or for the leader's own
+ *     disk
  * @param snapshots when snapshots are taken and what is retained of the log
  */
 public record ReplicaSettings(
--- a/core/src/main/java/org/teaseltrail/core/replication/ReplicatedLog.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/ReplicatedLog.java
@@ -45,6 +45,11 @@
     return syncMarks.syncedIndex();
   }
 
+  /** Returns the size of the commands that wait for this member's disk, in bytes. */
+  long unsyncedBytes() {
+    return syncMarks.unsyncedBytes();
+  }
+
   Optional<Snapshot> snapshot() {
     return snapshot;
   }
@@ -104,11 +109,11 @@
 
   void append(List<LogEntry> added) {
     Invariant.check(added.get(0).index() == lastIndex() + 1, InvariantName.LOG_WITHOUT_GAP);
-    long heldBefore = entries.bytes();
+    long addedBytes = LogEntry.sizeBytes(added);
     entries.append(added);
-    bytesSinceSnapshot += entries.bytes() - heldBefore;
+    bytesSinceSnapshot += addedBytes;
     long write = outbox.write(number -> new ReplicaAction.AppendToLog(number, added));
-    syncMarks.onWritten(write, lastIndex());
+    syncMarks.onWritten(write, lastIndex(), addedBytes);
   }
 
   /**
@@ -120,7 +125,7 @@
     bytesSinceSnapshot += entries.bytes() - heldBefore;
     syncMarks.onTruncatedTo(lastIndex());
     long write = outbox.write(number -> new ReplicaAction.TruncateLog(number, index));
-    syncMarks.onWritten(write, lastIndex());
+    syncMarks.onWritten(write, lastIndex(), 0);
   }
 
   /**
@@ -153,7 +158,7 @@
         outbox.write(
             number ->
                 new ReplicaAction.SaveSnapshot(number, received, received.index(), discardsLog));
-    syncMarks.onWritten(write, lastIndex());
+    syncMarks.onWritten(write, lastIndex(), 0);
   }
 
   void onSynced(long writeNumber) {
--- a/core/src/main/java/org/teaseltrail/core/replication/SyncedIndexTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/SyncedIndexTracker.java
@@ -14,10 +14,11 @@
  */
 final class SyncedIndexTracker {
 
-  private record PendingWrite(long writeNumber, long lastIndex) {}
+  private record PendingWrite(long writeNumber, long lastIndex, long bytes) {}
 
   private final Deque<PendingWrite> pendingWrites = new ArrayDeque<>();
   private long syncedIndex;
+  private long unsyncedBytes;
 
   SyncedIndexTracker(long syncedIndex) {
     this.syncedIndex = syncedIndex;
@@ -27,9 +28,15 @@
     return syncedIndex;
   }
 
-  /** Records the last index of the log after a write. */
-  void onWritten(long writeNumber, long lastIndex) {
-    pendingWrites.addLast(new PendingWrite(writeNumber, lastIndex));
+  /** Returns the size of the commands in writes that are not synced, in bytes. */
+  long unsyncedBytes() {
+    return unsyncedBytes;
+  }
+
+  /** Records the last index of the log after a write with commands of the given size. */
+  void onWritten(long writeNumber, long lastIndex, long bytes) {
+    pendingWrites.addLast(new PendingWrite(writeNumber, lastIndex, bytes));
+    unsyncedBytes += bytes;
   }
 
   /** Records a truncation of the log; earlier writes no longer count beyond the new last index. */
@@ -37,7 +44,9 @@
     syncedIndex = Math.min(syncedIndex, lastIndex);
     List<PendingWrite> limited = new ArrayList<>();
     for (PendingWrite write : pendingWrites) {
-      limited.add(new PendingWrite(write.writeNumber(), Math.min(write.lastIndex(), lastIndex)));
+      limited.add(
+          new PendingWrite(
+              write.writeNumber(), Math.min(write.lastIndex(), lastIndex), write.bytes()));
     }
     pendingWrites.clear();
     pendingWrites.addAll(limited);
@@ -46,7 +55,9 @@
   /** Records that all writes up to a number are synced. */
   void onSynced(long writeNumber) {
     while (!pendingWrites.isEmpty() && pendingWrites.getFirst().writeNumber() <= writeNumber) {
-      syncedIndex = pendingWrites.removeFirst().lastIndex();
+      PendingWrite synced = pendingWrites.removeFirst();
+      syncedIndex = synced.lastIndex();
+      unsyncedBytes -= synced.bytes();
     }
   }
 }
--- a/core/src/test/java/org/teaseltrail/core/replication/FakeDisk.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/FakeDisk.java
@@ -49,6 +49,18 @@
     unsynced.clear();
   }
 
+  /** Returns the size of the commands and states in unsynced writes, in bytes. */
+  long unsyncedBytes() {
+    return unsynced.stream().mapToLong(FakeDisk::sizeBytes).sum();
+  }
+
+  private static long sizeBytes(ReplicaAction.Write write) {
+    if (write instanceof ReplicaAction.AppendToLog append) {
+      return LogEntry.sizeBytes(append.entries());
+    }
+    return write instanceof ReplicaAction.SaveSnapshot saved ? saved.snapshot().state().length : 0;
+  }
+
   int unsyncedCount() {
     return unsynced.size();
   }
--- a/core/src/test/java/org/teaseltrail/core/replication/FakeMember.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/FakeMember.java
@@ -30,6 +30,7 @@
   private int incarnation;
   private boolean paused;
   private boolean syncing;
+  private boolean diskHangs;
   private long wakeupNs;
   private long appliedIndex;
   private long stateHash;
@@ -124,6 +125,14 @@
     barriers.clear();
   }
 
+  /** Lets the disk complete no sync from now on, or complete them again. */
+  void setDiskHangs(boolean hangs) {
+    diskHangs = hangs;
+    if (!hangs) {
+      startSync();
+    }
+  }
+
   void pause() {
     paused = true;
   }
@@ -253,7 +262,7 @@
   }
 
   private void startSync() {
-    if (syncing || disk.isAllSynced()) {
+    if (syncing || diskHangs || disk.isAllSynced()) {
       return;
     }
     syncing = true;
--- a/core/src/test/java/org/teaseltrail/core/replication/LogSizeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/replication/LogSizeTest.java
@@ -34,6 +34,20 @@
     group.convergeAndCheck();
   }
 
+  /** Guards against a leader whose disk hangs and that holds all that waits for it in memory. */
+  @Test
+  void whatWaitsForHangingDiskOfLeaderIsBounded() {
+    FakeMember leader = group.awaitLeader();
+    leader.setDiskHangs(true);
+    for (int i = 0; i < COMMANDS; i++) {
+      group.propose(leader, COMMAND_BYTES);
+      group.run(20 * FakeGroup.MS);
+      assertThat(leader.disk().unsyncedBytes()).isLessThan(MAX_LOG_BYTES);
+    }
+    leader.setDiskHangs(false);
+    group.convergeAndCheck();
+  }
+
   /** Guards against a member that can't start, since it reads more than its memory holds. */
   @Test
   void memberReadsBoundedLogWhenItStarts() {
