--- a/storage/src/test/java/org/teaseltrail/storage/PowerLossProperties.java
+++ b/storage/src/test/java/org/teaseltrail/storage/PowerLossProperties.java
@@ -9,6 +9,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.Tag;
 import org.teaseltrail.core.replication.LogEntry;
 import org.teaseltrail.core.replication.RecoveredState;
 import org.teaseltrail.core.replication.ReplicaAction;
@@ -49,7 +50,14 @@
     checkRandomWrites(seed);
   }
 
-  static void checkRandomWrites(long seed) {
+  /** Runs with a fresh seed each time; jqwik prints the seed of a failure. */
+  @Tag("long-run")
+  @Property(tries = 100_000, shrinking = ShrinkingMode.OFF)
+  void syncedWritesSurvivePowerLossWithFreshSeeds(@ForAll long seed) {
+    checkRandomWrites(seed);
+  }
+
+  private static void checkRandomWrites(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
     FakeFileSystem files = new FakeFileSystem();
     ReplicaStorage.createGroup(files, PATH, WriteSequence.IDENTITY);
