Log why a data folder can't be used once, not twice a second

Now a cause is logged with its exception when it first occurs, and in a line each minute while it lasts.

--- a/control/src/main/java/org/teaseltrail/control/ControlMemberSupervisor.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlMemberSupervisor.java
@@ -117,6 +117,7 @@
   private static ControlDaemon startWithRetry(ControlOptions options, long knownDowntimeMs)
       throws ProgramException {
     long downtimeMs = knownDowntimeMs;
+    FolderFailureLogger failures = new FolderFailureLogger(new ComponentLogger("control")::error);
     while (true) {
       try {
         return ControlDaemon.start(options, downtimeMs);
@@ -124,7 +125,7 @@
         if (e.exitCode() != ExitCode.DATA) {
           throw e;
         }
-        new ComponentLogger("control").error("The data folder can't be used; retrying.", e);
+        failures.failed(e, System.nanoTime());
         downtimeMs = 0;
         sleepBeforeRetry();
       }
