--- a/core/src/main/java/org/teaseltrail/core/replication/CommitTracker.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/CommitTracker.java
@@ -59,6 +59,7 @@
             Math.min(slightLagStart(index), retainAfterIndex),
             log.startOfLast(index, settings.maxRetainedEntries(), settings.maxRetainedBytes())));
     committedBytesSinceSnapshot = LogEntry.sizeBytes(log.range(index + 1, commitIndex));
+    members.onCompacted(index);
   }
 
   void installed(Snapshot snapshot) {
--- a/core/src/main/java/org/teaseltrail/core/replication/MembershipHistory.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/MembershipHistory.java
@@ -50,6 +50,18 @@
     publishUnlessLatestIs(before);
   }
 
+  /** Forgets the member sets that were replaced before the end of this member's own snapshot. */
+  void onCompacted(long snapshotIndex) {
+    while (steps.size() > 1 && steps.get(1).index() <= snapshotIndex) {
+      steps.remove(0);
+    }
+  }
+
+  /** Returns the number of member sets that are held. */
+  int size() {
+    return steps.size();
+  }
+
   void installed(Snapshot snapshot) {
     steps.removeIf(step -> step.index() <= snapshot.index());
     steps.add(0, new Step(snapshot.index(), snapshot.membership()));
