Take SIGHUP and SIGTERM from the first moment of a process on

One that got SIGTERM between the opening of its listeners and the hook for it ended without waiting for the requests in hand.

Mend: the handler of SIGHUP stands before the command line is read; a signal that comes before the program runs is remembered and reloads the settings once it does. The hook for SIGTERM stands before the start and shuts the program down as soon as it has started.

--- a/runtime/src/main/java/org/teaseltrail/runtime/process/ProgramMain.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/ProgramMain.java
@@ -67,9 +67,15 @@
    * @return its exit code
    */
   public ExitCode run(String... args) {
+    try (ReloadSignalHandler reload = new ReloadSignalHandler()) {
+      return run(reload, args);
+    }
+  }
+
+  private ExitCode run(ReloadSignalHandler reload, String... args) {
     ArgumentParser parser = parser();
     try {
-      return execute(parser.parseArgs(args));
+      return execute(parser.parseArgs(args), reload);
     } catch (HelpScreenException e) {
       return ExitCode.OK;
     } catch (ArgumentParserException e) {
@@ -112,7 +118,8 @@
     return version == null ? "(development build)" : version;
   }
 
-  private ExitCode execute(Namespace arguments) throws InvalidSettingsException, ProgramException {
+  private ExitCode execute(Namespace arguments, ReloadSignalHandler reload)
+      throws InvalidSettingsException, ProgramException {
     SettingsPrint print = arguments.get(PRINT_SETTINGS);
     if (print != null) {
       out.print(print.text(program.spec()));
@@ -128,17 +135,21 @@
       return ExitCode.OK;
     }
     LogSetup.configure(settings.get(LogSettings.FORMAT), settings.get(LogSettings.LEVEL));
-    return serve(settings, Path.of(file), arguments);
+    try (ShutdownHook hook = new ShutdownHook()) {
+      return serve(settings, Path.of(file), arguments, hook, reload);
+    }
   }
 
-  // The hook and the signal handler are resources of the try statement only so that they are
-  // removed when the program terminates without a signal.
-  @SuppressWarnings("try")
-  private ExitCode serve(Settings settings, Path file, Namespace arguments)
+  private ExitCode serve(
+      Settings settings,
+      Path file,
+      Namespace arguments,
+      ShutdownHook hook,
+      ReloadSignalHandler reload)
       throws ProgramException {
-    try (RunningProgram running = program.start(settings, arguments);
-        ShutdownHook hook = new ShutdownHook(running);
-        ReloadSignalHandler reload = new ReloadSignalHandler(() -> reload(running, file))) {
+    try (RunningProgram running = program.start(settings, arguments)) {
+      hook.onStarted(running);
+      reload.setAction(() -> reload(running, file));
       logger.info("Started.");
       return running.terminationFuture().join();
     } catch (CompletionException e) {
--- a/runtime/src/test/java/org/teaseltrail/runtime/process/ProgramMainTest.java
+++ b/runtime/src/test/java/org/teaseltrail/runtime/process/ProgramMainTest.java
@@ -12,11 +12,13 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.teaseltrail.runtime.settings.ExampleFilePrinter;
 import org.teaseltrail.runtime.settings.SampleSettings;
 import org.teaseltrail.runtime.settings.Settings;
 import org.teaseltrail.runtime.settings.SettingsSpec;
+import sun.misc.Signal;
 
 class ProgramMainTest {
 
@@ -68,6 +70,16 @@
     assertThat(err.toString(StandardCharsets.UTF_8)).contains("sample: address in use");
   }
 
+  /** Guards against a process that ends when settings change in the first second of its life. */
+  @Test
+  @Timeout(10)
+  void signalDuringStartReloadsSettingsAfterIt() {
+    program.duringStart = () -> Signal.raise(new Signal("HUP"));
+    program.onReload = () -> program.ended.complete(ExitCode.OK);
+
+    assertThat(run("--settings", file)).isEqualTo(ExitCode.OK);
+  }
+
   private ExitCode run(String... args) {
     PrintStream outStream = new PrintStream(out, true, StandardCharsets.UTF_8);
     PrintStream errStream = new PrintStream(err, true, StandardCharsets.UTF_8);
@@ -78,6 +90,8 @@
 
     private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
     private ProgramException failure;
+    private Runnable duringStart = () -> {};
+    private Runnable onReload = () -> {};
     private int starts;
     private boolean closed;
 
@@ -92,9 +106,15 @@
         throw failure;
       }
       starts++;
+      duringStart.run();
       return this;
     }
 
+    @Override
+    public void reload(Settings settings) {
+      onReload.run();
+    }
+
     @Override
     public CompletableFuture<ExitCode> terminationFuture() {
       return ended;
