Give connections back to their pool with reading on

Cause: a response that ends gives its connection back first and forwards its last events then; if the caller couldn't take them, reading was paused on a connection that was in the pool by now.

Mend: an attempt lets go of its connection as soon as its response is complete, and a connection without a request in flight takes no pause. Looked through for what else can stay behind: the listener is removed, holds are lifted, a coalescing timer can only lift a hold, extra or half-read data closes the connection. On the other request path (Reactor Netty's pool) reading goes by demand; read, not tested.

UpstreamConnectionTest.connectionInPoolReadsAlthoughLastCallerWasSlow: red before.

--- a/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
@@ -164,8 +164,10 @@
     }
   }
 
+  /** The connection is back in its pool, or closed, so the attempt must no longer touch it. */
   @Override
   public final void completed() {
+    connection = null;
     forwardPendingEvents();
     onCompleted();
   }
@@ -250,7 +252,7 @@
       server.onResponseStarted(exchange);
     }
     if (!exchange.write(new DefaultHttpContent(completeEvents))) {
-      connection.setCallerWritable(false);
+      setCallerWritable(false);
     }
   }
 
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -94,9 +94,12 @@
     channel.close();
   }
 
-  /** Pauses or resumes reading, so that a response is not buffered for a slow caller. */
+  /**
+   * Pauses or resumes reading, so that a response is not buffered for a slow caller. Has no effect
+   * while no request is in flight: the next request would run and its response never be read.
+   */
   void setCallerWritable(boolean writable) {
-    callerBlocked = !writable;
+    callerBlocked = !writable && responseListener != null;
     updateAutoRead();
   }
 
--- /dev/null
+++ b/forward/src/test/java/org/teaseltrail/forward/UpstreamConnectionTest.java
@@ -0,0 +1,145 @@
+package org.teaseltrail.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.forward.AttemptOutcome;
+import org.teaseltrail.core.forward.ForwardRequest;
+import org.teaseltrail.core.quarantine.RequestContent;
+import org.teaseltrail.core.upstream.SocketAddress;
+
+class UpstreamConnectionTest {
+
+  private static final String TARGET = "upstream";
+
+  private final UpstreamConnectionPool<String> pool =
+      new UpstreamConnectionPool<>(null, new FakeCodec(), opened -> {}, lost -> {});
+  private final UpstreamConnection connection = new UpstreamConnection(pool, new FakeCodec());
+  private final EmbeddedChannel channel = new EmbeddedChannel(connection);
+  private final List<String> completed = new ArrayList<>();
+
+  UpstreamConnectionTest() {
+    pool.adopt(TARGET, connection);
+  }
+
+  /**
+   * Guards against a request that runs and whose response is never read: the one before it on the
+   * connection ended while its caller could take no more.
+   */
+  @Test
+  void connectionInPoolReadsAlthoughLastCallerWasSlow() {
+    exchange("slow");
+    connection.setCallerWritable(false);
+
+    assertThat(channel.config().isAutoRead()).isTrue();
+    exchange("next");
+    assertThat(completed).containsExactly("slow", "next");
+  }
+
+  @Test
+  void readingPausesWhileResponseIsInFlight() {
+    send("stream");
+    connection.setCallerWritable(false);
+    assertThat(channel.config().isAutoRead()).isFalse();
+    connection.setCallerWritable(true);
+    assertThat(channel.config().isAutoRead()).isTrue();
+  }
+
+  private void exchange(String id) {
+    send(id);
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    HttpUtil.setContentLength(response, 0);
+    channel.writeInbound(response);
+  }
+
+  private void send(String id) {
+    List<UpstreamConnection> acquired = new ArrayList<>();
+    pool.acquire(TARGET, new SocketAddress("127.0.0.1", 1), acquired::add, () -> {});
+    assertThat(acquired).containsExactly(connection);
+    connection.send(
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+        new RecordingListener(id));
+  }
+
+  private final class RecordingListener implements UpstreamResponseListener {
+
+    private final String id;
+
+    RecordingListener(String id) {
+      this.id = id;
+    }
+
+    @Override
+    public String requestId() {
+      return id;
+    }
+
+    @Override
+    public void headReceived(HttpResponse head, ResponseHead read) {}
+
+    @Override
+    public void bodyReceived(ByteBuf part) {}
+
+    @Override
+    public void readCompleted() {}
+
+    @Override
+    public void completed() {
+      completed.add(id);
+    }
+
+    @Override
+    public void failed(AttemptOutcome end) {
+      completed.add("failed " + id);
+    }
+  }
+
+  /** Reads responses without any headers of a platform. */
+  private static final class FakeCodec implements HeaderCodec {
+
+    @Override
+    public ForwardRequest readRequest(long number, HttpRequest head, RequestContent content) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void writeUpstreamHeaders(HttpHeaders headers, UpstreamCallMetadata call) {}
+
+    @Override
+    public void writeResumption(HttpHeaders headers, Optional<String> lastEventId) {}
+
+    @Override
+    public ResponseHead readResponseHead(HttpResponse head) {
+      return new ResponseHead(
+          Optional.empty(),
+          true,
+          false,
+          true,
+          Optional.empty(),
+          Optional.empty(),
+          OptionalLong.empty(),
+          Optional.empty(),
+          false);
+    }
+
+    @Override
+    public void writeRefusalHeaders(HttpHeaders headers, String requestId, long retryAfterMs) {}
+  }
+}
