Let large request bodies wait for room in place of the whole process

Cause: bodies lie in network buffers outside of the heap; once these were used up, each read waited half a second for memory inside the runtime, on the only event loop. Nothing bounded the bodies that are in hand at once.

Mend: a budget of three eighths of that memory for bodies over 64 KiB. Who gets no share isn't read, so that its own transport holds it back, and is refused (503, not run, with a time to come back) after half of its deadline, three seconds at most. Metrics: bytes that have room, requests refused.

Not run: slow senders among many uploads; the other request path.

--- /dev/null
+++ b/forward/src/main/java/org/teaseltrail/forward/BodyGate.java
@@ -0,0 +1,174 @@
+package org.teaseltrail.forward;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Lets a caller's connection be read further only once there is room for the body of its request.
+ *
+ * <p>Guards against bodies that use up the memory for network buffers: the runtime then waits for
+ * memory on the event loop, and all other requests of the process wait with it.
+ */
+final class BodyGate extends ChannelInboundHandlerAdapter implements BodyBudget.Waiter {
+
+  /** Receives the requests that get no room in time. */
+  interface Listener {
+
+    /** The body has room now. */
+    void onRoom();
+
+    /** No room was found in time, so the request is not taken. */
+    void onNoRoom();
+  }
+
+  /** Bodies up to this size need no room, so that small requests never wait. */
+  private static final long FREE_BYTES = 64 * 1024;
+
+  /** Time for which a request waits for room if its caller names no deadline, and at most. */
+  private static final long MAX_WAIT_MS = 3_000;
+
+  private static final long NONE = 0;
+
+  private enum State {
+    /** Messages pass. */
+    OPEN,
+    /** Messages are held, and the connection is not read, until there is room. */
+    WAITING,
+    /** The request is refused; what still arrives of it is dropped. */
+    REFUSED
+  }
+
+  private final BodyBudget budget;
+  private final HeaderCodec headerCodec;
+  private final int maxBodyBytes;
+  private final Listener listener;
+  private final Deque<Object> held = new ArrayDeque<>();
+  private final Deque<Long> reservedBytes = new ArrayDeque<>();
+  private ChannelHandlerContext context;
+  private Future<?> timeout;
+  private long neededBytes;
+  private State state = State.OPEN;
+
+  BodyGate(BodyBudget budget, HeaderCodec headerCodec, int maxBodyBytes, Listener listener) {
+    this.budget = budget;
+    this.headerCodec = headerCodec;
+    this.maxBodyBytes = maxBodyBytes;
+    this.listener = listener;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext added) {
+    context = added;
+  }
+
+  boolean isWaiting() {
+    return state == State.WAITING;
+  }
+
+  /** Gives back what the oldest request of the connection had reserved. */
+  void releaseOldest() {
+    if (!reservedBytes.isEmpty()) {
+      budget.release(reservedBytes.pollFirst());
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext reading, Object message) {
+    if (state == State.REFUSED) {
+      ReferenceCountUtil.release(message);
+    } else if (state == State.WAITING) {
+      held.addLast(message);
+    } else if (message instanceof HttpRequest request && !reserve(request)) {
+      held.addLast(message);
+      startWaiting(request);
+    } else {
+      reading.fireChannelRead(message);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext closed) {
+    stopWaiting(State.REFUSED);
+    dropHeld();
+    while (!reservedBytes.isEmpty()) {
+      releaseOldest();
+    }
+    closed.fireChannelInactive();
+  }
+
+  @Override
+  public long neededBytes() {
+    return neededBytes;
+  }
+
+  @Override
+  public void onReserved() {
+    reservedBytes.addLast(neededBytes);
+    stopWaiting(State.OPEN);
+    listener.onRoom();
+    context.fireChannelRead(held.pollFirst());
+    while (!held.isEmpty() && state == State.OPEN) {
+      channelRead(context, held.pollFirst());
+    }
+    if (state == State.OPEN) {
+      context.fireChannelReadComplete();
+      context.channel().config().setAutoRead(true);
+    }
+  }
+
+  private boolean reserve(HttpRequest request) {
+    neededBytes = neededBytesOf(request);
+    boolean reserved = neededBytes == NONE || budget.tryReserve(neededBytes);
+    if (reserved) {
+      reservedBytes.addLast(neededBytes);
+    }
+    return reserved;
+  }
+
+  /** A body of unknown length may become as large as it is allowed to; a larger one is not read. */
+  private long neededBytesOf(HttpRequest request) {
+    boolean isChunked = HttpUtil.isTransferEncodingChunked(request);
+    long bytes = isChunked ? maxBodyBytes : HttpUtil.getContentLength(request, 0L);
+    return bytes <= FREE_BYTES || bytes > maxBodyBytes ? NONE : bytes;
+  }
+
+  private void startWaiting(HttpRequest request) {
+    state = State.WAITING;
+    context.channel().config().setAutoRead(false);
+    budget.await(this);
+    long waitMs =
+        Math.min(MAX_WAIT_MS, headerCodec.readDeadlineMs(request).orElse(MAX_WAIT_MS) / 2);
+    timeout = context.executor().schedule(this::giveUp, waitMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void stopWaiting(State next) {
+    state = next;
+    budget.cancel(this);
+    if (timeout != null) {
+      timeout.cancel(false);
+    }
+  }
+
+  /**
+   * Refuses the request. What still arrives of it is read and dropped: a caller that is reset while
+   * it sends would not see the refusal.
+   */
+  private void giveUp() {
+    stopWaiting(State.REFUSED);
+    dropHeld();
+    listener.onNoRoom();
+    context.channel().config().setAutoRead(true);
+  }
+
+  private void dropHeld() {
+    held.forEach(ReferenceCountUtil::release);
+    held.clear();
+  }
+}
--- a/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
@@ -21,7 +21,7 @@
  * Handles one caller's HTTP/1.1 connection. Pipelined requests are processed one at a time, in
  * their order.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements BodyGate.Listener {
 
   /** Maximum number of pipelined requests; the connection is closed if a caller exceeds it. */
   private static final int MAX_PIPELINED = 16;
@@ -29,9 +29,13 @@
   /** Time for a caller to receive its refusal before the connection is closed; some round trips. */
   private static final long LINGER_MS = 500;
 
+  /** Time after which a caller whose body found no room may come back. */
+  private static final long NO_ROOM_RETRY_AFTER_MS = 1_000;
+
   private final ForwardServer server;
   private final boolean isPeer;
   private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
+  private BodyGate gate;
   private Channel channel;
   private Exchange current;
   private boolean closing;
@@ -48,6 +52,27 @@
     this.isPeer = isPeer;
   }
 
+  /** Sets the handler that lets requests with large bodies wait. */
+  void setGate(BodyGate bodyGate) {
+    gate = bodyGate;
+  }
+
+  @Override
+  public void onRoom() {
+    lastActiveNs = System.nanoTime();
+  }
+
+  @Override
+  public void onNoRoom() {
+    server.onBodyRefused();
+    if (current == null) {
+      refuse(
+          HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for the body", NO_ROOM_RETRY_AFTER_MS);
+    } else {
+      closing = true;
+    }
+  }
+
   @Override
   public void channelActive(ChannelHandlerContext context) {
     channel = context.channel();
@@ -137,6 +162,7 @@
     current = null;
     lastActiveNs = System.nanoTime();
     exchange.release();
+    gate.releaseOldest();
     if (closing) {
       channel.writeAndFlush(channel.alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
     } else if (!pipelined.isEmpty()) {
@@ -151,7 +177,7 @@
 
   /** Closes the connection if it has been idle, or in the middle of a request, for too long. */
   void checkIdle(long nowNs, long idleTimeoutNs, long headerTimeoutNs) {
-    if (current != null) {
+    if (current != null || gate.isWaiting()) {
       return;
     }
     long inactiveNs = nowNs - lastActiveNs;
@@ -196,12 +222,16 @@
    * unknown.
    */
   private void refuse(HttpResponseStatus status, String reason) {
+    refuse(status, reason, 0);
+  }
+
+  private void refuse(HttpResponseStatus status, String reason, long retryAfterMs) {
     if (current != null) {
       channel.close();
       return;
     }
     closing = true;
-    var answer = LocalReplyFactory.create(server.headerCodec(), status, reason, "", 0);
+    var answer = LocalReplyFactory.create(server.headerCodec(), status, reason, "", retryAfterMs);
     HttpUtil.setKeepAlive(answer, false);
     channel.writeAndFlush(answer).addListener(done -> lingerThenClose());
   }
--- a/forward/src/main/java/org/teaseltrail/forward/CallerListener.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerListener.java
@@ -73,11 +73,15 @@
             .setMaxHeaderSize(limits.maxHeaderBytes() + (isForPeers ? RelayHeaders.MAX_BYTES : 0))
             .setMaxChunkSize(CHUNK_BYTES);
     CallerConnection caller = new CallerConnection(server, isForPeers);
+    BodyGate gate =
+        new BodyGate(server.bodyBudget(), server.headerCodec(), limits.maxBodyBytes(), caller);
+    caller.setGate(gate);
     channel
         .pipeline()
         .addLast(
             new ReceivedBytesNotifier(caller),
             new HttpServerCodec(config),
+            gate,
             new HttpObjectAggregator(limits.maxBodyBytes(), true),
             caller);
   }
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
@@ -24,6 +24,7 @@
   private final Timer duration;
   private final Timer firstEvent;
   private final Counter waitForecasts;
+  private final Counter bodiesRefused;
   private final DistributionSummary firstEventToExpected;
   private final Map<RefusalReason, Counter> refused = new EnumMap<>(RefusalReason.class);
   private final Map<RelayOutcome, Counter> relays = new EnumMap<>(RelayOutcome.class);
@@ -57,6 +58,8 @@
     for (AttemptOutcome end : AttemptOutcome.values()) {
       attempts.put(end, registry.counter("teaseltrail.attempts", "end", end.name()));
     }
+    bodiesRefused = registry.counter("teaseltrail.bodies.refused");
+    registry.gauge("teaseltrail.bodies.bytes", server.bodyBudget(), BodyBudget::usedBytes);
     registry.gauge("teaseltrail.requests.open", server, ForwardServer::openRequests);
     registry.gauge("teaseltrail.plan.version", server, ForwardServer::planVersion);
     registry.gauge("teaseltrail.session.valid", server, node -> node.isSessionValid() ? 1 : 0);
@@ -97,6 +100,10 @@
     relays.get(outcome).increment();
   }
 
+  void bodyRefused() {
+    bodiesRefused.increment();
+  }
+
   String scrape() {
     return metrics.scrape();
   }
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -76,6 +76,12 @@
 
   private static final long DRAIN_POLL_MS = 50;
 
+  /**
+   * Fraction of the memory for network buffers that the bodies of requests may take. The runtime
+   * allows as much for these buffers as for the heap.
+   */
+  private static final double BODY_MEMORY_FRACTION = 0.375;
+
   private final ForwardOptions options;
   private final HeaderCodec headerCodec;
   private final EventLog log;
@@ -88,6 +94,8 @@
   private final PathProber prober;
   private final UpstreamSignalHandler signalHandler;
   private final ReadCoalescer readCoalescer;
+  private final BodyBudget bodyBudget =
+      new BodyBudget((long) (Runtime.getRuntime().maxMemory() * BODY_MEMORY_FRACTION));
   private final ControlConnectionManager controlConnections;
   private final ForwardMetrics metrics;
   private final AdminServer readiness;
@@ -494,6 +502,15 @@
     List.copyOf(callers).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
   }
 
+  /** Counts a request whose body found no room. */
+  void onBodyRefused() {
+    metrics.bodyRefused();
+  }
+
+  BodyBudget bodyBudget() {
+    return bodyBudget;
+  }
+
   /** Returns the current limits of callers' connections. */
   ClientLimits limits() {
     return node.plan().map(ServingPlan::limits).orElse(ClientLimits.DEFAULT);
--- a/forward/src/main/java/org/teaseltrail/forward/HeaderCodec.java
+++ b/forward/src/main/java/org/teaseltrail/forward/HeaderCodec.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.teaseltrail.core.forward.ForwardRequest;
 import org.teaseltrail.core.quarantine.RequestContent;
 
@@ -22,6 +23,14 @@
   ForwardRequest readRequest(long number, HttpRequest head, RequestContent content)
       throws MalformedRequestException;
 
+  /**
+   * Reads how long the caller of a request waits, from a head whose body hasn't arrived yet.
+   *
+   * @param head head of the request
+   * @return the time in milliseconds; empty if the head names none or it is malformed
+   */
+  OptionalLong readDeadlineMs(HttpRequest head);
+
   /**
    * Removes the headers that callers may not set and adds the metadata for the upstream.
    *
--- /dev/null
+++ b/forward/src/test/java/org/teaseltrail/forward/BodyGateTest.java
@@ -0,0 +1,138 @@
+package org.teaseltrail.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against callers whose large bodies use up the memory for network buffers, so that all
+ * other requests of the process stand still.
+ */
+class BodyGateTest {
+
+  private static final int MAX_BODY_BYTES = 4_000_000;
+  private static final int LARGE_BYTES = 3_000_000;
+
+  private final BodyBudget budget = new BodyBudget(MAX_BODY_BYTES);
+  private final Caller first = new Caller();
+  private final Caller second = new Caller();
+
+  /** One caller's connection; counts what passes its gate. */
+  private final class Caller implements BodyGate.Listener {
+
+    private final BodyGate gate = new BodyGate(budget, new FakeHeaderCodec(), MAX_BODY_BYTES, this);
+    private final EmbeddedChannel channel = new EmbeddedChannel(gate);
+    private int rooms;
+    private int refusals;
+
+    Caller() {
+      channel.freezeTime();
+    }
+
+    void send(int declaredBytes) {
+      HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+      HttpUtil.setContentLength(head, declaredBytes);
+      channel.writeInbound(head);
+    }
+
+    int passed() {
+      int passed = 0;
+      while (channel.readInbound() != null) {
+        passed++;
+      }
+      return passed;
+    }
+
+    boolean isReading() {
+      return channel.config().isAutoRead();
+    }
+
+    void advanceTime(long ms) {
+      channel.advanceTimeBy(ms, TimeUnit.MILLISECONDS);
+      channel.runScheduledPendingTasks();
+    }
+
+    @Override
+    public void onRoom() {
+      rooms++;
+    }
+
+    @Override
+    public void onNoRoom() {
+      refusals++;
+    }
+  }
+
+  @Test
+  void largeBodyWaitsUnreadUntilThereIsRoom() {
+    first.send(LARGE_BYTES);
+    second.send(LARGE_BYTES);
+    second.channel.writeInbound(new DefaultHttpContent(Unpooled.buffer(10).writeZero(10)));
+    assertThat(first.passed()).isEqualTo(1);
+    assertThat(second.passed()).isZero();
+    assertThat(second.isReading()).isFalse();
+
+    first.gate.releaseOldest();
+    assertThat(second.rooms).isEqualTo(1);
+    assertThat(second.passed()).isEqualTo(2);
+    assertThat(second.isReading()).isTrue();
+    assertThat(budget.usedBytes()).isEqualTo(LARGE_BYTES);
+  }
+
+  @Test
+  void smallRequestsPassWhileLargeOnesWait() {
+    first.send(LARGE_BYTES);
+    second.send(LARGE_BYTES);
+    Caller third = new Caller();
+    third.send(600);
+    assertThat(third.passed()).isEqualTo(1);
+    assertThat(third.isReading()).isTrue();
+  }
+
+  @Test
+  void callerWithoutRoomIsRefusedInTime() {
+    first.send(LARGE_BYTES);
+    second.send(LARGE_BYTES);
+    second.advanceTime(FakeHeaderCodec.DEADLINE_MS / 2 + 1);
+    assertThat(second.refusals).isEqualTo(1);
+    assertThat(budget.waitingCount()).isZero();
+
+    ByteBuf late = Unpooled.buffer(10).writeZero(10);
+    second.channel.writeInbound(new DefaultHttpContent(late));
+    assertThat(second.passed()).isZero();
+    assertThat(late.refCnt()).isZero();
+    assertThat(budget.usedBytes()).isEqualTo(LARGE_BYTES);
+  }
+
+  @Test
+  void callerThatLeavesGivesItsRoomBack() {
+    first.send(LARGE_BYTES);
+    second.send(LARGE_BYTES);
+    ByteBuf held = Unpooled.buffer(10).writeZero(10);
+    second.channel.writeInbound(new DefaultHttpContent(held));
+    second.channel.close();
+    assertThat(held.refCnt()).isZero();
+    assertThat(budget.waitingCount()).isZero();
+    first.channel.close();
+    assertThat(budget.usedBytes()).isZero();
+  }
+
+  @Test
+  void bodyLargerThanBudgetPassesAlone() {
+    BodyBudget small = new BodyBudget(100);
+    assertThat(small.tryReserve(200)).isTrue();
+    assertThat(small.tryReserve(1)).isFalse();
+    small.release(200);
+    assertThat(small.tryReserve(1)).isTrue();
+  }
+}
--- a/forward/src/test/java/org/teaseltrail/forward/UpstreamConnectionTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/UpstreamConnectionTest.java
@@ -7,21 +7,15 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.teaseltrail.core.forward.AttemptOutcome;
-import org.teaseltrail.core.forward.ForwardRequest;
-import org.teaseltrail.core.quarantine.RequestContent;
 import org.teaseltrail.core.upstream.SocketAddress;
 
 class UpstreamConnectionTest {
@@ -29,8 +23,8 @@
   private static final String TARGET = "upstream";
 
   private final UpstreamConnectionPool<String> pool =
-      new UpstreamConnectionPool<>(null, new FakeCodec(), opened -> {}, lost -> {});
-  private final UpstreamConnection connection = new UpstreamConnection(pool, new FakeCodec());
+      new UpstreamConnectionPool<>(null, new FakeHeaderCodec(), opened -> {}, lost -> {});
+  private final UpstreamConnection connection = new UpstreamConnection(pool, new FakeHeaderCodec());
   private final EmbeddedChannel channel = new EmbeddedChannel(connection);
   private final List<String> completed = new ArrayList<>();
 
@@ -110,36 +104,4 @@
       completed.add("failed " + id);
     }
   }
-
-  /** Reads responses without any headers of a platform. */
-  private static final class FakeCodec implements HeaderCodec {
-
-    @Override
-    public ForwardRequest readRequest(long number, HttpRequest head, RequestContent content) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void writeUpstreamHeaders(HttpHeaders headers, UpstreamCallMetadata call) {}
-
-    @Override
-    public void writeResumption(HttpHeaders headers, Optional<String> lastEventId) {}
-
-    @Override
-    public ResponseHead readResponseHead(HttpResponse head) {
-      return new ResponseHead(
-          Optional.empty(),
-          true,
-          false,
-          true,
-          Optional.empty(),
-          Optional.empty(),
-          OptionalLong.empty(),
-          Optional.empty(),
-          false);
-    }
-
-    @Override
-    public void writeRefusalHeaders(HttpHeaders headers, String requestId, long retryAfterMs) {}
-  }
 }
