--- a/core/src/test/java/org/teaseltrail/core/control/DiskLossProperties.java
+++ b/core/src/test/java/org/teaseltrail/core/control/DiskLossProperties.java
@@ -75,18 +75,7 @@
   }
 
   private void startMembers() {
-    ControlSettings standard = ControlSettings.DEFAULT;
-    group.useSettings(
-        new ControlSettings(
-            standard.sessions(),
-            standard.claims(),
-            standard.claimExpiryIntervalMs(),
-            standard.placement(),
-            standard.seed(),
-            standard.quotas(),
-            standard.rollouts(),
-            standard.contention(),
-            Optional.of(RepairSettings.tolerating(MAX_LOST))));
+    group.useRepair(MAX_LOST);
     group.start();
     group.join("c4", "control-4");
     group.join("c5", "control-5");
--- a/core/src/test/java/org/teaseltrail/core/control/FakeControlGroup.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeControlGroup.java
@@ -140,6 +140,22 @@
             usual.repair());
   }
 
+  /** Uses the default settings with the automatic repair of the membership. */
+  void useRepair(int toleratedLosses) {
+    ControlSettings usual = ControlSettings.DEFAULT;
+    settings =
+        new ControlSettings(
+            usual.sessions(),
+            usual.claims(),
+            usual.claimExpiryIntervalMs(),
+            usual.placement(),
+            usual.seed(),
+            usual.quotas(),
+            usual.rollouts(),
+            usual.contention(),
+            Optional.of(RepairSettings.tolerating(toleratedLosses)));
+  }
+
   ControlSettings settings() {
     return settings;
   }
--- a/core/src/test/java/org/teaseltrail/core/control/MembershipReconcilerTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/MembershipReconcilerTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
@@ -22,18 +21,7 @@
   private final FakeControlGroup group = new FakeControlGroup(3);
 
   private void start() {
-    ControlSettings standard = ControlSettings.DEFAULT;
-    group.useSettings(
-        new ControlSettings(
-            standard.sessions(),
-            standard.claims(),
-            standard.claimExpiryIntervalMs(),
-            standard.placement(),
-            standard.seed(),
-            standard.quotas(),
-            standard.rollouts(),
-            standard.contention(),
-            Optional.of(RepairSettings.tolerating(2))));
+    group.useRepair(2);
     group.start();
   }
 
--- a/storage/src/test/java/org/teaseltrail/storage/ReplicaStorageTest.java
+++ b/storage/src/test/java/org/teaseltrail/storage/ReplicaStorageTest.java
@@ -190,10 +190,7 @@
   void opensFolderInWhichOldestRemovedSegmentIsBack() {
     FakeFileSystem files = new FakeFileSystem();
     ReplicaStorage.createGroup(files, PATH, WriteSequence.IDENTITY);
-    WriteSequence script = new WriteSequence();
-    for (int i = 0; i < 8; i++) {
-      script.append(1, 4);
-    }
+    WriteSequence script = eightAppends();
     try (ReplicaStorage folder = open(files, PATH)) {
       script.writes().forEach(folder::write);
       folder.sync();
@@ -218,10 +215,7 @@
   void readsNoSegmentThatSnapshotCovers() {
     FakeFileSystem files = new FakeFileSystem();
     ReplicaStorage.createGroup(files, PATH, WriteSequence.IDENTITY);
-    WriteSequence script = new WriteSequence();
-    for (int i = 0; i < 8; i++) {
-      script.append(1, 4);
-    }
+    WriteSequence script = eightAppends();
     script.snapshot(30, 1, 0, false);
     try (ReplicaStorage folder = open(files, PATH)) {
       script.writes().forEach(folder::write);
@@ -234,6 +228,15 @@
     assertThat(files.readNames()).filteredOn(SegmentName::isSegmentName).hasSizeLessThan(3);
   }
 
+  /** Returns writes that fill several segments. */
+  private static WriteSequence eightAppends() {
+    WriteSequence script = new WriteSequence();
+    for (int i = 0; i < 8; i++) {
+      script.append(1, 4);
+    }
+    return script;
+  }
+
   private static ReplicaStorage open(FileSystemAccess files, Path path) {
     return ReplicaStorage.open(files, path, WriteSequence.GROUP, 200);
   }
