Keep the parts of pipelined requests in order while they wait for room

Found when the diff was read again: when a caller's first request got room and the next one behind it didn't, the head of that one was put behind its own body. The gate passes what it holds only up to the next request that has to wait now.

BodyGateTest.pipelinedRequestsWaitInOrder: red before, green now.

--- a/forward/src/main/java/org/teaseltrail/forward/BodyGate.java
+++ b/forward/src/main/java/org/teaseltrail/forward/BodyGate.java
@@ -114,15 +114,24 @@
     stopWaiting(State.OPEN);
     listener.onRoom();
     context.fireChannelRead(held.pollFirst());
-    while (!held.isEmpty() && state == State.OPEN) {
-      channelRead(context, held.pollFirst());
-    }
+    passHeld();
     if (state == State.OPEN) {
       context.fireChannelReadComplete();
       context.channel().config().setAutoRead(true);
     }
   }
 
+  /** Passes what is held, up to the next request that has to wait. */
+  private void passHeld() {
+    while (!held.isEmpty() && state == State.OPEN) {
+      if (held.peekFirst() instanceof HttpRequest request && !reserve(request)) {
+        startWaiting(request);
+      } else {
+        context.fireChannelRead(held.pollFirst());
+      }
+    }
+  }
+
   private boolean reserve(HttpRequest request) {
     neededBytes = neededBytesOf(request);
     boolean reserved = neededBytes == NONE || budget.tryReserve(neededBytes);
--- a/forward/src/test/java/org/teaseltrail/forward/BodyGateTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/BodyGateTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
@@ -89,6 +90,23 @@
     assertThat(budget.usedBytes()).isEqualTo(LARGE_BYTES);
   }
 
+  /** Guards against parts of two pipelined requests that change places. */
+  @Test
+  void pipelinedRequestsWaitInOrder() {
+    first.send(LARGE_BYTES);
+    second.send(LARGE_BYTES);
+    second.send(LARGE_BYTES);
+    second.channel.writeInbound(new DefaultHttpContent(Unpooled.EMPTY_BUFFER));
+    first.gate.releaseOldest();
+    assertThat(second.passed()).isEqualTo(1);
+    assertThat(second.isReading()).isFalse();
+
+    second.gate.releaseOldest();
+    assertThat(second.channel.<Object>readInbound()).isInstanceOf(HttpRequest.class);
+    assertThat(second.channel.<Object>readInbound()).isInstanceOf(HttpContent.class);
+    assertThat(second.isReading()).isTrue();
+  }
+
   @Test
   void smallRequestsPassWhileLargeOnesWait() {
     first.send(LARGE_BYTES);
