Answer a request with a malformed length in place of closing its connection

Found when the diff was read again: the gate for bodies asked for the length of a request that the decoder had refused, which throws. BodyGateTest. requestWithMalformedLengthPasses: red without the check, green with it.

--- a/forward/src/main/java/org/teaseltrail/forward/BodyGate.java
+++ b/forward/src/main/java/org/teaseltrail/forward/BodyGate.java
@@ -143,6 +143,9 @@
 
   /** A body of unknown length may become as large as it is allowed to; a larger one is not read. */
   private long neededBytesOf(HttpRequest request) {
+    if (request.decoderResult().isFailure()) {
+      return NONE;
+    }
     boolean isChunked = HttpUtil.isTransferEncodingChunked(request);
     long bytes = isChunked ? maxBodyBytes : HttpUtil.getContentLength(request, 0L);
     return bytes <= FREE_BYTES || bytes > maxBodyBytes ? NONE : bytes;
--- a/forward/src/test/java/org/teaseltrail/forward/BodyGateTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/BodyGateTest.java
@@ -5,9 +5,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
@@ -145,6 +147,19 @@
     assertThat(budget.usedBytes()).isZero();
   }
 
+  /**
+   * Guards against a connection that is closed without the answer that its request is malformed.
+   */
+  @Test
+  void requestWithMalformedLengthPasses() {
+    HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+    head.headers().set(HttpHeaderNames.CONTENT_LENGTH, "many");
+    head.setDecoderResult(DecoderResult.failure(new IllegalArgumentException("no length")));
+    first.channel.writeInbound(head);
+    assertThat(first.passed()).isEqualTo(1);
+    assertThat(first.channel.isOpen()).isTrue();
+  }
+
   @Test
   void bodyLargerThanBudgetPassesAlone() {
     BodyBudget small = new BodyBudget(100);
