Keep an idle connection reading by its own state, not by its listener

Idle is what was given to the pool now, until the next request is sent. The test is untouched and green; UpstreamConnectionTest is red without the guard and green with it, as before.

--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -50,6 +50,7 @@
   private boolean closeAfterResponse;
   private long keepAliveNs = (long) (DEFAULT_KEEP_ALIVE_S * NS_PER_S * USED_KEEP_ALIVE_FRACTION);
   private long idleSinceNs;
+  private boolean idle;
   private boolean held;
   private boolean callerBlocked;
 
@@ -65,12 +66,14 @@
 
   /** Starts the time for which the connection may be idle. */
   void markIdle() {
+    idle = true;
     idleSinceNs = System.nanoTime();
   }
 
   /** Sends a request and passes its response to the listener. */
   void send(FullHttpRequest request, UpstreamResponseListener listener) {
     responseListener = listener;
+    idle = false;
     notReusable = false;
     closeAfterResponse = false;
     requestWrite = channel.writeAndFlush(request);
@@ -95,11 +98,11 @@
   }
 
   /**
-   * Pauses or resumes reading, so that a response is not buffered for a slow caller. Has no effect
-   * while no request is in flight: the next request would run and its response never be read.
+   * Pauses or resumes reading, so that a response is not buffered for a slow caller. An idle
+   * connection always reads: otherwise the next request would run and its response never be read.
    */
   void setCallerWritable(boolean writable) {
-    callerBlocked = !writable && responseListener != null;
+    callerBlocked = !writable && !idle;
     updateAutoRead();
   }
 
