--- a/core/src/main/java/org/teaseltrail/core/replication/SnapshotScheduler.java
+++ b/core/src/main/java/org/teaseltrail/core/replication/SnapshotScheduler.java
@@ -47,13 +47,10 @@
     drawThresholds();
   }
 
+  /** Draws both as the same multiple, one to one and a half, of their minimum. */
   private void drawThresholds() {
-    entriesThreshold = draw(settings.intervalEntries());
-    bytesThreshold = draw(settings.intervalBytes());
-  }
-
-  /** Draws a number between the minimum and one and a half times the minimum. */
-  private long draw(int min) {
-    return min + random.nextLong(min / 2 + 1L);
+    int minEntries = settings.intervalEntries();
+    entriesThreshold = minEntries + random.nextLong(minEntries / 2 + 1L);
+    bytesThreshold = settings.intervalBytes() * entriesThreshold / minEntries;
   }
 }
