Let a shutdown wait two seconds for a start, not for ever

Found when the whole change was read again: since the hook for SIGTERM stands before the start and waits for it. A control member whose folder is damaged retries its start for ever, so SIGTERM would no longer have ended its process.

The hook waits two seconds and ends the process then. ShutdownHookTest; before, the wait had no end.

--- a/runtime/src/main/java/org/teaseltrail/runtime/process/ShutdownHook.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/ShutdownHook.java
@@ -1,7 +1,11 @@
 package org.teaseltrail.runtime.process;
 
+import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.teaseltrail.runtime.log.ComponentLogger;
 
 /**
@@ -14,6 +18,9 @@
  */
 final class ShutdownHook implements AutoCloseable {
 
+  /** Time for which a shutdown waits for a start, which may be retried for ever. */
+  private static final long START_TIMEOUT_MS = 2_000;
+
   private final ComponentLogger logger = new ComponentLogger("process");
   private final Thread thread;
   private final CompletableFuture<RunningProgram> program = new CompletableFuture<>();
@@ -39,14 +46,25 @@
     }
   }
 
+  /** Returns the program, or empty if it has ended, or has not started within a time. */
+  Optional<RunningProgram> awaitStart(long timeoutMs) {
+    try {
+      return Optional.of(program.get(timeoutMs, TimeUnit.MILLISECONDS));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Optional.empty();
+    } catch (CancellationException | ExecutionException | TimeoutException e) {
+      logger.info("The program has not started or has ended before.");
+      return Optional.empty();
+    }
+  }
+
   private void shutDown() {
     logger.info("Shutting down gracefully.");
     ExitCode exitCode = ExitCode.OK;
     try {
-      program.join().close();
+      awaitStart(START_TIMEOUT_MS).ifPresent(RunningProgram::close);
       logger.info("Shutdown complete.");
-    } catch (CancellationException e) {
-      logger.info("The program has not started or has ended before.");
     } catch (RuntimeException e) {
       logger.error("Graceful shutdown failed.", e);
       exitCode = ExitCode.INTERNAL;
--- /dev/null
+++ b/runtime/src/test/java/org/teaseltrail/runtime/process/ShutdownHookTest.java
@@ -0,0 +1,18 @@
+package org.teaseltrail.runtime.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+class ShutdownHookTest {
+
+  /** Guards against a process that can't be stopped, as its start is retried for ever. */
+  @Test
+  @Timeout(10)
+  void shutdownDoesNotWaitForEverForStart() {
+    try (ShutdownHook hook = new ShutdownHook()) {
+      assertThat(hook.awaitStart(10)).isEmpty();
+    }
+  }
+}
