Review 6: streams of a lost entry VM never go on once a release begins

A front machine loses power, and a server of a second version registers before the clients notice: each try to take up one of its streams is answered 503 until the deadline, as nobody was told what began them.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
-# A front machine gets SIGTERM while clients read their answers slowly. TROUBLE=0: it gets none.
+# A front machine loses power while a release begins, and its streams are taken up at other
+# machines. TROUBLE=0: it doesn't lose power.
 cd "$(dirname "$0")/../.." || exit 2
 exec java -Xmx256m -cp target/review-2 Case6
--- a/review/src-2/Deployment.java
+++ b/review/src-2/Deployment.java
@@ -260,7 +260,12 @@
 
   /** Registers a server and goes on with its heartbeats until the deployment ends. */
   Beats register(String id, String service, String address, int slots) throws Exception {
-    Beats beat = new Beats(id, service, address, slots);
+    return register(id, service, address, slots, "v1");
+  }
+
+  Beats register(String id, String service, String address, int slots, String version)
+      throws Exception {
+    Beats beat = new Beats(id, service, address, slots, version);
     if (!beat.send("ready")) {
       throw new IOException("the heartbeat of " + id + " was not acknowledged");
     }
@@ -276,11 +281,13 @@
     private final String service;
     private final String address;
     private final int slots;
+    private final String version;
     volatile boolean silent;
     volatile String state = "ready";
     private long sequence;
 
-    Beats(String id, String service, String address, int slots) {
+    Beats(String id, String service, String address, int slots, String version) {
+      this.version = version;
       this.id = id;
       this.service = service;
       this.address = address;
@@ -291,9 +298,9 @@
       state = newState;
       sequence++;
       String body =
-          ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-a\",\"version\":\"v1\","
+          ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-a\",\"version\":\"%s\","
                   + "\"slots\":%d,\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":%d}")
-              .formatted(service, address, slots, state, sequence);
+              .formatted(service, address, version, slots, state, sequence);
       Http.Answer answer = control("PUT", "/v1/instances/" + id, body, 10_000);
       return answer != null && answer.status == 200;
     }
