Review 4 to 8: records named in run.sh, shares within the site's doses

Each run.sh names the record.txt that it writes. Case 4 has four servers, of which one crashes (0.25), and case 6 seven front machines, of which one loses power (0.14); before they had one and three.

--- a/review/src-2/Case4.java
+++ b/review/src-2/Case4.java
@@ -7,10 +7,14 @@
 /** A server crashes while it sends an answer without a length and has not read the whole body. */
 final class Case4 {
   private static final int REQUESTS = 4;
+
+  /** One of four is the largest share that may crash, 0.25. */
+  private static final int SERVERS = 4;
+
   private static final int BODY_BYTES = 4_000_000;
 
   public static void main(String[] args) throws Exception {
-    Record.run("review/4", Case4::run);
+    Record.run(args[0], Case4::run);
   }
 
   private static boolean run(Record record) throws Exception {
@@ -25,28 +29,32 @@
               + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
               + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
       system.awaitReady(0);
-      String ip = system.net + 100;
-      Process server =
-          system.standIn(
-              "EarlyServer", ip, String.valueOf(system.controlPort + 3), "i-review4");
-      BufferedReader said =
-          new BufferedReader(new InputStreamReader(server.getInputStream()));
-      said.readLine();
       CountDownLatch running = new CountDownLatch(REQUESTS);
-      Thread reader =
-          new Thread(
-              () ->
-                  said.lines()
-                      .forEach(
-                          line -> {
-                            record.line("server: " + line);
-                            if (line.startsWith("runs")) {
-                              running.countDown();
-                            }
-                          }));
-      reader.setDaemon(true);
-      reader.start();
-      system.register("i-review4", "s", ip + ":" + (system.controlPort + 3), 8);
+      CompletableFuture<Process> first = new CompletableFuture<>();
+      for (int i = 0; i < SERVERS; i++) {
+        String ip = system.net + (100 + i);
+        String name = "i-review4-" + i;
+        Process server =
+            system.standIn("EarlyServer", ip, String.valueOf(system.controlPort + 3), name);
+        BufferedReader said =
+            new BufferedReader(new InputStreamReader(server.getInputStream()));
+        said.readLine();
+        Thread reader =
+            new Thread(
+                () ->
+                    said.lines()
+                        .forEach(
+                            line -> {
+                              record.line("server " + name + ": " + line);
+                              if (line.startsWith("runs")) {
+                                first.complete(server);
+                                running.countDown();
+                              }
+                            }));
+        reader.setDaemon(true);
+        reader.start();
+        system.register(name, "s", ip + ":" + (system.controlPort + 3), 8);
+      }
       Thread.sleep(1_000);
       ExecutorService clients = Executors.newFixedThreadPool(REQUESTS);
       List<Future<Boolean>> wrong = new ArrayList<>();
@@ -54,13 +62,14 @@
         String id = "review4-" + i;
         wrong.add(clients.submit(() -> send(system, record, id)));
       }
-      if (!running.await(20, TimeUnit.SECONDS)) {
-        throw new IOException("the server did not begin to run the requests");
-      }
+      Process crashing = first.get(20, TimeUnit.SECONDS);
       Thread.sleep(300);
       if (Record.hasTrouble()) {
-        record.line("the server crashes (SIGKILL)");
-        server.destroyForcibly();
+        record.line("the server that began first crashes (SIGKILL)");
+        crashing.destroyForcibly();
+      }
+      if (!running.await(20, TimeUnit.SECONDS)) {
+        throw new IOException("the servers did not begin to run the requests");
       }
       int count = 0;
       int whole = 0;
--- a/review/src-2/Case5.java
+++ b/review/src-2/Case5.java
@@ -21,7 +21,7 @@
   private static final AtomicInteger LATE = new AtomicInteger();
 
   public static void main(String[] args) throws Exception {
-    Record.run("review/5", Case5::run);
+    Record.run(args[0], Case5::run);
   }
 
   private static boolean run(Record record) throws Exception {
--- a/review/src-2/Case6.java
+++ b/review/src-2/Case6.java
@@ -9,6 +9,9 @@
 final class Case6 {
   private static final int STREAMS = 30;
 
+  /** One of seven is below the share of 0.16 that may lose power. */
+  private static final int FRONTS = 7;
+
   /** The gap after which clients abandon a stream: 2 s, 4 x 500 ms and 8 x 250 ms are equal. */
   private static final int GAP_MS = 2_000;
 
@@ -20,11 +23,11 @@
   private static volatile boolean dark;
 
   public static void main(String[] args) throws Exception {
-    Record.run("review/6", Case6::run);
+    Record.run(args[0], Case6::run);
   }
 
   private static boolean run(Record record) throws Exception {
-    try (Deployment system = new Deployment(record, 5, 3)) {
+    try (Deployment system = new Deployment(record, 5, FRONTS)) {
       system.startAll();
       system.installPlan(
           Plans.plan(
@@ -36,7 +39,7 @@
                       .replace("\"maxAttempts\":1", "\"maxAttempts\":2")),
               List.of("s"),
               null));
-      for (int i = 0; i < 3; i++) {
+      for (int i = 0; i < FRONTS; i++) {
         system.awaitReady(i);
       }
       server(system, record, 0, "v1");
--- a/review/src-2/Case7.java
+++ b/review/src-2/Case7.java
@@ -12,7 +12,7 @@
   private static final int ORDERS = 8;
 
   public static void main(String[] args) throws Exception {
-    Record.run("review/7", Case7::run);
+    Record.run(args[0], Case7::run);
   }
 
   private static boolean run(Record record) throws Exception {
--- a/review/src-2/Case8.java
+++ b/review/src-2/Case8.java
@@ -11,7 +11,7 @@
   private static final int READ_EVERY_MS = 22;
 
   public static void main(String[] args) throws Exception {
-    Record.run("review/8", Case8::run);
+    Record.run(args[0], Case8::run);
   }
 
   private static boolean run(Record record) throws Exception {
--- a/review/src-2/Record.java
+++ b/review/src-2/Record.java
@@ -24,8 +24,8 @@
   }
 
   /** Runs a case and ends the process: 1 if the rule was broken, 0 if it held, 2 if it couldn't run. */
-  static void run(String folder, Case toRun) throws Exception {
-    Record record = new Record(Path.of(folder, "record.txt"));
+  static void run(String file, Case toRun) throws Exception {
+    Record record = new Record(Path.of(file));
     record.line(hasTrouble() ? "with the disruption" : "without the disruption (TROUBLE=0)");
     int code;
     try {
