Tell the members of each resumable stream with its first event

Cause: VMs told the members what began their streams only where they knew of several versions; until then the leader was to prove from the registry that there was one. The second version's registration ends the proof, and a VM that is lost by then can't catch up.

Mend: one rule without a switch. Confirmed.mixedServices stays on the wire for VMs of older programs.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -59,6 +59,7 @@
   private final UpstreamPaths paths;
   private final PeerDirectory peers;
   private final PeerAnnouncer announcer;
+  private final BegunStreamAnnouncer begunStreams;
   private final StreamOriginClient origins;
   private final RejectionLimitTracker rejectionLimits;
   private boolean shuttingDown;
@@ -114,7 +115,10 @@
             controlClient,
             new ServiceFeature(settings.contention().waitForecasts(), upstreams),
             action -> actions.add(action));
-    origins = new StreamOriginClient(controlClient, upstreams, action -> actions.add(action));
+    begunStreams = new BegunStreamAnnouncer(controlClient, action -> actions.add(action));
+    origins =
+        new StreamOriginClient(
+            controlClient, upstreams, begunStreams, action -> actions.add(action));
     admission =
         new AdmissionController(
             random,
@@ -247,7 +251,9 @@
    * @return the actions to carry out, in this order
    */
   public List<ForwardAction> onResponseStarted(long number, long nowNs) {
-    requests.onResponseStarted(number, nowNs).ifPresent(begun -> origins.recordBegun(begun, nowNs));
+    requests
+        .onResponseStarted(number, nowNs)
+        .ifPresent(begun -> begunStreams.recordBegun(begun, nowNs));
     return collectActions(nowNs);
   }
 
@@ -412,7 +418,6 @@
     } else if (reply instanceof ServingReply.RegistryUpdate update) {
       if (controlClient.session().isCurrentLeadership(update.fencing())) {
         upstreams.update(update.revision(), update.present());
-        origins.onRegistryUpdate(nowNs);
         requests.dispatchQueued(nowNs);
       }
     } else if (reply instanceof ServingReply.RolloutUpdate update) {
@@ -484,6 +489,7 @@
       actions.add(new ForwardAction.ConnectToMembers(controlClient.members()));
     }
     admission.tick(nowNs);
+    begunStreams.tick(nowNs);
     origins.tick(nowNs);
     quotaFilter.tick(nowNs);
     paths.tick(nowNs);
@@ -504,6 +510,7 @@
             requests.relays().nextDueNs().orElse(Long.MAX_VALUE),
             quotaFilter.nextDueNs().orElse(Long.MAX_VALUE),
             admission.nextDueNs().orElse(Long.MAX_VALUE),
+            begunStreams.nextDueNs().orElse(Long.MAX_VALUE),
             origins.nextDueNs().orElse(Long.MAX_VALUE))
         .min()
         .getAsLong();
@@ -592,9 +599,10 @@
     }
     if (!confirmed.fencing().equals(before)) {
       requests.onNewLeadership();
+      begunStreams.tellAllAgain();
     }
     quarantine.setLeaderKnowsParts(confirmed.mixedServices().isPresent());
-    origins.onConfirmed(confirmed, !confirmed.fencing().equals(before), nowNs);
+    begunStreams.setLeaderOld(confirmed.mixedServices().isEmpty());
     quarantine.scheduleResend(!confirmed.fencing().equals(before), nowNs);
     updateMembers(confirmed);
     requests.vmCount(confirmed.vmCount());
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingReply.java
@@ -81,8 +81,9 @@
    *     UpstreamSlots#NONE} while the leader doesn't know them
    * @param contended services whose slots the leader allocates
    * @param quotas the VM's allowances from customers' quotas
-   * @param mixedServices services that have had several versions recently, of which VMs tell the
-   *     members which version began each stream; empty from an older leader
+   * @param mixedServices services that have had several versions recently, the only ones whose
+   *     streams VMs of older programs tell the members; empty from a leader of an older program,
+   *     whose members know no streams
    */
   record Confirmed(
       FencingNumber fencing,
--- a/core/src/test/java/org/teaseltrail/core/control/StreamVersionTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/StreamVersionTest.java
@@ -121,6 +121,23 @@
     assertThat(simulation.takeUpShare()).isGreaterThanOrEqualTo(AIMED_SHARE);
   }
 
+  /** Guards against streams that nobody can vouch for once a second version joins. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void streamOfLostVmGoesOnThoughSecondVersionJoins(long seed) {
+    StreamVersionSimulation simulation = new StreamVersionSimulation(seed, 3);
+    simulation.startEngines("v1", 20);
+    simulation.delayTakeUps(2 * STEP_MS);
+    simulation.simulate(2 * STEP_MS, 0);
+    simulation.simulate(3 * STEP_MS, 2 * PER_SECOND);
+    simulation.killVm(0);
+    simulation.simulate(STEP_MS / 2, 2 * PER_SECOND);
+    simulation.startEngines("v2", 1);
+    simulation.simulate(5 * STEP_MS, 2 * PER_SECOND);
+    assertThat(simulation.mixedStreams()).isZero();
+    assertThatTakeUpsGoOn(simulation);
+  }
+
   /** Guards against combinations of the above; takes a fresh seed, which a failure names. */
   @RepeatedTest(50)
   @Tag("long-run")
