Tell a member of recent streams again when its connection opens

What callers would see: control members are restarted one after the other, an entry VM and the leader are lost shortly after, and most streams of that VM are refused until their deadline, though the members have been up all the while.

Cause: a VM told its recent streams again only at a new leadership. A follower that starts again changes no leadership, and so knew only what began after its start; and what a VM told while its connection to a member was down was lost for that member.

Mend: ForwardNode.onMemberConnected, called by the shell for each connection that opens.

--- a/core/src/main/java/org/teaseltrail/core/forward/BegunStreamAnnouncer.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/BegunStreamAnnouncer.java
@@ -20,8 +20,9 @@
  * Remembers which version began each resumable stream of this VM, and tells the control members.
  *
  * <p>All members are told of each stream with its first event, whether other versions serve or not:
- * a VM that is lost can't tell it any more when a second version joins. A member that may have
- * missed streams is told of the recent ones again, a few at a time.
+ * a VM that is lost can't tell it any more when a second version joins. A member with a new
+ * connection is told of the recent streams again, a few at a time: it may have started again
+ * without what it knew, and messages are lost with a connection.
  */
 final class BegunStreamAnnouncer {
 
@@ -101,7 +102,7 @@
   /** Notes whether the leader runs a program that knows no origins and must be told none. */
   void setLeaderOld(boolean isOld) {
     if (isLeaderOld && !isOld) {
-      tellAllAgain();
+      controlClient.members().forEach(this::tellAgain);
     }
     isLeaderOld = isOld;
   }
@@ -111,13 +112,8 @@
     return isLeaderOld;
   }
 
-  /** Plans to tell all members of all recent streams again. */
-  void tellAllAgain() {
-    controlClient.members().forEach(this::tellAgain);
-  }
-
   /** Plans to tell a member of all recent streams again. */
-  private void tellAgain(VmId member) {
+  void tellAgain(VmId member) {
     if (!streams.isEmpty()) {
       untold.put(member, new ArrayDeque<>(streams.values()));
     }
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -382,6 +382,18 @@
     return collectActions(nowNs);
   }
 
+  /**
+   * Handles a new connection to a control member, which may have started again or missed messages.
+   *
+   * @param member the member
+   * @param nowNs current time, in nanoseconds
+   * @return the actions to carry out, in this order
+   */
+  public List<ForwardAction> onMemberConnected(VmId member, long nowNs) {
+    begunStreams.tellAgain(member);
+    return collectActions(nowNs);
+  }
+
   /**
    * Handles a message from a control member.
    *
@@ -599,7 +611,6 @@
     }
     if (!confirmed.fencing().equals(before)) {
       requests.onNewLeadership();
-      begunStreams.tellAllAgain();
     }
     quarantine.setLeaderKnowsParts(confirmed.mixedServices().isPresent());
     begunStreams.setLeaderOld(confirmed.mixedServices().isEmpty());
--- a/core/src/test/java/org/teaseltrail/core/control/FakeControlGroup.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeControlGroup.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.teaseltrail.core.configuration.ConfigurationChange;
 import org.teaseltrail.core.contention.ContentionSettings;
@@ -63,6 +64,7 @@
 
   private final Map<VmId, Listener> entryVms = new HashMap<>();
   private final Map<VmId, ServingListener> servingVms = new HashMap<>();
+  private final List<Consumer<VmId>> restartListeners = new ArrayList<>();
   private final Map<Long, OperatorResult> replies = new HashMap<>();
   private final ReplicaSettings replicaSettings;
   private ControlSettings settings = ControlSettings.DEFAULT;
@@ -190,8 +192,16 @@
     servingVms.put(vm, listener);
   }
 
+  /** Registers who is told when entry VMs can connect to a member that has started again. */
+  void listenRestarts(Consumer<VmId> listener) {
+    restartListeners.add(listener);
+  }
+
   void restart(FakeControlMember member) {
     member.start(replicaSettings);
+    after(
+        LATENCY_NS,
+        () -> restartListeners.forEach(listener -> listener.accept(member.member().vm())));
   }
 
   void after(long delayNs, Runnable step) {
--- a/core/src/test/java/org/teaseltrail/core/control/FakeEntryVms.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeEntryVms.java
@@ -96,6 +96,7 @@
 
   /** Starts all VMs; the executor must be ready. */
   void start() {
+    group.listenRestarts(this::connectAll);
     for (int vm = 0; vm < incarnations.length; vm++) {
       nodes.add(null);
       restart(vm);
@@ -138,6 +139,21 @@
   /** Partitions a VM from all members, or reconnects it. */
   void setPartitioned(int vm, boolean isPartitioned) {
     partitioned[vm] = isPartitioned;
+    if (!isPartitioned) {
+      group.members().forEach(member -> connect(vm, member.member().vm()));
+    }
+  }
+
+  private void connectAll(VmId member) {
+    for (int vm = 0; vm < incarnations.length; vm++) {
+      connect(vm, member);
+    }
+  }
+
+  private void connect(int vm, VmId member) {
+    if (!partitioned[vm]) {
+      execute(vm, nodes.get(vm).onMemberConnected(member, group.nowNs()));
+    }
   }
 
   /** Runs the VMs whose wake-up time has come. */
--- a/core/src/test/java/org/teaseltrail/core/control/StreamVersionSimulation.java
+++ b/core/src/test/java/org/teaseltrail/core/control/StreamVersionSimulation.java
@@ -157,6 +157,17 @@
     vms.restart(vm);
   }
 
+  /** Ends all members but the leader and starts them again at once. */
+  void restartFollowers() {
+    FakeControlMember leader = group.leader();
+    for (FakeControlMember member : group.members()) {
+      if (member != leader) {
+        member.kill();
+        group.restart(member);
+      }
+    }
+  }
+
   /** Returns the number of streams that hold events of two versions. */
   long mixedStreams() {
     return streams.stream().filter(stream -> stream.mixed).count();
--- a/core/src/test/java/org/teaseltrail/core/control/StreamVersionTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/StreamVersionTest.java
@@ -138,6 +138,25 @@
     assertThatTakeUpsGoOn(simulation);
   }
 
+  /** Guards against members that know nothing of what was told before they started again. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void streamGoesOnThoughMembersStartAgainOneByOne(long seed) {
+    StreamVersionSimulation simulation = start(seed, 3);
+    for (int i = 0; i < 5; i++) {
+      simulation.simulate(2 * STEP_MS, 2 * PER_SECOND);
+      FakeControlMember leader = simulation.group().leader();
+      simulation.restartFollowers();
+      simulation.simulate(STEP_MS / 5, 2 * PER_SECOND);
+      leader.kill();
+      simulation.killVm(i % 3);
+      simulation.simulate(STEP_MS, 2 * PER_SECOND);
+      simulation.group().restart(leader);
+    }
+    assertThat(simulation.mixedStreams()).isZero();
+    assertThatTakeUpsGoOn(simulation);
+  }
+
   /** Guards against combinations of the above; takes a fresh seed, which a failure names. */
   @RepeatedTest(50)
   @Tag("long-run")
--- a/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
@@ -155,13 +155,47 @@
     assertThat(told()).isEmpty();
   }
 
-  /** Guards against members that have restarted all together and know of no stream. */
+  /** Guards against a member that has started again and knows of no stream. */
   @Test
-  void tellsMembersOfNewLeaderAgain() {
+  void tellsMemberAgainWhenItsConnectionOpens() {
     serveWith(TestPlans.plan(1), OLD, NEW);
     long stream = arrive(PATH);
     actions = node.onResponseStarted(stream, nowNs);
     assertThat(told()).hasSize(1);
+    node.onMemberConnected(MEMBER, nowNs);
+    actions = node.tick(nowNs);
+    assertThat(told()).extracting(BegunStream::key).containsExactly(key("id-" + stream));
+    advanceMs(250);
+    assertThat(told()).isEmpty();
+  }
+
+  /** Guards against a burst at a member that has started, to which all VMs connect at once. */
+  @Test
+  void tellsStreamsAgainFewAtOnce() {
+    serveWith(TestPlans.plan(1), upstream("a1", TestPlans.ENGINES, 1_000));
+    for (int i = 0; i < 600; i++) {
+      node.onResponseStarted(arrive(PATH), nowNs);
+    }
+    node.onMemberConnected(MEMBER, nowNs);
+    actions = node.tick(nowNs);
+    assertThat(told()).hasSize(250);
+    advanceMs(49);
+    assertThat(told()).isEmpty();
+    advanceMs(1);
+    assertThat(told()).hasSize(250);
+    advanceMs(50);
+    assertThat(told()).hasSize(100);
+  }
+
+  /** Guards against members of an older program that were told nothing, once a newer one leads. */
+  @Test
+  void tellsAllMembersOnceNewerLeaderIsThere() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    advanceMs(250);
+    node.onControlMessage(confirmed(TERM, Optional.empty()), nowNs);
+    long stream = arrive(PATH);
+    actions = node.onResponseStarted(stream, nowNs);
+    assertThat(told()).isEmpty();
     advanceMs(250);
     node.onControlMessage(confirmed(new FencingNumber(2), Optional.of(List.of())), nowNs);
     actions = node.tick(nowNs);
--- a/forward/src/main/java/org/teaseltrail/forward/ControlConnectionManager.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ControlConnectionManager.java
@@ -23,8 +23,7 @@
 import reactor.netty.resources.LoopResources;
 
 /** Maintains the connections to the control members, whose VM ids are their addresses. */
-final class ControlConnectionManager
-    implements AutoCloseable, FrameListener<ServingReply, ServingMessage> {
+final class ControlConnectionManager implements AutoCloseable {
 
   private static final long MIN_BACKOFF_MS = 50;
 
@@ -53,13 +52,19 @@
   private final MessageCodec codec = new MessageCodec();
   private final RandomGenerator random;
   private final Consumer<ServingReply> replies;
+  private final Consumer<VmId> connected;
 
   ControlConnectionManager(
-      LoopResources loops, VmId self, RandomGenerator random, Consumer<ServingReply> replies) {
+      LoopResources loops,
+      VmId self,
+      RandomGenerator random,
+      Consumer<ServingReply> replies,
+      Consumer<VmId> connected) {
     this.loops = loops;
     this.self = self;
     this.random = random;
     this.replies = replies;
+    this.connected = connected;
   }
 
   /** Connects to the given members and closes the connections to all others. */
@@ -78,19 +83,6 @@
     }
   }
 
-  @Override
-  public void onOpened(FrameConnection<ServingReply, ServingMessage> connection) {}
-
-  @Override
-  public void onReceived(
-      FrameConnection<ServingReply, ServingMessage> connection, ServingReply reply) {
-    replies.accept(reply);
-  }
-
-  @Override
-  public void onClosed(
-      FrameConnection<ServingReply, ServingMessage> connection, CloseReason reason) {}
-
   @Override
   public void close() {
     clients.values().forEach(FrameClient::close);
@@ -101,9 +93,38 @@
         loops,
         SocketAddress.parse(vm.value()),
         self.value(),
-        new FrameEndpoint<>(ClientType.SERVING_VM, ServingReply.class, ServingMessage.class, this),
+        new FrameEndpoint<>(
+            ClientType.SERVING_VM,
+            ServingReply.class,
+            ServingMessage.class,
+            new MemberListener(vm)),
         LIMITS,
         codec,
         new ReconnectBackoff(MIN_BACKOFF_MS, MAX_BACKOFF_MS, random));
   }
+
+  /** Receives the events of the connections to one member. */
+  private final class MemberListener implements FrameListener<ServingReply, ServingMessage> {
+
+    private final VmId member;
+
+    private MemberListener(VmId member) {
+      this.member = member;
+    }
+
+    @Override
+    public void onOpened(FrameConnection<ServingReply, ServingMessage> connection) {
+      connected.accept(member);
+    }
+
+    @Override
+    public void onReceived(
+        FrameConnection<ServingReply, ServingMessage> connection, ServingReply reply) {
+      replies.accept(reply);
+    }
+
+    @Override
+    public void onClosed(
+        FrameConnection<ServingReply, ServingMessage> connection, CloseReason reason) {}
+  }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -134,7 +134,8 @@
             sharedLoop.resources(),
             options.node().vm(),
             new SplittableRandom(options.node().seed()),
-            reply -> loop.execute(() -> onControlReply(reply)));
+            reply -> loop.execute(() -> onControlReply(reply)),
+            member -> loop.execute(() -> onMemberConnected(member)));
     metrics = new ForwardMetrics(this, log);
     readiness =
         AdminServer.readiness(
@@ -397,6 +398,10 @@
     }
   }
 
+  private void onMemberConnected(VmId member) {
+    run(node.onMemberConnected(member, clock.nowNs()));
+  }
+
   private void run(List<ForwardAction> actions) {
     actions.forEach(this::execute);
     updateReadiness();
