Bound what a member remembers of streams by its memory

What callers would see: with each stream told to the members, a control member of -Xmx128m ends for want of memory at some thousand new streams a second, or fewer with long ids.

StreamOriginRegistryTest: three new tests, red before (3 of 3).

--- a/core/src/main/java/org/teaseltrail/core/stream/StreamOriginRegistry.java
+++ b/core/src/main/java/org/teaseltrail/core/stream/StreamOriginRegistry.java
@@ -4,22 +4,30 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.teaseltrail.core.id.CustomerId;
 
 /**
  * Origins of the streams that callers may take up, as the entry VMs tell a control member. They are
- * held in memory only: each member is told, and VMs tell the members of a new leader again.
+ * held in memory only: each member is told, and told again when a connection to it opens. The
+ * memory is bounded; the streams that were told first are forgotten first.
  */
 public final class StreamOriginRegistry {
 
   private static final long NS_PER_MS = 1_000_000L;
 
-  /** Bounds the memory to some 30 MB. */
-  private static final int MAX_STREAMS = 200_000;
+  /** A quarter of the heap of a control member. */
+  private static final long MAX_BYTES = 32_000_000;
+
+  /** Memory of a stream besides the characters of its attempt's id; the rest is shared. */
+  private static final int STREAM_BYTES = 200;
 
   /** Origin of a stream; empty if the stream was named with different ones. */
   private record Entry(Optional<StreamOrigin> origin, long expiryNs) {}
 
   private final Map<StreamKey, Entry> streams = new LinkedHashMap<>();
+  private final SharedInstances<Optional<CustomerId>> customers = new SharedInstances<>();
+  private final SharedInstances<Optional<StreamOrigin>> origins = new SharedInstances<>();
+  private long sizeBytes;
 
   /**
    * Records a stream. One that is recorded with another origin has none from then on: which one its
@@ -30,14 +38,15 @@
    */
   public void record(BegunStream stream, long nowNs) {
     removeExpired(nowNs);
-    Entry before = streams.remove(stream.key());
-    Optional<StreamOrigin> origin = Optional.of(stream.origin());
+    StreamKey key = new StreamKey(customers.share(stream.key().customer()), stream.key().attempt());
+    Entry before = streams.remove(key);
+    sizeBytes += before == null ? sizeBytes(key) : 0;
+    Optional<StreamOrigin> origin = origins.share(Optional.of(stream.origin()));
     boolean isSame = before == null || before.origin().equals(origin);
-    streams.put(
-        stream.key(),
-        new Entry(isSame ? origin : Optional.empty(), nowNs + stream.retentionMs() * NS_PER_MS));
-    if (streams.size() > MAX_STREAMS) {
-      streams.remove(streams.keySet().iterator().next());
+    long expiryNs = nowNs + stream.retentionMs() * NS_PER_MS;
+    streams.put(key, new Entry(isSame ? origin : Optional.empty(), expiryNs));
+    while (sizeBytes > MAX_BYTES) {
+      removeOldest();
     }
   }
 
@@ -54,11 +63,25 @@
         .flatMap(Entry::origin);
   }
 
+  /** Returns the number of streams that are held, of which some may have expired. */
+  int size() {
+    return streams.size();
+  }
+
   /** Drops the oldest streams that have expired; few expire out of order. */
   private void removeExpired(long nowNs) {
-    Iterator<Entry> oldestFirst = streams.values().iterator();
-    while (oldestFirst.hasNext() && nowNs >= oldestFirst.next().expiryNs()) {
-      oldestFirst.remove();
+    while (!streams.isEmpty() && nowNs >= streams.values().iterator().next().expiryNs()) {
+      removeOldest();
     }
   }
+
+  private void removeOldest() {
+    Iterator<StreamKey> oldestFirst = streams.keySet().iterator();
+    sizeBytes -= sizeBytes(oldestFirst.next());
+    oldestFirst.remove();
+  }
+
+  private static long sizeBytes(StreamKey key) {
+    return STREAM_BYTES + key.attempt().length();
+  }
 }
--- a/core/src/test/java/org/teaseltrail/core/stream/StreamOriginRegistryTest.java
+++ b/core/src/test/java/org/teaseltrail/core/stream/StreamOriginRegistryTest.java
@@ -48,6 +48,36 @@
     assertThat(store.find(key("c", "id-1"), 150 * MS)).contains(OLD);
   }
 
+  /** Guards against a member that ends for want of memory, as many streams begin in a minute. */
+  @Test
+  void keepsNoMoreThanFitsItsMemory() {
+    for (int i = 0; i < 300_000; i++) {
+      store.record(new BegunStream(key("c", "0123456789-" + i), origin("v1"), 60_000), 0);
+    }
+    assertThat(store.size()).isBetween(90_000, 160_000);
+    assertThat(store.find(key("c", "0123456789-299999"), 1)).contains(OLD);
+    assertThat(store.find(key("c", "0123456789-0"), 1)).isEmpty();
+  }
+
+  /** Guards against a bound in streams that long ids pass many times over. */
+  @Test
+  void longIdsTakeTheirRoom() {
+    String padding = "x".repeat(200);
+    for (int i = 0; i < 100_000; i++) {
+      store.record(new BegunStream(key("c", padding + i), OLD, 60_000), 0);
+    }
+    assertThat(store.size()).isBetween(60_000, 90_000);
+  }
+
+  /** Guards against each stream holding names of its own that all streams have. */
+  @Test
+  void streamsShareTheirOrigin() {
+    store.record(new BegunStream(key("c", "id-1"), origin("v1"), 100), 0);
+    store.record(new BegunStream(key("c", "id-2"), origin("v1"), 100), 0);
+    assertThat(store.find(key("c", "id-1"), 1).orElseThrow())
+        .isSameAs(store.find(key("c", "id-2"), 1).orElseThrow());
+  }
+
   private static StreamKey key(String customer, String attempt) {
     return new StreamKey(Optional.of(new CustomerId(customer)), attempt);
   }
