Send a restarted entry VM its updates though its former process got them

What callers saw, in virtual time: entry VMs are killed within a second after an upstream has come or left, start again at once, and for up to a second have a session but no upstreams; new requests are refused (NO_UPSTREAM) and streams taken up as well (NO_MATCHING_VERSION).

Cause: the leader notes what it has pushed to a VM and repeats it only after a second without confirmation. The note was kept by the VM's id, not by the incarnation of its process.

Mend: a new incarnation gets a new state at the leader, and so everything with its first sync. RestartedVmTest is red before.

--- a/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
@@ -186,14 +186,7 @@
   }
 
   private void sync(ServingMessage.Sync sync) {
-    VmState vm = vms.computeIfAbsent(sync.vm(), id -> new VmState());
-    if (vm.sync != null) {
-      countInFlight(vm.sync, -1);
-      if (!vm.sync.incarnation().equals(sync.incarnation())) {
-        rejectionLimits.forget(sync.vm());
-        slots.removeVm(sync.vm());
-      }
-    }
+    VmState vm = stateOf(sync);
     countInFlight(sync, 1);
     vm.sync = sync;
     vm.heardNs = leadership.nowNs();
@@ -208,6 +201,25 @@
     grantSlots();
   }
 
+  /**
+   * Returns the state of the VM that sends a sync, without its previous sync. A new incarnation of
+   * the VM holds nothing of what was sent to the one before.
+   */
+  private VmState stateOf(ServingMessage.Sync sync) {
+    VmState known = vms.get(sync.vm());
+    if (known != null) {
+      countInFlight(known.sync, -1);
+      if (known.sync.incarnation().equals(sync.incarnation())) {
+        return known;
+      }
+      rejectionLimits.forget(sync.vm());
+      slots.removeVm(sync.vm());
+    }
+    VmState created = new VmState();
+    vms.put(sync.vm(), created);
+    return created;
+  }
+
   /** Adds a VM's requests in flight to the totals of all VMs, or subtracts them. */
   private void countInFlight(ServingMessage.Sync sync, int sign) {
     sync.inFlight()
