Let no take-up go on by a VM's own registrations

What callers could see: while control members of a program before stream origins lead, a stream whose first version has just left goes on at the version that is registered now, joined from two versions in an answer of 200.

Cause: with such a leader a VM took the only registered version for the only one that there has been. Found by listing every way of a take-up to an upstream (now in docs/design/stream-versions.md).

Mend: with such a leader only a VM's own streams go on; all others are refused as unknown.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -116,9 +116,7 @@
             new ServiceFeature(settings.contention().waitForecasts(), upstreams),
             action -> actions.add(action));
     begunStreams = new BegunStreamAnnouncer(controlClient, action -> actions.add(action));
-    origins =
-        new StreamOriginClient(
-            controlClient, upstreams, begunStreams, action -> actions.add(action));
+    origins = new StreamOriginClient(controlClient, begunStreams, action -> actions.add(action));
     admission =
         new AdmissionController(
             random,
--- a/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
@@ -5,9 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.VmId;
@@ -53,18 +51,15 @@
   }
 
   private final ControlClient controlClient;
-  private final UpstreamTracker upstreams;
   private final Consumer<ForwardAction> actions;
   private final BegunStreamAnnouncer begunStreams;
   private final Map<Long, OpenQuestion> questions = new HashMap<>();
 
   StreamOriginClient(
       ControlClient controlClient,
-      UpstreamTracker upstreams,
       BegunStreamAnnouncer begunStreams,
       Consumer<ForwardAction> actions) {
     this.controlClient = controlClient;
-    this.upstreams = upstreams;
     this.begunStreams = begunStreams;
     this.actions = actions;
   }
@@ -84,21 +79,15 @@
             .resumption()
             .flatMap(StreamResumption::begunBy)
             .flatMap(attempt -> StreamKey.of(customer, attempt));
-    Optional<ServiceId> service =
-        route.targets().size() == 1
-            ? Optional.of(route.targets().get(0).service())
-            : Optional.empty();
-    Optional<StreamOrigin> known =
-        key.flatMap(named -> begunStreams.find(named, nowNs))
-            .or(
-                () ->
-                    begunStreams.isLeaderOld()
-                        ? service.flatMap(this::onlyRegistered)
-                        : Optional.empty());
+    Optional<StreamOrigin> known = key.flatMap(named -> begunStreams.find(named, nowNs));
     if (known.isPresent() || begunStreams.isLeaderOld() || questions.size() >= MAX_QUESTIONS) {
       continuation.onOrigin(known, nowNs);
       return;
     }
+    Optional<ServiceId> service =
+        route.targets().size() == 1
+            ? Optional.of(route.targets().get(0).service())
+            : Optional.empty();
     List<VmId> members = controlClient.members();
     questions.put(
         request.number(), new OpenQuestion(continuation, nowNs + MAX_WAIT_NS, members.size()));
@@ -106,15 +95,6 @@
     sendToAll(new ServingMessage.OriginQuery(controlClient.vm(), List.of(question)));
   }
 
-  /** Returns the only origin that this VM's registrations allow. */
-  private Optional<StreamOrigin> onlyRegistered(ServiceId service) {
-    Set<StreamOrigin> origins =
-        upstreams.of(service).stream()
-            .map(upstream -> StreamOrigin.of(upstream.registration()))
-            .collect(Collectors.toSet());
-    return origins.size() == 1 ? origins.stream().findFirst() : Optional.empty();
-  }
-
   /** Handles a member's answers; the last one to a question decides if none knows the origin. */
   void onAnswers(ServingReply.OriginAnswers answers, long nowNs) {
     for (OriginAnswer answer : answers.answers()) {
--- a/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
@@ -217,6 +217,17 @@
     assertThat(refusals()).containsExactly(RefusalReason.ORIGIN_UNKNOWN);
   }
 
+  /** Guards against a stream joined from two versions, of which the first has just left. */
+  @Test
+  void olderLeaderProvesNothingThoughOneVersionIsRegistered() {
+    serveWith(TestPlans.plan(1), NEW);
+    advanceMs(250);
+    node.onControlMessage(confirmed(TERM, Optional.empty()), nowNs);
+    takeUp(Optional.of("id-before"), Optional.of("4"));
+    assertThat(dispatches()).isEmpty();
+    assertThat(refusals()).containsExactly(RefusalReason.ORIGIN_UNKNOWN);
+  }
+
   /** Guards against a request without a stream that is asked for because of a stray header. */
   @Test
   void requestWithoutStreamIsNotAskedFor() {
