Test streams joined from two versions with all entry VMs killed in a release

The users' report: two versions serve, or the old one has just left, all entry VMs are killed at once and come back, and take-ups are answered 200 with text joined from two versions.

--- a/core/src/test/java/org/teaseltrail/core/control/StreamVersionTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/StreamVersionTest.java
@@ -2,10 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -21,6 +23,7 @@
   private static final int LENGTH_MS = 20_000;
   private static final int STEP_MS = 1_000;
   private static final double PER_SECOND = 20;
+  private static final int SEEDS_OF_RELEASE = 8;
 
   /** Share of new streams' success that the users require of streams taken up. */
   private static final double REQUIRED_SHARE = 0.5;
@@ -157,6 +160,33 @@
     assertThatTakeUpsGoOn(simulation);
   }
 
+  /** Guards against streams joined from two versions once all entry VMs have started again. */
+  @ParameterizedTest
+  @EnumSource(Disturbance.class)
+  void streamKeepsItsVersionWhenAllVmsAreKilledInRelease(Disturbance disturbance) {
+    for (long seed = 1; seed <= SEEDS_OF_RELEASE; seed++) {
+      StreamVersionSimulation simulation = new StreamVersionSimulation(seed, 4);
+      simulation.startEngines("v1", 10);
+      simulation.delayTakeUps(STEP_MS / 2);
+      simulation.simulate(2 * STEP_MS, 0);
+      simulation.simulate(STEP_MS, PER_SECOND);
+      replaceMany(simulation, "v1", "v2", 5);
+      killAllVms(simulation, disturbance);
+      replaceMany(simulation, "v1", "v2", 5);
+      killAllVms(simulation, disturbance);
+      replaceMany(simulation, "v2", "v1", 5);
+      killAllVms(simulation, disturbance);
+      simulation.simulate(3 * STEP_MS, PER_SECOND);
+      assertThat(simulation.takeUps()).as("seed %d", seed).isPositive();
+      assertThat(simulation.mixedStreams()).as("seed %d", seed).isZero();
+      if (disturbance == Disturbance.NONE) {
+        assertThat(simulation.takeUpShare())
+            .as("seed %d", seed)
+            .isGreaterThanOrEqualTo(REQUIRED_SHARE * simulation.newShare());
+      }
+    }
+  }
+
   /** Guards against combinations of the above; takes a fresh seed, which a failure names. */
   @RepeatedTest(50)
   @Tag("long-run")
@@ -198,4 +228,55 @@
     assertThat(simulation.takeUpShare())
         .isGreaterThanOrEqualTo(AIMED_SHARE * simulation.newShare());
   }
+
+  /** Replaces engines one after the other, as a release does. */
+  private static void replaceMany(
+      StreamVersionSimulation simulation, String from, String to, int count) {
+    for (int i = 0; i < count; i++) {
+      simulation.replaceOne(from, to);
+      simulation.simulate(STEP_MS / 4, PER_SECOND);
+    }
+  }
+
+  private static void killAllVms(StreamVersionSimulation simulation, Disturbance disturbance) {
+    List<FakeControlMember> lost = disturbance.lost(simulation.group());
+    lost.forEach(FakeControlMember::kill);
+    for (int vm = 0; vm < simulation.vms().count(); vm++) {
+      simulation.killVm(vm);
+    }
+    lost.forEach(simulation.group()::restart);
+    simulation.simulate(3 * STEP_MS, PER_SECOND);
+  }
+
+  /** What the control group suffers while all entry VMs are killed. */
+  private enum Disturbance {
+    NONE {
+      @Override
+      List<FakeControlMember> lost(FakeControlGroup group) {
+        return List.of();
+      }
+    },
+    LEADER_RESTARTS {
+      @Override
+      List<FakeControlMember> lost(FakeControlGroup group) {
+        return List.of(group.leader());
+      }
+    },
+    FOLLOWERS_RESTART {
+      @Override
+      List<FakeControlMember> lost(FakeControlGroup group) {
+        FakeControlMember leader = group.leader();
+        return group.members().stream().filter(member -> member != leader).toList();
+      }
+    },
+    ALL_RESTART {
+      @Override
+      List<FakeControlMember> lost(FakeControlGroup group) {
+        return List.copyOf(group.members());
+      }
+    };
+
+    /** Returns the members that end and start again. */
+    abstract List<FakeControlMember> lost(FakeControlGroup group);
+  }
 }
