Bound what an upstream sends beside the answer to a request

Seen by the users: early answers (103) one after the other are read until the request's deadline, 17 MB in 6 s, with no bound of their own. The same holds for answers with another request's id, heads as well as bodies, which are read only to be skipped.

Cause: UpstreamConnection left out of account all that it doesn't pass on.

Mend: SurplusLimit counts it for each request: 100 heads, as many as signs of life once a second for the longest streams' start, and 8 MB, as much as an answer may have. Past it the connection is closed at once and the attempt is broken, which counts against the upstream.

UpstreamConnectionTest: earlyAnswersWithoutEndAreGivenUp, answersToOthersWithoutEndAreGivenUp and bodyOfAnswerToOtherIsGivenUp are red with the limit off; earlyAnswerEachSecondIsNoFlood holds either way.

--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -32,7 +32,7 @@
 final class Exchange {
 
   /** Maximum size of a buffered response; bounds the memory that one upstream can occupy here. */
-  private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+  static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
   private static final double NS_PER_MS = 1e6;
 
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -40,6 +40,7 @@
 
   private final UpstreamConnectionPool<?> pool;
   private final HeaderCodec dialect;
+  private final SurplusLimit surplus = new SurplusLimit();
   private Channel channel;
   private UpstreamResponseListener responseListener;
   private ChannelFuture requestWrite;
@@ -76,6 +77,7 @@
     idle = false;
     notReusable = false;
     closeAfterResponse = false;
+    surplus.reset();
     requestWrite = channel.writeAndFlush(request);
   }
 
@@ -132,6 +134,9 @@
     if (message instanceof HttpContent content) {
       content(content);
     }
+    if (surplus.isPassed()) {
+      fail();
+    }
   }
 
   @Override
@@ -157,12 +162,14 @@
   private void head(HttpResponse response) {
     informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     if (informational) {
+      surplus.addHead();
       return;
     }
     ResponseHead read = dialect.readResponseHead(response);
     boolean matches = read.requestId().map(responseListener.requestId()::equals).orElse(true);
     skipping = !matches;
     if (skipping) {
+      surplus.addHead();
       notReusable = true;
       return;
     }
@@ -174,6 +181,7 @@
   private void content(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
     if (informational || skipping) {
+      surplus.addBody(content.content().readableBytes());
       return;
     }
     ByteBuf part = content.content();
--- a/forward/src/test/java/org/teaseltrail/forward/FakeHeaderCodec.java
+++ b/forward/src/test/java/org/teaseltrail/forward/FakeHeaderCodec.java
@@ -8,10 +8,11 @@
 import org.teaseltrail.core.forward.ForwardRequest;
 import org.teaseltrail.core.quarantine.RequestContent;
 
-/** Codec of a platform without headers; each caller waits for two seconds. */
+/** Codec of a platform whose answers only name their request; each caller waits two seconds. */
 final class FakeHeaderCodec implements HeaderCodec {
 
   static final long DEADLINE_MS = 2_000;
+  static final String REQUEST_ID = "Request-Id";
 
   @Override
   public ForwardRequest readRequest(long number, HttpRequest head, RequestContent content) {
@@ -32,7 +33,7 @@
   @Override
   public ResponseHead readResponseHead(HttpResponse head) {
     return new ResponseHead(
-        Optional.empty(),
+        Optional.ofNullable(head.headers().get(REQUEST_ID)),
         true,
         false,
         true,
--- a/forward/src/test/java/org/teaseltrail/forward/UpstreamConnectionTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/UpstreamConnectionTest.java
@@ -3,9 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -55,8 +58,63 @@
     assertThat(channel.config().isAutoRead()).isTrue();
   }
 
+  /** Guards against early answers without end, which were read until the request's deadline. */
+  @Test
+  void earlyAnswersWithoutEndAreGivenUp() {
+    send("early");
+    for (int i = 0; i < 10_000 && channel.isActive(); i++) {
+      channel.writeInbound(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.EARLY_HINTS));
+    }
+    assertThat(completed).containsExactly("failed early");
+    assertThat(channel.isActive()).isFalse();
+  }
+
+  /** Guards against signs of life that are taken for answers without end. */
+  @Test
+  void earlyAnswerEachSecondIsNoFlood() {
+    send("slow");
+    for (int i = 0; i < 60; i++) {
+      channel.writeInbound(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.PROCESSING));
+    }
+    finish();
+    assertThat(completed).containsExactly("slow");
+  }
+
+  /** Guards against answers to other requests without end, which are read only to be skipped. */
+  @Test
+  void answersToOthersWithoutEndAreGivenUp() {
+    send("mine");
+    for (int i = 0; i < 10_000 && channel.isActive(); i++) {
+      DefaultFullHttpResponse other =
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+      other.headers().set(FakeHeaderCodec.REQUEST_ID, "other");
+      channel.writeInbound(other);
+    }
+    assertThat(completed).containsExactly("failed mine");
+  }
+
+  /** Guards against an answer to another request whose body has no end. */
+  @Test
+  void bodyOfAnswerToOtherIsGivenUp() {
+    send("mine");
+    DefaultHttpResponse other =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    other.headers().set(FakeHeaderCodec.REQUEST_ID, "other");
+    channel.writeInbound(other);
+    for (int i = 0; i < 10_000 && channel.isActive(); i++) {
+      channel.writeInbound(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[8_192])));
+    }
+    assertThat(completed).containsExactly("failed mine");
+  }
+
   private void exchange(String id) {
     send(id);
+    finish();
+  }
+
+  private void finish() {
     FullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
     HttpUtil.setContentLength(response, 0);
