Close a health check's connection though its answer has begun

What happens: an upstream in trouble answers a health check with a body without end. The head settles the check, and the time limit then did nothing more, so the body was read for ever, check after check.

Mend: the limit closes the connection unless the answer has ended. HealthCheck is a class of its own now, for its test: UpstreamConnectionTest.healthCheckIsGivenUpThoughItsAnswerHasBegun, red before.

--- a/forward/src/main/java/org/teaseltrail/forward/PathProber.java
+++ b/forward/src/main/java/org/teaseltrail/forward/PathProber.java
@@ -1,16 +1,13 @@
 package org.teaseltrail.forward;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.registry.Registration;
@@ -65,7 +62,7 @@
       loop.schedule(() -> onStayedOpen(probe, connection), STAY_OPEN_MS, TimeUnit.MILLISECONDS);
       return;
     }
-    HealthCheck check = new HealthCheck(probe.upstream().id(), connection);
+    HealthCheck check = new HealthCheck(probe.upstream().id(), connection, results);
     connection.send(request(probe), check);
     loop.schedule(check::onTimeout, ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
   }
@@ -91,61 +88,4 @@
             probe.upstream().address().host() + ":" + probe.upstream().address().port());
     return request;
   }
-
-  /** Any answer shows that there is a path, whatever its status. */
-  private final class HealthCheck implements UpstreamResponseListener {
-
-    private final UpstreamId upstream;
-    private final UpstreamConnection connection;
-    private boolean ended;
-
-    HealthCheck(UpstreamId upstream, UpstreamConnection connection) {
-      this.upstream = upstream;
-      this.connection = connection;
-    }
-
-    @Override
-    public String requestId() {
-      return "";
-    }
-
-    @Override
-    public void headReceived(HttpResponse head, ResponseHead read) {
-      end(ProbeResult.ANSWERED);
-    }
-
-    @Override
-    public void bodyReceived(ByteBuf part) {
-      // Only the head counts.
-    }
-
-    @Override
-    public void readCompleted() {
-      // Only the head counts.
-    }
-
-    @Override
-    public void completed() {
-      end(ProbeResult.ANSWERED);
-    }
-
-    @Override
-    public void failed(AttemptOutcome outcome) {
-      end(ProbeResult.CONNECTED);
-    }
-
-    private void onTimeout() {
-      if (!ended) {
-        connection.abort();
-        end(ProbeResult.CONNECTED);
-      }
-    }
-
-    private void end(ProbeResult result) {
-      if (!ended) {
-        ended = true;
-        results.accept(upstream, result);
-      }
-    }
-  }
 }
--- a/forward/src/test/java/org/teaseltrail/forward/UpstreamConnectionTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/UpstreamConnectionTest.java
@@ -19,6 +19,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.teaseltrail.core.forward.AttemptOutcome;
+import org.teaseltrail.core.id.UpstreamId;
+import org.teaseltrail.core.relay.ProbeResult;
 import org.teaseltrail.core.upstream.SocketAddress;
 
 class UpstreamConnectionTest {
@@ -109,6 +111,22 @@
     assertThat(completed).containsExactly("failed mine");
   }
 
+  /** Guards against a health check whose answer has no end and is read for ever. */
+  @Test
+  void healthCheckIsGivenUpThoughItsAnswerHasBegun() {
+    List<ProbeResult> results = new ArrayList<>();
+    HealthCheck check =
+        new HealthCheck(
+            new UpstreamId("a1"), connection, (upstream, result) -> results.add(result));
+    connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), check);
+    channel.writeInbound(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+    channel.writeInbound(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[8_192])));
+    assertThat(results).containsExactly(ProbeResult.ANSWERED);
+    check.onTimeout();
+    assertThat(channel.isActive()).isFalse();
+    assertThat(results).hasSize(1);
+  }
+
   private void exchange(String id) {
     send(id);
     finish();
