Take no closed connection for the end of an answer

Cause: an answer without a length ends with its connection, and only a failed read marked an end as a reset. A failed write closes the connection without an error to its handlers; the decoder then ends the answer.

Evidence: ResponseEndProperties with the mark in place of the new rule: CONNECTION, WRITE_FAILED, 66 percent of the answer counts as complete; reads that fail and answers with a length or chunks don't.

Mend: half closure is allowed on connections to upstreams, so that the orderly end is read while the connection is open.

--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -147,6 +148,15 @@
     context.fireChannelReadComplete();
   }
 
+  /** Closes a connection that the upstream has closed in order; what it sent is read by now. */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      channel.close();
+    }
+    context.fireUserEventTriggered(event);
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     reset = true;
@@ -194,11 +204,13 @@
   }
 
   /**
-   * Completes a request whose response has ended. If the connection was reset, the request fails:
-   * the end of a response without a length is then not its real end.
+   * Completes a request whose response has ended. A response without a length ends with its
+   * connection, but only if the upstream itself closes it in order: the connection is still open
+   * when its end is read. After a reset, a failed write or a timeout it is closed already, and
+   * there may have been more to come.
    */
   private void end() {
-    if (reset) {
+    if (!channel.isActive()) {
       fail();
       return;
     }
@@ -208,7 +220,7 @@
     boolean bodyRead = requestWrite.isDone() && requestWrite.isSuccess();
     UpstreamResponseListener ended = responseListener;
     responseListener = null;
-    if (notReusable || closeAfterResponse || !bodyRead || !channel.isActive()) {
+    if (notReusable || closeAfterResponse || !bodyRead) {
       channel.close();
     } else {
       markIdle();
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
@@ -155,6 +155,7 @@
             .channelFactory(() -> sharedLoop.newChannel(SocketChannel.class))
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .handler(initializer(connection));
     TcpKeepAliveOptions.applyTo(bootstrap);
     ChannelFuture connecting = bootstrap.connect(address.host(), address.port());
