End a shutdown only when the answers have left the process

Cause: close() waited for open requests, and a request was done once its answer was handed to the connection, whether written or not. Idle callers were closed 2.5 s after the signal by the same measure.

Mend: a server is drained when no request is open and no connection holds unsent bytes, looked at in one step of the event loop; a caller with unsent bytes is not idle. The grace period bounds it as before. close() does nothing the second time.

--- a/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObject;
@@ -189,7 +190,13 @@
   }
 
   boolean isIdle() {
-    return current == null && !midRequest;
+    return current == null && !midRequest && !hasUnsent();
+  }
+
+  /** Returns whether a part of an answer has not left the process yet. */
+  boolean hasUnsent() {
+    ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+    return unsent != null && unsent.totalPendingWriteBytes() > 0;
   }
 
   void close() {
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -110,6 +110,7 @@
   private long wakeupNs = Long.MAX_VALUE;
   private Future<?> wakeup;
   private volatile boolean draining;
+  private volatile boolean drained;
   private volatile boolean ready;
   private volatile int openRequests;
   private volatile int servicesWithoutPath;
@@ -187,11 +188,15 @@
   }
 
   /**
-   * Drains the server and shuts it down: reports it as not ready, completes the open requests, and
-   * closes all listeners.
+   * Drains the server and shuts it down: reports it as not ready, completes the open requests,
+   * waits until their answers have left the process, and closes all listeners. Does nothing if
+   * called again.
    */
   @Override
   public void close() {
+    if (draining) {
+      return;
+    }
     log.line(LogEvent.DRAIN_BEGIN).with(LogField.OPEN, openRequests).write();
     draining = true;
     ready = false;
@@ -204,9 +209,10 @@
         loop.execute(this::stopAccepting);
         stoppedAccepting = true;
       }
-      if (sinceSignalMs > MIN_DRAIN_MS && openRequests == 0) {
+      if (sinceSignalMs > MIN_DRAIN_MS && drained) {
         break;
       }
+      loop.execute(() -> drained = isDrained());
       pause();
     }
     log.line(LogEvent.DRAIN_END).with(LogField.OPEN, openRequests).write();
@@ -502,6 +508,10 @@
     List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNs, idleNs, headerNs));
   }
 
+  private boolean isDrained() {
+    return exchanges.isEmpty() && callers.stream().noneMatch(CallerConnection::hasUnsent);
+  }
+
   private void stopAccepting() {
     node.end();
     List.copyOf(callers).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
