Bound what answers take of an entry VM's memory

Cause: each answer was buffered whole, up to 8 MB, in a buffer that is copied as it doubles, and nothing bounded all of them; the heap has 64 MB.

Mend: an answer over 64 KB takes a share of a budget (AnswerRoom, a quarter of the heap) until it has left the process; without one its upstream isn't read on. Parts are kept as they come.

Not tried: slow readers, 100 and 400 callers.

--- a/forward/src/main/java/org/teaseltrail/forward/BodyBudget.java
+++ b/forward/src/main/java/org/teaseltrail/forward/BodyBudget.java
@@ -4,8 +4,8 @@
 import java.util.Deque;
 
 /**
- * Budget of a process for the bytes of request bodies in memory. Whoever gets no share waits, in
- * the order of arrival. Used on the event loop only, except {@link #usedBytes}.
+ * Budget of a process for the bytes of bodies in memory, of requests or of answers. Whoever gets no
+ * share waits, in the order of arrival. Used on the event loop only, except {@link #usedBytes}.
  */
 final class BodyBudget {
 
--- a/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.forward;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -146,13 +147,15 @@
   /**
    * Writes a part of the response. The head of a response states whether the connection stays open
    * after it.
+   *
+   * @return completes when the part has left the process, or can't any more
    */
-  void write(Object part) {
+  ChannelFuture write(Object part) {
     if (part instanceof HttpResponse head) {
       closing = closing || server.isDraining() || (current != null && !current.wantsKeepAlive());
       HttpUtil.setKeepAlive(head, !closing);
     }
-    channel.writeAndFlush(part);
+    return channel.writeAndFlush(part);
   }
 
   /** Starts the next request after the response of the current one is complete. */
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -1,6 +1,8 @@
 package org.teaseltrail.forward;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -46,6 +48,7 @@
   private Optional<ExchangeAttempt> attempt = Optional.empty();
   private HttpResponse responseHead;
   private ByteBuf responseBody = Unpooled.EMPTY_BUFFER;
+  private AnswerRoom room;
   private boolean headSent;
   private long maxEventGapNs;
 
@@ -60,6 +63,7 @@
     this.request = request;
     this.received = received;
     this.hop = hop;
+    room = new AnswerRoom(server.answerBudget());
     keepAlive = HttpUtil.isKeepAlive(received);
   }
 
@@ -146,7 +150,9 @@
       if (!bodiless && !received.method().equals(HttpMethod.HEAD)) {
         HttpUtil.setContentLength(response, body.readableBytes());
       }
-      caller.write(response);
+      AnswerRoom taken = room;
+      room = new AnswerRoom(server.answerBudget());
+      caller.write(response).addListener(written -> taken.release());
     }
     caller.onResponseCompleted(this);
   }
@@ -181,6 +187,7 @@
   private void discardResponse() {
     responseBody.release();
     responseBody = Unpooled.EMPTY_BUFFER;
+    room.release();
   }
 
   /** Keeps the head of a response, unless a stream has been started with an earlier one. */
@@ -203,11 +210,18 @@
     return true;
   }
 
+  /** Keeps a copy of a part. One buffer that grows would take twice its size while it is copied. */
   private void keep(ByteBuf part) {
     if (responseBody == Unpooled.EMPTY_BUFFER) {
-      responseBody = server.allocateBuffer();
+      responseBody = Unpooled.compositeBuffer(Integer.MAX_VALUE);
     }
-    responseBody.writeBytes(part);
+    byte[] bytes = ByteBufUtil.getBytes(part);
+    ((CompositeByteBuf) responseBody).addComponent(true, Unpooled.wrappedBuffer(bytes));
+  }
+
+  /** Reserves room for what is kept of the answer; returns false if it must wait for room. */
+  boolean reserveRoom(long expectedBytes, Runnable whenReserved) {
+    return room.reserve(responseBody.readableBytes(), expectedBytes, whenReserved);
   }
 
   /** Tells the peer that relayed the request, if one did, what the answer means. */
--- a/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
@@ -30,6 +30,7 @@
   private int status;
   private boolean forwardsEvents;
   private boolean endsWithConnection;
+  private long expectedBytes;
   private boolean ended;
   private long sentNs;
   private long firstEventNs;
@@ -129,6 +130,7 @@
     status = response.status().code();
     endsWithConnection =
         !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
+    expectedBytes = HttpUtil.getContentLength(response, (long) Exchange.MAX_RESPONSE_BYTES);
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
     boolean forwardable = onHead(response, read);
     forwardsEvents = forwardable && success && read.signed() && read.eventStream();
@@ -143,6 +145,8 @@
       if (!exchange.buffer(part)) {
         connection.abort();
         end(AttemptOutcome.BROKEN);
+      } else if (!exchange.reserveRoom(expectedBytes, this::onRoom)) {
+        connection.setRoomMissing(true);
       }
       return;
     }
@@ -156,6 +160,12 @@
     }
   }
 
+  private void onRoom() {
+    if (connection != null && !ended) {
+      connection.setRoomMissing(false);
+    }
+  }
+
   @Override
   public void readCompleted() {
     forwardPendingEvents();
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -55,6 +55,7 @@
   private boolean idle;
   private boolean held;
   private boolean callerBlocked;
+  private boolean roomMissing;
 
   UpstreamConnection(UpstreamConnectionPool<?> pool, HeaderCodec dialect) {
     this.pool = pool;
@@ -115,8 +116,14 @@
     updateAutoRead();
   }
 
+  /** Pauses or resumes reading while there is no room for the answer. */
+  void setRoomMissing(boolean missing) {
+    roomMissing = missing && !idle;
+    updateAutoRead();
+  }
+
   private void updateAutoRead() {
-    channel.config().setAutoRead(!held && !callerBlocked);
+    channel.config().setAutoRead(!held && !callerBlocked && !roomMissing);
   }
 
   @Override
@@ -216,6 +223,7 @@
     }
     held = false;
     callerBlocked = false;
+    roomMissing = false;
     updateAutoRead();
     boolean bodyRead = requestWrite.isDone() && requestWrite.isSuccess();
     UpstreamResponseListener ended = responseListener;
