Let a signal test fail where the signal is ignored, and not hang

Seen: a run of the tests under nohup stood still in ReloadSignalHandlerTest for 3.5 minutes, until it was ended. nohup leaves SIGHUP ignored, the runtime then installs no handler, and the time limit only interrupts a loop that doesn't look.

The limit now ends the test from another thread. The check is the same.

--- a/runtime/src/test/java/org/teaseltrail/runtime/process/ReloadSignalHandlerTest.java
+++ b/runtime/src/test/java/org/teaseltrail/runtime/process/ReloadSignalHandlerTest.java
@@ -11,7 +11,7 @@
 
   /** Guards against changed settings that are not loaded, as the signal came during the start. */
   @Test
-  @Timeout(10)
+  @Timeout(value = 10, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
   void signalBeforeActionIsRemembered() {
     AtomicInteger reloads = new AtomicInteger();
     try (ReloadSignalHandler handler = new ReloadSignalHandler()) {
