Reserve no more room than an answer may have

Found by reading the change before: an upstream that states a length of gigabytes reserved all room, and other answers of over 64 KB waited until it was given up at 8 MB or its deadline. AnswerRoomTest.statedLengthTakesNoMoreThanAnAnswerMayHave is red before.

--- a/forward/src/main/java/org/teaseltrail/forward/AnswerRoom.java
+++ b/forward/src/main/java/org/teaseltrail/forward/AnswerRoom.java
@@ -25,7 +25,7 @@
    * Reserves room for an answer once it is too large to need none.
    *
    * @param receivedBytes the bytes of it that have been received
-   * @param expectedBytes its length, or the greatest that it may have
+   * @param expectedBytes its length as its upstream states it, or the greatest that it may have
    * @param whenReserved called once there is room, if there is none at once
    * @return false if the answer must wait for room
    */
@@ -33,7 +33,7 @@
     if (receivedBytes <= FREE_BYTES || reserved || waiting) {
       return !waiting;
     }
-    neededBytes = expectedBytes;
+    neededBytes = Math.min(expectedBytes, Exchange.MAX_RESPONSE_BYTES);
     reserved = budget.tryReserve(neededBytes);
     if (!reserved) {
       waiting = true;
--- a/forward/src/test/java/org/teaseltrail/forward/AnswerRoomTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/AnswerRoomTest.java
@@ -45,6 +45,14 @@
     assertThat(new AnswerRoom(budget).reserve(800, 800, () -> resumed.add("small"))).isTrue();
   }
 
+  /** Guards against an upstream that takes all room by stating a length that none can have. */
+  @Test
+  void statedLengthTakesNoMoreThanAnAnswerMayHave() {
+    AnswerRoom boastful = new AnswerRoom(budget);
+    assertThat(boastful.reserve(FIRST_READ_BYTES, 1_000_000_000, () -> {})).isTrue();
+    assertThat(reserve(new AnswerRoom(budget), "other")).isTrue();
+  }
+
   /** Guards against room that is lost with requests that are given up, waiting or not. */
   @Test
   void requestThatIsGivenUpLeavesNothingBehind() {
