Log and count answers that an upstream sends beside the awaited one

An operator could not see that an upstream answers twice: an answer that names another request was read over, one that came while no request waited closed its connection, and one that names no request was taken for the answer, all without a word.

unexpected_answer says what became of such an answer, which request waited, which one the answer names, which one was before it on the connection, and how old and how much used the connection is; a metric counts each kind. The callbacks of a pool are one listener now. No decision is changed.

--- a/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
@@ -29,6 +29,8 @@
   private final Map<RefusalReason, Counter> refused = new EnumMap<>(RefusalReason.class);
   private final Map<RelayOutcome, Counter> relays = new EnumMap<>(RelayOutcome.class);
   private final Map<AttemptOutcome, Counter> attempts = new EnumMap<>(AttemptOutcome.class);
+  private final Map<UnexpectedAnswer.Handling, Counter> unexpectedAnswers =
+      new EnumMap<>(UnexpectedAnswer.Handling.class);
 
   ForwardMetrics(ForwardServer server, EventLog log) {
     MeterRegistry registry = metrics.registry();
@@ -58,6 +60,10 @@
     for (AttemptOutcome end : AttemptOutcome.values()) {
       attempts.put(end, registry.counter("teaseltrail.attempts", "end", end.name()));
     }
+    for (UnexpectedAnswer.Handling handling : UnexpectedAnswer.Handling.values()) {
+      unexpectedAnswers.put(
+          handling, registry.counter("teaseltrail.answers.unexpected", "end", handling.name()));
+    }
     bodiesRefused = registry.counter("teaseltrail.bodies.refused");
     registry.gauge("teaseltrail.bodies.bytes", server.bodyBudget(), BodyBudget::usedBytes);
     registry.gauge("teaseltrail.requests.open", server, ForwardServer::openRequests);
@@ -100,6 +106,10 @@
     relays.get(outcome).increment();
   }
 
+  void unexpectedAnswer(UnexpectedAnswer.Handling handling) {
+    unexpectedAnswers.get(handling).increment();
+  }
+
   void bodyRefused() {
     bodiesRefused.increment();
   }
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -100,6 +100,7 @@
       new BodyBudget((long) (Runtime.getRuntime().maxMemory() * ANSWER_MEMORY_FRACTION));
   private final ControlConnectionManager controlConnections;
   private final ForwardMetrics metrics;
+  private final UnexpectedAnswerLogger unexpectedAnswers;
   private final AdminServer readiness;
   private final Optional<AdminServer> metricsServer;
   private final Channel listener;
@@ -125,10 +126,8 @@
     this.headerCodec = dialect;
     this.log = log;
     node = new ForwardNode(options.node());
-    pool =
-        new UpstreamConnectionPool<>(
-            sharedLoop, dialect, this::onUpstreamConnected, this::onUpstreamConnectionLost);
-    peerPool = new UpstreamConnectionPool<>(sharedLoop, dialect, peer -> {}, peer -> {});
+    pool = new UpstreamConnectionPool<>(sharedLoop, dialect, new UpstreamConnections());
+    peerPool = new UpstreamConnectionPool<>(sharedLoop, dialect, new PeerConnections());
     prober = new PathProber(loop, pool, this::onProbeEnded);
     signalHandler = new UpstreamSignalHandler(node.backpressure(), clock, log);
     readCoalescer = new ReadCoalescer(loop, options.maxEventDelayMs());
@@ -140,6 +139,7 @@
             reply -> loop.execute(() -> onControlReply(reply)),
             member -> loop.execute(() -> onMemberConnected(member)));
     metrics = new ForwardMetrics(this, log);
+    unexpectedAnswers = new UnexpectedAnswerLogger(log, metrics);
     readiness =
         AdminServer.readiness(
             sharedLoop.resources(),
@@ -377,14 +377,6 @@
     node.onUpstreamHeard(upstream);
   }
 
-  private void onUpstreamConnected(UpstreamIncarnation upstream) {
-    node.onUpstreamConnected(upstream.id(), clock.nowNs());
-  }
-
-  private void onUpstreamConnectionLost(UpstreamIncarnation upstream) {
-    run(node.onUpstreamConnectionLost(upstream.id(), clock.nowNs()));
-  }
-
   private void onProbeEnded(UpstreamId upstream, ProbeResult result) {
     run(node.onProbeEnded(upstream, result, clock.nowNs()));
   }
@@ -544,4 +536,33 @@
       Thread.currentThread().interrupt();
     }
   }
+
+  /** Passes on what happens to the connections to upstreams. */
+  private final class UpstreamConnections
+      implements UpstreamConnectionListener<UpstreamIncarnation> {
+
+    @Override
+    public void onOpened(UpstreamIncarnation upstream) {
+      node.onUpstreamConnected(upstream.id(), clock.nowNs());
+    }
+
+    @Override
+    public void onLost(UpstreamIncarnation upstream) {
+      run(node.onUpstreamConnectionLost(upstream.id(), clock.nowNs()));
+    }
+
+    @Override
+    public void onUnexpectedAnswer(UpstreamIncarnation upstream, UnexpectedAnswer answer) {
+      unexpectedAnswers.record(LogField.UPSTREAM, upstream.id().value(), answer);
+    }
+  }
+
+  /** Passes on what happens to the connections to peers. */
+  private final class PeerConnections implements UpstreamConnectionListener<VmId> {
+
+    @Override
+    public void onUnexpectedAnswer(VmId peer, UnexpectedAnswer answer) {
+      unexpectedAnswers.record(LogField.PEER, peer.value(), answer);
+    }
+  }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Optional;
 import org.teaseltrail.core.forward.AttemptOutcome;
 
 /**
@@ -26,6 +27,7 @@
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
 
   private static final long NS_PER_S = 1_000_000_000L;
+  private static final long NS_PER_MS = 1_000_000L;
 
   /** Idle timeout of an upstream that does not send one. */
   private static final long DEFAULT_KEEP_ALIVE_S = 8;
@@ -42,9 +44,13 @@
   private final UpstreamConnectionPool<?> pool;
   private final HeaderCodec dialect;
   private final SurplusLimit surplus = new SurplusLimit();
+  private final long openedNs = System.nanoTime();
   private Channel channel;
   private UpstreamResponseListener responseListener;
   private ChannelFuture requestWrite;
+  private int uses;
+  private Optional<String> lastRequestId = Optional.empty();
+  private Optional<String> previousRequestId = Optional.empty();
   private boolean skipping;
   private boolean informational;
   private boolean notReusable;
@@ -76,6 +82,9 @@
   /** Sends a request and passes its response to the listener. */
   void send(FullHttpRequest request, UpstreamResponseListener listener) {
     responseListener = listener;
+    uses++;
+    previousRequestId = lastRequestId;
+    lastRequestId = Optional.of(listener.requestId());
     idle = false;
     notReusable = false;
     closeAfterResponse = false;
@@ -129,6 +138,9 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
     if (responseListener == null) {
+      if (message instanceof HttpResponse response) {
+        reportUnexpected(UnexpectedAnswer.Handling.UNASKED, response);
+      }
       channel.close();
       return;
     }
@@ -186,15 +198,34 @@
     boolean matches = read.requestId().map(responseListener.requestId()::equals).orElse(true);
     skipping = !matches;
     if (skipping) {
+      reportUnexpected(UnexpectedAnswer.Handling.SKIPPED, response);
       surplus.addHead();
       notReusable = true;
       return;
     }
+    if (read.requestId().isEmpty() && uses > 1) {
+      reportUnexpected(UnexpectedAnswer.Handling.TAKEN, response);
+    }
     closeAfterResponse = !HttpUtil.isKeepAlive(response);
     readKeepAlive(response);
     responseListener.headReceived(response, read);
   }
 
+  private void reportUnexpected(UnexpectedAnswer.Handling handling, HttpResponse response) {
+    boolean isDecoded = response.decoderResult().isSuccess();
+    boolean isAwaited = responseListener != null;
+    pool.onUnexpectedAnswer(
+        this,
+        new UnexpectedAnswer(
+            handling,
+            isAwaited ? lastRequestId : Optional.empty(),
+            dialect.readResponseHead(response).requestId(),
+            isAwaited ? previousRequestId : lastRequestId,
+            isDecoded ? response.status().code() : 0,
+            uses,
+            (System.nanoTime() - openedNs) / NS_PER_MS));
+  }
+
   private void content(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
     if (informational || skipping) {
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
@@ -41,21 +41,14 @@
   private final Map<UpstreamConnection, K> owners = new HashMap<>();
   private final SharedEventLoop sharedLoop;
   private final HeaderCodec dialect;
-  private final Consumer<K> onOpened;
-  private final Consumer<K> onLost;
+  private final UpstreamConnectionListener<K> listener;
 
-  /**
-   * Creates an empty pool.
-   *
-   * @param onOpened notified of each new connection
-   * @param onLost notified of each established connection that ended without an orderly close
-   */
+  /** Creates an empty pool. */
   UpstreamConnectionPool(
-      SharedEventLoop sharedLoop, HeaderCodec dialect, Consumer<K> onOpened, Consumer<K> onLost) {
+      SharedEventLoop sharedLoop, HeaderCodec dialect, UpstreamConnectionListener<K> listener) {
     this.sharedLoop = sharedLoop;
     this.dialect = dialect;
-    this.onOpened = onOpened;
-    this.onLost = onLost;
+    this.listener = listener;
   }
 
   /**
@@ -121,7 +114,15 @@
       }
     }
     if (owner != null && isLost) {
-      onLost.accept(owner);
+      listener.onLost(owner);
+    }
+  }
+
+  /** Passes on that a connection has received an unexpected answer. */
+  void onUnexpectedAnswer(UpstreamConnection connection, UnexpectedAnswer answer) {
+    K owner = owners.get(connection);
+    if (owner != null) {
+      listener.onUnexpectedAnswer(owner, answer);
     }
   }
 
@@ -133,7 +134,7 @@
         CONNECT_TIMEOUT_MS,
         connection -> {
           owners.put(connection, target);
-          onOpened.accept(target);
+          listener.onOpened(target);
           connected.accept(connection);
         },
         failed);
--- a/forward/src/test/java/org/teaseltrail/forward/ResponseEndProperties.java
+++ b/forward/src/test/java/org/teaseltrail/forward/ResponseEndProperties.java
@@ -73,7 +73,8 @@
       @ForAll Framing framing, @ForAll End end, @ForAll @IntRange(min = 0, max = 100) int percent) {
     int received = framing.bytes.length * percent / 100;
     UpstreamConnectionPool<String> pool =
-        new UpstreamConnectionPool<>(null, new FakeHeaderCodec(), opened -> {}, lost -> {});
+        new UpstreamConnectionPool<>(
+            null, new FakeHeaderCodec(), new UpstreamConnectionListener<String>() {});
     UpstreamConnection connection = new UpstreamConnection(pool, new FakeHeaderCodec());
     EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), connection);
     RecordingListener answer = new RecordingListener();
--- a/forward/src/test/java/org/teaseltrail/forward/UpstreamConnectionTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/UpstreamConnectionTest.java
@@ -28,7 +28,8 @@
   private static final String TARGET = "upstream";
 
   private final UpstreamConnectionPool<String> pool =
-      new UpstreamConnectionPool<>(null, new FakeHeaderCodec(), opened -> {}, lost -> {});
+      new UpstreamConnectionPool<>(
+          null, new FakeHeaderCodec(), new UpstreamConnectionListener<String>() {});
   private final UpstreamConnection connection = new UpstreamConnection(pool, new FakeHeaderCodec());
   private final EmbeddedChannel channel = new EmbeddedChannel(connection);
   private final List<String> completed = new ArrayList<>();
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -71,6 +71,20 @@
   BACKOFF_TOLD(LogField.UPSTREAM, LogField.BACKOFF_MS),
   /** An upstream announces in a response that it is about to leave. */
   LEAVING_TOLD(LogField.UPSTREAM),
+  /**
+   * An upstream, or a peer, sent an answer that the request on its connection doesn't show to be
+   * its own, or sent one while no request was waiting.
+   */
+  UNEXPECTED_ANSWER(
+      LogField.END,
+      LogField.UPSTREAM,
+      LogField.PEER,
+      LogField.REQUEST,
+      LogField.NAMED_REQUEST,
+      LogField.PREVIOUS_REQUEST,
+      LogField.STATUS,
+      LogField.CONNECTION_USES,
+      LogField.CONNECTION_AGE_MS),
   /** An entry VM reaches no upstream of a service any more. */
   PATH_LOST(LogField.SERVICE),
   /** An entry VM reaches an upstream of a service again. */
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -70,6 +70,14 @@
   PARTS("names the parts of the prompt but the last, together with their customer"),
   /** Number of upstreams lost while processing the request. */
   LOSSES("upstreams that were lost under the request, 0 if another leader held it"),
+  /** Id that an unexpected answer contains. */
+  NAMED_REQUEST("the request that the answer names, if it names one"),
+  /** Request before the present one on the same connection. */
+  PREVIOUS_REQUEST("the request before on that connection, if there was one"),
+  /** Number of requests sent on a connection. */
+  CONNECTION_USES("requests sent on that connection so far"),
+  /** Age of a connection. */
+  CONNECTION_AGE_MS("time since that connection was opened"),
   /** Whether the upstream reports a rate limit. */
   LIMITED("whether the upstream names a limit"),
   /** Rate limit that the upstream reports. */
