--- a/forward/src/main/java/org/teaseltrail/forward/RelayAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RelayAttempt.java
@@ -26,7 +26,7 @@
     PeerVm peer = relay.peer();
     server()
         .peerPool()
-        .acquire(peer.vm(), peer.address(), this::onConnected, this::onConnectFailed);
+        .acquire(peer.vm(), peer.address(), requestId(), this::onConnected, this::onConnectFailed);
   }
 
   @Override
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamAttempt.java
@@ -41,6 +41,7 @@
         .acquire(
             upstream.upstreamIncarnation(),
             upstream.address(),
+            requestId(),
             this::onConnected,
             this::onConnectFailed);
   }
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
@@ -12,6 +12,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.teaseltrail.core.upstream.SocketAddress;
 
@@ -56,22 +57,32 @@
    *
    * @param target what the connection leads to
    * @param address its address
+   * @param requestId id of the request that is to be sent
    * @param connected receives the connection
    * @param failed called if no connection could be established; nothing was sent then
    */
   void acquire(
-      K target, SocketAddress address, Consumer<UpstreamConnection> connected, Runnable failed) {
+      K target,
+      SocketAddress address,
+      String requestId,
+      Consumer<UpstreamConnection> connected,
+      Runnable failed) {
+    takeIdle(target, requestId)
+        .ifPresentOrElse(connected, () -> open(target, address, connected, failed));
+  }
+
+  /** Takes the idle connection that was used last out of the pool. */
+  Optional<UpstreamConnection> takeIdle(K target, String requestId) {
     Deque<UpstreamConnection> ready = idleConnections.get(target);
     long nowNs = System.nanoTime();
     while (ready != null && !ready.isEmpty()) {
       UpstreamConnection kept = ready.pollLast();
       if (kept.isUsable(nowNs)) {
-        connected.accept(kept);
-        return;
+        return Optional.of(kept);
       }
       kept.close();
     }
-    open(target, address, connected, failed);
+    return Optional.empty();
   }
 
   /** Takes an idle connection into the pool that was opened outside of it. */
--- a/forward/src/test/java/org/teaseltrail/forward/UpstreamConnectionTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/UpstreamConnectionTest.java
@@ -21,7 +21,6 @@
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.relay.ProbeResult;
-import org.teaseltrail.core.upstream.SocketAddress;
 
 class UpstreamConnectionTest {
 
@@ -141,9 +140,7 @@
   }
 
   private void send(String id) {
-    List<UpstreamConnection> acquired = new ArrayList<>();
-    pool.acquire(TARGET, new SocketAddress("127.0.0.1", 1), acquired::add, () -> {});
-    assertThat(acquired).containsExactly(connection);
+    assertThat(pool.takeIdle(TARGET, id)).containsSame(connection);
     connection.send(
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
         new RecordingListener(id));
