--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -39,9 +39,6 @@
    */
   private static final double USED_KEEP_ALIVE_FRACTION = 0.5;
 
-  private static final String KEEP_ALIVE = "Keep-Alive";
-  private static final String TIMEOUT_PARAMETER = "timeout=";
-
   private final UpstreamConnectionPool<?> pool;
   private final HeaderCodec dialect;
   private final SurplusLimit surplus = new SurplusLimit();
@@ -233,7 +230,8 @@
       return;
     }
     closeAfterResponse = !HttpUtil.isKeepAlive(response);
-    readKeepAlive(response);
+    KeepAliveTimeout.read(response.headers())
+        .ifPresent(timeoutNs -> keepAliveNs = (long) (timeoutNs * USED_KEEP_ALIVE_FRACTION));
     responseListener.headReceived(response, read);
   }
 
@@ -311,26 +309,4 @@
       ended.failed(AttemptOutcome.BROKEN);
     }
   }
-
-  private void readKeepAlive(HttpResponse response) {
-    String header = response.headers().get(KEEP_ALIVE);
-    if (header == null) {
-      return;
-    }
-    for (String parameter : header.split(",")) {
-      String trimmed = parameter.trim();
-      if (trimmed.startsWith(TIMEOUT_PARAMETER)) {
-        keepAliveNs = reuseTimeNs(trimmed.substring(TIMEOUT_PARAMETER.length()));
-      }
-    }
-  }
-
-  private long reuseTimeNs(String seconds) {
-    try {
-      return (long) (Long.parseLong(seconds.trim()) * NS_PER_S * USED_KEEP_ALIVE_FRACTION);
-    } catch (NumberFormatException e) {
-      // A malformed timeout is ignored; the previous value still applies.
-      return keepAliveNs;
-    }
-  }
 }
