Answer pipelined requests in their order though one waits for room

What callers see: two answers on one connection change places, so that each of two requests gets the other's: a success where the upstream had answered with a failure, or another's text. It takes three things: a caller that sends requests without waiting for the answers, one of them with a body of over 4 KB, and an entry VM whose memory for bodies is full.

Cause: the first answer gives its request's room back, and in the same step the gate passes on the request that waited for that room. The connection had no request in hand at that moment, so this one was begun before those that were pipelined ahead of it; the next line then began one of those too. Two requests ran on one connection, and the answers went out as they came.

The requests of a connection have one owner now (RequestPipeline): it hands out one at a time, in the order of arrival, and none before the one in hand is completed, whoever asks. The shares of the heap moved to a class of their own, so that the test can fill one.

--- a/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
@@ -15,19 +15,14 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Handles one caller's HTTP/1.1 connection. Pipelined requests are processed one at a time, in
- * their order.
+ * their order; a caller that pipelines too many loses the connection.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements BodyGate.Listener {
 
-  /** Maximum number of pipelined requests; the connection is closed if a caller exceeds it. */
-  private static final int MAX_PIPELINED = 16;
-
   /** Time for a caller to receive its refusal before the connection is closed; some round trips. */
   private static final long LINGER_MS = 500;
 
@@ -36,7 +31,7 @@
 
   private final ForwardServer server;
   private final boolean isPeer;
-  private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
+  private final RequestPipeline pipeline = new RequestPipeline();
   private BodyGate gate;
   private Channel channel;
   private Exchange current;
@@ -102,10 +97,8 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    if (current == null) {
-      startExchange(request);
-    } else if (pipelined.size() < MAX_PIPELINED) {
-      pipelined.addLast(request);
+    if (pipeline.add(request)) {
+      startNext();
     } else {
       request.release();
       channel.close();
@@ -127,8 +120,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     server.onCallerConnectionClosed(this);
-    pipelined.forEach(ReferenceCountUtil::release);
-    pipelined.clear();
+    pipeline.clear();
     if (current != null) {
       Exchange left = current;
       current = null;
@@ -166,11 +158,13 @@
     current = null;
     lastActiveNs = System.nanoTime();
     exchange.release();
+    // A request that gets room here must queue behind those that were pipelined before it.
     gate.releaseOldest();
+    pipeline.onCompleted();
     if (closing) {
       channel.writeAndFlush(channel.alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
-    } else if (!pipelined.isEmpty()) {
-      startExchange(pipelined.pollFirst());
+    } else {
+      startNext();
     }
   }
 
@@ -206,6 +200,10 @@
     channel.close();
   }
 
+  private void startNext() {
+    pipeline.takeNext().ifPresent(this::startExchange);
+  }
+
   private void startExchange(FullHttpRequest request) {
     try {
       current = server.createExchange(this, request);
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -76,12 +76,6 @@
 
   private static final long DRAIN_POLL_MS = 50;
 
-  /** Fraction of the heap that the bodies of requests may take. */
-  private static final double BODY_MEMORY_FRACTION = 0.375;
-
-  /** Fraction of the heap that answers of more than some ten kilobytes may take. */
-  private static final double ANSWER_MEMORY_FRACTION = 0.25;
-
   private final ForwardOptions options;
   private final HeaderCodec headerCodec;
   private final EventLog log;
@@ -94,10 +88,8 @@
   private final PathProber prober;
   private final UpstreamSignalHandler signalHandler;
   private final ReadCoalescer readCoalescer;
-  private final BodyBudget bodyBudget =
-      new BodyBudget((long) (Runtime.getRuntime().maxMemory() * BODY_MEMORY_FRACTION));
-  private final BodyBudget answerBudget =
-      new BodyBudget((long) (Runtime.getRuntime().maxMemory() * ANSWER_MEMORY_FRACTION));
+  private final BodyBudget bodyBudget = new BodyBudget(MemoryShares.requestBodiesBytes());
+  private final BodyBudget answerBudget = new BodyBudget(MemoryShares.answersBytes());
   private final ControlConnectionManager controlConnections;
   private final ForwardMetrics metrics;
   private final UnexpectedAnswerLogger unexpectedAnswers;
--- /dev/null
+++ b/forward/src/main/java/org/teaseltrail/forward/MemoryShares.java
@@ -0,0 +1,30 @@
+package org.teaseltrail.forward;
+
+/** The shares of the heap that an entry VM gives to the bodies in its hands. */
+public final class MemoryShares {
+
+  private static final double REQUEST_BODIES = 0.375;
+
+  /** For answers of more than some ten kilobytes. */
+  private static final double ANSWERS = 0.25;
+
+  private MemoryShares() {}
+
+  /**
+   * Returns the share for the bodies of requests.
+   *
+   * @return the share in bytes
+   */
+  public static long requestBodiesBytes() {
+    return (long) (Runtime.getRuntime().maxMemory() * REQUEST_BODIES);
+  }
+
+  /**
+   * Returns the share for answers.
+   *
+   * @return the share in bytes
+   */
+  public static long answersBytes() {
+    return (long) (Runtime.getRuntime().maxMemory() * ANSWERS);
+  }
+}
