Ask for keys also if no customer holds one

What callers and operators saw: a configuration with an empty list of customers in the place of the only one opened all routes; requests with the revoked key, with a key that nobody ever held and with none ran. Cause: whether keys are asked for was taken from whether there are customers, so that "nobody has access" and "this deployment has no keys" were one plan.

The users' protocol says which is which: keys are asked for if the configuration contains the list. The adapter reads that into ServingPlan.keyPolicy, which goes to disks and VMs with the plan. Plans of earlier programs have none and mean what they meant; members and VMs of earlier programs skip it.

--- a/core/src/main/java/org/teaseltrail/core/forward/AdmissionController.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/AdmissionController.java
@@ -220,7 +220,7 @@
     if (arrival.mayRelay() && relayIfUnreachable(arrival, route.get(), nowNs)) {
       return true;
     }
-    boolean needsCustomer = route.get().needsKey() && plan.orElseThrow().hasCustomers();
+    boolean needsCustomer = route.get().needsKey() && plan.orElseThrow().plan().requiresKeys();
     if (!needsCustomer) {
       admit(arrival, route.get(), Optional.empty(), nowNs);
       return true;
--- a/core/src/main/java/org/teaseltrail/core/plan/PlanIndex.java
+++ b/core/src/main/java/org/teaseltrail/core/plan/PlanIndex.java
@@ -78,15 +78,6 @@
     return Optional.ofNullable(services.get(id));
   }
 
-  /**
-   * Returns whether requests need API keys at all.
-   *
-   * @return false if the plan defines no customers
-   */
-  public boolean hasCustomers() {
-    return !plan.customers().isEmpty();
-  }
-
   private static String hostKey(String host) {
     int colon = host.indexOf(':');
     return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.teaseltrail.core.plan.KeyPolicy;
 import org.teaseltrail.core.plan.TestPlans;
 import org.teaseltrail.core.serving.ServingReply;
 
@@ -73,6 +74,26 @@
     assertThat(refusals()).containsExactly(RefusalReason.UNKNOWN_KEY);
   }
 
+  /** Guards against a plan that takes the last customer away and so opens all routes. */
+  @Test
+  void planWithoutAnyCustomerGivesNobodyAccess() {
+    serveWith(
+        TestPlans.planWithoutCustomers(1, KeyPolicy.REQUIRED), upstream("p1", TestPlans.PLAIN, 6));
+    arrive("/safe/x", Optional.of(TestPlans.KEY));
+    assertThat(refusals()).containsExactly(RefusalReason.UNKNOWN_KEY);
+    arrive("/safe/x", Optional.empty());
+    assertThat(refusals()).containsExactly(RefusalReason.UNKNOWN_KEY);
+  }
+
+  /** Guards against a deployment without keys that is closed to its callers. */
+  @Test
+  void planThatAsksForNoKeysServesEverybody() {
+    serveWith(
+        TestPlans.planWithoutCustomers(1, KeyPolicy.NONE), upstream("p1", TestPlans.PLAIN, 6));
+    arrive("/safe/x", Optional.empty());
+    assertThat(dispatches()).hasSize(1);
+  }
+
   /**
    * A VM is suspended while a key is revoked, resumes 4 s later and reads the requests that have
    * arrived meanwhile. Requests with the key must not run, and an unknown key may be a new one.
--- a/core/src/test/java/org/teaseltrail/core/plan/TestPlans.java
+++ b/core/src/test/java/org/teaseltrail/core/plan/TestPlans.java
@@ -39,6 +39,18 @@
         List.of(customers));
   }
 
+  /** Creates a plan that names no customer. */
+  public static ServingPlan planWithoutCustomers(long version, KeyPolicy keyPolicy) {
+    ServingPlan plan = plan(version, new PlanCustomer[0]);
+    return new ServingPlan(
+        version,
+        plan.routes(),
+        plan.services(),
+        plan.limits(),
+        plan.customers(),
+        Optional.of(keyPolicy));
+  }
+
   /** Creates a customer with a quota in tokens per second, 0 for none. */
   public static PlanCustomer customer(String key, double tokensPerSecond) {
     return new PlanCustomer(
--- a/wire/src/main/java/org/teaseltrail/wire/ServingDelta.java
+++ b/wire/src/main/java/org/teaseltrail/wire/ServingDelta.java
@@ -6,6 +6,7 @@
 import org.teaseltrail.core.id.RouteId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.plan.ClientLimits;
+import org.teaseltrail.core.plan.KeyPolicy;
 import org.teaseltrail.core.plan.PlanCustomer;
 import org.teaseltrail.core.plan.PlanRoute;
 import org.teaseltrail.core.plan.PlanService;
@@ -27,6 +28,7 @@
    * @param services all services
    * @param limits limits of callers' connections
    * @param customers all customers
+   * @param keyPolicy whether callers are asked for keys
    */
   record OfPlan(
       FencingNumber fencing,
@@ -35,7 +37,8 @@
       ListDelta<RouteId, PlanRoute> routes,
       List<PlanService> services,
       ClientLimits limits,
-      List<PlanCustomer> customers)
+      List<PlanCustomer> customers,
+      Optional<KeyPolicy> keyPolicy)
       implements ServingDelta {
 
     /** Copies the lists. */
@@ -57,7 +60,8 @@
                       routes,
                       to.services(),
                       to.limits(),
-                      to.customers()));
+                      to.customers(),
+                      to.keyPolicy()));
     }
 
     /**
@@ -70,7 +74,12 @@
         throw new MalformedMessageException(ServingDelta.class, "delta has a different base plan");
       }
       return new ServingPlan(
-          version, routes.applyTo(from.routes(), PlanRoute::id), services, limits, customers);
+          version,
+          routes.applyTo(from.routes(), PlanRoute::id),
+          services,
+          limits,
+          customers,
+          keyPolicy);
     }
   }
 
--- a/wire/src/test/java/org/teaseltrail/wire/ServingDeltaTest.java
+++ b/wire/src/test/java/org/teaseltrail/wire/ServingDeltaTest.java
@@ -13,6 +13,7 @@
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.plan.ClientLimits;
+import org.teaseltrail.core.plan.KeyPolicy;
 import org.teaseltrail.core.plan.PlanRoute;
 import org.teaseltrail.core.plan.RouteKind;
 import org.teaseltrail.core.plan.ServingPlan;
@@ -105,6 +106,22 @@
     push(new ServingReply.PlanUpdate(FENCING, plan(3, List.of(route(3, 1), route(1, 1)))));
   }
 
+  /** Guards against VMs that hear of a plan's customers and not that there are none any more. */
+  @Test
+  void decoderKeepsWhetherKeysAreRequired() {
+    for (KeyPolicy policy : KeyPolicy.values()) {
+      ServingPlan plan =
+          new ServingPlan(
+              2 + policy.ordinal(),
+              routes(),
+              List.of(),
+              ClientLimits.DEFAULT,
+              List.of(),
+              Optional.of(policy));
+      push(new ServingReply.PlanUpdate(FENCING, plan));
+    }
+  }
+
   @Test
   void emptyRegistriesOfDifferentRevisionsAreDistinct() {
     push(new ServingReply.RegistryUpdate(FENCING, 1, List.of()));
