Serve request lines as long as the plan allows headers to be

What callers saw: 431 for a path and query of over 8 KB, though the plan allowed 16 KB for a request's head. Cause: the decoder had a limit of its own for the first line. It has the plan's now, as the headers have.

RequestLineTest.lineWithinTheLimitIsServed was red before (431).

--- a/forward/src/main/java/org/teaseltrail/forward/CallerListener.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerListener.java
@@ -26,9 +26,6 @@
    */
   private static final int BACKLOG = 1_024;
 
-  /** Maximum length of a request line. */
-  private static final int MAX_LINE_BYTES = 8 * 1024;
-
   /** Maximum size of the chunks in which a body is read; bounds the bytes copied at once. */
   private static final int CHUNK_BYTES = 16 * 1024;
 
@@ -69,7 +66,7 @@
     ClientLimits limits = server.limits();
     HttpDecoderConfig config =
         new HttpDecoderConfig()
-            .setMaxInitialLineLength(MAX_LINE_BYTES)
+            .setMaxInitialLineLength(limits.maxHeaderBytes())
             .setMaxHeaderSize(limits.maxHeaderBytes() + (isForPeers ? RelayHeaders.MAX_BYTES : 0))
             .setMaxChunkSize(CHUNK_BYTES);
     CallerConnection caller = new CallerConnection(server, isForPeers);
