Show answers whose bytes are taken for those of others

What callers saw: a success where the upstream had answered with a failure, under the id of their own request.

Bytes that reach an idle connection, or follow an answer in its last read, without being a whole head, aren't noticed; - 101 leaves the request open, and CONNECT gives back a tunnel; - bytes of a second answer before the close that ends a first one without length are delivered as its body.

Red tests carry the tag known-red.

--- /dev/null
+++ b/forward/src/test/java/org/teaseltrail/forward/UnusualAnswerTest.java
@@ -0,0 +1,196 @@
+package org.teaseltrail.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.forward.AnswerText.Framing;
+import org.teaseltrail.forward.AnswerText.Status;
+import org.teaseltrail.forward.ScriptedConnection.End;
+
+/** Answers whose bytes can be taken for those of another answer, or for none. */
+class UnusualAnswerTest {
+
+  private static final String TARGET = "upstream";
+  private static final byte[] NOTHING = {};
+
+  private final UpstreamConnectionPool<String> pool =
+      new UpstreamConnectionPool<>(
+          null, new FakeHeaderCodec(), new UpstreamConnectionListener<String>() {});
+  private final ScriptedConnection connection = new ScriptedConnection(pool, new Random(1), 1_000);
+
+  UnusualAnswerTest() {
+    pool.adopt(TARGET, connection.connection());
+  }
+
+  /** Guards against a status line that is joined with the head of a later answer. */
+  @Test
+  @Tag("known-red")
+  void startOfHeadThatArrivesUnaskedIsNotJoinedWithNextAnswer() {
+    serve("first");
+    connection.writeUnasked(ascii("HTTP/1.1 200 O"));
+    assertThat(connection.isOpen()).isFalse();
+    assertThat(pool.takeIdle(TARGET, "second")).isEmpty();
+  }
+
+  /** Guards against the same in the read that has the end of an answer. */
+  @Test
+  @Tag("known-red")
+  void startOfHeadBehindAnswerIsNotJoinedWithNextAnswer() {
+    send(HttpMethod.GET, "first");
+    connection.answer(answer(Status.SUCCESS, "first").bytes(), ascii("HTTP/1.1 200 O"));
+    assertThat(connection.isOpen()).isFalse();
+    assertThat(pool.takeIdle(TARGET, "second")).isEmpty();
+  }
+
+  /** Guards against a success whose status is that of another answer, which broke off. */
+  @Test
+  @Tag("known-red")
+  void statusLineThatBreaksOffIsNotJoinedWithNextHead() {
+    assertHeadIsNotJoined("HTTP/1.1 200 O");
+  }
+
+  /** Guards against the same where the other answer broke off between its words. */
+  @Test
+  @Tag("known-red")
+  void statusLineThatBreaksOffAfterStatusIsNotJoinedWithNextHead() {
+    assertHeadIsNotJoined("HTTP/1.1 200 ");
+  }
+
+  /** Guards against the same where the other answer broke off in a header. */
+  @Test
+  @Tag("known-red")
+  void headerThatBreaksOffIsNotJoinedWithNextHead() {
+    assertHeadIsNotJoined("HTTP/1.1 200 OK\r\nServer: some");
+  }
+
+  /** Guards against the same where the other answer broke off in the name of a header. */
+  @Test
+  void headerNameThatBreaksOffIsNotJoinedWithNextHead() {
+    assertHeadIsNotJoined("HTTP/1.1 200 OK\r\nSer");
+  }
+
+  /** Guards against the same where the other answer broke off between two headers. */
+  @Test
+  void headThatBreaksOffBetweenHeadersIsNotJoinedWithNextHead() {
+    assertHeadIsNotJoined("HTTP/1.1 200 OK\r\nServer: some\r\n");
+  }
+
+  private void assertHeadIsNotJoined(String start) {
+    serve("first");
+    ReceivedAnswer second = send(HttpMethod.GET, "second");
+    connection.answer(ascii(start), NOTHING);
+    connection.answer(answer(Status.FAILURE, "second").bytes(), NOTHING);
+    assertThat(second.whole()).isEmpty();
+    assertThat(second.hasEnded()).isTrue();
+  }
+
+  /** Guards against a request that stays open since another answer was taken for its framing. */
+  @Test
+  @Tag("known-red")
+  void requestForHeadEndsThoughAnotherAnswerWasSkipped() {
+    serve("first");
+    ReceivedAnswer second = send(HttpMethod.HEAD, "second");
+    connection.answer(answerToHead("first").bytes(), NOTHING);
+    connection.answer(answerToHead("second").bytes(), NOTHING);
+    assertThat(second.hasEnded()).isTrue();
+  }
+
+  /** Guards against a second answer to {@code HEAD} whose length is read out of the next answer. */
+  @Test
+  void requestEndsThoughAnswerToHeadWasSkipped() {
+    ReceivedAnswer first = send(HttpMethod.HEAD, "first");
+    connection.answer(answerToHead("first").bytes(), NOTHING);
+    assertThat(first.whole()).contains(answerToHead("first").received());
+    Optional<UpstreamConnection> reused = pool.takeIdle(TARGET, "second");
+    ReceivedAnswer second = new ReceivedAnswer("second", () -> {});
+    reused.ifPresent(
+        taken -> {
+          connection.send(HttpMethod.GET, second);
+          connection.answer(answerToHead("first").bytes(), NOTHING);
+          connection.answer(answer(Status.SUCCESS, "second").bytes(), NOTHING);
+        });
+    assertThat(second.hasEnded()).isEqualTo(reused.isPresent());
+  }
+
+  /** Guards against a request that waits while the connection carries no HTTP any more. */
+  @Test
+  @Tag("known-red")
+  void switchToOtherProtocolFailsRequest() {
+    ReceivedAnswer first = send(HttpMethod.GET, "first");
+    connection.answer(ascii("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n"), NOTHING);
+    connection.answer(answer(Status.SUCCESS, "first").bytes(), NOTHING);
+    assertThat(first.hasEnded()).isTrue();
+  }
+
+  /** Guards against a tunnel that goes back to the pool, and whose next request gets no answer. */
+  @Test
+  @Tag("known-red")
+  void connectionWithTunnelIsNotReused() {
+    ReceivedAnswer first = send(HttpMethod.CONNECT, "first");
+    connection.answer(answer(Status.SUCCESS, "first").bytes(), NOTHING);
+    assertThat(first.whole()).isEmpty();
+    assertThat(pool.takeIdle(TARGET, "second")).isEmpty();
+  }
+
+  /** Guards against a second answer that is delivered as the end of a first one without length. */
+  @Test
+  @Tag("known-red")
+  void secondAnswerIsNoPartOfAnswerWithoutLength() {
+    ReceivedAnswer first = send(HttpMethod.GET, "first");
+    AnswerText own =
+        new AnswerText(Status.SUCCESS, List.of("first"), "a", Framing.CONNECTION_END, true);
+    connection.answer(own.bytes(), answer(Status.FAILURE, "first").bytes());
+    connection.end(End.CLOSE);
+    assertThat(first.whole().filter(text -> !text.equals(own.received()))).isEmpty();
+  }
+
+  /** Guards against a request that is sent where the upstream has closed already. */
+  @Test
+  @Tag("known-red")
+  void connectionThatEndsItsAnswerIsNotReused() {
+    assertThat(pool.takeIdle(TARGET, "first")).isPresent();
+    boolean[] isReused = new boolean[1];
+    ReceivedAnswer first =
+        new ReceivedAnswer(
+            "first", () -> isReused[0] = pool.takeIdle(TARGET, "second").isPresent());
+    connection.send(HttpMethod.GET, first);
+    AnswerText own =
+        new AnswerText(Status.SUCCESS, List.of("first"), "a", Framing.CONNECTION_END, true);
+    connection.answer(own.bytes(), NOTHING);
+    connection.end(End.CLOSE);
+    assertThat(first.whole()).contains(own.received());
+    assertThat(isReused).containsExactly(false);
+  }
+
+  private void serve(String id) {
+    ReceivedAnswer received = send(HttpMethod.GET, id);
+    AnswerText own = answer(Status.SUCCESS, id);
+    connection.answer(own.bytes(), NOTHING);
+    assertThat(received.whole()).contains(own.received());
+  }
+
+  private ReceivedAnswer send(HttpMethod method, String id) {
+    assertThat(pool.takeIdle(TARGET, id)).containsSame(connection.connection());
+    ReceivedAnswer received = new ReceivedAnswer(id, () -> {});
+    connection.send(method, received);
+    return received;
+  }
+
+  private static AnswerText answerToHead(String id) {
+    return new AnswerText(Status.SUCCESS, List.of(id), "of " + id, Framing.LENGTH, false);
+  }
+
+  private static AnswerText answer(Status status, String id) {
+    return new AnswerText(status, List.of(id), "of " + id, Framing.LENGTH, true);
+  }
+
+  private static byte[] ascii(String text) {
+    return text.getBytes(StandardCharsets.ISO_8859_1);
+  }
+}
