Show what callers of a service get of answers that end badly

The other request path was not tried with a service that stops in the head of its answer, resets an answer or answers twice.

--- a/entry/src/test/java/org/teaseltrail/entry/EntryTestEnvironment.java
+++ b/entry/src/test/java/org/teaseltrail/entry/EntryTestEnvironment.java
@@ -35,6 +35,7 @@
 import org.teaseltrail.core.id.Tier;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
+import org.teaseltrail.core.upstream.SocketAddress;
 
 /** An entry VM on loopback between a caller, a fake control member and a fake engine. */
 final class EntryTestEnvironment implements AutoCloseable {
@@ -42,15 +43,24 @@
   static final String KEY = "gopherfield-key";
   static final String SECRET = "engine-secret";
   private static final UpstreamId UPSTREAM = new UpstreamId("tutor-llm-1");
-  private static final CallerLimits LIMITS = new CallerLimits(64_000, 8_000, 4_000, 1_000, 20_000);
+  private static final int MAX_BODY_BYTES = 64_000;
 
   final FakeEngine engine = new FakeEngine();
-  final FakeControlMember control =
-      new FakeControlMember(configuration(), UPSTREAM, engine.address());
+  final FakeControlMember control;
   final EntryDaemon entry;
   private final HttpClient client = HttpClient.newHttpClient();
 
   EntryTestEnvironment() {
+    this(Optional.empty(), MAX_BODY_BYTES);
+  }
+
+  /** Places another upstream behind the entry VM, which accepts request bodies of a given size. */
+  EntryTestEnvironment(SocketAddress upstream, int maxBodyBytes) {
+    this(Optional.of(upstream), maxBodyBytes);
+  }
+
+  private EntryTestEnvironment(Optional<SocketAddress> upstream, int maxBodyBytes) {
+    control = new FakeControlMember(configuration(), UPSTREAM, upstream.orElseGet(engine::address));
     EntrySettings defaults =
         EntrySettings.defaults(
             new VmId("entry-1"), new Incarnation(1), new DataCenterId("regina-a"));
@@ -72,7 +82,7 @@
             new EntryOptions(
                 new InetSocketAddress("127.0.0.1", 0),
                 List.of(control.address()),
-                LIMITS,
+                new CallerLimits(maxBodyBytes, 8_000, 4_000, 1_000, 20_000),
                 8,
                 30_000,
                 5_000,
