Don't take a failed connection for the end of a service's answer

A service whose answer has neither length nor chunks is reset while a part of the request still waits to be written to it. Callers got 200 with the part that had arrived, framed as whole, and the leader was told that the request had completed.

Cause: the write fails first and closes the connection without any error to the handlers; Netty's decoder takes a closed connection for the end of such an answer, and Reactor Netty believes it. An end that finds it closed is an error of the call.

answerWhoseRequestFailsIsNotWhole failed before for answers without length and chunks (HTTP/1.1 and 1.0, callers of either version: 4 of 10 cases); with a length or chunks it held.

--- a/entry/src/main/java/org/teaseltrail/entry/UpstreamCallFactory.java
+++ b/entry/src/main/java/org/teaseltrail/entry/UpstreamCallFactory.java
@@ -1,11 +1,13 @@
 package org.teaseltrail.entry;
 
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import java.time.Duration;
 import org.teaseltrail.core.entry.EntryAction;
 import org.teaseltrail.core.id.RequestId;
 import org.teaseltrail.core.request.UpstreamTarget;
 import org.teaseltrail.runtime.log.ComponentLogger;
+import reactor.netty.NettyPipeline;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 
@@ -32,9 +34,15 @@
             .followRedirect(false)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            .doOnChannelInit((observer, channel, address) -> addHandlers(channel.pipeline()))
             .responseTimeout(Duration.ofMillis(readTimeoutMs));
   }
 
+  private static void addHandlers(ChannelPipeline pipeline) {
+    pipeline.addAfter(NettyPipeline.HttpCodec, null, new ResponseEndHandler());
+  }
+
   /** Returns an HTTP client for one upstream. */
   HttpClient client(UpstreamTarget target) {
     return client.baseUrl(HTTP + target.address().host() + ":" + target.address().port());
--- a/entry/src/test/java/org/teaseltrail/entry/ServiceAnswerTest.java
+++ b/entry/src/test/java/org/teaseltrail/entry/ServiceAnswerTest.java
@@ -165,6 +165,26 @@
     }
   }
 
+  /**
+   * Guards against a part of an answer that reaches the caller as the whole because the write of
+   * the request to its connection failed.
+   */
+  @ParameterizedTest
+  @MethodSource("framings")
+  void answerWhoseRequestFailsIsNotWhole(String part, String callerVersion) throws IOException {
+    service.respondWith(
+        connection -> {
+          connection.readHead();
+          connection.send(part);
+        });
+    String body = "x".repeat(LARGE_BODY_BYTES);
+    try (RawCall call = RawCall.post(world.entry.address().getPort(), callerVersion, PATH, body)) {
+      call.readUntil("part");
+      service.latest().reset();
+      assertThat(call.readAll().isWholeSuccess()).as(call.text()).isFalse();
+    }
+  }
+
   /** Guards against a second answer of a service that reaches a caller. */
   @ParameterizedTest
   @ValueSource(
