Skip early answers of services in place of passing them on

A service that sends an early answer (102, 103, another 1xx) had it passed on as the answer: the caller got status 102 with an empty body, the request counted as completed, and the service's own answer was dropped. So was an upgrade (101) that nobody had asked for.

Cause: Reactor Netty skips 100 only and takes each other early answer for the final one. A handler behind the decoder now shows it all of them as 100, and closes the connection on an upgrade, which gives the caller a failure.

Red before: earlyAnswerIsNotTheAnswer for 102, 103 and 199, and upgradeIsNotTheAnswer (4 of 5; 100 held). Engines' calls have the same client and so the same handler.

--- a/entry/src/main/java/org/teaseltrail/entry/UpstreamCallFactory.java
+++ b/entry/src/main/java/org/teaseltrail/entry/UpstreamCallFactory.java
@@ -40,6 +40,7 @@
   }
 
   private static void addHandlers(ChannelPipeline pipeline) {
+    pipeline.addAfter(NettyPipeline.HttpCodec, null, new InformationalResponseHandler());
     pipeline.addAfter(NettyPipeline.HttpCodec, null, new ResponseEndHandler());
   }
 
--- a/entry/src/test/java/org/teaseltrail/entry/ServiceAnswerTest.java
+++ b/entry/src/test/java/org/teaseltrail/entry/ServiceAnswerTest.java
@@ -229,4 +229,34 @@
       assertThat(call.body()).contains("own");
     }
   }
+
+  /** Guards against early answers that are taken for the answer. */
+  @ParameterizedTest
+  @ValueSource(strings = {"100 Continue", "102 Processing", "103 Early Hints", "199 Other"})
+  void earlyAnswerIsNotTheAnswer(String early) throws IOException {
+    service.respondWith(
+        connection -> {
+          connection.readRequest();
+          connection.send("HTTP/1.1 " + early + "\r\nLink: a\r\n\r\n");
+          connection.send("HTTP/1.1 500 Failed\r\nContent-Length: 3\r\n\r\nown");
+        });
+    try (RawCall call = call("").readAll()) {
+      assertThat(call.status()).as(call.text()).isEqualTo(500);
+      assertThat(call.body()).contains("own");
+    }
+  }
+
+  /** Guards against an upgrade, which nobody asked for, that a caller gets as the answer. */
+  @Test
+  void upgradeIsNotTheAnswer() throws IOException {
+    service.respondWith(
+        connection -> {
+          connection.readRequest();
+          connection.send("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n");
+          connection.send(WHOLE);
+        });
+    try (RawCall call = call("").readAll()) {
+      assertThat(call.status()).as(call.text()).isBetween(500, 599);
+    }
+  }
 }
