Give up an upstream that sends early answers without end

The product's own path read any number of early answers (1xx) of a service or an engine; each starts the time limit of reading anew, so that a request without a deadline would wait for ever. After the hundredth the connection is closed now and the call is broken, as on the path of the entry VMs that place requests themselves (SurplusLimit).

--- a/entry/src/main/java/org/teaseltrail/entry/InformationalResponseHandler.java
+++ b/entry/src/main/java/org/teaseltrail/entry/InformationalResponseHandler.java
@@ -12,17 +12,24 @@
  *
  * <p>The HTTP client skips {@code 100 Continue} only and takes any other for the final response, so
  * that callers would get a status by which nothing has been decided. An upgrade, which no request
- * asks for, ends the connection.
+ * asks for, and responses without end close the connection.
  */
 final class InformationalResponseHandler extends ChannelInboundHandlerAdapter {
 
+  /** Early responses may come as a sign of life, some each second. */
+  private static final int MAX_RESPONSES = 100;
+
+  private int responses;
   private boolean givenUp;
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (message instanceof HttpResponse response
         && response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-      givenUp |= response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+      responses++;
+      givenUp |=
+          responses > MAX_RESPONSES
+              || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
       response.setStatus(HttpResponseStatus.CONTINUE);
     }
     if (givenUp) {
--- a/entry/src/test/java/org/teaseltrail/entry/ServiceAnswerTest.java
+++ b/entry/src/test/java/org/teaseltrail/entry/ServiceAnswerTest.java
@@ -259,4 +259,21 @@
       assertThat(call.status()).as(call.text()).isBetween(500, 599);
     }
   }
+
+  /** Guards against early answers without end, which are read until the request's deadline. */
+  @ParameterizedTest
+  @ValueSource(strings = {"100 Continue", "102 Processing", "103 Early Hints"})
+  void earlyAnswersWithoutEndAreGivenUp(String early) throws IOException {
+    service.respondWith(
+        connection -> {
+          connection.readRequest();
+          for (int heads = 0; heads < 200_000; heads++) {
+            connection.send("HTTP/1.1 " + early + "\r\n\r\n");
+          }
+          connection.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nend");
+        });
+    try (RawCall call = call("").readAll()) {
+      assertThat(call.status()).as(call.text()).isBetween(500, 599);
+    }
+  }
 }
