Send each order to an engine over a connection of its own

Orders and their answers hold no number, so on a connection that is used again a late second answer to one order is that of the next: the leader would believe that an engine accepted an order which it had refused.

Not shown on the code before: of 72 orders in a trial none came over a connection that had been used, since HttpClient.response() closes it without reading the body. That was a side effect of not reading: with responseSingle() in its place lateSecondAnswerIsNotThatOfTheNextOrder was red (ACCEPTED where the engine had answered 409), and with the connection provider of this change it is green either way.

Weighed: a number in each order that its answer echoes would be the better proof, but engines' protocol has none. Orders are rare, so a new connection for each costs nothing that matters.

EngineOrderClientTest also shows that a head which ends early is neither an acceptance nor a refusal (six cuts, in order and by a reset); this held.

--- a/control/src/main/java/org/teaseltrail/control/EngineOrderClient.java
+++ b/control/src/main/java/org/teaseltrail/control/EngineOrderClient.java
@@ -12,6 +12,7 @@
 import org.teaseltrail.core.upstream.SocketAddress;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
 
 /**
  * HTTP client that sends orders to engines with at-most-once delivery: an order that may have
@@ -23,7 +24,15 @@
   private static final int ACCEPTED = 202;
   private static final int CONFLICT = 409;
 
-  private final HttpClient client = HttpClient.create().disableRetry(true).followRedirect(false);
+  /**
+   * Uses a new connection for each order: on one that is used again, a late second answer to an
+   * order would be taken for that to the next, which may have been refused.
+   */
+  private final HttpClient client =
+      HttpClient.create(ConnectionProvider.newConnection())
+          .disableRetry(true)
+          .followRedirect(false);
+
   private final ObjectMapper mapper = new ObjectMapper();
   private final Consumer<ControlEvent> events;
 
