Don't take an engine's early answer for the refusal of an order

An engine that sends an early answer (102 or 103) before it accepts an order was reported to the operator as having refused it. The status was compared with 202 and 409 and anything else counted as refused; Reactor Netty gives out each early answer but 100 as the final one.

The outcome is unreachable now, which says that the engine may have accepted the order. Waiting for the final answer would say more, but takes entry's handler in a module that both depend on; no engine that we know sends early answers to orders.

earlyAnswerIsNoRefusal was red before for 102 and 103 (100 held).

--- a/control/src/main/java/org/teaseltrail/control/EngineOrderClient.java
+++ b/control/src/main/java/org/teaseltrail/control/EngineOrderClient.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.function.Consumer;
@@ -49,16 +51,20 @@
         .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body(order))))
         .response()
         .timeout(TIMEOUT)
-        .map(response -> outcome(response.status().code()))
+        .map(response -> outcome(response.status()))
         .onErrorReturn(OrderOutcome.UNREACHABLE)
         .subscribe(outcome -> events.accept(new ControlEvent.OrderAnswered(order, outcome)));
   }
 
-  private static OrderOutcome outcome(int status) {
-    if (status == ACCEPTED) {
+  private static OrderOutcome outcome(HttpResponseStatus status) {
+    if (status.code() == ACCEPTED) {
       return OrderOutcome.ACCEPTED;
     }
-    return status == CONFLICT ? OrderOutcome.REFUSED_OLD_FENCING : OrderOutcome.REFUSED;
+    if (status.codeClass() == HttpStatusClass.INFORMATIONAL) {
+      // Nothing is decided yet: the engine may accept the order after it.
+      return OrderOutcome.UNREACHABLE;
+    }
+    return status.code() == CONFLICT ? OrderOutcome.REFUSED_OLD_FENCING : OrderOutcome.REFUSED;
   }
 
   private byte[] body(EngineOrder order) {
--- a/control/src/test/java/org/teaseltrail/control/EngineOrderClientTest.java
+++ b/control/src/test/java/org/teaseltrail/control/EngineOrderClientTest.java
@@ -119,4 +119,16 @@
       }
     }
   }
+
+  /** Guards against an early answer that is taken for a refusal of an order that was accepted. */
+  @ParameterizedTest
+  @ValueSource(strings = {"100 Continue", "102 Processing", "103 Early Hints"})
+  void earlyAnswerIsNoRefusal(String early) throws Exception {
+    try (FakeOrderEngine engine =
+        new FakeOrderEngine(
+            (order, uses, socket) ->
+                FakeOrderEngine.send(socket, "HTTP/1.1 " + early + "\r\n\r\n" + ACCEPTED))) {
+      assertThat(order(engine)).isIn(OrderOutcome.ACCEPTED, OrderOutcome.UNREACHABLE);
+    }
+  }
 }
