--- a/control/src/main/java/org/teaseltrail/control/EngineOrderClient.java
+++ b/control/src/main/java/org/teaseltrail/control/EngineOrderClient.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.function.Consumer;
@@ -12,6 +14,7 @@
 import org.teaseltrail.core.upstream.SocketAddress;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
 
 /**
  * HTTP client that sends orders to engines with at-most-once delivery: an order that may have
@@ -23,7 +26,15 @@
   private static final int ACCEPTED = 202;
   private static final int CONFLICT = 409;
 
-  private final HttpClient client = HttpClient.create().disableRetry(true).followRedirect(false);
+  /**
+   * Uses a new connection for each order: on one that is used again, a late second answer to an
+   * order would be taken for that to the next, which may have been refused.
+   */
+  private final HttpClient client =
+      HttpClient.create(ConnectionProvider.newConnection())
+          .disableRetry(true)
+          .followRedirect(false);
+
   private final ObjectMapper mapper = new ObjectMapper();
   private final Consumer<ControlEvent> events;
 
@@ -40,16 +51,20 @@
         .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body(order))))
         .response()
         .timeout(TIMEOUT)
-        .map(response -> outcome(response.status().code()))
+        .map(response -> outcome(response.status()))
         .onErrorReturn(OrderOutcome.UNREACHABLE)
         .subscribe(outcome -> events.accept(new ControlEvent.OrderAnswered(order, outcome)));
   }
 
-  private static OrderOutcome outcome(int status) {
-    if (status == ACCEPTED) {
+  private static OrderOutcome outcome(HttpResponseStatus status) {
+    if (status.code() == ACCEPTED) {
       return OrderOutcome.ACCEPTED;
     }
-    return status == CONFLICT ? OrderOutcome.REFUSED_OLD_FENCING : OrderOutcome.REFUSED;
+    if (status.codeClass() == HttpStatusClass.INFORMATIONAL) {
+      // Nothing is decided yet: the engine may accept the order after it.
+      return OrderOutcome.UNREACHABLE;
+    }
+    return status.code() == CONFLICT ? OrderOutcome.REFUSED_OLD_FENCING : OrderOutcome.REFUSED;
   }
 
   private byte[] body(EngineOrder order) {
