Take the ports of all modules' tests from one place, a block for each process

Its ports were drawn by opening and closing listeners at port 0, and bound by the members one after the other.

Suspected was a connection that took the port before its member did. Ruled out where this ran: of 1,000 connections none had an odd port, of 1,000 listeners at port 0 all had (Linux 6.18), and 40605 is odd. What can take such a port is another listener at port 0. (On kernels without this split a connection may take it as well: binding to the port of an open connection fails with "Address already in use".)

FreePorts was platform's own. It is in a module of its own now, as the deploy build leaves out all tests and couldn't resolve a test jar, and control, standin and platform use it. No check changed.

--- a/control/src/test/java/org/teaseltrail/control/TestMember.java
+++ b/control/src/test/java/org/teaseltrail/control/TestMember.java
@@ -4,7 +4,6 @@
 import io.grpc.netty.NettyChannelBuilder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,6 +15,7 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.replication.GroupId;
 import org.teaseltrail.core.upstream.SocketAddress;
+import org.teaseltrail.testing.FreePorts;
 
 /** Runs a control member on the loopback interface and provides an operator API stub for it. */
 final class TestMember implements AutoCloseable {
@@ -45,19 +45,13 @@
         NettyChannelBuilder.forAddress(options.listenOperators().get()).usePlaintext().build();
   }
 
-  /** Returns loopback addresses with ports that were unused at the time of the call. */
+  /** Returns loopback addresses on which nothing listens. */
   static List<PeerAddress> unusedAddresses(int count) throws IOException {
     var addresses = new ArrayList<PeerAddress>();
-    var sockets = new ArrayList<ServerSocket>();
     for (int i = 1; i <= count; i++) {
-      ServerSocket socket = new ServerSocket(0);
-      sockets.add(socket);
-      SocketAddress address = new SocketAddress("127.0.0.1", socket.getLocalPort());
+      SocketAddress address = new SocketAddress("127.0.0.1", FreePorts.nextAddress().getPort());
       addresses.add(new PeerAddress(new VmId("control-" + i), address));
     }
-    for (ServerSocket socket : sockets) {
-      socket.close();
-    }
     return addresses;
   }
 
--- a/standin/src/test/java/org/teaseltrail/standin/StandinDaemonTest.java
+++ b/standin/src/test/java/org/teaseltrail/standin/StandinDaemonTest.java
@@ -7,7 +7,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.ConnectException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -31,6 +30,7 @@
 import org.teaseltrail.runtime.settings.InvalidSettingsException;
 import org.teaseltrail.runtime.settings.SettingsReader;
 import org.teaseltrail.standin.model.AnswerTextGenerator;
+import org.teaseltrail.testing.FreePorts;
 
 @Timeout(30)
 class StandinDaemonTest {
@@ -205,9 +205,7 @@
 
   private void start(String role, String leaveGrace)
       throws IOException, InvalidSettingsException, ProgramException {
-    try (ServerSocket free = new ServerSocket(0)) {
-      port = free.getLocalPort();
-    }
+    port = FreePorts.nextAddress().getPort();
     Path secret = Files.writeString(folder.resolve("secret"), "s3cret\n");
     Path file = folder.resolve("standin.ini");
     String common =
--- /dev/null
+++ b/testing/src/main/java/org/teaseltrail/testing/package-info.java
@@ -0,0 +1,2 @@
+/** What the tests of several modules share. */
+package org.teaseltrail.testing;
