Take no answer of a peer that can't be what the peer calls it

A VM without a path trusted what Relay-Outcome says of a peer's answer. From a fake peer a caller got a 200 without an upstream's signature; a 503, which promises that the request did not run, though the peer had called it an answer (so an upstream had it); and a 200 that the peer had called a refusal. A 200 called DECLINED became "not run" (503) although an upstream had answered it. Our own peers send none of these; a process that took over a peer's address, or one of another version, may.

Cause: the first VM looked at the outcome alone. UpstreamAttempt checks signature and status of what an upstream sends; RelayAttempt did not. An outcome that doesn't fit its answer now counts as none: the relay is broken, the request may have run, 502.

--- a/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
+import java.util.Set;
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.stream.StreamOrigin;
 
@@ -23,6 +24,15 @@
 
   static final double NS_PER_MS = 1e6;
 
+  static final int MISDIRECTED_REQUEST = 421;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int SERVICE_UNAVAILABLE = 503;
+  private static final int REQUEST_TIMEOUT = 408;
+
+  /** Statuses that guarantee to a caller that its request did not run. */
+  private static final Set<Integer> NOT_RUN_STATUSES =
+      Set.of(TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE, REQUEST_TIMEOUT, MISDIRECTED_REQUEST);
+
   private final ForwardServer server;
   private final Exchange exchange;
   private UpstreamConnection connection;
@@ -87,6 +97,20 @@
     return forwardsEvents;
   }
 
+  final boolean isSuccess() {
+    return HttpStatusClass.valueOf(status) == HttpStatusClass.SUCCESS;
+  }
+
+  /** Returns whether the response is a success that no upstream has signed. */
+  final boolean isUnsignedSuccess() {
+    return isSuccess() && !head.signed();
+  }
+
+  /** Returns whether the status guarantees to a caller that its request did not run. */
+  final boolean guaranteesNotRun() {
+    return NOT_RUN_STATUSES.contains(status);
+  }
+
   final void onConnected(UpstreamConnection made) {
     if (ended) {
       giveBack(made);
@@ -131,9 +155,8 @@
     endsWithConnection =
         !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
     expectedBytes = HttpUtil.getContentLength(response, (long) Exchange.MAX_RESPONSE_BYTES);
-    boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
     boolean forwardable = onHead(response, read);
-    forwardsEvents = forwardable && success && read.signed() && read.eventStream();
+    forwardsEvents = forwardable && isSuccess() && read.signed() && read.eventStream();
     if (forwardable) {
       exchange.setResponseHead(response);
     }
--- a/forward/src/main/java/org/teaseltrail/forward/RelayAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RelayAttempt.java
@@ -47,11 +47,22 @@
 
   @Override
   boolean onHead(HttpResponse response, ResponseHead read) {
-    named = RelayHeaders.takeOutcome(response.headers());
+    named = RelayHeaders.takeOutcome(response.headers()).filter(this::canMean);
     takeOrigin(response.headers()).ifPresent(origin -> server().onRelayOrigin(exchange(), origin));
     return named.map(outcome -> !outcome.needsOtherPeer()).orElse(false);
   }
 
+  /**
+   * Returns whether the response can be what it says it is. A peer passes on a success only with
+   * its upstream's signature, and guarantees that a request did not run only by a refusal.
+   */
+  private boolean canMean(RelayOutcome outcome) {
+    if (outcome == RelayOutcome.ANSWERED) {
+      return !isUnsignedSuccess() && !guaranteesNotRun();
+    }
+    return !isSuccess();
+  }
+
   private static Optional<StreamOrigin> takeOrigin(HttpHeaders headers) {
     try {
       return RelayHeaders.takeOrigin(headers);
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamAttempt.java
@@ -2,9 +2,7 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
-import java.util.Set;
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.registry.Registration;
@@ -13,16 +11,8 @@
 /** An attempt at an upstream. */
 final class UpstreamAttempt extends ExchangeAttempt {
 
-  private static final int TOO_MANY_REQUESTS = 429;
-  private static final int SERVICE_UNAVAILABLE = 503;
-  private static final int REQUEST_TIMEOUT = 408;
-  private static final int MISDIRECTED_REQUEST = 421;
   private static final int FIRST_SERVER_ERROR = 500;
 
-  /** Statuses that guarantee to a caller that its request did not run. */
-  private static final Set<Integer> NOT_RUN_STATUSES =
-      Set.of(TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE, REQUEST_TIMEOUT, MISDIRECTED_REQUEST);
-
   private final ForwardAction.Dispatch dispatch;
   private final Registration upstream;
   private final long dispatchedNs;
@@ -125,9 +115,8 @@
     if (forwardsEvents()) {
       return isStreamWhole() ? AttemptOutcome.ANSWERED : AttemptOutcome.BROKEN;
     }
-    boolean success = status() >= HttpResponseStatus.OK.code() && status() < 300;
     boolean isStreamResumed = exchange().hasResponseStarted();
-    if (NOT_RUN_STATUSES.contains(status()) || (success && !head().signed()) || isStreamResumed) {
+    if (guaranteesNotRun() || isUnsignedSuccess() || isStreamResumed) {
       return AttemptOutcome.BROKEN;
     }
     return status() >= FIRST_SERVER_ERROR ? AttemptOutcome.FAILED_ANSWER : AttemptOutcome.ANSWERED;
