Break off a stream without a length where another answer's head follows

An upstream's event stream may have neither length nor chunks and end with its connection.

Nothing in such a stream tells where it ends, but no event begins with a status line. From one on nothing is forwarded; the attempt is broken, so that the caller gets no last chunk, or the stream goes on at another upstream where that is allowed.

Left: a second answer behind a body without a length that is no stream can't be told from the body, which the caller gets with it.

--- a/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
@@ -166,8 +166,7 @@
   public final void bodyReceived(ByteBuf part) {
     if (!forwardsEvents) {
       if (!exchange.buffer(part)) {
-        connection.abort();
-        end(AttemptOutcome.BROKEN);
+        breakOff();
       } else if (!exchange.reserveRoom(expectedBytes, this::onRoom)) {
         connection.setRoomMissing(true);
       }
@@ -177,12 +176,19 @@
     part.readBytes(bytes);
     try {
       collect(exchange.events().decode(bytes));
+      if (exchange.events().isAtOtherAnswer()) {
+        breakOff();
+      }
     } catch (SseEventFramer.OversizedEventException e) {
-      connection.abort();
-      end(AttemptOutcome.BROKEN);
+      breakOff();
     }
   }
 
+  private void breakOff() {
+    connection.abort();
+    end(AttemptOutcome.BROKEN);
+  }
+
   private void onRoom() {
     if (connection != null && !ended) {
       connection.setRoomMissing(false);
--- a/forward/src/main/java/org/teaseltrail/forward/SseEventFramer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/SseEventFramer.java
@@ -13,6 +13,7 @@
 final class SseEventFramer {
 
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] STATUS_LINE = "HTTP/".getBytes(StandardCharsets.US_ASCII);
 
   /** Maximum size of an event; an upstream that exceeds it does not send valid events. */
   private static final int MAX_EVENT_BYTES = 1024 * 1024;
@@ -23,13 +24,14 @@
   private Optional<String> lastEventId = Optional.empty();
   private long lastNumber = Long.MIN_VALUE;
   private long forwardedEvents;
+  private boolean atOtherAnswer;
 
   /**
    * Decodes the next bytes of the stream.
    *
    * @param bytes the bytes
    * @return the events that they complete, unchanged, without those whose numeric id was forwarded
-   *     already
+   *     already, and nothing from the head of another answer on
    * @throws OversizedEventException if an event exceeds the maximum size
    */
   byte[] decode(byte[] bytes) throws OversizedEventException {
@@ -37,13 +39,14 @@
     ByteArrayOutputStream completeEvents = new ByteArrayOutputStream(all.length);
     int start = 0;
     boolean lineIsEmpty = true;
-    for (int i = 0; i < all.length; i++) {
+    for (int i = 0; i < all.length && !atOtherAnswer; i++) {
       byte next = all[i];
       if (next != '\n') {
         lineIsEmpty = lineIsEmpty && next == '\r';
         continue;
       }
       if (lineIsEmpty) {
+        atOtherAnswer = startsWith(all, start, i, STATUS_LINE);
         complete(all, start, i + 1, completeEvents);
         start = i + 1;
       }
@@ -61,9 +64,18 @@
     return pending.length == 0;
   }
 
+  /**
+   * Returns whether the head of another answer has followed the events. Guards against a second
+   * answer behind a stream without a length, which would be forwarded as events.
+   */
+  boolean isAtOtherAnswer() {
+    return atOtherAnswer;
+  }
+
   /** Discards the part of an event that its upstream did not complete. */
   void discardPartialEvent() {
     pending = EMPTY;
+    atOtherAnswer = false;
   }
 
   /** Returns the id of the last forwarded event that had one. */
@@ -77,6 +89,9 @@
   }
 
   private void complete(byte[] all, int start, int end, ByteArrayOutputStream output) {
+    if (atOtherAnswer) {
+      return;
+    }
     Optional<String> id = idOf(all, start, end);
     OptionalLong number = id.map(SseEventFramer::number).orElse(OptionalLong.empty());
     if (number.isPresent()) {
@@ -97,7 +112,7 @@
     int lineStart = start;
     for (int i = start; i < end; i++) {
       if (all[i] == '\n') {
-        if (isId(all, lineStart, i)) {
+        if (startsWith(all, lineStart, i, ID_FIELD)) {
           int from = lineStart + ID_FIELD.length;
           return Optional.of(new String(all, from, i - from, StandardCharsets.UTF_8).trim());
         }
@@ -107,9 +122,9 @@
     return Optional.empty();
   }
 
-  private static boolean isId(byte[] all, int start, int end) {
-    return end - start >= ID_FIELD.length
-        && Arrays.equals(all, start, start + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length);
+  private static boolean startsWith(byte[] all, int start, int end, byte[] prefix) {
+    return end - start >= prefix.length
+        && Arrays.equals(all, start, start + prefix.length, prefix, 0, prefix.length);
   }
 
   private static OptionalLong number(String id) {
--- a/forward/src/test/java/org/teaseltrail/forward/SseEventFramerTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/SseEventFramerTest.java
@@ -72,4 +72,26 @@
     assertThat(take(first)).isEqualTo(first);
     assertThat(take(first + second)).isEqualTo(second);
   }
+
+  /** Guards against a second answer behind a stream that is forwarded as its last event. */
+  @Test
+  void forwardsNothingFromTheHeadOfAnotherAnswerOn() throws Exception {
+    String event = "id: 1\ndata: HTTP/1.1\n\n";
+    String answer = "HTTP/1.1 500 Internal Server Error\r\nX: y\r\n\r\nid: 2\ndata: b\n\n";
+    assertThat(take(event + answer)).isEqualTo(event);
+    assertThat(blocks.isAtOtherAnswer()).isTrue();
+    blocks.discardPartialEvent();
+    assertThat(take("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
+    assertThat(blocks.isAtOtherAnswer()).isFalse();
+  }
+
+  /** Guards against the same where the other answer arrives in pieces. */
+  @Test
+  void recognizesAnotherAnswerThatArrivesInPieces() throws Exception {
+    StringBuilder forwarded = new StringBuilder();
+    for (char c : "id: 1\n\nHTTP/1.1 200 OK\r\nX: y\r\n\r\nid: 2\n\n".toCharArray()) {
+      forwarded.append(take(String.valueOf(c)));
+    }
+    assertThat(forwarded).hasToString("id: 1\n\n");
+  }
 }
