Read over an answer without an id where answers name their requests

What callers saw: 502, or a retry, because a second answer to an earlier request came first. An answer that names no request and comes on a connection that had others can't be taken, but it needn't end the request in flight: if answers on that connection have named their requests, this one is not the answer that is awaited. It is read over as one with another id is, and the request's own answer follows. Where no answer has named its request so far, the attempt is given up as before.

--- a/forward/src/main/java/org/teaseltrail/forward/SentRequests.java
+++ b/forward/src/main/java/org/teaseltrail/forward/SentRequests.java
@@ -12,6 +12,7 @@
 
   private final Deque<String> ids = new ArrayDeque<>();
   private int count;
+  private boolean answersAreNamed;
   private Optional<String> last = Optional.empty();
   private Optional<String> previous = Optional.empty();
 
@@ -38,9 +39,14 @@
   /** Returns how an answer relates to the request that was sent last. */
   AnswerMatch match(Optional<String> named) {
     if (named.isPresent()) {
-      return named.equals(last) ? AnswerMatch.OWN : AnswerMatch.OTHER;
+      boolean isOwn = named.equals(last);
+      answersAreNamed |= isOwn;
+      return isOwn ? AnswerMatch.OWN : AnswerMatch.OTHER;
     }
-    return count == 1 ? AnswerMatch.OWN : AnswerMatch.UNNAMED;
+    if (count == 1) {
+      return AnswerMatch.OWN;
+    }
+    return answersAreNamed ? AnswerMatch.OTHER : AnswerMatch.UNNAMED;
   }
 
   int count() {
