--- a/forward/src/main/java/org/teaseltrail/forward/AnswerMatch.java
+++ b/forward/src/main/java/org/teaseltrail/forward/AnswerMatch.java
@@ -4,8 +4,8 @@
 enum AnswerMatch {
   /** It names that request, or names none and no other request was sent on the connection. */
   OWN,
-  /** It names another request, or none though answers on the connection name theirs. */
+  /** It names another request. */
   OTHER,
-  /** It names no request, and may be that of the one in flight or of an earlier one. */
+  /** It names no request, and may be a late second answer to an earlier one. */
   UNNAMED
 }
--- a/forward/src/main/java/org/teaseltrail/forward/SentRequests.java
+++ b/forward/src/main/java/org/teaseltrail/forward/SentRequests.java
@@ -12,7 +12,6 @@
 
   private final Deque<String> ids = new ArrayDeque<>();
   private int count;
-  private boolean answersAreNamed;
   private Optional<String> last = Optional.empty();
   private Optional<String> previous = Optional.empty();
 
@@ -39,14 +38,9 @@
   /** Returns how an answer relates to the request that was sent last. */
   AnswerMatch match(Optional<String> named) {
     if (named.isPresent()) {
-      boolean isOwn = named.equals(last);
-      answersAreNamed |= isOwn;
-      return isOwn ? AnswerMatch.OWN : AnswerMatch.OTHER;
+      return named.equals(last) ? AnswerMatch.OWN : AnswerMatch.OTHER;
     }
-    if (count == 1) {
-      return AnswerMatch.OWN;
-    }
-    return answersAreNamed ? AnswerMatch.OTHER : AnswerMatch.UNNAMED;
+    return count == 1 ? AnswerMatch.OWN : AnswerMatch.UNNAMED;
   }
 
   int count() {
--- a/forward/src/main/java/org/teaseltrail/forward/UnexpectedAnswer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UnexpectedAnswer.java
@@ -27,7 +27,7 @@
 
   /** What becomes of an unexpected response. */
   enum Handling {
-    /** It is known to belong to another request, and was read and dropped. */
+    /** It names another request, and was read and dropped. */
     SKIPPED,
     /** It can't be told to be that of the request in flight, so that the attempt was given up. */
     DOUBTED,
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -24,10 +24,10 @@
  * One HTTP/1.1 connection to an upstream, which handles one request at a time.
  *
  * <p>Guards against responses that belong to no request: an upstream may send a second response
- * late, where the next one is expected, or send bytes after a response. Therefore a response that
- * belongs to another request by its id is read and skipped, one that may belong to another breaks
- * the attempt, any data received while no request is in flight closes the connection, and a
- * connection on which any of these was seen is not reused.
+ * late, where the next one is expected, or send bytes after a response. Therefore a response with
+ * the id of another request is read and skipped, one without an id breaks the attempt unless no
+ * other request was sent on the connection, any data received while no request is in flight closes
+ * the connection, and a connection on which any of these was seen is not reused.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
 
