Read no more than 64 KB of an engine's refusal

An engine that answers a request with 503 and a body without end was read and held whole: the entry VM took 32 MB of it and stopped only when the engine did. Nothing bounds it but the process's memory. Streams have a limit for each line, and other failures aren't read.

A refusal is a short JSON object; a longer one is no answer that the protocol defines now, the connection is closed, and the request is reported as one that may have run.

bodyWithoutEndIsGivenUp was red before for 503; it held for a stream with a line without end, 404 and 500.

--- a/entry/src/main/java/org/teaseltrail/entry/EngineStreamSubscriber.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EngineStreamSubscriber.java
@@ -1,7 +1,9 @@
 package org.teaseltrail.entry;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 import org.reactivestreams.Publisher;
 import org.reactivestreams.Subscription;
@@ -18,6 +20,8 @@
   /** Maximum number of lines in flight to the node thread. */
   private static final int MAX_IN_FLIGHT_LINES = 32;
 
+  private static final int MAX_REFUSAL_BYTES = 64 * 1024;
+
   private final NodeEventLoop loop;
   private final CallerExchange exchange;
   private final int attempt;
@@ -50,9 +54,9 @@
       return connection
           .inbound()
           .receive()
-          .aggregate()
-          .asString()
-          .defaultIfEmpty("")
+          .asByteArray()
+          .reduceWith(ByteArrayOutputStream::new, EngineStreamSubscriber::append)
+          .map(body -> body.toString(StandardCharsets.UTF_8))
           .flatMapMany(body -> Flux.error(new EngineStatusException(parseRefusal(body))));
     }
     return Flux.error(
@@ -62,6 +66,15 @@
                 : EngineStreamOutcome.REJECTED));
   }
 
+  /** Without the limit, a refusal without end would be held whole. */
+  private static ByteArrayOutputStream append(ByteArrayOutputStream body, byte[] part) {
+    if (body.size() + part.length > MAX_REFUSAL_BYTES) {
+      throw new EngineStatusException(EngineStreamOutcome.REJECTED);
+    }
+    body.writeBytes(part);
+    return body;
+  }
+
   private static EngineStreamOutcome parseRefusal(String body) {
     try {
       boolean notRun = JsonCodec.readObject(body).path("not_run").asBoolean(false);
--- a/entry/src/test/java/org/teaseltrail/entry/EngineAnswerTest.java
+++ b/entry/src/test/java/org/teaseltrail/entry/EngineAnswerTest.java
@@ -25,6 +25,11 @@
   private static final String LENGTH = "Content-Length: 1234\r\n\r\n";
   private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
 
+  private static final int PART_BYTES = 64 * 1024;
+
+  /** More than the buffers of both sockets and the longest line hold together. */
+  private static final int MAX_PARTS = 512;
+
   private ScriptedUpstream engine;
   private EntryTestEnvironment world;
 
@@ -223,4 +228,23 @@
     }
     assertThat(resumes).hasValue(heads == 2 ? 0 : 1);
   }
+
+  /** Guards against a body without end that is held whole, whatever its length. */
+  @ParameterizedTest
+  @ValueSource(strings = {"200 OK", "503 Full", "404 Unknown", "500 Failed"})
+  void bodyWithoutEndIsGivenUp(String status) throws IOException {
+    AtomicInteger parts = new AtomicInteger();
+    respondWith(
+        (stream, connection) -> {
+          connection.send("HTTP/1.1 " + status + "\r\n\r\n");
+          String part = "x".repeat(PART_BYTES);
+          while (parts.get() < MAX_PARTS) {
+            connection.send(part);
+            parts.incrementAndGet();
+          }
+          connection.close();
+        });
+    call().close();
+    assertThat(parts).hasValueLessThan(MAX_PARTS);
+  }
 }
