Write nothing behind an answer that ends its connection, in the script of an upstream

An upstream that closes after an answer has no way to write more. The script had still written what was due behind the answer if that had a length.

--- a/forward/src/test/java/org/teaseltrail/forward/ScriptedConnection.java
+++ b/forward/src/test/java/org/teaseltrail/forward/ScriptedConnection.java
@@ -104,7 +104,7 @@
     deliver(late, late.length);
   }
 
-  /** The upstream writes nothing behind the next answer after all. */
+  /** The upstream closes after the next answer, and writes nothing behind it. */
   void dropLateBytes() {
     afterNextAnswer = new byte[0];
   }
--- a/forward/src/test/java/org/teaseltrail/forward/ScriptedUpstream.java
+++ b/forward/src/test/java/org/teaseltrail/forward/ScriptedUpstream.java
@@ -127,31 +127,29 @@
     if (!connection.isOpen()) {
       return;
     }
-    final Optional<byte[]> second = second(step, request);
     request.mustBeServed = request.isRecognized && !connection.isDisturbed();
     request.isAnswered = !request.own.endsWithConnection();
-    if (request.own.endsWithConnection()) {
-      connection.dropLateBytes();
-    }
-    boolean isJoined = step.moment() == AnswerStep.Moment.SAME_READ;
-    connection.answer(
-        withInterim(step, request.own), second.filter(bytes -> isJoined).orElse(NOTHING));
+    byte[] own = withInterim(step, request.own);
     if (request.own.framing().closes()) {
+      connection.dropLateBytes();
+      connection.answer(own, NOTHING);
       request.isAnswered = true;
       connection.end(ScriptedConnection.End.CLOSE);
     } else {
-      second.ifPresent(bytes -> writeLate(step.moment(), connection, bytes));
+      byte[] second = second(step, request);
+      boolean isJoined = step.moment() == AnswerStep.Moment.SAME_READ;
+      connection.answer(own, isJoined ? second : NOTHING);
+      writeLate(step.moment(), connection, second);
     }
   }
 
-  /** Returns the second answer. An upstream that closes the connection has no way to write one. */
-  private Optional<byte[]> second(AnswerStep step, Sent request) {
-    if (step.second() == AnswerStep.Second.NONE || request.own.framing().closes()) {
-      return Optional.empty();
+  private byte[] second(AnswerStep step, Sent request) {
+    if (step.second() == AnswerStep.Second.NONE) {
+      return NOTHING;
     }
     byte[] bytes = step.second().of(request.id, request.own).bytes();
     boolean breaksOff = step.second() == AnswerStep.Second.BROKEN_OFF;
-    return Optional.of(breaksOff ? Arrays.copyOf(bytes, 1 + random.nextInt(bytes.length)) : bytes);
+    return breaksOff ? Arrays.copyOf(bytes, 1 + random.nextInt(bytes.length)) : bytes;
   }
 
   private static byte[] withInterim(AnswerStep step, AnswerText own) {
@@ -164,6 +162,9 @@
   }
 
   private void writeLate(AnswerStep.Moment moment, ScriptedConnection connection, byte[] bytes) {
+    if (bytes.length == 0) {
+      return;
+    }
     int half = random.nextInt(bytes.length);
     switch (moment) {
       case SAME_READ -> {}
