Refuse a pipelined request in its turn

What callers saw: a caller that sends a request with too large a body, or with an unknown expectation, while an earlier one of its connection awaits its answer gets 413 or 417 as the answer to the earlier one; where the connection stays open, it takes the earlier one's answer, a success, for that to the refused request. If the next request asks before it sends its body (Expect), a stream in progress breaks off.

Cause: Netty's aggregator writes 413, 417 and 100 itself as soon as it has read a head, past the order of the connection's requests; 100 within a chunked answer is an error of the encoder, on which the connection is closed.

Mend: RequestAggregator leaves these to CallerConnection. A refusal while an earlier request awaits its answer makes that answer the last one, as it was for bodies without room; 100 is written once the earlier answers are complete. A malformed request no longer takes the answer of the one before it with it. A 413 on a connection without other requests now closes it.

--- a/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
@@ -7,11 +7,13 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
@@ -21,7 +23,8 @@
  * Handles one caller's HTTP/1.1 connection. Pipelined requests are processed one at a time, in
  * their order; a caller that pipelines too many loses the connection.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements BodyGate.Listener {
+final class CallerConnection extends ChannelInboundHandlerAdapter
+    implements BodyGate.Listener, RequestAggregator.Listener {
 
   /** Time for a caller to receive its refusal before the connection is closed; some round trips. */
   private static final long LINGER_MS = 500;
@@ -36,6 +39,7 @@
   private Channel channel;
   private Exchange current;
   private boolean closing;
+  private boolean continueOwed;
   private long lastActiveNs = System.nanoTime();
   private boolean midRequest;
 
@@ -62,11 +66,31 @@
   @Override
   public void onNoRoom() {
     server.onBodyRefused();
-    if (current == null) {
-      refuse(
-          HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for the body", NO_ROOM_RETRY_AFTER_MS);
-    } else {
-      closing = true;
+    refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for the body", NO_ROOM_RETRY_AFTER_MS);
+  }
+
+  @Override
+  public void onTooLarge() {
+    refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+  }
+
+  @Override
+  public void onUnsupportedExpectation() {
+    refuse(HttpResponseStatus.EXPECTATION_FAILED, "the expectation is not supported");
+  }
+
+  @Override
+  public void onContinueExpected() {
+    continueOwed = true;
+    writeOwedContinue();
+  }
+
+  /** Lets the caller send a body, but not in the middle of the answer to an earlier request. */
+  private void writeOwedContinue() {
+    if (continueOwed && current == null && !closing) {
+      continueOwed = false;
+      channel.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
   }
 
@@ -87,6 +111,7 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     midRequest = false;
+    continueOwed = false;
     lastActiveNs = System.nanoTime();
     if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
       ReferenceCountUtil.release(message);
@@ -165,6 +190,7 @@
       channel.writeAndFlush(channel.alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
     } else {
       startNext();
+      writeOwedContinue();
     }
   }
 
@@ -226,19 +252,20 @@
   }
 
   /**
-   * Rejects a malformed request and closes the connection, since the start of the next request is
-   * unknown.
+   * Rejects a request that can't be read and closes the connection, since the start of the next
+   * request is unknown. While an earlier request awaits its answer, that answer is the last one: a
+   * refusal would be taken for it.
    */
   private void refuse(HttpResponseStatus status, String reason) {
     refuse(status, reason, 0);
   }
 
   private void refuse(HttpResponseStatus status, String reason, long retryAfterMs) {
-    if (current != null) {
-      channel.close();
+    boolean isUnanswered = current != null || closing;
+    closing = true;
+    if (isUnanswered) {
       return;
     }
-    closing = true;
     var answer = LocalReplyFactory.create(server.headerCodec(), status, reason, "", retryAfterMs);
     HttpUtil.setKeepAlive(answer, false);
     channel.writeAndFlush(answer).addListener(done -> lingerThenClose());
--- a/forward/src/main/java/org/teaseltrail/forward/CallerListener.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerListener.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import org.teaseltrail.core.plan.ClientLimits;
@@ -79,7 +78,7 @@
             new ReceivedBytesNotifier(caller),
             new HttpServerCodec(config),
             gate,
-            new HttpObjectAggregator(limits.maxBodyBytes(), true),
+            new RequestAggregator(limits.maxBodyBytes(), caller),
             caller);
   }
 
