Show that whole lines of a head that arrive unasked go unnoticed

Netty's decoder takes whole lines of a head out of its buffer before it passes anything on, so that neither a message nor an undecoded byte shows them. Red: the connection stays open; the next answer's status line then reads as a header.

--- a/forward/src/test/java/org/teaseltrail/forward/UnusualAnswerTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/UnusualAnswerTest.java
@@ -37,8 +37,27 @@
     assertThat(pool.takeIdle(TARGET, "second")).isEmpty();
   }
 
+  /** Guards against whole lines of a head that a decoder has taken without a trace. */
+  @Test
+  @Tag("known-red")
+  void linesOfHeadThatArriveUnaskedAreNotJoinedWithNextAnswer() {
+    serve("first");
+    connection.writeUnasked(ascii("HTTP/1.1 200 OK\r\nServer: some\r\n"));
+    assertThat(connection.isOpen()).isFalse();
+  }
+
   /** Guards against the same in the read that has the end of an answer. */
   @Test
+  @Tag("known-red")
+  void linesOfHeadBehindAnswerAreNotJoinedWithNextAnswer() {
+    send(HttpMethod.GET, "first");
+    connection.answer(
+        answer(Status.SUCCESS, "first").bytes(), ascii("HTTP/1.1 200 OK\r\nServer: some\r\n"));
+    assertThat(connection.isOpen()).isFalse();
+  }
+
+  /** Guards against a part of a status line in the read that has the end of an answer. */
+  @Test
   void startOfHeadBehindAnswerIsNotJoinedWithNextAnswer() {
     send(HttpMethod.GET, "first");
     connection.answer(answer(Status.SUCCESS, "first").bytes(), ascii("HTTP/1.1 200 O"));
