--- a/forward/src/test/java/org/teaseltrail/forward/UnusualAnswerTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/UnusualAnswerTest.java
@@ -37,8 +37,33 @@
     assertThat(pool.takeIdle(TARGET, "second")).isEmpty();
   }
 
+  /** Guards against connections that are given up for line ends between two answers. */
+  @Test
+  void lineEndsBehindAnswerAreNoStartOfNextOne() {
+    serve("first");
+    connection.writeUnasked(ascii("\r\n"));
+    assertThat(pool.takeIdle(TARGET, "second")).isPresent();
+  }
+
+  /** Guards against whole lines of a head that a decoder has taken without a trace. */
+  @Test
+  void linesOfHeadThatArriveUnaskedAreNotJoinedWithNextAnswer() {
+    serve("first");
+    connection.writeUnasked(ascii("HTTP/1.1 200 OK\r\nServer: some\r\n"));
+    assertThat(connection.isOpen()).isFalse();
+  }
+
   /** Guards against the same in the read that has the end of an answer. */
   @Test
+  void linesOfHeadBehindAnswerAreNotJoinedWithNextAnswer() {
+    send(HttpMethod.GET, "first");
+    connection.answer(
+        answer(Status.SUCCESS, "first").bytes(), ascii("HTTP/1.1 200 OK\r\nServer: some\r\n"));
+    assertThat(connection.isOpen()).isFalse();
+  }
+
+  /** Guards against a part of a status line in the read that has the end of an answer. */
+  @Test
   void startOfHeadBehindAnswerIsNotJoinedWithNextAnswer() {
     send(HttpMethod.GET, "first");
     connection.answer(answer(Status.SUCCESS, "first").bytes(), ascii("HTTP/1.1 200 O"));
