Show that the rest of an answer that was given up isn't logged as another

Asked at the reading of the mend: an attempt that is given up in the middle of a read leaves bytes behind. They are not counted as an unexpected answer; green as it stands.

--- a/forward/src/test/java/org/teaseltrail/forward/SecondAnswerTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/SecondAnswerTest.java
@@ -102,6 +102,19 @@
     assertThat(channel.isActive()).isFalse();
   }
 
+  /**
+   * Guards against the rest of an answer that was given up being logged as one of the upstream's.
+   */
+  @Test
+  void restOfAnswerThatWasGivenUpIsNotUnexpected() {
+    RecordingListener first = send("first");
+    first.onBody = connection::abort;
+    receive(
+        SUCCESS + name("first") + "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n5\r\nthe rest");
+    assertThat(channel.isActive()).isFalse();
+    assertThat(unexpected).isEmpty();
+  }
+
   private RecordingListener send(String id) {
     assertThat(pool.takeIdle(TARGET, id)).containsSame(connection);
     RecordingListener listener = new RecordingListener(id);
@@ -137,6 +150,7 @@
     private final StringBuilder received = new StringBuilder();
     private String end = "open";
     private Runnable onCompleted = () -> {};
+    private Runnable onBody = () -> {};
 
     RecordingListener(String id) {
       this.id = id;
@@ -159,6 +173,7 @@
     @Override
     public void bodyReceived(ByteBuf part) {
       received.append(part.toString(StandardCharsets.ISO_8859_1));
+      onBody.run();
     }
 
     @Override
