Wait for a stream's origin from when its question is sent

After all entry VMs had been dark, callers that took their streams up got 503 (ORIGIN_UNKNOWN) though all members knew the origins.

Cause: the wait of 0.3 s for an answer began with the call that asks; the question leaves once the actions of that call are carried out. A process that has just started lets all waiting requests go with its first session, and needs longer than 0.3 s for them; its next tick found the wait over.

Evidence: in a trial with real programs on a loaded machine one VM refused 12 take-ups within 20 ms, just after its first batch of some 370 ms. questionThatLeavesLateIsStillWaitedFor and questionThatLeavesLateIsGivenUpToo failed before.

Why it works: the first tick after the call marks the question as sent; if its wait is over by then, it starts anew, once. A member that doesn't answer is given up as before.

--- a/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
@@ -40,14 +40,23 @@
   /** A question to which not all members have answered. */
   private static final class OpenQuestion {
     private final Continuation continuation;
-    private final long expiryNs;
+    private long expiryNs;
     private int unanswered;
+    private boolean isSent;
 
     private OpenQuestion(Continuation continuation, long expiryNs, int unanswered) {
       this.continuation = continuation;
       this.expiryNs = expiryNs;
       this.unanswered = unanswered;
     }
+
+    /** Starts the wait anew if the question was sent only after it had expired. */
+    private void markSent(long nowNs) {
+      if (!isSent && nowNs >= expiryNs) {
+        expiryNs = nowNs + MAX_WAIT_NS;
+      }
+      isSent = true;
+    }
   }
 
   private final ControlClient controlClient;
@@ -118,8 +127,12 @@
     return questions.size();
   }
 
-  /** Gives up questions that the members have not answered. */
+  /**
+   * Gives up questions that the members have not answered. A question is sent after the call that
+   * asks it has returned: a VM that has just started may need longer for that than the wait lasts.
+   */
   void tick(long nowNs) {
+    questions.values().forEach(question -> question.markSent(nowNs));
     List<Long> overdue =
         questions.entrySet().stream()
             .filter(question -> nowNs >= question.getValue().expiryNs)
--- a/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
@@ -67,6 +67,29 @@
     assertThat(refusals()).containsExactly(RefusalReason.ORIGIN_UNKNOWN);
   }
 
+  /** Guards against a stream given up before its question has left a VM that has just started. */
+  @Test
+  void questionThatLeavesLateIsStillWaitedFor() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    advanceMs(MAX_WAIT_MS + 100);
+    assertThat(refusals()).isEmpty();
+    answer(stream, Optional.of(origin(ENGINES, "v1")));
+    assertThat(dispatches()).containsExactly("a1");
+  }
+
+  /** Guards against a wait without end for members that don't answer a question that left late. */
+  @Test
+  void questionThatLeavesLateIsGivenUpToo() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    takeUp(Optional.of("id-before"), Optional.of("4"));
+    advanceMs(MAX_WAIT_MS + 100);
+    advanceMs(MAX_WAIT_MS - 1);
+    assertThat(refusals()).isEmpty();
+    advanceMs(1);
+    assertThat(refusals()).containsExactly(RefusalReason.ORIGIN_UNKNOWN);
+  }
+
   /** Guards against names that are no names, by which a stream would pass for a known one. */
   @ParameterizedTest
   @ValueSource(strings = {"", " ", "spoilt"})
