Show streams that don't go on after all entry VMs were dark

All entry VMs are dark for 3.2 s while two versions serve, start together with cold code and connect 0.3 s later; callers come back until 6 s are over.

Cause, from the queues of the simulated engines: where slots aren't dealt in advance, the leader's first report shows all upstreams empty, so each VM fills them by itself; take-ups wait there behind four running and three to eight queued requests at four slots, until their callers' time is over.

The simulation gets VMs that stay dark, cold processes and callers with a limit over all their tries. CallerStream moves to a file of its own; it names the try that brought the first event.

--- a/core/src/test/java/org/teaseltrail/core/control/FakeEntryVms.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeEntryVms.java
@@ -1,6 +1,8 @@
 package org.teaseltrail.core.control;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Function;
@@ -21,8 +23,12 @@
  */
 final class FakeEntryVms {
 
+  private static final long NS_PER_MS = 1_000_000L;
   private static final long PROBE_NS = 1_000_000L;
 
+  /** Time after a start in which a VM's code is cold. */
+  private static final long COLD_NS = 1_000 * NS_PER_MS;
+
   /** Time for which a connection has to stay open for its probe to pass. */
   private static final long STAY_OPEN_NS = 50_000_000L;
 
@@ -37,6 +43,9 @@
     boolean arrives(int vm, Object message);
   }
 
+  /** What happens to a VM, which it answers with actions. */
+  interface Input extends Function<ForwardNode, List<ForwardAction>> {}
+
   /** Determines the result of a probe, which the VM learns as late as from sockets. */
   interface ProbeHandler {
     ProbeResult probe(int vm, ForwardAction.Probe probe);
@@ -55,6 +64,11 @@
   private final List<ForwardNode> nodes = new ArrayList<>();
   private final long[] incarnations;
   private final boolean[] partitioned;
+  private final boolean[] stopped;
+  private final long[] startedNs;
+  private final long[] busyUntilNs;
+  private final List<Deque<Input>> inputs = new ArrayList<>();
+  private int coldActionMs;
   private Function<Integer, RelaySettings> relays = vm -> RelaySettings.OFF;
   private MessageFilter filter = (vm, message) -> true;
   private ProbeHandler prober = (vm, probe) -> ProbeResult.ANSWERED;
@@ -77,6 +91,9 @@
     this.shell = executor;
     incarnations = new long[count];
     partitioned = new boolean[count];
+    stopped = new boolean[count];
+    startedNs = new long[count];
+    busyUntilNs = new long[count];
   }
 
   /** Lets VMs take part in relays. */
@@ -94,11 +111,17 @@
     prober = handler;
   }
 
+  /** Makes each action of a VM that has just started take time; without it none does. */
+  void useColdStarts(int actionMs) {
+    coldActionMs = actionMs;
+  }
+
   /** Starts all VMs; the executor must be ready. */
   void start() {
     group.listenRestarts(this::connectAll);
     for (int vm = 0; vm < incarnations.length; vm++) {
       nodes.add(null);
+      inputs.add(new ArrayDeque<>());
       restart(vm);
     }
   }
@@ -116,9 +139,23 @@
     return incarnations[vm];
   }
 
+  /** Ends a VM's process until it is restarted. */
+  void stop(int vm) {
+    incarnations[vm]++;
+    stopped[vm] = true;
+  }
+
+  boolean isRunning(int vm) {
+    return !stopped[vm];
+  }
+
   /** Starts a VM without state. */
   void restart(int vm) {
     incarnations[vm]++;
+    stopped[vm] = false;
+    startedNs[vm] = group.nowNs();
+    busyUntilNs[vm] = 0;
+    inputs.get(vm).clear();
     List<VmId> members =
         group.members().stream().map(FakeControlMember::member).map(Member::vm).toList();
     ForwardSettings settings =
@@ -130,7 +167,7 @@
         name(vm),
         reply -> {
           if (incarnation == incarnations[vm] && !partitioned[vm] && filter.arrives(vm, reply)) {
-            execute(vm, nodes.get(vm).onControlMessage(reply, group.nowNs()));
+            handle(vm, node -> node.onControlMessage(reply, group.nowNs()));
           }
         });
     execute(vm, nodes.get(vm).start());
@@ -151,20 +188,58 @@
   }
 
   private void connect(int vm, VmId member) {
-    if (!partitioned[vm]) {
-      execute(vm, nodes.get(vm).onMemberConnected(member, group.nowNs()));
+    if (!partitioned[vm] && !stopped[vm]) {
+      handle(vm, node -> node.onMemberConnected(member, group.nowNs()));
     }
   }
 
   /** Runs the VMs whose wake-up time has come. */
   void tick() {
     for (int vm = 0; vm < incarnations.length; vm++) {
-      if (group.nowNs() >= nodes.get(vm).nextWakeupNs()) {
-        execute(vm, nodes.get(vm).tick(group.nowNs()));
+      boolean isFree = !stopped[vm] && group.nowNs() >= busyUntilNs[vm];
+      if (isFree && group.nowNs() >= nodes.get(vm).nextWakeupNs()) {
+        handle(vm, node -> node.tick(group.nowNs()));
+      }
+    }
+  }
+
+  /** Lets a VM handle what happens to it, as soon as it has carried out its earlier actions. */
+  void handle(int vm, Input input) {
+    inputs.get(vm).add(input);
+    handleNext(vm);
+  }
+
+  private void handleNext(int vm) {
+    Deque<Input> waiting = inputs.get(vm);
+    while (!waiting.isEmpty() && group.nowNs() >= busyUntilNs[vm]) {
+      List<ForwardAction> actions = waiting.poll().apply(nodes.get(vm));
+      long costNs = costNs(vm, actions);
+      if (costNs == 0) {
+        execute(vm, actions);
+      } else {
+        busyUntilNs[vm] = group.nowNs() + costNs;
+        executeLater(vm, actions, costNs);
       }
     }
   }
 
+  private long costNs(int vm, List<ForwardAction> actions) {
+    boolean isCold = group.nowNs() - startedNs[vm] < COLD_NS;
+    return isCold ? actions.size() * coldActionMs * NS_PER_MS : 0;
+  }
+
+  private void executeLater(int vm, List<ForwardAction> actions, long delayNs) {
+    long incarnation = incarnations[vm];
+    group.after(
+        delayNs,
+        () -> {
+          if (incarnation == incarnations[vm]) {
+            execute(vm, actions);
+            handleNext(vm);
+          }
+        });
+  }
+
   void execute(int vm, List<ForwardAction> actions) {
     for (ForwardAction action : actions) {
       if (action instanceof ForwardAction.SendControl send) {
@@ -189,7 +264,7 @@
         prober.durationNs(vm, probe, result),
         () -> {
           if (incarnation == incarnations[vm]) {
-            execute(vm, nodes.get(vm).onProbeEnded(probe.upstream().id(), result, group.nowNs()));
+            handle(vm, node -> node.onProbeEnded(probe.upstream().id(), result, group.nowNs()));
           }
         });
   }
--- a/core/src/test/java/org/teaseltrail/core/control/StreamVersionSimulation.java
+++ b/core/src/test/java/org/teaseltrail/core/control/StreamVersionSimulation.java
@@ -27,28 +27,15 @@
   private static final long NS_PER_MS = 1_000_000L;
   private static final int HEARTBEAT_EVERY_MS = 1_200;
   private static final int RESTART_DELAY_MS = 2_500;
+  private static final int CONNECT_MS = 300;
   private static final int FIRST_EVENT_MS = 60;
   private static final int MIN_STREAM_MS = 300;
   private static final int MAX_STREAM_MS = 1_500;
   private static final int MAX_TAKE_UP_DELAY_MS = 300;
   private static final int DEADLINE_MS = 4_000;
 
-  /** A caller's stream over all its tries. */
-  private static final class CallerStream {
-    private final String begunBy;
-    private Optional<UpstreamVersion> version = Optional.empty();
-    private boolean mixed;
-    private int tries;
-
-    private CallerStream(String begunBy) {
-      this.begunBy = begunBy;
-    }
-
-    private void receive(UpstreamVersion from) {
-      mixed |= version.isPresent() && !version.get().equals(from);
-      version = Optional.of(version.orElse(from));
-    }
-  }
+  /** Time below which a caller gives up in place of another try. */
+  private static final int MIN_REMAINING_MS = 300;
 
   /** One try of a caller at a VM, and the engine that runs it at present. */
   private static final class Try {
@@ -75,8 +62,10 @@
   private final Map<Long, Try> tries = new HashMap<>();
   private final List<CallerStream> streams = new ArrayList<>();
   private int minTakeUpDelayMs;
+  private OptionalInt patienceMs = OptionalInt.empty();
   private long lastNumber;
   private int sentTakeUps;
+  private int sentTakeUpsBegun;
   private int takeUps;
   private int takeUpsBegun;
   private int newStreams;
@@ -112,13 +101,18 @@
     minTakeUpDelayMs = minDelayMs;
   }
 
+  /** Limits the time of a stream over all its tries; without it each try has its own. */
+  void limitPatience(int totalMs) {
+    patienceMs = OptionalInt.of(totalMs);
+  }
+
   /** Advances the time while callers begin streams at a rate. */
   void simulate(int lengthMs, double perSecond) {
     for (int ms = 0; ms < lengthMs; ms++) {
       group.run(1);
       vms.tick();
       if (random.nextDouble() < perSecond / 1_000) {
-        CallerStream stream = new CallerStream("id-" + (lastNumber + 1));
+        CallerStream stream = new CallerStream(group.nowNs());
         streams.add(stream);
         send(stream, false);
       }
@@ -141,8 +135,30 @@
         .ifPresent(this::deregister);
   }
 
-  /** Kills a VM; its callers take their streams up elsewhere. */
+  /** Kills a VM, which starts again at once; its callers take their streams up elsewhere. */
   void killVm(int vm) {
+    endTries(vm);
+    vms.restart(vm);
+  }
+
+  /** Kills all VMs; until they start again callers reach none, and come back. */
+  void darkenAllVms(int darkMs) {
+    for (int i = 0; i < vms.count(); i++) {
+      int vm = i;
+      vms.stop(vm);
+      endTries(vm);
+      later(darkMs, () -> restartUnconnected(vm));
+    }
+  }
+
+  /** Starts a VM that listens to callers before it is connected to the members. */
+  private void restartUnconnected(int vm) {
+    vms.setPartitioned(vm, true);
+    vms.restart(vm);
+    later(CONNECT_MS, () -> vms.setPartitioned(vm, false));
+  }
+
+  private void endTries(int vm) {
     List<Long> lost =
         tries.entrySet().stream()
             .filter(entry -> entry.getValue().vm == vm)
@@ -154,7 +170,6 @@
       current.engine.ifPresent(engine -> engine.removeRequest(number));
       takeUp(current);
     }
-    vms.restart(vm);
   }
 
   /** Ends all members but the leader and starts them again at once. */
@@ -170,7 +185,7 @@
 
   /** Returns the number of streams that hold events of two versions. */
   long mixedStreams() {
-    return streams.stream().filter(stream -> stream.mixed).count();
+    return streams.stream().filter(CallerStream::isMixed).count();
   }
 
   /** Returns the number of streams taken up, also at VMs without a session. */
@@ -183,6 +198,11 @@
     return (double) takeUpsBegun / takeUps;
   }
 
+  /** Returns the share of streams taken up that go on, also at VMs without a session. */
+  double sentTakeUpShare() {
+    return (double) sentTakeUpsBegun / sentTakeUps;
+  }
+
   /** Returns the share of new streams that begin at their first try, at VMs with a session. */
   double newShare() {
     return (double) newStreamsBegun / newStreams;
@@ -207,9 +227,16 @@
   }
 
   private void send(CallerStream stream, boolean takeUp) {
-    long number = ++lastNumber;
-    stream.tries++;
     int vm = random.nextInt(vms.count());
+    if (remainingMs(stream) < MIN_REMAINING_MS) {
+      return;
+    }
+    if (!vms.isRunning(vm)) {
+      later(random.nextInt(MAX_TAKE_UP_DELAY_MS), () -> send(stream, takeUp));
+      return;
+    }
+    long number = ++lastNumber;
+    stream.countTry();
     sentTakeUps += takeUp ? 1 : 0;
     boolean isCounted = vms.node(vm).isReady(group.nowNs());
     tries.put(number, new Try(stream, vm, takeUp, isCounted));
@@ -219,23 +246,33 @@
     }
     Optional<StreamResumption> resumption =
         takeUp
-            ? Optional.of(
-                new StreamResumption(Optional.of(stream.begunBy), Optional.of("" + stream.tries)))
+            ? Optional.of(new StreamResumption(stream.begunBy(), Optional.of("" + stream.tries())))
             : Optional.empty();
     ForwardRequest request =
         new ForwardRequest(
             number,
-            "id-" + number,
+            attemptId(number),
             TestPlans.HOST,
             "/resumable/x",
             Optional.of(TestPlans.KEY),
-            OptionalLong.of(DEADLINE_MS),
+            OptionalLong.of(remainingMs(stream)),
             OptionalInt.of(500),
             OptionalInt.of(100),
             List.of(),
             RequestContent.EMPTY,
             resumption);
-    vms.execute(vm, vms.node(vm).onRequest(request, group.nowNs()));
+    vms.handle(vm, node -> node.onRequest(request, group.nowNs()));
+  }
+
+  private static String attemptId(long number) {
+    return "id-" + number;
+  }
+
+  /** Returns how long the caller still waits. */
+  private long remainingMs(CallerStream stream) {
+    return patienceMs.isEmpty()
+        ? DEADLINE_MS
+        : patienceMs.getAsInt() - (group.nowNs() - stream.createdNs()) / NS_PER_MS;
   }
 
   private void execute(int vm, ForwardAction action) {
@@ -255,7 +292,7 @@
 
   /** Takes a stream up once that has had an event. */
   private void takeUp(Try broken) {
-    if (broken.stream.version.isPresent() && broken.stream.tries < 2) {
+    if (broken.stream.mayTakeUp()) {
       later(
           minTakeUpDelayMs + random.nextInt(MAX_TAKE_UP_DELAY_MS), () -> send(broken.stream, true));
     }
@@ -290,14 +327,15 @@
     if (current == null || current.attempt != attempt || current.engine.isEmpty()) {
       return;
     }
-    current.stream.receive(current.engine.get().version());
-    if (!current.begun && current.counted) {
+    current.stream.receive(current.engine.get().version(), attemptId(number));
+    if (!current.begun) {
       current.begun = true;
-      takeUpsBegun += current.takeUp ? 1 : 0;
-      newStreamsBegun += current.takeUp ? 0 : 1;
+      sentTakeUpsBegun += current.takeUp ? 1 : 0;
+      takeUpsBegun += current.takeUp && current.counted ? 1 : 0;
+      newStreamsBegun += !current.takeUp && current.counted ? 1 : 0;
     }
     int vm = current.vm;
-    vms.execute(vm, vms.node(vm).onResponseStarted(number, group.nowNs()));
+    vms.handle(vm, node -> node.onResponseStarted(number, group.nowNs()));
   }
 
   private void end(VersionedEngine engine) {
@@ -317,7 +355,7 @@
     }
     removeFromEngine(number);
     int vm = current.vm;
-    vms.execute(vm, vms.node(vm).onAttemptEnded(number, outcome, group.nowNs()));
+    vms.handle(vm, node -> node.onAttemptEnded(number, outcome, group.nowNs()));
   }
 
   private void removeFromEngine(long number) {
--- a/core/src/test/java/org/teaseltrail/core/control/StreamVersionTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/StreamVersionTest.java
@@ -25,6 +25,17 @@
   private static final double PER_SECOND = 20;
   private static final int SEEDS_OF_RELEASE = 8;
 
+  private static final int DARK_MS = 2_500;
+
+  /** Time until a VM's new process listens. */
+  private static final int START_MS = 700;
+
+  /** Time that each action takes in a process that has just started. */
+  private static final int COLD_ACTION_MS = 5;
+
+  /** Time of a stream over all tries of its caller. */
+  private static final int PATIENCE_MS = 6_000;
+
   /** Share of new streams' success that the users require of streams taken up. */
   private static final double REQUIRED_SHARE = 0.5;
 
@@ -160,6 +171,25 @@
     assertThatTakeUpsGoOn(simulation);
   }
 
+  /** Guards against streams that no VM continues once all VMs were lost for some seconds. */
+  @ParameterizedTest
+  @Tag("known-red")
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void streamsGoOnAfterAllVmsWereDark(long seed) {
+    StreamVersionSimulation simulation = start(seed, 4);
+    simulation.limitPatience(PATIENCE_MS);
+    simulation.vms().useColdStarts(COLD_ACTION_MS);
+    for (int i = 0; i < 3; i++) {
+      simulation.simulate(3 * STEP_MS, PER_SECOND);
+      simulation.darkenAllVms(DARK_MS + START_MS);
+      simulation.simulate(DARK_MS + START_MS + 3 * STEP_MS, PER_SECOND);
+    }
+    assertThat(simulation.mixedStreams()).isZero();
+    assertThat(simulation.takeUps()).isPositive();
+    assertThat(simulation.sentTakeUpShare())
+        .isGreaterThanOrEqualTo(AIMED_SHARE * simulation.newShare());
+  }
+
   /** Guards against streams joined from two versions once all entry VMs have started again. */
   @ParameterizedTest
   @EnumSource(Disturbance.class)
