Time the head of a request by the plan's limit, and not its body

What callers saw: 408 for an upload that took longer than the time for heads, though its head had come in time and its body went on coming. Cause: one clock ran from the first byte to the whole request.

The head keeps its limit. A body may take as long as its caller waits (the deadline that it names), and may pause as long as a connection may be idle; then it is answered 408, which says that it has not run.

--- a/forward/src/main/java/org/teaseltrail/forward/BodyGate.java
+++ b/forward/src/main/java/org/teaseltrail/forward/BodyGate.java
@@ -11,6 +11,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -23,9 +24,16 @@
  */
 final class BodyGate extends ChannelInboundHandlerAdapter implements BodyBudget.Waiter {
 
-  /** Receives the requests that get no room in time. */
+  /** Receives what becomes known of a request before it is whole. */
   interface Listener {
 
+    /**
+     * The head of a request was read whole.
+     *
+     * @param deadlineMs time for which its caller waits, in milliseconds, if it names one
+     */
+    void onHead(OptionalLong deadlineMs);
+
     /** The body has room now. */
     void onRoom();
 
@@ -86,13 +94,16 @@
 
   @Override
   public void channelRead(ChannelHandlerContext reading, Object message) {
+    if (message instanceof HttpRequest request) {
+      listener.onHead(headerCodec.readDeadlineMs(request));
+    }
     if (state == State.REFUSED) {
       ReferenceCountUtil.release(message);
     } else if (state == State.WAITING) {
       held.addLast(compact(message));
-    } else if (message instanceof HttpRequest request && !reserve(request)) {
+    } else if (message instanceof HttpRequest head && !reserve(head)) {
       held.addLast(message);
-      startWaiting(request);
+      startWaiting(head);
     } else {
       reading.fireChannelRead(compact(message));
     }
--- a/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -42,6 +43,9 @@
   private boolean continueOwed;
   private long lastActiveNs = System.nanoTime();
   private boolean midRequest;
+  private boolean midHead;
+  private long headReadNs;
+  private long bodyTimeoutNs;
 
   /**
    * Creates a connection.
@@ -58,6 +62,14 @@
     gate = bodyGate;
   }
 
+  @Override
+  public void onHead(OptionalLong deadlineMs) {
+    midHead = false;
+    lastActiveNs = System.nanoTime();
+    bodyTimeoutNs = TimeUnit.MILLISECONDS.toNanos(deadlineMs.orElse(Long.MAX_VALUE));
+    headReadNs = lastActiveNs;
+  }
+
   @Override
   public void onRoom() {
     lastActiveNs = System.nanoTime();
@@ -104,6 +116,9 @@
   void onBytesReceived() {
     if (current == null && !midRequest) {
       midRequest = true;
+      midHead = true;
+      lastActiveNs = System.nanoTime();
+    } else if (!midHead) {
       lastActiveNs = System.nanoTime();
     }
   }
@@ -111,6 +126,7 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     midRequest = false;
+    midHead = false;
     continueOwed = false;
     lastActiveNs = System.nanoTime();
     if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
@@ -205,7 +221,11 @@
       return;
     }
     long inactiveNs = nowNs - lastActiveNs;
-    if (midRequest && inactiveNs > headerTimeoutNs) {
+    boolean isLate =
+        midHead
+            ? inactiveNs > headerTimeoutNs
+            : inactiveNs > idleTimeoutNs || nowNs - headReadNs > bodyTimeoutNs;
+    if (midRequest && isLate) {
       refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the request was not sent in time");
     } else if (!midRequest && inactiveNs > idleTimeoutNs) {
       channel.close();
--- a/forward/src/test/java/org/teaseltrail/forward/BodyGateTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/BodyGateTest.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -33,6 +34,11 @@
   /** One caller's connection; counts what passes its gate. */
   private final class Caller implements BodyGate.Listener {
 
+    @Override
+    public void onHead(OptionalLong deadlineMs) {
+      // Only room matters here.
+    }
+
     private final BodyGate gate = new BodyGate(budget, new FakeHeaderCodec(), MAX_BODY_BYTES, this);
     private final EmbeddedChannel channel = new EmbeddedChannel(gate);
     private int rooms;
