--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -49,6 +49,7 @@
   private final HeaderCodec dialect;
   private final SurplusLimit surplus = new SurplusLimit();
   private final SentRequests sent = new SentRequests();
+  private final ReadPauses pauses = new ReadPauses();
   private final AnswerDecoder decoder =
       new AnswerDecoder(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES));
   private final long openedNs = System.nanoTime();
@@ -64,9 +65,6 @@
   private long keepAliveNs = (long) (DEFAULT_KEEP_ALIVE_S * NS_PER_S * USED_KEEP_ALIVE_FRACTION);
   private long idleSinceNs;
   private boolean idle;
-  private boolean held;
-  private boolean callerBlocked;
-  private boolean roomMissing;
 
   UpstreamConnection(UpstreamConnectionPool<?> pool, HeaderCodec dialect) {
     this.pool = pool;
@@ -131,24 +129,17 @@
    * connection always reads: otherwise the next request would run and its response never be read.
    */
   void setCallerWritable(boolean writable) {
-    callerBlocked = !writable && !idle;
-    updateAutoRead();
+    pauses.set(channel, ReadPauses.Reason.CALLER_BLOCKED, !writable && !idle);
   }
 
   /** Pauses or resumes reading to coalesce events. */
   void hold(boolean hold) {
-    held = hold;
-    updateAutoRead();
+    pauses.set(channel, ReadPauses.Reason.COALESCING, hold);
   }
 
   /** Pauses or resumes reading while there is no room for the answer. */
   void setRoomMissing(boolean missing) {
-    roomMissing = missing && !idle;
-    updateAutoRead();
-  }
-
-  private void updateAutoRead() {
-    channel.config().setAutoRead(!held && !callerBlocked && !roomMissing);
+    pauses.set(channel, ReadPauses.Reason.NO_ROOM, missing && !idle);
   }
 
   @Override
@@ -329,10 +320,7 @@
    */
   private void complete() {
     answerEnded = false;
-    held = false;
-    callerBlocked = false;
-    roomMissing = false;
-    updateAutoRead();
+    pauses.clear(channel);
     boolean bodyRead = requestWrite.isDone() && requestWrite.isSuccess();
     UpstreamResponseListener ended = responseListener;
     responseListener = null;
