Show an acceptance that is joined with the head of a refusal

An engine stops in the head of its answer to an order ("HTTP/1.1 202 Acc") and then answers the same order whole, with 409: the leader reads ACCEPTED.

--- a/control/src/test/java/org/teaseltrail/control/EngineOrderClientTest.java
+++ b/control/src/test/java/org/teaseltrail/control/EngineOrderClientTest.java
@@ -131,4 +131,21 @@
       assertThat(order(engine)).isIn(OrderOutcome.ACCEPTED, OrderOutcome.UNREACHABLE);
     }
   }
+
+  /** Guards against an acceptance whose head broke off and was joined with that of a refusal. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 202 Acc",
+        "HTTP/1.1 202 ",
+        "HTTP/1.1 202 Accepted\r\n",
+        "HTTP/1.1 202 Accepted\r\nServer: some"
+      })
+  void headThatBreaksOffIsNotJoinedWithNextOne(String part) throws Exception {
+    try (FakeOrderEngine engine =
+        new FakeOrderEngine(
+            (order, uses, socket) -> FakeOrderEngine.send(socket, part + CONFLICT))) {
+      assertThat(order(engine)).isNotEqualTo(OrderOutcome.ACCEPTED);
+    }
+  }
 }
