Show a second answer that is forwarded behind a part of an event

What callers see: a stream that looks whole, with the last chunk, whose last event is a part of an event, the head of the second answer and all its headers. Cause: the rule of looks for a status line only where an event begins, but an upstream may stop within an event before it answers again. The events of the second answer follow, unless their ids are known.

--- a/forward/src/test/java/org/teaseltrail/forward/SseEventFramerTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/SseEventFramerTest.java
@@ -94,4 +94,22 @@
     }
     assertThat(forwarded).hasToString("id: 1\n\n");
   }
+
+  /** Guards against a second answer behind a stream that broke off within an event. */
+  @Test
+  void forwardsNothingOfEventThatAnotherAnswerBreaks() throws Exception {
+    String event = "id: 1\ndata: a\n\n";
+    String answer = "HTTP/1.1 500 Internal Server Error\r\nX: y\r\n\r\nid: 7\ndata: b\n\n";
+    assertThat(take(event + "id: 2\ndata: c" + answer)).isEqualTo(event);
+    assertThat(blocks.isAtOtherAnswer()).isTrue();
+  }
+
+  /** Guards against the same where the event broke off at the end of a line. */
+  @Test
+  void forwardsNothingOfEventThatAnotherAnswerFollowsAtLine() throws Exception {
+    String event = "id: 1\ndata: a\n\n";
+    String answer = "HTTP/1.1 500 Internal Server Error\r\nX: y\r\n\r\nid: 7\ndata: b\n\n";
+    assertThat(take(event + "id: 2\ndata: c\n" + answer)).isEqualTo(event);
+    assertThat(blocks.isAtOtherAnswer()).isTrue();
+  }
 }
