--- /dev/null
+++ b/forward/src/test/java/org/teaseltrail/forward/JoinedAnswerTest.java
@@ -0,0 +1,87 @@
+package org.teaseltrail.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.teaseltrail.forward.AnswerText.Framing;
+import org.teaseltrail.forward.AnswerText.Status;
+import org.teaseltrail.forward.ScriptedConnection.End;
+
+/** Second answers in the place of a part of a first one that broke off. */
+class JoinedAnswerTest {
+
+  private static final String TARGET = "upstream";
+  private static final byte[] NOTHING = {};
+  private static final String NO_CONTENT = "HTTP/1.1 204 No Content\r\n";
+
+  private final UpstreamConnectionPool<String> pool =
+      new UpstreamConnectionPool<>(
+          null, new FakeHeaderCodec(), new UpstreamConnectionListener<String>() {});
+  private final ScriptedConnection connection = new ScriptedConnection(pool, new Random(1), 1_000);
+
+  JoinedAnswerTest() {
+    pool.adopt(TARGET, connection.connection());
+  }
+
+  /** Guards against a second answer that is read as the trailers of a first one in chunks. */
+  @Test
+  void secondAnswerIsNoTrailer() {
+    ReceivedAnswer first = send(HttpMethod.GET, "first");
+    String head = "HTTP/1.1 200 OK\r\n" + name("first") + "Transfer-Encoding: chunked\r\n\r\n";
+    connection.answer(ascii(head + "3\r\none\r\n0\r\n"), NOTHING);
+    connection.answer(ascii("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), NOTHING);
+    assertThat(first.whole()).isEmpty();
+    assertThat(pool.takeIdle(TARGET, "second")).isEmpty();
+  }
+
+  /** Guards against a second answer that fills up the chunk that a first one left unfinished. */
+  @Test
+  void secondAnswerIsNoPartOfChunk() {
+    ReceivedAnswer first = send(HttpMethod.GET, "first");
+    String second = "HTTP/1.1 500 No\r\n" + name("first") + "Content-Length: 0\r\n\r\n";
+    String head = "HTTP/1.1 200 OK\r\n" + name("first") + "Transfer-Encoding: chunked\r\n\r\n";
+    int size = 3 + second.length() - 2;
+    connection.answer(ascii(head + Integer.toHexString(size) + "\r\none" + second), NOTHING);
+    connection.end(End.CLOSE);
+    assertThat(first.whole()).isEmpty();
+  }
+
+  /** Guards against the body of an answer that may have none, joined with the next status line. */
+  @Test
+  void bodyOfAnswerWithoutContentIsNotJoinedWithNextHead() {
+    ReceivedAnswer first = send(HttpMethod.GET, "first");
+    connection.answer(ascii(NO_CONTENT + name("first") + "Content-Length: 12\r\n\r\n"), NOTHING);
+    assertThat(first.hasEnded()).isTrue();
+    if (pool.takeIdle(TARGET, "second").isPresent()) {
+      ReceivedAnswer second = new ReceivedAnswer("second", () -> {});
+      connection.send(HttpMethod.GET, second);
+      connection.answer(ascii("HTTP/1.1 200"), NOTHING);
+      connection.answer(answer(Status.FAILURE, "second").bytes(), NOTHING);
+      assertThat(second.whole()).isEmpty();
+      assertThat(second.hasEnded()).isTrue();
+    }
+  }
+
+  private ReceivedAnswer send(HttpMethod method, String id) {
+    assertThat(pool.takeIdle(TARGET, id)).containsSame(connection.connection());
+    ReceivedAnswer received = new ReceivedAnswer(id, () -> {});
+    connection.send(method, received);
+    return received;
+  }
+
+  private static AnswerText answer(Status status, String id) {
+    return new AnswerText(status, List.of(id), "of " + id, Framing.LENGTH, true);
+  }
+
+  private static String name(String id) {
+    return FakeHeaderCodec.REQUEST_ID + ": " + id + "\r\n";
+  }
+
+  private static byte[] ascii(String text) {
+    return text.getBytes(StandardCharsets.ISO_8859_1);
+  }
+}
