Give up joined heads on the other request path and of orders too

What callers saw on the other request path: 200 with the body of a failure, framed as whole, though their service had answered 500. What an operator saw: an order counted as accepted that the engine had refused. A connection of its own for each call doesn't help there.

--- a/control/src/main/java/org/teaseltrail/control/EngineOrderClient.java
+++ b/control/src/main/java/org/teaseltrail/control/EngineOrderClient.java
@@ -12,8 +12,10 @@
 import org.teaseltrail.core.control.EngineOrder;
 import org.teaseltrail.core.control.OrderOutcome;
 import org.teaseltrail.core.upstream.SocketAddress;
+import org.teaseltrail.wire.EmbeddedStatusLine;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
 
 /**
@@ -51,12 +53,17 @@
         .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body(order))))
         .response()
         .timeout(TIMEOUT)
-        .map(response -> outcome(response.status()))
+        .map(EngineOrderClient::outcome)
         .onErrorReturn(OrderOutcome.UNREACHABLE)
         .subscribe(outcome -> events.accept(new ControlEvent.OrderAnswered(order, outcome)));
   }
 
-  private static OrderOutcome outcome(HttpResponseStatus status) {
+  private static OrderOutcome outcome(HttpClientResponse response) {
+    HttpResponseStatus status = response.status();
+    if (EmbeddedStatusLine.isIn(status.reasonPhrase(), response.responseHeaders())) {
+      // An answer that broke off in its head, joined with another one: neither can be told.
+      return OrderOutcome.UNREACHABLE;
+    }
     if (status.code() == ACCEPTED) {
       return OrderOutcome.ACCEPTED;
     }
--- a/entry/src/main/java/org/teaseltrail/entry/UpstreamCallFactory.java
+++ b/entry/src/main/java/org/teaseltrail/entry/UpstreamCallFactory.java
@@ -42,6 +42,7 @@
   private static void addHandlers(ChannelPipeline pipeline) {
     pipeline.addAfter(NettyPipeline.HttpCodec, null, new InformationalResponseHandler());
     pipeline.addAfter(NettyPipeline.HttpCodec, null, new ResponseEndHandler());
+    pipeline.addAfter(NettyPipeline.HttpCodec, null, new JoinedHeadHandler());
   }
 
   /** Returns an HTTP client for one upstream. */
