Break a stream off where another answer follows a part of an event

What callers saw: in a stream without length and chunks, an event made of a part of one and the head of a second answer, later events of that answer, and the last chunk: framed as whole. Cause: a status line was looked for only where an event begins, but an upstream may stop within one before it answers again.

A status line anywhere in an event, with a header behind it, ends the stream as broken; a text that only quotes one goes on, as its lines are an event's.

--- a/forward/src/main/java/org/teaseltrail/forward/SseEventFramer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/SseEventFramer.java
@@ -5,6 +5,8 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import org.teaseltrail.wire.EmbeddedStatusLine;
 
 /**
  * Splits an event stream into complete events. Only complete events are forwarded, so that another
@@ -13,6 +15,7 @@
 final class SseEventFramer {
 
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+  private static final Set<String> EVENT_FIELDS = Set.of("data", "event", "id", "retry");
   private static final byte[] STATUS_LINE = "HTTP/".getBytes(StandardCharsets.US_ASCII);
 
   /** Maximum size of an event; an upstream that exceeds it does not send valid events. */
@@ -46,7 +49,7 @@
         continue;
       }
       if (lineIsEmpty) {
-        atOtherAnswer = startsWith(all, start, i, STATUS_LINE);
+        atOtherAnswer = holdsOtherAnswer(all, start, i);
         complete(all, start, i + 1, completeEvents);
         start = i + 1;
       }
@@ -107,6 +110,43 @@
     output.write(all, start, end - start);
   }
 
+  /**
+   * Returns whether an event is the head of another answer, or an event that broke off and was
+   * joined with such a head: a status line, and behind it a header. A status line alone may be
+   * quoted.
+   */
+  private static boolean holdsOtherAnswer(byte[] all, int start, int end) {
+    if (startsWith(all, start, end, STATUS_LINE)) {
+      return true;
+    }
+    return contains(all, start, end, STATUS_LINE) && hasHeaderBehindStatusLine(all, start, end);
+  }
+
+  private static boolean contains(byte[] all, int start, int end, byte[] text) {
+    for (int i = start; i + text.length <= end; i++) {
+      if (all[i] == text[0] && startsWith(all, i, end, text)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean hasHeaderBehindStatusLine(byte[] all, int start, int end) {
+    boolean afterStatusLine = false;
+    for (String line : new String(all, start, end - start, StandardCharsets.UTF_8).split("\n")) {
+      if (afterStatusLine && !isEventLine(line)) {
+        return true;
+      }
+      afterStatusLine |= EmbeddedStatusLine.isIn(line);
+    }
+    return false;
+  }
+
+  private static boolean isEventLine(String line) {
+    String field = line.split(":", 2)[0].trim();
+    return field.isEmpty() || EVENT_FIELDS.contains(field);
+  }
+
   /** Returns the value of an event's id field. */
   private static Optional<String> idOf(byte[] all, int start, int end) {
     int lineStart = start;
--- a/forward/src/test/java/org/teaseltrail/forward/SseEventFramerTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/SseEventFramerTest.java
@@ -95,6 +95,14 @@
     assertThat(forwarded).hasToString("id: 1\n\n");
   }
 
+  /** Guards against a stream that breaks off since its text quotes an answer's head. */
+  @Test
+  void eventThatQuotesStatusLineIsForwarded() throws Exception {
+    String event = "x-version: 3\nid: 1\ndata: HTTP/1.1 200 OK\ndata: Server: some\n\n";
+    assertThat(take(event)).isEqualTo(event);
+    assertThat(blocks.isAtOtherAnswer()).isFalse();
+  }
+
   /** Guards against a second answer behind a stream that broke off within an event. */
   @Test
   void forwardsNothingOfEventThatAnotherAnswerBreaks() throws Exception {
