Reuse a connection after an answer that has no body by its status

What an upstream saw: a new connection for each request that it answers 204 or 304. Where an answer ends is told in one place now (AnswerFraming), for the connection and the attempt.

--- a/forward/src/main/java/org/teaseltrail/forward/AnswerDecoder.java
+++ b/forward/src/main/java/org/teaseltrail/forward/AnswerDecoder.java
@@ -29,6 +29,10 @@
     method = next;
   }
 
+  HttpMethod method() {
+    return method;
+  }
+
   /** Returns the number of bytes that were received and don't make a whole part of an answer. */
   int undecodedBytes() {
     return takenBytes + actualReadableBytes();
--- a/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
@@ -152,8 +152,7 @@
   public final void headReceived(HttpResponse response, ResponseHead read) {
     head = read;
     status = response.status().code();
-    endsWithConnection =
-        !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
+    endsWithConnection = AnswerFraming.endsWithConnection(response, exchange.method());
     expectedBytes = HttpUtil.getContentLength(response, (long) Exchange.MAX_RESPONSE_BYTES);
     boolean forwardable = onHead(response, read);
     forwardsEvents = forwardable && isSuccess() && read.signed() && read.eventStream();
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
 import org.teaseltrail.core.forward.AttemptOutcome;
+import org.teaseltrail.wire.EmbeddedStatusLine;
 
 /**
  * One HTTP/1.1 connection to an upstream, which handles one request at a time.
@@ -230,7 +231,8 @@
   }
 
   private void head(HttpResponse response) {
-    if (decoder.endsHttp(response) || EmbeddedStatusLine.isIn(response)) {
+    if (decoder.endsHttp(response)
+        || EmbeddedStatusLine.isIn(response.status().reasonPhrase(), response.headers())) {
       reportUnexpected(UnexpectedAnswer.Handling.DOUBTED, response);
       fail();
       return;
@@ -242,6 +244,7 @@
     }
     ResponseHead read = dialect.readResponseHead(response);
     AnswerMatch match = sent.match(read.requestId());
+    boolean endsWithConnection = AnswerFraming.endsWithConnection(response, decoder.method());
     skipping = match == AnswerMatch.OTHER;
     if (skipping) {
       reportUnexpected(UnexpectedAnswer.Handling.SKIPPED, response);
@@ -254,8 +257,6 @@
       fail();
       return;
     }
-    boolean endsWithConnection =
-        !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
     closeAfterResponse = endsWithConnection || !HttpUtil.isKeepAlive(response);
     KeepAliveTimeout.read(response.headers())
         .ifPresent(timeoutNs -> keepAliveNs = (long) (timeoutNs * USED_KEEP_ALIVE_FRACTION));
