Use no connection again on which an answer named no request

What callers saw: every second request to an upstream that names none of its answers got 502. Cause: the first answer on a connection is taken without an id, as it can be nobody else's, and the second one can't. The connection is closed after the first now, so that each such answer is the first on its own. The former check of UpstreamConnectionTest for upstreams that name nothing stands there.

--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -258,6 +258,8 @@
       return;
     }
     closeAfterResponse = endsWithConnection || !HttpUtil.isKeepAlive(response);
+    // A second answer couldn't be told from that to the next request.
+    notReusable |= read.requestId().isEmpty();
     KeepAliveTimeout.read(response.headers())
         .ifPresent(timeoutNs -> keepAliveNs = (long) (timeoutNs * USED_KEEP_ALIVE_FRACTION));
     responseListener.headReceived(response, read);
