Give up a request behind an answer to another that has no end

What callers saw: no answer before their deadline. Cause: an answer to another request is read over to its end, but one without length and chunks ends with the connection only, so that the request's own answer is read as a part of it. The attempt is broken at once.

--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -245,6 +245,12 @@
     ResponseHead read = dialect.readResponseHead(response);
     AnswerMatch match = sent.match(read.requestId());
     boolean endsWithConnection = AnswerFraming.endsWithConnection(response, decoder.method());
+    if (match == AnswerMatch.OTHER && endsWithConnection) {
+      // All that follows belongs to that answer.
+      reportUnexpected(UnexpectedAnswer.Handling.DOUBTED, response);
+      fail();
+      return;
+    }
     skipping = match == AnswerMatch.OTHER;
     if (skipping) {
       reportUnexpected(UnexpectedAnswer.Handling.SKIPPED, response);
--- a/forward/src/test/java/org/teaseltrail/forward/EmbeddedStatusLineTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/EmbeddedStatusLineTest.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
+import org.teaseltrail.wire.EmbeddedStatusLine;
 
 /** Heads that break off after any byte, joined with the head of the next answer. */
 class EmbeddedStatusLineTest {
@@ -28,7 +29,7 @@
       boolean isTakenForSuccess =
           head.decoderResult().isSuccess()
               && head.status().code() == 200
-              && !EmbeddedStatusLine.isIn(head);
+              && !EmbeddedStatusLine.isIn(head.status().reasonPhrase(), head.headers());
       assertThat(isTakenForSuccess).as("cut after %s bytes: %s", bytes, head).isFalse();
       channel.finishAndReleaseAll();
     }
