Decide in one place what an answer's head is taken for

UpstreamConnection.head had grown to five exits. It asks for one of three matches now, and each has its own step. UNNAMED is called DOUBTFUL, as it means more than that; two methods have names that say what they do. No behaviour changes: the properties and sockets' tests of forward and platform are green as before.

--- a/forward/src/main/java/org/teaseltrail/forward/AnswerMatch.java
+++ b/forward/src/main/java/org/teaseltrail/forward/AnswerMatch.java
@@ -6,6 +6,6 @@
   OWN,
   /** It names another request. */
   OTHER,
-  /** It names no request, and may be a late second answer to an earlier one. */
-  UNNAMED
+  /** It may be that of this request or of another one, or is made of two answers. */
+  DOUBTFUL
 }
--- a/forward/src/main/java/org/teaseltrail/forward/SentRequests.java
+++ b/forward/src/main/java/org/teaseltrail/forward/SentRequests.java
@@ -40,7 +40,7 @@
     if (named.isPresent()) {
       return named.equals(last) ? AnswerMatch.OWN : AnswerMatch.OTHER;
     }
-    return count == 1 ? AnswerMatch.OWN : AnswerMatch.UNNAMED;
+    return count == 1 ? AnswerMatch.OWN : AnswerMatch.DOUBTFUL;
   }
 
   int count() {
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -147,7 +147,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
     if (!isAwaiting()) {
-      unasked(message);
+      dropUnasked(message);
       return;
     }
     if (message.decoderResult().isFailure()) {
@@ -171,21 +171,22 @@
   }
 
   /** Drops what arrives behind an answer, or while no request is in flight. */
-  private void unasked(HttpObject message) {
+  private void dropUnasked(HttpObject message) {
     if (message instanceof HttpResponse response) {
       reportUnexpected(UnexpectedAnswer.Handling.UNASKED, response);
     }
-    endAfterAnswer();
+    closeAfterAnswer();
   }
 
   /** Keeps the start of a late answer from being read as the start of the next one. */
   private void onUnaskedBytes() {
     reportUnexpected(
         UnexpectedAnswer.Handling.UNASKED, Optional.empty(), UnexpectedAnswer.NO_STATUS);
-    endAfterAnswer();
+    closeAfterAnswer();
   }
 
-  private void endAfterAnswer() {
+  /** Closes the connection, once the answer that has ended is passed on. */
+  private void closeAfterAnswer() {
     if (answerEnded) {
       notReusable = true;
     } else {
@@ -232,39 +233,44 @@
   }
 
   private void head(HttpResponse response) {
-    if (decoder.endsHttp(response)
-        || EmbeddedStatusLine.isIn(response.status().reasonPhrase(), response.headers())) {
-      reportUnexpected(UnexpectedAnswer.Handling.DOUBTED, response);
-      fail();
-      return;
-    }
-    informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    boolean isJoined =
+        EmbeddedStatusLine.isIn(response.status().reasonPhrase(), response.headers());
+    boolean isPlain = !isJoined && !decoder.endsHttp(response);
+    informational = isPlain && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     if (informational) {
       surplus.addHead();
       return;
     }
     ResponseHead read = dialect.readResponseHead(response);
-    AnswerMatch match = sent.match(read.requestId());
-    boolean endsWithConnection = AnswerFraming.endsWithConnection(response, decoder.method());
-    if (match == AnswerMatch.OTHER && endsWithConnection) {
-      // All that follows belongs to that answer.
-      reportUnexpected(UnexpectedAnswer.Handling.DOUBTED, response);
-      fail();
-      return;
-    }
+    AnswerMatch match = isPlain ? match(response, read) : AnswerMatch.DOUBTFUL;
     skipping = match == AnswerMatch.OTHER;
-    if (skipping) {
-      reportUnexpected(UnexpectedAnswer.Handling.SKIPPED, response);
-      surplus.addHead();
-      notReusable = true;
-      return;
+    switch (match) {
+      case OWN -> acceptHead(response, read);
+      case OTHER -> {
+        reportUnexpected(UnexpectedAnswer.Handling.SKIPPED, response);
+        surplus.addHead();
+        notReusable = true;
+      }
+      case DOUBTFUL -> {
+        reportUnexpected(UnexpectedAnswer.Handling.DOUBTED, response);
+        fail();
+      }
+      default -> throw new IllegalStateException(match.name());
     }
-    if (match == AnswerMatch.UNNAMED) {
-      reportUnexpected(UnexpectedAnswer.Handling.DOUBTED, response);
-      fail();
-      return;
-    }
-    closeAfterResponse = endsWithConnection || !HttpUtil.isKeepAlive(response);
+  }
+
+  /** A skipped answer without an end would be read on for as long as the connection is open. */
+  private AnswerMatch match(HttpResponse response, ResponseHead read) {
+    AnswerMatch match = sent.match(read.requestId());
+    boolean isEndless =
+        match == AnswerMatch.OTHER && AnswerFraming.endsWithConnection(response, decoder.method());
+    return isEndless ? AnswerMatch.DOUBTFUL : match;
+  }
+
+  private void acceptHead(HttpResponse response, ResponseHead read) {
+    closeAfterResponse =
+        AnswerFraming.endsWithConnection(response, decoder.method())
+            || !HttpUtil.isKeepAlive(response);
     // A second answer couldn't be told from that to the next request.
     notReusable |= read.requestId().isEmpty();
     KeepAliveTimeout.read(response.headers())
