Share the pooled connection of four tests

SkippedAnswerTest, JoinedAnswerTest, ConnectionReuseTest and UnusualAnswerTest each had send, serve and answer over a scripted connection.

--- a/forward/src/test/java/org/teaseltrail/forward/JoinedAnswerTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/JoinedAnswerTest.java
@@ -1,47 +1,39 @@
 package org.teaseltrail.forward;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.teaseltrail.forward.PooledConnection.NOTHING;
+import static org.teaseltrail.forward.PooledConnection.answer;
+import static org.teaseltrail.forward.PooledConnection.ascii;
+import static org.teaseltrail.forward.PooledConnection.name;
 
 import io.netty.handler.codec.http.HttpMethod;
-import java.nio.charset.StandardCharsets;
-import java.util.List;
-import java.util.Random;
 import org.junit.jupiter.api.Test;
-import org.teaseltrail.forward.AnswerText.Framing;
 import org.teaseltrail.forward.AnswerText.Status;
 import org.teaseltrail.forward.ScriptedConnection.End;
 
 /** Second answers in the place of a part of a first one that broke off. */
 class JoinedAnswerTest {
 
-  private static final String TARGET = "upstream";
-  private static final byte[] NOTHING = {};
   private static final String NO_CONTENT = "HTTP/1.1 204 No Content\r\n";
 
-  private final UpstreamConnectionPool<String> pool =
-      new UpstreamConnectionPool<>(
-          null, new FakeHeaderCodec(), new UpstreamConnectionListener<String>() {});
-  private final ScriptedConnection connection = new ScriptedConnection(pool, new Random(1), 1_000);
-
-  JoinedAnswerTest() {
-    pool.adopt(TARGET, connection.connection());
-  }
+  private final PooledConnection pooled = new PooledConnection();
+  private final ScriptedConnection connection = pooled.connection();
 
   /** Guards against a second answer that is read as the trailers of a first one in chunks. */
   @Test
   void secondAnswerIsNoTrailer() {
-    ReceivedAnswer first = send(HttpMethod.GET, "first");
+    ReceivedAnswer first = pooled.send(HttpMethod.GET, "first");
     String head = "HTTP/1.1 200 OK\r\n" + name("first") + "Transfer-Encoding: chunked\r\n\r\n";
     connection.answer(ascii(head + "3\r\none\r\n0\r\n"), NOTHING);
     connection.answer(ascii("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), NOTHING);
     assertThat(first.whole()).isEmpty();
-    assertThat(pool.takeIdle(TARGET, "second")).isEmpty();
+    assertThat(pooled.takeIdle("second")).isEmpty();
   }
 
   /** Guards against a second answer that fills up the chunk that a first one left unfinished. */
   @Test
   void secondAnswerIsNoPartOfChunk() {
-    ReceivedAnswer first = send(HttpMethod.GET, "first");
+    ReceivedAnswer first = pooled.send(HttpMethod.GET, "first");
     String second = "HTTP/1.1 500 No\r\n" + name("first") + "Content-Length: 0\r\n\r\n";
     String head = "HTTP/1.1 200 OK\r\n" + name("first") + "Transfer-Encoding: chunked\r\n\r\n";
     int size = 3 + second.length() - 2;
@@ -53,10 +45,10 @@
   /** Guards against the body of an answer that may have none, joined with the next status line. */
   @Test
   void bodyOfAnswerWithoutContentIsNotJoinedWithNextHead() {
-    ReceivedAnswer first = send(HttpMethod.GET, "first");
+    ReceivedAnswer first = pooled.send(HttpMethod.GET, "first");
     connection.answer(ascii(NO_CONTENT + name("first") + "Content-Length: 12\r\n\r\n"), NOTHING);
     assertThat(first.hasEnded()).isTrue();
-    if (pool.takeIdle(TARGET, "second").isPresent()) {
+    if (pooled.takeIdle("second").isPresent()) {
       ReceivedAnswer second = new ReceivedAnswer("second", () -> {});
       connection.send(HttpMethod.GET, second);
       connection.answer(ascii("HTTP/1.1 200"), NOTHING);
@@ -73,7 +65,7 @@
         "HTTP/1.1 200 OK\r\nServer: some\r\n" + name("first") + "Content-Length: 3\r\n\r\n";
     String unnamed = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo";
     for (int bytes = 1; bytes < head.length(); bytes++) {
-      ScriptedConnection cut = new ScriptedConnection(pool, new Random(1), 1_000);
+      ScriptedConnection cut = pooled.openAnother();
       ReceivedAnswer received = new ReceivedAnswer("first", () -> {});
       cut.send(HttpMethod.GET, received);
       cut.answer(ascii(head.substring(0, bytes) + unnamed), NOTHING);
@@ -87,7 +79,7 @@
     String head = "HTTP/1.1 200 OK\r\n" + name("first") + "Content-Length: 3\r\n\r\n";
     String second = "HTTP/1.1 200 OK\r\n" + name("first") + "Content-Length: 2\r\n\r\nok";
     for (int bytes = 1; bytes < head.length(); bytes++) {
-      ScriptedConnection cut = new ScriptedConnection(pool, new Random(1), 1_000);
+      ScriptedConnection cut = pooled.openAnother();
       ReceivedAnswer received = new ReceivedAnswer("first", () -> {});
       cut.send(HttpMethod.GET, received);
       cut.answer(ascii(head.substring(0, bytes) + second), NOTHING);
@@ -96,23 +88,4 @@
           .allMatch(answer -> answer.endsWith(" ok"));
     }
   }
-
-  private ReceivedAnswer send(HttpMethod method, String id) {
-    assertThat(pool.takeIdle(TARGET, id)).containsSame(connection.connection());
-    ReceivedAnswer received = new ReceivedAnswer(id, () -> {});
-    connection.send(method, received);
-    return received;
-  }
-
-  private static AnswerText answer(Status status, String id) {
-    return new AnswerText(status, List.of(id), "of " + id, Framing.LENGTH, true);
-  }
-
-  private static String name(String id) {
-    return FakeHeaderCodec.REQUEST_ID + ": " + id + "\r\n";
-  }
-
-  private static byte[] ascii(String text) {
-    return text.getBytes(StandardCharsets.ISO_8859_1);
-  }
 }
--- a/forward/src/test/java/org/teaseltrail/forward/UnusualAnswerTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/UnusualAnswerTest.java
@@ -1,12 +1,13 @@
 package org.teaseltrail.forward;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.teaseltrail.forward.PooledConnection.NOTHING;
+import static org.teaseltrail.forward.PooledConnection.answer;
+import static org.teaseltrail.forward.PooledConnection.ascii;
 
 import io.netty.handler.codec.http.HttpMethod;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
-import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.teaseltrail.forward.AnswerText.Framing;
 import org.teaseltrail.forward.AnswerText.Status;
@@ -15,39 +16,30 @@
 /** Answers whose bytes can be taken for those of another answer, or for none. */
 class UnusualAnswerTest {
 
-  private static final String TARGET = "upstream";
-  private static final byte[] NOTHING = {};
-
-  private final UpstreamConnectionPool<String> pool =
-      new UpstreamConnectionPool<>(
-          null, new FakeHeaderCodec(), new UpstreamConnectionListener<String>() {});
-  private final ScriptedConnection connection = new ScriptedConnection(pool, new Random(1), 1_000);
-
-  UnusualAnswerTest() {
-    pool.adopt(TARGET, connection.connection());
-  }
+  private final PooledConnection pooled = new PooledConnection();
+  private final ScriptedConnection connection = pooled.connection();
 
   /** Guards against a status line that is joined with the head of a later answer. */
   @Test
   void startOfHeadThatArrivesUnaskedIsNotJoinedWithNextAnswer() {
-    serve("first");
+    pooled.serve("first");
     connection.writeUnasked(ascii("HTTP/1.1 200 O"));
     assertThat(connection.isOpen()).isFalse();
-    assertThat(pool.takeIdle(TARGET, "second")).isEmpty();
+    assertThat(pooled.takeIdle("second")).isEmpty();
   }
 
   /** Guards against connections that are given up for line ends between two answers. */
   @Test
   void lineEndsBehindAnswerAreNoStartOfNextOne() {
-    serve("first");
+    pooled.serve("first");
     connection.writeUnasked(ascii("\r\n"));
-    assertThat(pool.takeIdle(TARGET, "second")).isPresent();
+    assertThat(pooled.takeIdle("second")).isPresent();
   }
 
   /** Guards against whole lines of a head that a decoder has taken without a trace. */
   @Test
   void linesOfHeadThatArriveUnaskedAreNotJoinedWithNextAnswer() {
-    serve("first");
+    pooled.serve("first");
     connection.writeUnasked(ascii("HTTP/1.1 200 OK\r\nServer: some\r\n"));
     assertThat(connection.isOpen()).isFalse();
   }
@@ -55,7 +47,7 @@
   /** Guards against the same in the read that has the end of an answer. */
   @Test
   void linesOfHeadBehindAnswerAreNotJoinedWithNextAnswer() {
-    send(HttpMethod.GET, "first");
+    pooled.send(HttpMethod.GET, "first");
     connection.answer(
         answer(Status.SUCCESS, "first").bytes(), ascii("HTTP/1.1 200 OK\r\nServer: some\r\n"));
     assertThat(connection.isOpen()).isFalse();
@@ -64,10 +56,10 @@
   /** Guards against a part of a status line in the read that has the end of an answer. */
   @Test
   void startOfHeadBehindAnswerIsNotJoinedWithNextAnswer() {
-    send(HttpMethod.GET, "first");
+    pooled.send(HttpMethod.GET, "first");
     connection.answer(answer(Status.SUCCESS, "first").bytes(), ascii("HTTP/1.1 200 O"));
     assertThat(connection.isOpen()).isFalse();
-    assertThat(pool.takeIdle(TARGET, "second")).isEmpty();
+    assertThat(pooled.takeIdle("second")).isEmpty();
   }
 
   /** Guards against a success whose status is that of another answer, which broke off. */
@@ -101,8 +93,8 @@
   }
 
   private void assertHeadIsNotJoined(String start) {
-    serve("first");
-    ReceivedAnswer second = send(HttpMethod.GET, "second");
+    pooled.serve("first");
+    ReceivedAnswer second = pooled.send(HttpMethod.GET, "second");
     connection.answer(ascii(start), NOTHING);
     connection.answer(answer(Status.FAILURE, "second").bytes(), NOTHING);
     assertThat(second.whole()).isEmpty();
@@ -112,8 +104,8 @@
   /** Guards against a request that stays open since another answer was taken for its framing. */
   @Test
   void requestForHeadEndsThoughAnotherAnswerWasSkipped() {
-    serve("first");
-    ReceivedAnswer second = send(HttpMethod.HEAD, "second");
+    pooled.serve("first");
+    ReceivedAnswer second = pooled.send(HttpMethod.HEAD, "second");
     connection.answer(answerToHead("first").bytes(), NOTHING);
     connection.answer(answerToHead("second").bytes(), NOTHING);
     assertThat(second.hasEnded()).isTrue();
@@ -122,10 +114,10 @@
   /** Guards against a second answer to {@code HEAD} whose length is read out of the next answer. */
   @Test
   void requestEndsThoughAnswerToHeadWasSkipped() {
-    ReceivedAnswer first = send(HttpMethod.HEAD, "first");
+    ReceivedAnswer first = pooled.send(HttpMethod.HEAD, "first");
     connection.answer(answerToHead("first").bytes(), NOTHING);
     assertThat(first.whole()).contains(answerToHead("first").received());
-    Optional<UpstreamConnection> reused = pool.takeIdle(TARGET, "second");
+    Optional<UpstreamConnection> reused = pooled.takeIdle("second");
     ReceivedAnswer second = new ReceivedAnswer("second", () -> {});
     reused.ifPresent(
         taken -> {
@@ -139,7 +131,7 @@
   /** Guards against a request that waits while the connection carries no HTTP any more. */
   @Test
   void switchToOtherProtocolFailsRequest() {
-    ReceivedAnswer first = send(HttpMethod.GET, "first");
+    ReceivedAnswer first = pooled.send(HttpMethod.GET, "first");
     connection.answer(ascii("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n"), NOTHING);
     connection.answer(answer(Status.SUCCESS, "first").bytes(), NOTHING);
     assertThat(first.hasEnded()).isTrue();
@@ -148,16 +140,16 @@
   /** Guards against a tunnel that goes back to the pool, and whose next request gets no answer. */
   @Test
   void connectionWithTunnelIsNotReused() {
-    ReceivedAnswer first = send(HttpMethod.CONNECT, "first");
+    ReceivedAnswer first = pooled.send(HttpMethod.CONNECT, "first");
     connection.answer(answer(Status.SUCCESS, "first").bytes(), NOTHING);
     assertThat(first.whole()).isEmpty();
-    assertThat(pool.takeIdle(TARGET, "second")).isEmpty();
+    assertThat(pooled.takeIdle("second")).isEmpty();
   }
 
   /** Guards against a second answer that is delivered as the end of a first one without length. */
   @Test
   void secondAnswerIsNoPartOfAnswerWithoutLength() {
-    ReceivedAnswer first = send(HttpMethod.GET, "first");
+    ReceivedAnswer first = pooled.send(HttpMethod.GET, "first");
     AnswerText own =
         new AnswerText(Status.SUCCESS, List.of("first"), "a", Framing.CONNECTION_END, true);
     connection.answer(own.bytes(), answer(Status.FAILURE, "first").bytes());
@@ -168,11 +160,10 @@
   /** Guards against a request that is sent where the upstream has closed already. */
   @Test
   void connectionThatEndsItsAnswerIsNotReused() {
-    assertThat(pool.takeIdle(TARGET, "first")).isPresent();
+    assertThat(pooled.takeIdle("first")).isPresent();
     boolean[] isReused = new boolean[1];
     ReceivedAnswer first =
-        new ReceivedAnswer(
-            "first", () -> isReused[0] = pool.takeIdle(TARGET, "second").isPresent());
+        new ReceivedAnswer("first", () -> isReused[0] = pooled.takeIdle("second").isPresent());
     connection.send(HttpMethod.GET, first);
     AnswerText own =
         new AnswerText(Status.SUCCESS, List.of("first"), "a", Framing.CONNECTION_END, true);
@@ -182,29 +173,7 @@
     assertThat(isReused).containsExactly(false);
   }
 
-  private void serve(String id) {
-    ReceivedAnswer received = send(HttpMethod.GET, id);
-    AnswerText own = answer(Status.SUCCESS, id);
-    connection.answer(own.bytes(), NOTHING);
-    assertThat(received.whole()).contains(own.received());
-  }
-
-  private ReceivedAnswer send(HttpMethod method, String id) {
-    assertThat(pool.takeIdle(TARGET, id)).containsSame(connection.connection());
-    ReceivedAnswer received = new ReceivedAnswer(id, () -> {});
-    connection.send(method, received);
-    return received;
-  }
-
   private static AnswerText answerToHead(String id) {
     return new AnswerText(Status.SUCCESS, List.of(id), "of " + id, Framing.LENGTH, false);
   }
-
-  private static AnswerText answer(Status status, String id) {
-    return new AnswerText(status, List.of(id), "of " + id, Framing.LENGTH, true);
-  }
-
-  private static byte[] ascii(String text) {
-    return text.getBytes(StandardCharsets.ISO_8859_1);
-  }
 }
