Give room to waiting bodies one after the other, not within each other

What callers saw: nothing. With many uploads waiting for room, those behind some hundred of them got no answer, and no body over 4 KB found room on that VM from then on.

Cause: BodyBudget.release gives the room to the next waiter within its own call. Netty catches the error, so that neither the process ends nor a line says so; the shares that were reserved on the way are never given back.

--- a/forward/src/main/java/org/teaseltrail/forward/BodyBudget.java
+++ b/forward/src/main/java/org/teaseltrail/forward/BodyBudget.java
@@ -22,6 +22,7 @@
   private final long capacityBytes;
   private final Deque<Waiter> waiting = new ArrayDeque<>();
   private volatile long usedBytes;
+  private boolean reserving;
 
   BodyBudget(long capacityBytes) {
     this.capacityBytes = capacityBytes;
@@ -65,11 +66,23 @@
     return usedBytes == 0 || usedBytes + bytes <= capacityBytes;
   }
 
+  /**
+   * Reserves shares for those who wait. One that gives its share back at once is followed by the
+   * next one here, not within its own call: a stack has no room for thousands.
+   */
   private void reserveForWaiting() {
-    while (!waiting.isEmpty() && fits(waiting.peekFirst().neededBytes())) {
-      Waiter next = waiting.pollFirst();
-      usedBytes += next.neededBytes();
-      next.onReserved();
+    if (reserving) {
+      return;
+    }
+    reserving = true;
+    try {
+      while (!waiting.isEmpty() && fits(waiting.peekFirst().neededBytes())) {
+        Waiter next = waiting.pollFirst();
+        usedBytes += next.neededBytes();
+        next.onReserved();
+      }
+    } finally {
+      reserving = false;
     }
   }
 }
