Tell a failed connect on the event loop, also without a free descriptor

Cause of a class of faults that callers see as anything: without a free descriptor Netty can't create the channel of a connection to an upstream, a peer or a probe, and tells the failure on its global executor's thread. That thread then ran the entry VM's state machine beside the event loop: two threads in maps and queues that one owns. The state may break at any later time, with an exception or with requests that are never ended (LOST), on a VM that goes on being ready.

Now the result of each connect passes through the loop.

Looked for elsewhere: the other listeners of futures in forward belong to registered channels and run on the loop; ControlConnectionManager and the other request path open connections with Reactor Netty and hand results over through queues or the loop.

--- a/forward/src/main/java/org/teaseltrail/forward/SharedEventLoop.java
+++ b/forward/src/main/java/org/teaseltrail/forward/SharedEventLoop.java
@@ -10,7 +10,7 @@
  * The event loop of an entry VM. All connections share it, so that data received on one connection
  * is written to another without waking up a second thread.
  */
-final class SharedEventLoop {
+class SharedEventLoop {
 
   /** Whether the loop uses the native epoll transport; otherwise it uses the JDK's selector. */
   static final boolean NATIVE = Epoll.isAvailable();
@@ -18,12 +18,12 @@
   private final LoopResources resources = LoopResources.create("entry", 1, true);
   private final EventLoop loop = resources.onServer(NATIVE).next();
 
-  EventLoop loop() {
+  final EventLoop loop() {
     return loop;
   }
 
   /** Returns the loop as resources for servers and clients of Reactor Netty. */
-  LoopResources resources() {
+  final LoopResources resources() {
     return resources;
   }
 
@@ -32,8 +32,17 @@
     return resources.onChannel(type, resources.onServer(NATIVE));
   }
 
+  /** Runs a task on the loop: now, if this is its thread. */
+  final void run(Runnable task) {
+    if (loop.inEventLoop()) {
+      task.run();
+    } else {
+      loop.execute(task);
+    }
+  }
+
   /** Shuts the loop down once its tasks have ended, at the latest after the given time. */
-  void end(Duration timeout) {
+  final void end(Duration timeout) {
     resources.disposeLater(Duration.ZERO, timeout).subscribe();
   }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
@@ -180,14 +180,17 @@
             .handler(initializer(connection));
     TcpKeepAliveOptions.applyTo(bootstrap);
     ChannelFuture connecting = bootstrap.connect(address.host(), address.port());
+    // Without a free descriptor there is no channel, and another thread tells the failure.
     connecting.addListener(
-        done -> {
-          if (done.isSuccess()) {
-            connected.accept(connection);
-          } else {
-            failed.run();
-          }
-        });
+        done ->
+            sharedLoop.run(
+                () -> {
+                  if (done.isSuccess()) {
+                    connected.accept(connection);
+                  } else {
+                    failed.run();
+                  }
+                }));
   }
 
   private static ChannelInitializer<Channel> initializer(UpstreamConnection connection) {
