Open a data folder again after its files failed to close

Callers saw: a control member whose disk failed for a moment could stay away for ever. Its process went on without a member.

Cause: where closing a segment's file failed (an error that the disk reports late), closing the storage threw before it released the folder's lock, so that each later attempt found the folder in use by this very process. And each attempt to open a folder whose last segment couldn't be truncated or synced left a file open: twice a second, until the process had no file descriptors left.

What must survive has been synced before a file is closed, so a failure to close is now logged and nothing else; a segment that can't be prepared is closed. Listing a folder that fails while it is read, and a lock that can't be taken, are I/O errors like the others now (they were an unchecked exception and an open channel).

--- a/storage/src/main/java/org/teaseltrail/storage/DataFolder.java
+++ b/storage/src/main/java/org/teaseltrail/storage/DataFolder.java
@@ -123,13 +123,13 @@
         });
   }
 
-  /** Releases a lock. A failure is only logged, as the lock ends with the process anyway. */
-  static void closeQuietly(AutoCloseable lock) {
+  /** Closes a file or lock, without which the folder can be used; a failure is only logged. */
+  static void closeQuietly(AutoCloseable file) {
     try {
-      lock.close();
+      file.close();
     } catch (Exception e) {
       LOGGER.log(
-          System.Logger.Level.WARNING, "[replica] failed to release the data folder lock", e);
+          System.Logger.Level.WARNING, "[replica] failed to close a file of the data folder", e);
     }
   }
 
--- a/storage/src/main/java/org/teaseltrail/storage/LogSegment.java
+++ b/storage/src/main/java/org/teaseltrail/storage/LogSegment.java
@@ -34,14 +34,14 @@
   static LogSegment create(DataFolder folder, long firstIndex) {
     SegmentContent empty = new SegmentContent(List.of(), List.of(), 0);
     LogSegment segment = new LogSegment(folder, new SegmentName(firstIndex), empty);
-    folder.sync();
+    segment.prepare(folder::sync);
     return segment;
   }
 
   /** Opens a segment for appending after its valid part; a torn write at the end is truncated. */
   static LogSegment open(DataFolder folder, SegmentName name, SegmentContent content) {
     LogSegment segment = new LogSegment(folder, name, content);
-    segment.truncateAndSync(content.validBytes());
+    segment.prepare(() -> segment.truncateAndSync(content.validBytes()));
     return segment;
   }
 
@@ -94,13 +94,20 @@
     truncateAndSync(sizeBytes);
   }
 
+  /** Closes the file. What must survive has been synced, so a failure is only logged. */
   @Override
   public void close() {
-    DataFolder.step(
-        folder.path(name.fileName()),
-        () -> {
-          file.close();
-        });
+    DataFolder.closeQuietly(file);
+  }
+
+  /** Closes the file if it can't be used: an attempt to open a folder is repeated for ever. */
+  private void prepare(Runnable preparation) {
+    try {
+      preparation.run();
+    } catch (RuntimeException e) {
+      close();
+      throw e;
+    }
   }
 
   private void flush() {
--- a/storage/src/main/java/org/teaseltrail/storage/NioFileSystem.java
+++ b/storage/src/main/java/org/teaseltrail/storage/NioFileSystem.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.storage;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
@@ -24,6 +25,8 @@
   public List<String> list(Path folder) throws IOException {
     try (Stream<Path> files = Files.list(folder)) {
       return files.map(file -> file.getFileName().toString()).sorted().toList();
+    } catch (UncheckedIOException e) {
+      throw e.getCause();
     }
   }
 
@@ -60,9 +63,15 @@
   public AutoCloseable lock(Path file) throws IOException {
     FileChannel channel =
         FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-    FileLock lock = tryLock(channel);
-    if (lock == null) {
-      channel.close();
+    boolean locked = false;
+    try {
+      locked = tryLock(channel) != null;
+    } finally {
+      if (!locked) {
+        channel.close();
+      }
+    }
+    if (!locked) {
       throw new FolderInUseException(file.getParent());
     }
     return channel;
