Take a member's name that is no address for a VM that can't be reached

Operators would see: all control members end one after the other, each again as soon as it is started.

Cause: in a group that bootstraps itself a member's name is its address. A name like "host:x", which comes from another process (a request to join, a list of members, the log), threw NumberFormatException in the event loop of each member that heard of it, which ends the member; a port of 0 or 65536 was taken and connected to for ever. Not seen on the users' machines; read in the code and shown by a test.

--- a/control/src/main/java/org/teaseltrail/control/VmAddressResolver.java
+++ b/control/src/main/java/org/teaseltrail/control/VmAddressResolver.java
@@ -22,12 +22,10 @@
 
   /**
    * Parses the address from the VM's name, {@code ip:port}. In a group that bootstraps itself, the
-   * settings do not list all VMs in advance.
+   * settings do not list all VMs in advance. A name that is no address, which another VM may have
+   * told, has none.
    */
   static VmAddressResolver fromVmName() {
-    return vm -> {
-      boolean named = vm.value().lastIndexOf(':') > 0;
-      return named ? Optional.of(SocketAddress.parse(vm.value())) : Optional.empty();
-    };
+    return vm -> SocketAddress.parseServer(vm.value());
   }
 }
