End or restart a control member whatever fails in it, with a line that says why

Operators saw, after a failure of a disk: a process that runs, answers NO_LEADER to each call and has no member, for ever, with no line.

Cause: three ways in which a thread could end with nobody noticing. - The thread that writes to the data folder ended on any exception other than StorageException (also an Error, such as direct memory that the runtime can't reserve, which -XX:+ExitOnOutOfMemoryError doesn't see).

Now the supervisor has three states: a member runs; its start is retried (line folder_unusable); the process ends (line process_failed, exit code). A start that succeeds after the supervisor was closed is closed too. member_failed names the thread, the exceptions with their innermost calls (no messages, which may quote a request) and the code.

--- a/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
@@ -31,7 +31,6 @@
 import org.teaseltrail.runtime.log.ComponentLogger;
 import org.teaseltrail.runtime.process.ExitCode;
 import org.teaseltrail.runtime.process.ProgramException;
-import org.teaseltrail.runtime.process.RunningProgram;
 import org.teaseltrail.storage.ReplicaStorage;
 import org.teaseltrail.storage.StorageException;
 import org.teaseltrail.wire.ClientType;
@@ -44,7 +43,7 @@
 /**
  * Runs a control member: connects its event loop to the network, the data folder and the metrics.
  */
-public final class ControlDaemon implements RunningProgram {
+public final class ControlDaemon implements SupervisedMember {
 
   private static final long NS_PER_MS = 1_000_000L;
 
@@ -53,6 +52,7 @@
   private final ComponentLogger logger = new ComponentLogger("control");
   private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
   private final SuspendAwareClock clock = new SuspendAwareClock();
+  private final MemberFailureLogger failures;
   private final SlowOperationLogger slow;
   private final ControlEventLoop loop;
   private final MessageCodec codec = new MessageCodec();
@@ -76,6 +76,7 @@
 
   private ControlDaemon(ControlOptions options, ReplicaStorage folder, long silentMs)
       throws IOException {
+    failures = new MemberFailureLogger(options.log());
     slow = new SlowOperationLogger(options.log());
     loop = new ControlEventLoop(clock, slow);
     metrics = new ControlMetrics(entryVms, loop);
@@ -87,7 +88,7 @@
             : VmAddressResolver.ofPeers(options.members());
     peers = new PeerConnections(member, directory, codec, random, loop::post);
     notLeaderResponses = new NotLeaderResponseFactory(member.id(), options.operatorAddresses());
-    writes = new DataFolderWriter(folder, loop::post, this::storageFailed, slow);
+    writes = new DataFolderWriter(folder, loop::post, this::writesFailed, slow);
     final ControlMember decisions = decisions(options, folder, silentMs, random);
     snapshots = new SnapshotEncoder(new MessagePackStateCodec(codec), loop::post, this::loopFailed);
     joinClient =
@@ -178,6 +179,7 @@
    * @param request the request
    * @return the result; it may stay incomplete for as long as no quorum is reachable
    */
+  @Override
   public CompletableFuture<OperatorResult> call(OperatorRequest request) {
     return calls.call(request);
   }
@@ -187,6 +189,7 @@
    *
    * @param seeds the VMs
    */
+  @Override
   public void seeds(List<VmId> seeds) {
     joinClient.ifPresent(present -> present.addCandidates(seeds));
   }
@@ -196,12 +199,13 @@
    *
    * @return the VM, which may be this one, if the member knows a leader
    */
+  @Override
   public Optional<VmId> leaderVm() {
     return group.leaderVm();
   }
 
-  /** Counts a rejected heartbeat. */
-  void onHeartbeatRefused(HeartbeatFailure failure) {
+  @Override
+  public void onHeartbeatRefused(HeartbeatFailure failure) {
     metrics.countRefusedHeartbeat(failure);
   }
 
@@ -213,19 +217,21 @@
   /** Transfers leadership first, so that another member continues scheduling, then shuts down. */
   @Override
   public void close() {
-    loop.post(new ControlEvent.HandOver());
-    actionExecutor.awaitLeadershipTransfer();
-    operators.ifPresent(Server::shutdown);
-    calls.end();
-    operators.ifPresent(ControlDaemon::awaitOperatorCalls);
-    joinClient.ifPresent(GroupJoinClient::close);
-    loop.stop();
-    frames.close();
-    peers.close();
-    snapshots.close();
-    writes.close();
-    health.close();
-    metrics.close();
+    new ShutdownSteps()
+        .run(() -> loop.post(new ControlEvent.HandOver()))
+        .run(actionExecutor::awaitLeadershipTransfer)
+        .run(() -> operators.ifPresent(Server::shutdown))
+        .run(calls::end)
+        .run(() -> operators.ifPresent(ControlDaemon::awaitOperatorCalls))
+        .run(() -> joinClient.ifPresent(GroupJoinClient::close))
+        .run(loop::stop)
+        .run(frames::close)
+        .run(peers::close)
+        .run(snapshots::close)
+        .run(writes::close)
+        .run(health::close)
+        .run(metrics::close)
+        .throwFailure();
   }
 
   private void post(ControlEvent event) {
@@ -297,13 +303,20 @@
     operators.shutdownNow();
   }
 
-  private void storageFailed(StorageException failure) {
-    logger.error("Failed to write to the data folder; the member stops.", failure);
-    ended.complete(ExitCode.DATA);
+  private void writesFailed(Throwable failure) {
+    if (failure instanceof StorageException) {
+      stop("Failed to write to the data folder; the member stops.", failure, ExitCode.DATA);
+    } else {
+      loopFailed(failure);
+    }
   }
 
   private void loopFailed(Throwable failure) {
-    logger.error("Unexpected error; the member stops.", failure);
-    ended.complete(ExitCode.INTERNAL);
+    stop("Unexpected error; the member stops.", failure, ExitCode.INTERNAL);
+  }
+
+  private void stop(String sentence, Throwable failure, ExitCode exitCode) {
+    failures.memberFailed(sentence, failure, exitCode);
+    ended.complete(exitCode);
   }
 }
--- a/control/src/main/java/org/teaseltrail/control/ControlMemberSupervisor.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlMemberSupervisor.java
@@ -9,7 +9,6 @@
 import org.teaseltrail.core.control.OperatorResult;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.registry.HeartbeatFailure;
-import org.teaseltrail.runtime.log.ComponentLogger;
 import org.teaseltrail.runtime.process.ExitCode;
 import org.teaseltrail.runtime.process.ProgramException;
 import org.teaseltrail.runtime.process.RunningProgram;
@@ -21,24 +20,29 @@
  * stop and recover from its data folder. If the process exited too, each attempt would cost a start
  * of the program, and its process supervisor would see a crash loop. While the disk fails, this VM
  * runs no member and replies that it is not the leader.
+ *
+ * <p>At any time a member runs, or its start is retried with a line that says why, or the process
+ * ends with an exit code and a line. Nothing else that fails may leave a process without a member.
  */
 public final class ControlMemberSupervisor implements RunningProgram {
 
   /** Delay between two attempts; short compared to the 4 to 5 s for which a disk stays full. */
   private static final long RETRY_MS = 500;
 
-  private final ComponentLogger logger = new ComponentLogger("control");
-  private final ControlOptions options;
+  private final MemberFailureLogger failures;
+  private final SupervisedMember.Starter starter;
+  private final Runnable retryDelay;
   private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
   private final Thread thread = new Thread(this::run, "member");
-  private volatile Optional<ControlDaemon> current;
+  private volatile Optional<SupervisedMember> current = Optional.empty();
   private volatile boolean closing;
 
-  private ControlMemberSupervisor(ControlOptions options, ControlDaemon first) {
-    this.options = options;
-    current = Optional.of(first);
+  private ControlMemberSupervisor(
+      SupervisedMember.Starter starter, Runnable retryDelay, MemberFailureLogger failures) {
+    this.starter = starter;
+    this.retryDelay = retryDelay;
+    this.failures = failures;
     thread.setDaemon(true);
-    thread.start();
   }
 
   /**
@@ -52,7 +56,24 @@
     // The platform starts a process only after the previous one has exited, so no earlier instance
     // has run for at least the age of this process.
     long processAgeMs = ManagementFactory.getRuntimeMXBean().getUptime();
-    return new ControlMemberSupervisor(options, startWithRetry(options, processAgeMs));
+    return start(
+        knownDowntimeMs -> ControlDaemon.start(options, knownDowntimeMs),
+        processAgeMs,
+        ControlMemberSupervisor::sleepBeforeRetry,
+        new MemberFailureLogger(options.log()));
+  }
+
+  /** Starts a member with a given starter and delay between two attempts. */
+  static ControlMemberSupervisor start(
+      SupervisedMember.Starter starter,
+      long knownDowntimeMs,
+      Runnable retryDelay,
+      MemberFailureLogger failures)
+      throws ProgramException {
+    ControlMemberSupervisor supervisor = new ControlMemberSupervisor(starter, retryDelay, failures);
+    supervisor.startWithRetry(knownDowntimeMs);
+    supervisor.thread.start();
+    return supervisor;
   }
 
   /**
@@ -75,7 +96,7 @@
    * @return the VM, if the member runs and knows a leader
    */
   public Optional<VmId> leaderVm() {
-    return current.flatMap(ControlDaemon::leaderVm);
+    return current.flatMap(SupervisedMember::leaderVm);
   }
 
   /**
@@ -84,7 +105,7 @@
    * @param failure why the heartbeat was rejected
    */
   public void onHeartbeatRefused(HeartbeatFailure failure) {
-    current.ifPresent(daemon -> daemon.onHeartbeatRefused(failure));
+    current.ifPresent(member -> member.onHeartbeatRefused(failure));
   }
 
   /**
@@ -103,38 +124,64 @@
 
   @Override
   public void close() {
+    takeForClose().ifPresent(SupervisedMember::close);
+  }
+
+  private synchronized Optional<SupervisedMember> takeForClose() {
     closing = true;
-    current.ifPresent(ControlDaemon::close);
+    return current;
+  }
+
+  /** Keeps a member that has been started; returns false if it came after the close. */
+  private synchronized boolean adopt(SupervisedMember started) {
+    if (!closing) {
+      current = Optional.of(started);
+    }
+    return !closing;
   }
 
   /**
-   * Starts a member; retries until its data folder can be used.
+   * Starts a member; retries until its data folder can be used or this supervisor is closed.
    *
    * @param knownDowntimeMs time for which no earlier instance of the member is known to have run;
    *     applies to the first attempt only, since another process may have used the folder before a
    *     later one
    */
-  private static ControlDaemon startWithRetry(ControlOptions options, long knownDowntimeMs)
-      throws ProgramException {
+  private void startWithRetry(long knownDowntimeMs) throws ProgramException {
     long downtimeMs = knownDowntimeMs;
-    FolderFailureLogger failures = new FolderFailureLogger(new ComponentLogger("control")::error);
-    while (true) {
+    FolderFailureLogger unusable = new FolderFailureLogger(failures::folderUnusable);
+    while (!closing) {
       try {
-        return ControlDaemon.start(options, downtimeMs);
+        SupervisedMember started = starter.start(downtimeMs);
+        if (!adopt(started)) {
+          started.close();
+        }
+        return;
       } catch (ProgramException e) {
         if (e.exitCode() != ExitCode.DATA) {
           throw e;
         }
-        failures.failed(e, System.nanoTime());
+        unusable.failed(e, System.nanoTime());
         downtimeMs = 0;
-        sleepBeforeRetry();
+        retryDelay.run();
       }
     }
   }
 
   private void run() {
-    while (!closing && current.isPresent()) {
-      ExitCode code = current.get().terminationFuture().join();
+    try {
+      supervise();
+    } catch (ProgramException e) {
+      end("Failed to restart the member; the process ends.", e, e.exitCode());
+    } catch (RuntimeException | Error e) {
+      end("Unexpected error; the process ends.", e, ExitCode.INTERNAL);
+    }
+  }
+
+  private void supervise() throws ProgramException {
+    while (!closing) {
+      SupervisedMember member = current.orElseThrow();
+      ExitCode code = member.terminationFuture().join();
       if (closing) {
         return;
       }
@@ -142,24 +189,35 @@
         ended.complete(code);
         return;
       }
-      restart();
+      restart(member);
     }
   }
 
-  private void restart() {
-    ControlDaemon failed = current.orElseThrow();
+  private void restart(SupervisedMember failed) throws ProgramException {
+    final long startNs = System.nanoTime();
     current = Optional.empty();
-    failed.close();
+    closeFailed(failed);
+    retryDelay.run();
+    startWithRetry(0);
+    if (!closing) {
+      failures.restarted(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs));
+    }
+  }
+
+  /** What is still in use after a close that failed, such as a port, makes the next start fail. */
+  private void closeFailed(SupervisedMember failed) {
     try {
-      sleepBeforeRetry();
-      current = Optional.of(startWithRetry(options, 0));
-      logger.info("Restarted the member.");
-    } catch (ProgramException e) {
-      logger.error("Failed to restart the member.", e);
-      ended.complete(e.exitCode());
+      failed.close();
+    } catch (RuntimeException e) {
+      failures.memberFailed("Failed to close the member; restarting it.", e, ExitCode.DATA);
     }
   }
 
+  private void end(String sentence, Throwable failure, ExitCode exitCode) {
+    failures.processFailed(sentence, failure, exitCode);
+    ended.complete(exitCode);
+  }
+
   private static void sleepBeforeRetry() {
     try {
       TimeUnit.MILLISECONDS.sleep(RETRY_MS);
--- a/control/src/main/java/org/teaseltrail/control/DataFolderWriter.java
+++ b/control/src/main/java/org/teaseltrail/control/DataFolderWriter.java
@@ -9,7 +9,6 @@
 import org.teaseltrail.core.control.ControlEvent;
 import org.teaseltrail.core.replication.ReplicaAction;
 import org.teaseltrail.storage.ReplicaStorage;
-import org.teaseltrail.storage.StorageException;
 
 /**
  * Writes to the data folder on a dedicated thread, so that a slow sync never blocks the event loop.
@@ -23,7 +22,7 @@
   private final BlockingQueue<ReplicaAction.Write> queue = new LinkedBlockingQueue<>();
   private final ReplicaStorage folder;
   private final Consumer<ControlEvent> events;
-  private final Consumer<StorageException> failed;
+  private final Consumer<Throwable> failed;
   private final SlowOperationLogger slow;
   private final Thread thread = new Thread(this::run, "writes");
   private volatile boolean closing;
@@ -31,7 +30,7 @@
   DataFolderWriter(
       ReplicaStorage folder,
       Consumer<ControlEvent> events,
-      Consumer<StorageException> failed,
+      Consumer<Throwable> failed,
       SlowOperationLogger slow) {
     this.slow = slow;
     this.folder = folder;
@@ -64,10 +63,11 @@
       while (!closing || !queue.isEmpty()) {
         writeBatch();
       }
-    } catch (StorageException e) {
-      failed.accept(e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+    } catch (RuntimeException | Error e) {
+      // Without this thread nothing is acknowledged any more, so the member must not go on.
+      failed.accept(e);
     }
   }
 
--- a/control/src/main/java/org/teaseltrail/control/SnapshotEncoder.java
+++ b/control/src/main/java/org/teaseltrail/control/SnapshotEncoder.java
@@ -36,7 +36,8 @@
     try {
       byte[] state = codec.encodeSnapshot(wanted.snapshot());
       events.accept(new ControlEvent.SnapshotEncoded(wanted.index(), state));
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
+      // Without snapshots the log would grow until the memory or the disk is full.
       failed.accept(e);
     }
   }
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -132,6 +132,17 @@
   HEARTBEAT_REFUSED(LogField.UPSTREAM, LogField.REASON),
   /** An upstream deregistered. */
   UPSTREAM_LEAVES(LogField.UPSTREAM),
+  /**
+   * A thread of a control member failed, so that the member stops; after a failure of its disk it
+   * is restarted within the process.
+   */
+  MEMBER_FAILED(LogField.THREAD, LogField.CAUSE, LogField.EXIT_CODE),
+  /** A control member runs again after a failure of its disk. */
+  MEMBER_RESTARTED(LogField.ELAPSED_MS),
+  /** The data folder of a control member can't be used, so that no member runs. */
+  FOLDER_UNUSABLE(LogField.CAUSE),
+  /** A process ends by itself. */
+  PROCESS_FAILED(LogField.THREAD, LogField.CAUSE, LogField.EXIT_CODE),
   /** A control member became leader, follows another leader, or knows no leader. */
   LEADERSHIP_CHANGED(LogField.TERM, LogField.LEADER, LogField.LEADING),
   /** The set of control members in this member's log has changed. */
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -127,6 +127,12 @@
   LOG_BYTES("size of the commands in the log since the latest snapshot"),
   /** Number of lines dropped before this one. */
   LINES_DROPPED_BEFORE("lines before this one that found no room"),
+  /** Name of the thread that failed. */
+  THREAD("the thread that failed"),
+  /** Why a thread failed: types and innermost calls of the exceptions. */
+  CAUSE("why it failed: the exceptions with their innermost calls, or a sentence"),
+  /** Exit code of the process. */
+  EXIT_CODE("the code with which the process ends; 4 (disk) restarts the member instead"),
   /** Number of slots of a service's ready upstreams. */
   SLOTS("slots of the service's upstreams that take requests"),
   /** Slots and requests of the largest customers and kinds of requests. */
