Answer the request on which an entry VM fails, and end a VM that can't decide

Callers saw, where the program of an entry VM has an error: a connection closed without an answer (an exception in the decisions about a request, which the connection's handler dropped), or nothing until the request's time was over (one while the request was sent over a new connection, which netty only warns of). The VM stayed ready whatever failed: an exception out of the decisions left a timer unset or a request forgotten, the check for idle callers stopped for ever after its first exception, and the future of the process's end was never completed. Nothing in the JSON log told of any of it.

Now one class, UnexpectedFailures, says what an exception ends: - in the handling of one request: that request, with 502 (it may have run), or 503 with Retry-After if the first decision about it failed, so that nothing was dispatched; an answer that may have been begun is cut; - in a repeated task or on a connection: that run, that connection; - out of the decisions (ForwardNode): their state may be inconsistent, so the VM isn't ready from then on, and the process drains and ends with exit code 1; its timers come at most each 50 ms then, so it never spins. Each leaves a line (internal_error, process_failed) with thread and exceptions, and counts in teaseltrail_errors_internal_total.

An action that fails no longer keeps back those behind it, which are about other requests. A member whose name is no address is left out instead of breaking off the actions that name it.

UnexpectedErrorsTest failed before: 504 TIMED_OUT after 4 s where 502 is expected at once; an empty answer where 503 is expected. ForwardServerTest holds.

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardAction.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardAction.java
@@ -21,6 +21,15 @@
  */
 public sealed interface ForwardAction {
 
+  /**
+   * Returns the request that the action is about.
+   *
+   * @return the request's number, empty if the action isn't about one request
+   */
+  default OptionalLong requestNumber() {
+    return OptionalLong.empty();
+  }
+
   /**
    * Sends a request to an upstream.
    *
@@ -43,7 +52,13 @@
       long remainingMs,
       boolean canary,
       OptionalDouble expectedFirstEventMs)
-      implements ForwardAction {}
+      implements ForwardAction {
+
+    @Override
+    public OptionalLong requestNumber() {
+      return OptionalLong.of(request);
+    }
+  }
 
   /**
    * Relays a request to a peer, which answers it in place of an upstream; the end is to be passed
@@ -57,21 +72,39 @@
    */
   record Relay(
       long request, PeerVm peer, PlanRoute route, Optional<CustomerId> customer, RelayHop hop)
-      implements ForwardAction {}
+      implements ForwardAction {
+
+    @Override
+    public OptionalLong requestNumber() {
+      return OptionalLong.of(request);
+    }
+  }
 
   /**
    * Cancels an attempt, so that the upstream stops processing the request.
    *
    * @param request the request's number
    */
-  record Cancel(long request) implements ForwardAction {}
+  record Cancel(long request) implements ForwardAction {
+
+    @Override
+    public OptionalLong requestNumber() {
+      return OptionalLong.of(request);
+    }
+  }
 
   /**
    * Delivers the response of the attempt that has just ended to the caller.
    *
    * @param request the request's number
    */
-  record Deliver(long request) implements ForwardAction {}
+  record Deliver(long request) implements ForwardAction {
+
+    @Override
+    public OptionalLong requestNumber() {
+      return OptionalLong.of(request);
+    }
+  }
 
   /**
    * Rejects a request without an upstream's response. If a streamed response has started, the
@@ -93,6 +126,11 @@
       OptionalLong expectedWaitMs)
       implements ForwardAction {
 
+    @Override
+    public OptionalLong requestNumber() {
+      return OptionalLong.of(request);
+    }
+
     /** Refuses a request before it was matched with a route and a customer. */
     static Refuse beforeRouting(long request, RefusalReason refusal, long retryAfterMs) {
       return new Refuse(
--- a/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
@@ -155,7 +156,15 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    context.close();
+    if (cause instanceof IOException) {
+      context.close();
+    } else if (current == null) {
+      server.onFailed(cause);
+      context.close();
+    } else {
+      closing = true;
+      server.onFailed(current, cause);
+    }
   }
 
   @Override
--- a/forward/src/main/java/org/teaseltrail/forward/ControlConnectionManager.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ControlConnectionManager.java
@@ -72,7 +72,7 @@
     Set<VmId> removed = new HashSet<>(clients.keySet());
     members.forEach(removed::remove);
     removed.forEach(vm -> clients.remove(vm).close());
-    members.forEach(vm -> clients.computeIfAbsent(vm, this::client));
+    members.forEach(this::connect);
   }
 
   /** Sends a message if the member is connected; otherwise the message is dropped. */
@@ -88,10 +88,16 @@
     clients.values().forEach(FrameClient::close);
   }
 
-  private FrameClient<ServingReply, ServingMessage> client(VmId vm) {
+  /** Connects to a member; not to one whose name, told by another member, is no address. */
+  private void connect(VmId vm) {
+    SocketAddress.parseServer(vm.value())
+        .ifPresent(address -> clients.computeIfAbsent(vm, key -> client(key, address)));
+  }
+
+  private FrameClient<ServingReply, ServingMessage> client(VmId vm, SocketAddress address) {
     return FrameClient.connect(
         loops,
-        SocketAddress.parse(vm.value()),
+        address,
         self.value(),
         new FrameEndpoint<>(
             ClientType.SERVING_VM,
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -175,6 +175,11 @@
     caller.onResponseCompleted(this);
   }
 
+  /** Closes the caller's connection, if what was written to it last is not known. */
+  void abortCaller() {
+    caller.abort();
+  }
+
   /** Aborts the current attempt and releases the buffers. */
   void release() {
     cancel();
--- a/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
@@ -112,6 +112,10 @@
   }
 
   final void onConnected(UpstreamConnection made) {
+    runOrEnd(() -> send(made));
+  }
+
+  private void send(UpstreamConnection made) {
     if (ended) {
       giveBack(made);
       return;
@@ -127,7 +131,16 @@
   }
 
   final void onConnectFailed() {
-    end(AttemptOutcome.NOT_CONNECTED);
+    runOrEnd(() -> end(AttemptOutcome.NOT_CONNECTED));
+  }
+
+  /** Runs a step after which nothing else would end the attempt if it failed. */
+  private void runOrEnd(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException | Error e) {
+      server.onFailed(exchange, e);
+    }
   }
 
   final void abort() {
@@ -206,8 +219,11 @@
   @Override
   public final void completed() {
     connection = null;
-    forwardPendingEvents();
-    onCompleted();
+    runOrEnd(
+        () -> {
+          forwardPendingEvents();
+          onCompleted();
+        });
   }
 
   @Override
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
@@ -25,6 +25,7 @@
   private final Timer firstEvent;
   private final Counter waitForecasts;
   private final Counter bodiesRefused;
+  private final Counter internalErrors;
   private final DistributionSummary firstEventToExpected;
   private final Map<RefusalReason, Counter> refused = new EnumMap<>(RefusalReason.class);
   private final Map<RelayOutcome, Counter> relays = new EnumMap<>(RelayOutcome.class);
@@ -65,6 +66,7 @@
           handling, registry.counter("teaseltrail.answers.unexpected", "end", handling.name()));
     }
     bodiesRefused = registry.counter("teaseltrail.bodies.refused");
+    internalErrors = registry.counter("teaseltrail.errors.internal");
     registry.gauge("teaseltrail.bodies.bytes", server.bodyBudget(), BodyBudget::usedBytes);
     registry.gauge("teaseltrail.requests.open", server, ForwardServer::openRequests);
     registry.gauge("teaseltrail.plan.version", server, ForwardServer::planVersion);
@@ -110,6 +112,10 @@
     unexpectedAnswers.get(handling).increment();
   }
 
+  void internalError() {
+    internalErrors.increment();
+  }
+
   void bodyRefused() {
     bodiesRefused.increment();
   }
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -13,15 +13,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.forward.DealtSlotUsage;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardNode;
 import org.teaseltrail.core.forward.ForwardRequest;
+import org.teaseltrail.core.forward.RefusalReason;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.ClientLimits;
@@ -76,6 +79,12 @@
 
   private static final long DRAIN_POLL_MS = 50;
 
+  /** Shortest time between two timers after the decisions have failed, which may fail each time. */
+  private static final long MIN_TICK_AFTER_FAILURE_MS = 50;
+
+  /** When a caller may come back whose request was not run because of an internal error. */
+  private static final long FAILED_RETRY_AFTER_MS = 1_000;
+
   private final ForwardOptions options;
   private final HeaderCodec headerCodec;
   private final EventLog log;
@@ -93,6 +102,7 @@
   private final ControlConnectionManager controlConnections;
   private final ForwardMetrics metrics;
   private final UnexpectedAnswerLogger unexpectedAnswers;
+  private final UnexpectedFailures failures;
   private final AdminServer readiness;
   private final Optional<AdminServer> metricsServer;
   private final Channel listener;
@@ -132,6 +142,7 @@
             member -> loop.execute(() -> onMemberConnected(member)));
     metrics = new ForwardMetrics(this, log);
     unexpectedAnswers = new UnexpectedAnswerLogger(log, metrics);
+    failures = new UnexpectedFailures(log, metrics, ended);
     readiness =
         AdminServer.readiness(
             sharedLoop.resources(),
@@ -147,7 +158,7 @@
         options.listenRelay().isEmpty()
             ? Optional.empty()
             : Optional.of(CallerListener.bind(this, sharedLoop, options.listenRelay().get(), true));
-    loop.execute(() -> run(node.start()));
+    loop.execute(() -> decide(node::start));
     loop.scheduleWithFixedDelay(
         this::checkIdle, IDLE_CHECK_MS, IDLE_CHECK_MS, TimeUnit.MILLISECONDS);
   }
@@ -178,7 +189,7 @@
    */
   public void seeds(List<VmId> seeds) {
     log.line(LogEvent.SETTINGS_RELOADED).with(LogField.SEEDS, seeds.toString()).write();
-    loop.execute(() -> node.seeds(seeds));
+    loop.execute(() -> inform(() -> node.seeds(seeds)));
   }
 
   /**
@@ -293,17 +304,55 @@
     exchanges.put(number, exchange);
     requestLoggers.put(number, new RequestLogger(exchange.request(), exchange.hop(), nowNs));
     openRequests = exchanges.size();
-    run(
-        exchange
-            .hop()
-            .map(hop -> node.onRelayedRequest(exchange.request(), hop, nowNs))
-            .orElseGet(() -> node.onRequest(exchange.request(), nowNs)));
+    try {
+      run(
+          exchange
+              .hop()
+              .map(hop -> node.onRelayedRequest(exchange.request(), hop, nowNs))
+              .orElseGet(() -> node.onRequest(exchange.request(), nowNs)));
+    } catch (RuntimeException | Error e) {
+      failures.decisionFailed(e);
+      // Nothing was dispatched: the decisions that failed were the first about this request.
+      end(exchange, e, RefusalReason.NOT_RUN, FAILED_RETRY_AFTER_MS);
+    }
+  }
+
+  /** Ends a request whose handling failed; it may have run. */
+  void onFailed(Exchange exchange, Throwable failure) {
+    end(exchange, failure, RefusalReason.BROKEN, 0);
+    decide(() -> node.onCallerDisconnected(exchange.request().number(), clock.nowNs()));
+  }
+
+  /** Handles an unexpected exception on a connection, which is closed. */
+  void onFailed(Throwable failure) {
+    failures.taskFailed(failure);
+  }
+
+  /** Answers a request after an unexpected exception, unless its answer has been begun or given. */
+  private void end(Exchange exchange, Throwable failure, RefusalReason reason, long retryAfterMs) {
+    long number = exchange.request().number();
+    failures.requestFailed(exchange.request().id(), failure);
+    requestLoggers.remove(number);
+    boolean isAnswered = exchanges.get(number) != exchange;
+    removeExchange(number);
+    try {
+      exchange.cancel();
+      if (isAnswered) {
+        exchange.abortCaller();
+      } else {
+        metrics.refused(reason);
+        exchange.refuse(RefusalStatus.of(reason).status(), reason, retryAfterMs);
+      }
+    } catch (RuntimeException again) {
+      failures.requestFailed(exchange.request().id(), again);
+      exchange.abortCaller();
+    }
   }
 
   /** Handles the first forwarded events of the current attempt. */
   void onResponseStarted(Exchange exchange) {
     long number = exchange.request().number();
-    run(node.onResponseStarted(number, clock.nowNs()));
+    decide(exchange, () -> node.onResponseStarted(number, clock.nowNs()));
     RequestLogger requestLogger = requestLoggers.get(number);
     if (requestLogger != null && !requestLogger.hasResponseStarted()) {
       long nowNs = clock.nowNs();
@@ -319,11 +368,11 @@
     if (requestLogger != null && end != AttemptOutcome.ANSWERED) {
       requestLogger.attemptEnded(log, end, exchange.responseStatus(), clock.nowNs());
     }
-    run(node.onAttemptEnded(number, end, clock.nowNs()));
+    decide(exchange, () -> node.onAttemptEnded(number, end, clock.nowNs()));
   }
 
   void onRelayOrigin(Exchange exchange, StreamOrigin origin) {
-    node.onRelayOrigin(exchange.request().number(), origin);
+    inform(() -> node.onRelayOrigin(exchange.request().number(), origin));
   }
 
   void onRelayEnded(Exchange exchange, RelayOutcome outcome) {
@@ -333,13 +382,13 @@
     if (requestLogger != null && outcome.needsOtherPeer()) {
       requestLogger.relayFailed(log, outcome, clock.nowNs());
     }
-    run(node.onRelayEnded(number, outcome, clock.nowNs()));
+    decide(exchange, () -> node.onRelayEnded(number, outcome, clock.nowNs()));
   }
 
   void onCallerDisconnected(Exchange exchange) {
     long number = exchange.request().number();
     long nowNs = clock.nowNs();
-    run(node.onCallerDisconnected(number, nowNs));
+    decide(() -> node.onCallerDisconnected(number, nowNs));
     RequestLogger requestLogger = requestLoggers.remove(number);
     if (requestLogger != null) {
       requestLogger.callerDisconnected(log, exchange.hasResponseStarted(), nowNs);
@@ -350,38 +399,46 @@
 
   void onLoadReport(UpstreamIncarnation upstream, ResponseHead.ReportedLoad load) {
     long nowNs = clock.nowNs();
-    node.onLoadReport(upstream.id(), load.running() + load.waiting(), nowNs);
-    load.workTimePercent().ifPresent(percent -> node.onWorkTimeReport(upstream, percent, nowNs));
+    inform(
+        () -> {
+          node.onLoadReport(upstream.id(), load.running() + load.waiting(), nowNs);
+          load.workTimePercent()
+              .ifPresent(percent -> node.onWorkTimeReport(upstream, percent, nowNs));
+        });
   }
 
   void recordEventLatency(UpstreamId upstream, double elapsedMs) {
-    node.recordEventLatency(upstream, elapsedMs, clock.nowNs());
+    inform(() -> node.recordEventLatency(upstream, elapsedMs, clock.nowNs()));
   }
 
   /** Records the mean interval between the events of a stream. */
   void recordEventInterval(Exchange exchange, UpstreamId upstream, double elapsedMs) {
-    node.recordEventInterval(exchange.request().number(), elapsedMs);
+    inform(() -> node.recordEventInterval(exchange.request().number(), elapsedMs));
     recordEventLatency(upstream, elapsedMs);
   }
 
   /** Records that bytes of a response arrived. */
   void onUpstreamHeard(UpstreamId upstream) {
-    node.onUpstreamHeard(upstream);
+    inform(() -> node.onUpstreamHeard(upstream));
   }
 
   private void onProbeEnded(UpstreamId upstream, ProbeResult result) {
-    run(node.onProbeEnded(upstream, result, clock.nowNs()));
+    decide(() -> node.onProbeEnded(upstream, result, clock.nowNs()));
   }
 
   private boolean acceptsCallers() {
-    return ready && !draining;
+    return ready && !draining && !failures.isFatal();
   }
 
   private void onControlReply(ServingReply reply) {
     if (reply instanceof ServingReply.WaitForecast) {
       metrics.waitForecast();
     }
-    run(node.onControlMessage(reply, clock.nowNs()));
+    decide(() -> node.onControlMessage(reply, clock.nowNs()));
+    inform(this::updatePlanVersion);
+  }
+
+  private void updatePlanVersion() {
     dealtSlotUsage = node.dealtSlotUsage();
     ServingPlan plan = node.plan().orElse(null);
     if (plan != null && plan.version() != planVersion) {
@@ -391,13 +448,58 @@
   }
 
   private void onMemberConnected(VmId member) {
-    run(node.onMemberConnected(member, clock.nowNs()));
+    decide(() -> node.onMemberConnected(member, clock.nowNs()));
+  }
+
+  /** Lets the node decide on an event, and carries out what it decides. */
+  private void decide(Supplier<List<ForwardAction>> step) {
+    try {
+      run(step.get());
+    } catch (RuntimeException | Error e) {
+      failures.decisionFailed(e);
+    }
+  }
+
+  /** Lets the node decide on an event of a request, which is answered also if that fails. */
+  private void decide(Exchange exchange, Supplier<List<ForwardAction>> step) {
+    try {
+      run(step.get());
+    } catch (RuntimeException | Error e) {
+      failures.decisionFailed(e);
+      end(exchange, e, RefusalReason.BROKEN, 0);
+    }
+  }
+
+  /** Tells the node of something on which it doesn't decide at once. */
+  private void inform(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException | Error e) {
+      failures.decisionFailed(e);
+    }
   }
 
   private void run(List<ForwardAction> actions) {
-    actions.forEach(this::execute);
-    updateReadiness();
-    scheduleWakeup();
+    actions.forEach(this::executeOrEnd);
+    inform(this::updateReadiness);
+    inform(this::scheduleWakeup);
+  }
+
+  /** Carries out an action; if that fails, the others still are, which are about other requests. */
+  private void executeOrEnd(ForwardAction action) {
+    Optional<Exchange> exchange = exchangeOf(action);
+    try {
+      execute(action);
+    } catch (RuntimeException | Error e) {
+      exchange.ifPresentOrElse(each -> onFailed(each, e), () -> failures.taskFailed(e));
+    }
+  }
+
+  private Optional<Exchange> exchangeOf(ForwardAction action) {
+    OptionalLong number = action.requestNumber();
+    return number.isPresent()
+        ? Optional.ofNullable(exchanges.get(number.getAsLong()))
+        : Optional.empty();
   }
 
   private void execute(ForwardAction action) {
@@ -477,16 +579,26 @@
       wakeup.cancel(false);
     }
     wakeupNs = nextNs;
-    long delayNs = Math.max(0, nextNs - clock.nowNs());
+    long minDelayNs = failures.isFatal() ? MIN_TICK_AFTER_FAILURE_MS * NS_PER_MS : 0;
+    long delayNs = Math.max(minDelayNs, nextNs - clock.nowNs());
     wakeup = loop.schedule(this::tick, delayNs, TimeUnit.NANOSECONDS);
   }
 
   private void tick() {
     wakeup = null;
-    run(node.tick(clock.nowNs()));
+    decide(() -> node.tick(clock.nowNs()));
   }
 
+  /** Closes callers' connections that are idle for too long; a failure doesn't end the checks. */
   private void checkIdle() {
+    try {
+      closeIdleCallers();
+    } catch (RuntimeException | Error e) {
+      failures.taskFailed(e);
+    }
+  }
+
+  private void closeIdleCallers() {
     ClientLimits limits = limits();
     long idleNs = (long) (limits.idleTimeoutMs() * IDLE_TIMEOUT_FACTOR * NS_PER_MS);
     long headerNs = limits.headerTimeoutMs() * NS_PER_MS;
@@ -535,18 +647,23 @@
 
     @Override
     public void onOpened(UpstreamIncarnation upstream) {
-      node.onUpstreamConnected(upstream.id(), clock.nowNs());
+      inform(() -> node.onUpstreamConnected(upstream.id(), clock.nowNs()));
     }
 
     @Override
     public void onLost(UpstreamIncarnation upstream) {
-      run(node.onUpstreamConnectionLost(upstream.id(), clock.nowNs()));
+      decide(() -> node.onUpstreamConnectionLost(upstream.id(), clock.nowNs()));
     }
 
     @Override
     public void onUnexpectedAnswer(UpstreamIncarnation upstream, UnexpectedAnswer answer) {
       unexpectedAnswers.record(LogField.UPSTREAM, upstream.id().value(), answer);
     }
+
+    @Override
+    public void onFailed(Throwable failure) {
+      ForwardServer.this.onFailed(failure);
+    }
   }
 
   /** Passes on what happens to the connections to peers. */
@@ -556,5 +673,10 @@
     public void onUnexpectedAnswer(VmId peer, UnexpectedAnswer answer) {
       unexpectedAnswers.record(LogField.PEER, peer.value(), answer);
     }
+
+    @Override
+    public void onFailed(Throwable failure) {
+      ForwardServer.this.onFailed(failure);
+    }
   }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
 import java.util.Optional;
 import org.teaseltrail.core.forward.AttemptOutcome;
 
@@ -218,6 +219,9 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      pool.onFailed(cause);
+    }
     reset = true;
     context.close();
   }
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionListener.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionListener.java
@@ -15,4 +15,7 @@
 
   /** Called when a response arrived that isn't known to be that of the request in flight. */
   default void onUnexpectedAnswer(K target, UnexpectedAnswer answer) {}
+
+  /** Called on an unexpected exception on a connection, which is closed. */
+  default void onFailed(Throwable failure) {}
 }
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
@@ -146,6 +146,11 @@
     }
   }
 
+  /** Passes on an unexpected exception on a connection, which is closed. */
+  void onFailed(Throwable failure) {
+    listener.onFailed(failure);
+  }
+
   /** Opens a new connection, even if there is an idle one. */
   private void open(
       K target, SocketAddress address, Consumer<UpstreamConnection> connected, Runnable failed) {
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -141,6 +141,8 @@
   MEMBER_RESTARTED(LogField.ELAPSED_MS),
   /** The data folder of a control member can't be used, so that no member runs. */
   FOLDER_UNUSABLE(LogField.CAUSE),
+  /** An unexpected error ended a request, a connection or one run of a task. */
+  INTERNAL_ERROR(LogField.THREAD, LogField.CAUSE, LogField.REQUEST),
   /** A process ends by itself. */
   PROCESS_FAILED(LogField.THREAD, LogField.CAUSE, LogField.EXIT_CODE),
   /** A control member became leader, follows another leader, or knows no leader. */
