--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -132,6 +132,19 @@
   HEARTBEAT_REFUSED(LogField.UPSTREAM, LogField.REASON),
   /** An upstream deregistered. */
   UPSTREAM_LEAVES(LogField.UPSTREAM),
+  /**
+   * A thread of a control member failed, so that the member stops; after a failure of its disk it
+   * is restarted within the process.
+   */
+  MEMBER_FAILED(LogField.THREAD, LogField.CAUSE, LogField.EXIT_CODE),
+  /** A control member runs again after a failure of its disk. */
+  MEMBER_RESTARTED(LogField.ELAPSED_MS),
+  /** The data folder of a control member can't be used, so that no member runs. */
+  FOLDER_UNUSABLE(LogField.CAUSE),
+  /** An unexpected error ended a request, a connection or one run of a task. */
+  INTERNAL_ERROR(LogField.THREAD, LogField.CAUSE, LogField.REQUEST),
+  /** A process ends by itself. */
+  PROCESS_FAILED(LogField.THREAD, LogField.CAUSE, LogField.EXIT_CODE),
   /** A control member became leader, follows another leader, or knows no leader. */
   LEADERSHIP_CHANGED(LogField.TERM, LogField.LEADER, LogField.LEADING),
   /** The set of control members in this member's log has changed. */
