Retry a taken address at the start for 10 s, and end cleanly if it stays taken

Callers saw: a control member whose address for the operator and the upstreams was taken ran on, voted, led and never listened; an entry VM whose callers', readiness, relay or metrics port was taken ended at once with a stack trace that named no port.

Cause: each program bound each port once, and an exception out of CoreProgram.start left main while the member's threads ran on. The member was started before its API listened.

StartSequence (runtime) opens a program's listeners. An address that can't be bound is tried again every 0.2 s, for 10 s over all addresses of one start; listen_delayed, listen_regained and listen_failed name the address and the cause. A start that fails closes what it had opened and ends with exit code 5 and the address. All programs use it: control, entry, standin and both of the platform.

Bound: a process that is replaced frees its ports within the platform's grace of 8 s, so 10 s covers it; a longer one would hide a wrong address. Any input or output error of a bind is retried, not only "in use", whose text depends on the transport and the system's language.

The member starts after its API listens, so it neither votes nor leads while it can't be called; until then calls are answered as by a member that doesn't lead. If its API had to wait, another instance may have run meanwhile, so the member doesn't count its process's age as time for which none has run.

Ruled out: SO_REUSEADDR missing (it is set by Netty and Reactor Netty).

ControlDaemonTest's fixture and EntryTestEnvironment only take over the changed type of the failure.

--- a/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
@@ -2,7 +2,7 @@
 
 import io.grpc.Server;
 import io.grpc.netty.NettyServerBuilder;
-import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Optional;
@@ -32,6 +32,7 @@
 import org.teaseltrail.runtime.process.ExitCode;
 import org.teaseltrail.runtime.process.ProgramException;
 import org.teaseltrail.runtime.process.RunningProgram;
+import org.teaseltrail.runtime.process.StartSequence;
 import org.teaseltrail.storage.ReplicaStorage;
 import org.teaseltrail.storage.StorageException;
 import org.teaseltrail.wire.ClientType;
@@ -74,8 +75,9 @@
   private final GroupChangeNotifier group;
   private final HealthServer health;
 
-  private ControlDaemon(ControlOptions options, ReplicaStorage folder, long silentMs)
-      throws IOException {
+  private ControlDaemon(
+      ControlOptions options, ReplicaStorage folder, long silentMs, StartSequence start)
+      throws ProgramException {
     slow = new SlowOperationLogger(options.log());
     loop = new ControlEventLoop(clock, slow);
     metrics = new ControlMetrics(entryVms, loop);
@@ -115,18 +117,19 @@
                 group,
                 options.log()),
             () -> decisions.isLeaseValid(clock.nowNs()));
-    frames =
-        FrameServer.listen(
-            address(options),
-            FrameLimits.defaults(),
-            codec,
-            entry(),
-            serving(),
-            peer(),
-            joining(joinHandler));
-    operators = operators(options);
+    start.onFailure(metrics::close);
+    start.onFailure(snapshots::close);
+    start.onFailure(peers::close);
+    joinClient.ifPresent(client -> start.onFailure(client::close));
+    operators = operators(options, start);
     health =
-        new HealthServer(options.listenMetrics(), actionExecutor::knowsLeader, metrics::scrape);
+        start.listen(
+            options.listenMetrics(),
+            () ->
+                new HealthServer(
+                    options.listenMetrics(), actionExecutor::knowsLeader, metrics::scrape),
+            HealthServer::close);
+    frames = start.listen(options.listen(), () -> frames(options, joinHandler), FrameServer::close);
     writes.start();
     options.members().forEach(peer -> peers.connect(peer.vm()));
     loop.start(
@@ -150,12 +153,17 @@
   /**
    * Starts a member.
    *
-   * @throws IOException if the operators' address can't be listened on
-   * @throws reactor.netty.ChannelBindException if another address can't be listened on
+   * @param folder the member's data folder; closed if the start fails
+   * @throws ProgramException if an address can't be bound in time, or the start is cancelled
    */
   static ControlDaemon start(ControlOptions options, ReplicaStorage folder, long knownDowntimeMs)
-      throws IOException {
-    return new ControlDaemon(options, folder, knownDowntimeMs);
+      throws ProgramException {
+    try (StartSequence start = new StartSequence(options.log())) {
+      start.onFailure(folder::close);
+      ControlDaemon daemon = new ControlDaemon(options, folder, knownDowntimeMs, start);
+      start.complete();
+      return daemon;
+    }
   }
 
   /**
@@ -268,16 +276,29 @@
         ClientType.JOINING_MEMBER, GroupMessage.class, GroupReply.class, joinHandler);
   }
 
-  private Optional<Server> operators(ControlOptions options) throws IOException {
+  private FrameServer frames(ControlOptions options, JoinRequestHandler joinHandler) {
+    return FrameServer.listen(
+        address(options),
+        FrameLimits.defaults(),
+        codec,
+        entry(),
+        serving(),
+        peer(),
+        joining(joinHandler));
+  }
+
+  private Optional<Server> operators(ControlOptions options, StartSequence start)
+      throws ProgramException {
     if (options.listenOperators().isEmpty()) {
       return Optional.empty();
     }
+    InetSocketAddress address = options.listenOperators().get();
     OperatorService service = new OperatorService(options.region(), calls, notLeaderResponses);
     return Optional.of(
-        NettyServerBuilder.forAddress(options.listenOperators().get())
-            .addService(service)
-            .build()
-            .start());
+        start.listen(
+            address,
+            () -> NettyServerBuilder.forAddress(address).addService(service).build().start(),
+            Server::shutdownNow));
   }
 
   private FrameEndpoint<?, ?> peer() {
--- a/control/src/main/java/org/teaseltrail/control/ControlMemberSupervisor.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlMemberSupervisor.java
@@ -13,6 +13,7 @@
 import org.teaseltrail.runtime.process.ExitCode;
 import org.teaseltrail.runtime.process.ProgramException;
 import org.teaseltrail.runtime.process.RunningProgram;
+import org.teaseltrail.runtime.process.StartPause;
 
 /**
  * Supervises a control member: restarts it within the same process after a disk failure.
@@ -31,28 +32,33 @@
   private final ControlOptions options;
   private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
   private final Thread thread = new Thread(this::run, "member");
-  private volatile Optional<ControlDaemon> current;
+  private volatile Optional<ControlDaemon> current = Optional.empty();
   private volatile boolean closing;
 
-  private ControlMemberSupervisor(ControlOptions options, ControlDaemon first) {
+  /**
+   * Creates the supervisor of a member of a group that bootstraps itself. Until the member has
+   * started, calls are answered as by a member that doesn't lead.
+   *
+   * @param options the member's options
+   */
+  public ControlMemberSupervisor(ControlOptions options) {
     this.options = options;
-    current = Optional.of(first);
     thread.setDaemon(true);
-    thread.start();
   }
 
   /**
-   * Starts a member of a group that bootstraps itself.
+   * Starts the member. Waits until its data folder can be used.
    *
-   * @param options the member's options
-   * @return the running member
+   * @param isEarlierInstanceLikely whether another process held an address of this one after this
+   *     one had been started
    * @throws ProgramException if the member can't start for a reason other than its disk
    */
-  public static ControlMemberSupervisor start(ControlOptions options) throws ProgramException {
+  public void start(boolean isEarlierInstanceLikely) throws ProgramException {
     // The platform starts a process only after the previous one has exited, so no earlier instance
     // has run for at least the age of this process.
     long processAgeMs = ManagementFactory.getRuntimeMXBean().getUptime();
-    return new ControlMemberSupervisor(options, startWithRetry(options, processAgeMs));
+    current = Optional.of(startWithRetry(options, isEarlierInstanceLikely ? 0 : processAgeMs));
+    thread.start();
   }
 
   /**
@@ -127,7 +133,7 @@
         }
         failures.failed(e, System.nanoTime());
         downtimeMs = 0;
-        sleepBeforeRetry();
+        StartPause.await(RETRY_MS);
       }
     }
   }
--- a/control/src/main/java/org/teaseltrail/control/ControlProgram.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlProgram.java
@@ -1,6 +1,5 @@
 package org.teaseltrail.control;
 
-import java.io.IOException;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -13,7 +12,6 @@
 import org.teaseltrail.storage.FolderMissingException;
 import org.teaseltrail.storage.ReplicaStorage;
 import org.teaseltrail.storage.StorageException;
-import reactor.netty.ChannelBindException;
 
 /** The control member's daemon as a program: settings, command-line options and startup. */
 public final class ControlProgram implements Program {
@@ -50,17 +48,7 @@
 
   static ControlDaemon start(ControlOptions options, StartMode mode, long knownDowntimeMs)
       throws ProgramException {
-    ReplicaStorage folder = open(options, mode);
-    try {
-      return ControlDaemon.start(options, folder, knownDowntimeMs);
-    } catch (ChannelBindException e) {
-      throw new ProgramException(
-          ExitCode.LISTEN, "can't listen on " + options.listen() + ": " + e.getMessage(), e);
-    } catch (IOException e) {
-      String address = options.listenOperators().toString();
-      throw new ProgramException(
-          ExitCode.LISTEN, "can't listen on " + address + ": " + e.getMessage(), e);
-    }
+    return ControlDaemon.start(options, open(options, mode), knownDowntimeMs);
   }
 
   private static ReplicaStorage open(ControlOptions options, StartMode mode)
--- a/control/src/test/java/org/teaseltrail/control/ControlDaemonTest.java
+++ b/control/src/test/java/org/teaseltrail/control/ControlDaemonTest.java
@@ -2,9 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
@@ -19,6 +23,8 @@
 import org.teaseltrail.api.v1.GetStatusRequest;
 import org.teaseltrail.api.v1.Status;
 import org.teaseltrail.api.v1.Tier;
+import org.teaseltrail.runtime.process.ProgramException;
+import org.teaseltrail.runtime.process.StartPause;
 
 /** Runs members with real sockets and disks. */
 @Timeout(60)
@@ -136,9 +142,44 @@
     }
   }
 
+  /**
+   * Guards against a member that ends because another process holds the operators' port a while.
+   */
+  @Test
+  void listensForOperatorsOncePortIsFree() throws Exception {
+    List<PeerAddress> peers = TestMember.unusedAddresses(1);
+    List<PeerAddress> operators = TestMember.unusedAddresses(1);
+    try (TestMember member = new TestMember(1, peers, operators, data)) {
+      CompletableFuture<Void> started;
+      int port = operators.get(0).address().port();
+      try (ServerSocket holder = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        started = CompletableFuture.runAsync(() -> startUnchecked(member));
+        assertThat(holder.isBound()).isTrue();
+        pollUntil(started::isDone, done -> done || isWaitingForPort());
+        assertThat(started).isNotDone();
+      }
+      started.get();
+      assertThat(pollUntil(() -> local(member), Status::getLeading).getLeading()).isTrue();
+    }
+  }
+
+  private static boolean isWaitingForPort() {
+    return Thread.getAllStackTraces().values().stream()
+        .flatMap(Arrays::stream)
+        .anyMatch(frame -> frame.getClassName().equals(StartPause.class.getName()));
+  }
+
+  private static void startUnchecked(TestMember member) {
+    try {
+      member.start(StartMode.NEW_GROUP);
+    } catch (ProgramException e) {
+      throw new CompletionException(e);
+    }
+  }
+
   /** Restarts all members from their disks; they must restore the membership of the group. */
   private static void restartAll(TestMember one, TestMember two, TestMember three)
-      throws IOException {
+      throws ProgramException {
     two.stop();
     three.stop();
     List<TestMember> all = List.of(one, two, three);
--- a/control/src/test/java/org/teaseltrail/control/TestMember.java
+++ b/control/src/test/java/org/teaseltrail/control/TestMember.java
@@ -15,6 +15,7 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.replication.GroupId;
 import org.teaseltrail.core.upstream.SocketAddress;
+import org.teaseltrail.runtime.process.ProgramException;
 import org.teaseltrail.testing.FreePorts;
 
 /** Runs a control member on the loopback interface and provides an operator API stub for it. */
@@ -55,7 +56,7 @@
     return addresses;
   }
 
-  TestMember start(StartMode mode) throws IOException {
+  TestMember start(StartMode mode) throws ProgramException {
     daemon = ControlDaemon.start(options, MemberFolderOpener.open(options, mode), 0);
     return this;
   }
--- a/entry/src/main/java/org/teaseltrail/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryDaemon.java
@@ -1,13 +1,16 @@
 package org.teaseltrail.entry;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.teaseltrail.core.entry.EntryEvent;
 import org.teaseltrail.core.entry.EntryNode;
 import org.teaseltrail.runtime.log.ComponentLogger;
 import org.teaseltrail.runtime.process.ExitCode;
+import org.teaseltrail.runtime.process.ProgramException;
 import org.teaseltrail.runtime.process.RunningProgram;
+import org.teaseltrail.runtime.process.StartSequence;
 import reactor.netty.DisposableServer;
 
 /** The running daemon of an entry VM: the node, its thread, the HTTP server and the connections. */
@@ -21,18 +24,23 @@
   private final AtomicBoolean closing = new AtomicBoolean();
   private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
 
-  private EntryDaemon(EntryOptions options, DaemonComponents parts) {
+  private EntryDaemon(EntryOptions options, DaemonComponents parts, StartSequence start)
+      throws ProgramException {
     this.parts = parts;
     this.stallTimeoutMs = options.stallTimeoutMs();
-    this.server = new EntryHttpServer(options, parts).listen();
+    this.server =
+        start.listen(
+            options.listen(),
+            () -> new EntryHttpServer(options, parts).listen(),
+            DisposableServer::disposeNow);
   }
 
   /**
    * Starts listening and connecting to the control members.
    *
-   * @throws reactor.netty.ChannelBindException if the address can't be bound
+   * @throws ProgramException if the address can't be bound in time, or the start is cancelled
    */
-  static EntryDaemon start(EntryOptions options) {
+  static EntryDaemon start(EntryOptions options) throws ProgramException {
     NodeEventLoop loop = new NodeEventLoop(new EntryNode(options.node()));
     DaemonComponents parts =
         new DaemonComponents(
@@ -44,9 +52,14 @@
             new EntryMetrics(),
             new ShutdownCoordinator(),
             new OpenResponseTracker());
-    EntryDaemon daemon = new EntryDaemon(options, parts);
-    daemon.run(options);
-    return daemon;
+    try (StartSequence start = new StartSequence(Optional.empty())) {
+      start.onFailure(loop::close);
+      start.onFailure(parts.metrics()::close);
+      EntryDaemon daemon = new EntryDaemon(options, parts, start);
+      daemon.run(options);
+      start.complete();
+      return daemon;
+    }
   }
 
   private void run(EntryOptions options) {
--- a/entry/src/main/java/org/teaseltrail/entry/EntryProgram.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryProgram.java
@@ -1,13 +1,11 @@
 package org.teaseltrail.entry;
 
 import net.sourceforge.argparse4j.inf.Namespace;
-import org.teaseltrail.runtime.process.ExitCode;
 import org.teaseltrail.runtime.process.Program;
 import org.teaseltrail.runtime.process.ProgramException;
 import org.teaseltrail.runtime.process.RunningProgram;
 import org.teaseltrail.runtime.settings.Settings;
 import org.teaseltrail.runtime.settings.SettingsSpec;
-import reactor.netty.ChannelBindException;
 
 /** The program of an entry VM's daemon. */
 public final class EntryProgram implements Program {
@@ -19,12 +17,6 @@
 
   @Override
   public RunningProgram start(Settings settings, Namespace arguments) throws ProgramException {
-    EntryOptions options = EntryOptions.of(settings);
-    try {
-      return EntryDaemon.start(options);
-    } catch (ChannelBindException e) {
-      throw new ProgramException(
-          ExitCode.LISTEN, "can't listen on " + options.listen() + ": " + e.getMessage(), e);
-    }
+    return EntryDaemon.start(EntryOptions.of(settings));
   }
 }
--- a/entry/src/test/java/org/teaseltrail/entry/EntryTestEnvironment.java
+++ b/entry/src/test/java/org/teaseltrail/entry/EntryTestEnvironment.java
@@ -36,6 +36,7 @@
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.upstream.SocketAddress;
+import org.teaseltrail.runtime.process.ProgramException;
 
 /** An entry VM on loopback between a caller, a fake control member and a fake engine. */
 final class EntryTestEnvironment implements AutoCloseable {
@@ -78,7 +79,7 @@
             0,
             1_000);
     entry =
-        EntryDaemon.start(
+        start(
             new EntryOptions(
                 new InetSocketAddress("127.0.0.1", 0),
                 List.of(control.address()),
@@ -92,6 +93,14 @@
     awaitReady();
   }
 
+  private static EntryDaemon start(EntryOptions options) {
+    try {
+      return EntryDaemon.start(options);
+    } catch (ProgramException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private static Configuration configuration() {
     CustomerId customer = new CustomerId("gopherfield");
     PoolId pool = new PoolId("tutor");
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -38,7 +39,9 @@
 import org.teaseltrail.runtime.log.LogEvent;
 import org.teaseltrail.runtime.log.LogField;
 import org.teaseltrail.runtime.process.ExitCode;
+import org.teaseltrail.runtime.process.ProgramException;
 import org.teaseltrail.runtime.process.RunningProgram;
+import org.teaseltrail.runtime.process.StartSequence;
 
 /**
  * A running entry VM that forwards callers' requests to upstreams. It connects the sockets and
@@ -112,8 +115,9 @@
   private volatile long planVersion = -1;
   private volatile DealtSlotUsage dealtSlotUsage = new DealtSlotUsage(0, 0, 0);
 
-  private ForwardServer(ForwardOptions options, HeaderCodec dialect, EventLog log)
-      throws InterruptedException {
+  private ForwardServer(
+      ForwardOptions options, HeaderCodec dialect, EventLog log, StartSequence start)
+      throws ProgramException {
     this.options = options;
     this.headerCodec = dialect;
     this.log = log;
@@ -132,21 +136,19 @@
             member -> loop.execute(() -> onMemberConnected(member)));
     metrics = new ForwardMetrics(this, log);
     unexpectedAnswers = new UnexpectedAnswerLogger(log, metrics);
-    readiness =
-        AdminServer.readiness(
-            sharedLoop.resources(),
-            options.listenReady(),
-            options.readyPath(),
-            this::acceptsCallers);
+    start.onFailure(() -> sharedLoop.end(Duration.ofMillis(DRAIN_POLL_MS)));
+    start.onFailure(metrics::close);
+    start.onFailure(controlConnections::close);
+    readiness = listenReadiness(start);
     metricsServer =
-        options
-            .listenMetrics()
-            .map(address -> AdminServer.metrics(sharedLoop.resources(), address, metrics::scrape));
-    listener = CallerListener.bind(this, sharedLoop, options.listen(), false);
+        options.listenMetrics().isEmpty()
+            ? Optional.empty()
+            : Optional.of(listenMetrics(start, options.listenMetrics().get()));
     peerListener =
         options.listenRelay().isEmpty()
             ? Optional.empty()
-            : Optional.of(CallerListener.bind(this, sharedLoop, options.listenRelay().get(), true));
+            : Optional.of(listen(start, options.listenRelay().get(), true));
+    listener = listen(start, options.listen(), false);
     loop.execute(() -> run(node.start()));
     loop.scheduleWithFixedDelay(
         this::checkIdle, IDLE_CHECK_MS, IDLE_CHECK_MS, TimeUnit.MILLISECONDS);
@@ -159,11 +161,41 @@
    * @param headerCodec codec for the headers of the external platform
    * @param log log that receives a line for each request
    * @return the running server
-   * @throws InterruptedException if the thread is interrupted while it waits for the port
+   * @throws ProgramException if an address can't be bound in time, or the start is cancelled
    */
   public static ForwardServer start(ForwardOptions options, HeaderCodec headerCodec, EventLog log)
-      throws InterruptedException {
-    return new ForwardServer(options, headerCodec, log);
+      throws ProgramException {
+    try (StartSequence start = new StartSequence(Optional.of(log))) {
+      ForwardServer server = new ForwardServer(options, headerCodec, log, start);
+      start.complete();
+      return server;
+    }
+  }
+
+  private AdminServer listenReadiness(StartSequence start) throws ProgramException {
+    InetSocketAddress address = options.listenReady();
+    return start.listen(
+        address,
+        () ->
+            AdminServer.readiness(
+                sharedLoop.resources(), address, options.readyPath(), this::acceptsCallers),
+        AdminServer::close);
+  }
+
+  private AdminServer listenMetrics(StartSequence start, InetSocketAddress address)
+      throws ProgramException {
+    return start.listen(
+        address,
+        () -> AdminServer.metrics(sharedLoop.resources(), address, metrics::scrape),
+        AdminServer::close);
+  }
+
+  private Channel listen(StartSequence start, InetSocketAddress address, boolean isForPeers)
+      throws ProgramException {
+    return start.listen(
+        address,
+        () -> CallerListener.bind(this, sharedLoop, address, isForPeers),
+        channel -> channel.close().awaitUninterruptibly());
   }
 
   @Override
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -10,6 +10,16 @@
   START,
   /** A process stops. */
   STOP,
+  /** The start of a process failed, and the process ends. */
+  START_FAILED(LogField.EXIT_CODE, LogField.REASON),
+  /** An address can't be bound yet; the start waits for it. */
+  LISTEN_DELAYED(LogField.ADDRESS, LogField.ELAPSED_MS, LogField.REASON),
+  /** An address that could not be bound at first is bound. */
+  LISTEN_REGAINED(LogField.ADDRESS, LogField.ELAPSED_MS),
+  /** An address could not be bound in time. */
+  LISTEN_FAILED(LogField.ADDRESS, LogField.ELAPSED_MS, LogField.REASON),
+  /** A thread ended by an exception that nothing caught. */
+  THREAD_FAILED(LogField.THREAD, LogField.REASON),
   /** An entry VM has gained a session and may treat its plan as the newest. */
   SESSION_GAINED(LogField.PLAN_VERSION),
   /** An entry VM has lost its session and may no longer treat its plan as the newest. */
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -7,7 +7,7 @@
   /** Id that the caller gave the request. */
   REQUEST("the caller's id of that attempt"),
   /** Time since the complete request was read, or duration of a step. */
-  ELAPSED_MS("time since the request was read whole, or that the step took"),
+  ELAPSED_MS("time since the request was read whole, or that the step or the wait took"),
   /** Customer that pays for the request. */
   CUSTOMER("whose key the request carries"),
   /** Route of the request. */
@@ -87,8 +87,8 @@
   BACKOFF_MS("time for which the upstream wants no request from this VM"),
   /** HTTP status that the caller or this VM received. */
   STATUS("the HTTP status, 0 for none"),
-  /** Reason of a refusal or of a rollout's transition. */
-  REASON("why it was refused, or why a rollout turned"),
+  /** Reason of a refusal, of a failure or of a rollout's transition. */
+  REASON("why it was refused or failed, or why a rollout turned"),
   /** Whether an upstream may have started to process the request. */
   MAYBE_RAN("whether an upstream may have run the request"),
   /** Time after which the caller may retry. */
@@ -133,6 +133,12 @@
   SHARES(
       "for each customer and route's rank: slots in use, slots granted since the line before, and"
           + " requests that wait"),
+  /** Address that a program listens on. */
+  ADDRESS("the address that the program is to listen on"),
+  /** Exit code of a process. */
+  EXIT_CODE("the process's exit code"),
+  /** Name of a thread. */
+  THREAD("the thread's name"),
   /** Expected time to a stream's first event. */
   EXPECTED_FIRST_EVENT_MS("time that was expected from the dispatch to the first event");
 
--- a/standin/src/main/java/org/teaseltrail/standin/StandinDaemon.java
+++ b/standin/src/main/java/org/teaseltrail/standin/StandinDaemon.java
@@ -4,11 +4,14 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 import org.teaseltrail.runtime.log.ComponentLogger;
 import org.teaseltrail.runtime.process.ExitCode;
+import org.teaseltrail.runtime.process.ProgramException;
 import org.teaseltrail.runtime.process.RunningProgram;
+import org.teaseltrail.runtime.process.StartSequence;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 
@@ -27,27 +30,34 @@
   private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
   private final AtomicReference<CompletableFuture<Void>> leaving = new AtomicReference<>();
 
-  StandinDaemon(StandinOptions options, SimulatedUpstream behaviour) {
+  StandinDaemon(StandinOptions options, SimulatedUpstream behaviour) throws ProgramException {
     this.options = options;
     this.behaviour = behaviour;
-    this.server =
-        HttpServer.create()
-            .bindAddress(options::listen)
-            .channelGroup(connections)
-            .route(
-                routes -> {
-                  if (options.admin()) {
-                    new AdminRoutes(behaviour, this::leave).addTo(routes);
-                  }
-                  behaviour.addRoutes(routes);
-                })
-            .bindNow();
+    try (StartSequence start = new StartSequence(Optional.empty())) {
+      start.onFailure(behaviour::close);
+      this.server = start.listen(options.listen(), this::listen, DisposableServer::disposeNow);
+      start.complete();
+    }
     this.announcer = new Announcer(upstreamId(), options.secret().value(), options.entries());
     behaviour.failed().whenComplete((none, failure) -> ended.completeExceptionally(failure));
     behaviour.start(announcer);
     logger.info("Listening on " + options.listen() + " as upstream " + upstreamId() + ".");
   }
 
+  private DisposableServer listen() {
+    return HttpServer.create()
+        .bindAddress(options::listen)
+        .channelGroup(connections)
+        .route(
+            routes -> {
+              if (options.admin()) {
+                new AdminRoutes(behaviour, this::leave).addTo(routes);
+              }
+              behaviour.addRoutes(routes);
+            })
+        .bindNow();
+  }
+
   @Override
   public CompletableFuture<ExitCode> terminationFuture() {
     return ended;
--- a/standin/src/main/java/org/teaseltrail/standin/StandinProgram.java
+++ b/standin/src/main/java/org/teaseltrail/standin/StandinProgram.java
@@ -1,7 +1,6 @@
 package org.teaseltrail.standin;
 
 import net.sourceforge.argparse4j.inf.Namespace;
-import org.teaseltrail.runtime.process.ExitCode;
 import org.teaseltrail.runtime.process.Program;
 import org.teaseltrail.runtime.process.ProgramException;
 import org.teaseltrail.runtime.process.RunningProgram;
@@ -9,7 +8,6 @@
 import org.teaseltrail.runtime.settings.SettingsSpec;
 import org.teaseltrail.standin.model.EngineModel;
 import org.teaseltrail.standin.model.ServiceModel;
-import reactor.netty.ChannelBindException;
 
 /** Program definition of the simulated upstream: its settings and its start. */
 public final class StandinProgram implements Program {
@@ -22,17 +20,6 @@
   @Override
   public RunningProgram start(Settings settings, Namespace arguments) throws ProgramException {
     StandinOptions options = StandinOptions.of(settings, System.currentTimeMillis());
-    try {
-      return start(options);
-    } catch (ChannelBindException failure) {
-      throw new ProgramException(
-          ExitCode.LISTEN,
-          "can't listen on " + options.listen() + ": " + failure.getMessage(),
-          failure);
-    }
-  }
-
-  private static RunningProgram start(StandinOptions options) {
     if (options.engine().isPresent()) {
       EngineModel model = new EngineModel(options.engine().get(), System.nanoTime());
       return new StandinDaemon(options, new SimulatedEngine(model));
