--- a/control/src/main/java/org/teaseltrail/control/ControlMemberSupervisor.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlMemberSupervisor.java
@@ -12,6 +12,8 @@
 import org.teaseltrail.runtime.process.ExitCode;
 import org.teaseltrail.runtime.process.ProgramException;
 import org.teaseltrail.runtime.process.RunningProgram;
+import org.teaseltrail.runtime.process.StartCancelledException;
+import org.teaseltrail.runtime.process.StartPause;
 
 /**
  * Supervises a control member: restarts it within the same process after a disk failure.
@@ -31,14 +33,28 @@
 
   private final MemberFailureLogger failures;
   private final SupervisedMember.Starter starter;
-  private final Runnable retryDelay;
+  private final RetryDelay retryDelay;
   private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
   private final Thread thread = new Thread(this::run, "member");
   private volatile Optional<SupervisedMember> current = Optional.empty();
   private volatile boolean closing;
 
-  private ControlMemberSupervisor(
-      SupervisedMember.Starter starter, Runnable retryDelay, MemberFailureLogger failures) {
+  /**
+   * Creates the supervisor of a member of a group that bootstraps itself. Until the member has
+   * started, calls are answered as by a member that doesn't lead.
+   *
+   * @param options the member's options
+   */
+  public ControlMemberSupervisor(ControlOptions options) {
+    this(
+        knownDowntimeMs -> ControlDaemon.start(options, knownDowntimeMs),
+        () -> StartPause.await(RETRY_MS),
+        new MemberFailureLogger(options.log()));
+  }
+
+  /** Creates the supervisor of a member with a given starter and delay between two attempts. */
+  ControlMemberSupervisor(
+      SupervisedMember.Starter starter, RetryDelay retryDelay, MemberFailureLogger failures) {
     this.starter = starter;
     this.retryDelay = retryDelay;
     this.failures = failures;
@@ -46,34 +62,23 @@
   }
 
   /**
-   * Starts a member of a group that bootstraps itself.
+   * Starts the member. Waits until its data folder can be used.
    *
-   * @param options the member's options
-   * @return the running member
+   * @param isEarlierInstanceLikely whether another process held an address of this one after this
+   *     one had been started
    * @throws ProgramException if the member can't start for a reason other than its disk
    */
-  public static ControlMemberSupervisor start(ControlOptions options) throws ProgramException {
+  public void start(boolean isEarlierInstanceLikely) throws ProgramException {
     // The platform starts a process only after the previous one has exited, so no earlier instance
     // has run for at least the age of this process.
     long processAgeMs = ManagementFactory.getRuntimeMXBean().getUptime();
-    return start(
-        knownDowntimeMs -> ControlDaemon.start(options, knownDowntimeMs),
-        processAgeMs,
-        ControlMemberSupervisor::sleepBeforeRetry,
-        new MemberFailureLogger(options.log()));
+    start(isEarlierInstanceLikely ? 0 : processAgeMs);
   }
 
-  /** Starts a member with a given starter and delay between two attempts. */
-  static ControlMemberSupervisor start(
-      SupervisedMember.Starter starter,
-      long knownDowntimeMs,
-      Runnable retryDelay,
-      MemberFailureLogger failures)
-      throws ProgramException {
-    ControlMemberSupervisor supervisor = new ControlMemberSupervisor(starter, retryDelay, failures);
-    supervisor.startWithRetry(knownDowntimeMs);
-    supervisor.thread.start();
-    return supervisor;
+  /** Starts the member after a time for which no earlier instance is known to have run. */
+  void start(long knownDowntimeMs) throws ProgramException {
+    startWithRetry(knownDowntimeMs);
+    thread.start();
   }
 
   /**
@@ -163,7 +168,7 @@
         }
         unusable.failed(e, System.nanoTime());
         downtimeMs = 0;
-        retryDelay.run();
+        retryDelay.await();
       }
     }
   }
@@ -171,6 +176,9 @@
   private void run() {
     try {
       supervise();
+    } catch (StartCancelledException e) {
+      // The process is being shut down, and closes this supervisor.
+      return;
     } catch (ProgramException e) {
       end("Failed to restart the member; the process ends.", e, e.exitCode());
     } catch (RuntimeException | Error e) {
@@ -197,7 +205,7 @@
     final long startNs = System.nanoTime();
     current = Optional.empty();
     closeFailed(failed);
-    retryDelay.run();
+    retryDelay.await();
     startWithRetry(0);
     if (!closing) {
       failures.restarted(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs));
@@ -218,11 +226,15 @@
     ended.complete(exitCode);
   }
 
-  private static void sleepBeforeRetry() {
-    try {
-      TimeUnit.MILLISECONDS.sleep(RETRY_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+  /** Waits between two attempts to start a member. */
+  @FunctionalInterface
+  interface RetryDelay {
+
+    /**
+     * Waits.
+     *
+     * @throws StartCancelledException if the process is being shut down
+     */
+    void await() throws StartCancelledException;
   }
 }
--- a/control/src/test/java/org/teaseltrail/control/ControlMemberSupervisorTest.java
+++ b/control/src/test/java/org/teaseltrail/control/ControlMemberSupervisorTest.java
@@ -105,8 +105,11 @@
 
   private ControlMemberSupervisor start(FakeMember first) throws ProgramException {
     starts.add(() -> first);
-    return ControlMemberSupervisor.start(
-        downtimeMs -> nextStart().run(), 0, () -> {}, new MemberFailureLogger(Optional.of(log)));
+    ControlMemberSupervisor supervisor =
+        new ControlMemberSupervisor(
+            downtimeMs -> nextStart().run(), () -> {}, new MemberFailureLogger(Optional.of(log)));
+    supervisor.start(0);
+    return supervisor;
   }
 
   private Start nextStart() {
