Bound the numbers of plans and heartbeats where they come in and where they are used

Callers saw, under a plan with extreme numbers that was accepted: on a route whose weights add up to more than 2^31-1 each request ended in an exception at every entry VM (the draw summed them as an int); limits that are negative or near 2^31 let no connection be set up, and a header time near 2^63 overflowed, so that each request was late. A weight of 2^32 was cut to 0. A heartbeat of 2^62 slots was taken for one of a million: the leader lists and deals slots one by one, on its one thread. A heartbeat whose address is a name was taken too, and each entry VM looked the name up on the thread of all its connections.

None of it was seen on the users' machines: followed through the code after bad input was taken without an error.

A warm-up time below 0 still counts as 0. Limits out of range count as the nearest usable: the protocol names the plans that are invalid, and these aren't among them. An entry VM doesn't connect to an upstream whose host is no IP address.

--- a/core/src/main/java/org/teaseltrail/core/forward/AdmissionController.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/AdmissionController.java
@@ -320,8 +320,8 @@
   }
 
   private ServiceId drawService(PlanRoute route) {
-    int total = route.targets().stream().mapToInt(WeightedService::weight).sum();
-    int drawn = random.nextInt(total);
+    long total = route.targets().stream().mapToLong(WeightedService::weight).sum();
+    long drawn = random.nextLong(total);
     for (WeightedService target : route.targets()) {
       drawn -= target.weight();
       if (drawn < 0) {
--- a/core/src/main/java/org/teaseltrail/core/plan/PlanCustomer.java
+++ b/core/src/main/java/org/teaseltrail/core/plan/PlanCustomer.java
@@ -25,9 +25,19 @@
     double quotaPerSecond,
     double quotaBurst) {
 
-  /** Copies the list of keys. */
+  /** Larger quotas limit nobody; sums with infinite ones would not be numbers. */
+  private static final double MAX_QUOTA = 1e12;
+
+  /** Copies the list of keys, and bounds the numbers. */
   public PlanCustomer {
     keys = List.copyOf(keys);
+    plainTokens = Math.max(0, plainTokens);
+    quotaPerSecond = bounded(quotaPerSecond);
+    quotaBurst = bounded(quotaBurst);
+  }
+
+  private static double bounded(double quota) {
+    return quota > 0 ? Math.min(MAX_QUOTA, quota) : 0;
   }
 
   /**
--- a/core/src/main/java/org/teaseltrail/core/plan/PlanRoute.java
+++ b/core/src/main/java/org/teaseltrail/core/plan/PlanRoute.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.core.plan;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.teaseltrail.core.id.RouteId;
 
 /**
@@ -37,9 +38,15 @@
 
   private static final long MIN_CALLER_TIMEOUT_MS = 2_000;
 
-  /** Copies the list of targets. */
+  /** Longer times make no difference, and sums and products with them would overflow. */
+  private static final long MAX_MS = TimeUnit.DAYS.toMillis(1);
+
+  /** Copies the list of targets, and bounds the times. */
   public PlanRoute {
     targets = List.copyOf(targets);
+    timeoutMs = Math.min(MAX_MS, timeoutMs);
+    objectiveMs = Math.max(0, Math.min(MAX_MS, objectiveMs));
+    eventGapMs = Math.max(0, Math.min(MAX_MS, eventGapMs));
   }
 
   /**
--- a/core/src/main/java/org/teaseltrail/core/registry/Registration.java
+++ b/core/src/main/java/org/teaseltrail/core/registry/Registration.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.core.registry;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.teaseltrail.core.id.DataCenterId;
 import org.teaseltrail.core.id.ServiceId;
 import org.teaseltrail.core.id.UpstreamId;
@@ -34,6 +35,21 @@
     Optional<UpstreamVersion> version,
     long coldMs) {
 
+  /**
+   * Largest number of slots, many times what an upstream processes at once: the leader deals slots
+   * one by one.
+   */
+  public static final int MAX_SLOTS = 10_000;
+
+  /** Longest remaining warm-up time, in milliseconds. */
+  public static final long MAX_COLD_MS = TimeUnit.DAYS.toMillis(1);
+
+  /** Bounds the numbers, which an old log may hold without bounds. */
+  public Registration {
+    slots = Math.max(0, Math.min(MAX_SLOTS, slots));
+    coldMs = Math.max(0, Math.min(MAX_COLD_MS, coldMs));
+  }
+
   /**
    * Returns the incarnation of the upstream that sent the registration.
    *
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnectionPool.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.util.NetUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -36,6 +37,8 @@
    */
   private static final int MAX_IDLE = 12;
 
+  private static final int MAX_PORT = 65_535;
+
   private final Map<K, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
   private final Map<UpstreamConnection, K> owners = new HashMap<>();
   private final SharedEventLoop sharedLoop;
@@ -174,6 +177,10 @@
       int timeoutMs,
       Consumer<UpstreamConnection> connected,
       Runnable failed) {
+    if (!isReachable(address)) {
+      sharedLoop.loop().execute(failed);
+      return;
+    }
     UpstreamConnection connection = new UpstreamConnection(this, dialect);
     Bootstrap bootstrap =
         new Bootstrap()
@@ -195,6 +202,13 @@
         });
   }
 
+  /** Returns false for a name: looking it up would block all connections of this VM. */
+  private static boolean isReachable(SocketAddress address) {
+    return address.port() > 0
+        && address.port() <= MAX_PORT
+        && NetUtil.createByteArrayFromIpAddressString(address.host()) != null;
+  }
+
   private static ChannelInitializer<Channel> initializer(UpstreamConnection connection) {
     return new ChannelInitializer<>() {
       @Override
