Report every failed start, stop and lost thread in a line of the event log

Operators saw: a process that could not start ended with a stack trace or a plain sentence, without a line in its JSON log; an exception that left main let the process run on while its threads did; a thread that ended by an uncaught exception, and a process that was stopped before its program had started, left no line.

Cause: only the programs wrote to the event log, and they had not started or had already closed it. ProgramMain caught only declared failures.

ProcessLog writes these lines: start_failed with the exit code and the cause, stop where no program ran, thread_failed with the thread and the cause. Each is written before the process goes on to its end. ProgramMain lets no exception leave main, and installs the handler for the uncaught ones. The shutdown hook exists before the settings are read, so that a stop at that time ends with 0 and a line. The JVM's own first 0.3 s remain: before its hook exists SIGTERM ends it with 143.

Evidence: of the new cases of ProgramMainTest four fail with the previous ProgramMain and ShutdownHook (two for the missing line, LinkageError and IllegalStateException out of run in the others); startThatIsCancelled, stopBeforeStart and uncaughtException guard new code. ShutdownHookTest only passes the hook its log.

--- a/runtime/src/main/java/org/teaseltrail/runtime/process/Program.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/Program.java
@@ -15,6 +15,16 @@
    */
   SettingsSpec spec();
 
+  /**
+   * Returns the name of this VM for the lines of the event log.
+   *
+   * @param settings the validated settings
+   * @return the name; by default empty
+   */
+  default String vm(Settings settings) {
+    return "";
+  }
+
   /**
    * Adds program-specific arguments to the command line.
    *
--- a/runtime/src/main/java/org/teaseltrail/runtime/process/ProgramMain.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/ProgramMain.java
@@ -35,6 +35,7 @@
   private final Program program;
   private final PrintStream out;
   private final PrintStream err;
+  private final ProcessLog processLog;
 
   /**
    * Creates the runner of a program.
@@ -47,6 +48,7 @@
     this.program = program;
     this.out = out;
     this.err = err;
+    this.processLog = new ProcessLog(out, program.spec().program());
   }
 
   /**
@@ -56,40 +58,59 @@
    * @param args the command line
    */
   public static void main(Program program, String[] args) {
-    ExitCode exitCode = new ProgramMain(program, System.out, System.err).run(args);
-    System.exit(exitCode.code());
+    ProgramMain main = new ProgramMain(program, System.out, System.err);
+    Thread.setDefaultUncaughtExceptionHandler(main.processLog);
+    System.exit(main.run(args).code());
   }
 
   /**
-   * Runs the program until it terminates.
+   * Runs the program until it terminates. A start that fails for any reason leaves one line in the
+   * event log.
    *
    * @param args the command line
    * @return its exit code
    */
   public ExitCode run(String... args) {
-    try (ReloadSignalHandler reload = new ReloadSignalHandler()) {
-      return run(reload, args);
+    try (ShutdownHook hook = new ShutdownHook(processLog);
+        ReloadSignalHandler reload = new ReloadSignalHandler()) {
+      return run(hook, reload, args);
     }
   }
 
-  private ExitCode run(ReloadSignalHandler reload, String... args) {
+  private ExitCode run(ShutdownHook hook, ReloadSignalHandler reload, String... args) {
     ArgumentParser parser = parser();
     try {
-      return execute(parser.parseArgs(args), reload);
+      return execute(parser.parseArgs(args), hook, reload);
     } catch (HelpScreenException e) {
       return ExitCode.OK;
     } catch (ArgumentParserException e) {
       parser.handleError(e, new PrintWriter(err, true, StandardCharsets.UTF_8));
-      return ExitCode.USAGE;
+      return failed(ExitCode.USAGE, e);
     } catch (InvalidSettingsException e) {
       err.println(e.getMessage());
-      return ExitCode.SETTINGS;
+      return failed(ExitCode.SETTINGS, e);
+    } catch (StartCancelledException e) {
+      logger.info("Stopped during the start.");
+      return e.exitCode();
     } catch (ProgramException e) {
       err.println(program.spec().program() + ": " + e.getMessage());
-      return e.exitCode();
+      return failed(e.exitCode(), e);
+    } catch (Throwable e) {
+      // Nothing may leave main without ending the process: other threads could run on.
+      if (hook.hasStarted()) {
+        processLog.uncaughtException(Thread.currentThread(), e);
+        return ExitCode.INTERNAL;
+      }
+      logger.error("The start failed.", e);
+      return failed(ExitCode.INTERNAL, e);
     }
   }
 
+  private ExitCode failed(ExitCode exitCode, Throwable failure) {
+    processLog.startFailed(exitCode, failure);
+    return exitCode;
+  }
+
   private ArgumentParser parser() {
     ArgumentParser parser =
         ArgumentParsers.newFor(program.spec().program())
@@ -118,7 +139,7 @@
     return version == null ? "(development build)" : version;
   }
 
-  private ExitCode execute(Namespace arguments, ReloadSignalHandler reload)
+  private ExitCode execute(Namespace arguments, ShutdownHook hook, ReloadSignalHandler reload)
       throws InvalidSettingsException, ProgramException {
     SettingsPrint print = arguments.get(PRINT_SETTINGS);
     if (print != null) {
@@ -129,14 +150,23 @@
     if (file == null) {
       throw new ProgramException(ExitCode.USAGE, "--settings FILE is needed; see --help");
     }
-    Settings settings = new SettingsReader(program.spec()).read(Path.of(file));
     if (arguments.getBoolean(CHECK_SETTINGS)) {
-      out.println(file + ": settings are right");
-      return ExitCode.OK;
+      return checkSettings(file);
     }
+    Settings settings = new SettingsReader(program.spec()).read(Path.of(file));
+    processLog.vm(program.vm(settings));
     LogSetup.configure(settings.get(LogSettings.FORMAT), settings.get(LogSettings.LEVEL));
-    try (ShutdownHook hook = new ShutdownHook()) {
-      return serve(settings, Path.of(file), arguments, hook, reload);
+    return serve(settings, Path.of(file), arguments, hook, reload);
+  }
+
+  private ExitCode checkSettings(String file) {
+    try {
+      new SettingsReader(program.spec()).read(Path.of(file));
+      out.println(file + ": settings are right");
+      return ExitCode.OK;
+    } catch (InvalidSettingsException e) {
+      err.println(e.getMessage());
+      return ExitCode.SETTINGS;
     }
   }
 
--- a/runtime/src/main/java/org/teaseltrail/runtime/process/ShutdownHook.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/ShutdownHook.java
@@ -22,10 +22,12 @@
   private static final long START_TIMEOUT_MS = 2_000;
 
   private final ComponentLogger logger = new ComponentLogger("process");
+  private final ProcessLog processLog;
   private final Thread thread;
   private final CompletableFuture<RunningProgram> program = new CompletableFuture<>();
 
-  ShutdownHook() {
+  ShutdownHook(ProcessLog processLog) {
+    this.processLog = processLog;
     this.thread = new Thread(this::shutDown, "shutdown");
     Runtime.getRuntime().addShutdownHook(thread);
   }
@@ -34,6 +36,10 @@
     program.complete(started);
   }
 
+  boolean hasStarted() {
+    return program.isDone();
+  }
+
   /** Removes the hook when the program terminates without a signal, or has not started. */
   @Override
   public void close() {
@@ -63,7 +69,8 @@
     logger.info("Shutting down gracefully.");
     ExitCode exitCode = ExitCode.OK;
     try {
-      awaitStart(START_TIMEOUT_MS).ifPresent(RunningProgram::close);
+      awaitStart(START_TIMEOUT_MS)
+          .ifPresentOrElse(RunningProgram::close, processLog::stoppedBeforeStart);
       logger.info("Shutdown complete.");
     } catch (RuntimeException e) {
       logger.error("Graceful shutdown failed.", e);
--- a/runtime/src/test/java/org/teaseltrail/runtime/process/ProgramMainTest.java
+++ b/runtime/src/test/java/org/teaseltrail/runtime/process/ProgramMainTest.java
@@ -70,6 +70,92 @@
     assertThat(err.toString(StandardCharsets.UTF_8)).contains("sample: address in use");
   }
 
+  /** Guards against a failed start of which the event log says nothing. */
+  @Test
+  void startThatFailsLeavesLineWithCause() {
+    program.failure = new ProgramException(ExitCode.LISTEN, "can't listen on 127.0.0.1:1");
+
+    assertThat(run("--settings", file)).isEqualTo(ExitCode.LISTEN);
+
+    assertThat(out.toString(StandardCharsets.UTF_8))
+        .contains("\"program\":\"sample\",\"vm\":\"vm-1\",\"event\":\"start_failed\"")
+        .contains("\"exit_code\":5,\"reason\":\"can't listen on 127.0.0.1:1\"");
+  }
+
+  /** Guards against settings that keep a program from starting and leave no line in its log. */
+  @Test
+  void invalidSettingsLeaveLineWithCause() {
+    assertThat(run("--settings", "/nowhere")).isEqualTo(ExitCode.SETTINGS);
+
+    assertThat(out.toString(StandardCharsets.UTF_8))
+        .contains("\"event\":\"start_failed\",\"exit_code\":3")
+        .contains("/nowhere: file can't be read");
+  }
+
+  /** Guards against an exception that leaves main while other threads run on. */
+  @Test
+  void unexpectedErrorDuringStartEndsProgram() {
+    program.duringStart =
+        () -> {
+          throw new LinkageError("no such class");
+        };
+
+    assertThat(run("--settings", file)).isEqualTo(ExitCode.INTERNAL);
+
+    assertThat(out.toString(StandardCharsets.UTF_8))
+        .contains("\"event\":\"start_failed\",\"exit_code\":1")
+        .contains("no such class");
+  }
+
+  /** Guards against a start that was stopped and is reported as failed. */
+  @Test
+  void startThatIsCancelledIsNoFailure() {
+    program.failure = new StartCancelledException();
+
+    assertThat(run("--settings", file)).isEqualTo(ExitCode.OK);
+
+    assertThat(out.toString(StandardCharsets.UTF_8)).doesNotContain("start_failed");
+  }
+
+  /** Guards against an error at the end that is reported as one of the start. */
+  @Test
+  void errorWhileClosingEndsProgram() {
+    program.ended.complete(ExitCode.OK);
+    program.duringClose =
+        () -> {
+          throw new IllegalStateException("can't close");
+        };
+
+    assertThat(run("--settings", file)).isEqualTo(ExitCode.INTERNAL);
+
+    assertThat(out.toString(StandardCharsets.UTF_8))
+        .contains("\"event\":\"thread_failed\"", "can't close");
+  }
+
+  /** Guards against a process that is stopped before its program runs and says nothing of it. */
+  @Test
+  void stopBeforeStartLeavesLine() {
+    new ProcessLog(new PrintStream(out, true, StandardCharsets.UTF_8), "sample")
+        .stoppedBeforeStart();
+
+    assertThat(out.toString(StandardCharsets.UTF_8)).contains("\"event\":\"stop\"").hasLineCount(1);
+  }
+
+  /** Guards against a thread that ends without a line that names it and the cause. */
+  @Test
+  void uncaughtExceptionOfThreadLeavesLine() throws InterruptedException {
+    Thread thread = new Thread(() -> Long.parseLong("x".repeat(5_000)), "worker");
+    thread.setUncaughtExceptionHandler(
+        new ProcessLog(new PrintStream(out, true, StandardCharsets.UTF_8), "sample"));
+    thread.start();
+    thread.join();
+
+    assertThat(out.toString(StandardCharsets.UTF_8))
+        .contains("\"event\":\"thread_failed\",\"thread\":\"worker\"")
+        .contains("NumberFormatException")
+        .hasSizeLessThan(1_000);
+  }
+
   /** Guards against a process that ends when settings change in the first second of its life. */
   @Test
   @Timeout(10)
@@ -92,6 +178,7 @@
     private ProgramException failure;
     private Runnable duringStart = () -> {};
     private Runnable onReload = () -> {};
+    private Runnable duringClose = () -> {};
     private int starts;
     private boolean closed;
 
@@ -100,6 +187,11 @@
       return SampleSettings.SPEC;
     }
 
+    @Override
+    public String vm(Settings settings) {
+      return "vm-1";
+    }
+
     @Override
     public RunningProgram start(Settings settings, Namespace arguments) throws ProgramException {
       if (failure != null) {
@@ -123,6 +215,7 @@
     @Override
     public void close() {
       closed = true;
+      duringClose.run();
     }
   }
 }
--- a/runtime/src/test/java/org/teaseltrail/runtime/process/ShutdownHookTest.java
+++ b/runtime/src/test/java/org/teaseltrail/runtime/process/ShutdownHookTest.java
@@ -11,7 +11,7 @@
   @Test
   @Timeout(10)
   void shutdownDoesNotWaitForEverForStart() {
-    try (ShutdownHook hook = new ShutdownHook()) {
+    try (ShutdownHook hook = new ShutdownHook(new ProcessLog(System.out, "sample"))) {
       assertThat(hook.awaitStart(10)).isEmpty();
     }
   }
