Ask again where a stream began when a connection to a member opens

Callers saw: an entry VM that stood still or was cut off refuses the streams that are taken up there with 503 (ORIGIN_UNKNOWN), although the members know their origins and the connections open again within 0.1 s.

Cause: a question is sent to each member once. It is lost with a connection that ended while the VM stood still, and nobody asks again, unlike what the VM tells of its own streams, which is sent again with each new connection.

Mend: all open questions are asked again at a member whose connection opens, and wait once more for 0.3 s. Each asking expects its own answer, so that a member which answers twice doesn't count for two.

Evidence: StreamTakeUpTest.questionIsAskedAgainWhenConnectionOpens and answerToFirstAskingDoesNotEndTheSecond failed before (no second question; an early ORIGIN_UNKNOWN).

--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -389,6 +389,7 @@
    */
   public List<ForwardAction> onMemberConnected(VmId member, long nowNs) {
     begunStreams.tellAgain(member);
+    origins.onMemberConnected(member, nowNs);
     return collectActions(nowNs);
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
@@ -39,17 +39,30 @@
 
   /** A question to which not all members have answered. */
   private static final class OpenQuestion {
+    private final OriginQuestion question;
     private final Continuation continuation;
     private long expiryNs;
     private int unanswered;
     private boolean isSent;
+    private boolean isAskedAgain;
 
-    private OpenQuestion(Continuation continuation, long expiryNs, int unanswered) {
+    private OpenQuestion(
+        OriginQuestion question, Continuation continuation, long expiryNs, int unanswered) {
+      this.question = question;
       this.continuation = continuation;
       this.expiryNs = expiryNs;
       this.unanswered = unanswered;
     }
 
+    /** Expects one more answer, and waits for it as for the first ones, once. */
+    private void markAskedAgain(long nowNs) {
+      unanswered++;
+      if (!isAskedAgain) {
+        expiryNs = nowNs + MAX_WAIT_NS;
+      }
+      isAskedAgain = true;
+    }
+
     /** Starts the wait anew if the question was sent only after it had expired. */
     private void markSent(long nowNs) {
       if (!isSent && nowNs >= expiryNs) {
@@ -98,9 +111,10 @@
             ? Optional.of(route.targets().get(0).service())
             : Optional.empty();
     List<VmId> members = controlClient.members();
-    questions.put(
-        request.number(), new OpenQuestion(continuation, nowNs + MAX_WAIT_NS, members.size()));
     OriginQuestion question = new OriginQuestion(request.number(), key, service);
+    questions.put(
+        request.number(),
+        new OpenQuestion(question, continuation, nowNs + MAX_WAIT_NS, members.size()));
     sendToAll(new ServingMessage.OriginQuery(controlClient.vm(), List.of(question)));
   }
 
@@ -118,6 +132,18 @@
     }
   }
 
+  /** Asks a member with a new connection again: what was sent to it before may be lost. */
+  void onMemberConnected(VmId member, long nowNs) {
+    if (questions.isEmpty()) {
+      return;
+    }
+    List<OriginQuestion> open =
+        questions.keySet().stream().sorted().map(number -> questions.get(number).question).toList();
+    questions.values().forEach(question -> question.markAskedAgain(nowNs));
+    ServingMessage query = new ServingMessage.OriginQuery(controlClient.vm(), open);
+    actions.accept(new ForwardAction.SendControl(member, query));
+  }
+
   void onCallerDisconnected(long number) {
     questions.remove(number);
   }
--- a/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
@@ -90,6 +90,47 @@
     assertThat(refusals()).containsExactly(RefusalReason.ORIGIN_UNKNOWN);
   }
 
+  /** Guards against a question that is lost with a connection and isn't asked again. */
+  @Test
+  void questionIsAskedAgainWhenConnectionOpens() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    advanceMs(MAX_WAIT_MS - 1);
+    actions = node.onMemberConnected(MEMBER, nowNs);
+    assertThat(questions())
+        .containsExactly(
+            new OriginQuestion(stream, Optional.of(key("id-before")), Optional.of(ENGINES)));
+    advanceMs(MAX_WAIT_MS - 1);
+    assertThat(refusals()).isEmpty();
+    answer(stream, Optional.of(origin(ENGINES, "v2")));
+    assertThat(dispatches()).containsExactly("b1");
+  }
+
+  /** Guards against a wait without end where connections open and break again and again. */
+  @Test
+  void questionThatIsAskedAgainIsGivenUpToo() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    takeUp(Optional.of("id-before"), Optional.of("4"));
+    node.onMemberConnected(MEMBER, nowNs);
+    advanceMs(MAX_WAIT_MS - 1);
+    node.onMemberConnected(MEMBER, nowNs);
+    advanceMs(1);
+    assertThat(refusals()).containsExactly(RefusalReason.ORIGIN_UNKNOWN);
+    assertThat(node.openRequests()).isZero();
+  }
+
+  /** Guards against an early end because a member that was asked twice answers twice. */
+  @Test
+  void answerToFirstAskingDoesNotEndTheSecond() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    node.onMemberConnected(MEMBER, nowNs);
+    answer(stream, Optional.empty());
+    assertThat(refusals()).isEmpty();
+    answer(stream, Optional.empty());
+    assertThat(refusals()).containsExactly(RefusalReason.ORIGIN_UNKNOWN);
+  }
+
   /** Guards against names that are no names, by which a stream would pass for a known one. */
   @ParameterizedTest
   @ValueSource(strings = {"", " ", "spoilt"})
