Send a VM with a new connection again what the leader had pushed to it

Callers saw: an entry VM that was out of reach of the members has a session again but refuses streams of a version that joined meanwhile (NO_MATCHING_VERSION) for up to a second, although its upstreams serve.

Cause: the leader notes what it pushed to a VM and pushes it again only after a second. The notes outlived the connection on which the updates were lost. The same class as the notes of a former process (RestartedVmTest).

Mend: the notes end with the connection: a member's event loop is told when a VM's connection opens, before anything that comes on it. Nothing changes on the wire, so that older VMs and members gain or lose nothing.

Evidence: RestartedVmTest.getsThemAgainWhenItsConnectionHasOpenedAgain failed with the event ignored (nothing was pushed).

--- a/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
@@ -57,10 +57,12 @@
   private final ControlEventLoop loop;
   private final MessageCodec codec = new MessageCodec();
   private final EntryVmConnections<EntryMessage, ControlMessage> entryVms =
-      new EntryVmConnections<>(ControlEvent.FromEntry::new, this::post);
+      new EntryVmConnections<>(ControlEvent.FromEntry::new, vm -> {}, this::post);
   private final EntryVmConnections<ServingMessage, ServingReply> servingVms =
       new EntryVmConnections<>(
-          (vm, message) -> new ControlEvent.FromServingVm(message), this::post);
+          (vm, message) -> new ControlEvent.FromServingVm(message),
+          vm -> post(new ControlEvent.ServingVmConnected(vm)),
+          this::post);
   private final OperatorCallTracker calls = new OperatorCallTracker(this::post);
   private final ControlMetrics metrics;
   private final PeerConnections peers;
--- a/control/src/main/java/org/teaseltrail/control/EntryVmConnections.java
+++ b/control/src/main/java/org/teaseltrail/control/EntryVmConnections.java
@@ -23,10 +23,15 @@
   private final ComponentLogger logger = new ComponentLogger("control");
   private final Map<VmId, FrameConnection<I, O>> connections = new ConcurrentHashMap<>();
   private final BiFunction<VmId, I, ControlEvent> eventFactory;
+  private final Consumer<VmId> connected;
   private final Consumer<ControlEvent> sink;
 
-  EntryVmConnections(BiFunction<VmId, I, ControlEvent> eventFactory, Consumer<ControlEvent> sink) {
+  EntryVmConnections(
+      BiFunction<VmId, I, ControlEvent> eventFactory,
+      Consumer<VmId> connected,
+      Consumer<ControlEvent> sink) {
     this.eventFactory = eventFactory;
+    this.connected = connected;
     this.sink = sink;
   }
 
@@ -45,6 +50,7 @@
   public void onOpened(FrameConnection<I, O> connection) {
     VmId vm = vmOf(connection);
     FrameConnection<I, O> before = connections.put(vm, connection);
+    connected.accept(vm);
     logger.info("Entry VM " + vm + " connected.");
     if (before != null) {
       before.close();
--- a/core/src/main/java/org/teaseltrail/core/control/ControlEvent.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlEvent.java
@@ -24,6 +24,14 @@
    */
   record FromServingVm(ServingMessage message) implements ControlEvent {}
 
+  /**
+   * An entry VM that places requests itself has a new connection; what was sent to it on the one
+   * before may be lost.
+   *
+   * @param vm the VM
+   */
+  record ServingVmConnected(VmId vm) implements ControlEvent {}
+
   /**
    * A process runs a member that asks to join the group.
    *
--- a/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ControlMember.java
@@ -128,6 +128,8 @@
       onEntryMessage(from.vm(), from.message());
     } else if (event instanceof ControlEvent.FromServingVm from) {
       onServingMessage(from.message());
+    } else if (event instanceof ControlEvent.ServingVmConnected connected) {
+      leadership.ifPresent(leader -> leader.servingCoordinator().onConnected(connected.vm()));
     } else if (event instanceof ControlEvent.MemberJoins joins) {
       leadership
           .flatMap(Leadership::membershipReconciler)
--- a/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/control/ServingCoordinator.java
@@ -74,6 +74,10 @@
     private final PushState registry = new PushState();
     private final PushState quarantine = new PushState();
     private final PushState rollouts = new PushState();
+
+    private void forgetPushes() {
+      List.of(plan, registry, quarantine, rollouts).forEach(PushState::forget);
+    }
   }
 
   /** The version of one kind of state that was last pushed to a VM, and when. */
@@ -81,6 +85,10 @@
     private long version = Long.MIN_VALUE;
     private long atNs;
 
+    private void forget() {
+      version = Long.MIN_VALUE;
+    }
+
     /** Returns whether a version must be sent, and records it as sent if so. */
     private boolean isDue(long held, long newest, long nowNs) {
       boolean sentRecently = version == newest && nowNs - atNs < PUSH_RETRY_NS;
@@ -178,6 +186,11 @@
     }
   }
 
+  /** Sends a VM with a new connection again what it has not confirmed: that may be lost. */
+  void onConnected(VmId vm) {
+    Optional.ofNullable(vms.get(vm)).ifPresent(VmState::forgetPushes);
+  }
+
   /** Pushes updates to all VMs if the state to send has changed. */
   private void pushIf(boolean changed) {
     if (changed) {
--- a/core/src/test/java/org/teaseltrail/core/control/FakeEntryVms.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeEntryVms.java
@@ -67,6 +67,7 @@
   private final boolean[] stopped;
   private final long[] startedNs;
   private final long[] busyUntilNs;
+  private final long[] suspendedUntilNs;
   private final List<Deque<Input>> inputs = new ArrayList<>();
   private int coldActionMs;
   private Function<Integer, RelaySettings> relays = vm -> RelaySettings.OFF;
@@ -94,6 +95,7 @@
     stopped = new boolean[count];
     startedNs = new long[count];
     busyUntilNs = new long[count];
+    suspendedUntilNs = new long[count];
   }
 
   /** Lets VMs take part in relays. */
@@ -149,12 +151,35 @@
     return !stopped[vm];
   }
 
+  /**
+   * Suspends a VM's process: what happens to it meanwhile waits, and is handled all at once when it
+   * goes on, on a clock that has jumped.
+   */
+  void suspend(int vm, int lengthMs) {
+    long untilNs = group.nowNs() + lengthMs * NS_PER_MS;
+    suspendedUntilNs[vm] = untilNs;
+    busyUntilNs[vm] = Math.max(busyUntilNs[vm], untilNs);
+    long incarnation = incarnations[vm];
+    group.after(
+        lengthMs * NS_PER_MS,
+        () -> {
+          if (incarnation == incarnations[vm]) {
+            handleNext(vm);
+          }
+        });
+  }
+
+  boolean isSuspended(int vm) {
+    return group.nowNs() < suspendedUntilNs[vm];
+  }
+
   /** Starts a VM without state. */
   void restart(int vm) {
     incarnations[vm]++;
     stopped[vm] = false;
     startedNs[vm] = group.nowNs();
     busyUntilNs[vm] = 0;
+    suspendedUntilNs[vm] = 0;
     inputs.get(vm).clear();
     List<VmId> members =
         group.members().stream().map(FakeControlMember::member).map(Member::vm).toList();
@@ -189,6 +214,7 @@
 
   private void connect(int vm, VmId member) {
     if (!partitioned[vm] && !stopped[vm]) {
+      group.connect(name(vm), member);
       handle(vm, node -> node.onMemberConnected(member, group.nowNs()));
     }
   }
--- a/core/src/test/java/org/teaseltrail/core/control/RestartedVmTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/RestartedVmTest.java
@@ -42,6 +42,14 @@
     assertThat(pushedAfterSync(1)).isEmpty();
   }
 
+  /** Guards against a VM whose updates are lost with a connection and that waits a second. */
+  @Test
+  void getsThemAgainWhenItsConnectionHasOpenedAgain() {
+    assertThat(pushedAfterSync(1)).hasSize(2);
+    leader.handle(new ControlEvent.ServingVmConnected(new VmId("entry-1")));
+    assertThat(pushedAfterSync(1)).containsExactly("PlanUpdate", "RegistryUpdate");
+  }
+
   private List<String> pushedAfterSync(long incarnation) {
     leader.actions().clear();
     leader.handle(
