Let a stream wait for news of its version at a VM that was out of step

Callers saw: at an entry VM that stood still or was cut off for 1 to 2 s while servers of a new version joined, streams of that version are refused with 503 (NO_MATCHING_VERSION), although its upstreams serve.

Cause: the members tell at once which version began a stream, but the VM's own registrations are as old as its standstill. While its session is still valid it decides on them, and takes a version that it has not heard of for one that has left.

Mend: such a stream waits, 0.3 s at most, until an upstream of its version is registered here, or a sync confirmed less than three sync intervals ago shows that there is none. Its plan and key are then checked again. A VM in step refuses at once, as before. Nothing is guessed: no upstream of another version is considered in between.

Evidence: StreamTakeUpTest.waitsForItsVersionAtVmThatWasSuspended, isRefusedOnceItsVmIsInStepAgain and isRefusedWhenNoNewsComes failed before (refused at once).

--- a/core/src/main/java/org/teaseltrail/core/forward/AdmissionController.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/AdmissionController.java
@@ -86,16 +86,22 @@
    * @param mayRelay whether it may be relayed to a peer
    * @param arrivedNs when its first VM had read it
    * @param origin what began the stream that it resumes, if it resumes one and that is known
+   * @param awaitedNews whether it has waited for an upstream of its version to be registered
    */
   private record Arrival(
       ForwardRequest request,
       Optional<RelayHop> hop,
       boolean mayRelay,
       long arrivedNs,
-      Optional<StreamOrigin> origin) {
+      Optional<StreamOrigin> origin,
+      boolean awaitedNews) {
 
     private Arrival withOrigin(StreamOrigin known) {
-      return new Arrival(request, hop, mayRelay, arrivedNs, Optional.of(known));
+      return new Arrival(request, hop, mayRelay, arrivedNs, Optional.of(known), awaitedNews);
+    }
+
+    private Arrival withNews() {
+      return new Arrival(request, hop, mayRelay, arrivedNs, origin, true);
     }
 
     private boolean needsOrigin(PlanRoute route) {
@@ -113,6 +119,7 @@
   private final UpstreamPaths paths;
   private final RelayCoordinator relays;
   private final StreamOriginClient origins;
+  private final RegistryNewsQueue registryNews;
   private final Consumer<ForwardAction> actions;
   private final Map<Long, Waiting> waiting = new LinkedHashMap<>();
   private Optional<PlanIndex> plan = Optional.empty();
@@ -126,6 +133,7 @@
       UpstreamPaths paths,
       RelayCoordinator relays,
       StreamOriginClient origins,
+      RegistryNewsQueue registryNews,
       Consumer<ForwardAction> actions) {
     this.random = random;
     this.controlClient = controlClient;
@@ -134,6 +142,7 @@
     this.relays = relays;
     relays.setFallback(this::serveHere);
     this.origins = origins;
+    this.registryNews = registryNews;
     this.actions = actions;
   }
 
@@ -149,13 +158,13 @@
 
   /** Handles a request that has been read completely. */
   void onRequest(ForwardRequest request, long nowNs) {
-    handle(new Arrival(request, Optional.empty(), true, nowNs, Optional.empty()), nowNs);
+    handle(new Arrival(request, Optional.empty(), true, nowNs, Optional.empty(), false), nowNs);
   }
 
   /** Handles a request that a peer has relayed to this VM. */
   void onRelayedRequest(ForwardRequest request, RelayHop hop, long nowNs) {
     long arrivedNs = nowNs - hop.elapsedMs() * NS_PER_MS;
-    handle(new Arrival(request, Optional.of(hop), false, arrivedNs, hop.origin()), nowNs);
+    handle(new Arrival(request, Optional.of(hop), false, arrivedNs, hop.origin(), false), nowNs);
   }
 
   private void handle(Arrival arrival, long nowNs) {
@@ -259,7 +268,12 @@
   private void serveHere(RelayedRequest relayed, long nowNs) {
     handle(
         new Arrival(
-            relayed.request(), Optional.empty(), false, relayed.arrivedNs(), relayed.origin()),
+            relayed.request(),
+            Optional.empty(),
+            false,
+            relayed.arrivedNs(),
+            relayed.origin(),
+            false),
         nowNs);
   }
 
@@ -287,6 +301,9 @@
       refuse(arrival.request(), RefusalReason.NO_MATCHING_VERSION, UNKNOWN_ORIGIN_RETRY_MS);
       return;
     }
+    if (awaitsNews(arrival, nowNs)) {
+      return;
+    }
     ActiveRequest admitted =
         new ActiveRequest(
             arrival.request(), route, service.get(), customer, arrival.hop(), arrival.arrivedNs());
@@ -299,6 +316,17 @@
     quotaFilter.onRequest(admitted, nowNs);
   }
 
+  /** Lets a stream wait whose version may have joined without this VM having heard of it. */
+  private boolean awaitsNews(Arrival arrival, long nowNs) {
+    return arrival.origin().isPresent()
+        && !arrival.awaitedNews()
+        && registryNews.tryAdd(
+            arrival.request().number(),
+            arrival.origin().get(),
+            atNs -> handle(arrival.withNews(), atNs),
+            nowNs);
+  }
+
   /** Continues with a request that resumes a stream; it must not go on at a guess. */
   private void onOrigin(Arrival arrival, Optional<StreamOrigin> origin, long nowNs) {
     if (origin.isPresent()) {
--- a/core/src/main/java/org/teaseltrail/core/forward/ControlClient.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ControlClient.java
@@ -146,8 +146,17 @@
     return leader(nowNs).isPresent();
   }
 
+  /** Returns whether registrations of a revision are up to date, but for missed syncs at most. */
+  boolean hasRecentRegistry(long heldRevision, long nowNs) {
+    return session.hasRecentRegistry(heldRevision, maxSilenceNs(), nowNs);
+  }
+
   private Optional<VmId> leader(long nowNs) {
-    return session.leader(nowNs, MAX_MISSED_SYNCS * settings.syncIntervalMs() * NS_PER_MS);
+    return session.leader(nowNs, maxSilenceNs());
+  }
+
+  private long maxSilenceNs() {
+    return MAX_MISSED_SYNCS * settings.syncIntervalMs() * NS_PER_MS;
   }
 
   private ServingMessage.Sync sync(ForwardNode node, long sequence, long nowNs) {
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -61,6 +61,7 @@
   private final PeerAnnouncer announcer;
   private final BegunStreamAnnouncer begunStreams;
   private final StreamOriginClient origins;
+  private final RegistryNewsQueue registryNews;
   private final RejectionLimitTracker rejectionLimits;
   private boolean shuttingDown;
   private List<ForwardAction> actions = new ArrayList<>();
@@ -117,6 +118,7 @@
             action -> actions.add(action));
     begunStreams = new BegunStreamAnnouncer(controlClient, action -> actions.add(action));
     origins = new StreamOriginClient(controlClient, begunStreams, action -> actions.add(action));
+    registryNews = new RegistryNewsQueue(controlClient, upstreams);
     admission =
         new AdmissionController(
             random,
@@ -125,6 +127,7 @@
             paths,
             requests.relays(),
             origins,
+            registryNews,
             action -> actions.add(action));
     reports =
         new LeaderReporter(
@@ -374,6 +377,7 @@
   public List<ForwardAction> onCallerDisconnected(long number, long nowNs) {
     admission.onCallerDisconnected(number);
     origins.onCallerDisconnected(number);
+    registryNews.onCallerDisconnected(number);
     quotaFilter.onCallerDisconnected(number);
     requests.relays().onCallerDisconnected(number);
     requests.onCallerDisconnected(number, nowNs);
@@ -429,6 +433,7 @@
     } else if (reply instanceof ServingReply.RegistryUpdate update) {
       if (controlClient.session().isCurrentLeadership(update.fencing())) {
         upstreams.update(update.revision(), update.present());
+        registryNews.releaseSettled(nowNs);
         requests.dispatchQueued(nowNs);
       }
     } else if (reply instanceof ServingReply.RolloutUpdate update) {
@@ -502,6 +507,7 @@
     admission.tick(nowNs);
     begunStreams.tick(nowNs);
     origins.tick(nowNs);
+    registryNews.releaseSettled(nowNs);
     quotaFilter.tick(nowNs);
     paths.tick(nowNs);
     requests.relays().tick(nowNs);
@@ -522,7 +528,8 @@
             quotaFilter.nextDueNs().orElse(Long.MAX_VALUE),
             admission.nextDueNs().orElse(Long.MAX_VALUE),
             begunStreams.nextDueNs().orElse(Long.MAX_VALUE),
-            origins.nextDueNs().orElse(Long.MAX_VALUE))
+            origins.nextDueNs().orElse(Long.MAX_VALUE),
+            registryNews.nextDueNs().orElse(Long.MAX_VALUE))
         .min()
         .getAsLong();
   }
@@ -556,7 +563,8 @@
         + requests.relays().openRequests()
         + quotaFilter.waiting()
         + admission.waiting()
-        + origins.waiting();
+        + origins.waiting()
+        + registryNews.waiting();
   }
 
   /**
@@ -620,6 +628,7 @@
     slots.contended(confirmed.fencing(), confirmed.contended(), nowNs);
     quotaFilter.onConfirmed(confirmed, nowNs);
     admission.retryWaiting(nowNs);
+    registryNews.releaseSettled(nowNs);
     requests.dispatchQueued(nowNs);
   }
 
--- a/core/src/main/java/org/teaseltrail/core/serving/ServingSession.java
+++ b/core/src/main/java/org/teaseltrail/core/serving/ServingSession.java
@@ -31,6 +31,8 @@
   private long validUntilNs;
   private VmId leader;
   private long leaderRepliedNs;
+  private long confirmedSyncNs = Long.MIN_VALUE;
+  private long confirmedRegistryRevision;
 
   /**
    * Creates a session that is not valid yet.
@@ -71,6 +73,8 @@
     newestFencing = reply.fencing();
     leader = sent.member();
     leaderRepliedNs = nowNs;
+    confirmedSyncNs = Math.max(confirmedSyncNs, sent.atNs());
+    confirmedRegistryRevision = reply.registryRevision();
     pending = new Pending(reply.planVersion(), sent.atNs() + lifetimeNs);
     extendIfPlanApplied();
     return true;
@@ -117,6 +121,19 @@
     return newestFencing;
   }
 
+  /**
+   * Returns whether registrations are as new as the leader's were recently.
+   *
+   * @param heldRevision revision of the registrations that the VM holds
+   * @param maxAgeNs maximum age of the newest sync that was confirmed, in nanoseconds
+   * @param nowNs current time, on a clock that includes pauses
+   * @return false if the leader has newer ones, or may have had some for longer than that
+   */
+  public boolean hasRecentRegistry(long heldRevision, long maxAgeNs, long nowNs) {
+    boolean isRecent = confirmed && nowNs - confirmedSyncNs <= maxAgeNs;
+    return isRecent && heldRevision >= confirmedRegistryRevision;
+  }
+
   /**
    * Returns whether requests may be admitted.
    *
--- a/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
@@ -29,6 +29,10 @@
 
   private static final String PATH = "/resumable/x";
   private static final long MAX_WAIT_MS = 300;
+
+  /** Longer than three syncs, and shorter than a session. */
+  private static final long SUSPENDED_MS = 2_000;
+
   private static final Registration OLD = upstream("a1", "v1");
   private static final Registration NEW = upstream("b1", "v2");
 
@@ -172,6 +176,59 @@
     assertThat(refusals()).containsExactly(RefusalReason.NO_MATCHING_VERSION);
   }
 
+  /** Guards against a stream that a VM refuses as it has not heard of its version yet. */
+  @Test
+  void waitsForItsVersionAtVmThatWasSuspended() {
+    serveWith(TestPlans.plan(1), OLD);
+    advanceMs(SUSPENDED_MS);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    answer(stream, Optional.of(origin(ENGINES, "v2")));
+    assertThat(refusals()).isEmpty();
+    assertThat(dispatches()).isEmpty();
+    actions =
+        node.onControlMessage(new ServingReply.RegistryUpdate(TERM, 2, List.of(OLD, NEW)), nowNs);
+    assertThat(dispatches()).containsExactly("b1");
+  }
+
+  /** Guards against a wait for news that a confirmation has shown not to exist. */
+  @Test
+  void isRefusedOnceItsVmIsInStepAgain() {
+    serveWith(TestPlans.plan(1), OLD);
+    advanceMs(SUSPENDED_MS);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    answer(stream, Optional.of(origin(ENGINES, "v2")));
+    assertThat(refusals()).isEmpty();
+    actions = node.onControlMessage(confirmed(TERM, Optional.of(List.of())), nowNs);
+    assertThat(refusals()).containsExactly(RefusalReason.NO_MATCHING_VERSION);
+    assertThat(node.openRequests()).isZero();
+  }
+
+  /** Guards against a stream that waits without end where no news comes. */
+  @Test
+  void isRefusedWhenNoNewsComes() {
+    serveWith(TestPlans.plan(1), OLD);
+    advanceMs(SUSPENDED_MS);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    answer(stream, Optional.of(origin(ENGINES, "v2")));
+    advanceMs(MAX_WAIT_MS);
+    assertThat(refusals()).containsExactly(RefusalReason.NO_MATCHING_VERSION);
+    assertThat(node.openRequests()).isZero();
+  }
+
+  /** Guards against a stream that goes on for a caller that has left. */
+  @Test
+  void callerThatLeavesWhileItWaitsForNewsIsForgotten() {
+    serveWith(TestPlans.plan(1), OLD);
+    advanceMs(SUSPENDED_MS);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    answer(stream, Optional.of(origin(ENGINES, "v2")));
+    node.onCallerDisconnected(stream, nowNs);
+    actions =
+        node.onControlMessage(new ServingReply.RegistryUpdate(TERM, 2, List.of(OLD, NEW)), nowNs);
+    assertThat(dispatches()).isEmpty();
+    assertThat(node.openRequests()).isZero();
+  }
+
   /** Guards against a stream that goes on at another service after its route has moved. */
   @Test
   void endsWhenItsRouteLeadsElsewhere() {
