--- a/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
@@ -29,6 +29,10 @@
 
   private static final String PATH = "/resumable/x";
   private static final long MAX_WAIT_MS = 300;
+
+  /** Longer than three syncs, and shorter than a session. */
+  private static final long SUSPENDED_MS = 2_000;
+
   private static final Registration OLD = upstream("a1", "v1");
   private static final Registration NEW = upstream("b1", "v2");
 
@@ -90,6 +94,47 @@
     assertThat(refusals()).containsExactly(RefusalReason.ORIGIN_UNKNOWN);
   }
 
+  /** Guards against a question that is lost with a connection and isn't asked again. */
+  @Test
+  void questionIsAskedAgainWhenConnectionOpens() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    advanceMs(MAX_WAIT_MS - 1);
+    actions = node.onMemberConnected(MEMBER, nowNs);
+    assertThat(questions())
+        .containsExactly(
+            new OriginQuestion(stream, Optional.of(key("id-before")), Optional.of(ENGINES)));
+    advanceMs(MAX_WAIT_MS - 1);
+    assertThat(refusals()).isEmpty();
+    answer(stream, Optional.of(origin(ENGINES, "v2")));
+    assertThat(dispatches()).containsExactly("b1");
+  }
+
+  /** Guards against a wait without end where connections open and break again and again. */
+  @Test
+  void questionThatIsAskedAgainIsGivenUpToo() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    takeUp(Optional.of("id-before"), Optional.of("4"));
+    node.onMemberConnected(MEMBER, nowNs);
+    advanceMs(MAX_WAIT_MS - 1);
+    node.onMemberConnected(MEMBER, nowNs);
+    advanceMs(1);
+    assertThat(refusals()).containsExactly(RefusalReason.ORIGIN_UNKNOWN);
+    assertThat(node.openRequests()).isZero();
+  }
+
+  /** Guards against an early end because a member that was asked twice answers twice. */
+  @Test
+  void answerToFirstAskingDoesNotEndTheSecond() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    node.onMemberConnected(MEMBER, nowNs);
+    answer(stream, Optional.empty());
+    assertThat(refusals()).isEmpty();
+    answer(stream, Optional.empty());
+    assertThat(refusals()).containsExactly(RefusalReason.ORIGIN_UNKNOWN);
+  }
+
   /** Guards against names that are no names, by which a stream would pass for a known one. */
   @ParameterizedTest
   @ValueSource(strings = {"", " ", "spoilt"})
@@ -131,6 +176,59 @@
     assertThat(refusals()).containsExactly(RefusalReason.NO_MATCHING_VERSION);
   }
 
+  /** Guards against a stream that a VM refuses as it has not heard of its version yet. */
+  @Test
+  void waitsForItsVersionAtVmThatWasSuspended() {
+    serveWith(TestPlans.plan(1), OLD);
+    advanceMs(SUSPENDED_MS);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    answer(stream, Optional.of(origin(ENGINES, "v2")));
+    assertThat(refusals()).isEmpty();
+    assertThat(dispatches()).isEmpty();
+    actions =
+        node.onControlMessage(new ServingReply.RegistryUpdate(TERM, 2, List.of(OLD, NEW)), nowNs);
+    assertThat(dispatches()).containsExactly("b1");
+  }
+
+  /** Guards against a wait for news that a confirmation has shown not to exist. */
+  @Test
+  void isRefusedOnceItsVmIsInStepAgain() {
+    serveWith(TestPlans.plan(1), OLD);
+    advanceMs(SUSPENDED_MS);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    answer(stream, Optional.of(origin(ENGINES, "v2")));
+    assertThat(refusals()).isEmpty();
+    actions = node.onControlMessage(confirmed(TERM, Optional.of(List.of())), nowNs);
+    assertThat(refusals()).containsExactly(RefusalReason.NO_MATCHING_VERSION);
+    assertThat(node.openRequests()).isZero();
+  }
+
+  /** Guards against a stream that waits without end where no news comes. */
+  @Test
+  void isRefusedWhenNoNewsComes() {
+    serveWith(TestPlans.plan(1), OLD);
+    advanceMs(SUSPENDED_MS);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    answer(stream, Optional.of(origin(ENGINES, "v2")));
+    advanceMs(MAX_WAIT_MS);
+    assertThat(refusals()).containsExactly(RefusalReason.NO_MATCHING_VERSION);
+    assertThat(node.openRequests()).isZero();
+  }
+
+  /** Guards against a stream that goes on for a caller that has left. */
+  @Test
+  void callerThatLeavesWhileItWaitsForNewsIsForgotten() {
+    serveWith(TestPlans.plan(1), OLD);
+    advanceMs(SUSPENDED_MS);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    answer(stream, Optional.of(origin(ENGINES, "v2")));
+    node.onCallerDisconnected(stream, nowNs);
+    actions =
+        node.onControlMessage(new ServingReply.RegistryUpdate(TERM, 2, List.of(OLD, NEW)), nowNs);
+    assertThat(dispatches()).isEmpty();
+    assertThat(node.openRequests()).isZero();
+  }
+
   /** Guards against a stream that goes on at another service after its route has moved. */
   @Test
   void endsWhenItsRouteLeadsElsewhere() {
