--- a/core/src/main/java/org/teaseltrail/core/forward/RegistryNewsQueue.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RegistryNewsQueue.java
@@ -70,6 +70,13 @@
     return waiting.values().stream().mapToLong(Waiting::expiryNs).min();
   }
 
+  /** Removes and returns all streams that wait, in the order in which they came. */
+  List<Long> takeAll() {
+    List<Long> all = List.copyOf(waiting.keySet());
+    waiting.clear();
+    return all;
+  }
+
   void onCallerDisconnected(long number) {
     waiting.remove(number);
   }
