--- a/core/src/test/java/org/teaseltrail/core/control/FakeControlGroup.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeControlGroup.java
@@ -246,13 +246,6 @@
     after(LATENCY_NS, () -> member.handle(new ControlEvent.FromEntry(vm, message)));
   }
 
-  /** Opens a connection of a VM that places requests by itself to a member. */
-  void connect(VmId vm, VmId member) {
-    members.stream()
-        .filter(one -> one.member().vm().equals(member))
-        .forEach(one -> one.handle(new ControlEvent.ServingVmConnected(vm)));
-  }
-
   /** Delivers a message of a VM that places requests by itself to a member. */
   void send(VmId member, ServingMessage message) {
     for (FakeControlMember one : members) {
@@ -262,6 +255,13 @@
     }
   }
 
+  /** Opens a connection of a VM that places requests by itself to a member. */
+  void connect(VmId vm, VmId member) {
+    members.stream()
+        .filter(one -> one.member().vm().equals(member))
+        .forEach(one -> one.handle(new ControlEvent.ServingVmConnected(vm)));
+  }
+
   void onAction(FakeControlMember from, ControlAction action) {
     if (action instanceof ControlAction.SendToEntryVm send) {
       assertThat(from.control().isLeaseValid(nowNs)).isTrue();
