Notice a stop before the logging library is loaded

Operators saw: a member stopped within its first second ended with 143 and left no line of its stop. Cause: the shutdown hook was installed only after the logging library was loaded, several tenths of a second into main. Component loggers now load it on first use, so the hook is there as soon as main runs.

It now writes its sentences only once the program has started; without one, only the stop line, which needs no library.

No unit test: the hook halts the JVM.

--- a/runtime/src/main/java/org/teaseltrail/runtime/log/ComponentLogger.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/ComponentLogger.java
@@ -13,8 +13,9 @@
 
   private static final String NAME_PREFIX = "org.teaseltrail.";
 
-  private final System.Logger logger;
+  private final String name;
   private final String prefix;
+  private volatile System.Logger logger;
 
   /**
    * Creates the logger of a component.
@@ -22,7 +23,7 @@
    * @param part the component's name in lower case, such as {@code entry}
    */
   public ComponentLogger(String part) {
-    this.logger = System.getLogger(NAME_PREFIX + part);
+    this.name = NAME_PREFIX + part;
     this.prefix = "[" + part + "] ";
   }
 
@@ -33,7 +34,7 @@
    * @param cause the exception to log
    */
   public void error(String sentence, Throwable cause) {
-    logger.log(Level.ERROR, prefix + sentence, cause);
+    logger().log(Level.ERROR, prefix + sentence, cause);
   }
 
   /**
@@ -42,7 +43,7 @@
    * @param sentence one short sentence; must not contain a prompt, body or secret
    */
   public void error(String sentence) {
-    logger.log(Level.ERROR, prefix + sentence);
+    logger().log(Level.ERROR, prefix + sentence);
   }
 
   /**
@@ -52,7 +53,7 @@
    * @param cause the exception to log
    */
   public void warn(String sentence, Throwable cause) {
-    logger.log(Level.WARNING, prefix + sentence, cause);
+    logger().log(Level.WARNING, prefix + sentence, cause);
   }
 
   /**
@@ -61,7 +62,7 @@
    * @param sentence one short sentence; must not contain a prompt, body or secret
    */
   public void warn(String sentence) {
-    logger.log(Level.WARNING, prefix + sentence);
+    logger().log(Level.WARNING, prefix + sentence);
   }
 
   /**
@@ -70,7 +71,7 @@
    * @param sentence one short sentence; must not contain a prompt, body or secret
    */
   public void info(String sentence) {
-    logger.log(Level.INFO, prefix + sentence);
+    logger().log(Level.INFO, prefix + sentence);
   }
 
   /**
@@ -79,6 +80,14 @@
    * @param sentence supplies one short sentence, which must not contain a prompt, body or secret
    */
   public void debug(Supplier<String> sentence) {
-    logger.log(Level.DEBUG, () -> prefix + sentence.get());
+    logger().log(Level.DEBUG, () -> prefix + sentence.get());
+  }
+
+  /** Returns the logger; the first use loads the logging library, which takes a while. */
+  private System.Logger logger() {
+    if (logger == null) {
+      logger = System.getLogger(name);
+    }
+    return logger;
   }
 }
--- a/runtime/src/main/java/org/teaseltrail/runtime/process/ShutdownHook.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/ShutdownHook.java
@@ -60,22 +60,31 @@
       Thread.currentThread().interrupt();
       return Optional.empty();
     } catch (CancellationException | ExecutionException | TimeoutException e) {
-      logger.info("The program has not started or has ended before.");
       return Optional.empty();
     }
   }
 
   private void shutDown() {
+    ExitCode exitCode =
+        awaitStart(START_TIMEOUT_MS).map(this::closeProgram).orElseGet(this::endBeforeStart);
+    Runtime.getRuntime().halt(exitCode.code());
+  }
+
+  private ExitCode closeProgram(RunningProgram started) {
     logger.info("Shutting down gracefully.");
-    ExitCode exitCode = ExitCode.OK;
     try {
-      awaitStart(START_TIMEOUT_MS)
-          .ifPresentOrElse(RunningProgram::close, processLog::stoppedBeforeStart);
+      started.close();
       logger.info("Shutdown complete.");
+      return ExitCode.OK;
     } catch (RuntimeException e) {
       logger.error("Graceful shutdown failed.", e);
-      exitCode = ExitCode.INTERNAL;
+      return ExitCode.INTERNAL;
     }
-    Runtime.getRuntime().halt(exitCode.code());
+  }
+
+  /** Ends without the logging library, which the main thread may be loading. */
+  private ExitCode endBeforeStart() {
+    processLog.stoppedBeforeStart();
+    return ExitCode.OK;
   }
 }
