Bound answers and events in an entry VM's hands for the whole process

Seen by callers: an entry VM's process ended, with all requests in its hands, when an upstream answered many requests with an event without an end (each below its bound of 1 MB) or with heads of very many short headers.

Cause: an incomplete event, answers up to 64 KB and heads of answers were bounded for each request only. The heap is 64 MB: 60 events fill it. A header of 4 bytes takes some 170 bytes once it is decoded, so that a head within the 32 KB takes over a megabyte.

Now: an answer or an event of more than 4 KB takes room in a budget of its own for small ones (a sixteenth of the heap), beyond 64 KB in that for answers; without room the upstream isn't read. What is written to a caller takes its room with it until it has left the process. An answer's head has at most 256 headers.

--- a/forward/src/main/java/org/teaseltrail/forward/AnswerDecoder.java
+++ b/forward/src/main/java/org/teaseltrail/forward/AnswerDecoder.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -9,16 +11,27 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.util.List;
 
 /** Decodes the answers on a connection, and tells which received bytes are part of none so far. */
 final class AnswerDecoder extends HttpResponseDecoder {
 
+  private static final String TOO_MANY = "too many headers";
+
   private static final byte LINE_END = '\n';
   private static final byte CARRIAGE_RETURN = '\r';
 
+  /**
+   * Maximum number of headers of an answer. Short headers take many times their bytes in memory, so
+   * that a limit in bytes alone bounds little.
+   */
+  private static final int MAX_HEADERS = 256;
+
   private HttpMethod method = HttpMethod.GET;
   private int takenBytes;
+  private int takenLines;
 
   AnswerDecoder(HttpDecoderConfig config) {
     super(config);
@@ -47,9 +60,36 @@
     super.decode(context, in, out);
     if (out.size() > decoded) {
       takenBytes = 0;
+      takenLines = 0;
+      out.subList(decoded, out.size()).forEach(AnswerDecoder::limitHeaders);
     } else {
       takenBytes += textBytes(in, from, in.readerIndex());
+      takenLines += lines(in, from, in.readerIndex());
+      if (takenLines > MAX_HEADERS) {
+        out.add(tooManyHeaders());
+      }
+    }
+  }
+
+  private static void limitHeaders(Object message) {
+    if (message instanceof HttpMessage head && head.headers().size() > MAX_HEADERS) {
+      head.setDecoderResult(DecoderResult.failure(new TooLongHttpHeaderException(TOO_MANY)));
+    }
+  }
+
+  private static HttpResponse tooManyHeaders() {
+    HttpResponse head =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_GATEWAY);
+    head.setDecoderResult(DecoderResult.failure(new TooLongHttpHeaderException(TOO_MANY)));
+    return head;
+  }
+
+  private static int lines(ByteBuf in, int from, int to) {
+    int count = 0;
+    for (int i = from; i < to; i++) {
+      count += in.getByte(i) == LINE_END ? 1 : 0;
     }
+    return count;
   }
 
   /** Counts bytes without those of line ends, which may stand between two answers. */
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -63,7 +64,7 @@
     this.request = request;
     this.received = received;
     this.hop = hop;
-    room = new AnswerRoom(server.answerBudget());
+    room = new AnswerRoom(server.answerBudgets());
     keepAlive = HttpUtil.isKeepAlive(received);
   }
 
@@ -153,9 +154,7 @@
       if (!bodiless && !received.method().equals(HttpMethod.HEAD)) {
         HttpUtil.setContentLength(response, body.readableBytes());
       }
-      AnswerRoom taken = room;
-      room = new AnswerRoom(server.answerBudget());
-      caller.write(response).addListener(written -> taken.release());
+      giveBackRoomAfter(caller.write(response));
     }
     caller.onResponseCompleted(this);
   }
@@ -223,8 +222,25 @@
   }
 
   /** Reserves room for what is kept of the answer; returns false if it must wait for room. */
-  boolean reserveRoom(long expectedBytes, Runnable whenReserved) {
-    return room.reserve(responseBody.readableBytes(), expectedBytes, whenReserved);
+  boolean reserveRoom(long statedBytes, Runnable whenReserved) {
+    return room.reserve(
+        responseBody.readableBytes(), statedBytes, MAX_RESPONSE_BYTES, whenReserved);
+  }
+
+  /** Reserves room for an event that isn't complete; returns false if it must wait for room. */
+  boolean reserveEventRoom(Runnable whenReserved) {
+    return room.reserve(
+        events.pendingBytes(),
+        AnswerRoom.UNKNOWN_BYTES,
+        SseEventFramer.MAX_EVENT_BYTES,
+        whenReserved);
+  }
+
+  /** What is written takes its room with it; what comes next reserves room of its own. */
+  private void giveBackRoomAfter(ChannelFuture write) {
+    AnswerRoom taken = room;
+    room = new AnswerRoom(server.answerBudgets());
+    write.addListener(written -> taken.release());
   }
 
   /** Tells the peer that relayed the request, if one did, what the answer means. */
@@ -236,7 +252,10 @@
 
   /** Forwards a part of the response; returns whether the caller can take more. */
   boolean write(HttpContent part) {
-    caller.write(part);
+    ChannelFuture write = caller.write(part);
+    if (!room.isWaiting()) {
+      giveBackRoomAfter(write);
+    }
     return caller.isWritable();
   }
 
--- a/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
@@ -40,7 +40,7 @@
   private int status;
   private boolean forwardsEvents;
   private boolean endsWithConnection;
-  private long expectedBytes;
+  private long statedBytes;
   private boolean ended;
   private long sentNs;
   private long firstEventNs;
@@ -153,7 +153,7 @@
     head = read;
     status = response.status().code();
     endsWithConnection = AnswerFraming.endsWithConnection(response, exchange.method());
-    expectedBytes = HttpUtil.getContentLength(response, (long) Exchange.MAX_RESPONSE_BYTES);
+    statedBytes = HttpUtil.getContentLength(response, AnswerRoom.UNKNOWN_BYTES);
     boolean forwardable = onHead(response, read);
     forwardsEvents = forwardable && isSuccess() && read.signed() && read.eventStream();
     if (forwardable) {
@@ -166,7 +166,7 @@
     if (!forwardsEvents) {
       if (!exchange.buffer(part)) {
         breakOff();
-      } else if (!exchange.reserveRoom(expectedBytes, this::onRoom)) {
+      } else if (!exchange.reserveRoom(statedBytes, this::onRoom)) {
         connection.setRoomMissing(true);
       }
       return;
@@ -177,6 +177,8 @@
       collect(exchange.events().decode(bytes));
       if (exchange.events().isAtOtherAnswer()) {
         breakOff();
+      } else if (!exchange.reserveEventRoom(this::onRoom)) {
+        connection.setRoomMissing(true);
       }
     } catch (SseEventFramer.OversizedEventException e) {
       breakOff();
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -89,7 +89,10 @@
   private final UpstreamSignalHandler signalHandler;
   private final ReadCoalescer readCoalescer;
   private final BodyBudget bodyBudget = new BodyBudget(MemoryShares.requestBodiesBytes());
-  private final BodyBudget answerBudget = new BodyBudget(MemoryShares.answersBytes());
+  private final AnswerRoom.Budgets answerBudgets =
+      new AnswerRoom.Budgets(
+          new BodyBudget(MemoryShares.smallAnswersBytes()),
+          new BodyBudget(MemoryShares.answersBytes()));
   private final ControlConnectionManager controlConnections;
   private final ForwardMetrics metrics;
   private final UnexpectedAnswerLogger unexpectedAnswers;
@@ -508,8 +511,8 @@
     metrics.bodyRefused();
   }
 
-  BodyBudget answerBudget() {
-    return answerBudget;
+  AnswerRoom.Budgets answerBudgets() {
+    return answerBudgets;
   }
 
   BodyBudget bodyBudget() {
--- a/forward/src/main/java/org/teaseltrail/forward/MemoryShares.java
+++ b/forward/src/main/java/org/teaseltrail/forward/MemoryShares.java
@@ -8,6 +8,8 @@
   /** For answers of more than some ten kilobytes. */
   private static final double ANSWERS = 0.25;
 
+  private static final double SMALL_ANSWERS = 0.0625;
+
   private MemoryShares() {}
 
   /**
@@ -20,11 +22,20 @@
   }
 
   /**
-   * Returns the share for answers.
+   * Returns the share for answers that aren't small.
    *
    * @return the share in bytes
    */
   public static long answersBytes() {
     return (long) (Runtime.getRuntime().maxMemory() * ANSWERS);
   }
+
+  /**
+   * Returns the share for small answers.
+   *
+   * @return the share in bytes
+   */
+  public static long smallAnswersBytes() {
+    return (long) (Runtime.getRuntime().maxMemory() * SMALL_ANSWERS);
+  }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/SseEventFramer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/SseEventFramer.java
@@ -19,7 +19,7 @@
   private static final byte[] STATUS_LINE = "HTTP/".getBytes(StandardCharsets.US_ASCII);
 
   /** Maximum size of an event; an upstream that exceeds it does not send valid events. */
-  private static final int MAX_EVENT_BYTES = 1024 * 1024;
+  static final int MAX_EVENT_BYTES = 1024 * 1024;
 
   private static final byte[] EMPTY = {};
 
@@ -67,6 +67,11 @@
     return pending.length == 0;
   }
 
+  /** Returns the bytes of the event that isn't complete. */
+  int pendingBytes() {
+    return pending.length;
+  }
+
   /**
    * Returns whether the head of another answer has followed the events. Guards against a second
    * answer behind a stream without a length, which would be forwarded as events.
