Report a data folder that can't be used in a line of the event log

Operators saw: a member whose folder can't be used at the start, or after a disk failure, waits for it for ever, and its JSON log has only start. folder_unusable names the cause when it first occurs or changes, and each minute.

--- a/control/src/main/java/org/teaseltrail/control/ControlMemberSupervisor.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlMemberSupervisor.java
@@ -10,6 +10,8 @@
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.registry.HeartbeatFailure;
 import org.teaseltrail.runtime.log.ComponentLogger;
+import org.teaseltrail.runtime.log.LogEvent;
+import org.teaseltrail.runtime.log.LogField;
 import org.teaseltrail.runtime.process.ExitCode;
 import org.teaseltrail.runtime.process.ProgramException;
 import org.teaseltrail.runtime.process.RunningProgram;
@@ -123,7 +125,8 @@
   private static ControlDaemon startWithRetry(ControlOptions options, long knownDowntimeMs)
       throws ProgramException {
     long downtimeMs = knownDowntimeMs;
-    FolderFailureLogger failures = new FolderFailureLogger(new ComponentLogger("control")::error);
+    FolderFailureLogger failures =
+        new FolderFailureLogger((sentence, cause) -> reportFolder(options, sentence, cause));
     while (true) {
       try {
         return ControlDaemon.start(options, downtimeMs);
@@ -138,6 +141,14 @@
     }
   }
 
+  private static void reportFolder(ControlOptions options, String sentence, Throwable cause) {
+    new ComponentLogger("control").error(sentence, cause);
+    String reason = cause == null ? sentence : String.valueOf(cause.getMessage());
+    options
+        .log()
+        .ifPresent(log -> log.line(LogEvent.FOLDER_UNUSABLE).with(LogField.REASON, reason).write());
+  }
+
   private void run() {
     while (!closing && current.isPresent()) {
       ExitCode code = current.get().terminationFuture().join();
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -18,6 +18,8 @@
   LISTEN_REGAINED(LogField.ADDRESS, LogField.ELAPSED_MS),
   /** An address could not be bound in time. */
   LISTEN_FAILED(LogField.ADDRESS, LogField.ELAPSED_MS, LogField.REASON),
+  /** The data folder of a control member can't be used; the member waits for it. */
+  FOLDER_UNUSABLE(LogField.REASON),
   /** A thread ended by an exception that nothing caught. */
   THREAD_FAILED(LogField.THREAD, LogField.REASON),
   /** An entry VM has gained a session and may treat its plan as the newest. */
