Bound the heads of requests in an entry VM's hands for the whole process

Seen by callers: an entry VM's process ended, with all requests in its hands, by 200 connections that each held half a head of many short headers, and by 30 connections with 15 such requests one behind the other.

Cause: heads, and bodies up to 4 KB, were bounded for each connection only, in bytes as they arrive.

Now heads and small bodies take a tenth of the heap together, with 200 bytes for each header. Half heads give way first, the oldest before the others, so that requests which arrive whole don't stand behind slow callers; then a request is refused at once with 503 and a time to come back. Nothing of it has run. What was decoded of a head that gives way is dropped at once.

Left: half heads behind a request in work are bounded for each connection only.

A line memory_share_full, once a second and share at most, and gauges tell which share is full. BodyGateTest: the gate takes a second budget; the tests before are unchanged.

--- a/forward/src/main/java/org/teaseltrail/forward/BodyBudget.java
+++ b/forward/src/main/java/org/teaseltrail/forward/BodyBudget.java
@@ -22,6 +22,7 @@
   private final long capacityBytes;
   private final Deque<Waiter> waiting = new ArrayDeque<>();
   private volatile long usedBytes;
+  private Runnable onFull = () -> {};
 
   BodyBudget(long capacityBytes) {
     this.capacityBytes = capacityBytes;
@@ -36,7 +37,13 @@
     return true;
   }
 
+  /** Sets what is called each time that somebody finds no room. */
+  void setOnFull(Runnable action) {
+    onFull = action;
+  }
+
   void await(Waiter waiter) {
+    onFull.run();
     waiting.addLast(waiter);
   }
 
--- a/forward/src/main/java/org/teaseltrail/forward/BodyGate.java
+++ b/forward/src/main/java/org/teaseltrail/forward/BodyGate.java
@@ -49,6 +49,9 @@
 
   private static final long NONE = 0;
 
+  /** What a request takes of the budgets of bodies and of heads. */
+  private record Reserved(long bodyBytes, long headBytes) {}
+
   private enum State {
     /** Messages pass. */
     OPEN,
@@ -59,18 +62,26 @@
   }
 
   private final BodyBudget budget;
+  private final HeadBudget headBudget;
   private final HeaderCodec headerCodec;
   private final int maxBodyBytes;
   private final Listener listener;
   private final Deque<Object> held = new ArrayDeque<>();
-  private final Deque<Long> reservedBytes = new ArrayDeque<>();
+  private final Deque<Reserved> reserved = new ArrayDeque<>();
   private ChannelHandlerContext context;
   private Future<?> timeout;
   private long neededBytes;
+  private long headBytes;
   private State state = State.OPEN;
 
-  BodyGate(BodyBudget budget, HeaderCodec headerCodec, int maxBodyBytes, Listener listener) {
+  BodyGate(
+      BodyBudget budget,
+      HeadBudget headBudget,
+      HeaderCodec headerCodec,
+      int maxBodyBytes,
+      Listener listener) {
     this.budget = budget;
+    this.headBudget = headBudget;
     this.headerCodec = headerCodec;
     this.maxBodyBytes = maxBodyBytes;
     this.listener = listener;
@@ -87,8 +98,10 @@
 
   /** Gives back what the oldest request of the connection had reserved. */
   void releaseOldest() {
-    if (!reservedBytes.isEmpty()) {
-      budget.release(reservedBytes.pollFirst());
+    if (!reserved.isEmpty()) {
+      Reserved oldest = reserved.pollFirst();
+      headBudget.release(oldest.headBytes());
+      budget.release(oldest.bodyBytes());
     }
   }
 
@@ -101,6 +114,8 @@
       ReferenceCountUtil.release(message);
     } else if (state == State.WAITING) {
       held.addLast(compact(message));
+    } else if (message instanceof HttpRequest head && !reserveHead(head)) {
+      refuse();
     } else if (message instanceof HttpRequest head && !reserve(head)) {
       held.addLast(message);
       startWaiting(head);
@@ -124,7 +139,7 @@
   public void channelInactive(ChannelHandlerContext closed) {
     stopWaiting(State.REFUSED);
     dropHeld();
-    while (!reservedBytes.isEmpty()) {
+    while (!reserved.isEmpty()) {
       releaseOldest();
     }
     closed.fireChannelInactive();
@@ -137,7 +152,8 @@
 
   @Override
   public void onReserved() {
-    reservedBytes.addLast(neededBytes);
+    reserved.addLast(new Reserved(neededBytes, headBytes));
+    headBytes = NONE;
     stopWaiting(State.OPEN);
     listener.onRoom();
     context.fireChannelRead(held.pollFirst());
@@ -151,7 +167,9 @@
   /** Passes what is held, up to the next request that has to wait. */
   private void passHeld() {
     while (!held.isEmpty() && state == State.OPEN) {
-      if (held.peekFirst() instanceof HttpRequest request && !reserve(request)) {
+      if (held.peekFirst() instanceof HttpRequest head && !reserveHead(head)) {
+        refuse();
+      } else if (held.peekFirst() instanceof HttpRequest request && !reserve(request)) {
         startWaiting(request);
       } else {
         context.fireChannelRead(held.pollFirst());
@@ -159,13 +177,30 @@
     }
   }
 
+  /** Takes the memory of a head, and of a body that is too small for the budget of bodies. */
+  private boolean reserveHead(HttpRequest request) {
+    long bytes =
+        HeadBudget.sizeBytes(request.headers())
+            + request.uri().length()
+            + smallBodyBytesOf(request);
+    headBytes = headBudget.tryReserve(bytes) ? bytes : NONE;
+    return headBytes > NONE;
+  }
+
+  private static long smallBodyBytesOf(HttpRequest request) {
+    long bytes =
+        request.decoderResult().isFailure() ? NONE : HttpUtil.getContentLength(request, 0L);
+    return bytes <= FREE_BYTES ? bytes : NONE;
+  }
+
   private boolean reserve(HttpRequest request) {
     neededBytes = neededBytesOf(request);
-    boolean reserved = neededBytes == NONE || budget.tryReserve(neededBytes);
-    if (reserved) {
-      reservedBytes.addLast(neededBytes);
+    boolean hasRoom = neededBytes == NONE || budget.tryReserve(neededBytes);
+    if (hasRoom) {
+      reserved.addLast(new Reserved(neededBytes, headBytes));
+      headBytes = NONE;
     }
-    return reserved;
+    return hasRoom;
   }
 
   /** A body of unknown length may become as large as it is allowed to; a larger one is not read. */
@@ -195,18 +230,24 @@
     }
   }
 
+  private void refuse() {
+    stopWaiting(State.REFUSED);
+    dropHeld();
+    listener.onNoRoom();
+    context.channel().config().setAutoRead(true);
+  }
+
   /**
    * Refuses the request. What still arrives of it is read and dropped: a caller that is reset while
    * it sends would not see the refusal.
    */
   private void giveUp() {
-    stopWaiting(State.REFUSED);
-    dropHeld();
-    listener.onNoRoom();
-    context.channel().config().setAutoRead(true);
+    refuse();
   }
 
   private void dropHeld() {
+    headBudget.release(headBytes);
+    headBytes = NONE;
     held.forEach(ReferenceCountUtil::release);
     held.clear();
   }
--- a/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
@@ -25,7 +26,7 @@
  * their order; a caller that pipelines too many loses the connection.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter
-    implements BodyGate.Listener, RequestAggregator.Listener {
+    implements BodyGate.Listener, RequestAggregator.Listener, HeadBudget.Holder {
 
   /** Time for a caller to receive its refusal before the connection is closed; some round trips. */
   private static final long LINGER_MS = 500;
@@ -46,6 +47,9 @@
   private boolean midHead;
   private long headReadNs;
   private long bodyTimeoutNs;
+  private HttpServerCodec codec;
+  private long halfHeadBytes;
+  private boolean gaveWay;
 
   /**
    * Creates a connection.
@@ -62,9 +66,15 @@
     gate = bodyGate;
   }
 
+  /** Sets the handler that decodes requests. */
+  void setCodec(HttpServerCodec httpCodec) {
+    codec = httpCodec;
+  }
+
   @Override
   public void onHead(OptionalLong deadlineMs) {
     midHead = false;
+    releaseHalfHead();
     lastActiveNs = System.nanoTime();
     bodyTimeoutNs = TimeUnit.MILLISECONDS.toNanos(deadlineMs.orElse(Long.MAX_VALUE));
     headReadNs = lastActiveNs;
@@ -123,6 +133,37 @@
     }
   }
 
+  /**
+   * Counts the memory of a head that isn't whole after its bytes are decoded.
+   *
+   * @param sizeBytes memory that the bytes take as a part of a head
+   */
+  void onBytesDecoded(long sizeBytes) {
+    if (!midHead || gaveWay) {
+      return;
+    }
+    if (server.headBudget().tryReservePart(this, sizeBytes)) {
+      halfHeadBytes += sizeBytes;
+    } else {
+      giveWay();
+    }
+  }
+
+  /** Ends a request whose head isn't whole; what is decoded of it is dropped at once. */
+  @Override
+  public void giveWay() {
+    gaveWay = true;
+    releaseHalfHead();
+    server.onHeadRefused();
+    refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for the head", NO_ROOM_RETRY_AFTER_MS);
+    channel.pipeline().remove(codec);
+  }
+
+  private void releaseHalfHead() {
+    server.headBudget().releaseParts(this, halfHeadBytes);
+    halfHeadBytes = 0;
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     midRequest = false;
@@ -160,6 +201,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
+    releaseHalfHead();
     server.onCallerConnectionClosed(this);
     pipeline.clear();
     if (current != null) {
--- a/forward/src/main/java/org/teaseltrail/forward/CallerListener.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerListener.java
@@ -1,6 +1,7 @@
 package org.teaseltrail.forward;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -70,19 +71,26 @@
             .setMaxChunkSize(CHUNK_BYTES);
     CallerConnection caller = new CallerConnection(server, isForPeers);
     BodyGate gate =
-        new BodyGate(server.bodyBudget(), server.headerCodec(), limits.maxBodyBytes(), caller);
+        new BodyGate(
+            server.bodyBudget(),
+            server.headBudget(),
+            server.headerCodec(),
+            limits.maxBodyBytes(),
+            caller);
     caller.setGate(gate);
+    HttpServerCodec codec = new HttpServerCodec(config);
+    caller.setCodec(codec);
     channel
         .pipeline()
         .addLast(
             new ReceivedBytesNotifier(caller),
-            new HttpServerCodec(config),
+            codec,
             gate,
             new RequestAggregator(limits.maxBodyBytes(), caller),
             caller);
   }
 
-  /** Notifies a connection of received bytes before they are decoded. */
+  /** Notifies a connection of received bytes before and after they are decoded. */
   private static final class ReceivedBytesNotifier extends ChannelInboundHandlerAdapter {
 
     private final CallerConnection caller;
@@ -93,8 +101,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+      long sizeBytes = HeadBudget.sizeBytes((ByteBuf) message);
       caller.onBytesReceived();
       context.fireChannelRead(message);
+      caller.onBytesDecoded(sizeBytes);
     }
   }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
@@ -25,6 +25,7 @@
   private final Timer firstEvent;
   private final Counter waitForecasts;
   private final Counter bodiesRefused;
+  private final Counter headsRefused;
   private final DistributionSummary firstEventToExpected;
   private final Map<RefusalReason, Counter> refused = new EnumMap<>(RefusalReason.class);
   private final Map<RelayOutcome, Counter> relays = new EnumMap<>(RelayOutcome.class);
@@ -64,6 +65,8 @@
       unexpectedAnswers.put(
           handling, registry.counter("teaseltrail.answers.unexpected", "end", handling.name()));
     }
+    headsRefused = registry.counter("teaseltrail.heads.refused");
+    registry.gauge("teaseltrail.heads.bytes", server.headBudget(), HeadBudget::usedBytes);
     bodiesRefused = registry.counter("teaseltrail.bodies.refused");
     registry.gauge("teaseltrail.bodies.bytes", server.bodyBudget(), BodyBudget::usedBytes);
     AnswerRoom.Budgets answers = server.answerBudgets();
@@ -113,6 +116,10 @@
     unexpectedAnswers.get(handling).increment();
   }
 
+  void headRefused() {
+    headsRefused.increment();
+  }
+
   void bodyRefused() {
     bodiesRefused.increment();
   }
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -89,6 +89,7 @@
   private final UpstreamSignalHandler signalHandler;
   private final ReadCoalescer readCoalescer;
   private final BodyBudget bodyBudget = new BodyBudget(MemoryShares.requestBodiesBytes());
+  private final HeadBudget headBudget = new HeadBudget(MemoryShares.requestHeadsBytes());
   private final AnswerRoom.Budgets answerBudgets =
       new AnswerRoom.Budgets(
           new BodyBudget(MemoryShares.smallAnswersBytes()),
@@ -133,6 +134,7 @@
             new SplittableRandom(options.node().seed()),
             reply -> loop.execute(() -> onControlReply(reply)),
             member -> loop.execute(() -> onMemberConnected(member)));
+    logFullBudgets();
     metrics = new ForwardMetrics(this, log);
     unexpectedAnswers = new UnexpectedAnswerLogger(log, metrics);
     readiness =
@@ -511,6 +513,27 @@
     metrics.bodyRefused();
   }
 
+  private void logFullBudgets() {
+    logFull(FullBudgetLogger.Budget.REQUEST_BODIES, bodyBudget);
+    logFull(FullBudgetLogger.Budget.SMALL_ANSWERS, answerBudgets.small());
+    logFull(FullBudgetLogger.Budget.ANSWERS, answerBudgets.large());
+    headBudget.setOnFull(
+        new FullBudgetLogger(log, FullBudgetLogger.Budget.REQUEST_HEADS, headBudget::usedBytes));
+  }
+
+  private void logFull(FullBudgetLogger.Budget budget, BodyBudget bodies) {
+    bodies.setOnFull(new FullBudgetLogger(log, budget, bodies::usedBytes));
+  }
+
+  /** Counts a request whose head found no room. */
+  void onHeadRefused() {
+    metrics.headRefused();
+  }
+
+  HeadBudget headBudget() {
+    return headBudget;
+  }
+
   AnswerRoom.Budgets answerBudgets() {
     return answerBudgets;
   }
--- a/forward/src/main/java/org/teaseltrail/forward/MemoryShares.java
+++ b/forward/src/main/java/org/teaseltrail/forward/MemoryShares.java
@@ -10,6 +10,9 @@
 
   private static final double SMALL_ANSWERS = 0.0625;
 
+  /** For the heads of requests, with bodies of a few kilobytes. */
+  private static final double REQUEST_HEADS = 0.1;
+
   private MemoryShares() {}
 
   /**
@@ -21,6 +24,15 @@
     return (long) (Runtime.getRuntime().maxMemory() * REQUEST_BODIES);
   }
 
+  /**
+   * Returns the share for the heads of requests.
+   *
+   * @return the share in bytes
+   */
+  public static long requestHeadsBytes() {
+    return (long) (Runtime.getRuntime().maxMemory() * REQUEST_HEADS);
+  }
+
   /**
    * Returns the share for answers that aren't small.
    *
--- a/forward/src/test/java/org/teaseltrail/forward/BodyGateTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/BodyGateTest.java
@@ -8,12 +8,15 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -26,8 +29,10 @@
 
   private static final int MAX_BODY_BYTES = 4_000_000;
   private static final int LARGE_BYTES = 3_000_000;
+  private static final int HEADS_BYTES = 1_000_000;
 
   private final BodyBudget budget = new BodyBudget(MAX_BODY_BYTES);
+  private final HeadBudget headBudget = new HeadBudget(HEADS_BYTES);
   private final Caller first = new Caller();
   private final Caller second = new Caller();
 
@@ -39,7 +44,8 @@
       // Only room matters here.
     }
 
-    private final BodyGate gate = new BodyGate(budget, new FakeHeaderCodec(), MAX_BODY_BYTES, this);
+    private final BodyGate gate =
+        new BodyGate(budget, headBudget, new FakeHeaderCodec(), MAX_BODY_BYTES, this);
     private final EmbeddedChannel channel = new EmbeddedChannel(gate);
     private int rooms;
     private int refusals;
@@ -140,6 +146,43 @@
     assertThat(passed.content().isDirect()).isFalse();
   }
 
+  /** Guards against pipelined requests with small bodies that nobody counts. */
+  @Test
+  void smallRequestsInGreatNumberAreRefused() {
+    for (int i = 0; i < 400; i++) {
+      first.send(4_000);
+      first.channel.writeInbound(new DefaultLastHttpContent(Unpooled.buffer().writeZero(4_000)));
+    }
+    assertThat(first.refusals).isEqualTo(1);
+    assertThat(headBudget.usedBytes()).isBetween(HEADS_BYTES - 5_000L, (long) HEADS_BYTES);
+
+    first.channel.close();
+    assertThat(headBudget.usedBytes()).isZero();
+  }
+
+  /** Guards against whole requests that are refused for the sake of callers that send slowly. */
+  @Test
+  void halfHeadGivesWayToWholeRequest() {
+    List<String> gone = new ArrayList<>();
+    takePart("oldest", gone);
+    takePart("newest", gone);
+    assertThat(headBudget.tryReserve(HEADS_BYTES - 2_500)).isTrue();
+    assertThat(gone).isEmpty();
+    assertThat(headBudget.tryReserve(600)).isTrue();
+    assertThat(gone).containsExactly("oldest");
+    assertThat(headBudget.tryReserve(2_500)).isFalse();
+    assertThat(gone).containsExactly("oldest", "newest");
+  }
+
+  private void takePart(String name, List<String> gone) {
+    HeadBudget.Holder holder =
+        () -> {
+          gone.add(name);
+          headBudget.release(1_000);
+        };
+    assertThat(headBudget.tryReservePart(holder, 1_000)).isTrue();
+  }
+
   @Test
   void smallRequestsPassWhileLargeOnesWait() {
     first.send(LARGE_BYTES);
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -85,6 +85,8 @@
       LogField.STATUS,
       LogField.CONNECTION_USES,
       LogField.CONNECTION_AGE_MS),
+  /** A share of the memory is full: who needs more of it waits, or is refused. */
+  MEMORY_SHARE_FULL(LogField.BUDGET, LogField.HELD_BYTES),
   /** An entry VM reaches no upstream of a service any more. */
   PATH_LOST(LogField.SERVICE),
   /** An entry VM reaches an upstream of a service again. */
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -125,6 +125,10 @@
   LOG_ENTRIES("log entries since the latest snapshot"),
   /** Size of the log since the latest snapshot, in bytes. */
   LOG_BYTES("size of the commands in the log since the latest snapshot"),
+  /** Share of the memory that is full. */
+  BUDGET("the share of the memory that is full"),
+  /** Bytes held in a share of the memory. */
+  HELD_BYTES("bytes that it holds"),
   /** Number of lines dropped before this one. */
   LINES_DROPPED_BEFORE("lines before this one that found no room"),
   /** Number of slots of a service's ready upstreams. */
