Release the requests that a test of ends of answers has written

netty's leak detector reported buffers of the requests that ResponseEnd- Properties leaves in its embedded channel; the line came out while another class ran (AnswerOwnershipProperties). The product hands them to the socket, which releases them.

--- a/forward/src/test/java/org/teaseltrail/forward/ResponseEndProperties.java
+++ b/forward/src/test/java/org/teaseltrail/forward/ResponseEndProperties.java
@@ -79,6 +79,7 @@
     connection.addTo(channel.pipeline());
     RecordingListener answer = new RecordingListener();
     connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), answer);
+    channel.releaseOutbound();
     if (received > 0) {
       channel.writeInbound(Unpooled.copiedBuffer(framing.bytes, 0, received));
     }
