--- a/forward/src/test/java/org/teaseltrail/forward/ResponseEndProperties.java
+++ b/forward/src/test/java/org/teaseltrail/forward/ResponseEndProperties.java
@@ -70,7 +70,7 @@
   @Property(seed = "20261204")
   void partOfAnswerIsNeverComplete(
       @ForAll Framing framing, @ForAll End end, @ForAll @IntRange(min = 0, max = 100) int percent) {
-    int received = framing.bytes.length * percent / 100;
+    final int received = framing.bytes.length * percent / 100;
     UpstreamConnectionPool<String> pool =
         new UpstreamConnectionPool<>(
             null, new FakeHeaderCodec(), new UpstreamConnectionListener<String>() {});
