--- a/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
@@ -26,6 +26,7 @@
   private final Counter waitForecasts;
   private final Counter bodiesRefused;
   private final Counter internalErrors;
+  private final Counter headsRefused;
   private final DistributionSummary firstEventToExpected;
   private final Map<RefusalReason, Counter> refused = new EnumMap<>(RefusalReason.class);
   private final Map<RelayOutcome, Counter> relays = new EnumMap<>(RelayOutcome.class);
@@ -65,6 +66,8 @@
       unexpectedAnswers.put(
           handling, registry.counter("teaseltrail.answers.unexpected", "end", handling.name()));
     }
+    headsRefused = registry.counter("teaseltrail.heads.refused");
+    registry.gauge("teaseltrail.heads.bytes", server.headBudget(), HeadBudget::usedBytes);
     bodiesRefused = registry.counter("teaseltrail.bodies.refused");
     internalErrors = registry.counter("teaseltrail.errors.internal");
     registry.gauge("teaseltrail.bodies.bytes", server.bodyBudget(), BodyBudget::usedBytes);
@@ -119,6 +122,10 @@
     internalErrors.increment();
   }
 
+  void headRefused() {
+    headsRefused.increment();
+  }
+
   void bodyRefused() {
     bodiesRefused.increment();
   }
