Test streams at VMs and members that are out of step in a release

New tests in virtual time: a VM is suspended (connections open or closed) or cut off from the members while engines are replaced, and all streams are taken up there just before it goes on; and a mixture of VMs and members out of step, killed VMs and replacements with twelve fixed seeds, in which no stream may hold two versions.

--- a/core/src/test/java/org/teaseltrail/core/control/CallerStream.java
+++ b/core/src/test/java/org/teaseltrail/core/control/CallerStream.java
@@ -1,21 +1,49 @@
 package org.teaseltrail.core.control;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.teaseltrail.core.id.UpstreamVersion;
 
 /** A caller's stream over all its tries. */
 final class CallerStream {
 
-  private static final int MAX_TRIES = 2;
-
   private final long createdNs;
+  private final int maxTries;
+  private OptionalInt meetingVm = OptionalInt.empty();
+  private boolean resumed;
   private Optional<String> begunBy = Optional.empty();
   private Optional<UpstreamVersion> version = Optional.empty();
   private boolean mixed;
   private int tries;
 
-  CallerStream(long createdNs) {
+  CallerStream(long createdNs, int maxTries) {
     this.createdNs = createdNs;
+    this.maxTries = maxTries;
+  }
+
+  /** Sends all further tries to one VM. */
+  void meetAt(int vm) {
+    meetingVm = OptionalInt.of(vm);
+  }
+
+  /** Returns the VM that all further tries go to, if there is one. */
+  OptionalInt meetingVm() {
+    return meetingVm;
+  }
+
+  /** Returns the version of its first event. */
+  Optional<UpstreamVersion> version() {
+    return version;
+  }
+
+  /** Records that a try has continued it. */
+  void resume() {
+    resumed = true;
+  }
+
+  /** Returns whether a try has continued it. */
+  boolean isResumed() {
+    return resumed;
   }
 
   /** Returns when its caller first wanted it. */
@@ -50,6 +78,6 @@
 
   /** Returns whether it has had an event and may be taken up. */
   boolean mayTakeUp() {
-    return version.isPresent() && tries < MAX_TRIES;
+    return version.isPresent() && tries < maxTries;
   }
 }
--- a/core/src/test/java/org/teaseltrail/core/control/FakeControlGroup.java
+++ b/core/src/test/java/org/teaseltrail/core/control/FakeControlGroup.java
@@ -241,11 +241,6 @@
     }
   }
 
-  /** Delivers a VM's message to a member. */
-  void send(VmId vm, FakeControlMember member, EntryMessage message) {
-    after(LATENCY_NS, () -> member.handle(new ControlEvent.FromEntry(vm, message)));
-  }
-
   /** Opens a connection of a VM that places requests by itself to a member. */
   void connect(VmId vm, VmId member) {
     members.stream()
@@ -253,6 +248,11 @@
         .forEach(one -> one.handle(new ControlEvent.ServingVmConnected(vm)));
   }
 
+  /** Delivers a VM's message to a member. */
+  void send(VmId vm, FakeControlMember member, EntryMessage message) {
+    after(LATENCY_NS, () -> member.handle(new ControlEvent.FromEntry(vm, message)));
+  }
+
   /** Delivers a message of a VM that places requests by itself to a member. */
   void send(VmId member, ServingMessage message) {
     for (FakeControlMember one : members) {
--- a/core/src/test/java/org/teaseltrail/core/control/StreamVersionSimulation.java
+++ b/core/src/test/java/org/teaseltrail/core/control/StreamVersionSimulation.java
@@ -1,16 +1,21 @@
 package org.teaseltrail.core.control;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.forward.ForwardAction;
+import org.teaseltrail.core.forward.ForwardNode;
 import org.teaseltrail.core.forward.ForwardRequest;
+import org.teaseltrail.core.forward.RefusalReason;
 import org.teaseltrail.core.forward.StreamResumption;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.UpstreamVersion;
@@ -32,6 +37,7 @@
   private static final int MIN_STREAM_MS = 300;
   private static final int MAX_STREAM_MS = 1_500;
   private static final int MAX_TAKE_UP_DELAY_MS = 300;
+  private static final int MAX_MEETING_DELAY_MS = 50;
   private static final int DEADLINE_MS = 4_000;
 
   /** Time below which a caller gives up in place of another try. */
@@ -61,6 +67,11 @@
   private final List<VersionedEngine> engines = new ArrayList<>();
   private final Map<Long, Try> tries = new HashMap<>();
   private final List<CallerStream> streams = new ArrayList<>();
+  private final Set<UpstreamId> leaving = new HashSet<>();
+  private final List<CallerStream> met = new ArrayList<>();
+  private final Map<RefusalReason, Integer> refusals = new EnumMap<>(RefusalReason.class);
+  private int maxTries = 2;
+  private boolean comesBackWhenTold;
   private int minTakeUpDelayMs;
   private OptionalInt patienceMs = OptionalInt.empty();
   private long lastNumber;
@@ -106,13 +117,96 @@
     patienceMs = OptionalInt.of(totalMs);
   }
 
+  /** Sets how often callers try, and come back when they were told; without it twice. */
+  void limitTries(int tries) {
+    maxTries = tries;
+    comesBackWhenTold = true;
+  }
+
+  /**
+   * Breaks all streams that have begun, as their callers see it; they take them up at one VM, also
+   * with later tries.
+   */
+  void breakAllStreamsAfter(int ms, int meetingVm) {
+    later(ms, () -> breakAllStreams(meetingVm));
+  }
+
+  private void breakAllStreams(int meetingVm) {
+    for (long number : tries.keySet().stream().sorted().toList()) {
+      Try current = tries.get(number);
+      if (current == null || current.stream.version().isEmpty()) {
+        continue;
+      }
+      disconnect(number, current);
+      if (hasUpstreams(current.stream) && !current.stream.isResumed()) {
+        later(
+            2000,
+            () -> {
+              if (hasUpstreams(current.stream)) {
+                met.add(current.stream);
+              }
+            });
+      }
+      current.stream.meetAt(meetingVm);
+      later(random.nextInt(MAX_MEETING_DELAY_MS), () -> send(current.stream, true));
+    }
+  }
+
+  /** Cuts a VM's connections to all members for some time; messages on them are lost. */
+  void cutOff(int vm, int lengthMs) {
+    vms.setPartitioned(vm, true);
+    later(lengthMs, () -> vms.setPartitioned(vm, false));
+  }
+
+  /** Suspends a member's process; what it receives meanwhile it handles all at once. */
+  void suspendMember(FakeControlMember member, int lengthMs) {
+    member.pause();
+    later(lengthMs, member::resume);
+  }
+
+  /** Cuts a member off from the other ones, while VMs still reach it. */
+  void partitionMember(FakeControlMember member, int lengthMs) {
+    member.setPartitioned(true);
+    later(lengthMs, () -> member.setPartitioned(false));
+  }
+
+  private void disconnect(long number, Try current) {
+    removeFromEngine(number);
+    tries.remove(number);
+    vms.handle(current.vm, node -> node.onCallerDisconnected(number, group.nowNs()));
+  }
+
+  /** Returns whether two upstreams of a stream's version serve, so that it must go on. */
+  private boolean hasUpstreams(CallerStream stream) {
+    return engines.stream()
+            .filter(engine -> engine.version().equals(stream.version().orElseThrow()))
+            .filter(engine -> !leaving.contains(engine.id()))
+            .count()
+        >= 2;
+  }
+
+  /** Returns the number of broken streams whose version was served when they broke. */
+  int metStreams() {
+    return met.size();
+  }
+
+  /** Returns the share of them that some try has continued. */
+  double metShare() {
+    return (double) met.stream().filter(CallerStream::isResumed).count() / met.size();
+  }
+
+  /** Returns how often take-ups were refused while two upstreams served, by reason. */
+  Map<RefusalReason, Integer> refusalsWhileServed() {
+    return refusals;
+  }
+
   /** Advances the time while callers begin streams at a rate. */
   void simulate(int lengthMs, double perSecond) {
     for (int ms = 0; ms < lengthMs; ms++) {
       group.run(1);
       vms.tick();
       if (random.nextDouble() < perSecond / 1_000) {
-        CallerStream stream = new CallerStream(group.nowNs());
+        CallerStream stream = new CallerStream(group.nowNs(), maxTries);
         streams.add(stream);
         send(stream, false);
       }
@@ -131,6 +225,7 @@
     startEngine(new UpstreamVersion(to));
     engines.stream()
         .filter(engine -> engine.version().value().equals(from))
+        .filter(engine -> !leaving.contains(engine.id()))
         .findFirst()
         .ifPresent(this::deregister);
   }
@@ -168,7 +263,7 @@
     for (long number : lost) {
       Try current = tries.remove(number);
       current.engine.ifPresent(engine -> engine.removeRequest(number));
-      takeUp(current);
+      takeUp(current, 0);
     }
   }
 
@@ -217,6 +312,7 @@
   }
 
   private void deregister(VersionedEngine engine) {
+    leaving.add(engine.id());
     for (FakeControlMember member : group.members()) {
       if (member.isServing()) {
         UpstreamId id = engine.id();
@@ -227,7 +323,7 @@
   }
 
   private void send(CallerStream stream, boolean takeUp) {
-    int vm = random.nextInt(vms.count());
+    int vm = stream.meetingVm().orElseGet(this::pickVm);
     if (remainingMs(stream) < MIN_REMAINING_MS) {
       return;
     }
@@ -264,6 +360,16 @@
     vms.handle(vm, node -> node.onRequest(request, group.nowNs()));
   }
 
+  /** Returns a random VM that is not suspended, as callers are sent away from those that are. */
+  private int pickVm() {
+    int vm = random.nextInt(vms.count());
+    int tried = 0;
+    while (vms.isSuspended(vm) && tried++ < vms.count()) {
+      vm = (vm + 1) % vms.count();
+    }
+    return vm;
+  }
+
   private static String attemptId(long number) {
     return "id-" + number;
   }
@@ -285,21 +391,28 @@
     } else if (action instanceof ForwardAction.Refuse refuse) {
       Try refused = tries.remove(refuse.request());
       if (refused != null) {
-        takeUp(refused);
+        if (refused.takeUp && hasUpstreams(refused.stream)) {
+          refusals.merge(refuse.refusalReason(), 1, Integer::sum);
+        }
+        takeUp(refused, comesBackWhenTold ? (int) refuse.retryAfterMs() : 0);
       }
     }
   }
 
   /** Takes a stream up once that has had an event. */
-  private void takeUp(Try broken) {
+  private void takeUp(Try broken, int retryAfterMs) {
     if (broken.stream.mayTakeUp()) {
-      later(
-          minTakeUpDelayMs + random.nextInt(MAX_TAKE_UP_DELAY_MS), () -> send(broken.stream, true));
+      int delayMs = retryAfterMs + minTakeUpDelayMs + random.nextInt(MAX_TAKE_UP_DELAY_MS);
+      later(delayMs, () -> send(broken.stream, true));
     }
   }
 
   private void dispatch(ForwardAction.Dispatch dispatch) {
     Try current = tries.get(dispatch.request());
+    if (current == null) {
+      // The caller has left, which its VM has not handled yet.
+      return;
+    }
     int attempt = ++current.attempt;
     current.engine =
         engines.stream().filter(one -> one.id().equals(dispatch.upstream().id())).findFirst();
@@ -327,15 +440,32 @@
     if (current == null || current.attempt != attempt || current.engine.isEmpty()) {
       return;
     }
-    current.stream.receive(current.engine.get().version(), attemptId(number));
+    UpstreamVersion version = current.engine.get().version();
+    vms.handle(current.vm, node -> passFirstEvent(node, current, number, attempt, version));
+  }
+
+  /** Passes the first event of an attempt on to the caller, unless the attempt has ended. */
+  private List<ForwardAction> passFirstEvent(
+      ForwardNode node, Try current, long number, int attempt, UpstreamVersion version) {
+    boolean isCurrent = tries.get(number) == current && current.attempt == attempt;
+    if (!isCurrent) {
+      return List.of();
+    }
+    current.stream.receive(version, attemptId(number));
     if (!current.begun) {
       current.begun = true;
-      sentTakeUpsBegun += current.takeUp ? 1 : 0;
-      takeUpsBegun += current.takeUp && current.counted ? 1 : 0;
-      newStreamsBegun += !current.takeUp && current.counted ? 1 : 0;
+      countBegun(current);
     }
-    int vm = current.vm;
-    vms.handle(vm, node -> node.onResponseStarted(number, group.nowNs()));
+    return node.onResponseStarted(number, group.nowNs());
+  }
+
+  private void countBegun(Try current) {
+    if (current.takeUp) {
+      current.stream.resume();
+    }
+    sentTakeUpsBegun += current.takeUp ? 1 : 0;
+    takeUpsBegun += current.takeUp && current.counted ? 1 : 0;
+    newStreamsBegun += !current.takeUp && current.counted ? 1 : 0;
   }
 
   private void end(VersionedEngine engine) {
@@ -354,8 +484,13 @@
       return;
     }
     removeFromEngine(number);
-    int vm = current.vm;
-    vms.handle(vm, node -> node.onAttemptEnded(number, outcome, group.nowNs()));
+    vms.handle(current.vm, node -> endAttempt(node, current, number, attempt, outcome));
+  }
+
+  private List<ForwardAction> endAttempt(
+      ForwardNode node, Try current, long number, int attempt, AttemptOutcome outcome) {
+    boolean isCurrent = tries.get(number) == current && current.attempt == attempt;
+    return isCurrent ? node.onAttemptEnded(number, outcome, group.nowNs()) : List.of();
   }
 
   private void removeFromEngine(long number) {
--- a/core/src/test/java/org/teaseltrail/core/control/StreamVersionTest.java
+++ b/core/src/test/java/org/teaseltrail/core/control/StreamVersionTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.teaseltrail.core.forward.RefusalReason;
 
 /**
  * Streams of a service whose upstreams run two versions at the same time.
@@ -25,6 +26,14 @@
   private static final double PER_SECOND = 20;
   private static final int SEEDS_OF_RELEASE = 8;
 
+  /** Time before the end of a VM's trouble at which streams break. */
+  private static final int BREAK_BEFORE_END_MS = 30;
+
+  /** Time after which a VM that was suspended is connected to the members again. */
+  private static final int RECONNECT_MS = 80;
+
+  private static final int MAX_TRIES = 6;
+
   private static final int DARK_MS = 2_500;
 
   /** Time until a VM's new process listens. */
@@ -190,6 +199,100 @@
         .isGreaterThanOrEqualTo(AIMED_SHARE * simulation.newShare());
   }
 
+  /** Guards against streams that a VM which was out of step in a release refuses needlessly. */
+  @ParameterizedTest
+  @EnumSource(OutOfStep.class)
+  void streamsGoOnAtVmThatWasOutOfStepInRelease(OutOfStep trouble) {
+    for (int lengthMs : List.of(STEP_MS, 2 * STEP_MS, 4 * STEP_MS)) {
+      for (long seed = 1; seed <= SEEDS_OF_RELEASE; seed++) {
+        StreamVersionSimulation simulation = releaseWithVmOutOfStep(seed, trouble, lengthMs);
+        String run = trouble + ", " + lengthMs + " ms, seed " + seed;
+        assertThat(simulation.mixedStreams()).as(run).isZero();
+        assertThat(simulation.metStreams()).as(run).isPositive();
+        assertThat(simulation.metShare())
+            .as(run)
+            .isGreaterThanOrEqualTo(AIMED_SHARE * simulation.newShare());
+        assertThat(simulation.refusalsWhileServed())
+            .as(run)
+            .doesNotContainKeys(RefusalReason.ORIGIN_UNKNOWN, RefusalReason.NO_MATCHING_VERSION);
+      }
+    }
+  }
+
+  /** Replaces most engines while a VM is out of step, at which all streams are taken up then. */
+  private static StreamVersionSimulation releaseWithVmOutOfStep(
+      long seed, OutOfStep trouble, int lengthMs) {
+    StreamVersionSimulation simulation = new StreamVersionSimulation(seed, 4);
+    simulation.limitTries(MAX_TRIES);
+    simulation.startEngines("v1", 10);
+    simulation.simulate(2 * STEP_MS, 0);
+    simulation.simulate(STEP_MS, 2 * PER_SECOND);
+    int vm = (int) seed % 4;
+    trouble.begin(simulation, vm, lengthMs);
+    simulation.breakAllStreamsAfter(lengthMs - BREAK_BEFORE_END_MS, vm);
+    for (int i = 0; i < 7; i++) {
+      simulation.replaceOne("v1", "v2");
+      simulation.simulate(STEP_MS * 6 / 10, PER_SECOND);
+    }
+    simulation.simulate(5 * STEP_MS, PER_SECOND);
+    return simulation;
+  }
+
+  /** Guards against a guess of VMs and members that are out of step, in any order of events. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+  void streamKeepsItsVersionWhereVmsAndMembersAreOutOfStep(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    StreamVersionSimulation simulation = start(seed, 4);
+    simulation.limitTries(MAX_TRIES);
+    for (int i = 0; i < 40; i++) {
+      simulation.simulate(1 + random.nextInt(STEP_MS), PER_SECOND);
+      int vm = random.nextInt(simulation.vms().count());
+      int lengthMs = 500 + random.nextInt(4 * STEP_MS);
+      OutOfStep[] troubles = OutOfStep.values();
+      FakeControlMember member = simulation.group().members().get(random.nextInt(3));
+      switch (random.nextInt(7)) {
+        case 0, 1 -> {
+          troubles[random.nextInt(troubles.length)].begin(simulation, vm, lengthMs);
+          simulation.breakAllStreamsAfter(lengthMs - BREAK_BEFORE_END_MS, vm);
+        }
+        case 2 -> simulation.suspendMember(member, lengthMs);
+        case 3 -> simulation.partitionMember(member, lengthMs);
+        case 4 -> simulation.killVm(vm);
+        case 5 -> simulation.replaceOne("v1", "v2");
+        default -> simulation.replaceOne("v2", random.nextBoolean() ? "v1" : "v3");
+      }
+    }
+    assertThat(simulation.metStreams()).isPositive();
+    assertThat(simulation.mixedStreams()).isZero();
+  }
+
+  /** How a VM gets out of step. */
+  private enum OutOfStep {
+    SUSPENDED {
+      @Override
+      void begin(StreamVersionSimulation simulation, int vm, int lengthMs) {
+        simulation.vms().suspend(vm, lengthMs);
+      }
+    },
+    SUSPENDED_AND_DISCONNECTED {
+      @Override
+      void begin(StreamVersionSimulation simulation, int vm, int lengthMs) {
+        simulation.vms().suspend(vm, lengthMs);
+        simulation.cutOff(vm, lengthMs + RECONNECT_MS);
+      }
+    },
+    CUT_OFF {
+      @Override
+      void begin(StreamVersionSimulation simulation, int vm, int lengthMs) {
+        simulation.cutOff(vm, lengthMs);
+      }
+    };
+
+    /** Starts the trouble, which ends by itself. */
+    abstract void begin(StreamVersionSimulation simulation, int vm, int lengthMs);
+  }
+
   /** Guards against streams joined from two versions once all entry VMs have started again. */
   @ParameterizedTest
   @EnumSource(Disturbance.class)
