End an entry VM of the other request path that can't decide any more

Callers would see, where the program has an error: a request without an answer until its deadline. An exception out of the node's decisions was logged and nothing else: what the node had decided so far was left for a later event, its next timer was never set if the exception came from a timer, and the VM stayed ready. An action that failed kept back all those behind it, which are about other requests.

The same answer as on entry VMs that place requests themselves: an action that fails ends alone; after an exception out of the decisions the node decides on nothing more, open requests are answered (they may have run), later ones are refused as not admitted, the listener closes, and the process ends with exit code 1 instead of waiting for the node to finish.

--- a/entry/src/main/java/org/teaseltrail/entry/CallerHandler.java
+++ b/entry/src/main/java/org/teaseltrail/entry/CallerHandler.java
@@ -10,6 +10,8 @@
 import org.teaseltrail.core.id.InvalidIdException;
 import org.teaseltrail.core.id.RequestId;
 import org.teaseltrail.core.id.ServiceId;
+import org.teaseltrail.core.request.NotRunReason;
+import org.teaseltrail.core.request.Outcome;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -17,6 +19,9 @@
 /** Handles callers' HTTP requests: generations and calls of plain services. */
 final class CallerHandler {
 
+  /** Outcome of requests that arrive after the node has failed, until the process ends. */
+  private static final Outcome NOT_ADMITTED = new Outcome.NotRun(NotRunReason.NOT_ADMITTING, 1_000);
+
   /** Path prefix of plain services. */
   static final String SERVICES_PATH = "/v1/services/";
 
@@ -119,6 +124,10 @@
     RequestId id = exchange.request();
     loop.run(
         () -> {
+          if (loop.failure().isDone()) {
+            exchange.conclude(NOT_ADMITTED);
+            return;
+          }
           exchanges.add(exchange);
           loop.handle(new EntryEvent.RequestArrived(id, call));
         });
--- a/entry/src/main/java/org/teaseltrail/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/teaseltrail/entry/EntryDaemon.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.teaseltrail.core.entry.EntryEvent;
 import org.teaseltrail.core.entry.EntryNode;
+import org.teaseltrail.core.request.FailureReason;
+import org.teaseltrail.core.request.Outcome;
 import org.teaseltrail.runtime.log.ComponentLogger;
 import org.teaseltrail.runtime.process.ExitCode;
 import org.teaseltrail.runtime.process.RunningProgram;
@@ -53,10 +55,25 @@
     parts.loop().setActionExecutor(new ActionExecutor(parts));
     parts.metrics().registerGauges(parts.loop()::status, parts.exchanges()::callCount);
     parts.shutdown().setListenerCloser(() -> server.dispose());
+    parts.loop().failure().thenAccept(this::onDecisionsFailed);
     parts.control().open(options.node().vm(), options.members());
     LOGGER.info("Listening on " + address() + ".");
   }
 
+  /** Answers the open requests and lets the process end, so that callers go to other VMs. */
+  private void onDecisionsFailed(Throwable failure) {
+    LOGGER.error("Unexpected error; the process ends.", failure);
+    parts.exchanges().concludeAll(new Outcome.MayHaveRun(FailureReason.STREAM_BROKEN));
+    parts.shutdown().closeListener();
+    parts.shutdown().markFinished();
+    ended.complete(ExitCode.INTERNAL);
+  }
+
+  /** Returns the daemon's components. */
+  DaemonComponents parts() {
+    return parts;
+  }
+
   /** Returns the address on which the daemon serves callers and upstreams. */
   InetSocketAddress address() {
     return (InetSocketAddress) server.address();
--- a/entry/src/main/java/org/teaseltrail/entry/ExchangeRegistry.java
+++ b/entry/src/main/java/org/teaseltrail/entry/ExchangeRegistry.java
@@ -1,9 +1,11 @@
 package org.teaseltrail.entry;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.teaseltrail.core.id.RequestId;
+import org.teaseltrail.core.request.Outcome;
 
 /** Registry of the exchanges and upstream calls of live requests. Used on the node thread only. */
 final class ExchangeRegistry {
@@ -54,6 +56,14 @@
     callCount = calls.size();
   }
 
+  /** Concludes all requests with an outcome and closes their calls. */
+  void concludeAll(Outcome outcome) {
+    List.copyOf(calls.keySet()).forEach(this::closeCall);
+    List<CallerExchange> open = List.copyOf(exchanges.values());
+    exchanges.clear();
+    open.forEach(exchange -> exchange.conclude(outcome));
+  }
+
   /** Returns the number of registered upstream calls. May be called on any thread. */
   int callCount() {
     return callCount;
--- a/entry/src/main/java/org/teaseltrail/entry/NodeEventLoop.java
+++ b/entry/src/main/java/org/teaseltrail/entry/NodeEventLoop.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.teaseltrail.core.entry.EntryAction;
@@ -25,6 +26,7 @@
   private final EntryNode node;
   private Consumer<EntryAction> executor = action -> {};
   private volatile EntryStatus status;
+  private final CompletableFuture<Throwable> failure = new CompletableFuture<>();
   private volatile boolean closed;
   private Disposable wakeup;
   private long wakeupNs = Long.MAX_VALUE;
@@ -39,6 +41,19 @@
     executor = actionExecutor;
   }
 
+  /**
+   * Returns a future that completes, on the node thread, with an exception out of the node's
+   * decisions. Its state may be inconsistent then, and it decides on nothing more.
+   */
+  CompletableFuture<Throwable> failure() {
+    return failure;
+  }
+
+  /** Returns whether new requests are accepted. Must be called on the node thread. */
+  boolean isReady() {
+    return !failure.isDone() && node.isReady(nowNs());
+  }
+
   /** Submits an event to the node. */
   void submit(EntryEvent event) {
     run(() -> handle(event));
@@ -66,16 +81,23 @@
   private void runLoggingErrors(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException fault) {
+    } catch (RuntimeException | Error fault) {
       LOGGER.error("A task on the node thread failed.", fault);
     }
   }
 
   /** Handles an event and executes the resulting actions. Must be called on the node thread. */
   void handle(EntryEvent event) {
-    List<EntryAction> actions = node.handle(event, nowNs());
-    actions.forEach(executor);
-    scheduleWakeup();
+    if (failure.isDone()) {
+      return;
+    }
+    try {
+      List<EntryAction> actions = node.handle(event, nowNs());
+      actions.forEach(action -> runLoggingErrors(() -> executor.accept(action)));
+      scheduleWakeup();
+    } catch (RuntimeException | Error e) {
+      failure.complete(e);
+    }
   }
 
   private void scheduleWakeup() {
--- a/entry/src/main/java/org/teaseltrail/entry/StatusHandler.java
+++ b/entry/src/main/java/org/teaseltrail/entry/StatusHandler.java
@@ -75,8 +75,7 @@
   }
 
   Publisher<Void> ready(HttpServerRequest request, HttpServerResponse response) {
-    return ConnectionScheduler.publishOnEventLoop(
-            response, loop.query(() -> loop.node().isReady(loop.nowNs())))
+    return ConnectionScheduler.publishOnEventLoop(response, loop.query(loop::isReady))
         .flatMap(
             ready ->
                 response
