Give up what is open at the end of a planned stop, with an answer

What callers saw: after SIGTERM an entry VM took requests for 2.5 s, also those it could not finish, and at the grace's end closed its process under them: no answer, whether they waited for a slot (not run) or were at an upstream (may have run). With a grace below 2.5 s requests were taken until the end; after a start that lasted on, the grace was counted from its end.

Cause: nobody told a request that it wouldn't be waited for. The times of a stop were constants in the shell that fit one grace; the node knew only "no new requests", so a request that waited was still sent to an upstream at the last moment.

Mend: DrainSchedule derives all times from the grace (8 s: requests until 2.5 s, sends until 5.0 s, all given up at 7.5 s, end by 7.75 s). ForwardNode carries it out in its own timers: from the second time on, what is at no upstream and no peer (plan, origin, quota, slot, retry) is refused with 503 and Retry-After 0.02, or 502 if it may have run; at the third, what is at an upstream or a peer gets 502 (GIVEN_UP), a begun stream is broken off. A peer that relayed the request is told BROKEN, a value that old VMs know, so that it may go on with what may run again, and DECLINED for what has not run. The shell asks the node once more before it ends, so that a VM that stood still over these times answers too; an answer that has come goes first. A request that isn't read whole is refused when no more are taken (not a peer's: that would read the bare 503 as broken), and a pipelined request is answered before the connection closes. The time between the signal and the end of the start counts towards the grace.

Each refusal of a stop has `stage` and `begun` in its line; what still ends with the process leaves `request_unanswered`.

--- a/cli/src/main/java/org/teaseltrail/cli/explain/RequestDiagnosis.java
+++ b/cli/src/main/java/org/teaseltrail/cli/explain/RequestDiagnosis.java
@@ -44,6 +44,11 @@
       refusedFor("ENDING"),
       "Its VM was about to end and takes no more requests.",
       "`drain_begin` on that VM"),
+  VM_ENDED_FIRST(
+      refusedFor("GIVEN_UP").or(lastEventIs("request_unanswered")),
+      "Its VM had to end before the request did.",
+      "`drain_begin` on that VM and `stage`; requests that last longer than the grace need a longer"
+          + " `grace_s`"),
   BROKEN(
       refusedFor("BROKEN"),
       "An upstream's answer broke off or was none, and the request may not be repeated, or not any"
--- a/core/src/main/java/org/teaseltrail/core/forward/ActiveRequest.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ActiveRequest.java
@@ -376,6 +376,17 @@
     unread = false;
   }
 
+  /** Returns how far it has got. */
+  RequestStage stage() {
+    if (responseStarted) {
+      return RequestStage.STREAM_BEGUN;
+    }
+    if (currentUpstream.isPresent()) {
+      return RequestStage.AT_UPSTREAM;
+    }
+    return attempts > 0 ? RequestStage.WAITING_FOR_RETRY : RequestStage.WAITING_FOR_SLOT;
+  }
+
   boolean hasResponseStarted() {
     return responseStarted;
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/AdmissionController.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/AdmissionController.java
@@ -198,6 +198,17 @@
     return waiting.values().stream().mapToLong(Waiting::expiryNs).min();
   }
 
+  /** Gives up all waiting requests, because this VM stops. */
+  void giveUp() {
+    for (long number : List.copyOf(waiting.keySet())) {
+      waiting.remove(number);
+      actions.accept(
+          ForwardAction.Refuse.beforeRouting(
+                  number, RefusalReason.ENDING, DrainSchedule.RETRY_AFTER_MS)
+              .at(RequestStage.WAITING_FOR_PLAN));
+    }
+  }
+
   void onCallerDisconnected(long number) {
     waiting.remove(number);
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardAction.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardAction.java
@@ -83,6 +83,7 @@
    * @param route the request's route, empty if none was found
    * @param customer the customer whose key the request carries, if that is known
    * @param expectedWaitMs the forecast wait for a slot, in milliseconds, if it decided
+   * @param stage where the request was, if a planned stop of this VM ended it
    */
   record Refuse(
       long request,
@@ -90,13 +91,20 @@
       long retryAfterMs,
       Optional<PlanRoute> route,
       Optional<CustomerId> customer,
-      OptionalLong expectedWaitMs)
+      OptionalLong expectedWaitMs,
+      Optional<RequestStage> stage)
       implements ForwardAction {
 
     /** Refuses a request before it was matched with a route and a customer. */
     static Refuse beforeRouting(long request, RefusalReason refusal, long retryAfterMs) {
       return new Refuse(
-          request, refusal, retryAfterMs, Optional.empty(), Optional.empty(), OptionalLong.empty());
+          request,
+          refusal,
+          retryAfterMs,
+          Optional.empty(),
+          Optional.empty(),
+          OptionalLong.empty(),
+          Optional.empty());
     }
 
     /** Refuses a request whose route and customer are known. */
@@ -112,7 +120,13 @@
         RefusalReason refusal,
         long retryAfterMs) {
       return new Refuse(
-          request, refusal, retryAfterMs, Optional.of(route), customer, OptionalLong.empty());
+          request,
+          refusal,
+          retryAfterMs,
+          Optional.of(route),
+          customer,
+          OptionalLong.empty(),
+          Optional.empty());
     }
 
     /** Refuses a request by the forecast wait for a slot. */
@@ -123,7 +137,25 @@
           retryAfterMs,
           Optional.of(request.route()),
           request.customer(),
-          OptionalLong.of(expectedWaitMs));
+          OptionalLong.of(expectedWaitMs),
+          Optional.empty());
+    }
+
+    /**
+     * Returns this refusal with the stage at which a planned stop ended the request.
+     *
+     * @param reached how far the request had got
+     * @return a copy that tells it
+     */
+    public Refuse at(RequestStage reached) {
+      return new Refuse(
+          request,
+          refusalReason,
+          retryAfterMs,
+          route,
+          customer,
+          expectedWaitMs,
+          Optional.of(reached));
     }
   }
 
@@ -154,6 +186,12 @@
     }
   }
 
+  /**
+   * Ends the connections of callers without a request that has been read whole: this VM takes no
+   * request any more.
+   */
+  record StopAccepting() implements ForwardAction {}
+
   /**
    * Sends a message to a control member.
    *
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -36,12 +36,6 @@
  */
 public final class ForwardNode {
 
-  /**
-   * Retry-after for requests that arrive during shutdown, in milliseconds. It is short because the
-   * caller's next attempt goes to another VM.
-   */
-  private static final long SHUTDOWN_RETRY_AFTER_MS = 20;
-
   private final ControlClient controlClient;
   private final UpstreamTracker upstreams = new UpstreamTracker();
   private final SlotGrantTracker slots = new SlotGrantTracker();
@@ -62,7 +56,7 @@
   private final BegunStreamAnnouncer begunStreams;
   private final StreamOriginClient origins;
   private final RejectionLimitTracker rejectionLimits;
-  private boolean shuttingDown;
+  private final DrainProgress drain = new DrainProgress();
   private List<ForwardAction> actions = new ArrayList<>();
 
   /**
@@ -106,6 +100,7 @@
             peers,
             rejectionLimits,
             service -> isEngine(service) || rejectionLimits.isSensitive(service),
+            drain,
             action -> actions.add(action));
     quotas = new LocalQuotaTracker(settings.quotas(), settings.sessionLifetimeMs());
     quotaFilter =
@@ -164,12 +159,17 @@
   }
 
   /**
-   * Rejects all requests from now on. During a shutdown a request may still arrive over a
-   * keep-alive connection; it would be aborted when the process exits, although another VM could
-   * have served it.
+   * Begins a planned stop: from certain times on, requests are refused, requests that wait are
+   * given up, and at last those at upstreams, so that each gets its answer before the process ends.
+   *
+   * @param schedule the times of the stop
+   * @param signalNs when the termination signal came, in nanoseconds
+   * @param nowNs current time, in nanoseconds
+   * @return the actions to carry out, in this order
    */
-  public void end() {
-    shuttingDown = true;
+  public List<ForwardAction> beginDrain(DrainSchedule schedule, long signalNs, long nowNs) {
+    drain.begin(schedule, signalNs);
+    return tick(nowNs);
   }
 
   /**
@@ -180,8 +180,8 @@
    * @return the actions to carry out, in this order
    */
   public List<ForwardAction> onRequest(ForwardRequest request, long nowNs) {
-    if (shuttingDown) {
-      refuse(request.number(), RefusalReason.ENDING, SHUTDOWN_RETRY_AFTER_MS);
+    if (!drain.mayTake(nowNs)) {
+      refuse(request.number(), RefusalReason.ENDING, DrainSchedule.RETRY_AFTER_MS);
       return collectActions(nowNs);
     }
     admission.onRequest(request, nowNs);
@@ -197,8 +197,8 @@
    * @return the actions to carry out, in this order
    */
   public List<ForwardAction> onRelayedRequest(ForwardRequest request, RelayHop hop, long nowNs) {
-    if (shuttingDown) {
-      refuse(request.number(), RefusalReason.ENDING, SHUTDOWN_RETRY_AFTER_MS);
+    if (!drain.mayTake(nowNs)) {
+      refuse(request.number(), RefusalReason.ENDING, DrainSchedule.RETRY_AFTER_MS);
       return collectActions(nowNs);
     }
     admission.onRelayedRequest(request, hop, nowNs);
@@ -505,9 +505,32 @@
     paths.tick(nowNs);
     requests.relays().tick(nowNs);
     requests.tick(nowNs);
+    drain.pollEntered(nowNs).forEach(this::enter);
     return collectActions(nowNs);
   }
 
+  private void enter(DrainPhase phase) {
+    switch (phase) {
+      case REFUSING -> actions.add(new ForwardAction.StopAccepting());
+      case NOT_SENDING -> giveUpUnsent();
+      case GIVING_UP -> {
+        giveUpUnsent();
+        requests.giveUpAll();
+        requests.relays().giveUpAll();
+      }
+      default -> {
+        // Requests are served as before.
+      }
+    }
+  }
+
+  private void giveUpUnsent() {
+    admission.giveUp();
+    origins.giveUp();
+    quotaFilter.giveUp();
+    requests.giveUpUnsent();
+  }
+
   /**
    * Returns when {@link #tick} must be called next.
    *
@@ -521,7 +544,8 @@
             quotaFilter.nextDueNs().orElse(Long.MAX_VALUE),
             admission.nextDueNs().orElse(Long.MAX_VALUE),
             begunStreams.nextDueNs().orElse(Long.MAX_VALUE),
-            origins.nextDueNs().orElse(Long.MAX_VALUE))
+            origins.nextDueNs().orElse(Long.MAX_VALUE),
+            drain.nextDueNs().orElse(Long.MAX_VALUE))
         .min()
         .getAsLong();
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/QuotaAdmissionFilter.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/QuotaAdmissionFilter.java
@@ -69,6 +69,18 @@
     waitQueue.pollExpired(nowNs).forEach(expired -> refuse(expired, nowNs));
   }
 
+  /** Gives up all requests that wait for the leader, because this VM stops. */
+  void giveUp() {
+    for (ActiveRequest waiting : waitQueue.drain()) {
+      RefusalReason reason = waiting.maybeRan() ? RefusalReason.GIVEN_UP : RefusalReason.ENDING;
+      long retryAfterMs = waiting.maybeRan() ? 0 : DrainSchedule.RETRY_AFTER_MS;
+      actions.accept(
+          ForwardAction.Refuse.of(waiting, reason, retryAfterMs)
+              .at(RequestStage.WAITING_FOR_QUOTA));
+    }
+    waitQueue.dropAnswered();
+  }
+
   OptionalLong nextDueNs() {
     return waitQueue.nextDueNs();
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/RefusalReason.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RefusalReason.java
@@ -32,6 +32,8 @@
   BROKEN(true),
   /** It timed out at an upstream; it may have run. */
   TIMED_OUT(true),
+  /** This VM is shutting down and gave it up at an upstream or a peer; it may have run. */
+  GIVEN_UP(true),
   /** The leader's forecast says that it would get no slot within the time that it may wait. */
   FORECAST(false);
 
@@ -45,11 +47,12 @@
    * Returns what a refusal for this reason means to the VM that relayed the request to this one.
    *
    * @return {@link RelayOutcome#DECLINED} if the reason lies with this VM, so that another one may
-   *     serve the request
+   *     serve the request, {@link RelayOutcome#BROKEN} if that holds and it may have run
    */
   public RelayOutcome relayOutcome() {
     return switch (this) {
       case NO_PATH, PLAN_UNCERTAIN, ENDING -> RelayOutcome.DECLINED;
+      case GIVEN_UP -> RelayOutcome.BROKEN;
       default -> maybeRan ? RelayOutcome.ANSWERED : RelayOutcome.REFUSED;
     };
   }
--- a/core/src/main/java/org/teaseltrail/core/forward/RelayCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RelayCoordinator.java
@@ -29,15 +29,21 @@
   private final VmId self;
   private final PeerDirectory peers;
   private final RetryPolicy retryPolicy;
+  private final DrainProgress drain;
   private final Consumer<ForwardAction> actions;
   private final Map<Long, RelayedRequest> active = new HashMap<>();
   private LocalFallback fallback = (request, nowNs) -> {};
 
   RelayCoordinator(
-      VmId self, PeerDirectory peers, RetryPolicy retryPolicy, Consumer<ForwardAction> actions) {
+      VmId self,
+      PeerDirectory peers,
+      RetryPolicy retryPolicy,
+      DrainProgress drain,
+      Consumer<ForwardAction> actions) {
     this.self = self;
     this.peers = peers;
     this.retryPolicy = retryPolicy;
+    this.drain = drain;
     this.actions = actions;
   }
 
@@ -53,7 +59,7 @@
   /** Relays a request to a peer; returns false if there is none that can take it. */
   boolean tryStart(RelayedRequest request, long nowNs) {
     Optional<PeerVm> peer = peers.select(request.service(), request.triedPeers(), nowNs);
-    if (peer.isEmpty()) {
+    if (peer.isEmpty() || !drain.maySend(nowNs)) {
       return false;
     }
     request.start(peer.get());
@@ -107,7 +113,13 @@
   }
 
   private void endWithoutPeer(RelayedRequest request, long nowNs) {
-    if (request.maybeRan()) {
+    if (!drain.maySend(nowNs)) {
+      boolean maybeRan = request.maybeRan();
+      giveUp(
+          request,
+          maybeRan ? RefusalReason.GIVEN_UP : RefusalReason.ENDING,
+          maybeRan ? 0 : DrainSchedule.RETRY_AFTER_MS);
+    } else if (request.maybeRan()) {
       refuse(request, RefusalReason.BROKEN, 0);
     } else if (request.isTriedHere()) {
       refuse(request, RefusalReason.NOT_RUN, QueueLengthLimiter.NO_SLOT_RETRY_MS);
@@ -123,6 +135,22 @@
     }
   }
 
+  /** Gives up all requests, because this VM stops; those at their peers may have run there. */
+  void giveUpAll() {
+    for (long number : active.keySet().stream().sorted().toList()) {
+      RelayedRequest request = active.remove(number);
+      cancel(request);
+      giveUp(request, RefusalReason.GIVEN_UP, 0);
+    }
+  }
+
+  private void giveUp(RelayedRequest request, RefusalReason reason, long retryAfterMs) {
+    actions.accept(
+        ForwardAction.Refuse.of(
+                request.number(), request.route(), request.customer(), reason, retryAfterMs)
+            .at(RequestStage.AT_PEER));
+  }
+
   /** Ends the requests whose peers have not answered in time. */
   void tick(long nowNs) {
     List<RelayedRequest> overdue =
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
@@ -1,5 +1,6 @@
 package org.teaseltrail.core.forward;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +48,7 @@
   private final UpstreamPaths paths;
   private final RelayCoordinator relays;
   private final RejectionLimitTracker rejectionLimits;
+  private final DrainProgress drain;
   private long changes;
 
   RequestCoordinator(
@@ -61,7 +63,9 @@
       PeerDirectory peers,
       RejectionLimitTracker rejectionLimits,
       Predicate<ServiceId> isEngine,
+      DrainProgress drain,
       Consumer<ForwardAction> actions) {
+    this.drain = drain;
     this.conditions = conditions;
     this.slots = slots;
     this.quarantine = quarantine;
@@ -76,7 +80,7 @@
             new ServiceFeature(settings.contention().slotShares(), upstreams)::appliesTo);
     lines = new RequestQueues(slots, placement, versionRouter, isEngine, places);
     retryPolicy = new RetryPolicy(settings, placement, versionRouter, quarantine);
-    relays = new RelayCoordinator(settings.vm(), peers, retryPolicy, actions);
+    relays = new RelayCoordinator(settings.vm(), peers, retryPolicy, drain, actions);
     dispatcher =
         new RequestDispatcher(
             placement, conditions, versionRouter, isEngine, deadlines, places, paths, actions);
@@ -441,6 +445,10 @@
   }
 
   private void dispatchOrQueue(ActiveRequest request, long nowNs) {
+    if (!drain.maySend(nowNs)) {
+      giveUp(request);
+      return;
+    }
     if (settleWithoutPath(request, nowNs)) {
       return;
     }
@@ -538,6 +546,34 @@
         retryAfterMs(request, QueueLengthLimiter.NO_SLOT_RETRY_MS, nowNs));
   }
 
+  /** Gives up the requests that are at no upstream, because this VM stops. */
+  void giveUpUnsent() {
+    for (ActiveRequest request : byNumber()) {
+      if (request.currentUpstream().isEmpty()) {
+        giveUp(request);
+      }
+    }
+  }
+
+  /** Gives up all requests, because this VM stops. */
+  void giveUpAll() {
+    byNumber().forEach(this::giveUp);
+  }
+
+  private List<ActiveRequest> byNumber() {
+    return activeRequests.values().stream()
+        .sorted(Comparator.comparingLong(ActiveRequest::number))
+        .toList();
+  }
+
+  private void giveUp(ActiveRequest request) {
+    RequestStage stage = request.stage();
+    boolean maybeRan = untrackAndCancel(request);
+    RefusalReason reason = maybeRan ? RefusalReason.GIVEN_UP : RefusalReason.ENDING;
+    long retryAfterMs = maybeRan ? 0 : DrainSchedule.RETRY_AFTER_MS;
+    actions.accept(ForwardAction.Refuse.of(request, reason, retryAfterMs).at(stage));
+  }
+
   /**
    * Ends a request that is queued or at an upstream; the reason depends on whether it may have run.
    */
@@ -546,17 +582,22 @@
       RefusalReason notRun,
       RefusalReason maybeRan,
       long notRunRetryAfterMs) {
+    if (untrackAndCancel(request)) {
+      refuse(request, maybeRan, 0);
+    } else {
+      refuse(request, notRun, notRunRetryAfterMs);
+    }
+  }
+
+  /** Takes a request out, wherever it is; returns whether it may have run. */
+  private boolean untrackAndCancel(ActiveRequest request) {
     untrack(request);
     lines.remove(request);
     paused.remove(request);
     final boolean atUpstream = request.currentUpstream().isPresent();
     cancel(request);
     changes++;
-    if (atUpstream || request.maybeRan()) {
-      refuse(request, maybeRan, 0);
-    } else {
-      refuse(request, notRun, notRunRetryAfterMs);
-    }
+    return atUpstream || request.maybeRan();
   }
 
   private void cancel(ActiveRequest request) {
--- a/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/StreamOriginClient.java
@@ -118,6 +118,17 @@
     }
   }
 
+  /** Gives up all requests that wait for an origin, because this VM stops. */
+  void giveUp() {
+    for (long number : questions.keySet().stream().sorted().toList()) {
+      questions.remove(number);
+      actions.accept(
+          ForwardAction.Refuse.beforeRouting(
+                  number, RefusalReason.ENDING, DrainSchedule.RETRY_AFTER_MS)
+              .at(RequestStage.WAITING_FOR_ORIGIN));
+    }
+  }
+
   void onCallerDisconnected(long number) {
     questions.remove(number);
   }
--- a/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/ForwardNodeTest.java
@@ -228,7 +228,8 @@
   @Test
   void takesNothingShortlyBeforeItsEnd() {
     serveWith(TestPlans.plan(1), upstream("p1", TestPlans.PLAIN, 6));
-    node.end();
+    node.beginDrain(DrainSchedule.of(8_000), nowNs, nowNs);
+    advanceMs(2_500);
     arrive("/safe/x");
     assertThat(refusals()).containsExactly(RefusalReason.ENDING);
   }
--- a/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
@@ -19,6 +19,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.teaseltrail.core.forward.DrainSchedule;
 
 /**
  * Handles one caller's HTTP/1.1 connection. Pipelined requests are processed one at a time, in
@@ -185,7 +186,8 @@
    */
   ChannelFuture write(Object part) {
     if (part instanceof HttpResponse head) {
-      closing = closing || server.isDraining() || (current != null && !current.wantsKeepAlive());
+      boolean isLastOfDrain = server.isDraining() && !pipeline.hasWaiting();
+      closing = closing || isLastOfDrain || (current != null && !current.wantsKeepAlive());
       HttpUtil.setKeepAlive(head, !closing);
     }
     return channel.writeAndFlush(part);
@@ -232,8 +234,20 @@
     }
   }
 
-  boolean isIdle() {
-    return current == null && !midRequest && !hasUnsent();
+  /**
+   * Closes an idle connection, and refuses a request that has not been read whole: it would not be
+   * taken any more. A peer's request is read on: the peer tries another one only if it is told that
+   * the request was declined, which can't be told of one whose head is unknown.
+   */
+  void stopAccepting() {
+    if (current == null && midRequest && !isPeer) {
+      refuse(
+          HttpResponseStatus.SERVICE_UNAVAILABLE,
+          "this VM is shutting down",
+          DrainSchedule.RETRY_AFTER_MS);
+    } else if (current == null && !midRequest && !hasUnsent()) {
+      channel.close();
+    }
   }
 
   /** Returns whether a part of an answer has not left the process yet. */
@@ -242,10 +256,6 @@
     return unsent != null && unsent.totalPendingWriteBytes() > 0;
   }
 
-  void close() {
-    channel.close();
-  }
-
   private void startNext() {
     pipeline.takeNext().ifPresent(this::startExchange);
   }
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.forward.DealtSlotUsage;
+import org.teaseltrail.core.forward.DrainSchedule;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardNode;
 import org.teaseltrail.core.forward.ForwardRequest;
@@ -58,23 +59,8 @@
    */
   private static final double IDLE_TIMEOUT_FACTOR = 1.1;
 
-  /**
-   * Minimum time between the termination signal and the end. The external platform probes readiness
-   * once per second and keeps sending callers until the second negative response.
-   */
-  private static final long MIN_DRAIN_MS = 3_200;
-
-  /**
-   * Time after the termination signal at which the server stops accepting requests and closes the
-   * connections of idle callers. By then the external platform no longer sends callers, and enough
-   * of the grace period remains to complete a response.
-   */
-  private static final long STOP_ACCEPTING_AFTER_MS = 2_500;
-
-  /** Safety margin between the end of the process and the kill. */
-  private static final long KILL_MARGIN_MS = 400;
-
-  private static final long DRAIN_POLL_MS = 50;
+  /** Time for the event loop to end its tasks. */
+  private static final long LOOP_END_MS = 50;
 
   private final ForwardOptions options;
   private final HeaderCodec headerCodec;
@@ -105,7 +91,6 @@
   private long wakeupNs = Long.MAX_VALUE;
   private Future<?> wakeup;
   private volatile boolean draining;
-  private volatile boolean drained;
   private volatile boolean ready;
   private volatile int openRequests;
   private volatile int servicesWithoutPath;
@@ -182,41 +167,41 @@
   }
 
   /**
-   * Drains the server and shuts it down: reports it as not ready, completes the open requests,
-   * waits until their answers have left the process, and closes all listeners. Does nothing if
-   * called again.
+   * Drains the server and shuts it down: reports it as not ready, completes the open requests, or
+   * gives them up with an answer shortly before the kill, waits until the answers have left the
+   * process, and closes all listeners. Does nothing if called again.
    */
   @Override
   public void close() {
+    close(Duration.ZERO);
+  }
+
+  /**
+   * Does the same as {@link #close()}.
+   *
+   * @param sinceSignal time since the termination signal; it counts towards the grace period
+   */
+  @Override
+  public void close(Duration sinceSignal) {
     if (draining) {
       return;
     }
     log.line(LogEvent.DRAIN_BEGIN).with(LogField.OPEN, openRequests).write();
     draining = true;
     ready = false;
-    long startNs = System.nanoTime();
-    long endNs = startNs + (options.graceMs() - KILL_MARGIN_MS) * NS_PER_MS;
-    boolean stoppedAccepting = false;
-    while (System.nanoTime() < endNs) {
-      long sinceSignalMs = (System.nanoTime() - startNs) / NS_PER_MS;
-      if (!stoppedAccepting && sinceSignalMs > STOP_ACCEPTING_AFTER_MS) {
-        loop.execute(this::stopAccepting);
-        stoppedAccepting = true;
-      }
-      if (sinceSignalMs > MIN_DRAIN_MS && drained) {
-        break;
-      }
-      loop.execute(() -> drained = isDrained());
-      pause();
-    }
+    long signalNs = System.nanoTime() - sinceSignal.toNanos();
+    DrainSchedule schedule = DrainSchedule.of(options.graceMs());
+    loop.execute(() -> beginDrain(schedule, signalNs));
+    new ShutdownSequence(schedule, signalNs, loop, this::isDrained).awaitEnd();
     log.line(LogEvent.DRAIN_END).with(LogField.OPEN, openRequests).write();
+    loop.submit(this::logUnanswered).awaitUninterruptibly(LOOP_END_MS);
     listener.close();
     peerListener.ifPresent(Channel::close);
     controlConnections.close();
     readiness.close();
     metricsServer.ifPresent(AdminServer::close);
     metrics.close();
-    sharedLoop.end(Duration.ofMillis(DRAIN_POLL_MS));
+    sharedLoop.end(Duration.ofMillis(LOOP_END_MS));
   }
 
   UpstreamSignalHandler signalHandler() {
@@ -421,6 +406,8 @@
       prober.probe(probe);
     } else if (action instanceof ForwardAction.PathChanged change) {
       changePath(change);
+    } else if (action instanceof ForwardAction.StopAccepting) {
+      List.copyOf(callers).forEach(CallerConnection::stopAccepting);
     }
   }
 
@@ -447,8 +434,10 @@
   private void refuse(ForwardAction.Refuse refuse) {
     metrics.refused(refuse.refusalReason());
     HttpResponseStatus status = RefusalStatus.of(refuse.refusalReason()).status();
-    requestLoggers.remove(refuse.request()).refused(log, refuse, status.code(), clock.nowNs());
     Exchange exchange = exchanges.get(refuse.request());
+    requestLoggers
+        .remove(refuse.request())
+        .refused(log, refuse, status.code(), exchange.hasResponseStarted(), clock.nowNs());
     removeExchange(refuse.request());
     exchange.refuse(status, refuse.refusalReason(), refuse.retryAfterMs());
   }
@@ -494,13 +483,23 @@
     List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNs, idleNs, headerNs));
   }
 
+  private void beginDrain(DrainSchedule schedule, long signalNs) {
+    long nowNs = clock.nowNs();
+    run(node.beginDrain(schedule, nowNs - (System.nanoTime() - signalNs), nowNs));
+  }
+
+  /**
+   * Does what is due, which may be late after a standstill, and returns whether nothing is left.
+   */
   private boolean isDrained() {
+    run(node.tick(clock.nowNs()));
     return exchanges.isEmpty() && callers.stream().noneMatch(CallerConnection::hasUnsent);
   }
 
-  private void stopAccepting() {
-    node.end();
-    List.copyOf(callers).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
+  /** Logs the requests that end with the process and without an answer. */
+  private void logUnanswered() {
+    long nowNs = clock.nowNs();
+    requestLoggers.values().forEach(requestLogger -> requestLogger.unanswered(log, nowNs));
   }
 
   /** Counts a request whose body found no room. */
@@ -521,14 +520,6 @@
     return node.plan().map(ServingPlan::limits).orElse(ClientLimits.DEFAULT);
   }
 
-  private static void pause() {
-    try {
-      TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   /** Passes on what happens to the connections to upstreams. */
   private final class UpstreamConnections
       implements UpstreamConnectionListener<UpstreamIncarnation> {
--- a/forward/src/main/java/org/teaseltrail/forward/RefusalStatus.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RefusalStatus.java
@@ -44,7 +44,7 @@
           NOT_RUN,
           FORECAST ->
           UNAVAILABLE;
-      case BROKEN -> BAD_GATEWAY;
+      case BROKEN, GIVEN_UP -> BAD_GATEWAY;
       case TIMED_OUT -> GATEWAY_TIMEOUT;
     };
   }
--- a/forward/src/main/java/org/teaseltrail/forward/RequestLogger.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RequestLogger.java
@@ -100,7 +100,12 @@
         .writeRateLimited();
   }
 
-  void refused(EventLog log, ForwardAction.Refuse refuse, int status, long nowNs) {
+  /**
+   * Logs a refusal.
+   *
+   * @param begun whether the caller had got a part of the answer, which was broken off
+   */
+  void refused(EventLog log, ForwardAction.Refuse refuse, int status, boolean begun, long nowNs) {
     EventLog.Line line = line(log, LogEvent.REQUEST_REFUSED, nowNs);
     if (lastDispatch.isEmpty() && lastRelay.isEmpty()) {
       addSubject(line, refuse.route(), refuse.customer());
@@ -108,7 +113,9 @@
     line.with(LogField.REASON, refuse.refusalReason().name())
         .with(LogField.MAYBE_RAN, refuse.refusalReason().maybeRan())
         .with(LogField.STATUS, status)
-        .with(LogField.RETRY_AFTER_MS, refuse.retryAfterMs());
+        .with(LogField.RETRY_AFTER_MS, refuse.retryAfterMs())
+        .with(LogField.BEGUN, begun);
+    refuse.stage().ifPresent(stage -> line.with(LogField.STAGE, stage.name()));
     refuse.expectedWaitMs().ifPresent(waitMs -> line.with(LogField.EXPECTED_WAIT_MS, waitMs));
     if (refuse.refusalReason() == RefusalReason.QUARANTINED) {
       addFingerprints(line, refuse.customer());
@@ -116,6 +123,13 @@
     line.write();
   }
 
+  /** Logs that the process ends while the request has no answer. */
+  void unanswered(EventLog log, long nowNs) {
+    line(log, LogEvent.REQUEST_UNANSWERED, nowNs)
+        .with(LogField.BEGUN, hasResponseStarted())
+        .write();
+  }
+
   void callerDisconnected(EventLog log, boolean responseStarted, long nowNs) {
     line(log, LogEvent.CALLER_LEFT, nowNs).with(LogField.BEGUN, responseStarted).write();
   }
--- a/forward/src/main/java/org/teaseltrail/forward/RequestPipeline.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RequestPipeline.java
@@ -32,6 +32,11 @@
     return Optional.of(waiting.pollFirst());
   }
 
+  /** Returns whether a request waits for the one before it. */
+  boolean hasWaiting() {
+    return !waiting.isEmpty();
+  }
+
   /** Records that the request that was taken last is completed. */
   void onCompleted() {
     busy = false;
--- a/forward/src/test/java/org/teaseltrail/forward/RequestLoggerTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/RequestLoggerTest.java
@@ -15,6 +15,7 @@
 import org.teaseltrail.core.forward.ForwardRequest;
 import org.teaseltrail.core.forward.PromptPart;
 import org.teaseltrail.core.forward.RefusalReason;
+import org.teaseltrail.core.forward.RequestStage;
 import org.teaseltrail.core.forward.StreamResumption;
 import org.teaseltrail.core.id.CustomerId;
 import org.teaseltrail.core.id.DataCenterId;
@@ -54,13 +55,16 @@
     logger.responseStarted(3);
     logger.attemptEnded(log, AttemptOutcome.BROKEN, 200, 4);
     logger.relayFailed(log, RelayOutcome.BROKEN, 5);
-    logger.refused(log, refusal(RefusalReason.QUARANTINED), 503, 6);
-    logger.refused(log, refusal(RefusalReason.FORECAST), 503, 7);
+    logger.refused(log, refusal(RefusalReason.QUARANTINED), 503, false, 6);
+    logger.refused(log, refusal(RefusalReason.FORECAST), 503, false, 7);
+    ForwardAction.Refuse givenUp = refusal(RefusalReason.GIVEN_UP).at(RequestStage.AT_UPSTREAM);
+    logger.refused(log, givenUp, 502, true, 7);
+    logger.unanswered(log, 7);
     logger.callerDisconnected(log, true, 8);
     logger.delivered(log, 200, 0, 9);
     log.close();
     assertThat(written.toString(StandardCharsets.UTF_8).lines())
-        .hasSize(6)
+        .hasSize(8)
         .allMatch(line -> line.contains("\"resumes\":\"id-0\""))
         .allMatch(line -> line.contains("\"after_event\":\"4\""))
         .allMatch(line -> line.contains("\"upstream_version\":\"v1\""));
@@ -105,7 +109,7 @@
 
   private static ForwardAction.Refuse refusal(RefusalReason reason) {
     return new ForwardAction.Refuse(
-        1, reason, 100, Optional.of(route()), CUSTOMER, OptionalLong.of(50));
+        1, reason, 100, Optional.of(route()), CUSTOMER, OptionalLong.of(50), Optional.empty());
   }
 
   private static PlanRoute route() {
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -40,8 +40,12 @@
       LogField.STATUS,
       LogField.RETRY_AFTER_MS,
       LogField.EXPECTED_WAIT_MS,
+      LogField.BEGUN,
+      LogField.STAGE,
       LogField.FINGERPRINT,
       LogField.PARTS),
+  /** The process ended before a request had an answer. */
+  REQUEST_UNANSWERED(SharedFields.REQUEST_FIELDS, LogField.BEGUN),
   /**
    * The leader quarantines a request: upstreams were lost while processing it, so it is no longer
    * sent to any.
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -97,6 +97,8 @@
   EXPECTED_WAIT_MS("wait for a slot that the leader forecast, if that decided"),
   /** Whether the caller had received a part of the response. */
   BEGUN("whether the caller had got a part of the answer"),
+  /** Where a request was that a planned stop ended. */
+  STAGE("where the request was when a planned stop ended it"),
   /** Version of a plan. */
   VERSION("the plan's version"),
   /** Version of the plan in force on a VM. */
--- a/runtime/src/main/java/org/teaseltrail/runtime/process/RunningProgram.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/RunningProgram.java
@@ -1,5 +1,6 @@
 package org.teaseltrail.runtime.process;
 
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.teaseltrail.runtime.settings.Settings;
 
@@ -25,4 +26,14 @@
   /** Shuts the program down gracefully and returns when no work is in progress. */
   @Override
   void close();
+
+  /**
+   * Shuts the program down as {@link #close()} does, some time after the termination signal. A
+   * program that knows when it will be killed counts that time.
+   *
+   * @param sinceSignal time since the termination signal
+   */
+  default void close(Duration sinceSignal) {
+    close();
+  }
 }
--- a/runtime/src/main/java/org/teaseltrail/runtime/process/ShutdownHook.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/ShutdownHook.java
@@ -1,5 +1,6 @@
 package org.teaseltrail.runtime.process;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
@@ -59,11 +60,17 @@
     }
   }
 
+  /** Shuts a program down that may have started only after the signal. */
+  static void stop(RunningProgram running, long signalNs) {
+    running.close(Duration.ofNanos(System.nanoTime() - signalNs));
+  }
+
   private void shutDown() {
+    long signalNs = System.nanoTime();
     logger.info("Shutting down gracefully.");
     ExitCode exitCode = ExitCode.OK;
     try {
-      awaitStart(START_TIMEOUT_MS).ifPresent(RunningProgram::close);
+      awaitStart(START_TIMEOUT_MS).ifPresent(running -> stop(running, signalNs));
       logger.info("Shutdown complete.");
     } catch (RuntimeException e) {
       logger.error("Graceful shutdown failed.", e);
