--- a/forward/src/main/java/org/teaseltrail/forward/AnswerRoom.java
+++ b/forward/src/main/java/org/teaseltrail/forward/AnswerRoom.java
@@ -49,8 +49,10 @@
     return small.reserve(Math.min(expectedBytes, SMALL_BYTES), whenReserved);
   }
 
-  boolean isWaiting() {
-    return small.isWaiting() || large.isWaiting();
+  /** Returns whether there is room that isn't needed any more once its bytes are written. */
+  boolean canBeHandedOver() {
+    boolean isWaiting = small.isWaiting() || large.isWaiting();
+    return !isWaiting && (small.isReserved() || large.isReserved());
   }
 
   /** Gives the room back, or the place among those who wait for it. */
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -253,7 +253,7 @@
   /** Forwards a part of the response; returns whether the caller can take more. */
   boolean write(HttpContent part) {
     ChannelFuture write = caller.write(part);
-    if (!room.isWaiting()) {
+    if (room.canBeHandedOver()) {
       giveBackRoomAfter(write);
     }
     return caller.isWritable();
--- a/forward/src/main/java/org/teaseltrail/forward/RoomShare.java
+++ b/forward/src/main/java/org/teaseltrail/forward/RoomShare.java
@@ -34,6 +34,10 @@
     return reserved;
   }
 
+  boolean isReserved() {
+    return reserved;
+  }
+
   boolean isWaiting() {
     return waiting;
   }
