--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -492,6 +492,7 @@
    * @return the actions to carry out, in this order
    */
   public List<ForwardAction> tick(long nowNs) {
+    drain.pollEntered(nowNs).forEach(this::enter);
     boolean searchesLeader = !controlClient.hasLeader(nowNs);
     List<ForwardAction> syncs = controlClient.dueSyncs(this, nowNs);
     if (searchesLeader) {
@@ -512,7 +513,6 @@
     paths.tick(nowNs);
     requests.relays().tick(nowNs);
     requests.tick(nowNs);
-    drain.pollEntered(nowNs).forEach(this::enter);
     return collectActions(nowNs);
   }
 
--- a/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/RequestCoordinator.java
@@ -259,7 +259,8 @@
       dispatchQueue(request.service(), nowNs);
       return;
     }
-    if (end != AttemptOutcome.ANSWERED && retryPolicy.tryAcquire(request, end, nowNs)) {
+    boolean isFinal = end == AttemptOutcome.ANSWERED || (end.isAnswer() && !drain.maySend(nowNs));
+    if (!isFinal && retryPolicy.tryAcquire(request, end, nowNs)) {
       dispatchOrQueue(request, nowNs);
     } else {
       finish(request, end, nowNs);
--- a/core/src/test/java/org/teaseltrail/core/forward/PlannedStopTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/PlannedStopTest.java
@@ -142,6 +142,19 @@
     assertThat(refusals()).containsExactly(RefusalReason.GIVEN_UP);
   }
 
+  /** Guards against an upstream's failure that is dropped for a retry that a stop doesn't allow. */
+  @Test
+  void failureThatIsReadyLateIsDelivered() {
+    serveWith(
+        TestPlans.plan(1), upstream("p1", TestPlans.PLAIN, 1), upstream("p2", TestPlans.PLAIN, 1));
+    final long request = arrive("/safe/x");
+    stop(TIMES);
+    advanceMs(TIMES.lastSendMs());
+    end(request, AttemptOutcome.FAILED_ANSWER);
+    assertThat(actions).contains(new ForwardAction.Deliver(request));
+    assertThat(refusals()).isEmpty();
+  }
+
   /** Guards against an answer that is ready and dropped, as the VM stood still until the kill. */
   @Test
   void answerThatArrivedDuringStandstillIsDelivered() {
--- a/forward/src/main/java/org/teaseltrail/forward/AnswerInBody.java
+++ b/forward/src/main/java/org/teaseltrail/forward/AnswerInBody.java
@@ -22,8 +22,8 @@
 final class AnswerInBody {
 
   private static final String STATUS_LINE_START = "HTTP/1.";
-  private static final int MAX_HEAD_BYTES = 32 * 1024;
   private static final int MAX_LINE_BYTES = 4 * 1024;
+  private static final int MAX_LINES = 100;
 
   /** What a text that begins like a status line is. */
   private enum Reading {
@@ -46,25 +46,35 @@
     this.isSent = isSent;
   }
 
-  /** Reads the next part of the body; returns whether it holds the head of another answer. */
-  boolean isFoundWith(ByteBuf part) {
+  /**
+   * Reads the next part of the body.
+   *
+   * @return the bytes of the part that stand in front of the head of another answer; empty if it
+   *     holds none
+   */
+  OptionalInt bytesInFrontOfAnswer(ByteBuf part) {
+    int before = unread.length();
     unread.append(part.toString(StandardCharsets.ISO_8859_1));
     int start = unread.indexOf(STATUS_LINE_START);
     while (start >= 0) {
       Reading reading = readHead(start);
-      if (reading != Reading.OTHER_TEXT) {
+      if (reading == Reading.ANSWER) {
+        return OptionalInt.of(Math.max(0, start - before));
+      }
+      if (reading == Reading.UNDECIDED) {
         unread.delete(0, start);
-        return reading == Reading.ANSWER;
+        return OptionalInt.empty();
       }
       start = unread.indexOf(STATUS_LINE_START, start + 1);
     }
     unread.delete(0, Math.max(0, unread.length() - STATUS_LINE_START.length() + 1));
-    return false;
+    return OptionalInt.empty();
   }
 
   private Reading readHead(int start) {
     DefaultHttpHeaders headers = new DefaultHttpHeaders(false);
     int lineStart = start;
+    int lines = 0;
     for (int end = lineEnd(lineStart); end >= 0; end = lineEnd(lineStart)) {
       String line = unread.substring(lineStart, end).stripTrailing();
       boolean isHeadLine = lineStart == start ? isStatusLine(line) : addHeader(headers, line);
@@ -75,9 +85,9 @@
         return Reading.ANSWER;
       }
       lineStart = end + 1;
+      lines++;
     }
-    boolean isTooLong =
-        unread.length() - lineStart > MAX_LINE_BYTES || lineStart - start > MAX_HEAD_BYTES;
+    boolean isTooLong = unread.length() - lineStart > MAX_LINE_BYTES || lines > MAX_LINES;
     return isTooLong ? Reading.OTHER_TEXT : Reading.UNDECIDED;
   }
 
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -1,9 +1,6 @@
 package org.teaseltrail.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.CompositeByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -48,7 +45,7 @@
   private final Optional<RelayHop> hop;
   private Optional<ExchangeAttempt> attempt = Optional.empty();
   private HttpResponse responseHead;
-  private ByteBuf responseBody = Unpooled.EMPTY_BUFFER;
+  private final BufferedBody responseBody = new BufferedBody();
   private AnswerRoom room;
   private boolean headSent;
   private long maxEventGapNs;
@@ -143,8 +140,7 @@
     if (headSent) {
       caller.write(LastHttpContent.EMPTY_LAST_CONTENT);
     } else {
-      ByteBuf body = responseBody;
-      responseBody = Unpooled.EMPTY_BUFFER;
+      ByteBuf body = responseBody.take();
       DefaultFullHttpResponse response =
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, responseHead.status(), body);
       response.headers().set(responseHead.headers());
@@ -192,8 +188,7 @@
   }
 
   private void discardResponse() {
-    responseBody.release();
-    responseBody = Unpooled.EMPTY_BUFFER;
+    responseBody.clear();
     room.release();
   }
 
@@ -208,28 +203,18 @@
    * Keeps a part of a response that is not forwarded yet; returns false if it becomes too large.
    */
   boolean buffer(ByteBuf part) {
-    if (responseBody.readableBytes() + part.readableBytes() > MAX_RESPONSE_BYTES) {
+    if (responseBody.sizeBytes() + part.readableBytes() > MAX_RESPONSE_BYTES) {
       return false;
     }
     if (!headSent) {
-      keep(part);
+      responseBody.add(part);
     }
     return true;
   }
 
-  /** Keeps a copy of a part. One buffer that grows would take twice its size while it is copied. */
-  private void keep(ByteBuf part) {
-    if (responseBody == Unpooled.EMPTY_BUFFER) {
-      responseBody = Unpooled.compositeBuffer(Integer.MAX_VALUE);
-    }
-    byte[] bytes = ByteBufUtil.getBytes(part);
-    ((CompositeByteBuf) responseBody).addComponent(true, Unpooled.wrappedBuffer(bytes));
-  }
-
   /** Reserves room for what is kept of the answer; returns false if it must wait for room. */
   boolean reserveRoom(long statedBytes, Runnable whenReserved) {
-    return room.reserve(
-        responseBody.readableBytes(), statedBytes, MAX_RESPONSE_BYTES, whenReserved);
+    return room.reserve(responseBody.sizeBytes(), statedBytes, MAX_RESPONSE_BYTES, whenReserved);
   }
 
   /** Reserves room for an event that isn't complete; returns false if it must wait for room. */
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -19,6 +19,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.forward.DealtSlotUsage;
@@ -107,6 +108,9 @@
   private long lastNumber;
   private long wakeupNs = Long.MAX_VALUE;
   private Future<?> wakeup;
+  private final AtomicBoolean closing = new AtomicBoolean();
+  private final CompletableFuture<Void> closed = new CompletableFuture<>();
+  private long giveUpNs = Long.MAX_VALUE;
   private volatile boolean draining;
   private volatile boolean ready;
   private volatile int openRequests;
@@ -217,7 +221,7 @@
   /**
    * Drains the server and shuts it down: reports it as not ready, completes the open requests, or
    * gives them up with an answer shortly before the kill, waits until the answers have left the
-   * process, and closes all listeners. Does nothing if called again.
+   * process, and closes all listeners. If called again, it returns when the first call has ended.
    */
   @Override
   public void close() {
@@ -231,7 +235,8 @@
    */
   @Override
   public void close(Duration sinceSignal) {
-    if (draining) {
+    if (!closing.compareAndSet(false, true)) {
+      closed.join();
       return;
     }
     log.line(LogEvent.DRAIN_BEGIN).with(LogField.OPEN, openRequests).write();
@@ -250,6 +255,7 @@
     metricsServer.ifPresent(AdminServer::close);
     metrics.close();
     sharedLoop.end(Duration.ofMillis(LOOP_END_MS));
+    closed.complete(null);
   }
 
   UpstreamSignalHandler signalHandler() {
@@ -634,6 +640,7 @@
 
   private void beginDrain(DrainSchedule schedule, long signalNs) {
     long nowNs = clock.nowNs();
+    giveUpNs = nowNs + schedule.giveUpMs() * NS_PER_MS - (System.nanoTime() - signalNs);
     decide(() -> node.beginDrain(schedule, nowNs - (System.nanoTime() - signalNs), nowNs));
   }
 
@@ -642,9 +649,21 @@
    */
   private boolean isDrained() {
     decide(() -> node.tick(clock.nowNs()));
+    if (failures.isFatal() && clock.nowNs() >= giveUpNs) {
+      List.copyOf(exchanges.values()).forEach(this::giveUpAfterFailure);
+    }
     return exchanges.isEmpty() && callers.stream().noneMatch(CallerConnection::hasUnsent);
   }
 
+  /** Answers a request that decisions which have failed may never end; it may have run. */
+  private void giveUpAfterFailure(Exchange exchange) {
+    end(
+        exchange,
+        new IllegalStateException("the decisions have failed before"),
+        RefusalReason.BROKEN,
+        0);
+  }
+
   /** Logs the requests that end with the process and without an answer. */
   private void logUnanswered() {
     long nowNs = clock.nowNs();
--- a/forward/src/main/java/org/teaseltrail/forward/SseEventFramer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/SseEventFramer.java
@@ -23,7 +23,12 @@
 
   private static final byte[] EMPTY = {};
 
+  private static final int GROWTH = 2;
+
   private byte[] pending = EMPTY;
+  private int pendingBytes;
+  private int scannedBytes;
+  private boolean lineIsEmpty = true;
   private Optional<String> lastEventId = Optional.empty();
   private long lastNumber = Long.MIN_VALUE;
   private long forwardedEvents;
@@ -38,38 +43,57 @@
    * @throws OversizedEventException if an event exceeds the maximum size
    */
   byte[] decode(byte[] bytes) throws OversizedEventException {
-    byte[] all = concatenate(pending, bytes);
-    ByteArrayOutputStream completeEvents = new ByteArrayOutputStream(all.length);
+    append(bytes);
+    ByteArrayOutputStream completeEvents = new ByteArrayOutputStream(bytes.length);
     int start = 0;
-    boolean lineIsEmpty = true;
-    for (int i = 0; i < all.length && !atOtherAnswer; i++) {
-      byte next = all[i];
+    for (; scannedBytes < pendingBytes && !atOtherAnswer; scannedBytes++) {
+      byte next = pending[scannedBytes];
       if (next != '\n') {
         lineIsEmpty = lineIsEmpty && next == '\r';
         continue;
       }
       if (lineIsEmpty) {
-        atOtherAnswer = holdsOtherAnswer(all, start, i);
-        complete(all, start, i + 1, completeEvents);
-        start = i + 1;
+        atOtherAnswer = holdsOtherAnswer(pending, start, scannedBytes);
+        complete(pending, start, scannedBytes + 1, completeEvents);
+        start = scannedBytes + 1;
       }
       lineIsEmpty = true;
     }
-    pending = start == all.length ? EMPTY : Arrays.copyOfRange(all, start, all.length);
-    if (pending.length > MAX_EVENT_BYTES) {
+    dropFirst(start);
+    if (pendingBytes > MAX_EVENT_BYTES) {
       throw new OversizedEventException();
     }
     return completeEvents.toByteArray();
   }
 
+  /**
+   * Adds bytes behind the partial event; the array grows in steps, so that few bytes are copied.
+   */
+  private void append(byte[] bytes) {
+    int neededBytes = pendingBytes + bytes.length;
+    if (neededBytes > pending.length) {
+      pending = Arrays.copyOf(pending, Math.max(neededBytes, GROWTH * pendingBytes));
+    }
+    System.arraycopy(bytes, 0, pending, pendingBytes, bytes.length);
+    pendingBytes = neededBytes;
+  }
+
+  private void dropFirst(int bytes) {
+    if (bytes > 0) {
+      pending = Arrays.copyOfRange(pending, bytes, pendingBytes);
+      pendingBytes -= bytes;
+      scannedBytes -= bytes;
+    }
+  }
+
   /** Returns whether no partial event is pending. */
   boolean isAtEventBoundary() {
-    return pending.length == 0;
+    return pendingBytes == 0;
   }
 
   /** Returns the bytes of the event that isn't complete. */
   int pendingBytes() {
-    return pending.length;
+    return pendingBytes;
   }
 
   /**
@@ -83,6 +107,9 @@
   /** Discards the part of an event that its upstream did not complete. */
   void discardPartialEvent() {
     pending = EMPTY;
+    pendingBytes = 0;
+    scannedBytes = 0;
+    lineIsEmpty = true;
     atOtherAnswer = false;
   }
 
@@ -181,15 +208,6 @@
     }
   }
 
-  private static byte[] concatenate(byte[] first, byte[] second) {
-    if (first.length == 0) {
-      return second;
-    }
-    byte[] all = Arrays.copyOf(first, first.length + second.length);
-    System.arraycopy(second, 0, all, first.length, second.length);
-    return all;
-  }
-
   /** Thrown if an event exceeds the maximum size. */
   static final class OversizedEventException extends Exception {
     private static final long serialVersionUID = 1L;
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.teaseltrail.core.forward.AttemptOutcome;
 
 /**
@@ -308,8 +309,10 @@
 
   private void content(HttpContent content) {
     ByteBuf part = content.content();
-    if (otherAnswer.isPresent() && otherAnswer.get().isFoundWith(part)) {
-      fail();
+    OptionalInt inFront =
+        otherAnswer.map(finder -> finder.bytesInFrontOfAnswer(part)).orElse(OptionalInt.empty());
+    if (inFront.isPresent()) {
+      breakOffBeforeOtherAnswer(part.readSlice(inFront.getAsInt()));
       return;
     }
     if (informational || skipping) {
@@ -324,6 +327,14 @@
     }
   }
 
+  /** Passes on what belongs to the answer, and breaks it off where another one follows. */
+  private void breakOffBeforeOtherAnswer(ByteBuf part) {
+    if (!skipping && part.isReadable()) {
+      responseListener.bodyReceived(part);
+    }
+    fail();
+  }
+
   /**
    * Handles the end of a response. A response without a length ends with its connection, but only
    * if the upstream itself closes it in order: the connection is still open when its end is read.
--- a/forward/src/test/java/org/teaseltrail/forward/AnswerInBodyTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/AnswerInBodyTest.java
@@ -35,11 +35,23 @@
     assertThat(isFound("HTTP/1.1 200 " + "x".repeat(100_000))).isFalse();
   }
 
+  /** Guards against events in front of a second answer that are lost with it. */
+  @Test
+  void bytesInFrontOfHeadAreKnown() {
+    AnswerInBody finder = new AnswerInBody(new FakeHeaderCodec(), "sent"::equals);
+    assertThat(
+            finder.bytesInFrontOfAnswer(
+                Unpooled.copiedBuffer("own" + HEAD, StandardCharsets.ISO_8859_1)))
+        .hasValue(3);
+  }
+
   private static boolean isFound(String body) {
     return isFound(new AnswerInBody(new FakeHeaderCodec(), "sent"::equals), body);
   }
 
   private static boolean isFound(AnswerInBody finder, String part) {
-    return finder.isFoundWith(Unpooled.copiedBuffer(part, StandardCharsets.ISO_8859_1));
+    return finder
+        .bytesInFrontOfAnswer(Unpooled.copiedBuffer(part, StandardCharsets.ISO_8859_1))
+        .isPresent();
   }
 }
--- a/forward/src/test/java/org/teaseltrail/forward/SseEventFramerTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/SseEventFramerTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** Checks that only complete events are forwarded, each of them once. */
 class SseEventFramerTest {
@@ -120,4 +121,17 @@
     assertThat(take(event + "id: 2\ndata: c\n" + answer)).isEqualTo(event);
     assertThat(blocks.isAtOtherAnswer()).isTrue();
   }
+
+  /** Guards against an event in small parts that keeps the event loop busy for seconds. */
+  @Test
+  @Timeout(10)
+  void eventInPartsOfOneByteIsReadOnce() throws Exception {
+    SseEventFramer slow = new SseEventFramer();
+    byte[] part = {'x'};
+    for (int i = 0; i < SseEventFramer.MAX_EVENT_BYTES - 2; i++) {
+      assertThat(slow.decode(part)).isEmpty();
+    }
+    assertThat(slow.decode("\n\n".getBytes(StandardCharsets.UTF_8)))
+        .hasSize(SseEventFramer.MAX_EVENT_BYTES);
+  }
 }
