--- a/runtime/src/main/java/org/teaseltrail/runtime/process/PortBinder.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/PortBinder.java
@@ -85,7 +85,7 @@
     if (cause instanceof IOException bindFailure) {
       return bindFailure;
     }
-    throw new ProgramException(ExitCode.INTERNAL, FailureText.of(failure), failure);
+    throw new ProgramException(ExitCode.INTERNAL, StartFailureText.of(failure), failure);
   }
 
   private static ProgramException listenFailure(InetSocketAddress address, IOException cause) {
--- a/runtime/src/main/java/org/teaseltrail/runtime/process/ProcessLog.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/ProcessLog.java
@@ -39,7 +39,7 @@
     try (EventLog log = open()) {
       log.line(LogEvent.START_FAILED)
           .with(LogField.EXIT_CODE, exitCode.code())
-          .with(LogField.REASON, FailureText.of(failure))
+          .with(LogField.REASON, StartFailureText.of(failure))
           .write();
     }
   }
@@ -50,7 +50,7 @@
     try (EventLog log = open()) {
       log.line(LogEvent.THREAD_FAILED)
           .with(LogField.THREAD, thread.getName())
-          .with(LogField.REASON, FailureText.of(failure))
+          .with(LogField.REASON, StartFailureText.of(failure))
           .write();
     }
   }
--- a/runtime/src/main/java/org/teaseltrail/runtime/process/FailureText.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/StartFailureText.java
@@ -1,11 +1,11 @@
 package org.teaseltrail.runtime.process;
 
 /** Describes a failure in a bounded text for a log line. */
-final class FailureText {
+final class StartFailureText {
 
   private static final int MAX_CHARS = 500;
 
-  private FailureText() {}
+  private StartFailureText() {}
 
   /** Returns what failed and its root cause. */
   static String of(Throwable failure) {
