--- a/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
+++ b/control/src/main/java/org/teaseltrail/control/ControlDaemon.java
@@ -2,7 +2,7 @@
 
 import io.grpc.Server;
 import io.grpc.netty.NettyServerBuilder;
-import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Optional;
@@ -31,7 +31,7 @@
 import org.teaseltrail.runtime.log.ComponentLogger;
 import org.teaseltrail.runtime.process.ExitCode;
 import org.teaseltrail.runtime.process.ProgramException;
-import org.teaseltrail.runtime.process.RunningProgram;
+import org.teaseltrail.runtime.process.StartSequence;
 import org.teaseltrail.storage.ReplicaStorage;
 import org.teaseltrail.storage.StorageException;
 import org.teaseltrail.wire.ClientType;
@@ -44,7 +44,7 @@
 /**
  * Runs a control member: connects its event loop to the network, the data folder and the metrics.
  */
-public final class ControlDaemon implements RunningProgram {
+public final class ControlDaemon implements SupervisedMember {
 
   private static final long NS_PER_MS = 1_000_000L;
 
@@ -53,14 +53,17 @@
   private final ComponentLogger logger = new ComponentLogger("control");
   private final CompletableFuture<ExitCode> ended = new CompletableFuture<>();
   private final SuspendAwareClock clock = new SuspendAwareClock();
+  private final MemberFailureLogger failures;
   private final SlowOperationLogger slow;
   private final ControlEventLoop loop;
   private final MessageCodec codec = new MessageCodec();
   private final EntryVmConnections<EntryMessage, ControlMessage> entryVms =
-      new EntryVmConnections<>(ControlEvent.FromEntry::new, this::post);
+      new EntryVmConnections<>(ControlEvent.FromEntry::new, vm -> {}, this::post);
   private final EntryVmConnections<ServingMessage, ServingReply> servingVms =
       new EntryVmConnections<>(
-          (vm, message) -> new ControlEvent.FromServingVm(message), this::post);
+          (vm, message) -> new ControlEvent.FromServingVm(message),
+          vm -> post(new ControlEvent.ServingVmConnected(vm)),
+          this::post);
   private final OperatorCallTracker calls = new OperatorCallTracker(this::post);
   private final ControlMetrics metrics;
   private final PeerConnections peers;
@@ -74,8 +77,10 @@
   private final GroupChangeNotifier group;
   private final HealthServer health;
 
-  private ControlDaemon(ControlOptions options, ReplicaStorage folder, long silentMs)
-      throws IOException {
+  private ControlDaemon(
+      ControlOptions options, ReplicaStorage folder, long silentMs, StartSequence start)
+      throws ProgramException {
+    failures = new MemberFailureLogger(options.log());
     slow = new SlowOperationLogger(options.log());
     loop = new ControlEventLoop(clock, slow);
     metrics = new ControlMetrics(entryVms, loop);
@@ -87,7 +92,7 @@
             : VmAddressResolver.ofPeers(options.members());
     peers = new PeerConnections(member, directory, codec, random, loop::post);
     notLeaderResponses = new NotLeaderResponseFactory(member.id(), options.operatorAddresses());
-    writes = new DataFolderWriter(folder, loop::post, this::storageFailed, slow);
+    writes = new DataFolderWriter(folder, loop::post, this::writesFailed, slow);
     final ControlMember decisions = decisions(options, folder, silentMs, random);
     snapshots = new SnapshotEncoder(new MessagePackStateCodec(codec), loop::post, this::loopFailed);
     joinClient =
@@ -115,18 +120,19 @@
                 group,
                 options.log()),
             () -> decisions.isLeaseValid(clock.nowNs()));
-    frames =
-        FrameServer.listen(
-            address(options),
-            FrameLimits.defaults(),
-            codec,
-            entry(),
-            serving(),
-            peer(),
-            joining(joinHandler));
-    operators = operators(options);
+    start.onFailure(metrics::close);
+    start.onFailure(snapshots::close);
+    start.onFailure(peers::close);
+    joinClient.ifPresent(client -> start.onFailure(client::close));
+    operators = operators(options, start);
     health =
-        new HealthServer(options.listenMetrics(), actionExecutor::knowsLeader, metrics::scrape);
+        start.listen(
+            options.listenMetrics(),
+            () ->
+                new HealthServer(
+                    options.listenMetrics(), actionExecutor::knowsLeader, metrics::scrape),
+            HealthServer::close);
+    frames = start.listen(options.listen(), () -> frames(options, joinHandler), FrameServer::close);
     writes.start();
     options.members().forEach(peer -> peers.connect(peer.vm()));
     loop.start(
@@ -150,12 +156,17 @@
   /**
    * Starts a member.
    *
-   * @throws IOException if the operators' address can't be listened on
-   * @throws reactor.netty.ChannelBindException if another address can't be listened on
+   * @param folder the member's data folder; closed if the start fails
+   * @throws ProgramException if an address can't be bound in time, or the start is cancelled
    */
   static ControlDaemon start(ControlOptions options, ReplicaStorage folder, long knownDowntimeMs)
-      throws IOException {
-    return new ControlDaemon(options, folder, knownDowntimeMs);
+      throws ProgramException {
+    try (StartSequence start = new StartSequence(options.log())) {
+      start.onFailure(folder::close);
+      ControlDaemon daemon = new ControlDaemon(options, folder, knownDowntimeMs, start);
+      start.complete();
+      return daemon;
+    }
   }
 
   /**
@@ -178,6 +189,7 @@
    * @param request the request
    * @return the result; it may stay incomplete for as long as no quorum is reachable
    */
+  @Override
   public CompletableFuture<OperatorResult> call(OperatorRequest request) {
     return calls.call(request);
   }
@@ -187,6 +199,7 @@
    *
    * @param seeds the VMs
    */
+  @Override
   public void seeds(List<VmId> seeds) {
     joinClient.ifPresent(present -> present.addCandidates(seeds));
   }
@@ -196,12 +209,13 @@
    *
    * @return the VM, which may be this one, if the member knows a leader
    */
+  @Override
   public Optional<VmId> leaderVm() {
     return group.leaderVm();
   }
 
-  /** Counts a rejected heartbeat. */
-  void onHeartbeatRefused(HeartbeatFailure failure) {
+  @Override
+  public void onHeartbeatRefused(HeartbeatFailure failure) {
     metrics.countRefusedHeartbeat(failure);
   }
 
@@ -213,19 +227,21 @@
   /** Transfers leadership first, so that another member continues scheduling, then shuts down. */
   @Override
   public void close() {
-    loop.post(new ControlEvent.HandOver());
-    actionExecutor.awaitLeadershipTransfer();
-    operators.ifPresent(Server::shutdown);
-    calls.end();
-    operators.ifPresent(ControlDaemon::awaitOperatorCalls);
-    joinClient.ifPresent(GroupJoinClient::close);
-    loop.stop();
-    frames.close();
-    peers.close();
-    snapshots.close();
-    writes.close();
-    health.close();
-    metrics.close();
+    new ShutdownSteps()
+        .run(() -> loop.post(new ControlEvent.HandOver()))
+        .run(actionExecutor::awaitLeadershipTransfer)
+        .run(() -> operators.ifPresent(Server::shutdown))
+        .run(calls::end)
+        .run(() -> operators.ifPresent(ControlDaemon::awaitOperatorCalls))
+        .run(() -> joinClient.ifPresent(GroupJoinClient::close))
+        .run(loop::stop)
+        .run(frames::close)
+        .run(peers::close)
+        .run(snapshots::close)
+        .run(writes::close)
+        .run(health::close)
+        .run(metrics::close)
+        .throwFailure();
   }
 
   private void post(ControlEvent event) {
@@ -268,16 +284,29 @@
         ClientType.JOINING_MEMBER, GroupMessage.class, GroupReply.class, joinHandler);
   }
 
-  private Optional<Server> operators(ControlOptions options) throws IOException {
+  private FrameServer frames(ControlOptions options, JoinRequestHandler joinHandler) {
+    return FrameServer.listen(
+        address(options),
+        FrameLimits.defaults(),
+        codec,
+        entry(),
+        serving(),
+        peer(),
+        joining(joinHandler));
+  }
+
+  private Optional<Server> operators(ControlOptions options, StartSequence start)
+      throws ProgramException {
     if (options.listenOperators().isEmpty()) {
       return Optional.empty();
     }
+    InetSocketAddress address = options.listenOperators().get();
     OperatorService service = new OperatorService(options.region(), calls, notLeaderResponses);
     return Optional.of(
-        NettyServerBuilder.forAddress(options.listenOperators().get())
-            .addService(service)
-            .build()
-            .start());
+        start.listen(
+            address,
+            () -> NettyServerBuilder.forAddress(address).addService(service).build().start(),
+            Server::shutdownNow));
   }
 
   private FrameEndpoint<?, ?> peer() {
@@ -297,13 +326,20 @@
     operators.shutdownNow();
   }
 
-  private void storageFailed(StorageException failure) {
-    logger.error("Failed to write to the data folder; the member stops.", failure);
-    ended.complete(ExitCode.DATA);
+  private void writesFailed(Throwable failure) {
+    if (failure instanceof StorageException) {
+      stop("Failed to write to the data folder; the member stops.", failure, ExitCode.DATA);
+    } else {
+      loopFailed(failure);
+    }
   }
 
   private void loopFailed(Throwable failure) {
-    logger.error("Unexpected error; the member stops.", failure);
-    ended.complete(ExitCode.INTERNAL);
+    stop("Unexpected error; the member stops.", failure, ExitCode.INTERNAL);
+  }
+
+  private void stop(String sentence, Throwable failure, ExitCode exitCode) {
+    failures.memberFailed(sentence, failure, exitCode);
+    ended.complete(exitCode);
   }
 }
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardAction.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardAction.java
@@ -21,6 +21,15 @@
  */
 public sealed interface ForwardAction {
 
+  /**
+   * Returns the request that the action is about.
+   *
+   * @return the request's number, empty if the action isn't about one request
+   */
+  default OptionalLong requestNumber() {
+    return OptionalLong.empty();
+  }
+
   /**
    * Sends a request to an upstream.
    *
@@ -43,7 +52,13 @@
       long remainingMs,
       boolean canary,
       OptionalDouble expectedFirstEventMs)
-      implements ForwardAction {}
+      implements ForwardAction {
+
+    @Override
+    public OptionalLong requestNumber() {
+      return OptionalLong.of(request);
+    }
+  }
 
   /**
    * Relays a request to a peer, which answers it in place of an upstream; the end is to be passed
@@ -57,21 +72,39 @@
    */
   record Relay(
       long request, PeerVm peer, PlanRoute route, Optional<CustomerId> customer, RelayHop hop)
-      implements ForwardAction {}
+      implements ForwardAction {
+
+    @Override
+    public OptionalLong requestNumber() {
+      return OptionalLong.of(request);
+    }
+  }
 
   /**
    * Cancels an attempt, so that the upstream stops processing the request.
    *
    * @param request the request's number
    */
-  record Cancel(long request) implements ForwardAction {}
+  record Cancel(long request) implements ForwardAction {
+
+    @Override
+    public OptionalLong requestNumber() {
+      return OptionalLong.of(request);
+    }
+  }
 
   /**
    * Delivers the response of the attempt that has just ended to the caller.
    *
    * @param request the request's number
    */
-  record Deliver(long request) implements ForwardAction {}
+  record Deliver(long request) implements ForwardAction {
+
+    @Override
+    public OptionalLong requestNumber() {
+      return OptionalLong.of(request);
+    }
+  }
 
   /**
    * Rejects a request without an upstream's response. If a streamed response has started, the
@@ -83,6 +116,7 @@
    * @param route the request's route, empty if none was found
    * @param customer the customer whose key the request carries, if that is known
    * @param expectedWaitMs the forecast wait for a slot, in milliseconds, if it decided
+   * @param stage where the request was, if a planned stop of this VM ended it
    */
   record Refuse(
       long request,
@@ -90,13 +124,25 @@
       long retryAfterMs,
       Optional<PlanRoute> route,
       Optional<CustomerId> customer,
-      OptionalLong expectedWaitMs)
+      OptionalLong expectedWaitMs,
+      Optional<RequestStage> stage)
       implements ForwardAction {
 
+    @Override
+    public OptionalLong requestNumber() {
+      return OptionalLong.of(request);
+    }
+
     /** Refuses a request before it was matched with a route and a customer. */
     static Refuse beforeRouting(long request, RefusalReason refusal, long retryAfterMs) {
       return new Refuse(
-          request, refusal, retryAfterMs, Optional.empty(), Optional.empty(), OptionalLong.empty());
+          request,
+          refusal,
+          retryAfterMs,
+          Optional.empty(),
+          Optional.empty(),
+          OptionalLong.empty(),
+          Optional.empty());
     }
 
     /** Refuses a request whose route and customer are known. */
@@ -112,7 +158,13 @@
         RefusalReason refusal,
         long retryAfterMs) {
       return new Refuse(
-          request, refusal, retryAfterMs, Optional.of(route), customer, OptionalLong.empty());
+          request,
+          refusal,
+          retryAfterMs,
+          Optional.of(route),
+          customer,
+          OptionalLong.empty(),
+          Optional.empty());
     }
 
     /** Refuses a request by the forecast wait for a slot. */
@@ -123,7 +175,25 @@
           retryAfterMs,
           Optional.of(request.route()),
           request.customer(),
-          OptionalLong.of(expectedWaitMs));
+          OptionalLong.of(expectedWaitMs),
+          Optional.empty());
+    }
+
+    /**
+     * Returns this refusal with the stage at which a planned stop ended the request.
+     *
+     * @param reached how far the request had got
+     * @return a copy that tells it
+     */
+    public Refuse at(RequestStage reached) {
+      return new Refuse(
+          request,
+          refusalReason,
+          retryAfterMs,
+          route,
+          customer,
+          expectedWaitMs,
+          Optional.of(reached));
     }
   }
 
@@ -154,6 +224,12 @@
     }
   }
 
+  /**
+   * Ends the connections of callers without a request that has been read whole: this VM takes no
+   * request any more.
+   */
+  record StopAccepting() implements ForwardAction {}
+
   /**
    * Sends a message to a control member.
    *
--- a/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
+++ b/core/src/main/java/org/teaseltrail/core/forward/ForwardNode.java
@@ -36,12 +36,6 @@
  */
 public final class ForwardNode {
 
-  /**
-   * Retry-after for requests that arrive during shutdown, in milliseconds. It is short because the
-   * caller's next attempt goes to another VM.
-   */
-  private static final long SHUTDOWN_RETRY_AFTER_MS = 20;
-
   private final ControlClient controlClient;
   private final UpstreamTracker upstreams = new UpstreamTracker();
   private final SlotGrantTracker slots = new SlotGrantTracker();
@@ -61,8 +55,9 @@
   private final PeerAnnouncer announcer;
   private final BegunStreamAnnouncer begunStreams;
   private final StreamOriginClient origins;
+  private final RegistryNewsQueue registryNews;
   private final RejectionLimitTracker rejectionLimits;
-  private boolean shuttingDown;
+  private final DrainProgress drain = new DrainProgress();
   private List<ForwardAction> actions = new ArrayList<>();
 
   /**
@@ -106,6 +101,7 @@
             peers,
             rejectionLimits,
             service -> isEngine(service) || rejectionLimits.isSensitive(service),
+            drain,
             action -> actions.add(action));
     quotas = new LocalQuotaTracker(settings.quotas(), settings.sessionLifetimeMs());
     quotaFilter =
@@ -117,6 +113,7 @@
             action -> actions.add(action));
     begunStreams = new BegunStreamAnnouncer(controlClient, action -> actions.add(action));
     origins = new StreamOriginClient(controlClient, begunStreams, action -> actions.add(action));
+    registryNews = new RegistryNewsQueue(controlClient, upstreams);
     admission =
         new AdmissionController(
             random,
@@ -125,6 +122,7 @@
             paths,
             requests.relays(),
             origins,
+            registryNews,
             action -> actions.add(action));
     reports =
         new LeaderReporter(
@@ -164,12 +162,17 @@
   }
 
   /**
-   * Rejects all requests from now on. During a shutdown a request may still arrive over a
-   * keep-alive connection; it would be aborted when the process exits, although another VM could
-   * have served it.
+   * Begins a planned stop: from certain times on, requests are refused, requests that wait are
+   * given up, and at last those at upstreams, so that each gets its answer before the process ends.
+   *
+   * @param schedule the times of the stop
+   * @param signalNs when the termination signal came, in nanoseconds
+   * @param nowNs current time, in nanoseconds
+   * @return the actions to carry out, in this order
    */
-  public void end() {
-    shuttingDown = true;
+  public List<ForwardAction> beginDrain(DrainSchedule schedule, long signalNs, long nowNs) {
+    drain.begin(schedule, signalNs);
+    return tick(nowNs);
   }
 
   /**
@@ -180,8 +183,8 @@
    * @return the actions to carry out, in this order
    */
   public List<ForwardAction> onRequest(ForwardRequest request, long nowNs) {
-    if (shuttingDown) {
-      refuse(request.number(), RefusalReason.ENDING, SHUTDOWN_RETRY_AFTER_MS);
+    if (!drain.mayTake(nowNs)) {
+      refuse(request.number(), RefusalReason.ENDING, DrainSchedule.RETRY_AFTER_MS);
       return collectActions(nowNs);
     }
     admission.onRequest(request, nowNs);
@@ -197,8 +200,8 @@
    * @return the actions to carry out, in this order
    */
   public List<ForwardAction> onRelayedRequest(ForwardRequest request, RelayHop hop, long nowNs) {
-    if (shuttingDown) {
-      refuse(request.number(), RefusalReason.ENDING, SHUTDOWN_RETRY_AFTER_MS);
+    if (!drain.mayTake(nowNs)) {
+      refuse(request.number(), RefusalReason.ENDING, DrainSchedule.RETRY_AFTER_MS);
       return collectActions(nowNs);
     }
     admission.onRelayedRequest(request, hop, nowNs);
@@ -374,6 +377,7 @@
   public List<ForwardAction> onCallerDisconnected(long number, long nowNs) {
     admission.onCallerDisconnected(number);
     origins.onCallerDisconnected(number);
+    registryNews.onCallerDisconnected(number);
     quotaFilter.onCallerDisconnected(number);
     requests.relays().onCallerDisconnected(number);
     requests.onCallerDisconnected(number, nowNs);
@@ -389,6 +393,7 @@
    */
   public List<ForwardAction> onMemberConnected(VmId member, long nowNs) {
     begunStreams.tellAgain(member);
+    origins.onMemberConnected(member, nowNs);
     return collectActions(nowNs);
   }
 
@@ -428,6 +433,7 @@
     } else if (reply instanceof ServingReply.RegistryUpdate update) {
       if (controlClient.session().isCurrentLeadership(update.fencing())) {
         upstreams.update(update.revision(), update.present());
+        registryNews.releaseSettled(nowNs);
         requests.dispatchQueued(nowNs);
       }
     } else if (reply instanceof ServingReply.RolloutUpdate update) {
@@ -486,6 +492,7 @@
    * @return the actions to carry out, in this order
    */
   public List<ForwardAction> tick(long nowNs) {
+    drain.pollEntered(nowNs).forEach(this::enter);
     boolean searchesLeader = !controlClient.hasLeader(nowNs);
     List<ForwardAction> syncs = controlClient.dueSyncs(this, nowNs);
     if (searchesLeader) {
@@ -501,6 +508,7 @@
     admission.tick(nowNs);
     begunStreams.tick(nowNs);
     origins.tick(nowNs);
+    registryNews.releaseSettled(nowNs);
     quotaFilter.tick(nowNs);
     paths.tick(nowNs);
     requests.relays().tick(nowNs);
@@ -508,6 +516,36 @@
     return collectActions(nowNs);
   }
 
+  private void enter(DrainPhase phase) {
+    switch (phase) {
+      case REFUSING -> actions.add(new ForwardAction.StopAccepting());
+      case NOT_SENDING -> giveUpUnsent();
+      case GIVING_UP -> {
+        giveUpUnsent();
+        requests.giveUpAll();
+        requests.relays().giveUpAll();
+      }
+      default -> {
+        // Requests are served as before.
+      }
+    }
+  }
+
+  private void refuseAtStop(long number) {
+    actions.add(
+        ForwardAction.Refuse.beforeRouting(
+                number, RefusalReason.ENDING, DrainSchedule.RETRY_AFTER_MS)
+            .at(RequestStage.WAITING_FOR_ORIGIN));
+  }
+
+  private void giveUpUnsent() {
+    admission.giveUp();
+    origins.giveUp();
+    registryNews.takeAll().forEach(this::refuseAtStop);
+    quotaFilter.giveUp();
+    requests.giveUpUnsent();
+  }
+
   /**
    * Returns when {@link #tick} must be called next.
    *
@@ -521,7 +559,9 @@
             quotaFilter.nextDueNs().orElse(Long.MAX_VALUE),
             admission.nextDueNs().orElse(Long.MAX_VALUE),
             begunStreams.nextDueNs().orElse(Long.MAX_VALUE),
-            origins.nextDueNs().orElse(Long.MAX_VALUE))
+            origins.nextDueNs().orElse(Long.MAX_VALUE),
+            registryNews.nextDueNs().orElse(Long.MAX_VALUE),
+            drain.nextDueNs().orElse(Long.MAX_VALUE))
         .min()
         .getAsLong();
   }
@@ -555,7 +595,8 @@
         + requests.relays().openRequests()
         + quotaFilter.waiting()
         + admission.waiting()
-        + origins.waiting();
+        + origins.waiting()
+        + registryNews.waiting();
   }
 
   /**
@@ -619,6 +660,7 @@
     slots.contended(confirmed.fencing(), confirmed.contended(), nowNs);
     quotaFilter.onConfirmed(confirmed, nowNs);
     admission.retryWaiting(nowNs);
+    registryNews.releaseSettled(nowNs);
     requests.dispatchQueued(nowNs);
   }
 
--- a/forward/src/main/java/org/teaseltrail/forward/BodyBudget.java
+++ b/forward/src/main/java/org/teaseltrail/forward/BodyBudget.java
@@ -22,6 +22,8 @@
   private final long capacityBytes;
   private final Deque<Waiter> waiting = new ArrayDeque<>();
   private volatile long usedBytes;
+  private boolean reserving;
+  private Runnable onFull = () -> {};
 
   BodyBudget(long capacityBytes) {
     this.capacityBytes = capacityBytes;
@@ -36,7 +38,13 @@
     return true;
   }
 
+  /** Sets what is called each time that somebody finds no room. */
+  void setOnFull(Runnable action) {
+    onFull = action;
+  }
+
   void await(Waiter waiter) {
+    onFull.run();
     waiting.addLast(waiter);
   }
 
@@ -65,11 +73,23 @@
     return usedBytes == 0 || usedBytes + bytes <= capacityBytes;
   }
 
+  /**
+   * Reserves shares for those who wait. One that gives its share back at once is followed by the
+   * next one here, not within its own call: a stack has no room for thousands.
+   */
   private void reserveForWaiting() {
-    while (!waiting.isEmpty() && fits(waiting.peekFirst().neededBytes())) {
-      Waiter next = waiting.pollFirst();
-      usedBytes += next.neededBytes();
-      next.onReserved();
+    if (reserving) {
+      return;
+    }
+    reserving = true;
+    try {
+      while (!waiting.isEmpty() && fits(waiting.peekFirst().neededBytes())) {
+        Waiter next = waiting.pollFirst();
+        usedBytes += next.neededBytes();
+        next.onReserved();
+      }
+    } finally {
+      reserving = false;
     }
   }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/CallerConnection.java
@@ -12,20 +12,23 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.teaseltrail.core.forward.DrainSchedule;
 
 /**
  * Handles one caller's HTTP/1.1 connection. Pipelined requests are processed one at a time, in
  * their order; a caller that pipelines too many loses the connection.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter
-    implements BodyGate.Listener, RequestAggregator.Listener {
+    implements BodyGate.Listener, RequestAggregator.Listener, HeadBudget.Holder {
 
   /** Time for a caller to receive its refusal before the connection is closed; some round trips. */
   private static final long LINGER_MS = 500;
@@ -46,6 +49,9 @@
   private boolean midHead;
   private long headReadNs;
   private long bodyTimeoutNs;
+  private HttpServerCodec codec;
+  private long halfHeadBytes;
+  private boolean gaveWay;
 
   /**
    * Creates a connection.
@@ -62,9 +68,15 @@
     gate = bodyGate;
   }
 
+  /** Sets the handler that decodes requests. */
+  void setCodec(HttpServerCodec httpCodec) {
+    codec = httpCodec;
+  }
+
   @Override
   public void onHead(OptionalLong deadlineMs) {
     midHead = false;
+    releaseHalfHead();
     lastActiveNs = System.nanoTime();
     bodyTimeoutNs = TimeUnit.MILLISECONDS.toNanos(deadlineMs.orElse(Long.MAX_VALUE));
     headReadNs = lastActiveNs;
@@ -123,6 +135,37 @@
     }
   }
 
+  /**
+   * Counts the memory of a head that isn't whole after its bytes are decoded.
+   *
+   * @param sizeBytes memory that the bytes take as a part of a head
+   */
+  void onBytesDecoded(long sizeBytes) {
+    if (!midHead || gaveWay) {
+      return;
+    }
+    if (server.headBudget().tryReservePart(this, sizeBytes)) {
+      halfHeadBytes += sizeBytes;
+    } else {
+      giveWay();
+    }
+  }
+
+  /** Ends a request whose head isn't whole; what is decoded of it is dropped at once. */
+  @Override
+  public void giveWay() {
+    gaveWay = true;
+    releaseHalfHead();
+    server.onHeadRefused();
+    refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for the head", NO_ROOM_RETRY_AFTER_MS);
+    channel.pipeline().remove(codec);
+  }
+
+  private void releaseHalfHead() {
+    server.headBudget().releaseParts(this, halfHeadBytes);
+    halfHeadBytes = 0;
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     midRequest = false;
@@ -155,11 +198,20 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    context.close();
+    if (cause instanceof IOException) {
+      context.close();
+    } else if (current == null) {
+      server.onFailed(cause);
+      context.close();
+    } else {
+      closing = true;
+      server.onFailed(current, cause);
+    }
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
+    releaseHalfHead();
     server.onCallerConnectionClosed(this);
     pipeline.clear();
     if (current != null) {
@@ -185,7 +237,8 @@
    */
   ChannelFuture write(Object part) {
     if (part instanceof HttpResponse head) {
-      closing = closing || server.isDraining() || (current != null && !current.wantsKeepAlive());
+      boolean isLastOfDrain = server.isDraining() && !pipeline.hasWaiting();
+      closing = closing || isLastOfDrain || (current != null && !current.wantsKeepAlive());
       HttpUtil.setKeepAlive(head, !closing);
     }
     return channel.writeAndFlush(part);
@@ -232,8 +285,20 @@
     }
   }
 
-  boolean isIdle() {
-    return current == null && !midRequest && !hasUnsent();
+  /**
+   * Closes an idle connection, and refuses a request that has not been read whole: it would not be
+   * taken any more. A peer's request is read on: the peer tries another one only if it is told that
+   * the request was declined, which can't be told of one whose head is unknown.
+   */
+  void stopAccepting() {
+    if (current == null && midRequest && !isPeer) {
+      refuse(
+          HttpResponseStatus.SERVICE_UNAVAILABLE,
+          "this VM is shutting down",
+          DrainSchedule.RETRY_AFTER_MS);
+    } else if (current == null && !midRequest && !hasUnsent()) {
+      channel.close();
+    }
   }
 
   /** Returns whether a part of an answer has not left the process yet. */
@@ -242,10 +307,6 @@
     return unsent != null && unsent.totalPendingWriteBytes() > 0;
   }
 
-  void close() {
-    channel.close();
-  }
-
   private void startNext() {
     pipeline.takeNext().ifPresent(this::startExchange);
   }
--- a/forward/src/main/java/org/teaseltrail/forward/Exchange.java
+++ b/forward/src/main/java/org/teaseltrail/forward/Exchange.java
@@ -1,9 +1,7 @@
 package org.teaseltrail.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.CompositeByteBuf;
-import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -47,7 +45,7 @@
   private final Optional<RelayHop> hop;
   private Optional<ExchangeAttempt> attempt = Optional.empty();
   private HttpResponse responseHead;
-  private ByteBuf responseBody = Unpooled.EMPTY_BUFFER;
+  private final BufferedBody responseBody = new BufferedBody();
   private AnswerRoom room;
   private boolean headSent;
   private long maxEventGapNs;
@@ -63,7 +61,7 @@
     this.request = request;
     this.received = received;
     this.hop = hop;
-    room = new AnswerRoom(server.answerBudget());
+    room = new AnswerRoom(server.answerBudgets());
     keepAlive = HttpUtil.isKeepAlive(received);
   }
 
@@ -142,8 +140,7 @@
     if (headSent) {
       caller.write(LastHttpContent.EMPTY_LAST_CONTENT);
     } else {
-      ByteBuf body = responseBody;
-      responseBody = Unpooled.EMPTY_BUFFER;
+      ByteBuf body = responseBody.take();
       DefaultFullHttpResponse response =
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, responseHead.status(), body);
       response.headers().set(responseHead.headers());
@@ -153,9 +150,7 @@
       if (!bodiless && !received.method().equals(HttpMethod.HEAD)) {
         HttpUtil.setContentLength(response, body.readableBytes());
       }
-      AnswerRoom taken = room;
-      room = new AnswerRoom(server.answerBudget());
-      caller.write(response).addListener(written -> taken.release());
+      giveBackRoomAfter(caller.write(response));
     }
     caller.onResponseCompleted(this);
   }
@@ -175,6 +170,11 @@
     caller.onResponseCompleted(this);
   }
 
+  /** Closes the caller's connection, if what was written to it last is not known. */
+  void abortCaller() {
+    caller.abort();
+  }
+
   /** Aborts the current attempt and releases the buffers. */
   void release() {
     cancel();
@@ -188,8 +188,7 @@
   }
 
   private void discardResponse() {
-    responseBody.release();
-    responseBody = Unpooled.EMPTY_BUFFER;
+    responseBody.clear();
     room.release();
   }
 
@@ -204,27 +203,34 @@
    * Keeps a part of a response that is not forwarded yet; returns false if it becomes too large.
    */
   boolean buffer(ByteBuf part) {
-    if (responseBody.readableBytes() + part.readableBytes() > MAX_RESPONSE_BYTES) {
+    if (responseBody.sizeBytes() + part.readableBytes() > MAX_RESPONSE_BYTES) {
       return false;
     }
     if (!headSent) {
-      keep(part);
+      responseBody.add(part);
     }
     return true;
   }
 
-  /** Keeps a copy of a part. One buffer that grows would take twice its size while it is copied. */
-  private void keep(ByteBuf part) {
-    if (responseBody == Unpooled.EMPTY_BUFFER) {
-      responseBody = Unpooled.compositeBuffer(Integer.MAX_VALUE);
-    }
-    byte[] bytes = ByteBufUtil.getBytes(part);
-    ((CompositeByteBuf) responseBody).addComponent(true, Unpooled.wrappedBuffer(bytes));
+  /** Reserves room for what is kept of the answer; returns false if it must wait for room. */
+  boolean reserveRoom(long statedBytes, Runnable whenReserved) {
+    return room.reserve(responseBody.sizeBytes(), statedBytes, MAX_RESPONSE_BYTES, whenReserved);
   }
 
-  /** Reserves room for what is kept of the answer; returns false if it must wait for room. */
-  boolean reserveRoom(long expectedBytes, Runnable whenReserved) {
-    return room.reserve(responseBody.readableBytes(), expectedBytes, whenReserved);
+  /** Reserves room for an event that isn't complete; returns false if it must wait for room. */
+  boolean reserveEventRoom(Runnable whenReserved) {
+    return room.reserve(
+        events.pendingBytes(),
+        AnswerRoom.UNKNOWN_BYTES,
+        SseEventFramer.MAX_EVENT_BYTES,
+        whenReserved);
+  }
+
+  /** What is written takes its room with it; what comes next reserves room of its own. */
+  private void giveBackRoomAfter(ChannelFuture write) {
+    AnswerRoom taken = room;
+    room = new AnswerRoom(server.answerBudgets());
+    write.addListener(written -> taken.release());
   }
 
   /** Tells the peer that relayed the request, if one did, what the answer means. */
@@ -236,7 +242,10 @@
 
   /** Forwards a part of the response; returns whether the caller can take more. */
   boolean write(HttpContent part) {
-    caller.write(part);
+    ChannelFuture write = caller.write(part);
+    if (room.canBeHandedOver()) {
+      giveBackRoomAfter(write);
+    }
     return caller.isWritable();
   }
 
--- a/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
@@ -40,7 +40,7 @@
   private int status;
   private boolean forwardsEvents;
   private boolean endsWithConnection;
-  private long expectedBytes;
+  private long statedBytes;
   private boolean ended;
   private long sentNs;
   private long firstEventNs;
@@ -112,6 +112,10 @@
   }
 
   final void onConnected(UpstreamConnection made) {
+    runOrEnd(() -> send(made));
+  }
+
+  private void send(UpstreamConnection made) {
     if (ended) {
       giveBack(made);
       return;
@@ -127,7 +131,16 @@
   }
 
   final void onConnectFailed() {
-    end(AttemptOutcome.NOT_CONNECTED);
+    runOrEnd(() -> end(AttemptOutcome.NOT_CONNECTED));
+  }
+
+  /** Runs a step after which nothing else would end the attempt if it failed. */
+  private void runOrEnd(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException | Error e) {
+      server.onFailed(exchange, e);
+    }
   }
 
   final void abort() {
@@ -153,7 +166,7 @@
     head = read;
     status = response.status().code();
     endsWithConnection = AnswerFraming.endsWithConnection(response, exchange.method());
-    expectedBytes = HttpUtil.getContentLength(response, (long) Exchange.MAX_RESPONSE_BYTES);
+    statedBytes = HttpUtil.getContentLength(response, AnswerRoom.UNKNOWN_BYTES);
     boolean forwardable = onHead(response, read);
     forwardsEvents = forwardable && isSuccess() && read.signed() && read.eventStream();
     if (forwardable) {
@@ -166,7 +179,7 @@
     if (!forwardsEvents) {
       if (!exchange.buffer(part)) {
         breakOff();
-      } else if (!exchange.reserveRoom(expectedBytes, this::onRoom)) {
+      } else if (!exchange.reserveRoom(statedBytes, this::onRoom)) {
         connection.setRoomMissing(true);
       }
       return;
@@ -177,6 +190,8 @@
       collect(exchange.events().decode(bytes));
       if (exchange.events().isAtOtherAnswer()) {
         breakOff();
+      } else if (!exchange.reserveEventRoom(this::onRoom)) {
+        connection.setRoomMissing(true);
       }
     } catch (SseEventFramer.OversizedEventException e) {
       breakOff();
@@ -206,8 +221,11 @@
   @Override
   public final void completed() {
     connection = null;
-    forwardPendingEvents();
-    onCompleted();
+    runOrEnd(
+        () -> {
+          forwardPendingEvents();
+          onCompleted();
+        });
   }
 
   @Override
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
@@ -25,6 +25,8 @@
   private final Timer firstEvent;
   private final Counter waitForecasts;
   private final Counter bodiesRefused;
+  private final Counter internalErrors;
+  private final Counter headsRefused;
   private final DistributionSummary firstEventToExpected;
   private final Map<RefusalReason, Counter> refused = new EnumMap<>(RefusalReason.class);
   private final Map<RelayOutcome, Counter> relays = new EnumMap<>(RelayOutcome.class);
@@ -64,8 +66,14 @@
       unexpectedAnswers.put(
           handling, registry.counter("teaseltrail.answers.unexpected", "end", handling.name()));
     }
+    headsRefused = registry.counter("teaseltrail.heads.refused");
+    registry.gauge("teaseltrail.heads.bytes", server.headBudget(), HeadBudget::usedBytes);
     bodiesRefused = registry.counter("teaseltrail.bodies.refused");
+    internalErrors = registry.counter("teaseltrail.errors.internal");
     registry.gauge("teaseltrail.bodies.bytes", server.bodyBudget(), BodyBudget::usedBytes);
+    AnswerRoom.Budgets answers = server.answerBudgets();
+    registry.gauge("teaseltrail.answers.bytes", answers.large(), BodyBudget::usedBytes);
+    registry.gauge("teaseltrail.answers.small.bytes", answers.small(), BodyBudget::usedBytes);
     registry.gauge("teaseltrail.requests.open", server, ForwardServer::openRequests);
     registry.gauge("teaseltrail.plan.version", server, ForwardServer::planVersion);
     registry.gauge("teaseltrail.session.valid", server, node -> node.isSessionValid() ? 1 : 0);
@@ -110,6 +118,14 @@
     unexpectedAnswers.get(handling).increment();
   }
 
+  void internalError() {
+    internalErrors.increment();
+  }
+
+  void headRefused() {
+    headsRefused.increment();
+  }
+
   void bodyRefused() {
     bodiesRefused.increment();
   }
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -7,21 +7,27 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.forward.DealtSlotUsage;
+import org.teaseltrail.core.forward.DrainSchedule;
 import org.teaseltrail.core.forward.ForwardAction;
 import org.teaseltrail.core.forward.ForwardNode;
 import org.teaseltrail.core.forward.ForwardRequest;
+import org.teaseltrail.core.forward.RefusalReason;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.id.VmId;
 import org.teaseltrail.core.plan.ClientLimits;
@@ -38,7 +44,9 @@
 import org.teaseltrail.runtime.log.LogEvent;
 import org.teaseltrail.runtime.log.LogField;
 import org.teaseltrail.runtime.process.ExitCode;
+import org.teaseltrail.runtime.process.ProgramException;
 import org.teaseltrail.runtime.process.RunningProgram;
+import org.teaseltrail.runtime.process.StartSequence;
 
 /**
  * A running entry VM that forwards callers' requests to upstreams. It connects the sockets and
@@ -58,23 +66,14 @@
    */
   private static final double IDLE_TIMEOUT_FACTOR = 1.1;
 
-  /**
-   * Minimum time between the termination signal and the end. The external platform probes readiness
-   * once per second and keeps sending callers until the second negative response.
-   */
-  private static final long MIN_DRAIN_MS = 3_200;
-
-  /**
-   * Time after the termination signal at which the server stops accepting requests and closes the
-   * connections of idle callers. By then the external platform no longer sends callers, and enough
-   * of the grace period remains to complete a response.
-   */
-  private static final long STOP_ACCEPTING_AFTER_MS = 2_500;
+  /** Time for the event loop to end its tasks. */
+  private static final long LOOP_END_MS = 50;
 
-  /** Safety margin between the end of the process and the kill. */
-  private static final long KILL_MARGIN_MS = 400;
+  /** Shortest time between two timers after the decisions have failed, which may fail each time. */
+  private static final long MIN_TICK_AFTER_FAILURE_MS = 50;
 
-  private static final long DRAIN_POLL_MS = 50;
+  /** When a caller may come back whose request was not run because of an internal error. */
+  private static final long FAILED_RETRY_AFTER_MS = 1_000;
 
   private final ForwardOptions options;
   private final HeaderCodec headerCodec;
@@ -89,10 +88,15 @@
   private final UpstreamSignalHandler signalHandler;
   private final ReadCoalescer readCoalescer;
   private final BodyBudget bodyBudget = new BodyBudget(MemoryShares.requestBodiesBytes());
-  private final BodyBudget answerBudget = new BodyBudget(MemoryShares.answersBytes());
+  private final HeadBudget headBudget = new HeadBudget(MemoryShares.requestHeadsBytes());
+  private final AnswerRoom.Budgets answerBudgets =
+      new AnswerRoom.Budgets(
+          new BodyBudget(MemoryShares.smallAnswersBytes()),
+          new BodyBudget(MemoryShares.answersBytes()));
   private final ControlConnectionManager controlConnections;
   private final ForwardMetrics metrics;
   private final UnexpectedAnswerLogger unexpectedAnswers;
+  private final UnexpectedFailures failures;
   private final AdminServer readiness;
   private final Optional<AdminServer> metricsServer;
   private final Channel listener;
@@ -104,16 +108,19 @@
   private long lastNumber;
   private long wakeupNs = Long.MAX_VALUE;
   private Future<?> wakeup;
+  private final AtomicBoolean closing = new AtomicBoolean();
+  private final CompletableFuture<Void> closed = new CompletableFuture<>();
+  private long giveUpNs = Long.MAX_VALUE;
   private volatile boolean draining;
-  private volatile boolean drained;
   private volatile boolean ready;
   private volatile int openRequests;
   private volatile int servicesWithoutPath;
   private volatile long planVersion = -1;
   private volatile DealtSlotUsage dealtSlotUsage = new DealtSlotUsage(0, 0, 0);
 
-  private ForwardServer(ForwardOptions options, HeaderCodec dialect, EventLog log)
-      throws InterruptedException {
+  private ForwardServer(
+      ForwardOptions options, HeaderCodec dialect, EventLog log, StartSequence start)
+      throws ProgramException {
     this.options = options;
     this.headerCodec = dialect;
     this.log = log;
@@ -130,24 +137,24 @@
             new SplittableRandom(options.node().seed()),
             reply -> loop.execute(() -> onControlReply(reply)),
             member -> loop.execute(() -> onMemberConnected(member)));
+    logFullBudgets();
     metrics = new ForwardMetrics(this, log);
     unexpectedAnswers = new UnexpectedAnswerLogger(log, metrics);
-    readiness =
-        AdminServer.readiness(
-            sharedLoop.resources(),
-            options.listenReady(),
-            options.readyPath(),
-            this::acceptsCallers);
+    failures = new UnexpectedFailures(log, metrics, ended);
+    start.onFailure(() -> sharedLoop.end(Duration.ofMillis(LOOP_END_MS)));
+    start.onFailure(metrics::close);
+    start.onFailure(controlConnections::close);
+    readiness = listenReadiness(start);
     metricsServer =
-        options
-            .listenMetrics()
-            .map(address -> AdminServer.metrics(sharedLoop.resources(), address, metrics::scrape));
-    listener = CallerListener.bind(this, sharedLoop, options.listen(), false);
+        options.listenMetrics().isEmpty()
+            ? Optional.empty()
+            : Optional.of(listenMetrics(start, options.listenMetrics().get()));
     peerListener =
         options.listenRelay().isEmpty()
             ? Optional.empty()
-            : Optional.of(CallerListener.bind(this, sharedLoop, options.listenRelay().get(), true));
-    loop.execute(() -> run(node.start()));
+            : Optional.of(listen(start, options.listenRelay().get(), true));
+    listener = listen(start, options.listen(), false);
+    loop.execute(() -> decide(node::start));
     loop.scheduleWithFixedDelay(
         this::checkIdle, IDLE_CHECK_MS, IDLE_CHECK_MS, TimeUnit.MILLISECONDS);
   }
@@ -159,11 +166,41 @@
    * @param headerCodec codec for the headers of the external platform
    * @param log log that receives a line for each request
    * @return the running server
-   * @throws InterruptedException if the thread is interrupted while it waits for the port
+   * @throws ProgramException if an address can't be bound in time, or the start is cancelled
    */
   public static ForwardServer start(ForwardOptions options, HeaderCodec headerCodec, EventLog log)
-      throws InterruptedException {
-    return new ForwardServer(options, headerCodec, log);
+      throws ProgramException {
+    try (StartSequence start = new StartSequence(Optional.of(log))) {
+      ForwardServer server = new ForwardServer(options, headerCodec, log, start);
+      start.complete();
+      return server;
+    }
+  }
+
+  private AdminServer listenReadiness(StartSequence start) throws ProgramException {
+    InetSocketAddress address = options.listenReady();
+    return start.listen(
+        address,
+        () ->
+            AdminServer.readiness(
+                sharedLoop.resources(), address, options.readyPath(), this::acceptsCallers),
+        AdminServer::close);
+  }
+
+  private AdminServer listenMetrics(StartSequence start, InetSocketAddress address)
+      throws ProgramException {
+    return start.listen(
+        address,
+        () -> AdminServer.metrics(sharedLoop.resources(), address, metrics::scrape),
+        AdminServer::close);
+  }
+
+  private Channel listen(StartSequence start, InetSocketAddress address, boolean isForPeers)
+      throws ProgramException {
+    return start.listen(
+        address,
+        () -> CallerListener.bind(this, sharedLoop, address, isForPeers),
+        channel -> channel.close().awaitUninterruptibly());
   }
 
   @Override
@@ -178,45 +215,47 @@
    */
   public void seeds(List<VmId> seeds) {
     log.line(LogEvent.SETTINGS_RELOADED).with(LogField.SEEDS, seeds.toString()).write();
-    loop.execute(() -> node.seeds(seeds));
+    loop.execute(() -> inform(() -> node.seeds(seeds)));
   }
 
   /**
-   * Drains the server and shuts it down: reports it as not ready, completes the open requests,
-   * waits until their answers have left the process, and closes all listeners. Does nothing if
-   * called again.
+   * Drains the server and shuts it down: reports it as not ready, completes the open requests, or
+   * gives them up with an answer shortly before the kill, waits until the answers have left the
+   * process, and closes all listeners. If called again, it returns when the first call has ended.
    */
   @Override
   public void close() {
-    if (draining) {
+    close(Duration.ZERO);
+  }
+
+  /**
+   * Does the same as {@link #close()}.
+   *
+   * @param sinceSignal time since the termination signal; it counts towards the grace period
+   */
+  @Override
+  public void close(Duration sinceSignal) {
+    if (!closing.compareAndSet(false, true)) {
+      closed.join();
       return;
     }
     log.line(LogEvent.DRAIN_BEGIN).with(LogField.OPEN, openRequests).write();
     draining = true;
     ready = false;
-    long startNs = System.nanoTime();
-    long endNs = startNs + (options.graceMs() - KILL_MARGIN_MS) * NS_PER_MS;
-    boolean stoppedAccepting = false;
-    while (System.nanoTime() < endNs) {
-      long sinceSignalMs = (System.nanoTime() - startNs) / NS_PER_MS;
-      if (!stoppedAccepting && sinceSignalMs > STOP_ACCEPTING_AFTER_MS) {
-        loop.execute(this::stopAccepting);
-        stoppedAccepting = true;
-      }
-      if (sinceSignalMs > MIN_DRAIN_MS && drained) {
-        break;
-      }
-      loop.execute(() -> drained = isDrained());
-      pause();
-    }
+    long signalNs = System.nanoTime() - sinceSignal.toNanos();
+    DrainSchedule schedule = DrainSchedule.of(options.graceMs());
+    loop.execute(() -> beginDrain(schedule, signalNs));
+    new ShutdownSequence(schedule, signalNs, loop, this::isDrained).awaitEnd();
     log.line(LogEvent.DRAIN_END).with(LogField.OPEN, openRequests).write();
+    loop.submit(this::logUnanswered).awaitUninterruptibly(LOOP_END_MS);
     listener.close();
     peerListener.ifPresent(Channel::close);
     controlConnections.close();
     readiness.close();
     metricsServer.ifPresent(AdminServer::close);
     metrics.close();
-    sharedLoop.end(Duration.ofMillis(DRAIN_POLL_MS));
+    sharedLoop.end(Duration.ofMillis(LOOP_END_MS));
+    closed.complete(null);
   }
 
   UpstreamSignalHandler signalHandler() {
@@ -293,17 +332,55 @@
     exchanges.put(number, exchange);
     requestLoggers.put(number, new RequestLogger(exchange.request(), exchange.hop(), nowNs));
     openRequests = exchanges.size();
-    run(
-        exchange
-            .hop()
-            .map(hop -> node.onRelayedRequest(exchange.request(), hop, nowNs))
-            .orElseGet(() -> node.onRequest(exchange.request(), nowNs)));
+    try {
+      run(
+          exchange
+              .hop()
+              .map(hop -> node.onRelayedRequest(exchange.request(), hop, nowNs))
+              .orElseGet(() -> node.onRequest(exchange.request(), nowNs)));
+    } catch (RuntimeException | Error e) {
+      failures.decisionFailed(e);
+      // Nothing was dispatched: the decisions that failed were the first about this request.
+      end(exchange, e, RefusalReason.NOT_RUN, FAILED_RETRY_AFTER_MS);
+    }
+  }
+
+  /** Ends a request whose handling failed; it may have run. */
+  void onFailed(Exchange exchange, Throwable failure) {
+    end(exchange, failure, RefusalReason.BROKEN, 0);
+    decide(() -> node.onCallerDisconnected(exchange.request().number(), clock.nowNs()));
+  }
+
+  /** Handles an unexpected exception on a connection, which is closed. */
+  void onFailed(Throwable failure) {
+    failures.taskFailed(failure);
+  }
+
+  /** Answers a request after an unexpected exception, unless its answer has been begun or given. */
+  private void end(Exchange exchange, Throwable failure, RefusalReason reason, long retryAfterMs) {
+    long number = exchange.request().number();
+    failures.requestFailed(exchange.request().id(), failure);
+    requestLoggers.remove(number);
+    boolean isAnswered = exchanges.get(number) != exchange;
+    removeExchange(number);
+    try {
+      exchange.cancel();
+      if (isAnswered) {
+        exchange.abortCaller();
+      } else {
+        metrics.refused(reason);
+        exchange.refuse(RefusalStatus.of(reason).status(), reason, retryAfterMs);
+      }
+    } catch (RuntimeException again) {
+      failures.requestFailed(exchange.request().id(), again);
+      exchange.abortCaller();
+    }
   }
 
   /** Handles the first forwarded events of the current attempt. */
   void onResponseStarted(Exchange exchange) {
     long number = exchange.request().number();
-    run(node.onResponseStarted(number, clock.nowNs()));
+    decide(exchange, () -> node.onResponseStarted(number, clock.nowNs()));
     RequestLogger requestLogger = requestLoggers.get(number);
     if (requestLogger != null && !requestLogger.hasResponseStarted()) {
       long nowNs = clock.nowNs();
@@ -319,11 +396,11 @@
     if (requestLogger != null && end != AttemptOutcome.ANSWERED) {
       requestLogger.attemptEnded(log, end, exchange.responseStatus(), clock.nowNs());
     }
-    run(node.onAttemptEnded(number, end, clock.nowNs()));
+    decide(exchange, () -> node.onAttemptEnded(number, end, clock.nowNs()));
   }
 
   void onRelayOrigin(Exchange exchange, StreamOrigin origin) {
-    node.onRelayOrigin(exchange.request().number(), origin);
+    inform(() -> node.onRelayOrigin(exchange.request().number(), origin));
   }
 
   void onRelayEnded(Exchange exchange, RelayOutcome outcome) {
@@ -333,13 +410,13 @@
     if (requestLogger != null && outcome.needsOtherPeer()) {
       requestLogger.relayFailed(log, outcome, clock.nowNs());
     }
-    run(node.onRelayEnded(number, outcome, clock.nowNs()));
+    decide(exchange, () -> node.onRelayEnded(number, outcome, clock.nowNs()));
   }
 
   void onCallerDisconnected(Exchange exchange) {
     long number = exchange.request().number();
     long nowNs = clock.nowNs();
-    run(node.onCallerDisconnected(number, nowNs));
+    decide(() -> node.onCallerDisconnected(number, nowNs));
     RequestLogger requestLogger = requestLoggers.remove(number);
     if (requestLogger != null) {
       requestLogger.callerDisconnected(log, exchange.hasResponseStarted(), nowNs);
@@ -350,38 +427,46 @@
 
   void onLoadReport(UpstreamIncarnation upstream, ResponseHead.ReportedLoad load) {
     long nowNs = clock.nowNs();
-    node.onLoadReport(upstream.id(), load.running() + load.waiting(), nowNs);
-    load.workTimePercent().ifPresent(percent -> node.onWorkTimeReport(upstream, percent, nowNs));
+    inform(
+        () -> {
+          node.onLoadReport(upstream.id(), load.running() + load.waiting(), nowNs);
+          load.workTimePercent()
+              .ifPresent(percent -> node.onWorkTimeReport(upstream, percent, nowNs));
+        });
   }
 
   void recordEventLatency(UpstreamId upstream, double elapsedMs) {
-    node.recordEventLatency(upstream, elapsedMs, clock.nowNs());
+    inform(() -> node.recordEventLatency(upstream, elapsedMs, clock.nowNs()));
   }
 
   /** Records the mean interval between the events of a stream. */
   void recordEventInterval(Exchange exchange, UpstreamId upstream, double elapsedMs) {
-    node.recordEventInterval(exchange.request().number(), elapsedMs);
+    inform(() -> node.recordEventInterval(exchange.request().number(), elapsedMs));
     recordEventLatency(upstream, elapsedMs);
   }
 
   /** Records that bytes of a response arrived. */
   void onUpstreamHeard(UpstreamId upstream) {
-    node.onUpstreamHeard(upstream);
+    inform(() -> node.onUpstreamHeard(upstream));
   }
 
   private void onProbeEnded(UpstreamId upstream, ProbeResult result) {
-    run(node.onProbeEnded(upstream, result, clock.nowNs()));
+    decide(() -> node.onProbeEnded(upstream, result, clock.nowNs()));
   }
 
   private boolean acceptsCallers() {
-    return ready && !draining;
+    return ready && !draining && !failures.isFatal();
   }
 
   private void onControlReply(ServingReply reply) {
     if (reply instanceof ServingReply.WaitForecast) {
       metrics.waitForecast();
     }
-    run(node.onControlMessage(reply, clock.nowNs()));
+    decide(() -> node.onControlMessage(reply, clock.nowNs()));
+    inform(this::updatePlanVersion);
+  }
+
+  private void updatePlanVersion() {
     dealtSlotUsage = node.dealtSlotUsage();
     ServingPlan plan = node.plan().orElse(null);
     if (plan != null && plan.version() != planVersion) {
@@ -391,13 +476,58 @@
   }
 
   private void onMemberConnected(VmId member) {
-    run(node.onMemberConnected(member, clock.nowNs()));
+    decide(() -> node.onMemberConnected(member, clock.nowNs()));
+  }
+
+  /** Lets the node decide on an event, and carries out what it decides. */
+  private void decide(Supplier<List<ForwardAction>> step) {
+    try {
+      run(step.get());
+    } catch (RuntimeException | Error e) {
+      failures.decisionFailed(e);
+    }
+  }
+
+  /** Lets the node decide on an event of a request, which is answered also if that fails. */
+  private void decide(Exchange exchange, Supplier<List<ForwardAction>> step) {
+    try {
+      run(step.get());
+    } catch (RuntimeException | Error e) {
+      failures.decisionFailed(e);
+      end(exchange, e, RefusalReason.BROKEN, 0);
+    }
+  }
+
+  /** Tells the node of something on which it doesn't decide at once. */
+  private void inform(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException | Error e) {
+      failures.decisionFailed(e);
+    }
   }
 
   private void run(List<ForwardAction> actions) {
-    actions.forEach(this::execute);
-    updateReadiness();
-    scheduleWakeup();
+    actions.forEach(this::executeOrEnd);
+    inform(this::updateReadiness);
+    inform(this::scheduleWakeup);
+  }
+
+  /** Carries out an action; if that fails, the others still are, which are about other requests. */
+  private void executeOrEnd(ForwardAction action) {
+    Optional<Exchange> exchange = exchangeOf(action);
+    try {
+      execute(action);
+    } catch (RuntimeException | Error e) {
+      exchange.ifPresentOrElse(each -> onFailed(each, e), () -> failures.taskFailed(e));
+    }
+  }
+
+  private Optional<Exchange> exchangeOf(ForwardAction action) {
+    OptionalLong number = action.requestNumber();
+    return number.isPresent()
+        ? Optional.ofNullable(exchanges.get(number.getAsLong()))
+        : Optional.empty();
   }
 
   private void execute(ForwardAction action) {
@@ -421,6 +551,8 @@
       prober.probe(probe);
     } else if (action instanceof ForwardAction.PathChanged change) {
       changePath(change);
+    } else if (action instanceof ForwardAction.StopAccepting) {
+      List.copyOf(callers).forEach(CallerConnection::stopAccepting);
     }
   }
 
@@ -447,8 +579,10 @@
   private void refuse(ForwardAction.Refuse refuse) {
     metrics.refused(refuse.refusalReason());
     HttpResponseStatus status = RefusalStatus.of(refuse.refusalReason()).status();
-    requestLoggers.remove(refuse.request()).refused(log, refuse, status.code(), clock.nowNs());
     Exchange exchange = exchanges.get(refuse.request());
+    requestLoggers
+        .remove(refuse.request())
+        .refused(log, refuse, status.code(), exchange.hasResponseStarted(), clock.nowNs());
     removeExchange(refuse.request());
     exchange.refuse(status, refuse.refusalReason(), refuse.retryAfterMs());
   }
@@ -477,16 +611,26 @@
       wakeup.cancel(false);
     }
     wakeupNs = nextNs;
-    long delayNs = Math.max(0, nextNs - clock.nowNs());
+    long minDelayNs = failures.isFatal() ? MIN_TICK_AFTER_FAILURE_MS * NS_PER_MS : 0;
+    long delayNs = Math.max(minDelayNs, nextNs - clock.nowNs());
     wakeup = loop.schedule(this::tick, delayNs, TimeUnit.NANOSECONDS);
   }
 
   private void tick() {
     wakeup = null;
-    run(node.tick(clock.nowNs()));
+    decide(() -> node.tick(clock.nowNs()));
   }
 
+  /** Closes callers' connections that are idle for too long; a failure doesn't end the checks. */
   private void checkIdle() {
+    try {
+      closeIdleCallers();
+    } catch (RuntimeException | Error e) {
+      failures.taskFailed(e);
+    }
+  }
+
+  private void closeIdleCallers() {
     ClientLimits limits = limits();
     long idleNs = (long) (limits.idleTimeoutMs() * IDLE_TIMEOUT_FACTOR * NS_PER_MS);
     long headerNs = limits.headerTimeoutMs() * NS_PER_MS;
@@ -494,13 +638,36 @@
     List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNs, idleNs, headerNs));
   }
 
+  private void beginDrain(DrainSchedule schedule, long signalNs) {
+    long nowNs = clock.nowNs();
+    giveUpNs = nowNs + schedule.giveUpMs() * NS_PER_MS - (System.nanoTime() - signalNs);
+    decide(() -> node.beginDrain(schedule, nowNs - (System.nanoTime() - signalNs), nowNs));
+  }
+
+  /**
+   * Does what is due, which may be late after a standstill, and returns whether nothing is left.
+   */
   private boolean isDrained() {
+    decide(() -> node.tick(clock.nowNs()));
+    if (failures.isFatal() && clock.nowNs() >= giveUpNs) {
+      List.copyOf(exchanges.values()).forEach(this::giveUpAfterFailure);
+    }
     return exchanges.isEmpty() && callers.stream().noneMatch(CallerConnection::hasUnsent);
   }
 
-  private void stopAccepting() {
-    node.end();
-    List.copyOf(callers).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
+  /** Answers a request that decisions which have failed may never end; it may have run. */
+  private void giveUpAfterFailure(Exchange exchange) {
+    end(
+        exchange,
+        new IllegalStateException("the decisions have failed before"),
+        RefusalReason.BROKEN,
+        0);
+  }
+
+  /** Logs the requests that end with the process and without an answer. */
+  private void logUnanswered() {
+    long nowNs = clock.nowNs();
+    requestLoggers.values().forEach(requestLogger -> requestLogger.unanswered(log, nowNs));
   }
 
   /** Counts a request whose body found no room. */
@@ -508,8 +675,29 @@
     metrics.bodyRefused();
   }
 
-  BodyBudget answerBudget() {
-    return answerBudget;
+  private void logFullBudgets() {
+    logFull(FullBudgetLogger.Budget.REQUEST_BODIES, bodyBudget);
+    logFull(FullBudgetLogger.Budget.SMALL_ANSWERS, answerBudgets.small());
+    logFull(FullBudgetLogger.Budget.ANSWERS, answerBudgets.large());
+    headBudget.setOnFull(
+        new FullBudgetLogger(log, FullBudgetLogger.Budget.REQUEST_HEADS, headBudget::usedBytes));
+  }
+
+  private void logFull(FullBudgetLogger.Budget budget, BodyBudget bodies) {
+    bodies.setOnFull(new FullBudgetLogger(log, budget, bodies::usedBytes));
+  }
+
+  /** Counts a request whose head found no room. */
+  void onHeadRefused() {
+    metrics.headRefused();
+  }
+
+  HeadBudget headBudget() {
+    return headBudget;
+  }
+
+  AnswerRoom.Budgets answerBudgets() {
+    return answerBudgets;
   }
 
   BodyBudget bodyBudget() {
@@ -521,32 +709,29 @@
     return node.plan().map(ServingPlan::limits).orElse(ClientLimits.DEFAULT);
   }
 
-  private static void pause() {
-    try {
-      TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   /** Passes on what happens to the connections to upstreams. */
   private final class UpstreamConnections
       implements UpstreamConnectionListener<UpstreamIncarnation> {
 
     @Override
     public void onOpened(UpstreamIncarnation upstream) {
-      node.onUpstreamConnected(upstream.id(), clock.nowNs());
+      inform(() -> node.onUpstreamConnected(upstream.id(), clock.nowNs()));
     }
 
     @Override
     public void onLost(UpstreamIncarnation upstream) {
-      run(node.onUpstreamConnectionLost(upstream.id(), clock.nowNs()));
+      decide(() -> node.onUpstreamConnectionLost(upstream.id(), clock.nowNs()));
     }
 
     @Override
     public void onUnexpectedAnswer(UpstreamIncarnation upstream, UnexpectedAnswer answer) {
       unexpectedAnswers.record(LogField.UPSTREAM, upstream.id().value(), answer);
     }
+
+    @Override
+    public void onFailed(Throwable failure) {
+      ForwardServer.this.onFailed(failure);
+    }
   }
 
   /** Passes on what happens to the connections to peers. */
@@ -556,5 +741,10 @@
     public void onUnexpectedAnswer(VmId peer, UnexpectedAnswer answer) {
       unexpectedAnswers.record(LogField.PEER, peer.value(), answer);
     }
+
+    @Override
+    public void onFailed(Throwable failure) {
+      ForwardServer.this.onFailed(failure);
+    }
   }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/MemoryShares.java
+++ b/forward/src/main/java/org/teaseltrail/forward/MemoryShares.java
@@ -8,6 +8,11 @@
   /** For answers of more than some ten kilobytes. */
   private static final double ANSWERS = 0.25;
 
+  private static final double SMALL_ANSWERS = 0.0625;
+
+  /** For the heads of requests, with bodies of a few kilobytes. */
+  private static final double REQUEST_HEADS = 0.1;
+
   private MemoryShares() {}
 
   /**
@@ -20,11 +25,29 @@
   }
 
   /**
-   * Returns the share for answers.
+   * Returns the share for the heads of requests.
+   *
+   * @return the share in bytes
+   */
+  public static long requestHeadsBytes() {
+    return (long) (Runtime.getRuntime().maxMemory() * REQUEST_HEADS);
+  }
+
+  /**
+   * Returns the share for answers that aren't small.
    *
    * @return the share in bytes
    */
   public static long answersBytes() {
     return (long) (Runtime.getRuntime().maxMemory() * ANSWERS);
   }
+
+  /**
+   * Returns the share for small answers.
+   *
+   * @return the share in bytes
+   */
+  public static long smallAnswersBytes() {
+    return (long) (Runtime.getRuntime().maxMemory() * SMALL_ANSWERS);
+  }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -17,9 +17,10 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.teaseltrail.core.forward.AttemptOutcome;
-import org.teaseltrail.wire.EmbeddedStatusLine;
 
 /**
  * One HTTP/1.1 connection to an upstream, which handles one request at a time.
@@ -58,6 +59,7 @@
   private Channel channel;
   private UpstreamResponseListener responseListener;
   private ChannelFuture requestWrite;
+  private Optional<AnswerInBody> otherAnswer = Optional.empty();
   private boolean skipping;
   private boolean informational;
   private boolean answerEnded;
@@ -218,6 +220,9 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      pool.onFailed(cause);
+    }
     reset = true;
     context.close();
   }
@@ -233,9 +238,7 @@
   }
 
   private void head(HttpResponse response) {
-    boolean isJoined =
-        EmbeddedStatusLine.isIn(response.status().reasonPhrase(), response.headers());
-    boolean isPlain = !isJoined && !decoder.endsHttp(response);
+    boolean isPlain = !JoinedHead.isJoined(response, dialect) && !decoder.endsHttp(response);
     informational = isPlain && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     if (informational) {
       surplus.addHead();
@@ -244,6 +247,9 @@
     ResponseHead read = dialect.readResponseHead(response);
     AnswerMatch match = isPlain ? match(response, read) : AnswerMatch.DOUBTFUL;
     skipping = match == AnswerMatch.OTHER;
+    boolean hasOpenEnd = skipping || AnswerFraming.endsWithConnection(response, decoder.method());
+    otherAnswer =
+        hasOpenEnd ? Optional.of(new AnswerInBody(dialect, sent::contains)) : Optional.empty();
     switch (match) {
       case OWN -> acceptHead(response, read);
       case OTHER -> {
@@ -302,20 +308,33 @@
   }
 
   private void content(HttpContent content) {
-    boolean last = content instanceof LastHttpContent;
+    ByteBuf part = content.content();
+    OptionalInt inFront =
+        otherAnswer.map(finder -> finder.bytesInFrontOfAnswer(part)).orElse(OptionalInt.empty());
+    if (inFront.isPresent()) {
+      breakOffBeforeOtherAnswer(part.readSlice(inFront.getAsInt()));
+      return;
+    }
     if (informational || skipping) {
-      surplus.addBody(content.content().readableBytes());
+      surplus.addBody(part.readableBytes());
       return;
     }
-    ByteBuf part = content.content();
     if (part.isReadable() && responseListener != null) {
       responseListener.bodyReceived(part);
     }
-    if (last && responseListener != null) {
+    if (content instanceof LastHttpContent && responseListener != null) {
       end();
     }
   }
 
+  /** Passes on what belongs to the answer, and breaks it off where another one follows. */
+  private void breakOffBeforeOtherAnswer(ByteBuf part) {
+    if (!skipping && part.isReadable()) {
+      responseListener.bodyReceived(part);
+    }
+    fail();
+  }
+
   /**
    * Handles the end of a response. A response without a length ends with its connection, but only
    * if the upstream itself closes it in order: the connection is still open when its end is read.
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogEvent.java
@@ -10,6 +10,16 @@
   START,
   /** A process stops. */
   STOP,
+  /** The start of a process failed, and the process ends. */
+  START_FAILED(LogField.EXIT_CODE, LogField.REASON),
+  /** An address can't be bound yet; the start waits for it. */
+  LISTEN_DELAYED(LogField.ADDRESS, LogField.ELAPSED_MS, LogField.REASON),
+  /** An address that could not be bound at first is bound. */
+  LISTEN_REGAINED(LogField.ADDRESS, LogField.ELAPSED_MS),
+  /** An address could not be bound in time. */
+  LISTEN_FAILED(LogField.ADDRESS, LogField.ELAPSED_MS, LogField.REASON),
+  /** A thread ended by an exception that nothing caught. */
+  THREAD_FAILED(LogField.THREAD, LogField.REASON),
   /** An entry VM has gained a session and may treat its plan as the newest. */
   SESSION_GAINED(LogField.PLAN_VERSION),
   /** An entry VM has lost its session and may no longer treat its plan as the newest. */
@@ -40,8 +50,12 @@
       LogField.STATUS,
       LogField.RETRY_AFTER_MS,
       LogField.EXPECTED_WAIT_MS,
+      LogField.BEGUN,
+      LogField.STAGE,
       LogField.FINGERPRINT,
       LogField.PARTS),
+  /** The process ended before a request had an answer. */
+  REQUEST_UNANSWERED(SharedFields.REQUEST_FIELDS, LogField.BEGUN),
   /**
    * The leader quarantines a request: upstreams were lost while processing it, so it is no longer
    * sent to any.
@@ -85,6 +99,8 @@
       LogField.STATUS,
       LogField.CONNECTION_USES,
       LogField.CONNECTION_AGE_MS),
+  /** A share of the memory is full: who needs more of it waits, or is refused. */
+  MEMORY_SHARE_FULL(LogField.BUDGET, LogField.HELD_BYTES),
   /** An entry VM reaches no upstream of a service any more. */
   PATH_LOST(LogField.SERVICE),
   /** An entry VM reaches an upstream of a service again. */
@@ -132,6 +148,19 @@
   HEARTBEAT_REFUSED(LogField.UPSTREAM, LogField.REASON),
   /** An upstream deregistered. */
   UPSTREAM_LEAVES(LogField.UPSTREAM),
+  /**
+   * A thread of a control member failed, so that the member stops; after a failure of its disk it
+   * is restarted within the process.
+   */
+  MEMBER_FAILED(LogField.THREAD, LogField.CAUSE, LogField.EXIT_CODE),
+  /** A control member runs again after a failure of its disk. */
+  MEMBER_RESTARTED(LogField.ELAPSED_MS),
+  /** The data folder of a control member can't be used, so that no member runs. */
+  FOLDER_UNUSABLE(LogField.CAUSE),
+  /** An unexpected error ended a request, a connection or one run of a task. */
+  INTERNAL_ERROR(LogField.THREAD, LogField.CAUSE, LogField.REQUEST),
+  /** A process ends by itself. */
+  PROCESS_FAILED(LogField.THREAD, LogField.CAUSE, LogField.EXIT_CODE),
   /** A control member became leader, follows another leader, or knows no leader. */
   LEADERSHIP_CHANGED(LogField.TERM, LogField.LEADER, LogField.LEADING),
   /** The set of control members in this member's log has changed. */
--- a/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/log/LogField.java
@@ -7,7 +7,7 @@
   /** Id that the caller gave the request. */
   REQUEST("the caller's id of that attempt"),
   /** Time since the complete request was read, or duration of a step. */
-  ELAPSED_MS("time since the request was read whole, or that the step took"),
+  ELAPSED_MS("time since the request was read whole, or that the step or the wait took"),
   /** Customer that pays for the request. */
   CUSTOMER("whose key the request carries"),
   /** Route of the request. */
@@ -87,8 +87,8 @@
   BACKOFF_MS("time for which the upstream wants no request from this VM"),
   /** HTTP status that the caller or this VM received. */
   STATUS("the HTTP status, 0 for none"),
-  /** Reason of a refusal or of a rollout's transition. */
-  REASON("why it was refused, or why a rollout turned"),
+  /** Reason of a refusal, of a failure or of a rollout's transition. */
+  REASON("why it was refused or failed, or why a rollout turned"),
   /** Whether an upstream may have started to process the request. */
   MAYBE_RAN("whether an upstream may have run the request"),
   /** Time after which the caller may retry. */
@@ -97,6 +97,8 @@
   EXPECTED_WAIT_MS("wait for a slot that the leader forecast, if that decided"),
   /** Whether the caller had received a part of the response. */
   BEGUN("whether the caller had got a part of the answer"),
+  /** Where a request was that a planned stop ended. */
+  STAGE("where the request was when a planned stop ended it"),
   /** Version of a plan. */
   VERSION("the plan's version"),
   /** Version of the plan in force on a VM. */
@@ -125,14 +127,26 @@
   LOG_ENTRIES("log entries since the latest snapshot"),
   /** Size of the log since the latest snapshot, in bytes. */
   LOG_BYTES("size of the commands in the log since the latest snapshot"),
+  /** Share of the memory that is full. */
+  BUDGET("the share of the memory that is full"),
+  /** Bytes held in a share of the memory. */
+  HELD_BYTES("bytes that it holds"),
   /** Number of lines dropped before this one. */
   LINES_DROPPED_BEFORE("lines before this one that found no room"),
+  /** Name of the thread that failed. */
+  THREAD("the thread that failed"),
+  /** Why a thread failed: types and innermost calls of the exceptions. */
+  CAUSE("why it failed: the exceptions with their innermost calls, or a sentence"),
+  /** Exit code of the process. */
+  EXIT_CODE("the code with which the process ends; 4 (disk) restarts the member instead"),
   /** Number of slots of a service's ready upstreams. */
   SLOTS("slots of the service's upstreams that take requests"),
   /** Slots and requests of the largest customers and kinds of requests. */
   SHARES(
       "for each customer and route's rank: slots in use, slots granted since the line before, and"
           + " requests that wait"),
+  /** Address that a program listens on. */
+  ADDRESS("the address that the program is to listen on"),
   /** Expected time to a stream's first event. */
   EXPECTED_FIRST_EVENT_MS("time that was expected from the dispatch to the first event");
 
--- a/runtime/src/main/java/org/teaseltrail/runtime/process/ShutdownHook.java
+++ b/runtime/src/main/java/org/teaseltrail/runtime/process/ShutdownHook.java
@@ -1,5 +1,6 @@
 package org.teaseltrail.runtime.process;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
@@ -22,10 +23,12 @@
   private static final long START_TIMEOUT_MS = 2_000;
 
   private final ComponentLogger logger = new ComponentLogger("process");
+  private final ProcessLog processLog;
   private final Thread thread;
   private final CompletableFuture<RunningProgram> program = new CompletableFuture<>();
 
-  ShutdownHook() {
+  ShutdownHook(ProcessLog processLog) {
+    this.processLog = processLog;
     this.thread = new Thread(this::shutDown, "shutdown");
     Runtime.getRuntime().addShutdownHook(thread);
   }
@@ -34,6 +37,10 @@
     program.complete(started);
   }
 
+  boolean hasStarted() {
+    return program.isDone();
+  }
+
   /** Removes the hook when the program terminates without a signal, or has not started. */
   @Override
   public void close() {
@@ -54,21 +61,39 @@
       Thread.currentThread().interrupt();
       return Optional.empty();
     } catch (CancellationException | ExecutionException | TimeoutException e) {
-      logger.info("The program has not started or has ended before.");
       return Optional.empty();
     }
   }
 
+  /** Shuts a program down that may have started only after the signal. */
+  static void stop(RunningProgram running, long signalNs) {
+    running.close(Duration.ofNanos(System.nanoTime() - signalNs));
+  }
+
   private void shutDown() {
+    long signalNs = System.nanoTime();
+    ExitCode exitCode =
+        awaitStart(START_TIMEOUT_MS)
+            .map(running -> closeProgram(running, signalNs))
+            .orElseGet(this::endBeforeStart);
+    Runtime.getRuntime().halt(exitCode.code());
+  }
+
+  private ExitCode closeProgram(RunningProgram started, long signalNs) {
     logger.info("Shutting down gracefully.");
-    ExitCode exitCode = ExitCode.OK;
     try {
-      awaitStart(START_TIMEOUT_MS).ifPresent(RunningProgram::close);
+      stop(started, signalNs);
       logger.info("Shutdown complete.");
+      return ExitCode.OK;
     } catch (RuntimeException e) {
       logger.error("Graceful shutdown failed.", e);
-      exitCode = ExitCode.INTERNAL;
+      return ExitCode.INTERNAL;
     }
-    Runtime.getRuntime().halt(exitCode.code());
+  }
+
+  /** Ends without the logging library, which the main thread may be loading. */
+  private ExitCode endBeforeStart() {
+    processLog.stoppedBeforeStart();
+    return ExitCode.OK;
   }
 }
