Show that streams which wait for an origin or for news are refused in a stop

Both queues wait up to 0.3 s before a request has a route; a stop has to give them up like the others.

--- a/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
+++ b/core/src/test/java/org/teaseltrail/core/forward/StreamTakeUpTest.java
@@ -33,6 +33,9 @@
   /** Longer than three syncs, and shorter than a session. */
   private static final long SUSPENDED_MS = 2_000;
 
+  /** Ends before the wait for an origin or for news does. */
+  private static final DrainSchedule SHORT_STOP = DrainSchedule.of(100);
+
   private static final Registration OLD = upstream("a1", "v1");
   private static final Registration NEW = upstream("b1", "v2");
 
@@ -215,6 +218,30 @@
     assertThat(node.openRequests()).isZero();
   }
 
+  /** Guards against a stream that waits for its version beyond the end of its VM. */
+  @Test
+  void isRefusedWhenItsVmStopsWhileItWaitsForNews() {
+    serveWith(TestPlans.plan(1), OLD);
+    advanceMs(SUSPENDED_MS);
+    long stream = takeUp(Optional.of("id-before"), Optional.of("4"));
+    answer(stream, Optional.of(origin(ENGINES, "v2")));
+    node.beginDrain(SHORT_STOP, nowNs, nowNs);
+    advanceMs(SHORT_STOP.lastSendMs());
+    assertThat(refusals()).containsExactly(RefusalReason.ENDING);
+    assertThat(node.openRequests()).isZero();
+  }
+
+  /** Guards against a stream whose origin is asked for beyond the end of its VM. */
+  @Test
+  void isRefusedWhenItsVmStopsWhileItsOriginIsAskedFor() {
+    serveWith(TestPlans.plan(1), OLD, NEW);
+    takeUp(Optional.of("id-before"), Optional.of("4"));
+    node.beginDrain(SHORT_STOP, nowNs, nowNs);
+    advanceMs(SHORT_STOP.lastSendMs());
+    assertThat(refusals()).containsExactly(RefusalReason.ENDING);
+    assertThat(node.openRequests()).isZero();
+  }
+
   /** Guards against a stream that goes on for a caller that has left. */
   @Test
   void callerThatLeavesWhileItWaitsForNewsIsForgotten() {
