Keep room for small answers that state their length

Those that state a length have half of that share to themselves now, those without and events the other half. smallAnswerDoesNotWaitBehindGrowingOnes failed before (no room). Left: small answers without a length.

--- a/control/src/test/java/org/teaseltrail/control/ControlMemberSupervisorTest.java
+++ b/control/src/test/java/org/teaseltrail/control/ControlMemberSupervisorTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -25,6 +26,7 @@
   private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
   private final EventLog log = new EventLog(lines, "teaseltrail-control", "vm");
   private final BlockingQueue<Start> starts = new LinkedBlockingQueue<>();
+  private final Semaphore attempts = new Semaphore(0);
 
   @AfterEach
   void closeLog() {
@@ -94,7 +96,7 @@
     final FakeMember late = new FakeMember();
     final ControlMemberSupervisor supervisor = start(failed);
     failed.ends(ExitCode.DATA);
-    failed.closed().join();
+    attempts.acquire(2);
 
     supervisor.close();
     starts.add(() -> late);
@@ -113,6 +115,7 @@
   }
 
   private Start nextStart() {
+    attempts.release();
     try {
       return starts.take();
     } catch (InterruptedException e) {
--- a/forward/src/main/java/org/teaseltrail/forward/AnswerRoom.java
+++ b/forward/src/main/java/org/teaseltrail/forward/AnswerRoom.java
@@ -1,16 +1,31 @@
 package org.teaseltrail.forward;
 
+import java.util.stream.Stream;
+
 /**
  * The shares of the process's budgets for answers that the answer of one request takes.
  *
  * <p>Guards against answers that together take more memory than the process has. An answer without
  * room isn't read further, so that its upstream is held back by its own transport. Small answers
- * have a budget of their own, so that they don't wait for large ones.
+ * have a budget of their own, so that they don't wait for large ones, nor for those without a
+ * length that grow large and keep their share while they wait for more.
  */
 final class AnswerRoom {
 
-  /** The budgets of a process. */
-  record Budgets(BodyBudget small, BodyBudget large) {}
+  /**
+   * The budgets of a process.
+   *
+   * @param small for answers that state a small length
+   * @param growing for answers without a length, and for events, until they are no longer small
+   * @param large for all other answers
+   */
+  record Budgets(BodyBudget small, BodyBudget growing, BodyBudget large) {
+
+    /** Returns the bytes that small answers take, with and without a length. */
+    long smallUsedBytes() {
+      return small.usedBytes() + growing.usedBytes();
+    }
+  }
 
   /** Length of an answer that doesn't state one. */
   static final long UNKNOWN_BYTES = -1;
@@ -21,10 +36,12 @@
   private static final int SMALL_BYTES = 64 * 1024;
 
   private final RoomShare small;
+  private final RoomShare growing;
   private final RoomShare large;
 
   AnswerRoom(Budgets budgets) {
     small = new RoomShare(budgets.small());
+    growing = new RoomShare(budgets.growing());
     large = new RoomShare(budgets.large());
   }
 
@@ -46,18 +63,21 @@
     if (receivedBytes > SMALL_BYTES || (!isUnknown && expectedBytes > SMALL_BYTES)) {
       return large.reserve(expectedBytes, whenReserved);
     }
-    return small.reserve(Math.min(expectedBytes, SMALL_BYTES), whenReserved);
+    RoomShare share = isUnknown ? growing : small;
+    return share.reserve(Math.min(expectedBytes, SMALL_BYTES), whenReserved);
   }
 
   /** Returns whether there is room that isn't needed any more once its bytes are written. */
   boolean canBeHandedOver() {
-    boolean isWaiting = small.isWaiting() || large.isWaiting();
-    return !isWaiting && (small.isReserved() || large.isReserved());
+    return shares().noneMatch(RoomShare::isWaiting) && shares().anyMatch(RoomShare::isReserved);
   }
 
   /** Gives the room back, or the place among those who wait for it. */
   void release() {
-    small.release();
-    large.release();
+    shares().forEach(RoomShare::release);
+  }
+
+  private Stream<RoomShare> shares() {
+    return Stream.of(small, growing, large);
   }
 }
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardMetrics.java
@@ -73,7 +73,7 @@
     registry.gauge("teaseltrail.bodies.bytes", server.bodyBudget(), BodyBudget::usedBytes);
     AnswerRoom.Budgets answers = server.answerBudgets();
     registry.gauge("teaseltrail.answers.bytes", answers.large(), BodyBudget::usedBytes);
-    registry.gauge("teaseltrail.answers.small.bytes", answers.small(), BodyBudget::usedBytes);
+    registry.gauge("teaseltrail.answers.small.bytes", answers, AnswerRoom.Budgets::smallUsedBytes);
     registry.gauge("teaseltrail.requests.open", server, ForwardServer::openRequests);
     registry.gauge("teaseltrail.plan.version", server, ForwardServer::planVersion);
     registry.gauge("teaseltrail.session.valid", server, node -> node.isSessionValid() ? 1 : 0);
--- a/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ForwardServer.java
@@ -92,6 +92,7 @@
   private final AnswerRoom.Budgets answerBudgets =
       new AnswerRoom.Budgets(
           new BodyBudget(MemoryShares.smallAnswersBytes()),
+          new BodyBudget(MemoryShares.growingAnswersBytes()),
           new BodyBudget(MemoryShares.answersBytes()));
   private final ControlConnectionManager controlConnections;
   private final ForwardMetrics metrics;
@@ -678,6 +679,7 @@
   private void logFullBudgets() {
     logFull(FullBudgetLogger.Budget.REQUEST_BODIES, bodyBudget);
     logFull(FullBudgetLogger.Budget.SMALL_ANSWERS, answerBudgets.small());
+    logFull(FullBudgetLogger.Budget.SMALL_ANSWERS, answerBudgets.growing());
     logFull(FullBudgetLogger.Budget.ANSWERS, answerBudgets.large());
     headBudget.setOnFull(
         new FullBudgetLogger(log, FullBudgetLogger.Budget.REQUEST_HEADS, headBudget::usedBytes));
--- a/forward/src/main/java/org/teaseltrail/forward/MemoryShares.java
+++ b/forward/src/main/java/org/teaseltrail/forward/MemoryShares.java
@@ -8,7 +8,9 @@
   /** For answers of more than some ten kilobytes. */
   private static final double ANSWERS = 0.25;
 
-  private static final double SMALL_ANSWERS = 0.0625;
+  private static final double SMALL_ANSWERS = 0.03125;
+
+  private static final double GROWING_ANSWERS = 0.03125;
 
   /** For the heads of requests, with bodies of a few kilobytes. */
   private static final double REQUEST_HEADS = 0.1;
@@ -43,11 +45,20 @@
   }
 
   /**
-   * Returns the share for small answers.
+   * Returns the share for small answers that state their length.
    *
    * @return the share in bytes
    */
   public static long smallAnswersBytes() {
     return (long) (Runtime.getRuntime().maxMemory() * SMALL_ANSWERS);
   }
+
+  /**
+   * Returns the share for small answers without a length, and for events that aren't complete.
+   *
+   * @return the share in bytes
+   */
+  public static long growingAnswersBytes() {
+    return (long) (Runtime.getRuntime().maxMemory() * GROWING_ANSWERS);
+  }
 }
--- a/forward/src/test/java/org/teaseltrail/forward/AnswerRoomTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/AnswerRoomTest.java
@@ -16,7 +16,9 @@
 
   private final BodyBudget budget = new BodyBudget(16_000_000);
   private final BodyBudget smallBudget = new BodyBudget(10 * SMALL_BYTES);
-  private final AnswerRoom.Budgets budgets = new AnswerRoom.Budgets(smallBudget, budget);
+  private final BodyBudget growingBudget = new BodyBudget(10 * SMALL_BYTES);
+  private final AnswerRoom.Budgets budgets =
+      new AnswerRoom.Budgets(smallBudget, growingBudget, budget);
   private final List<String> resumed = new ArrayList<>();
 
   @Test
@@ -100,6 +102,19 @@
     assertThat(reservePart(new AnswerRoom(budgets), 8_000, "small")).isTrue();
   }
 
+  /** Guards against small answers that wait behind those without a length that grow large. */
+  @Test
+  void smallAnswerDoesNotWaitBehindGrowingOnes() {
+    budget.tryReserve(16_000_000);
+    for (int i = 0; i < 20; i++) {
+      AnswerRoom growing = new AnswerRoom(budgets);
+      reservePart(growing, 8_000, "growing");
+      assertThat(reservePart(growing, FIRST_READ_BYTES, "growing")).isFalse();
+    }
+    AnswerRoom small = new AnswerRoom(budgets);
+    assertThat(small.reserve(8_000, 20_000, 20_000, () -> resumed.add("small"))).isTrue();
+  }
+
   /** Guards against answers without a length that grow past the room of small ones. */
   @Test
   void answerWithoutLengthThatGrowsWaitsForMoreRoom() {
@@ -110,7 +125,7 @@
     budget.release(16_000_000);
     assertThat(resumed).containsExactly("growing");
     growing.release();
-    assertThat(budget.usedBytes() + smallBudget.usedBytes()).isZero();
+    assertThat(budget.usedBytes() + budgets.smallUsedBytes()).isZero();
   }
 
   private boolean reservePart(AnswerRoom room, long receivedBytes, String name) {
