Move the decoder of answers to where all programs can use it

AnswerDecoder, AnswerFraming and EmbeddedStatusLine say what an answer is. The entry VMs that place requests themselves had the first two for themselves; the other request path and the orders to engines read answers through another client library and its decoder. No behaviour changes.

--- a/control/src/main/java/org/teaseltrail/control/EngineOrderClient.java
+++ b/control/src/main/java/org/teaseltrail/control/EngineOrderClient.java
@@ -12,7 +12,7 @@
 import org.teaseltrail.core.control.EngineOrder;
 import org.teaseltrail.core.control.OrderOutcome;
 import org.teaseltrail.core.upstream.SocketAddress;
-import org.teaseltrail.wire.EmbeddedStatusLine;
+import org.teaseltrail.wire.http.EmbeddedStatusLine;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
--- a/entry/src/main/java/org/teaseltrail/entry/JoinedHeadHandler.java
+++ b/entry/src/main/java/org/teaseltrail/entry/JoinedHeadHandler.java
@@ -4,7 +4,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.ReferenceCountUtil;
-import org.teaseltrail.wire.EmbeddedStatusLine;
+import org.teaseltrail.wire.http.EmbeddedStatusLine;
 
 /**
  * Gives up an upstream whose response is joined with another one that broke off in its head: a
--- a/forward/src/main/java/org/teaseltrail/forward/AnswerInBody.java
+++ b/forward/src/main/java/org/teaseltrail/forward/AnswerInBody.java
@@ -10,7 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.Predicate;
-import org.teaseltrail.wire.EmbeddedStatusLine;
+import org.teaseltrail.wire.http.EmbeddedStatusLine;
 
 /**
  * Finds the head of another answer within the body of one, across the parts in which it arrives.
--- a/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
+++ b/forward/src/main/java/org/teaseltrail/forward/ExchangeAttempt.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.core.stream.StreamOrigin;
+import org.teaseltrail.wire.http.AnswerFraming;
 
 /**
  * One attempt to get a request answered over one connection. Event streams are forwarded event by
--- a/forward/src/main/java/org/teaseltrail/forward/JoinedHead.java
+++ b/forward/src/main/java/org/teaseltrail/forward/JoinedHead.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Map;
 import java.util.OptionalInt;
-import org.teaseltrail.wire.EmbeddedStatusLine;
+import org.teaseltrail.wire.http.EmbeddedStatusLine;
 
 /**
  * Tells a head that is made of two answers from one that only quotes a status line.
--- a/forward/src/main/java/org/teaseltrail/forward/SseEventFramer.java
+++ b/forward/src/main/java/org/teaseltrail/forward/SseEventFramer.java
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.teaseltrail.wire.EmbeddedStatusLine;
+import org.teaseltrail.wire.http.EmbeddedStatusLine;
 
 /**
  * Splits an event stream into complete events. Only complete events are forwarded, so that another
--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -21,6 +21,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.teaseltrail.core.forward.AttemptOutcome;
+import org.teaseltrail.wire.http.AnswerDecoder;
+import org.teaseltrail.wire.http.AnswerFraming;
 
 /**
  * One HTTP/1.1 connection to an upstream, which handles one request at a time.
--- a/forward/src/test/java/org/teaseltrail/forward/EmbeddedStatusLineTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/EmbeddedStatusLineTest.java
@@ -8,7 +8,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
-import org.teaseltrail.wire.EmbeddedStatusLine;
+import org.teaseltrail.wire.http.AnswerDecoder;
+import org.teaseltrail.wire.http.EmbeddedStatusLine;
 
 /** Heads that break off after any byte, joined with the head of the next answer. */
 class EmbeddedStatusLineTest {
--- a/wire/src/main/java/org/teaseltrail/wire/http/AnswerDecoder.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/AnswerDecoder.java
@@ -1,4 +1,4 @@
-package org.teaseltrail.forward;
+package org.teaseltrail.wire.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -16,7 +16,7 @@
 import java.util.List;
 
 /** Decodes the answers on a connection, and tells which received bytes are part of none so far. */
-final class AnswerDecoder extends HttpResponseDecoder {
+public final class AnswerDecoder extends HttpResponseDecoder {
 
   private static final String TOO_MANY = "too many headers";
 
@@ -33,21 +33,27 @@
   private int takenBytes;
   private int takenLines;
 
-  AnswerDecoder(HttpDecoderConfig config) {
+  /**
+   * Creates a decoder for one connection.
+   *
+   * @param config the limits of heads
+   */
+  public AnswerDecoder(HttpDecoderConfig config) {
     super(config);
   }
 
   /** Sets the method of the request that is sent now; the framing of its answer depends on it. */
-  void setMethod(HttpMethod next) {
+  public void setMethod(HttpMethod next) {
     method = next;
   }
 
-  HttpMethod method() {
+  /** Returns the method of the request that was sent last. */
+  public HttpMethod method() {
     return method;
   }
 
   /** Returns the number of bytes that were received and don't make a whole part of an answer. */
-  int undecodedBytes() {
+  public int undecodedBytes() {
     return takenBytes + actualReadableBytes();
   }
 
@@ -105,7 +111,7 @@
   }
 
   /** Returns whether an answer makes the connection one that carries no HTTP any more. */
-  boolean endsHttp(HttpResponse response) {
+  public boolean endsHttp(HttpResponse response) {
     boolean isSuccess = response.status().codeClass() == HttpStatusClass.SUCCESS;
     return response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
         || (isSuccess && method.equals(HttpMethod.CONNECT));
--- a/wire/src/main/java/org/teaseltrail/wire/http/AnswerFraming.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/AnswerFraming.java
@@ -1,4 +1,4 @@
-package org.teaseltrail.forward;
+package org.teaseltrail.wire.http;
 
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -6,12 +6,18 @@
 import io.netty.handler.codec.http.HttpUtil;
 
 /** Tells where an answer ends. */
-final class AnswerFraming {
+public final class AnswerFraming {
 
   private AnswerFraming() {}
 
-  /** Returns whether only the end of its connection ends the answer to a request. */
-  static boolean endsWithConnection(HttpResponse response, HttpMethod method) {
+  /**
+   * Returns whether only the end of its connection ends the answer to a request.
+   *
+   * @param response the head of the answer
+   * @param method the method of the request
+   * @return true if the answer has neither a length nor chunks
+   */
+  public static boolean endsWithConnection(HttpResponse response, HttpMethod method) {
     boolean hasNoBody =
         method.equals(HttpMethod.HEAD)
             || response.status().equals(HttpResponseStatus.NO_CONTENT)
--- a/wire/src/main/java/org/teaseltrail/wire/http/EmbeddedStatusLine.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/EmbeddedStatusLine.java
@@ -1,4 +1,4 @@
-package org.teaseltrail.wire;
+package org.teaseltrail.wire.http;
 
 import java.util.Map;
 import java.util.OptionalInt;
