Give up answers whose status line breaks the grammar

Cause: Netty's decoder reads the status as any number. It also takes any protocol and version of the form NAME/n.n, words apart by any blanks, control bytes in the reason, and blanks in front of the line. What it makes of it looks like an answer, and nothing behind it asks again.

Evidence: MalformedAnswersTest, over real sockets, on the code before: 13 of 17 kinds of status line reached callers (000, 099, 600, 20, 0200, +200, tabs and two blanks between the words, a control byte in the reason, HTTP/2.0, http/1.1, a blank in front); as a success, a failure and a stream. Already handled: letters in the status, no status, another protocol's name, a control byte in front; these tests are kept.

Why this works: AnswerSyntax reads the very bytes that the decoder has taken, and asks for HTTP/1.0 or HTTP/1.1, one blank, a status from 100 to 599, and a reason without control bytes or none. What doesn't match ends the attempt as broken, as any bytes do that are no answer: it is tried elsewhere where that is allowed, and the connection is closed. The rule stands where heads are decoded, so that it holds for attempts, retries, streams taken up, relays between entry VMs and health checks alike. RelayAnswersTest shows it for a peer's answer and for that of the peer's upstream; AnswerDecoderProperties for any cut into pieces, and that unusual answers (unknown statuses and reasons, none at all) pass as before. A status beyond 599 is no valid one by RFC 9110, which asks to take it as a server's failure.

The failure that ends an answer is now built at one place of the decoder, for too many headers too.

--- a/wire/src/main/java/org/teaseltrail/wire/http/AnswerDecoder.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/AnswerDecoder.java
@@ -4,22 +4,30 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
-/** Decodes the answers on a connection, and tells which received bytes are part of none so far. */
+/**
+ * Decodes the answers on a connection, and says whether each is whole and well-formed.
+ *
+ * <p>An answer that isn't is passed on as a message whose {@link HttpObject#decoderResult()} is a
+ * failure, and nothing is decoded after it. That is one that breaks the grammar ({@link
+ * AnswerSyntax}) or has too many headers.
+ */
 public final class AnswerDecoder extends HttpResponseDecoder {
 
-  private static final String TOO_MANY = "too many headers";
-
   private static final byte LINE_END = '\n';
   private static final byte CARRIAGE_RETURN = '\r';
 
@@ -29,7 +37,10 @@
    */
   private static final int MAX_HEADERS = 256;
 
+  private final AnswerSyntax syntax = new AnswerSyntax();
   private HttpMethod method = HttpMethod.GET;
+  private boolean headDecoded;
+  private boolean broken;
   private int takenBytes;
   private int takenLines;
 
@@ -57,37 +68,72 @@
     return takenBytes + actualReadableBytes();
   }
 
-  /** Counts the lines of a head that the base class takes before the head is whole. */
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
       throws Exception {
+    if (broken) {
+      in.skipBytes(in.readableBytes());
+      return;
+    }
     int from = in.readerIndex();
     int decoded = out.size();
     super.decode(context, in, out);
-    if (out.size() > decoded) {
-      takenBytes = 0;
-      takenLines = 0;
-      out.subList(decoded, out.size()).forEach(AnswerDecoder::limitHeaders);
+    syntax.read(in, from, in.readerIndex());
+    countTaken(in, from, out.size() > decoded);
+    if (syntax.isMalformed()) {
+      breakOff(out, decoded, new MalformedAnswerException("a line breaks the grammar of HTTP/1"));
+    } else if (takenLines > MAX_HEADERS) {
+      breakOff(out, decoded, new TooLongHttpHeaderException("too many headers"));
     } else {
-      takenBytes += textBytes(in, from, in.readerIndex());
-      takenLines += lines(in, from, in.readerIndex());
-      if (takenLines > MAX_HEADERS) {
-        out.add(tooManyHeaders());
+      follow(out, decoded);
+    }
+  }
+
+  /** Counts the bytes and lines of a head that the base class takes before the head is whole. */
+  private void countTaken(ByteBuf in, int from, boolean isPartDecoded) {
+    int to = in.readerIndex();
+    takenBytes = isPartDecoded ? 0 : takenBytes + textBytes(in, from, to);
+    takenLines = isPartDecoded ? 0 : takenLines + lines(in, from, to);
+  }
+
+  private void follow(List<Object> out, int decoded) {
+    for (int i = decoded; i < out.size() && !broken; i++) {
+      broken = ((HttpObject) out.get(i)).decoderResult().isFailure();
+      if (!broken && out.get(i) instanceof HttpResponse head) {
+        followHead(head, out, i);
+      }
+      if (!broken && out.get(i) instanceof LastHttpContent) {
+        headDecoded = false;
+        syntax.startHead();
       }
     }
   }
 
-  private static void limitHeaders(Object message) {
-    if (message instanceof HttpMessage head && head.headers().size() > MAX_HEADERS) {
-      head.setDecoderResult(DecoderResult.failure(new TooLongHttpHeaderException(TOO_MANY)));
+  private void followHead(HttpResponse head, List<Object> out, int index) {
+    if (head.headers().size() > MAX_HEADERS) {
+      breakOff(out, index, new TooLongHttpHeaderException("too many headers"));
+    } else {
+      headDecoded = true;
+      syntax.startBody();
     }
   }
 
-  private static HttpResponse tooManyHeaders() {
-    HttpResponse head =
-        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_GATEWAY);
-    head.setDecoderResult(DecoderResult.failure(new TooLongHttpHeaderException(TOO_MANY)));
-    return head;
+  /** Puts a failure in the place of what was decoded from an index on. */
+  private void breakOff(List<Object> out, int from, Exception cause) {
+    drop(out, from);
+    HttpObject failure =
+        headDecoded
+            ? new DefaultLastHttpContent()
+            : new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_GATEWAY);
+    failure.setDecoderResult(DecoderResult.failure(cause));
+    out.add(failure);
+    broken = true;
+  }
+
+  private static void drop(List<Object> out, int from) {
+    List<Object> dropped = out.subList(from, out.size());
+    dropped.forEach(ReferenceCountUtil::release);
+    dropped.clear();
   }
 
   private static int lines(ByteBuf in, int from, int to) {
