Give up answers with a line that is no field

What callers saw (reported of other systems, reproduced here): an upstream in trouble sent an answer in whose head the name of a field held a blank. They got it as an answer, with a part of that line passed on as a field, or with a body that wasn't the upstream's.

Cause: Netty's decoder of answers ends a name at the first blank or tab and reads on behind the colon: "Content-Length x: 2" is a length of 2, so that callers got two bytes of a longer body as the whole, and "Transfer-Encoding : chunked" is chunks. It joins a line that begins with a blank to the one before, so that "X: v" and " w" become one field.

Evidence: MalformedAnswersTest on the code before: of the 22 kinds with a malformed field these reached callers as a success: a blank or a tab within a name, a blank behind it (of any field, of Content-Length, of Transfer-Encoding), a word behind the name of Content-Length, and a folded line. Already handled by the library's check of names and values, and kept as tests: control bytes, NUL, DEL, a bare carriage return, bytes above ASCII and separators in names, an empty name, no colon, a blank before the first field, control bytes in values.

Why this works: each line of a head has to be a token, a colon directly behind it, and a value without control bytes (RFC 9112, section 5). RFC 9112 also lets a proxy remove the blank before the colon, or unfold lines; neither is done, since other programs between the upstream and the caller may have read such a line in another way.

--- a/testing/src/main/java/org/teaseltrail/testing/MalformedAnswer.java
+++ b/testing/src/main/java/org/teaseltrail/testing/MalformedAnswer.java
@@ -21,10 +21,35 @@
   OTHER_MAJOR_VERSION(Place.STATUS_LINE, "HTTP/2.0 200 OK"),
   PROTOCOL_IN_LOWER_CASE(Place.STATUS_LINE, "http/1.1 200 OK"),
   BLANK_BEFORE_STATUS_LINE(Place.STATUS_LINE, " HTTP/1.1 200 OK"),
-  CONTROL_BYTE_BEFORE_STATUS_LINE(Place.STATUS_LINE, "\u0001HTTP/1.1 200 OK");
+  CONTROL_BYTE_BEFORE_STATUS_LINE(Place.STATUS_LINE, "\u0001HTTP/1.1 200 OK"),
+
+  BLANK_IN_NAME(Place.FIELD, "X-Broken Name: v"),
+  TAB_IN_NAME(Place.FIELD, "X-Broken\tName: v"),
+  NUL_IN_NAME(Place.FIELD, "X-Broken\u0000Name: v"),
+  CONTROL_BYTE_IN_NAME(Place.FIELD, "X-Broken\u0001Name: v"),
+  CARRIAGE_RETURN_IN_NAME(Place.FIELD, "X-Broken\rName: v"),
+  DELETE_BYTE_IN_NAME(Place.FIELD, "X-Broken\u007fName: v"),
+  BLANK_BEHIND_NAME(Place.FIELD, "X-Broken : v"),
+  CONTROL_BYTE_BEHIND_NAME(Place.FIELD, "X-Broken\u0001: v"),
+  CONTROL_BYTE_BEFORE_NAME(Place.FIELD, "\u0001X-Broken: v"),
+  SEPARATOR_IN_NAME(Place.FIELD, "X-(Broken): v"),
+  BYTE_ABOVE_ASCII_IN_NAME(Place.FIELD, "X-Bröken: v"),
+  NAME_MISSING(Place.FIELD, ": v"),
+  COLON_MISSING(Place.FIELD, "X-Broken"),
+  FIRST_FIELD_BEHIND_BLANK(Place.FIELD, " X-Broken: v"),
+  FOLDED_FIELD(Place.FIELD, "X-Broken: v\r\n w"),
+  NUL_IN_VALUE(Place.FIELD, "X-Broken: v\u0000w"),
+  CONTROL_BYTE_IN_VALUE(Place.FIELD, "X-Broken: v\u0001w"),
+  CARRIAGE_RETURN_IN_VALUE(Place.FIELD, "X-Broken: v\rw"),
+
+  WORD_BEHIND_NAME_OF_LENGTH(Place.FRAMING, "Content-Length x: 2\r\n\r\n{body}"),
+  BLANK_BEHIND_NAME_OF_LENGTH(Place.FRAMING, "Content-Length : 2\r\n\r\n{body}"),
+  CONTROL_BYTE_IN_NAME_OF_LENGTH(Place.FRAMING, "Content-Length\u0001: 2\r\n\r\n{body}"),
+  BLANK_BEHIND_NAME_OF_CODING(Place.FRAMING, "Transfer-Encoding : chunked\r\n\r\n{chunks}");
 
   private static final String LINE_END = "\r\n";
   private static final String LENGTH_FRAMING = "Content-Length: {length}\r\n\r\n{body}";
+  private static final String CHUNKS = "{size}\r\n{body}\r\n0\r\n\r\n";
 
   private final Place place;
   private final String broken;
@@ -41,6 +66,18 @@
       String text(String statusLine, String fields, String broken) {
         return broken + LINE_END + fields + LENGTH_FRAMING;
       }
+    },
+    FIELD {
+      @Override
+      String text(String statusLine, String fields, String broken) {
+        return statusLine + LINE_END + broken + LINE_END + fields + LENGTH_FRAMING;
+      }
+    },
+    FRAMING {
+      @Override
+      String text(String statusLine, String fields, String broken) {
+        return statusLine + LINE_END + fields + broken;
+      }
     };
 
     abstract String text(String statusLine, String fields, String broken);
@@ -57,7 +94,9 @@
   public String text(String statusLine, String fields, String body) {
     return place
         .text(statusLine, fields, broken)
+        .replace("{chunks}", CHUNKS)
         .replace("{length}", Integer.toString(body.length()))
+        .replace("{size}", Integer.toHexString(body.length()))
         .replace("{body}", body);
   }
 }
--- a/wire/src/main/java/org/teaseltrail/wire/http/AnswerSyntax.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/AnswerSyntax.java
@@ -4,12 +4,11 @@
 import java.util.regex.Pattern;
 
 /**
- * Tells whether the status lines of the answers on a connection keep to the grammar of HTTP/1 (RFC
- * 9112).
+ * Tells whether the lines of the answers on a connection keep to the grammar of HTTP/1 (RFC 9112).
  *
- * <p>Netty's decoder takes more than the grammar allows: it reads a signed number as a status, and
- * skips what stands in front of a status line. What it makes of such an answer looks whole. The
- * bytes are read here as far as the decoder has taken them.
+ * <p>Netty's decoder takes more than the grammar allows: it reads a signed number as a status, ends
+ * the name of a field at a blank and joins folded lines. What it makes of such an answer looks
+ * whole. The bytes are read here as far as the decoder has taken them.
  */
 final class AnswerSyntax {
 
@@ -33,7 +32,7 @@
     FIELD {
       @Override
       Place after(String line) {
-        return line.isEmpty() ? BODY : FIELD;
+        return line.isEmpty() ? BODY : nextIf(Grammar.FIELD_LINE, line, FIELD);
       }
     },
     /** A body, whose bytes mean nothing here. */
@@ -62,9 +61,11 @@
   private static final class Grammar {
 
     private static final String TEXT = "[\\t\\x20-\\x7e\\x80-\\xff]*";
+    private static final String TOKEN = "[!#$%&'*+\\-.^_`|~0-9A-Za-z]+";
 
     private static final Pattern STATUS_LINE =
         Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?: " + TEXT + ")?");
+    private static final Pattern FIELD_LINE = Pattern.compile(TOKEN + ":" + TEXT);
   }
 
   /** Expects the head of an answer next. */
