Give up answers whose transfer coding or chunks aren't known

What callers would see: a 200 with the chunks' own framing as its body (Transfer-Encoding: xchunked), or with a body that is still encoded (gzip).

Cause: the same as that of the status lines and fields. "Is it chunked" was asked loosely: any other coding made the body end with its connection, and "gzip, chunked" or "chunked" twice were read as plain chunks. Behind a chunk's size Netty skips whatever follows a blank or a control byte, and it reads trailers as it reads fields.

Already handled: lengths with a sign, letters, empty, in a list, that differ; a length beside chunks; chunks in HTTP/1.0; chunk sizes empty, with a sign or a base; chunks longer than their size or without an end; control bytes in trailers.

Why this works: an answer has no transfer coding or chunks alone, which is what the decoder undoes (AnswerFraming.isKnown); all else ends the attempt. AnswerSyntax follows the lines between the chunks as it follows those of the head. Chunk extensions, trailers and sizes with leading zeros pass as before (AnswerDecoderProperties).

--- a/testing/src/main/java/org/teaseltrail/testing/MalformedAnswer.java
+++ b/testing/src/main/java/org/teaseltrail/testing/MalformedAnswer.java
@@ -45,10 +45,38 @@
   WORD_BEHIND_NAME_OF_LENGTH(Place.FRAMING, "Content-Length x: 2\r\n\r\n{body}"),
   BLANK_BEHIND_NAME_OF_LENGTH(Place.FRAMING, "Content-Length : 2\r\n\r\n{body}"),
   CONTROL_BYTE_IN_NAME_OF_LENGTH(Place.FRAMING, "Content-Length\u0001: 2\r\n\r\n{body}"),
-  BLANK_BEHIND_NAME_OF_CODING(Place.FRAMING, "Transfer-Encoding : chunked\r\n\r\n{chunks}");
+  BLANK_BEHIND_NAME_OF_CODING(Place.FRAMING, "Transfer-Encoding : chunked\r\n\r\n{chunks}"),
+  LENGTH_WITH_SIGN(Place.FRAMING, "Content-Length: +{length}\r\n\r\n{body}"),
+  LENGTH_BELOW_ZERO(Place.FRAMING, "Content-Length: -{length}\r\n\r\n{body}"),
+  LENGTH_WITH_BASE(Place.FRAMING, "Content-Length: 0x{size}\r\n\r\n{body}"),
+  LENGTH_EMPTY(Place.FRAMING, "Content-Length: \r\n\r\n{body}"),
+  LENGTHS_IN_LIST(Place.FRAMING, "Content-Length: {length}, 2\r\n\r\n{body}"),
+  LENGTHS_THAT_DIFFER(Place.FRAMING, "Content-Length: {length}\r\nContent-Length: 2\r\n\r\n{body}"),
+  LENGTH_BESIDE_CHUNKS(
+      Place.FRAMING, "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}"),
+  UNKNOWN_CODING(Place.FRAMING, "Transfer-Encoding: gzip\r\n\r\n{body}"),
+  UNKNOWN_CODING_LIKE_CHUNKS(Place.FRAMING, "Transfer-Encoding: xchunked\r\n\r\n{chunks}"),
+  UNKNOWN_CODING_BEFORE_CHUNKS(Place.FRAMING, "Transfer-Encoding: gzip, chunked\r\n\r\n{chunks}"),
+  UNKNOWN_CODING_BEHIND_CHUNKS(Place.FRAMING, "Transfer-Encoding: chunked, gzip\r\n\r\n{chunks}"),
+  CHUNKS_TWICE(
+      Place.FRAMING, "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}"),
+  CHUNKS_OF_OLD_VERSION(Place.FRAMING_OF_OLD_VERSION, "Transfer-Encoding: chunked\r\n\r\n{chunks}"),
+
+  CHUNK_WITHOUT_SIZE(Place.CHUNKS, "\r\n{body}\r\n0\r\n\r\n"),
+  CHUNK_SIZE_WITH_SIGN(Place.CHUNKS, "+{size}\r\n{body}\r\n0\r\n\r\n"),
+  CHUNK_SIZE_WITH_BASE(Place.CHUNKS, "0x{size}\r\n{body}\r\n0\r\n\r\n"),
+  CHUNK_SIZE_BEFORE_CONTROL_BYTE(Place.CHUNKS, "{size}\u0001\r\n{body}\r\n0\r\n\r\n"),
+  CHUNK_SIZE_BEFORE_OTHER_WORD(Place.CHUNKS, "{size} x\r\n{body}\r\n0\r\n\r\n"),
+  CHUNK_LONGER_THAN_ITS_SIZE(Place.CHUNKS, "{size}\r\n{body}more\r\n0\r\n\r\n"),
+  CHUNK_WITHOUT_END(Place.CHUNKS, "{size}\r\n{body}0\r\n\r\n"),
+  BLANK_IN_NAME_OF_TRAILER(Place.CHUNKS, "{size}\r\n{body}\r\n0\r\nX-Broken Name: v\r\n\r\n"),
+  CONTROL_BYTE_IN_NAME_OF_TRAILER(
+      Place.CHUNKS, "{size}\r\n{body}\r\n0\r\nX-Broken\u0001Name: v\r\n\r\n"),
+  COLON_MISSING_IN_TRAILER(Place.CHUNKS, "{size}\r\n{body}\r\n0\r\nX-Broken\r\n\r\n");
 
   private static final String LINE_END = "\r\n";
   private static final String LENGTH_FRAMING = "Content-Length: {length}\r\n\r\n{body}";
+  private static final String CHUNKS_HEAD = "Transfer-Encoding: chunked\r\n\r\n";
   private static final String CHUNKS = "{size}\r\n{body}\r\n0\r\n\r\n";
 
   private final Place place;
@@ -78,6 +106,18 @@
       String text(String statusLine, String fields, String broken) {
         return statusLine + LINE_END + fields + broken;
       }
+    },
+    FRAMING_OF_OLD_VERSION {
+      @Override
+      String text(String statusLine, String fields, String broken) {
+        return statusLine.replace("HTTP/1.1", "HTTP/1.0") + LINE_END + fields + broken;
+      }
+    },
+    CHUNKS {
+      @Override
+      String text(String statusLine, String fields, String broken) {
+        return statusLine + LINE_END + fields + CHUNKS_HEAD + broken;
+      }
     };
 
     abstract String text(String statusLine, String fields, String broken);
@@ -99,4 +139,9 @@
         .replace("{size}", Integer.toHexString(body.length()))
         .replace("{body}", body);
   }
+
+  /** Returns whether the head, which comes before the body, is malformed. */
+  public boolean isHeadMalformed() {
+    return place != Place.CHUNKS;
+  }
 }
--- a/wire/src/main/java/org/teaseltrail/wire/http/AnswerDecoder.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/AnswerDecoder.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
@@ -24,7 +25,7 @@
  *
  * <p>An answer that isn't is passed on as a message whose {@link HttpObject#decoderResult()} is a
  * failure, and nothing is decoded after it. That is one that breaks the grammar ({@link
- * AnswerSyntax}) or has too many headers.
+ * AnswerSyntax}), whose framing isn't known ({@link AnswerFraming}), or that has too many headers.
  */
 public final class AnswerDecoder extends HttpResponseDecoder {
 
@@ -112,9 +113,11 @@
   private void followHead(HttpResponse head, List<Object> out, int index) {
     if (head.headers().size() > MAX_HEADERS) {
       breakOff(out, index, new TooLongHttpHeaderException("too many headers"));
+    } else if (!AnswerFraming.isKnown(head)) {
+      breakOff(out, index, new MalformedAnswerException("the transfer coding isn't known"));
     } else {
       headDecoded = true;
-      syntax.startBody();
+      syntax.startBody(HttpUtil.isTransferEncodingChunked(head));
     }
   }
 
--- a/wire/src/main/java/org/teaseltrail/wire/http/AnswerSyntax.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/AnswerSyntax.java
@@ -7,8 +7,9 @@
  * Tells whether the lines of the answers on a connection keep to the grammar of HTTP/1 (RFC 9112).
  *
  * <p>Netty's decoder takes more than the grammar allows: it reads a signed number as a status, ends
- * the name of a field at a blank and joins folded lines. What it makes of such an answer looks
- * whole. The bytes are read here as far as the decoder has taken them.
+ * the name of a field at a blank, joins folded lines and skips what stands behind a chunk's size.
+ * What it makes of such an answer looks whole. The bytes are read here as far as the decoder has
+ * taken them.
  */
 final class AnswerSyntax {
 
@@ -16,9 +17,11 @@
   private static final String CARRIAGE_RETURN = "\r";
   private static final byte LINE_END = '\n';
   private static final int BYTE_MASK = 0xff;
+  private static final int HEXADECIMAL = 16;
 
   private final StringBuilder line = new StringBuilder();
   private Place place = Place.STATUS_LINE;
+  private long chunkBytes;
 
   /** What is read next. */
   private enum Place {
@@ -35,7 +38,26 @@
         return line.isEmpty() ? BODY : nextIf(Grammar.FIELD_LINE, line, FIELD);
       }
     },
-    /** A body, whose bytes mean nothing here. */
+    CHUNK_SIZE {
+      @Override
+      Place after(String line) {
+        boolean isLast = Grammar.LAST_CHUNK_SIZE.matcher(line).matches();
+        return nextIf(Grammar.CHUNK_SIZE, line, isLast ? TRAILER : CHUNK_END);
+      }
+    },
+    CHUNK_END {
+      @Override
+      Place after(String line) {
+        return line.isEmpty() ? CHUNK_SIZE : MALFORMED;
+      }
+    },
+    TRAILER {
+      @Override
+      Place after(String line) {
+        return line.isEmpty() ? BODY : nextIf(Grammar.FIELD_LINE, line, TRAILER);
+      }
+    },
+    /** A body without chunks, whose bytes mean nothing here. */
     BODY {
       @Override
       Place after(String line) {
@@ -62,10 +84,14 @@
 
     private static final String TEXT = "[\\t\\x20-\\x7e\\x80-\\xff]*";
     private static final String TOKEN = "[!#$%&'*+\\-.^_`|~0-9A-Za-z]+";
+    private static final String CHUNK_EXTENSION = "[ \\t]*(?:;" + TEXT + ")?";
 
     private static final Pattern STATUS_LINE =
         Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?: " + TEXT + ")?");
     private static final Pattern FIELD_LINE = Pattern.compile(TOKEN + ":" + TEXT);
+    private static final Pattern CHUNK_SIZE =
+        Pattern.compile("[0-9A-Fa-f]{1,15}" + CHUNK_EXTENSION);
+    private static final Pattern LAST_CHUNK_SIZE = Pattern.compile("0+" + CHUNK_EXTENSION);
   }
 
   /** Expects the head of an answer next. */
@@ -74,8 +100,8 @@
   }
 
   /** Expects the body of an answer next. */
-  void startBody() {
-    moveTo(Place.BODY);
+  void startBody(boolean isChunked) {
+    moveTo(isChunked ? Place.CHUNK_SIZE : Place.BODY);
   }
 
   private void moveTo(Place next) {
@@ -96,8 +122,16 @@
    * @param to index behind the last byte
    */
   void read(ByteBuf in, int from, int to) {
-    for (int at = from; at < to && place != Place.BODY && !isMalformed(); at++) {
-      readByte(in.getByte(at));
+    int at = from;
+    while (at < to && place != Place.BODY && !isMalformed()) {
+      if (chunkBytes > 0) {
+        int skippedBytes = (int) Math.min(chunkBytes, to - at);
+        chunkBytes -= skippedBytes;
+        at += skippedBytes;
+      } else {
+        readByte(in.getByte(at));
+        at++;
+      }
     }
   }
 
@@ -124,6 +158,18 @@
     boolean endsWithReturn = length > 0 && line.charAt(length - 1) == CARRIAGE_RETURN.charAt(0);
     String text = line.substring(0, endsWithReturn ? length - 1 : length);
     line.setLength(0);
+    final Place before = place;
     place = place.after(text);
+    if (before == Place.CHUNK_SIZE && place == Place.CHUNK_END) {
+      chunkBytes = chunkBytes(text);
+    }
+  }
+
+  private static long chunkBytes(String sizeLine) {
+    int end = 0;
+    while (end < sizeLine.length() && Character.digit(sizeLine.charAt(end), HEXADECIMAL) >= 0) {
+      end++;
+    }
+    return Long.parseLong(sizeLine.substring(0, end), HEXADECIMAL);
   }
 }
--- a/wire/src/test/java/org/teaseltrail/wire/http/AnswerDecoderProperties.java
+++ b/wire/src/test/java/org/teaseltrail/wire/http/AnswerDecoderProperties.java
@@ -76,7 +76,9 @@
     DecodedAnswer answer =
         receive(kind.text("HTTP/1.1 200 OK", "", BODY), new Random(cutSeed), maxPieceBytes);
     assertThat(answer.end()).isCompletedWithValue(false);
-    assertThat(answer.text()).isEmpty();
+    if (kind.isHeadMalformed()) {
+      assertThat(answer.text()).isEmpty();
+    }
   }
 
   /** Guards against a well-formed answer that is given up, or read otherwise than it was sent. */
