Take the end of a connection for that of an answer only after the request

What callers saw: an upstream answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection while the upload was still on its way.

Cause: an answer without a length ends with its connection, and an end that was read while the channel was open counted as an orderly one. A reset alone is told to the reader, and was handled. But where the upstream's kernel sends an end before the reset, the reader sees the end only; the error goes to writers. That is so when an upstream ends its side and closes with some of the upload unread, and when its process ends at a moment in which nothing unread has arrived yet. Whether it is noticed hangs on a write that is still pending: most uploads are in the kernel's buffer by then, and none is.

Ruled out: the coalescing of reads, half closure by this side, the JDK's transport against the native one (both alike).

Why this works: such an answer is whole only if the channel is still open, the request was written whole, and the connection isn't known to be reset. Linux tells the last one of a connection of the native transport; since the reset follows the end by the time that a packet takes, the end is held back for 10 ms, only for answers without a length to requests with a body. The rule moves from UpstreamConnection to AnswerDecoder, the one place that says whether an answer is whole, which hears from RequestEncoder what was written.

Price: an upstream that ends an answer without a length before it has read the upload to which it answers gets its answer replaced by 502. Callers couldn't tell that answer from a part.

--- a/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
+++ b/forward/src/main/java/org/teaseltrail/forward/UpstreamConnection.java
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -23,6 +22,7 @@
 import org.teaseltrail.core.forward.AttemptOutcome;
 import org.teaseltrail.wire.http.AnswerDecoder;
 import org.teaseltrail.wire.http.AnswerFraming;
+import org.teaseltrail.wire.http.RequestEncoder;
 
 /**
  * One HTTP/1.1 connection to an upstream, which handles one request at a time.
@@ -79,7 +79,7 @@
 
   /** Adds the codec and this connection to the pipeline of a channel. */
   void addTo(ChannelPipeline pipeline) {
-    pipeline.addLast(new HttpRequestEncoder(), decoder, this);
+    pipeline.addLast(new RequestEncoder(decoder), decoder, this);
   }
 
   @Override
@@ -97,7 +97,6 @@
   void send(FullHttpRequest request, UpstreamResponseListener listener) {
     responseListener = listener;
     sent.add(listener.requestId());
-    decoder.setMethod(request.method());
     idle = false;
     // A late second answer would have a length and no body.
     notReusable = request.method().equals(HttpMethod.HEAD);
@@ -325,7 +324,7 @@
       responseListener.bodyReceived(part);
     }
     if (content instanceof LastHttpContent && responseListener != null) {
-      end();
+      answerEnded = true;
     }
   }
 
@@ -337,20 +336,6 @@
     fail();
   }
 
-  /**
-   * Handles the end of a response. A response without a length ends with its connection, but only
-   * if the upstream itself closes it in order: the connection is still open when its end is read.
-   * After a reset, a failed write or a timeout it is closed already, and there may have been more
-   * to come.
-   */
-  private void end() {
-    if (channel.isActive()) {
-      answerEnded = true;
-    } else {
-      fail();
-    }
-  }
-
   /**
    * Completes a request at the end of the read that has brought the end of its response. Before, a
    * next request could be sent on the connection although that read has brought more.
--- a/wire/src/main/java/org/teaseltrail/wire/http/AnswerDecoder.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/AnswerDecoder.java
@@ -1,8 +1,11 @@
 package org.teaseltrail.wire.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -19,6 +22,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Decodes the answers on a connection, and says whether each is whole and well-formed.
@@ -26,6 +30,9 @@
  * <p>An answer that isn't is passed on as a message whose {@link HttpObject#decoderResult()} is a
  * failure, and nothing is decoded after it. That is one that breaks the grammar ({@link
  * AnswerSyntax}), whose framing isn't known ({@link AnswerFraming}), or that has too many headers.
+ * An answer that ends with its connection is whole only if the peer has closed it in order after
+ * the request was written. In all other cases there may have been more to come: a reset that a
+ * write has met is an ordinary end to the read behind it.
  */
 public final class AnswerDecoder extends HttpResponseDecoder {
 
@@ -38,25 +45,49 @@
    */
   private static final int MAX_HEADERS = 256;
 
+  /** Time after the end of a connection in which its reset shows; data centres are near. */
+  private static final long RESET_WAIT_MS = 10;
+
   private final AnswerSyntax syntax = new AnswerSyntax();
+  private final ResetProbe resetProbe;
   private HttpMethod method = HttpMethod.GET;
+  private boolean requestHasBody;
+  private boolean requestWritten;
   private boolean headDecoded;
+  private boolean endsWithConnection;
   private boolean broken;
   private int takenBytes;
   private int takenLines;
 
   /**
-   * Creates a decoder for one connection.
+   * Creates a decoder for one connection, on which a {@link RequestEncoder} writes the requests.
    *
    * @param config the limits of heads
    */
   public AnswerDecoder(HttpDecoderConfig config) {
+    this(config, new TcpStateProbe());
+  }
+
+  AnswerDecoder(HttpDecoderConfig config, ResetProbe resetProbe) {
     super(config);
+    this.resetProbe = resetProbe;
   }
 
-  /** Sets the method of the request that is sent now; the framing of its answer depends on it. */
-  public void setMethod(HttpMethod next) {
+  /** Notes that a request is sent now; the framing of its answer depends on its method. */
+  void onRequest(HttpMethod next) {
     method = next;
+    requestHasBody = false;
+    requestWritten = false;
+  }
+
+  /** Notes that the request has a body. */
+  void onRequestBody() {
+    requestHasBody = true;
+  }
+
+  /** Notes that all of the request has been written. */
+  void onRequestWritten() {
+    requestWritten = true;
   }
 
   /** Returns the method of the request that was sent last. */
@@ -117,6 +148,7 @@
       breakOff(out, index, new MalformedAnswerException("the transfer coding isn't known"));
     } else {
       headDecoded = true;
+      endsWithConnection = AnswerFraming.endsWithConnection(head, method);
       syntax.startBody(HttpUtil.isTransferEncodingChunked(head));
     }
   }
@@ -139,6 +171,61 @@
     dropped.clear();
   }
 
+  /** Holds the end of the connection back where a reset that follows it would show. */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+    boolean mayBeReset =
+        event instanceof ChannelInputShutdownEvent
+            && headDecoded
+            && endsWithConnection
+            && requestHasBody
+            && requestWritten
+            && resetProbe.canTell(context.channel());
+    if (mayBeReset) {
+      context
+          .executor()
+          .schedule(() -> passEndOn(context, event), RESET_WAIT_MS, TimeUnit.MILLISECONDS);
+    } else {
+      super.userEventTriggered(context, event);
+    }
+  }
+
+  private void passEndOn(ChannelHandlerContext context, Object event) {
+    try {
+      if (context.channel().isActive()) {
+        super.userEventTriggered(context, event);
+      }
+    } catch (Exception e) {
+      context.fireExceptionCaught(e);
+    }
+  }
+
+  /** Decodes what is left when the connection has ended; only then an end may be no end. */
+  @Override
+  protected void decodeLast(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+      throws Exception {
+    if (broken) {
+      in.skipBytes(in.readableBytes());
+      return;
+    }
+    int decoded = out.size();
+    super.decodeLast(context, in, out);
+    boolean isEnd = out.size() > decoded && out.get(out.size() - 1) instanceof LastHttpContent;
+    if (isEnd && endsWithConnection && !isClosedInOrder(context.channel())) {
+      breakOff(
+          out, decoded, new PrematureChannelClosureException("the connection failed in an answer"));
+    }
+  }
+
+  /**
+   * Returns whether the peer alone has ended the connection, which then is still open here, and has
+   * taken all of the request. A reset behind an orderly end shows that it has left some of the body
+   * unread, so that the end may be that of its process.
+   */
+  private boolean isClosedInOrder(Channel channel) {
+    return channel.isActive() && requestWritten && !(requestHasBody && resetProbe.isReset(channel));
+  }
+
   private static int lines(ByteBuf in, int from, int to) {
     int count = 0;
     for (int i = from; i < to; i++) {
--- a/wire/src/test/java/org/teaseltrail/wire/http/AnswerDecoderProperties.java
+++ b/wire/src/test/java/org/teaseltrail/wire/http/AnswerDecoderProperties.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.Random;
@@ -97,7 +96,7 @@
     AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig());
     DecodedAnswer answer = new DecodedAnswer();
     EmbeddedChannel channel = new EmbeddedChannel();
-    channel.pipeline().addLast(new HttpRequestEncoder(), decoder, answer);
+    channel.pipeline().addLast(new RequestEncoder(decoder), decoder, answer);
     channel.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
     channel.releaseOutbound();
     byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
