Read answers on the other request path by the same decoder

What callers saw: the same as on the path of the entry VMs that place requests themselves, where status lines, fields, framing and ends were mended before this: a status of 000, fields whose names hold a blank, the first two bytes of a body as the whole of it. Besides, a malformed 503 of an engine counted as its word that the request had not run, and a malformed stream as the stream.

Cause: this path reads answers through Reactor Netty's client, whose codec is as lenient as the one behind AnswerDecoder was.

Why this works: AnswerDecoder and RequestEncoder take the place of the client's codec on each connection to an upstream, so that calls of plain services, engines' streams, streams that are resumed and cancellations are read by it. The client ends a call whose head or content failed to decode, as it did for what its own codec refused.

--- a/entry/src/main/java/org/teaseltrail/entry/UpstreamCallFactory.java
+++ b/entry/src/main/java/org/teaseltrail/entry/UpstreamCallFactory.java
@@ -2,11 +2,13 @@
 
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.time.Duration;
 import org.teaseltrail.core.entry.EntryAction;
 import org.teaseltrail.core.id.RequestId;
 import org.teaseltrail.core.request.UpstreamTarget;
 import org.teaseltrail.runtime.log.ComponentLogger;
+import org.teaseltrail.wire.http.AnswerDecoder;
 import reactor.netty.NettyPipeline;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
@@ -40,6 +42,7 @@
   }
 
   private static void addHandlers(ChannelPipeline pipeline) {
+    AnswerDecoder.replaceCodecOf(pipeline, new HttpDecoderConfig());
     pipeline.addAfter(NettyPipeline.HttpCodec, null, new InformationalResponseHandler());
     pipeline.addAfter(NettyPipeline.HttpCodec, null, new ResponseEndHandler());
     pipeline.addAfter(NettyPipeline.HttpCodec, null, new JoinedHeadHandler());
--- a/entry/src/test/java/org/teaseltrail/entry/ScriptedUpstream.java
+++ b/entry/src/test/java/org/teaseltrail/entry/ScriptedUpstream.java
@@ -118,6 +118,11 @@
       return head;
     }
 
+    /** Reads a part of the body of a request. */
+    void skip(int bytes) throws IOException {
+      socket.getInputStream().skipNBytes(bytes);
+    }
+
     void send(String text) throws IOException {
       socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
--- a/entry/src/test/java/org/teaseltrail/entry/ServiceAnswerTest.java
+++ b/entry/src/test/java/org/teaseltrail/entry/ServiceAnswerTest.java
@@ -22,6 +22,7 @@
   private static final String PATH = "/v1/services/portal-app/certificates";
   private static final String WHOLE = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
   private static final int LARGE_BODY_BYTES = 12_000_000;
+  private static final int UPLOADS = 10;
 
   private static ScriptedUpstream service;
   private static EntryTestEnvironment world;
@@ -185,6 +186,42 @@
     }
   }
 
+  static Stream<Arguments> resetsDuringUpload() {
+    List<Arguments> cases = new ArrayList<>();
+    for (int partBytes : new int[] {4, 100_000}) {
+      for (int readBytes : new int[] {0, 1_000_000}) {
+        for (End end : End.values()) {
+          cases.add(Arguments.of(partBytes, readBytes, end));
+        }
+      }
+    }
+    return cases.stream();
+  }
+
+  /**
+   * Guards against the part of an answer that reaches the caller as the whole because the service
+   * answered a long upload at once and its connection was reset while the upload was written. A
+   * close resets the connection too, since the rest of the upload is unread.
+   */
+  @ParameterizedTest
+  @MethodSource("resetsDuringUpload")
+  void answerThatIsResetDuringUploadIsNotWhole(int partBytes, int readBytes, End end)
+      throws IOException {
+    service.respondWith(
+        connection -> {
+          connection.readHead();
+          connection.send("HTTP/1.1 200 OK\r\n\r\n" + "x".repeat(partBytes));
+          connection.skip(readBytes);
+          end.end(connection);
+        });
+    String body = "u".repeat(LARGE_BODY_BYTES);
+    for (int calls = 0; calls < UPLOADS; calls++) {
+      try (RawCall call = call(body).readAll()) {
+        assertThat(call.isWholeSuccess()).as("status %s", call.status()).isFalse();
+      }
+    }
+  }
+
   /** Guards against a second answer of a service that reaches a caller. */
   @ParameterizedTest
   @ValueSource(
--- a/wire/src/main/java/org/teaseltrail/wire/http/AnswerDecoder.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/AnswerDecoder.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.PrematureChannelClosureException;
@@ -23,9 +24,11 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import reactor.netty.NettyPipeline;
 
 /**
- * Decodes the answers on a connection, and says whether each is whole and well-formed.
+ * Decodes the answers on a connection, and says whether each is whole and well-formed. All daemons
+ * read answers by this class.
  *
  * <p>An answer that isn't is passed on as a message whose {@link HttpObject#decoderResult()} is a
  * failure, and nothing is decoded after it. That is one that breaks the grammar ({@link
@@ -73,6 +76,19 @@
     this.resetProbe = resetProbe;
   }
 
+  /**
+   * Reads the answers of a connection of Reactor Netty's client by this decoder in place of its
+   * own.
+   *
+   * @param pipeline pipeline of the connection, to which nothing has been written yet
+   * @param config the limits of heads
+   */
+  public static void replaceCodecOf(ChannelPipeline pipeline, HttpDecoderConfig config) {
+    AnswerDecoder decoder = new AnswerDecoder(config);
+    pipeline.addBefore(NettyPipeline.HttpCodec, null, new RequestEncoder(decoder));
+    pipeline.replace(NettyPipeline.HttpCodec, NettyPipeline.HttpCodec, decoder);
+  }
+
   /** Notes that a request is sent now; the framing of its answer depends on its method. */
   void onRequest(HttpMethod next) {
     method = next;
