Read the answers of engines to orders by the same decoder

What happened: the leader believed malformed answers to its orders. A 202 whose head held a line that is no field counted as accepted, a 409 as a refusal for an old fencing number, and a status of 000 as a refusal, though nothing can be told by them.

Cause: as on the other request path, the client's own codec.

A body that is malformed behind a whole head doesn't change what the head has said, as before.

Why this works: the connection of an order is read by AnswerDecoder; what it doesn't take ends the call, and the order counts as unreachable, which is never sent a second time as the same order.

Every place that reads an answer, looked through for the same cause:

- relays: RelayAttempt, over the same UpstreamConnection; shown for peers and for peers' upstreams by RelayAnswersTest;
- health checks and probes of paths: HealthCheck, PathProber, the same connection; a malformed answer now counts as connected, not as answered;
- reports (load, limits, backoff, signs of leaving) are read from the heads of answers, behind the decoder; nobody reads /v1/report, the lists or events of key-value caches, moves or handles;
- orders of the leader: EngineOrderClient (here);
- control members, entry VMs and operators speak MessagePack and gRPC to each other, with decoders of their own and lengths in front; upstreams and operators send requests to control members, no answers;
- not changed, since no caller gets what they read: the load tool's EntryClient, StandinCounters and PathOverheadBenchmark, the stand-in's Announcer (Reactor Netty's client), LoopbackDeployment (the JDK's).

--- a/control/src/main/java/org/teaseltrail/control/EngineOrderClient.java
+++ b/control/src/main/java/org/teaseltrail/control/EngineOrderClient.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.nio.charset.StandardCharsets;
@@ -12,6 +13,7 @@
 import org.teaseltrail.core.control.EngineOrder;
 import org.teaseltrail.core.control.OrderOutcome;
 import org.teaseltrail.core.upstream.SocketAddress;
+import org.teaseltrail.wire.http.AnswerDecoder;
 import org.teaseltrail.wire.http.EmbeddedStatusLine;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -35,7 +37,10 @@
   private final HttpClient client =
       HttpClient.create(ConnectionProvider.newConnection())
           .disableRetry(true)
-          .followRedirect(false);
+          .followRedirect(false)
+          .doOnChannelInit(
+              (observer, channel, address) ->
+                  AnswerDecoder.replaceCodecOf(channel.pipeline(), new HttpDecoderConfig()));
 
   private final ObjectMapper mapper = new ObjectMapper();
   private final Consumer<ControlEvent> events;
--- a/control/src/test/java/org/teaseltrail/control/EngineOrderClientTest.java
+++ b/control/src/test/java/org/teaseltrail/control/EngineOrderClientTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.teaseltrail.core.control.ControlEvent;
 import org.teaseltrail.core.control.EngineOrder;
@@ -18,6 +19,7 @@
 import org.teaseltrail.core.id.FencingNumber;
 import org.teaseltrail.core.id.UpstreamId;
 import org.teaseltrail.core.upstream.UpstreamRole;
+import org.teaseltrail.testing.MalformedAnswer;
 
 /** What the leader believes of an order when the engine answers badly, over real sockets. */
 class EngineOrderClientTest {
@@ -148,4 +150,32 @@
       assertThat(order(engine)).isNotEqualTo(OrderOutcome.ACCEPTED);
     }
   }
+
+  /** Guards against an acceptance that is read from a malformed answer. */
+  @ParameterizedTest
+  @EnumSource
+  void malformedAnswerIsNoAcceptance(MalformedAnswer kind) throws Exception {
+    assertMalformedDecidesNothing(kind, "HTTP/1.1 202 Accepted", OrderOutcome.ACCEPTED);
+  }
+
+  /** Guards against a refusal that is read from a malformed answer. */
+  @ParameterizedTest
+  @EnumSource
+  void malformedAnswerIsNoRefusal(MalformedAnswer kind) throws Exception {
+    assertMalformedDecidesNothing(kind, "HTTP/1.1 409 Conflict", OrderOutcome.REFUSED_OLD_FENCING);
+  }
+
+  /** The head alone decides an order, so that a malformed body doesn't take it back. */
+  private void assertMalformedDecidesNothing(
+      MalformedAnswer kind, String statusLine, OrderOutcome ofHead) throws Exception {
+    try (FakeOrderEngine engine =
+        new FakeOrderEngine(
+            (order, uses, socket) -> {
+              FakeOrderEngine.send(socket, kind.text(statusLine, "", "body"));
+              socket.close();
+            })) {
+      OrderOutcome expected = kind.isHeadMalformed() ? OrderOutcome.UNREACHABLE : ofHead;
+      assertThat(order(engine)).isEqualTo(expected);
+    }
+  }
 }
