Split what the decoder of answers counts and knows of the request from it

AnswerDecoder had grown by four jobs. What was written of the latest request (RequestProgress, told by RequestEncoder) and the bytes of a head that isn't whole (UndecodedBytes) have classes of their own. Bytes that were made into messages aren't looked at any more, and bytes behind a switch of protocols, which the library passes on undecoded, aren't taken for a message; UnusualAnswerTest has the case, which ended the request before as well, by an exception. Nothing else changes.

--- a/forward/src/test/java/org/teaseltrail/forward/UnusualAnswerTest.java
+++ b/forward/src/test/java/org/teaseltrail/forward/UnusualAnswerTest.java
@@ -128,6 +128,16 @@
     assertThat(second.hasEnded()).isEqualTo(reused.isPresent());
   }
 
+  /** Guards against a request that stays open for what follows a switch in the same read. */
+  @Test
+  void bytesBehindSwitchToOtherProtocolFailRequest() {
+    ReceivedAnswer first = pooled.send(HttpMethod.GET, "first");
+    connection.answer(
+        ascii("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n"), ascii("other"));
+    assertThat(first.whole()).isEmpty();
+    assertThat(first.hasEnded()).isTrue();
+  }
+
   /** Guards against a request that waits while the connection carries no HTTP any more. */
   @Test
   void switchToOtherProtocolFailsRequest() {
--- a/wire/src/main/java/org/teaseltrail/wire/http/AnswerDecoder.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/AnswerDecoder.java
@@ -39,9 +39,6 @@
  */
 public final class AnswerDecoder extends HttpResponseDecoder {
 
-  private static final byte LINE_END = '\n';
-  private static final byte CARRIAGE_RETURN = '\r';
-
   /**
    * Maximum number of headers of an answer. Short headers take many times their bytes in memory, so
    * that a limit in bytes alone bounds little.
@@ -53,14 +50,11 @@
 
   private final AnswerSyntax syntax = new AnswerSyntax();
   private final ResetProbe resetProbe;
-  private HttpMethod method = HttpMethod.GET;
-  private boolean requestHasBody;
-  private boolean requestWritten;
+  private final RequestProgress request = new RequestProgress();
+  private final UndecodedBytes undecoded = new UndecodedBytes();
   private boolean headDecoded;
   private boolean endsWithConnection;
   private boolean broken;
-  private int takenBytes;
-  private int takenLines;
 
   /**
    * Creates a decoder for one connection, on which a {@link RequestEncoder} writes the requests.
@@ -89,31 +83,19 @@
     pipeline.replace(NettyPipeline.HttpCodec, NettyPipeline.HttpCodec, decoder);
   }
 
-  /** Notes that a request is sent now; the framing of its answer depends on its method. */
-  void onRequest(HttpMethod next) {
-    method = next;
-    requestHasBody = false;
-    requestWritten = false;
-  }
-
-  /** Notes that the request has a body. */
-  void onRequestBody() {
-    requestHasBody = true;
-  }
-
-  /** Notes that all of the request has been written. */
-  void onRequestWritten() {
-    requestWritten = true;
+  /** Returns what has been written of the latest request, for whoever writes it. */
+  RequestProgress request() {
+    return request;
   }
 
   /** Returns the method of the request that was sent last. */
   public HttpMethod method() {
-    return method;
+    return request.method();
   }
 
   /** Returns the number of bytes that were received and don't make a whole part of an answer. */
   public int undecodedBytes() {
-    return takenBytes + actualReadableBytes();
+    return undecoded.textBytes() + actualReadableBytes();
   }
 
   @Override
@@ -123,30 +105,27 @@
       in.skipBytes(in.readableBytes());
       return;
     }
-    int from = in.readerIndex();
-    int decoded = out.size();
+    final int from = in.readerIndex();
+    final int decoded = out.size();
     super.decode(context, in, out);
     syntax.read(in, from, in.readerIndex());
-    countTaken(in, from, out.size() > decoded);
+    if (out.size() > decoded) {
+      undecoded.clear();
+    } else {
+      undecoded.add(in, from, in.readerIndex());
+    }
     if (syntax.isMalformed()) {
       breakOff(out, decoded, new MalformedAnswerException("a line breaks the grammar of HTTP/1"));
-    } else if (takenLines > MAX_HEADERS) {
+    } else if (undecoded.lines() > MAX_HEADERS) {
       breakOff(out, decoded, new TooLongHttpHeaderException("too many headers"));
     } else {
       follow(out, decoded);
     }
   }
 
-  /** Counts the bytes and lines of a head that the base class takes before the head is whole. */
-  private void countTaken(ByteBuf in, int from, boolean isPartDecoded) {
-    int to = in.readerIndex();
-    takenBytes = isPartDecoded ? 0 : takenBytes + textBytes(in, from, to);
-    takenLines = isPartDecoded ? 0 : takenLines + lines(in, from, to);
-  }
-
   private void follow(List<Object> out, int decoded) {
     for (int i = decoded; i < out.size() && !broken; i++) {
-      broken = ((HttpObject) out.get(i)).decoderResult().isFailure();
+      broken = out.get(i) instanceof HttpObject message && message.decoderResult().isFailure();
       if (!broken && out.get(i) instanceof HttpResponse head) {
         followHead(head, out, i);
       }
@@ -164,7 +143,7 @@
       breakOff(out, index, new MalformedAnswerException("the transfer coding isn't known"));
     } else {
       headDecoded = true;
-      endsWithConnection = AnswerFraming.endsWithConnection(head, method);
+      endsWithConnection = AnswerFraming.endsWithConnection(head, request.method());
       syntax.startBody(HttpUtil.isTransferEncodingChunked(head));
     }
   }
@@ -194,8 +173,8 @@
         event instanceof ChannelInputShutdownEvent
             && headDecoded
             && endsWithConnection
-            && requestHasBody
-            && requestWritten
+            && request.hasBody()
+            && request.isWritten()
             && resetProbe.canTell(context.channel());
     if (mayBeReset) {
       context
@@ -239,40 +218,23 @@
    * unread, so that the end may be that of its process.
    */
   private boolean isClosedInOrder(Channel channel) {
-    return channel.isActive() && requestWritten && !(requestHasBody && resetProbe.isReset(channel));
-  }
-
-  private static int lines(ByteBuf in, int from, int to) {
-    int count = 0;
-    for (int i = from; i < to; i++) {
-      count += in.getByte(i) == LINE_END ? 1 : 0;
-    }
-    return count;
-  }
-
-  /** Counts bytes without those of line ends, which may stand between two answers. */
-  private static int textBytes(ByteBuf in, int from, int to) {
-    int count = 0;
-    for (int i = from; i < to; i++) {
-      byte next = in.getByte(i);
-      if (next != LINE_END && next != CARRIAGE_RETURN) {
-        count++;
-      }
-    }
-    return count;
+    return channel.isActive()
+        && request.isWritten()
+        && !(request.hasBody() && resetProbe.isReset(channel));
   }
 
   /** Returns whether an answer makes the connection one that carries no HTTP any more. */
   public boolean endsHttp(HttpResponse response) {
     boolean isSuccess = response.status().codeClass() == HttpStatusClass.SUCCESS;
     return response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
-        || (isSuccess && method.equals(HttpMethod.CONNECT));
+        || (isSuccess && request.method().equals(HttpMethod.CONNECT));
   }
 
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     boolean isFinal =
         ((HttpResponse) message).status().codeClass() != HttpStatusClass.INFORMATIONAL;
-    return (isFinal && method.equals(HttpMethod.HEAD)) || super.isContentAlwaysEmpty(message);
+    return (isFinal && request.method().equals(HttpMethod.HEAD))
+        || super.isContentAlwaysEmpty(message);
   }
 }
--- a/wire/src/main/java/org/teaseltrail/wire/http/RequestEncoder.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/RequestEncoder.java
@@ -11,7 +11,7 @@
 /** Encodes the requests of a connection, and tells its decoder what their answers depend on. */
 public final class RequestEncoder extends HttpRequestEncoder {
 
-  private final AnswerDecoder decoder;
+  private final RequestProgress progress;
 
   /**
    * Creates an encoder for one connection.
@@ -19,17 +19,17 @@
    * @param decoder decoder of the answers on the same connection
    */
   public RequestEncoder(AnswerDecoder decoder) {
-    this.decoder = decoder;
+    progress = decoder.request();
   }
 
   @Override
   public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
       throws Exception {
     if (message instanceof HttpRequest request) {
-      decoder.onRequest(request.method());
+      progress.start(request.method());
     }
     if (hasBytes(message)) {
-      decoder.onRequestBody();
+      progress.addBody();
     }
     super.write(
         context, message, message instanceof LastHttpContent ? reportingWrite(promise) : promise);
@@ -46,7 +46,7 @@
         .addListener(
             write -> {
               if (write.isSuccess()) {
-                decoder.onRequestWritten();
+                progress.end();
               }
             });
   }
