--- a/wire/src/main/java/org/teaseltrail/wire/http/AnswerDecoder.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/AnswerDecoder.java
@@ -4,7 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
-import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -23,7 +22,6 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import reactor.netty.NettyPipeline;
 
 /**
@@ -45,9 +43,6 @@
    */
   private static final int MAX_HEADERS = 256;
 
-  /** Time after the end of a connection in which its reset shows; data centres are near. */
-  private static final long RESET_WAIT_MS = 10;
-
   private final AnswerSyntax syntax = new AnswerSyntax();
   private final ResetProbe resetProbe;
   private final RequestProgress request = new RequestProgress();
@@ -166,35 +161,6 @@
     dropped.clear();
   }
 
-  /** Holds the end of the connection back where a reset that follows it would show. */
-  @Override
-  public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
-    boolean mayBeReset =
-        event instanceof ChannelInputShutdownEvent
-            && headDecoded
-            && endsWithConnection
-            && request.hasBody()
-            && request.isWritten()
-            && resetProbe.canTell(context.channel());
-    if (mayBeReset) {
-      context
-          .executor()
-          .schedule(() -> passEndOn(context, event), RESET_WAIT_MS, TimeUnit.MILLISECONDS);
-    } else {
-      super.userEventTriggered(context, event);
-    }
-  }
-
-  private void passEndOn(ChannelHandlerContext context, Object event) {
-    try {
-      if (context.channel().isActive()) {
-        super.userEventTriggered(context, event);
-      }
-    } catch (Exception e) {
-      context.fireExceptionCaught(e);
-    }
-  }
-
   /** Decodes what is left when the connection has ended; only then an end may be no end. */
   @Override
   protected void decodeLast(ChannelHandlerContext context, ByteBuf in, List<Object> out)
--- a/wire/src/main/java/org/teaseltrail/wire/http/ResetProbe.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/ResetProbe.java
@@ -8,9 +8,6 @@
  */
 interface ResetProbe {
 
-  /** Returns whether resets of a connection can be told. */
-  boolean canTell(Channel channel);
-
   /** Returns whether a connection is known to be reset. */
   boolean isReset(Channel channel);
 }
--- a/wire/src/main/java/org/teaseltrail/wire/http/TcpStateProbe.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/TcpStateProbe.java
@@ -10,11 +10,6 @@
   /** TCP_CLOSE of Linux: state after a reset. */
   private static final int CLOSED = 7;
 
-  @Override
-  public boolean canTell(Channel channel) {
-    return channel instanceof EpollSocketChannel;
-  }
-
   @Override
   public boolean isReset(Channel channel) {
     try {
