Tell the last chunk by its parsed size

AnswerSyntax matched each chunk's size line against two patterns and then parsed the size, once for each event of a chunked stream. The parsed size says by itself whether the chunk is the last; the second pattern goes. Behaviour as before: formatter, linter, AnswerDecoderProperties (2,000 tries each, any cut), ConnectionEndTest and ResetBehindEndTest green.

--- a/wire/src/main/java/org/teaseltrail/wire/http/AnswerSyntax.java
+++ b/wire/src/main/java/org/teaseltrail/wire/http/AnswerSyntax.java
@@ -41,8 +41,7 @@
     CHUNK_SIZE {
       @Override
       Place after(String line) {
-        boolean isLast = Grammar.LAST_CHUNK_SIZE.matcher(line).matches();
-        return nextIf(Grammar.CHUNK_SIZE, line, isLast ? TRAILER : CHUNK_END);
+        return nextIf(Grammar.CHUNK_SIZE, line, CHUNK_END);
       }
     },
     CHUNK_END {
@@ -91,7 +90,6 @@
     private static final Pattern FIELD_LINE = Pattern.compile(TOKEN + ":" + TEXT);
     private static final Pattern CHUNK_SIZE =
         Pattern.compile("[0-9A-Fa-f]{1,15}" + CHUNK_EXTENSION);
-    private static final Pattern LAST_CHUNK_SIZE = Pattern.compile("0+" + CHUNK_EXTENSION);
   }
 
   /** Expects the head of an answer next. */
@@ -162,6 +160,7 @@
     place = place.after(text);
     if (before == Place.CHUNK_SIZE && place == Place.CHUNK_END) {
       chunkBytes = chunkBytes(text);
+      place = chunkBytes == 0 ? Place.TRAILER : Place.CHUNK_END;
     }
   }
 
